--- /dev/null
+++ b/include/celerypost/types.h
@@ -0,0 +1,69 @@
+#ifndef INCLUDE_CELERYPOST_TYPES_H_
+#define INCLUDE_CELERYPOST_TYPES_H_
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace celerypost {
+
+// Monotonic time, used by every decision part. A caller passes the current
+// time in; no decision part reads a clock.
+using Clock = std::chrono::steady_clock;
+using TimePoint = Clock::time_point;
+using Duration = Clock::duration;
+
+// A string that names one kind of thing, so that a zone cannot be passed where
+// a service is expected.
+template <typename Tag>
+class Name {
+ public:
+  Name() = default;
+  explicit Name(std::string value) : text(std::move(value)) {}
+
+  const std::string& value() const { return this->text; }
+  bool empty() const { return this->text.empty(); }
+  auto operator<=>(const Name&) const = default;
+
+ private:
+  std::string text;
+};
+
+using ZoneName = Name<struct ZoneTag>;
+using RegionName = Name<struct RegionTag>;
+using ServiceName = Name<struct ServiceTag>;
+using WorkspaceName = Name<struct WorkspaceTag>;
+
+// The start identity of one process: drawn at random when it starts and never
+// used again, so a restarted process is a new instance. Zero means none.
+struct InstanceId {
+  uint64_t value = 0;
+
+  auto operator<=>(const InstanceId&) const = default;
+};
+
+// Smaller is served first.
+enum class Priority : uint8_t { kInteractive = 0, kNormal = 1, kBatch = 2 };
+
+enum class Role : uint8_t { kEntry = 0, kAgent = 1 };
+
+}  // namespace celerypost
+
+template <typename Tag>
+struct std::hash<celerypost::Name<Tag>> {
+  size_t operator()(const celerypost::Name<Tag>& name) const noexcept {
+    return std::hash<std::string>()(name.value());
+  }
+};
+
+template <>
+struct std::hash<celerypost::InstanceId> {
+  size_t operator()(const celerypost::InstanceId& id) const noexcept {
+    return std::hash<uint64_t>()(id.value);
+  }
+};
+
+#endif  // INCLUDE_CELERYPOST_TYPES_H_
--- /dev/null
+++ b/src/connection/http.h
@@ -0,0 +1,33 @@
+#ifndef SRC_CONNECTION_HTTP_H_
+#define SRC_CONNECTION_HTTP_H_
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace celerypost {
+
+// Header names are in lower case.
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+// Returns the first value of `name` (lower case), or an empty view.
+std::string_view FindHeader(const HttpHeaders& headers, std::string_view name);
+
+// Returns the decoded value of query parameter `name`, or an empty string.
+std::string FindQueryParameter(std::string_view path, std::string_view name);
+
+// Returns `path` without its query.
+std::string_view PathWithoutQuery(std::string_view path);
+
+struct HttpRequest {
+  std::string method = "GET";
+  // Path and query.
+  std::string path = "/";
+  HttpHeaders headers;
+  std::string body;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_CONNECTION_HTTP_H_
--- /dev/null
+++ b/src/connection/http_client.h
@@ -0,0 +1,90 @@
+#ifndef SRC_CONNECTION_HTTP_CLIENT_H_
+#define SRC_CONNECTION_HTTP_CLIENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "celerypost/verdict.h"
+#include "src/connection/http.h"
+#include "src/connection/loop.h"
+
+namespace celerypost {
+
+// An IPv4 address and port.
+struct SocketAddress {
+  std::string ip;
+  uint16_t port = 0;
+
+  auto operator<=>(const SocketAddress&) const = default;
+  std::string ToString() const;
+  // Parses "127.0.0.1:8080"; fails with kInvalidArgument.
+  static Result<SocketAddress> Parse(std::string_view text);
+};
+
+struct HttpResponseHead {
+  int status = 0;
+  HttpHeaders headers;
+};
+
+// Receives one response. Either OnEnd or OnFailure is called, once and last.
+// The verdict of a failure is kNotRun when the connection was not established,
+// kMayHaveRun afterwards.
+struct HttpResponseCallbacks {
+  std::function<void(const HttpResponseHead&)> on_head;
+  std::function<void(std::string_view)> on_body;
+  std::function<void()> on_end;
+  std::function<void(Failure)> on_failure;
+};
+
+// Destroying the call cancels it: the connection is closed and no callback
+// runs afterwards.
+class HttpCall {
+ public:
+  virtual ~HttpCall() = default;
+};
+
+// A whole response.
+struct HttpResponse {
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+};
+
+struct HttpClientOptions {
+  // Longest silence on a connection before the request fails.
+  std::chrono::milliseconds io_timeout{30000};
+  // Idle connections that are kept.
+  size_t max_idle_connections = 256;
+};
+
+// HTTP/1.1 client of one server, on h2o. Keeps idle connections.
+class HttpClient {
+ public:
+  HttpClient(Loop& loop, SocketAddress server, HttpClientOptions options);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  // Sends a request and streams the response.
+  std::unique_ptr<HttpCall> Send(HttpRequest request,
+                                 HttpResponseCallbacks callbacks);
+
+  // Sends a request and collects the response, at most `max_body_bytes` of it.
+  // `done` is called once unless the returned call is destroyed before.
+  std::unique_ptr<HttpCall> Fetch(
+      HttpRequest request,
+      size_t max_body_bytes,
+      std::function<void(Result<HttpResponse>)> done);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_CONNECTION_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/connection/http_server.h
@@ -0,0 +1,79 @@
+#ifndef SRC_CONNECTION_HTTP_SERVER_H_
+#define SRC_CONNECTION_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "celerypost/verdict.h"
+#include "src/connection/http.h"
+#include "src/connection/loop.h"
+
+namespace celerypost {
+
+// The answer to one request. Valid until the caller's connection ends; after
+// that every call is ignored, so holders need not track the connection.
+class HttpResponder {
+ public:
+  virtual ~HttpResponder() = default;
+
+  // Sends the status line and headers of a streamed answer.
+  virtual void Start(int status, const HttpHeaders& headers) = 0;
+  // Sends a part of the body; buffers while the connection is slow.
+  virtual void Write(std::string_view bytes) = 0;
+  // Ends the body.
+  virtual void End() = 0;
+  // Closes the connection without the end mark of the body, so that the caller
+  // cannot take a broken answer for a whole one.
+  virtual void Abort() = 0;
+
+  // Sends a whole answer.
+  void Send(int status, HttpHeaders headers, std::string_view body);
+  void SendJson(int status, std::string_view body);
+
+  // Called once when the caller's connection ends before the answer does.
+  virtual void OnClosed(std::function<void()> callback) = 0;
+  virtual bool closed() const = 0;
+};
+
+using HttpHandler =
+    std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
+
+struct HttpServerOptions {
+  // IP number to listen on.
+  std::string address = "127.0.0.1";
+  // 0 picks a free port.
+  uint16_t port = 0;
+  // Larger request bodies are answered with 413.
+  size_t max_body_bytes = 8u << 20;
+};
+
+// HTTP/1.1 server on h2o. Calls the handler on the loop's thread.
+class HttpServer {
+ public:
+  // Binds and listens. Fails with kUnavailable when the address is taken.
+  static Result<std::unique_ptr<HttpServer>> Make(Loop& loop,
+                                                  HttpServerOptions options,
+                                                  HttpHandler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  uint16_t port() const;
+
+  // Closes the listening socket; requests that run finish.
+  void StopListening();
+
+ private:
+  struct Impl;
+  explicit HttpServer(std::unique_ptr<Impl> impl);
+
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_CONNECTION_HTTP_SERVER_H_
--- /dev/null
+++ b/src/connection/loop.h
@@ -0,0 +1,72 @@
+#ifndef SRC_CONNECTION_LOOP_H_
+#define SRC_CONNECTION_LOOP_H_
+
+#include <uv.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+#include "celerypost/types.h"
+
+namespace celerypost {
+
+class Loop;
+
+// A timer of one loop. Destroying it cancels it. `on_fire` may destroy the
+// timer.
+class Timer {
+ public:
+  Timer(Loop& loop, std::function<void()> on_fire);
+  ~Timer();
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+
+  // Fires once after `delay`; replaces an earlier schedule.
+  void StartOnce(std::chrono::milliseconds delay);
+  // Fires every `period`, first after one period.
+  void StartRepeating(std::chrono::milliseconds period);
+  void Stop();
+
+ private:
+  struct State;
+  State* state;
+};
+
+// One libuv loop and the thread that runs it. All tasks of a process run on one
+// loop, so they need no locks.
+class Loop {
+ public:
+  Loop();
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  // Runs until Stop.
+  void Run();
+  void Stop();
+
+  // Handles pending events and returns; waits at most `limit` for the first.
+  void RunFor(std::chrono::milliseconds limit);
+
+  // Monotonic time.
+  TimePoint Now() const;
+
+  // Runs `task` in the next iteration of the loop.
+  void Post(std::function<void()> task);
+
+  // Calls `on_signal` on the loop when the process receives SIGTERM or SIGINT.
+  void OnTerminate(std::function<void()> on_signal);
+
+  uv_loop_t* uv() { return &this->handle; }
+
+ private:
+  struct Signals;
+
+  uv_loop_t handle;
+  std::unique_ptr<Signals> signals;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_CONNECTION_LOOP_H_
--- /dev/null
+++ b/src/process/main.cc
@@ -0,0 +1,6 @@
+#include <cstdio>
+
+int main() {
+  std::puts("celerypost");
+  return 0;
+}
--- /dev/null
+++ b/src/thrift/messages.thrift
@@ -0,0 +1,186 @@
+// Messages between celerypost processes. Each frame holds one Header followed
+// by the struct that Header.kind names, both in the compact protocol.
+namespace cpp celerypost.wire
+
+const i32 PROTOCOL_VERSION = 1
+
+enum Kind {
+  HELLO = 1, HEARTBEAT = 2, PULL_DOCUMENT = 3, DOCUMENT = 4,
+  WORK = 5, WORK_HEAD = 6, WORK_BODY = 7, WORK_END = 8, CANCEL_WORK = 9,
+  HAND_OFF = 10, HAND_OFF_DONE = 11,
+  PULL_CHUNK = 12, CHUNK = 13, HAVE_CHUNKS = 14, PING = 15, PONG = 16,
+}
+
+struct Header {
+  1: i32 version
+  2: Kind kind
+  // Number of the request on the sender's side of this connection; 0 for
+  // messages that belong to no request.
+  3: i64 request
+  // Attempt number of that request, counted from 1.
+  4: i32 attempt
+}
+
+struct Hello {
+  1: i32 role
+  2: i64 instance
+  3: string zone
+  4: string region
+  5: string service_name
+  6: string address
+  // Random bytes drawn by the sender.
+  7: binary nonce
+  // HMAC-SHA256 of the receiver's nonce under the shared key; empty in the
+  // first Hello of the connecting side.
+  8: binary proof
+}
+
+// A witness's statement about the configuration.
+struct Stamp {
+  1: i64 witness
+  2: string region
+  3: i64 sequence
+  4: i64 config_number
+  5: bool store_reachable
+  // Milliseconds since the witness made the statement, as known to the sender.
+  6: i32 age_ms
+}
+
+struct Member {
+  1: i64 instance
+  2: i32 role
+  3: string zone
+  4: string region
+  5: string service_name
+  6: string address
+  // 0 live, 1 leaving, 2 dead.
+  7: i32 state
+  // Grows with each change that the member makes itself.
+  8: i64 incarnation
+  // Address of the HTTP listener; for entries the one that callers use.
+  9: string http_address
+  // Agents: digest of the weight set that the target serves.
+  10: string serving
+  // Agents: 1 when the target is past its cold start.
+  11: bool warm
+  // Agents: roll-out number up to which this agent has finished switching.
+  12: i64 switched
+}
+
+struct DocumentNumber {
+  1: string key
+  2: i64 number
+}
+
+struct Heartbeat {
+  1: list<Stamp> stamps
+  2: list<Member> members
+  3: list<DocumentNumber> documents
+  // Digest over the whole member table; a difference makes the peers exchange
+  // their tables.
+  4: i64 members_digest
+}
+
+struct PullDocument {
+  1: string key
+}
+
+struct Document {
+  1: string key
+  2: i64 number
+  3: binary bytes
+}
+
+struct LoadReport {
+  1: i32 in_flight
+  2: i32 queued
+  3: i32 limit
+  4: bool cold
+  5: string serving
+}
+
+struct Work {
+  1: string request_id
+  2: string service_name
+  3: string workspace
+  4: i32 priority
+  // Milliseconds left until the caller's deadline when the frame was sent.
+  5: i32 deadline_ms
+  6: bool idempotent
+  7: string method
+  8: string path
+  9: string content_type
+  10: binary body
+  // Leading part of the prompt's hash, for prefix affinity.
+  11: i64 prefix_hash
+  // Configuration number that the entry routed by.
+  12: i64 config_number
+}
+
+struct WorkHead {
+  1: i32 status
+  2: string content_type
+  // Weight set version that produces the answer; empty for plain services.
+  3: string version
+  4: LoadReport load
+}
+
+struct WorkBody {
+  1: binary bytes
+}
+
+struct WorkEnd {
+  // celerypost::Verdict as a number.
+  1: i32 verdict
+  // celerypost::ErrorCode as a number; -1 when the answer is whole.
+  2: i32 error
+  3: string message
+  4: LoadReport load
+  // Instance and address of the agent that owns the slot now, if it moved.
+  5: i64 moved_to
+}
+
+struct CancelWork {
+  1: string reason
+}
+
+struct SlotRecord {
+  1: string request_id
+  // 0 running, 1 finished, 2 may have run.
+  2: i32 state
+  3: i32 status
+  4: string content_type
+  5: binary answer
+}
+
+struct HandOff {
+  1: string service_name
+  2: i32 slot
+  3: i64 since_version
+  4: i64 until_version
+  5: i64 floor_ms
+  6: list<SlotRecord> records
+}
+
+struct HandOffDone {
+  1: string service_name
+  2: i32 slot
+  3: bool accepted
+}
+
+struct PullChunk {
+  1: string digest
+}
+
+struct Chunk {
+  1: string digest
+  2: bool found
+  3: binary bytes
+}
+
+struct HaveChunks {
+  1: string set_digest
+  // One bit per chunk of the set, in the order of the manifest.
+  2: binary bitmap
+  3: bool complete
+}
--- /dev/null
+++ b/tests/connection/frame_codec_test.cc
@@ -0,0 +1,90 @@
+#include "src/connection/frame_codec.h"
+
+#include <string>
+#include <vector>
+
+#include "CppUTest/TestHarness.h"
+
+namespace celerypost {
+namespace {
+
+std::vector<Frame> ReadAll(FrameReader* reader, std::string_view bytes) {
+  std::vector<Frame> frames;
+  const auto result = reader->Append(
+      bytes, [&frames](Frame frame) { frames.push_back(std::move(frame)); });
+  CHECK_TRUE(result.has_value());
+  return frames;
+}
+
+std::string PullFrame(const std::string& key) {
+  wire::PullDocument message;
+  message.key = key;
+  return EncodeFrame(wire::Kind::PULL_DOCUMENT, 7, 2, message);
+}
+
+TEST_GROUP(FrameCodecTest){};
+
+// Guards against an answer that reaches another request because its numbers
+// were lost on the way.
+TEST(FrameCodecTest, KeepsNumbersAndMessage) {
+  FrameReader reader;
+  const auto frames = ReadAll(&reader, PullFrame("config"));
+  LONGS_EQUAL(1, frames.size());
+  LONGS_EQUAL(7, frames[0].header.request);
+  LONGS_EQUAL(2, frames[0].header.attempt);
+  const auto message = DecodeMessage<wire::PullDocument>(frames[0]);
+  CHECK_TRUE(message.has_value());
+  CHECK(message->key == "config");
+}
+
+// Guards against frames that are lost or split when TCP delivers them byte by
+// byte or several at a time.
+TEST(FrameCodecTest, AcceptsAnySegmentation) {
+  const std::string bytes = PullFrame("a") + PullFrame("b");
+  FrameReader reader;
+  size_t count = 0;
+  for (const char byte : bytes) {
+    count += ReadAll(&reader, std::string_view(&byte, 1)).size();
+  }
+  LONGS_EQUAL(2, count);
+  LONGS_EQUAL(2, ReadAll(&reader, bytes).size());
+}
+
+// Guards against a forged length that makes the process allocate memory.
+TEST(FrameCodecTest, RejectsOversizedLength) {
+  FrameReader reader;
+  const auto result = reader.Append("\x7f\xff\xff\xff", [](Frame) {});
+  CHECK_FALSE(result.has_value());
+  CHECK(result.error().message.find("2147483647") != std::string::npos);
+  CHECK_FALSE(reader.Append("", [](Frame) {}).has_value());
+}
+
+// Guards against bytes of another protocol being taken for messages.
+TEST(FrameCodecTest, RejectsMalformedHeader) {
+  FrameReader reader;
+  const std::string bytes("\x00\x00\x00\x04\xff\xff\xff\xff", 8);
+  CHECK_FALSE(reader.Append(bytes, [](Frame) {}).has_value());
+}
+
+// Guards against decoding a message of a newer protocol by this one's rules.
+TEST(FrameCodecTest, RejectsOtherVersion) {
+  std::string bytes = PullFrame("config");
+  // Byte 5 holds the zigzag-encoded version, after the length and the field
+  // header.
+  bytes[5] = 0x12;
+  FrameReader reader;
+  const auto result = reader.Append(bytes, [](Frame) {});
+  CHECK_FALSE(result.has_value());
+  CHECK(result.error().message.find("header.version 9") != std::string::npos);
+}
+
+// Guards against a truncated message being taken with default values.
+TEST(FrameCodecTest, RejectsTruncatedMessage) {
+  FrameReader reader;
+  auto frames = ReadAll(&reader, PullFrame("configuration"));
+  frames[0].payload.resize(frames[0].payload.size() - 3);
+  CHECK_FALSE(DecodeMessage<wire::PullDocument>(frames[0]).has_value());
+}
+
+}  // namespace
+}  // namespace celerypost
--- /dev/null
+++ b/tests/request/verdict_test.cc
@@ -0,0 +1,23 @@
+#include "celerypost/verdict.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace celerypost {
+namespace {
+
+TEST_GROUP(VerdictTest){};
+
+// Guards against a refusal whose header says something else than its verdict.
+TEST(VerdictTest, NamesEveryVerdict) {
+  CHECK(VerdictName(Verdict::kNotRun) == "not-run");
+  CHECK(VerdictName(Verdict::kMayHaveRun) == "may-have-run");
+  CHECK(VerdictName(Verdict::kRan) == "ran");
+}
+
+// Guards against an error code whose name is shifted after a code is added.
+TEST(VerdictTest, NamesTheLastErrorCode) {
+  CHECK(ErrorCodeName(ErrorCode::kInternal) == "internal");
+}
+
+}  // namespace
+}  // namespace celerypost
