--- /dev/null
+++ b/src/process/flags.h
@@ -0,0 +1,59 @@
+#ifndef SRC_PROCESS_FLAGS_H_
+#define SRC_PROCESS_FLAGS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "celerypost/verdict.h"
+
+namespace celerypost {
+
+// Command lines that accept flags; a flag belongs to one or more.
+enum class FlagRole : uint8_t { kEntry = 1, kAgent = 2, kCtl = 4 };
+
+// Text of every flag of a role by name without dashes. Defaults are filled in.
+using FlagValues = std::map<std::string, std::string, std::less<>>;
+
+struct CommandArguments {
+  FlagValues flags;
+  // Arguments that are not flags, in order. All arguments after "--".
+  std::vector<std::string> positional;
+};
+
+// Returns the value of an environment variable, or nothing.
+using Environment =
+    std::function<std::optional<std::string>(const std::string& name)>;
+
+// Reads the environment of this process.
+std::optional<std::string> ProcessEnvironment(const std::string& name);
+
+// Returns the flags of `role` from their defaults, CELERYPOST_* variables and
+// `args`; of these the last wins. Accepts "--name=value", "--name value" and
+// "-name"; a boolean flag needs no value. Fails with kInvalidArgument that
+// names the flag for unknown flags, flags of other roles and missing values.
+// Values are checked later, by the Make... functions of settings.h.
+Result<CommandArguments> ReadFlags(FlagRole role,
+                                   const std::vector<std::string>& args,
+                                   const Environment& environment);
+
+struct FlagDescription {
+  std::string name;
+  // The variable, for example CELERYPOST_ZONE.
+  std::string variable;
+  // Meaning with unit and range.
+  std::string help;
+  std::string default_value;
+  bool boolean = false;
+};
+
+// Returns the flags of a role in the order of the help text.
+std::vector<FlagDescription> DescribeFlags(FlagRole role);
+
+}  // namespace celerypost
+
+#endif  // SRC_PROCESS_FLAGS_H_
