Add the event loop, HTTP server and HTTP client on h2o

Cause: daemons, adapters and stand-ins need HTTP over libuv. Change: Loop and Timer over libuv; HttpServer streams answers through a responder that outlives its connection safely; HttpClient keeps idle connections and reports whether a failed request may have run.

--- /dev/null
+++ b/src/connection/http.cc
@@ -0,0 +1,75 @@
+#include "src/connection/http.h"
+
+namespace celerypost {
+
+namespace {
+
+int HexValue(char digit) {
+  if (digit >= '0' && digit <= '9') {
+    return digit - '0';
+  }
+  if (digit >= 'a' && digit <= 'f') {
+    return digit - 'a' + 10;
+  }
+  if (digit >= 'A' && digit <= 'F') {
+    return digit - 'A' + 10;
+  }
+  return -1;
+}
+
+std::string DecodePercent(std::string_view text) {
+  std::string decoded;
+  for (size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 2 < text.size()) {
+      const int high = HexValue(text[i + 1]);
+      const int low = HexValue(text[i + 2]);
+      if (high >= 0 && low >= 0) {
+        decoded.push_back(static_cast<char>(high * 16 + low));
+        i += 2;
+        continue;
+      }
+    }
+    decoded.push_back(text[i] == '+' ? ' ' : text[i]);
+  }
+  return decoded;
+}
+
+}  // namespace
+
+std::string_view FindHeader(const HttpHeaders& headers, std::string_view name) {
+  for (const auto& [key, value] : headers) {
+    if (key == name) {
+      return value;
+    }
+  }
+  return {};
+}
+
+std::string FindQueryParameter(std::string_view path, std::string_view name) {
+  const size_t question = path.find('?');
+  if (question == std::string_view::npos) {
+    return {};
+  }
+  std::string_view query = path.substr(question + 1);
+  while (!query.empty()) {
+    const size_t end = query.find('&');
+    const std::string_view pair = query.substr(0, end);
+    const size_t equals = pair.find('=');
+    if (pair.substr(0, equals) == name) {
+      return equals == std::string_view::npos
+                 ? std::string()
+                 : DecodePercent(pair.substr(equals + 1));
+    }
+    if (end == std::string_view::npos) {
+      break;
+    }
+    query.remove_prefix(end + 1);
+  }
+  return {};
+}
+
+std::string_view PathWithoutQuery(std::string_view path) {
+  return path.substr(0, path.find('?'));
+}
+
+}  // namespace celerypost
--- /dev/null
+++ b/src/connection/loop.cc
@@ -0,0 +1,143 @@
+#include "src/connection/loop.h"
+
+#include <csignal>
+#include <utility>
+
+#include "celerypost/assert.h"
+
+namespace celerypost {
+
+// libuv frees a handle only after its close callback, so the handle outlives
+// the Timer that owns it.
+struct Timer::State {
+  uv_timer_t handle;
+  std::function<void()> on_fire;
+};
+
+namespace {
+
+struct PostedTask {
+  uv_timer_t handle;
+  std::function<void()> task;
+};
+
+uint64_t ToUvTimeout(std::chrono::milliseconds delay) {
+  return delay.count() > 0 ? static_cast<uint64_t>(delay.count()) : 0;
+}
+
+}  // namespace
+
+Timer::Timer(Loop& loop, std::function<void()> on_fire)
+    : state(new State{{}, std::move(on_fire)}) {
+  uv_timer_init(loop.uv(), &this->state->handle);
+  this->state->handle.data = this->state;
+}
+
+Timer::~Timer() {
+  auto* handle = reinterpret_cast<uv_handle_t*>(&this->state->handle);
+  uv_close(handle, [](uv_handle_t* closed) {
+    delete static_cast<State*>(closed->data);
+  });
+}
+
+void Timer::StartOnce(std::chrono::milliseconds delay) {
+  uv_timer_start(
+      &this->state->handle,
+      [](uv_timer_t* timer) { static_cast<State*>(timer->data)->on_fire(); },
+      ToUvTimeout(delay), 0);
+}
+
+void Timer::StartRepeating(std::chrono::milliseconds period) {
+  uv_timer_start(
+      &this->state->handle,
+      [](uv_timer_t* timer) { static_cast<State*>(timer->data)->on_fire(); },
+      ToUvTimeout(period), ToUvTimeout(period));
+}
+
+void Timer::Stop() {
+  uv_timer_stop(&this->state->handle);
+}
+
+struct Loop::Signals {
+  uv_signal_t terminate;
+  uv_signal_t interrupt;
+  std::function<void()> on_signal;
+};
+
+Loop::Loop() {
+  // A write to a connection that the other side has closed must fail with an
+  // error, not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  const int status = uv_loop_init(&this->handle);
+  CELERYPOST_ASSERT(status == 0, "a process has one working event loop");
+}
+
+Loop::~Loop() {
+  if (this->signals) {
+    uv_close(reinterpret_cast<uv_handle_t*>(&this->signals->terminate),
+             nullptr);
+    uv_close(reinterpret_cast<uv_handle_t*>(&this->signals->interrupt),
+             nullptr);
+  }
+  // Runs the close callbacks. Handles that h2o keeps stay open until the
+  // process ends.
+  for (int i = 0; i < 16 && uv_run(&this->handle, UV_RUN_NOWAIT) != 0; ++i) {
+  }
+  uv_loop_close(&this->handle);
+}
+
+void Loop::Run() {
+  uv_run(&this->handle, UV_RUN_DEFAULT);
+}
+
+void Loop::Stop() {
+  uv_stop(&this->handle);
+}
+
+void Loop::RunFor(std::chrono::milliseconds limit) {
+  Timer wake(*this, [] {});
+  wake.StartOnce(limit);
+  uv_run(&this->handle, UV_RUN_ONCE);
+}
+
+TimePoint Loop::Now() const {
+  return Clock::now();
+}
+
+void Loop::Post(std::function<void()> task) {
+  auto* posted = new PostedTask{{}, std::move(task)};
+  uv_timer_init(&this->handle, &posted->handle);
+  posted->handle.data = posted;
+  uv_timer_start(
+      &posted->handle,
+      [](uv_timer_t* timer) {
+        static_cast<PostedTask*>(timer->data)->task();
+        uv_close(reinterpret_cast<uv_handle_t*>(timer),
+                 [](uv_handle_t* closed) {
+                   delete static_cast<PostedTask*>(closed->data);
+                 });
+      },
+      0, 0);
+}
+
+void Loop::OnTerminate(std::function<void()> on_signal) {
+  CELERYPOST_ASSERT(!this->signals, "signals have one handler per loop");
+  this->signals = std::make_unique<Signals>();
+  this->signals->on_signal = std::move(on_signal);
+  const auto start = [this](uv_signal_t* signal, int number) {
+    uv_signal_init(&this->handle, signal);
+    signal->data = this->signals.get();
+    uv_signal_start(
+        signal,
+        [](uv_signal_t* raised, int) {
+          static_cast<Signals*>(raised->data)->on_signal();
+        },
+        number);
+    // Waiting for a signal alone does not keep the loop running.
+    uv_unref(reinterpret_cast<uv_handle_t*>(signal));
+  };
+  start(&this->signals->terminate, SIGTERM);
+  start(&this->signals->interrupt, SIGINT);
+}
+
+}  // namespace celerypost
--- /dev/null
+++ b/tests/connection/http_test.cc
@@ -0,0 +1,136 @@
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/connection/http_client.h"
+#include "src/connection/http_server.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace celerypost {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kMaxIterations = 2000;
+
+TEST_GROUP(HttpTest) {
+  // Never freed: h2o's timers refer to the loop until the process ends.
+  Loop& loop = *new Loop;
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<HttpClient> client;
+
+  void Serve(HttpHandler handler) {
+    HttpServerOptions options;
+    options.max_body_bytes = 1000;
+    auto made = HttpServer::Make(this->loop, options, std::move(handler));
+    CHECK_TRUE(made.has_value());
+    this->server = std::move(*made);
+    this->client = std::make_unique<HttpClient>(
+        this->loop, SocketAddress{"127.0.0.1", this->server->port()},
+        HttpClientOptions{});
+  }
+
+  Result<HttpResponse> Fetch(HttpRequest request) {
+    Result<HttpResponse> result = NotRun(ErrorCode::kInternal, "no answer");
+    bool done = false;
+    const auto call = this->client->Fetch(std::move(request), 1u << 20,
+                                          [&](Result<HttpResponse> response) {
+                                            result = std::move(response);
+                                            done = true;
+                                          });
+    for (int i = 0; i < kMaxIterations && !done; ++i) {
+      this->loop.RunFor(milliseconds(20));
+    }
+    return result;
+  }
+};
+
+// Guards against lost headers, bodies or paths between client and server.
+TEST(HttpTest, CarriesRequestAndResponse) {
+  this->Serve([](HttpRequest request, std::shared_ptr<HttpResponder> out) {
+    out->Send(201, {{"x-kind", std::string(FindHeader(request.headers, "a"))}},
+              request.method + request.path + request.body);
+  });
+  for (int i = 0; i < 3; ++i) {
+    const auto response = this->Fetch({"POST", "/p?q=1", {{"a", "b"}}, "body"});
+    CHECK_TRUE(response.has_value());
+    LONGS_EQUAL(201, response->status);
+    CHECK(response->body == "POST/p?q=1body");
+    CHECK(FindHeader(response->headers, "x-kind") == "b");
+  }
+}
+
+// Guards against a stream whose parts are dropped while an earlier part is
+// still being sent.
+TEST(HttpTest, StreamsManyParts) {
+  this->Serve([](HttpRequest, std::shared_ptr<HttpResponder> out) {
+    out->Start(200, {});
+    for (int i = 0; i < 500; ++i) {
+      out->Write(std::to_string(i) + ",");
+    }
+    out->End();
+  });
+  const auto response = this->Fetch({});
+  CHECK_TRUE(response.has_value());
+  CHECK(response->body.ends_with("498,499,"));
+}
+
+// Guards against a broken stream that looks like a whole answer.
+TEST(HttpTest, AbortFailsTheCall) {
+  this->Serve([](HttpRequest, std::shared_ptr<HttpResponder> out) {
+    out->Start(200, {});
+    out->Write("half");
+    out->Abort();
+  });
+  const auto response = this->Fetch({});
+  CHECK_FALSE(response.has_value());
+  CHECK(response.error().verdict == Verdict::kMayHaveRun);
+}
+
+// Guards against a refused connection that is reported as "may have run".
+TEST(HttpTest, RefusedConnectionIsNotRun) {
+  this->Serve([](HttpRequest, std::shared_ptr<HttpResponder>) {});
+  this->server->StopListening();
+  this->loop.RunFor(milliseconds(1));
+  const auto response = this->Fetch({});
+  CHECK_FALSE(response.has_value());
+  CHECK(response.error().verdict == Verdict::kNotRun);
+}
+
+// Guards against a large body that the server holds in memory.
+TEST(HttpTest, RefusesOversizedBody) {
+  this->Serve([](HttpRequest, std::shared_ptr<HttpResponder> out) {
+    out->Send(200, {}, "ok");
+  });
+  const auto response =
+      this->Fetch({"POST", "/", {}, std::string(100000, 'x')});
+  CHECK_TRUE(!response.has_value() || response->status == 413);
+}
+
+// Guards against work that goes on after the caller has left.
+TEST(HttpTest, CancelledCallClosesTheConnection) {
+  bool closed = false;
+  std::shared_ptr<HttpResponder> held;
+  this->Serve([&](HttpRequest, std::shared_ptr<HttpResponder> out) {
+    out->Start(200, {});
+    out->OnClosed([&closed] { closed = true; });
+    out->Write("x");
+    held = std::move(out);
+  });
+  std::unique_ptr<HttpCall> call;
+  HttpResponseCallbacks callbacks;
+  callbacks.on_body = [&call](std::string_view) { call.reset(); };
+  call = this->client->Send({}, std::move(callbacks));
+  for (int i = 0; i < 200 && !closed; ++i) {
+    this->loop.RunFor(milliseconds(5));
+    if (held) {
+      held->Write("more");
+    }
+  }
+  CHECK_TRUE(closed);
+}
+
+}  // namespace
+}  // namespace celerypost
