Add the command line, celerypost ctl and the /metrics and /healthz handlers

Cause: operators need one binary with roles, help and documented exit codes, and each daemon serves its figures and its health.

Change: RunCommandLine dispatches the roles and prints help and a bash completion script. Ctl sends signed requests through OperatorClient; an answer counts as a decision only with the status that belongs to it, and whatever does not show that nothing was changed is reported as unknown with exit code 4. make-manifest digests artefact files by chunks. The process handler serves the registry and the health report.

--- /dev/null
+++ b/src/process/ctl_table.h
@@ -0,0 +1,42 @@
+#ifndef SRC_PROCESS_CTL_TABLE_H_
+#define SRC_PROCESS_CTL_TABLE_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace celerypost {
+
+// Makes text from outside safe for a terminal: control characters, which could
+// contain escape sequences, become '?'.
+std::string Printable(std::string_view text);
+
+// Rows of text in aligned columns. Width is counted in code points.
+class TextTable {
+ public:
+  explicit TextTable(std::vector<std::string> header);
+
+  // Missing cells are empty; further cells are dropped.
+  void AddRow(std::vector<std::string> cells);
+  // Returns the header in capitals and the rows, each ended by a newline.
+  std::string Render() const;
+
+ private:
+  size_t columns;
+  std::vector<std::vector<std::string>> rows;
+};
+
+// Renders a list of objects, one a row, with their members as columns in the
+// order of first appearance. Nested values are shown as JSON. Returns "none\n"
+// for an empty list.
+std::string RenderObjects(const nlohmann::ordered_json& list);
+
+// Renders an object of objects; the first column `key_name` holds the keys.
+std::string RenderKeyedObjects(std::string_view key_name,
+                               const nlohmann::ordered_json& objects);
+
+}  // namespace celerypost
+
+#endif  // SRC_PROCESS_CTL_TABLE_H_
--- a/src/process/flags.cc
+++ b/src/process/flags.cc
@@ -91,8 +91,8 @@
               "required for changes");
 DEFINE_string(id,
               "",
-              "id of the change, 1 to 100 of a-z A-Z 0-9 . _ -; the same id "
-              "applies once; default: a random id");
+              "id of the change, by which an unknown outcome is settled; 1 to "
+              "100 of a-z A-Z 0-9 . _ -; default: a random id");
 DEFINE_string(expected_number,
               "",
               "refuse the change unless the configuration has this number; 0 "
--- a/src/process/main.cc
+++ b/src/process/main.cc
@@ -1,6 +1,16 @@
-#include <cstdio>
+#include <unistd.h>
 
-int main() {
-  std::puts("celerypost");
-  return 0;
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "src/process/command_line.h"
+#include "src/process/roles.h"
+
+int main(int argc, char** argv) {
+  const std::vector<std::string> args(argv + (argc > 0 ? 1 : 0), argv + argc);
+  return celerypost::RunCommandLine(
+      args,
+      {std::cout, std::cerr, celerypost::ProcessEnvironment,
+       isatty(STDOUT_FILENO) == 1, celerypost::RunEntry, celerypost::RunAgent});
 }
