--- a/src/connection/loop.cc
+++ b/src/connection/loop.cc
@@ -70,9 +70,18 @@
   std::signal(SIGPIPE, SIG_IGN);
   const int status = uv_loop_init(&this->handle);
   CELERYPOST_ASSERT(status == 0, "a process has one working event loop");
+  uv_prepare_init(&this->handle, &this->prepare);
+  this->prepare.data = this;
+  uv_prepare_start(&this->prepare, [](uv_prepare_t* prepare) {
+    static_cast<Loop*>(prepare->data)->RunDeferred();
+  });
+  uv_unref(reinterpret_cast<uv_handle_t*>(&this->prepare));
+  uv_timer_init(&this->handle, &this->wake);
 }
 
 Loop::~Loop() {
+  uv_close(reinterpret_cast<uv_handle_t*>(&this->prepare), nullptr);
+  uv_close(reinterpret_cast<uv_handle_t*>(&this->wake), nullptr);
   if (this->signals) {
     uv_close(reinterpret_cast<uv_handle_t*>(&this->signals->terminate),
              nullptr);
@@ -95,9 +104,11 @@
 }
 
 void Loop::RunFor(std::chrono::milliseconds limit) {
-  Timer wake(*this, [] {});
-  wake.StartOnce(limit);
+  uv_update_time(&this->handle);
+  uv_timer_start(
+      &this->wake, [](uv_timer_t*) {}, ToUvTimeout(limit), 0);
   uv_run(&this->handle, UV_RUN_ONCE);
+  uv_timer_stop(&this->wake);
 }
 
 TimePoint Loop::Now() const {
@@ -120,6 +131,19 @@
       0, 0);
 }
 
+void Loop::BeforeWait(std::function<void()> task) {
+  this->deferred.push_back(std::move(task));
+}
+
+void Loop::RunDeferred() {
+  while (!this->deferred.empty()) {
+    const auto tasks = std::exchange(this->deferred, {});
+    for (const auto& task : tasks) {
+      task();
+    }
+  }
+}
+
 void Loop::OnTerminate(std::function<void()> on_signal) {
   CELERYPOST_ASSERT(!this->signals, "signals have one handler per loop");
   this->signals = std::make_unique<Signals>();
--- a/src/connection/loop.h
+++ b/src/connection/loop.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "celerypost/types.h"
 
@@ -55,6 +56,10 @@
   // Runs `task` in the next iteration of the loop.
   void Post(std::function<void()> task);
 
+  // Runs `task` before the loop next waits for events. Connections use it to
+  // send what one iteration has produced in one write.
+  void BeforeWait(std::function<void()> task);
+
   // Calls `on_signal` on the loop when the process receives SIGTERM or SIGINT.
   void OnTerminate(std::function<void()> on_signal);
 
@@ -63,7 +68,14 @@
  private:
   struct Signals;
 
+  void RunDeferred();
+
   uv_loop_t handle;
+  uv_prepare_t prepare;
+  // Limits RunFor. Kept open, since closing a handle makes the next iteration
+  // return at once.
+  uv_timer_t wake;
+  std::vector<std::function<void()>> deferred;
   std::unique_ptr<Signals> signals;
 };
 
