--- a/tests/connection/peer_connection_test.cc
+++ b/tests/connection/peer_connection_test.cc
@@ -34,7 +34,7 @@
 };
 
 TEST_GROUP(PeerConnectionTest) {
-  Loop& loop = *new Loop;
+  Loop loop;
   FakeKey server_key{"secret"};
   FakeKey client_key{"secret"};
   PeerConnectionOptions options{milliseconds(20), milliseconds(100),
