Add the serving decision components

RequestLedger::Begin also takes an attempt number: without it a late copy of an attempt that was refused "not run" could still run and make the refusal false.

--- /dev/null
+++ b/src/request/request_ledger.cc
@@ -0,0 +1,320 @@
+#include "src/request/request_ledger.h"
+
+#include <algorithm>
+
+#include "celerypost/assert.h"
+
+namespace celerypost {
+namespace {
+
+constexpr char kAtMostOnce[] = "P6: a non-idempotent request runs at most once";
+
+// Only an attempt whose refusal RefusalVerdict may call "not run" has to be
+// closed by an instance that does not hold the id.
+bool IsFirstCallerAttempt(AttemptNumber attempt) {
+  return attempt >> 8 == 1;
+}
+
+}  // namespace
+
+RequestLedger::RequestLedger(LedgerOptions options, InstanceId self)
+    : options(options), self(self) {
+  CELERYPOST_ASSERT(self != InstanceId{}, kAtMostOnce);
+}
+
+bool RequestLedger::ApplyTable(const SlotTable& newer) {
+  if (newer.version <= this->table.version) {
+    return false;
+  }
+  this->table = newer;
+  for (size_t index = 0; index < kSlotCount; ++index) {
+    const SlotOwner& owner = newer.slots[index];
+    if (owner.owner != this->self) {
+      continue;
+    }
+    Slot& slot = this->slots[index];
+    const VersionRange range{owner.since, newer.version};
+    for (const VersionRange& gained : slot.ever_held.Missing(range)) {
+      slot.held.Add(gained);
+    }
+    slot.ever_held.Add(range);
+  }
+  return true;
+}
+
+BeginOutcome RequestLedger::Begin(const RequestId& id,
+                                  AttemptNumber attempt,
+                                  TimePoint now) {
+  const Slot& slot = this->slots[id.Slot()];
+  const bool held = slot.held.Contains(id.table_version);
+  const auto found = this->records.find(id.ToString());
+  Record* const record =
+      found == this->records.end() ? nullptr : &found->second;
+  if (record != nullptr) {
+    switch (record->state) {
+      case RecordState::kRunning:
+        record->attempt = std::max(record->attempt, attempt);
+        return {.result = BeginResult::kDuplicateRunning};
+      case RecordState::kFinished:
+        if (!record->has_answer) {
+          return {.result = BeginResult::kMayHaveRun, .ran = true};
+        }
+        return {.result = BeginResult::kAnswered, .answer = &record->answer};
+      case RecordState::kMayHaveRun:
+        return {.result = BeginResult::kMayHaveRun};
+      case RecordState::kNotRun:
+        if (held && attempt <= record->attempt) {
+          return {.result = BeginResult::kNotRun};
+        }
+        break;
+    }
+  }
+  if (id.issued_at < slot.floor) {
+    return {.result = BeginResult::kMayHaveRun};
+  }
+  if (!held) {
+    const BeginOutcome outcome = this->Refuse(id, slot);
+    if (outcome.result != BeginResult::kMayHaveRun &&
+        IsFirstCallerAttempt(attempt)) {
+      Record& closed = this->Insert(id, RecordState::kNotRun, now);
+      closed.attempt = std::max(closed.attempt, attempt);
+    }
+    return outcome;
+  }
+  Record& running = this->Insert(id, RecordState::kRunning, now);
+  running.attempt = std::max(running.attempt, attempt);
+  return {.result = BeginResult::kRun};
+}
+
+BeginOutcome RequestLedger::Refuse(const RequestId& id,
+                                   const Slot& slot) const {
+  const InstanceId owner = this->table.slots[id.Slot()].owner;
+  if (id.table_version > this->table.version) {
+    return {.result = BeginResult::kBehind};
+  }
+  if (owner != this->self && owner != InstanceId{}) {
+    return {.result = BeginResult::kMoved, .moved_to = owner};
+  }
+  if (slot.given.first <= id.table_version &&
+      id.table_version <= slot.given.last) {
+    return {.result = BeginResult::kMoved, .moved_to = slot.given_to};
+  }
+  return {.result = BeginResult::kMayHaveRun};
+}
+
+RequestLedger::Record& RequestLedger::Insert(const RequestId& id,
+                                             RecordState state,
+                                             TimePoint now) {
+  std::string key = id.ToString();
+  const bool is_new = !this->records.contains(key);
+  if (is_new && this->records.size() >= this->options.max_records) {
+    this->DropOldest(now, /*expired_only=*/false);
+  }
+  Record& record = this->records[key];
+  const bool was_running = !is_new && record.state == RecordState::kRunning;
+  if (was_running) {
+    --this->running_count;
+  }
+  if (state == RecordState::kRunning) {
+    this->settled.erase({id.issued_at, key});
+    ++this->running_count;
+  } else {
+    this->settled.emplace(id.issued_at, std::move(key));
+  }
+  record.state = state;
+  record.touched = now;
+  return record;
+}
+
+void RequestLedger::Finish(const RequestId& id,
+                           StoredAnswer answer,
+                           TimePoint now) {
+  const auto found = this->records.find(id.ToString());
+  CELERYPOST_ASSERT(found != this->records.end() &&
+                        found->second.state == RecordState::kRunning,
+                    kAtMostOnce);
+  Record& record = this->Insert(id, RecordState::kFinished, now);
+  this->StoreAnswer(id, &record, std::move(answer));
+}
+
+void RequestLedger::FinishUnknown(const RequestId& id, TimePoint now) {
+  const auto found = this->records.find(id.ToString());
+  CELERYPOST_ASSERT(found != this->records.end() &&
+                        found->second.state == RecordState::kRunning,
+                    kAtMostOnce);
+  this->Insert(id, RecordState::kMayHaveRun, now);
+}
+
+void RequestLedger::ReleaseNotRun(const RequestId& id) {
+  const auto found = this->records.find(id.ToString());
+  CELERYPOST_ASSERT(found != this->records.end() &&
+                        found->second.state == RecordState::kRunning,
+                    "P5: a refusal that says \"not run\" is true");
+  this->Insert(id, RecordState::kNotRun, found->second.touched);
+}
+
+void RequestLedger::StoreAnswer(const RequestId& id,
+                                Record* record,
+                                StoredAnswer answer) {
+  const size_t bytes = answer.body.size();
+  if (bytes > this->options.max_answer_bytes ||
+      bytes > this->options.max_total_answer_bytes) {
+    return;
+  }
+  while (this->total_answer_bytes + bytes >
+         this->options.max_total_answer_bytes) {
+    const auto oldest = this->records.find(this->answers.front());
+    this->answers.pop_front();
+    if (oldest != this->records.end()) {
+      this->DropAnswer(&oldest->second);
+    }
+  }
+  this->total_answer_bytes += bytes;
+  record->has_answer = true;
+  record->answer = std::move(answer);
+  this->answers.push_back(id.ToString());
+}
+
+void RequestLedger::DropAnswer(Record* record) {
+  if (record->has_answer) {
+    this->total_answer_bytes -= record->answer.body.size();
+    record->has_answer = false;
+    record->answer = {};
+  }
+}
+
+bool RequestLedger::DropOldest(TimePoint now, bool expired_only) {
+  if (this->settled.empty()) {
+    return false;
+  }
+  const auto oldest = this->settled.begin();
+  const auto found = this->records.find(oldest->second);
+  if (expired_only && found->second.touched + this->options.retention > now) {
+    return false;
+  }
+  // Nothing remembers the request from here on, so ids as old as it are never
+  // run again.
+  const size_t index = RequestId::Parse(oldest->second)->Slot();
+  Slot& slot = this->slots[index];
+  slot.floor =
+      std::max(slot.floor, oldest->first + std::chrono::milliseconds(1));
+  this->DropAnswer(&found->second);
+  this->records.erase(found);
+  this->settled.erase(oldest);
+  return true;
+}
+
+void RequestLedger::OnTick(TimePoint now) {
+  while (this->DropOldest(now, /*expired_only=*/true)) {
+  }
+  // Names of answers whose records are gone would otherwise stay until the
+  // memory bound is reached.
+  while (!this->answers.empty()) {
+    const auto oldest = this->records.find(this->answers.front());
+    if (oldest != this->records.end() && oldest->second.has_answer) {
+      break;
+    }
+    this->answers.pop_front();
+  }
+}
+
+SlotRecords RequestLedger::HandOff(size_t index, InstanceId to) {
+  CELERYPOST_ASSERT(index < kSlotCount && to != this->self, kAtMostOnce);
+  Slot& slot = this->slots[index];
+  SlotRecords result;
+  result.slot = index;
+  result.floor = slot.floor;
+  const VersionRange newest = slot.held.Newest();
+  if (!newest.empty()) {
+    VersionSet given;
+    if (slot.given_to == to) {
+      // The earlier message may be lost; adjacent ranges travel as one.
+      given.Add(slot.given);
+    }
+    given.Add(newest);
+    slot.given_to = to;
+    slot.given = given.Newest();
+    slot.held.Remove(newest);
+  }
+  if (slot.given_to == to) {
+    result.since = slot.given.first;
+    result.until = slot.given.last;
+  }
+  for (const auto& [key, record] : this->records) {
+    const RequestId id = *RequestId::Parse(key);
+    if (id.Slot() != index) {
+      continue;
+    }
+    SlotRecord& sent = result.records.emplace_back();
+    sent.id = id;
+    sent.state = record.state == RecordState::kRunning
+                     ? RecordState::kMayHaveRun
+                     : record.state;
+    sent.attempt = record.attempt;
+    sent.has_answer = record.has_answer;
+    sent.answer = record.answer;
+  }
+  return result;
+}
+
+bool RequestLedger::Accept(const SlotRecords& received, TimePoint now) {
+  if (received.slot >= kSlotCount) {
+    return false;
+  }
+  Slot& slot = this->slots[received.slot];
+  for (const SlotRecord& incoming : received.records) {
+    if (incoming.id.Slot() != received.slot) {
+      continue;
+    }
+    const auto found = this->records.find(incoming.id.ToString());
+    if (found != this->records.end()) {
+      Record& known = found->second;
+      // What this instance did itself is newer than what the sender knows. An
+      // uncertain record only becomes more certain, and a refusal here does not
+      // hide that the sender ran the request.
+      const bool replace = (known.state == RecordState::kMayHaveRun &&
+                            incoming.state == RecordState::kFinished) ||
+                           (known.state == RecordState::kNotRun &&
+                            incoming.state != RecordState::kNotRun);
+      if (known.state == RecordState::kNotRun &&
+          incoming.state == RecordState::kNotRun) {
+        known.attempt = std::max(known.attempt, incoming.attempt);
+      }
+      if (!replace) {
+        continue;
+      }
+    }
+    const RecordState state = incoming.state == RecordState::kRunning
+                                  ? RecordState::kMayHaveRun
+                                  : incoming.state;
+    Record& record = this->Insert(incoming.id, state, now);
+    record.attempt = std::max(record.attempt, incoming.attempt);
+    if (incoming.has_answer) {
+      this->StoreAnswer(incoming.id, &record, incoming.answer);
+    }
+  }
+  slot.floor = std::max(slot.floor, received.floor);
+  const VersionRange range{received.since, received.until};
+  const std::vector<VersionRange> gained = slot.ever_held.Missing(range);
+  for (const VersionRange& part : gained) {
+    slot.held.Add(part);
+  }
+  slot.ever_held.Add(range);
+  return !gained.empty();
+}
+
+bool RequestLedger::Holds(size_t slot, uint64_t version) const {
+  return slot < kSlotCount && this->slots[slot].held.Contains(version);
+}
+
+std::vector<size_t> RequestLedger::OwnedSlots() const {
+  std::vector<size_t> owned;
+  for (size_t index = 0; index < kSlotCount; ++index) {
+    if (this->table.slots[index].owner == this->self) {
+      owned.push_back(index);
+    }
+  }
+  return owned;
+}
+
+}  // namespace celerypost
--- /dev/null
+++ b/src/request/retry_budget.cc
@@ -0,0 +1,39 @@
+#include "src/request/retry_budget.h"
+
+#include <algorithm>
+
+namespace celerypost {
+
+RetryBudget::RetryBudget(RetryBudgetOptions options, Random& random)
+    : options(options), random(random), tokens(options.max_saved) {}
+
+void RetryBudget::OnSuccess() {
+  this->tokens =
+      std::min(this->tokens + this->options.share, this->options.max_saved);
+}
+
+std::optional<std::chrono::milliseconds> RetryBudget::MayRetry(
+    Verdict verdict,
+    bool idempotent,
+    uint32_t attempt,
+    TimePoint deadline,
+    TimePoint now) {
+  const bool repeatable = verdict == Verdict::kNotRun ||
+                          (verdict == Verdict::kMayHaveRun && idempotent);
+  if (!repeatable || attempt >= this->options.max_attempts ||
+      this->tokens < 1.0) {
+    return std::nullopt;
+  }
+  const uint32_t doublings = std::min(attempt > 0 ? attempt - 1 : 0, 20u);
+  const auto bound = std::min(this->options.base_delay * (1 << doublings),
+                              this->options.max_delay);
+  const std::chrono::milliseconds delay(
+      this->random.Below(static_cast<uint64_t>(bound.count()) + 1));
+  if (now + delay >= deadline) {
+    return std::nullopt;
+  }
+  this->tokens -= 1.0;
+  return delay;
+}
+
+}  // namespace celerypost
