--- /dev/null
+++ b/src/process/etcd_client.h
@@ -0,0 +1,69 @@
+#ifndef SRC_PROCESS_ETCD_CLIENT_H_
+#define SRC_PROCESS_ETCD_CLIENT_H_
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "src/connection/http_client.h"
+#include "src/process/key_value_client.h"
+
+namespace celerypost {
+
+// Standard alphabet with padding, as the gateway uses it for keys and values.
+std::string EncodeBase64(std::string_view bytes);
+// Fails with kInvalidArgument.
+Result<std::string> DecodeBase64(std::string_view text);
+
+// Returns the first key after all keys with `prefix`.
+std::string PrefixEnd(std::string prefix);
+
+struct EtcdClientOptions {
+  // A read or transaction without an answer fails after this time.
+  std::chrono::milliseconds call_timeout{1000};
+  size_t max_body_bytes = 8u << 20;
+};
+
+// The JSON gateway of etcd v3.
+class EtcdClient : public KeyValueClient {
+ public:
+  EtcdClient(Loop& loop, SocketAddress server, EtcdClientOptions options);
+  ~EtcdClient() override;
+
+  void Get(const std::string& key,
+           std::function<void(Result<std::optional<KeyValue>>)> done) override;
+  void GetRange(const std::string& prefix,
+                bool keys_only,
+                std::function<void(Result<KeyValueRange>)> done) override;
+  void Transact(
+      KeyValueTransaction transaction,
+      std::function<void(Result<KeyValueTransactionResult>)> done) override;
+  std::unique_ptr<KeyValueWatch> Watch(
+      const std::string& prefix,
+      int64_t from_revision,
+      std::function<void(std::vector<KeyValue>)> on_change,
+      std::function<void(Failure)> on_end) override;
+  KeyValueCalls Calls() const override;
+
+ private:
+  struct Pending;
+
+  void Post(std::string path,
+            std::string body,
+            std::function<void(Result<std::string>)> done);
+
+  const EtcdClientOptions options;
+  Loop& loop;
+  HttpClient http;
+  // A separate client: a watch may stay silent for hours.
+  HttpClient watch_http;
+  std::map<uint64_t, std::unique_ptr<Pending>> pending;
+  uint64_t next_call = 1;
+  KeyValueCalls calls;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_PROCESS_ETCD_CLIENT_H_
--- /dev/null
+++ b/src/process/key_value_client.h
@@ -0,0 +1,96 @@
+#ifndef SRC_PROCESS_KEY_VALUE_CLIENT_H_
+#define SRC_PROCESS_KEY_VALUE_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "celerypost/verdict.h"
+
+namespace celerypost {
+
+struct KeyValue {
+  std::string key;
+  // Empty for a deleted key in a watch event.
+  std::string value;
+  // Revision of the last change of this key.
+  int64_t mod_revision = 0;
+};
+
+struct KeyValueRange {
+  std::vector<KeyValue> items;
+  // Revision of the whole service at the time of the read.
+  int64_t revision = 0;
+};
+
+// Puts `value` at `key` and all `extra_puts`, or nothing at all, iff the last
+// change of `key` has revision `expected_revision`; 0 means that `key` must not
+// exist.
+struct KeyValueTransaction {
+  std::string key;
+  int64_t expected_revision = 0;
+  std::string value;
+  std::vector<std::pair<std::string, std::string>> extra_puts;
+  // Leaves the comparison out; only tests set it.
+  bool unconditional = false;
+};
+
+struct KeyValueTransactionResult {
+  // Whether the comparison held and the puts took effect.
+  bool succeeded = false;
+  int64_t revision = 0;
+};
+
+// Destroying it ends the watch; no callback runs afterwards.
+class KeyValueWatch {
+ public:
+  virtual ~KeyValueWatch() = default;
+};
+
+// Calls to the key-value service by kind; an open watch counts as one call.
+struct KeyValueCalls {
+  uint64_t reads = 0;
+  uint64_t writes = 0;
+  uint64_t watches = 0;
+};
+
+// The key-value service. Each callback runs once, from the loop, never from
+// inside the call. A failure has verdict kNotRun only when the call certainly
+// had no effect.
+class KeyValueClient {
+ public:
+  virtual ~KeyValueClient() = default;
+
+  // Linearizable read; nothing when the key does not exist.
+  virtual void Get(
+      const std::string& key,
+      std::function<void(Result<std::optional<KeyValue>>)> done) = 0;
+
+  // Linearizable read of all keys with `prefix`. `keys_only` leaves the values
+  // out.
+  virtual void GetRange(const std::string& prefix,
+                        bool keys_only,
+                        std::function<void(Result<KeyValueRange>)> done) = 0;
+
+  virtual void Transact(
+      KeyValueTransaction transaction,
+      std::function<void(Result<KeyValueTransactionResult>)> done) = 0;
+
+  // Reports changes of all keys with `prefix` from `from_revision` on, until
+  // `on_end`, which runs once when the watch breaks.
+  virtual std::unique_ptr<KeyValueWatch> Watch(
+      const std::string& prefix,
+      int64_t from_revision,
+      std::function<void(std::vector<KeyValue>)> on_change,
+      std::function<void(Failure)> on_end) = 0;
+
+  virtual KeyValueCalls Calls() const = 0;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_PROCESS_KEY_VALUE_CLIENT_H_
--- /dev/null
+++ b/src/process/loop_scheduler.h
@@ -0,0 +1,27 @@
+#ifndef SRC_PROCESS_LOOP_SCHEDULER_H_
+#define SRC_PROCESS_LOOP_SCHEDULER_H_
+
+#include <memory>
+
+#include "src/connection/loop.h"
+#include "src/process/scheduler.h"
+
+namespace celerypost {
+
+// Timers of a libuv loop.
+class LoopScheduler : public Scheduler {
+ public:
+  explicit LoopScheduler(Loop& loop);
+
+  TimePoint Now() const override;
+  uint64_t UnixMs() const override;
+  std::unique_ptr<ScheduledCall> After(std::chrono::milliseconds delay,
+                                       std::function<void()> task) override;
+
+ private:
+  Loop& loop;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_PROCESS_LOOP_SCHEDULER_H_
--- /dev/null
+++ b/src/process/scheduler.h
@@ -0,0 +1,35 @@
+#ifndef SRC_PROCESS_SCHEDULER_H_
+#define SRC_PROCESS_SCHEDULER_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+#include "celerypost/types.h"
+
+namespace celerypost {
+
+// Destroying it cancels the call.
+class ScheduledCall {
+ public:
+  virtual ~ScheduledCall() = default;
+};
+
+// Clocks and timers of a task. Tests replace it by virtual time.
+class Scheduler {
+ public:
+  virtual ~Scheduler() = default;
+
+  virtual TimePoint Now() const = 0;
+  // Wall clock, milliseconds since 1970; only for text and request ids.
+  virtual uint64_t UnixMs() const = 0;
+  // Calls `task` once after `delay` unless the result is destroyed before.
+  // `task` may destroy the result.
+  [[nodiscard]] virtual std::unique_ptr<ScheduledCall> After(
+      std::chrono::milliseconds delay,
+      std::function<void()> task) = 0;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_PROCESS_SCHEDULER_H_
