Add the decision components of weight distribution

The agent has to fetch, verify and switch weight sets without a coordinator. Not yet built or tested.

--- /dev/null
+++ b/src/version/chunk_planner.cc
@@ -0,0 +1,527 @@
+#include "src/version/chunk_planner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "celerypost/assert.h"
+
+namespace celerypost {
+namespace {
+
+constexpr size_t kEarlierGoals = 3;
+// Consecutive failures or timeouts after which a peer no longer counts as a
+// holder, so that a stalled peer that holds the only copy does not block the
+// others.
+constexpr uint32_t kFailuresUntilAvoided = 2;
+constexpr Duration kAvoidAfterFailures = std::chrono::seconds(5);
+// How long no chunk is requested after the store had no room.
+constexpr Duration kNoRoomPause = std::chrono::milliseconds(100);
+
+}  // namespace
+
+ChunkPlanner::ChunkPlanner(ChunkPlannerOptions options,
+                           std::unique_ptr<FetchStrategy> strategy,
+                           std::mt19937_64& random)
+    : options(std::move(options)),
+      strategy(std::move(strategy)),
+      random(random) {}
+
+ChunkPlanner::~ChunkPlanner() = default;
+
+void ChunkPlanner::SetGoal(ChunkGoal new_goal, TimePoint now) {
+  for (auto& [instance, peer] : this->peers) {
+    peer.holds.clear();
+  }
+  if (!this->goal.chunks.empty() && this->goal.set != new_goal.set) {
+    std::erase_if(this->earlier, [this](const ChunkGoal& known) {
+      return known.set == this->goal.set;
+    });
+    this->earlier.push_front(std::move(this->goal));
+    if (this->earlier.size() > kEarlierGoals) {
+      this->earlier.pop_back();
+    }
+  }
+  this->goal = std::move(new_goal);
+  this->position_of.clear();
+  this->positions.assign(this->goal.chunks.size(), {});
+  this->goal_held = 0;
+  for (size_t i = 0; i < this->goal.chunks.size(); ++i) {
+    const Digest& digest = this->goal.chunks[i].digest;
+    this->position_of[digest] = i;
+    this->positions[i].held = this->held.contains(digest);
+    this->goal_held += this->positions[i].held ? 1 : 0;
+  }
+  std::vector<Fetch> unwanted;
+  for (const auto& [digest, fetch] : this->fetches) {
+    if (!this->position_of.contains(digest)) {
+      unwanted.push_back(fetch);
+    }
+  }
+  for (const Fetch& fetch : unwanted) {
+    this->EndFetch(fetch);
+    this->cancelled.push_back({fetch.chunk.digest, fetch.source});
+  }
+  this->UpdateView(true, now);
+  for (auto& [instance, peer] : this->peers) {
+    this->ApplyHave(peer, now);
+  }
+}
+
+void ChunkPlanner::OnPeer(const PeerState& state, TimePoint now) {
+  if (state.instance == this->options.self) {
+    return;
+  }
+  const auto found = this->peers.find(state.instance);
+  if (found != this->peers.end()) {
+    if (found->second.state.region == state.region) {
+      found->second.state = state;
+      return;
+    }
+    this->OnPeerGone(state.instance, now);
+  }
+  Peer& peer = this->peers[state.instance];
+  peer.state = state;
+  this->view_dirty = true;
+}
+
+void ChunkPlanner::OnPeerGone(InstanceId instance, TimePoint now) {
+  const auto found = this->peers.find(instance);
+  if (found == this->peers.end()) {
+    return;
+  }
+  std::vector<Fetch> lost;
+  for (const auto& [digest, fetch] : this->fetches) {
+    if (fetch.source == FetchSource::Peer(instance)) {
+      lost.push_back(fetch);
+    }
+  }
+  for (const Fetch& fetch : lost) {
+    this->EndFetch(fetch);
+    this->cancelled.push_back({fetch.chunk.digest, fetch.source});
+  }
+  this->ClearHolds(found->second, now);
+  this->peers.erase(found);
+  this->view_dirty = true;
+}
+
+void ChunkPlanner::OnHave(InstanceId instance,
+                          const HaveAnnouncement& have,
+                          TimePoint now) {
+  const auto found = this->peers.find(instance);
+  if (found == this->peers.end()) {
+    return;
+  }
+  found->second.have = have;
+  this->ApplyHave(found->second, now);
+}
+
+void ChunkPlanner::ApplyHave(Peer& peer, TimePoint now) {
+  std::vector<bool> holds(this->positions.size(), false);
+  if (peer.have.set == this->goal.set) {
+    for (size_t i = 0; i < holds.size(); ++i) {
+      holds[i] = TestBit(peer.have.bitmap, i);
+    }
+  } else {
+    for (const ChunkGoal& known : this->earlier) {
+      if (known.set != peer.have.set) {
+        continue;
+      }
+      for (size_t i = 0; i < known.chunks.size(); ++i) {
+        const auto position = this->position_of.find(known.chunks[i].digest);
+        if (position != this->position_of.end() &&
+            TestBit(peer.have.bitmap, i)) {
+          holds[position->second] = true;
+        }
+      }
+    }
+  }
+  peer.holds.resize(this->positions.size(), false);
+  for (size_t i = 0; i < holds.size(); ++i) {
+    this->SetHolds(peer, i, holds[i], now);
+  }
+}
+
+void ChunkPlanner::SetHolds(Peer& peer,
+                            size_t position,
+                            bool holds,
+                            TimePoint now) {
+  if (peer.holds[position] == holds) {
+    return;
+  }
+  peer.holds[position] = holds;
+  auto& holders = this->positions[position].holders;
+  if (holds) {
+    holders.push_back(peer.state.instance);
+  } else {
+    std::erase(holders, peer.state.instance);
+  }
+  if (!peer.avoided) {
+    this->Count(peer, position, holds ? 1 : -1, now);
+  }
+}
+
+void ChunkPlanner::Count(const Peer& peer,
+                         size_t position,
+                         int change,
+                         TimePoint now) {
+  Position& entry = this->positions[position];
+  uint32_t& count = peer.state.region == this->options.region
+                        ? entry.holders_in_region
+                        : entry.holders_elsewhere;
+  const bool had = count > 0;
+  count += change;
+  if (had != (count > 0)) {
+    this->strategy->OnAvailability(position, entry.holders_in_region,
+                                   entry.holders_elsewhere, now);
+  }
+}
+
+void ChunkPlanner::ClearHolds(Peer& peer, TimePoint now) {
+  for (size_t i = 0; i < peer.holds.size(); ++i) {
+    this->SetHolds(peer, i, false, now);
+  }
+}
+
+void ChunkPlanner::Avoid(Peer& peer, Duration period, TimePoint now) {
+  peer.avoided_until = std::max(peer.avoided_until, now + period);
+  this->SetAvoided(peer, true, now);
+}
+
+void ChunkPlanner::SetAvoided(Peer& peer, bool avoided, TimePoint now) {
+  if (peer.avoided == avoided) {
+    return;
+  }
+  peer.avoided = avoided;
+  this->view_dirty = true;
+  for (size_t i = 0; i < peer.holds.size(); ++i) {
+    if (peer.holds[i]) {
+      this->Count(peer, i, avoided ? -1 : 1, now);
+    }
+  }
+}
+
+void ChunkPlanner::OnChunk(const Digest& digest,
+                           FetchSource source,
+                           FetchOutcome outcome,
+                           TimePoint now,
+                           std::optional<Duration> retry_after) {
+  const auto found = this->fetches.find(digest);
+  const bool known =
+      found != this->fetches.end() && found->second.source == source;
+  if (known) {
+    const Fetch fetch = found->second;
+    this->EndFetch(fetch);
+    if (outcome == FetchOutcome::kStored) {
+      const Duration taken = now - fetch.started;
+      this->usual_duration = this->usual_duration
+                                 ? (*this->usual_duration * 7 + taken) / 8
+                                 : taken;
+    }
+  }
+  if (outcome == FetchOutcome::kStored) {
+    this->OnHeld(digest, now);
+  }
+  if (outcome == FetchOutcome::kNoRoom) {
+    this->paused_until = now + kNoRoomPause;
+    return;
+  }
+  if (source.origin) {
+    this->OnOriginOutcome(outcome, now, retry_after);
+  } else {
+    this->OnPeerOutcome(digest, source.peer, outcome, now, retry_after);
+  }
+}
+
+void ChunkPlanner::OnOriginOutcome(FetchOutcome outcome,
+                                   TimePoint now,
+                                   std::optional<Duration> retry_after) {
+  if (outcome == FetchOutcome::kStored) {
+    this->origin_refusals = 0;
+    return;
+  }
+  Duration wait =
+      this->Jittered(this->options.origin_backoff, this->origin_refusals,
+                     this->options.max_origin_backoff);
+  ++this->origin_refusals;
+  if (retry_after) {
+    // Jitter on top, so that agents refused together do not return together.
+    wait += *retry_after;
+  }
+  this->origin_usable_from = std::max(this->origin_usable_from, now + wait);
+}
+
+void ChunkPlanner::OnPeerOutcome(const Digest& digest,
+                                 InstanceId instance,
+                                 FetchOutcome outcome,
+                                 TimePoint now,
+                                 std::optional<Duration> retry_after) {
+  if (outcome == FetchOutcome::kCorrupt) {
+    ++this->corrupt_counts[instance];
+  }
+  const auto found = this->peers.find(instance);
+  if (found == this->peers.end()) {
+    return;
+  }
+  Peer& peer = found->second;
+  switch (outcome) {
+    case FetchOutcome::kStored:
+      peer.refusals = 0;
+      peer.failures = 0;
+      return;
+    case FetchOutcome::kCorrupt: {
+      const uint32_t doublings =
+          std::min<uint32_t>(this->corrupt_counts[instance] - 1, 10);
+      this->Avoid(peer, this->options.blame * (1u << doublings), now);
+      return;
+    }
+    case FetchOutcome::kNotFound: {
+      const auto position = this->position_of.find(digest);
+      if (position != this->position_of.end() && !peer.holds.empty()) {
+        this->SetHolds(peer, position->second, false, now);
+      }
+      return;
+    }
+    case FetchOutcome::kFailed:
+      if (++peer.failures >= kFailuresUntilAvoided) {
+        const uint32_t doublings =
+            std::min<uint32_t>(peer.failures - kFailuresUntilAvoided, 4);
+        this->Avoid(peer, kAvoidAfterFailures * (1u << doublings), now);
+      }
+      break;
+    case FetchOutcome::kRefused:
+    case FetchOutcome::kNoRoom:
+      break;
+  }
+  Duration wait = this->Jittered(this->options.peer_backoff, peer.refusals,
+                                 this->options.max_peer_backoff);
+  ++peer.refusals;
+  if (retry_after) {
+    wait += *retry_after;
+  }
+  peer.usable_from = std::max(peer.usable_from, now + wait);
+}
+
+Duration ChunkPlanner::Jittered(Duration base,
+                                uint32_t refusals,
+                                Duration limit) {
+  const Duration full =
+      std::min(base * (1u << std::min<uint32_t>(refusals, 16)), limit);
+  // Between half and all of it.
+  std::uniform_real_distribution<double> share(0.5, 1.0);
+  return std::chrono::duration_cast<Duration>(full * share(this->random));
+}
+
+void ChunkPlanner::OnHeld(const Digest& digest, TimePoint /*now*/) {
+  this->held.insert(digest);
+  const auto position = this->position_of.find(digest);
+  if (position != this->position_of.end() &&
+      !this->positions[position->second].held) {
+    this->positions[position->second].held = true;
+    ++this->goal_held;
+  }
+  const auto fetch = this->fetches.find(digest);
+  if (fetch != this->fetches.end()) {
+    const Fetch needless = fetch->second;
+    this->EndFetch(needless);
+    this->cancelled.push_back({needless.chunk.digest, needless.source});
+  }
+}
+
+void ChunkPlanner::OnDropped(const Digest& digest, TimePoint /*now*/) {
+  this->held.erase(digest);
+  const auto position = this->position_of.find(digest);
+  if (position != this->position_of.end() &&
+      this->positions[position->second].held) {
+    this->positions[position->second].held = false;
+    --this->goal_held;
+  }
+}
+
+void ChunkPlanner::EndFetch(const Fetch& fetch) {
+  if (fetch.source.origin) {
+    --this->origin_in_flight;
+  } else {
+    const auto peer = this->peers.find(fetch.source.peer);
+    if (peer != this->peers.end()) {
+      --peer->second.in_flight;
+    }
+  }
+  const Digest digest = fetch.chunk.digest;
+  this->fetches.erase(digest);
+}
+
+Duration ChunkPlanner::Timeout() const {
+  if (!this->usual_duration) {
+    return this->options.initial_timeout;
+  }
+  return std::clamp(*this->usual_duration * 4, this->options.min_timeout,
+                    this->options.max_timeout);
+}
+
+void ChunkPlanner::ExpireFetches(TimePoint now) {
+  std::vector<Fetch> expired;
+  for (const auto& [digest, fetch] : this->fetches) {
+    if (now >= fetch.deadline) {
+      expired.push_back(fetch);
+    }
+  }
+  for (const Fetch& fetch : expired) {
+    this->EndFetch(fetch);
+    this->cancelled.push_back({fetch.chunk.digest, fetch.source});
+    if (fetch.source.origin) {
+      this->OnOriginOutcome(FetchOutcome::kFailed, now, std::nullopt);
+    } else {
+      this->OnPeerOutcome(fetch.chunk.digest, fetch.source.peer,
+                          FetchOutcome::kFailed, now, std::nullopt);
+    }
+  }
+  // When every transfer slows down, the usual duration must follow although
+  // none of them ends.
+  if (!expired.empty() && this->usual_duration) {
+    *this->usual_duration =
+        std::min(*this->usual_duration * 3 / 2, this->options.max_timeout);
+  }
+}
+
+void ChunkPlanner::UpdateView(bool new_goal, TimePoint now) {
+  this->view.self = this->options.self;
+  this->view.self_region = this->options.region;
+  this->view.origin_region = this->options.origin_region;
+  this->view.chunks = &this->goal.chunks;
+  this->view.members.clear();
+  this->view.members.push_back({this->options.self, this->options.region});
+  for (const auto& [instance, peer] : this->peers) {
+    if (!peer.avoided) {
+      this->view.members.push_back({instance, peer.state.region});
+    }
+  }
+  std::sort(this->view.members.begin(), this->view.members.end(),
+            [](const SwarmMember& a, const SwarmMember& b) {
+              return a.instance < b.instance;
+            });
+  this->view_dirty = false;
+  this->strategy->OnView(this->view, new_goal, now);
+}
+
+bool ChunkPlanner::Crosses(const FetchSource& source) const {
+  if (source.origin) {
+    return this->options.origin_region != this->options.region;
+  }
+  return this->peers.at(source.peer).state.region != this->options.region;
+}
+
+std::vector<size_t> ChunkPlanner::Missing() {
+  std::vector<size_t> missing;
+  for (size_t i = 0; i < this->positions.size(); ++i) {
+    if (!this->positions[i].held &&
+        !this->fetches.contains(this->goal.chunks[i].digest)) {
+      missing.push_back(i);
+    }
+  }
+  if (this->strategy->Order() == ChunkOrder::kInOrder) {
+    return missing;
+  }
+  // Shuffled also before sorting by rarity: agents that fetch equally rare
+  // chunks in the same order would hold the same chunks and have nothing to
+  // exchange.
+  std::shuffle(missing.begin(), missing.end(), this->random);
+  if (this->strategy->Order() == ChunkOrder::kRarestFirst) {
+    std::stable_sort(missing.begin(), missing.end(),
+                     [this](size_t a, size_t b) {
+                       return this->positions[a].holders_in_region <
+                              this->positions[b].holders_in_region;
+                     });
+  }
+  return missing;
+}
+
+ChunkView ChunkPlanner::MakeView(size_t position,
+                                 TimePoint now,
+                                 const NextLimits& limits) {
+  const Position& entry = this->positions[position];
+  ChunkView chunk;
+  chunk.position = position;
+  chunk.holders_in_region = entry.holders_in_region;
+  chunk.holders_elsewhere = entry.holders_elsewhere;
+  chunk.cross_regions = limits.cross_regions;
+  chunk.origin_usable =
+      now >= this->origin_usable_from &&
+      this->origin_in_flight < this->options.max_origin_fetches &&
+      (limits.cross_regions || !this->Crosses(FetchSource::Origin()));
+  for (const InstanceId instance : entry.holders) {
+    const Peer& peer = this->peers.at(instance);
+    const bool crosses = peer.state.region != this->options.region;
+    if (!peer.avoided && now >= peer.usable_from &&
+        peer.in_flight < this->options.max_fetches_per_peer &&
+        (limits.cross_regions || !crosses)) {
+      chunk.usable.push_back({instance, peer.state.region, peer.in_flight});
+    }
+  }
+  return chunk;
+}
+
+PlannerActions ChunkPlanner::Next(TimePoint now, NextLimits limits) {
+  this->ExpireFetches(now);
+  for (auto& [instance, peer] : this->peers) {
+    if (peer.avoided && now >= peer.avoided_until) {
+      this->SetAvoided(peer, false, now);
+    }
+  }
+  PlannerActions actions;
+  actions.cancel = std::exchange(this->cancelled, {});
+  if (this->view_dirty) {
+    this->UpdateView(false, now);
+  }
+  if (now < this->paused_until || this->goal_held == this->positions.size() ||
+      limits.fetches == 0 ||
+      this->fetches.size() >= this->options.max_fetches) {
+    return actions;
+  }
+  for (const size_t position : this->Missing()) {
+    if (actions.fetch.size() >= limits.fetches ||
+        this->fetches.size() >= this->options.max_fetches) {
+      break;
+    }
+    const auto source = this->strategy->Choose(
+        this->MakeView(position, now, limits), this->random, now);
+    if (!source) {
+      continue;
+    }
+    const ChunkRef& chunk = this->goal.chunks[position];
+    this->fetches[chunk.digest] = {chunk, *source, now, now + this->Timeout()};
+    if (source->origin) {
+      ++this->origin_in_flight;
+    } else {
+      ++this->peers.at(source->peer).in_flight;
+    }
+    actions.fetch.push_back({chunk, *source, this->Crosses(*source)});
+  }
+  return actions;
+}
+
+bool ChunkPlanner::complete() const {
+  return this->goal.whole && this->goal_held == this->positions.size();
+}
+
+bool ChunkPlanner::Holds(const Digest& digest) const {
+  return this->held.contains(digest);
+}
+
+HaveAnnouncement ChunkPlanner::Have() const {
+  HaveAnnouncement have;
+  have.set = this->goal.set;
+  have.complete = this->complete();
+  for (size_t i = 0; i < this->positions.size(); ++i) {
+    if (this->positions[i].held) {
+      SetBit(have.bitmap, i);
+    }
+  }
+  return have;
+}
+
+uint32_t ChunkPlanner::Blame(InstanceId peer) const {
+  const auto found = this->corrupt_counts.find(peer);
+  return found == this->corrupt_counts.end() ? 0 : found->second;
+}
+
+}  // namespace celerypost
--- /dev/null
+++ b/src/version/chunk_planner.h
@@ -0,0 +1,214 @@
+#ifndef SRC_VERSION_CHUNK_PLANNER_H_
+#define SRC_VERSION_CHUNK_PLANNER_H_
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "celerypost/types.h"
+#include "src/version/chunk_goal.h"
+#include "src/version/fetch_strategy.h"
+
+namespace celerypost {
+
+struct ChunkPlannerOptions {
+  InstanceId self;
+  RegionName region;
+  RegionName origin_region;
+  // Fetches in flight: in total, per peer, and from the origin.
+  uint32_t max_fetches = 8;
+  uint32_t max_fetches_per_peer = 2;
+  uint32_t max_origin_fetches = 2;
+  // A fetch that takes longer than four times the usual duration is given up,
+  // within these bounds. The initial value holds until a fetch has ended.
+  Duration initial_timeout = std::chrono::seconds(5);
+  Duration min_timeout = std::chrono::seconds(1);
+  Duration max_timeout = std::chrono::seconds(30);
+  // Backoff after refusals: doubles from the first to the second value, with
+  // jitter.
+  Duration peer_backoff = std::chrono::milliseconds(20);
+  Duration max_peer_backoff = std::chrono::seconds(1);
+  Duration origin_backoff = std::chrono::milliseconds(200);
+  Duration max_origin_backoff = std::chrono::seconds(10);
+  // How long a peer is avoided after its first corrupt chunk; doubles with each
+  // further one.
+  Duration blame = std::chrono::seconds(30);
+};
+
+// A live agent of the same service.
+struct PeerState {
+  InstanceId instance;
+  ZoneName zone;
+  RegionName region;
+};
+
+enum class FetchOutcome : uint8_t {
+  // Verified and stored.
+  kStored = 0,
+  // The bytes do not have the digest, or are too few.
+  kCorrupt = 1,
+  // The source is busy.
+  kRefused = 2,
+  // The source does not have the chunk.
+  kNotFound = 3,
+  // The connection failed or the source does not answer.
+  kFailed = 4,
+  // Verified, but the store has no room.
+  kNoRoom = 5,
+};
+
+struct FetchAction {
+  ChunkRef chunk;
+  FetchSource source;
+  // Whether the bytes cross regions.
+  bool crosses_regions = false;
+};
+
+struct FetchCancel {
+  Digest digest;
+  FetchSource source;
+};
+
+struct PlannerActions {
+  // Fetches to give up; the planner has already forgotten them.
+  std::vector<FetchCancel> cancel;
+  std::vector<FetchAction> fetch;
+};
+
+// Bounds of one call of Next.
+struct NextLimits {
+  size_t fetches = SIZE_MAX;
+  bool cross_regions = true;
+};
+
+// Decides which chunk this agent fetches next and from where.
+class ChunkPlanner {
+ public:
+  ChunkPlanner(ChunkPlannerOptions options,
+               std::unique_ptr<FetchStrategy> strategy,
+               std::mt19937_64& random);
+  ~ChunkPlanner();
+
+  // Sets what must be held. Fetches that the new goal needs as well stay in
+  // flight, as does everything held; the next actions cancel the others.
+  void SetGoal(ChunkGoal goal, TimePoint now);
+
+  void OnPeer(const PeerState& peer, TimePoint now);
+  void OnPeerGone(InstanceId peer, TimePoint now);
+  // Replaces what `peer` holds. Announcements of unknown peers are ignored.
+  void OnHave(InstanceId peer, const HaveAnnouncement& have, TimePoint now);
+
+  // The end of a fetch. `retry_after` is what the source asked for.
+  void OnChunk(const Digest& digest,
+               FetchSource source,
+               FetchOutcome outcome,
+               TimePoint now,
+               std::optional<Duration> retry_after = std::nullopt);
+
+  // Chunks that this agent holds by other means, or no longer holds.
+  void OnHeld(const Digest& digest, TimePoint now);
+  void OnDropped(const Digest& digest, TimePoint now);
+
+  PlannerActions Next(TimePoint now, NextLimits limits = {});
+
+  // True if every chunk of a whole goal is held.
+  bool complete() const;
+  bool Holds(const Digest& digest) const;
+  // What this agent holds of its goal, for its peers.
+  HaveAnnouncement Have() const;
+  size_t chunks_held() const { return this->goal_held; }
+  size_t chunks_total() const { return this->goal.chunks.size(); }
+  const ChunkGoal& current_goal() const { return this->goal; }
+  size_t in_flight() const { return this->fetches.size(); }
+  // Corrupt chunks received from `peer`.
+  uint32_t Blame(InstanceId peer) const;
+
+ private:
+  struct Peer {
+    PeerState state;
+    HaveAnnouncement have;
+    // One flag per position of the goal.
+    std::vector<bool> holds;
+    uint32_t in_flight = 0;
+    // Consecutive ones.
+    uint32_t refusals = 0;
+    uint32_t failures = 0;
+    TimePoint usable_from{};
+    // Neither asked nor counted as a holder or fetcher.
+    bool avoided = false;
+    TimePoint avoided_until{};
+  };
+  struct Fetch {
+    ChunkRef chunk;
+    FetchSource source;
+    TimePoint started;
+    TimePoint deadline;
+  };
+  struct Position {
+    bool held = false;
+    uint32_t holders_in_region = 0;
+    uint32_t holders_elsewhere = 0;
+    // Peers that hold it, avoided ones included.
+    std::vector<InstanceId> holders;
+  };
+
+  void ApplyHave(Peer& peer, TimePoint now);
+  void SetHolds(Peer& peer, size_t position, bool holds, TimePoint now);
+  void ClearHolds(Peer& peer, TimePoint now);
+  void Count(const Peer& peer, size_t position, int change, TimePoint now);
+  void Avoid(Peer& peer, Duration period, TimePoint now);
+  void SetAvoided(Peer& peer, bool avoided, TimePoint now);
+  void OnOriginOutcome(FetchOutcome outcome,
+                       TimePoint now,
+                       std::optional<Duration> retry_after);
+  void OnPeerOutcome(const Digest& digest,
+                     InstanceId peer,
+                     FetchOutcome outcome,
+                     TimePoint now,
+                     std::optional<Duration> retry_after);
+  void UpdateView(bool new_goal, TimePoint now);
+  void ExpireFetches(TimePoint now);
+  void EndFetch(const Fetch& fetch);
+  Duration Timeout() const;
+  Duration Jittered(Duration base, uint32_t refusals, Duration limit);
+  std::vector<size_t> Missing();
+  ChunkView MakeView(size_t position, TimePoint now, const NextLimits& limits);
+  bool Crosses(const FetchSource& source) const;
+
+  ChunkPlannerOptions options;
+  std::unique_ptr<FetchStrategy> strategy;
+  std::mt19937_64& random;
+
+  ChunkGoal goal;
+  std::unordered_map<Digest, size_t> position_of;
+  std::vector<Position> positions;
+  size_t goal_held = 0;
+  // Earlier goals, newest first; announcements of peers that still have one of
+  // them are understood through its list.
+  std::deque<ChunkGoal> earlier;
+  std::unordered_set<Digest> held;
+
+  std::unordered_map<InstanceId, Peer> peers;
+  std::unordered_map<InstanceId, uint32_t> corrupt_counts;
+  std::unordered_map<Digest, Fetch> fetches;
+  std::vector<FetchCancel> cancelled;
+  SwarmView view;
+  bool view_dirty = true;
+
+  uint32_t origin_in_flight = 0;
+  // Consecutive ones.
+  uint32_t origin_refusals = 0;
+  TimePoint origin_usable_from{};
+  TimePoint paused_until{};
+  std::optional<Duration> usual_duration;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_VERSION_CHUNK_PLANNER_H_
--- /dev/null
+++ b/src/version/switch_planner.cc
@@ -0,0 +1,66 @@
+#include "src/version/switch_planner.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "src/version/digest.h"
+
+namespace celerypost {
+
+SwitchPlanner::SwitchPlanner(SwitchOptions options, InstanceId self)
+    : options(std::move(options)), self(self) {}
+
+void SwitchPlanner::OnPeer(const PeerSwitchState& peer) {
+  if (peer.instance == this->self) {
+    return;
+  }
+  PeerSwitchState& known = this->peers[peer.instance];
+  const uint64_t switched = std::max(known.switched, peer.switched);
+  known = peer;
+  known.switched = switched;
+}
+
+void SwitchPlanner::OnPeerGone(InstanceId peer) {
+  this->peers.erase(peer);
+}
+
+void SwitchPlanner::SetMinServing(uint32_t min_serving) {
+  this->options.min_serving = min_serving;
+}
+
+void SwitchPlanner::OnSelfServing(bool serving) {
+  this->serving = serving;
+}
+
+bool SwitchPlanner::MaySwitch(uint64_t rollout, TimePoint /*now*/) const {
+  if (!this->serving) {
+    return true;
+  }
+  const std::string key = std::to_string(rollout);
+  const auto place = [&key](InstanceId instance) {
+    return std::pair(RendezvousWeight(key, instance.value), instance.value);
+  };
+  const auto own = place(this->self);
+  uint32_t in_zone = 1;
+  uint32_t pending_before = 0;
+  uint32_t warm = 0;
+  for (const auto& [instance, peer] : this->peers) {
+    warm += peer.warm_and_serving ? 1 : 0;
+    if (peer.zone != this->options.zone) {
+      continue;
+    }
+    ++in_zone;
+    if (peer.switched < rollout && place(instance) < own) {
+      ++pending_before;
+    }
+  }
+  const auto window = std::max<uint32_t>(
+      1, static_cast<uint32_t>(in_zone * this->options.window_share));
+  // A service with fewer replicas than the limit could otherwise never switch.
+  const auto required = std::min<uint32_t>(
+      this->options.min_serving, static_cast<uint32_t>(this->peers.size()));
+  return pending_before < window && warm >= required;
+}
+
+}  // namespace celerypost
--- /dev/null
+++ b/src/version/switch_planner.h
@@ -0,0 +1,56 @@
+#ifndef SRC_VERSION_SWITCH_PLANNER_H_
+#define SRC_VERSION_SWITCH_PLANNER_H_
+
+#include <cstdint>
+#include <unordered_map>
+
+#include "celerypost/types.h"
+
+namespace celerypost {
+
+struct SwitchOptions {
+  ZoneName zone;
+  // Share of the zone's live agents that may be switching at a time.
+  double window_share = 0.25;
+  // Peers that must be warm and serving, in any zone.
+  uint32_t min_serving = 0;
+};
+
+// What gossip says about one live agent of the same service.
+struct PeerSwitchState {
+  InstanceId instance;
+  ZoneName zone;
+  // Newest roll-out that the agent has finished switching to.
+  uint64_t switched = 0;
+  // Past its cold start and serving some verified set.
+  bool warm_and_serving = false;
+};
+
+// Decides when this agent may switch its target to the set of a roll-out. A
+// roll-out is identified by the configuration number that introduced it.
+class SwitchPlanner {
+ public:
+  SwitchPlanner(SwitchOptions options, InstanceId self);
+
+  // Replaces what is known of a peer. `switched` never falls.
+  void OnPeer(const PeerSwitchState& peer);
+  void OnPeerGone(InstanceId peer);
+  void SetMinServing(uint32_t min_serving);
+
+  // Whether this agent's target serves now. A target that serves nothing takes
+  // nothing away by switching and needs no turn.
+  void OnSelfServing(bool serving);
+
+  // True if this agent may switch now, given that it has verified all bytes.
+  bool MaySwitch(uint64_t rollout, TimePoint now) const;
+
+ private:
+  SwitchOptions options;
+  InstanceId self;
+  bool serving = false;
+  std::unordered_map<InstanceId, PeerSwitchState> peers;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_VERSION_SWITCH_PLANNER_H_
