--- a/src/process/ctl.cc
+++ b/src/process/ctl.cc
@@ -47,7 +47,7 @@
 
 // A change id and a zone are parts of a path.
 bool IsPathSafe(std::string_view text) {
-  return !text.empty() && text.size() <= 100 &&
+  return !text.empty() && text.size() <= 64 &&
          std::all_of(text.begin(), text.end(), [](unsigned char c) {
            return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
                   (c >= 'A' && c <= 'Z') || c == '.' || c == '_' || c == '-';
@@ -215,7 +215,7 @@
   const std::string& id = arguments[0];
   if (!IsPathSafe(id)) {
     return this->UsageError("ID: value '" + Printable(id) +
-                            "' is not accepted; expected 1 to 100 of a-z A-Z "
+                            "' is not accepted; expected 1 to 64 of a-z A-Z "
                             "0-9 . _ -");
   }
   return this->ReportChange(JudgeChangeQuery(this->client->Call(
@@ -244,7 +244,9 @@
         << "To find out, ask any entry that reaches the key-value service:\n"
         << "  celerypost ctl change " << Printable(id)
         << " --operator IP:PORT\n"
-        << "Do not repeat the change before its outcome is known.\n";
+        << "An id is applied at most once, so the change may also be "
+           "repeated with\n--id "
+        << Printable(id) << ". Do not repeat it with another id.\n";
   }
   return outcome.exit;
 }
--- a/src/process/ctl_manifest.cc
+++ b/src/process/ctl_manifest.cc
@@ -6,10 +6,15 @@
 #include <fstream>
 #include <memory>
 #include <optional>
+#include <set>
 #include <system_error>
 #include <utility>
 
 #include "celerypost/assert.h"
+#include "celerypost/types.h"
+#include "src/version/digest.h"
+#include "src/version/manifest.h"
+#include "src/version/weight_index.h"
 
 namespace celerypost {
 namespace {
@@ -17,10 +22,10 @@
 namespace fs = std::filesystem;
 using Json = nlohmann::ordered_json;
 
-// SHA-256 over parts.
-class Sha256 {
+// SHA-256 of a file that is read in parts.
+class StreamDigest {
  public:
-  Sha256() : context(EVP_MD_CTX_new(), &EVP_MD_CTX_free) {
+  StreamDigest() : context(EVP_MD_CTX_new(), &EVP_MD_CTX_free) {
     CELERYPOST_ASSERT(
         EVP_DigestInit_ex(this->context.get(), EVP_sha256(), nullptr) == 1,
         "every byte of a weight set is verified");
@@ -30,29 +35,16 @@
     EVP_DigestUpdate(this->context.get(), bytes.data(), bytes.size());
   }
 
-  std::string Hex() {
-    static constexpr char kDigits[] = "0123456789abcdef";
-    unsigned char digest[EVP_MAX_MD_SIZE];
-    unsigned int length = 0;
-    EVP_DigestFinal_ex(this->context.get(), digest, &length);
-    std::string hex;
-    for (unsigned int i = 0; i < length; ++i) {
-      hex += kDigits[digest[i] >> 4];
-      hex += kDigits[digest[i] & 15];
-    }
-    return hex;
+  Digest Finish() {
+    Digest digest;
+    EVP_DigestFinal_ex(this->context.get(), digest.bytes.data(), nullptr);
+    return digest;
   }
 
  private:
   std::unique_ptr<EVP_MD_CTX, void (*)(EVP_MD_CTX*)> context;
 };
 
-std::string Sha256Hex(std::string_view bytes) {
-  Sha256 digest;
-  digest.Add(bytes);
-  return digest.Hex();
-}
-
 tl::unexpected<Failure> Invalid(std::string message) {
   return NotRun(ErrorCode::kInvalidArgument, std::move(message));
 }
@@ -147,6 +139,24 @@
   uint64_t chunk_bytes;
 };
 
+// The zones that the services name. Whether they exist is checked when the
+// manifest is committed.
+std::set<ZoneName> ZonesOf(const Json& services) {
+  std::set<ZoneName> zones;
+  for (const Json& service : services) {
+    const auto list = service.find("zones");
+    if (list == service.end()) {
+      continue;
+    }
+    for (const Json& zone : *list) {
+      if (zone.is_string()) {
+        zones.insert(ZoneName(zone.get<std::string>()));
+      }
+    }
+  }
+  return zones;
+}
+
 Result<void> WriteFile(const fs::path& path, std::string_view bytes) {
   std::ofstream out(path, std::ios::binary | std::ios::trunc);
   out.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
@@ -174,7 +184,7 @@
   std::ifstream in(file, std::ios::binary);
   ArtefactDigests result;
   result.file = file;
-  Sha256 whole;
+  StreamDigest whole;
   Json chunks = Json::array();
   std::string chunk(chunk_bytes, '\0');
   while (in) {
@@ -185,22 +195,27 @@
       break;
     }
     whole.Add(bytes);
-    chunks.push_back(Sha256Hex(bytes));
+    chunks.push_back(Digest::Of(bytes).ToHex());
     result.size += bytes.size();
   }
   if (in.bad() || !in.eof()) {
     return Invalid("cannot read '" + file.string() + "'");
   }
+  if (chunks.size() > kMaxChunksPerArtefact) {
+    return Invalid("'" + file.string() + "' has more than " +
+                   std::to_string(kMaxChunksPerArtefact) +
+                   " chunks; raise --chunk_kb");
+  }
   if (result.size == 0) {
     return Invalid("'" + file.string() + "' is empty");
   }
-  result.digest = whole.Hex();
+  result.digest = whole.Finish().ToHex();
   result.chunks = chunks.size();
   const Json document = {{"size", result.size},
                          {"chunk_size", chunk_bytes},
                          {"chunks", std::move(chunks)}};
   result.index_document = document.dump();
-  result.index = Sha256Hex(result.index_document);
+  result.index = Digest::Of(result.index_document).ToHex();
   return result;
 }
 
@@ -236,6 +251,12 @@
       return tl::unexpected<Failure>(filled.error());
     }
   }
+  const auto checked = Manifest::Parse(
+      manifest.dump(-1, ' ', false, Json::error_handler_t::replace),
+      ZonesOf(*services));
+  if (!checked) {
+    return tl::unexpected<Failure>(checked.error());
+  }
   return ManifestFiles{std::move(manifest), std::move(builder.artefacts)};
 }
 
--- a/src/process/ctl_progress.cc
+++ b/src/process/ctl_progress.cc
@@ -11,17 +11,19 @@
 
 constexpr size_t kBarWidth = 30;
 
+size_t BarPart(uint64_t part, uint64_t whole) {
+  return whole == 0
+             ? 0
+             : static_cast<size_t>(static_cast<double>(std::min(part, whole)) /
+                                   static_cast<double>(whole) * kBarWidth);
+}
+
 std::string Bar(const RolloutRow& row) {
-  const auto width = [&row](uint64_t part) {
-    return row.targets == 0 ? size_t{0}
-                            : static_cast<size_t>(std::min(part, row.targets) *
-                                                  kBarWidth / row.targets);
-  };
-  const size_t switched = width(row.switched);
-  const size_t verified = std::max(width(row.verified), switched);
-  return "[" + std::string(switched, '#') +
-         std::string(verified - switched, '-') +
-         std::string(kBarWidth - verified, ' ') + "]";
+  const size_t ready = BarPart(row.replicas_ready, row.replicas);
+  const size_t held =
+      std::max(BarPart(row.chunks_held, row.chunks_total), ready);
+  return "[" + std::string(ready, '#') + std::string(held - ready, '-') +
+         std::string(kBarWidth - held, ' ') + "]";
 }
 
 std::optional<uint64_t> Count(const Json& object, const char* name) {
@@ -54,13 +56,14 @@
     }
     const auto service = Text(object, "service");
     const auto version = Text(object, "version");
-    const auto targets = Count(object, "targets");
-    const auto verified = Count(object, "verified");
-    const auto switched = Count(object, "switched");
-    if (!service || !version || !targets || !verified || !switched) {
+    const auto replicas = Count(object, "replicas");
+    const auto ready = Count(object, "replicas_ready");
+    if (!service || !version || !replicas || !ready) {
       return std::nullopt;
     }
-    rows.push_back({*service, *version, *targets, *verified, *switched});
+    rows.push_back({*service, *version, *replicas, *ready,
+                    Count(object, "chunks_held").value_or(0),
+                    Count(object, "chunks_total").value_or(0)});
   }
   return rows;
 }
@@ -73,10 +76,14 @@
   for (const RolloutRow& row : rollouts) {
     text += Printable(row.service) + " " + Printable(row.version) + " " +
             Bar(row) + " ";
-    text += row.targets == 0 ? "no targets yet"
-                             : std::to_string(row.switched) + "/" +
-                                   std::to_string(row.targets) + " switched, " +
-                                   std::to_string(row.verified) + " verified";
+    text += row.replicas == 0
+                ? "no replicas yet"
+                : std::to_string(row.replicas_ready) + "/" +
+                      std::to_string(row.replicas) + " replicas ready";
+    if (row.chunks_total > 0) {
+      text += ", " + std::to_string(row.chunks_held) + "/" +
+              std::to_string(row.chunks_total) + " chunks";
+    }
     text += "\n";
   }
   return text;
--- a/src/process/ctl_progress.h
+++ b/src/process/ctl_progress.h
@@ -16,25 +16,26 @@
 struct RolloutRow {
   std::string service;
   std::string version;
-  // Live targets that are to serve the version.
-  uint64_t targets = 0;
-  // Targets that have verified all bytes, and of these the ones that serve it.
-  uint64_t verified = 0;
-  uint64_t switched = 0;
-
-  // False without targets: a service that has none yet is not done.
+  // Live replicas that are to serve the version, and of these the ones that do.
+  uint64_t replicas = 0;
+  uint64_t replicas_ready = 0;
+  // Verified chunks over all replicas; both 0 when the entry does not know.
+  uint64_t chunks_held = 0;
+  uint64_t chunks_total = 0;
+
+  // False without replicas: a service that has none yet is not done.
   bool Complete() const {
-    return this->targets > 0 && this->switched >= this->targets;
+    return this->replicas > 0 && this->replicas_ready >= this->replicas;
   }
 };
 
-// Reads "rollouts"; nothing when it is not a list of objects with these
-// members.
+// Reads "rollouts"; nothing when it is not a list of objects with the members
+// above, of which the chunks may be absent.
 std::optional<std::vector<RolloutRow>> ReadRollouts(
     const nlohmann::ordered_json& status);
 
 // Returns one line per roll-out with a bar, ended by a newline. A bar has two
-// parts: '#' for switched and '-' for verified targets.
+// parts: '#' for the share of ready replicas and '-' for that of held chunks.
 std::string RenderProgress(const std::vector<RolloutRow>& rollouts);
 
 // Shows successive renderings: on a terminal each replaces the one before,
--- a/src/process/flags.cc
+++ b/src/process/flags.cc
@@ -92,7 +92,7 @@
 DEFINE_string(id,
               "",
               "id of the change, by which an unknown outcome is settled; 1 to "
-              "100 of a-z A-Z 0-9 . _ -; default: a random id");
+              "64 of a-z A-Z 0-9 . _ -; default: a random id");
 DEFINE_string(expected_number,
               "",
               "refuse the change unless the configuration has this number; 0 "
@@ -112,7 +112,7 @@
               "",
               "name of the manifest; 1 to 100 of a-z A-Z 0-9 . _ -; default: "
               "that of the description");
-DEFINE_string(chunk_kb, "1024", "size of a chunk, in KiB; 4 to 65536");
+DEFINE_string(chunk_kb, "1024", "size of a chunk, in KiB; 4 to 1024");
 
 namespace celerypost {
 namespace {
--- a/src/process/log.cc
+++ b/src/process/log.cc
@@ -1,6 +1,7 @@
 #include "src/process/log.h"
 
 #include <array>
+#include <charconv>
 #include <cmath>
 #include <cstdio>
 #include <ctime>
@@ -78,6 +79,24 @@
   return text;
 }
 
+Result<std::chrono::system_clock::time_point> ParseTime(std::string_view text) {
+  const std::string copy(text);
+  std::tm parts{};
+  const char* const rest = strptime(copy.c_str(), "%Y-%m-%dT%H:%M:%S", &parts);
+  unsigned int ms = 0;
+  std::string_view tail = rest == nullptr ? std::string_view() : rest;
+  if (tail.size() == 5 && tail[0] == '.') {
+    const auto parsed = std::from_chars(tail.data() + 1, tail.data() + 4, ms);
+    tail.remove_prefix(parsed.ptr == tail.data() + 4 ? 4 : 0);
+  }
+  if (tail != "Z") {
+    return NotRun(ErrorCode::kInvalidArgument,
+                  "time is not of the form 2026-12-04T05:37:47.123Z");
+  }
+  return std::chrono::system_clock::from_time_t(timegm(&parts)) +
+         std::chrono::milliseconds(ms);
+}
+
 std::string FormatInstance(InstanceId instance) {
   std::array<char, 17> buffer;
   std::snprintf(buffer.data(), buffer.size(), "%016llx",
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -28,6 +28,10 @@
 // Returns UTC time as 2026-12-04T05:37:47.123Z.
 std::string FormatTime(std::chrono::system_clock::time_point time);
 
+// Parses such a time, with or without the milliseconds. Fails with
+// kInvalidArgument.
+Result<std::chrono::system_clock::time_point> ParseTime(std::string_view text);
+
 // A typed field of a log line. Holds views only: it lives as long as the call.
 // There is no constructor for SharedKey.
 struct LogField {
--- a/src/process/settings.cc
+++ b/src/process/settings.cc
@@ -7,6 +7,8 @@
 #include <limits>
 #include <utility>
 
+#include "src/version/weight_index.h"
+
 namespace celerypost {
 namespace {
 
@@ -296,7 +298,7 @@
   settings.who = reader.OptionalText("who", 200);
   settings.why = reader.OptionalText("why", 1000);
   if (!reader.Text("id").empty()) {
-    settings.change_id = reader.NameOf("id", 100);
+    settings.change_id = reader.NameOf("id", 64);
   }
   if (!reader.Text("expected_number").empty()) {
     settings.expected_number = reader.Number<uint64_t>(
@@ -313,7 +315,9 @@
     settings.manifest_name = reader.NameOf("manifest_name", 100);
   }
   settings.chunk_bytes =
-      reader.Number<uint64_t>("chunk_kb", 4, 65536, "4 to 65536 KiB") << 10;
+      reader.Number<uint64_t>("chunk_kb", 4, kMaxChunkBytes >> 10,
+                              "4 to 1024 KiB")
+      << 10;
   return reader.Finish(std::move(settings));
 }
 
