--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -85,6 +85,12 @@
     }
   }
 
+  void CloseConnectionAfter() override {
+    if (!this->closed()) {
+      this->request->http1_is_persistent = 0;
+    }
+  }
+
   void OnClosed(std::function<void()> callback) override {
     this->on_closed = std::move(callback);
   }
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -34,6 +34,10 @@
   void Send(int status, HttpHeaders headers, std::string_view body);
   void SendJson(int status, std::string_view body);
 
+  // Closes the caller's connection after this answer, so that the caller's next
+  // request goes to another address. Call before Start.
+  virtual void CloseConnectionAfter() = 0;
+
   // Called once when the caller's connection ends before the answer does.
   virtual void OnClosed(std::function<void()> callback) = 0;
   virtual bool closed() const = 0;
--- a/src/connection/peer_connection.cc
+++ b/src/connection/peer_connection.cc
@@ -169,6 +169,14 @@
   this->SendBytes(EncodeFrame(wire::Kind::HELLO, 0, 1, hello));
 }
 
+bool PeerConnection::SendFrame(std::string frame) {
+  if (!this->open()) {
+    return false;
+  }
+  this->SendBytes(std::move(frame));
+  return true;
+}
+
 void PeerConnection::SendBytes(std::string bytes) {
   if (this->outgoing.empty()) {
     this->outgoing = std::move(bytes);
--- a/src/connection/peer_connection.h
+++ b/src/connection/peer_connection.h
@@ -93,13 +93,12 @@
             int64_t request,
             int32_t attempt,
             const Message& message) {
-    if (!this->open()) {
-      return false;
-    }
-    this->SendBytes(EncodeFrame(kind, request, attempt, message));
-    return true;
+    return this->SendFrame(EncodeFrame(kind, request, attempt, message));
   }
 
+  // Queues a frame that EncodeFrame made; as Send.
+  bool SendFrame(std::string frame);
+
   void Close();
 
   bool open() const { return this->phase == Phase::kOpen; }
--- /dev/null
+++ b/src/request/task/forward_task.cc
@@ -0,0 +1,455 @@
+#include "src/request/task/forward_task.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "celerypost/assert.h"
+#include "src/process/log.h"
+
+namespace celerypost {
+
+namespace {
+
+// Pause before a slot's holder is looked up again while it is unknown, not
+// connected or behind. Documents spread within tens of milliseconds.
+constexpr std::chrono::milliseconds kSlotRetryDelay{25};
+// Attempts at a slot's holder without the retry budget: such refusals put no
+// load on a target.
+constexpr uint32_t kMaxSlotAttempts = 200;
+constexpr int kMaxIdDraws = 16;
+
+int StatusFor(Verdict verdict, ErrorCode code) {
+  if (code == ErrorCode::kDeadlineExceeded) {
+    return 504;
+  }
+  if (code == ErrorCode::kInvalidArgument) {
+    return 400;
+  }
+  if (code == ErrorCode::kNotFound) {
+    return 404;
+  }
+  return verdict == Verdict::kNotRun ? 503 : 502;
+}
+
+std::string ErrorJson(Verdict verdict,
+                      ErrorCode code,
+                      std::string_view message) {
+  const nlohmann::json body = {{"error",
+                                {{"code", ErrorCodeName(code)},
+                                 {"message", message},
+                                 {"verdict", VerdictName(verdict)}}}};
+  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+LoadReport FromWire(const wire::LoadReport& report) {
+  LoadReport result;
+  result.in_flight = static_cast<uint32_t>(std::max(report.in_flight, 0));
+  result.queued = static_cast<uint32_t>(std::max(report.queued, 0));
+  result.limit = static_cast<uint32_t>(std::max(report.limit, 1));
+  result.cold = report.cold;
+  return result;
+}
+
+}  // namespace
+
+void SendError(HttpResponder& responder,
+               int status,
+               Verdict verdict,
+               ErrorCode code,
+               std::string_view message) {
+  responder.Send(status,
+                 {{"content-type", "application/json"},
+                  {"celerypost-verdict", std::string(VerdictName(verdict))}},
+                 ErrorJson(verdict, code, message));
+}
+
+ForwardTask::ForwardTask(ForwardContext& context,
+                         int64_t number,
+                         CallerRequest request,
+                         std::shared_ptr<HttpResponder> responder,
+                         std::function<void()> on_done)
+    : context(context),
+      number(number),
+      request(std::move(request)),
+      responder(std::move(responder)),
+      on_done(std::move(on_done)),
+      started(context.scheduler.Now()),
+      deadline(started + this->request.deadline) {}
+
+ForwardTask::~ForwardTask() {
+  this->responder->OnClosed(nullptr);
+}
+
+void ForwardTask::Start() {
+  if (this->context.leaving()) {
+    this->responder->CloseConnectionAfter();
+  }
+  if (!this->context.gossip.MayGiveNewWork()) {
+    this->Refuse(this->FinalVerdict(Verdict::kNotRun), ErrorCode::kUnavailable,
+                 "this entry has no current configuration");
+    return;
+  }
+  const ServiceView* view = this->context.services.Find(this->request.service);
+  if (view == nullptr) {
+    this->Refuse(
+        this->FinalVerdict(Verdict::kNotRun), ErrorCode::kNotFound,
+        "service '" + this->request.service.value() + "' is not known");
+    return;
+  }
+  this->idempotent = this->request.IsIdempotent(view->service.kind);
+  this->responder->OnClosed([this] { this->Cancel("the caller has left"); });
+  this->deadline_call = this->context.scheduler.After(
+      this->request.deadline, [this] { this->OnDeadline(); });
+  this->SendAttempt();
+}
+
+void ForwardTask::SendAttempt() {
+  this->retry_call.reset();
+  ++this->entry_attempt;
+  if (this->idempotent) {
+    this->SendToTarget();
+  } else {
+    this->SendToSlotHolder();
+  }
+}
+
+void ForwardTask::SendToTarget() {
+  ServiceView* view = this->context.services.Find(this->request.service);
+  if (view == nullptr) {
+    this->Refuse(this->FinalVerdict(Verdict::kNotRun), ErrorCode::kNotFound,
+                 "the service was removed");
+    return;
+  }
+  RouteRequest route;
+  route.prefix_hash = this->request.prefix_hash;
+  route.exclude = this->failed_targets;
+  auto picked = view->router->Pick(route, this->context.scheduler.Now());
+  if (!picked && !this->failed_targets.empty()) {
+    // Every target has failed this request once; any of them may take it now.
+    this->failed_targets.clear();
+    route.exclude = {};
+    picked = view->router->Pick(route, this->context.scheduler.Now());
+  }
+  if (!picked) {
+    this->OnAttemptFailed(Verdict::kNotRun, picked.error().code,
+                          picked.error().message, wire::Refusal::STOPPED);
+    return;
+  }
+  auto to = this->context.mesh.Find(*picked);
+  if (!to) {
+    this->failed_targets.push_back(*picked);
+    this->OnAttemptFailed(Verdict::kNotRun, ErrorCode::kUnavailable,
+                          "the target's agent is not connected",
+                          wire::Refusal::STOPPED);
+    return;
+  }
+  view->router->OnSent(*picked);
+  this->SendWork(std::move(to), *picked);
+}
+
+bool ForwardTask::ChooseReachableId() {
+  const ServiceView* view = this->context.services.Find(this->request.service);
+  if (view == nullptr || !view->slots) {
+    return false;
+  }
+  const std::chrono::milliseconds issued_at(this->context.scheduler.UnixMs());
+  for (int i = 0; i < kMaxIdDraws; ++i) {
+    RequestId id =
+        RequestId::Make(view->slots->version, issued_at, this->context.random);
+    const InstanceId owner = view->slots->slots[id.Slot()].owner;
+    if (view->targets.contains(owner) && this->context.mesh.Find(owner)) {
+      this->request.id = std::move(id);
+      this->id_generated_here = true;
+      this->moved_to = {};
+      return true;
+    }
+  }
+  return false;
+}
+
+void ForwardTask::SendToSlotHolder() {
+  const bool may_choose = !this->request.id || (this->id_generated_here &&
+                                                this->frames_unanswered == 0);
+  if (may_choose && !this->ChooseReachableId()) {
+    this->OnAttemptFailed(Verdict::kNotRun, ErrorCode::kUnavailable,
+                          "no agent of the service holds a slot and is "
+                          "connected",
+                          wire::Refusal::BEHIND);
+    return;
+  }
+  const ServiceView* view = this->context.services.Find(this->request.service);
+  InstanceId holder = this->moved_to;
+  if (holder == InstanceId{} && view != nullptr && view->slots) {
+    holder = view->slots->slots[this->request.id->Slot()].owner;
+  }
+  auto to = this->context.mesh.Find(holder);
+  if (!to) {
+    this->moved_to = {};
+    this->OnAttemptFailed(Verdict::kNotRun, ErrorCode::kUnavailable,
+                          "the agent that holds the request's slot is not "
+                          "connected",
+                          wire::Refusal::BEHIND);
+    return;
+  }
+  this->SendWork(std::move(to), holder);
+}
+
+void ForwardTask::SendWork(std::shared_ptr<PeerConnection> to,
+                           InstanceId chosen) {
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->deadline - this->context.scheduler.Now());
+  wire::Work work;
+  if (!this->idempotent) {
+    work.request_id = this->request.id->ToString();
+  }
+  work.service_name = this->request.service.value();
+  work.workspace = this->request.workspace.value();
+  work.priority = static_cast<int32_t>(this->request.priority);
+  work.deadline_ms = static_cast<int32_t>(std::max<int64_t>(left.count(), 1));
+  work.idempotent = this->idempotent;
+  work.method = this->request.method;
+  work.path = this->request.path;
+  work.content_type = this->request.content_type;
+  work.body = this->request.body;
+  work.config_number =
+      static_cast<int64_t>(this->context.gossip.config().number());
+  const uint32_t caller_attempt =
+      this->id_generated_here ? 1 : this->request.attempt;
+  this->attempt_number = MakeAttempt(caller_attempt, this->entry_attempt);
+  this->connection = std::move(to);
+  this->target = chosen;
+  ++this->frames_unanswered;
+  this->connection->Send(wire::Kind::WORK, this->number,
+                         static_cast<int32_t>(this->attempt_number), work);
+}
+
+void ForwardTask::OnFrame(const PeerConnection& from, const Frame& frame) {
+  // An answer to an attempt that was given up must not reach the caller.
+  if (this->done || this->connection.get() != &from ||
+      frame.header.attempt != static_cast<int32_t>(this->attempt_number)) {
+    return;
+  }
+  switch (frame.header.kind) {
+    case wire::Kind::WORK_HEAD:
+      if (const auto head = DecodeMessage<wire::WorkHead>(frame)) {
+        this->OnHead(*head);
+      }
+      return;
+    case wire::Kind::WORK_BODY:
+      if (const auto body = DecodeMessage<wire::WorkBody>(frame);
+          body && this->head_sent) {
+        this->responder->Write(body->bytes);
+      }
+      return;
+    case wire::Kind::WORK_END:
+      if (const auto end = DecodeMessage<wire::WorkEnd>(frame)) {
+        this->OnEnd(*end);
+      }
+      return;
+    default:
+      return;
+  }
+}
+
+HttpHeaders ForwardTask::AnswerHeaders() const {
+  HttpHeaders headers;
+  if (this->request.id) {
+    headers.emplace_back("celerypost-request-id", this->request.id->ToString());
+  }
+  if (this->context.leaving()) {
+    headers.emplace_back("celerypost-refresh", "1");
+  }
+  return headers;
+}
+
+void ForwardTask::OnHead(const wire::WorkHead& head) {
+  CELERYPOST_ASSERT(!this->head_sent,
+                    "P4: a caller receives one answer to its request");
+  this->head_sent = true;
+  this->event_stream = head.content_type.starts_with("text/event-stream");
+  HttpHeaders headers = this->AnswerHeaders();
+  if (!head.content_type.empty()) {
+    headers.emplace_back("content-type", head.content_type);
+  }
+  if (!head.version.empty()) {
+    headers.emplace_back("celerypost-version", head.version);
+  }
+  headers.emplace_back("celerypost-target", FormatInstance(this->target));
+  this->context.counters.first_byte.Observe(this->context.scheduler.Now() -
+                                            this->started);
+  this->responder->Start(head.status, headers);
+}
+
+void ForwardTask::OnEnd(const wire::WorkEnd& end) {
+  --this->frames_unanswered;
+  ServiceView* view = this->context.services.Find(this->request.service);
+  if (view != nullptr && this->idempotent) {
+    view->router->OnFinished(this->target, FromWire(end.load),
+                             this->context.scheduler.Now());
+  }
+  this->target = {};
+  this->connection.reset();
+  if (end.error < 0) {
+    this->context.counters.answered.Add();
+    this->context.budget.OnSuccess();
+    this->context.counters.total.Observe(this->context.scheduler.Now() -
+                                         this->started);
+    this->responder->End();
+    this->Finish();
+    return;
+  }
+  if (end.refusal == wire::Refusal::MOVED) {
+    this->moved_to = InstanceId{static_cast<uint64_t>(end.moved_to)};
+  }
+  this->OnAttemptFailed(static_cast<Verdict>(std::clamp(end.verdict, 0, 2)),
+                        static_cast<ErrorCode>(end.error), end.message,
+                        end.refusal);
+}
+
+void ForwardTask::OnConnectionClosed(const PeerConnection& closed) {
+  if (this->done || this->connection.get() != &closed) {
+    return;
+  }
+  const InstanceId lost = this->target;
+  this->EndAttempt();
+  this->failed_targets.push_back(lost);
+  this->OnAttemptFailed(Verdict::kMayHaveRun, ErrorCode::kUnavailable,
+                        "the connection to the target's agent was lost",
+                        wire::Refusal::NONE);
+}
+
+void ForwardTask::EndAttempt() {
+  if (!this->connection) {
+    return;
+  }
+  ServiceView* view = this->context.services.Find(this->request.service);
+  if (view != nullptr && this->idempotent) {
+    view->router->OnFailed(this->target);
+  }
+  this->connection.reset();
+  this->target = {};
+}
+
+void ForwardTask::OnAttemptFailed(Verdict verdict,
+                                  ErrorCode code,
+                                  std::string message,
+                                  wire::Refusal::type refusal) {
+  this->any_may_have_run |= verdict != Verdict::kNotRun;
+  if (this->head_sent) {
+    this->BreakStream(verdict, message);
+    return;
+  }
+  const TimePoint now = this->context.scheduler.Now();
+  const bool slot_lookup =
+      !this->idempotent &&
+      (refusal == wire::Refusal::BEHIND || refusal == wire::Refusal::MOVED);
+  if (slot_lookup && verdict == Verdict::kNotRun) {
+    if (this->entry_attempt < kMaxSlotAttempts) {
+      const bool known = refusal == wire::Refusal::MOVED &&
+                         this->context.mesh.Find(this->moved_to);
+      this->SendAgainAfter(known ? std::chrono::milliseconds(0)
+                                 : kSlotRetryDelay);
+      return;
+    }
+  } else if (const auto delay = this->context.budget.MayRetry(
+                 verdict, this->idempotent, this->entry_attempt, this->deadline,
+                 now)) {
+    this->context.counters.retries.Add();
+    this->SendAgainAfter(*delay);
+    return;
+  }
+  this->Refuse(this->FinalVerdict(verdict), code, message);
+}
+
+void ForwardTask::SendAgainAfter(std::chrono::milliseconds delay) {
+  this->retry_call =
+      this->context.scheduler.After(delay, [this] { this->SendAttempt(); });
+}
+
+Verdict ForwardTask::FinalVerdict(Verdict attempt_verdict) const {
+  if (attempt_verdict != Verdict::kNotRun) {
+    return attempt_verdict;
+  }
+  if (this->any_may_have_run) {
+    return Verdict::kMayHaveRun;
+  }
+  if (!this->request.id) {
+    return Verdict::kNotRun;
+  }
+  RefusalFacts facts;
+  facts.id_generated_here = this->id_generated_here;
+  facts.caller_attempt = this->request.attempt;
+  facts.frames_unanswered = this->frames_unanswered;
+  return RefusalVerdict(facts);
+}
+
+void ForwardTask::OnDeadline() {
+  const bool sent = this->connection != nullptr;
+  if (sent) {
+    wire::CancelWork cancel;
+    cancel.reason = "deadline";
+    this->connection->Send(wire::Kind::CANCEL_WORK, this->number,
+                           static_cast<int32_t>(this->attempt_number), cancel);
+  }
+  this->EndAttempt();
+  const Verdict verdict =
+      this->FinalVerdict(sent ? Verdict::kMayHaveRun : Verdict::kNotRun);
+  if (this->head_sent) {
+    this->BreakStream(verdict, "the deadline has passed");
+    return;
+  }
+  this->Refuse(verdict, ErrorCode::kDeadlineExceeded,
+               "the deadline has passed");
+}
+
+void ForwardTask::Cancel(std::string_view reason) {
+  if (this->connection) {
+    wire::CancelWork cancel;
+    cancel.reason = std::string(reason);
+    this->connection->Send(wire::Kind::CANCEL_WORK, this->number,
+                           static_cast<int32_t>(this->attempt_number), cancel);
+  }
+  this->EndAttempt();
+  this->Finish();
+}
+
+void ForwardTask::Refuse(Verdict verdict,
+                         ErrorCode code,
+                         std::string_view message) {
+  if (verdict == Verdict::kNotRun) {
+    this->context.counters.refused_not_run.Add();
+  } else {
+    this->context.counters.failed_may_have_run.Add();
+  }
+  HttpHeaders headers = this->AnswerHeaders();
+  headers.emplace_back("content-type", "application/json");
+  headers.emplace_back("celerypost-verdict", std::string(VerdictName(verdict)));
+  this->responder->Send(StatusFor(verdict, code), std::move(headers),
+                        ErrorJson(verdict, code, message));
+  this->Finish();
+}
+
+void ForwardTask::BreakStream(Verdict verdict, std::string_view message) {
+  this->context.counters.broken_streams.Add();
+  if (this->event_stream) {
+    this->responder->Write(
+        "event: error\ndata: " +
+        ErrorJson(verdict, ErrorCode::kUnavailable, message) + "\n\n");
+  }
+  this->responder->Abort();
+  this->Finish();
+}
+
+void ForwardTask::Finish() {
+  if (std::exchange(this->done, true)) {
+    return;
+  }
+  this->EndAttempt();
+  this->deadline_call.reset();
+  this->retry_call.reset();
+  this->on_done();
+}
+
+}  // namespace celerypost
--- /dev/null
+++ b/src/request/task/work_service.cc
@@ -0,0 +1,464 @@
+#include "src/request/task/work_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "celerypost/assert.h"
+
+namespace celerypost {
+
+namespace {
+
+// Limits while no manifest names the service.
+constexpr ServiceLimits kUnknownLimits{1, 1, std::chrono::milliseconds(0), 0};
+
+ColdStartOptions ToColdStartOptions(const ServiceLimits& limits) {
+  ColdStartOptions options;
+  options.cold_limit = limits.cold;
+  options.full_limit = limits.full;
+  options.warm_up = limits.warm_up;
+  return options;
+}
+
+}  // namespace
+
+WorkService::Gate::Gate(const ServiceLimits& limits,
+                        FairQueueOptions queue_options,
+                        AdmissionOptions admission_options)
+    : cold_start(ToColdStartOptions(limits)),
+      queue(queue_options),
+      admission(admission_options, cold_start, queue) {}
+
+WorkService::WorkService(WorkServiceOptions options,
+                         InstanceId self,
+                         Loop& loop,
+                         HttpClient& target,
+                         Metrics& metrics,
+                         Log& log,
+                         WorkServiceHandlers handlers)
+    : options(std::move(options)),
+      loop(loop),
+      target(target),
+      log(log),
+      handlers(std::move(handlers)),
+      answered(metrics.AddCounter("celerypost_agent_answered_total",
+                                  "Requests answered whole by the target.")),
+      refused(metrics.AddCounter("celerypost_agent_refused_total",
+                                 "Requests refused before they ran.")),
+      failed(metrics.AddCounter("celerypost_agent_failed_total",
+                                "Requests that the target did not answer.")),
+      duplicates(
+          metrics.AddCounter("celerypost_agent_duplicates_total",
+                             "Repeated request ids that were not run again.")),
+      limit_gauge(metrics.AddGauge("celerypost_agent_limit",
+                                   "Most requests that may run at present.")),
+      first_token(
+          metrics.AddHistogram("celerypost_agent_first_token_seconds",
+                               "Time from dispatch to the first body bytes.")),
+      requests(this->options.ledger, self),
+      gate(std::make_unique<Gate>(kUnknownLimits,
+                                  this->options.queue,
+                                  this->options.admission)) {}
+
+WorkService::~WorkService() = default;
+
+void WorkService::SetLimits(const ServiceLimits& new_limits) {
+  if (this->limits == new_limits) {
+    return;
+  }
+  this->limits = new_limits;
+  this->limits_changed = true;
+  this->ReplaceGateWhenIdle();
+}
+
+void WorkService::ReplaceGateWhenIdle() {
+  // Requests in flight are counted by the present gate, so it stays until they
+  // have ended.
+  if (!this->limits_changed || !this->tasks.empty()) {
+    return;
+  }
+  this->limits_changed = false;
+  this->gate = std::make_unique<Gate>(*this->limits, this->options.queue,
+                                      this->options.admission);
+  if (this->start_id != InstanceId{}) {
+    this->gate->cold_start.OnTargetStarted(this->start_id, this->loop.Now());
+  }
+}
+
+bool WorkService::warm() const {
+  return this->gate->cold_start.state() == ColdState::kWarm;
+}
+
+uint32_t WorkService::running() const {
+  return this->gate->admission.in_flight();
+}
+
+void WorkService::SetStopReason(std::string reason) {
+  if (reason != this->stop_reason) {
+    this->log.Info(reason.empty() ? "work_resumed" : "work_stopped",
+                   reason.empty() ? "takes new work" : reason);
+  }
+  this->stop_reason = std::move(reason);
+  if (!this->stopped()) {
+    return;
+  }
+  // Work that waits has not reached the target and must not do so any more;
+  // the entries send it elsewhere.
+  std::vector<TaskKey> waiting;
+  for (const auto& [key, task] : this->tasks) {
+    if (!task->dispatched()) {
+      waiting.push_back(key);
+    }
+  }
+  for (const TaskKey key : waiting) {
+    this->gate->admission.Cancel(key);
+    this->RefuseWaiting(key, ErrorCode::kUnavailable, this->stop_reason,
+                        wire::Refusal::STOPPED);
+  }
+}
+
+void WorkService::OnTargetStarted(InstanceId id) {
+  this->start_id = id;
+  this->gate->cold_start.OnTargetStarted(id, this->loop.Now());
+}
+
+void WorkService::OnSentinelClosed() {
+  this->gate->cold_start.OnSentinelClosed(this->loop.Now());
+}
+
+void WorkService::OnSwitchCompleted() {
+  this->gate->cold_start.OnSwitchCompleted(this->loop.Now());
+}
+
+void WorkService::OnTick() {
+  const TimePoint now = this->loop.Now();
+  this->requests.OnTick(now);
+  this->ReplaceGateWhenIdle();
+  this->Apply(this->gate->admission.OnTick(now));
+  this->limit_gauge.Set(this->gate->cold_start.Limit(now));
+}
+
+wire::LoadReport WorkService::Load() const {
+  wire::LoadReport report;
+  report.in_flight = static_cast<int32_t>(this->gate->admission.in_flight());
+  report.queued = static_cast<int32_t>(this->gate->admission.queued());
+  report.limit =
+      static_cast<int32_t>(this->gate->cold_start.Limit(this->loop.Now()));
+  report.cold = !this->warm();
+  return report;
+}
+
+void WorkService::OnFrame(const std::shared_ptr<PeerConnection>& entry,
+                          const Frame& frame) {
+  if (frame.header.kind == wire::Kind::WORK) {
+    this->OnWork(entry, frame);
+  } else {
+    this->OnCancel(*entry, frame);
+  }
+}
+
+void WorkService::OnWork(const std::shared_ptr<PeerConnection>& entry,
+                         const Frame& frame) {
+  auto work = DecodeMessage<wire::Work>(frame);
+  if (!work) {
+    this->log.Warn("bad_work", work.error().message);
+    wire::WorkEnd end;
+    end.verdict = static_cast<int32_t>(Verdict::kNotRun);
+    end.error = static_cast<int32_t>(ErrorCode::kInvalidArgument);
+    end.message = work.error().message;
+    entry->Send(wire::Kind::WORK_END, frame.header.request,
+                frame.header.attempt, end);
+    return;
+  }
+  std::optional<RequestId> id;
+  Result<RequestId> parsed = RequestId{};
+  if (!work->idempotent) {
+    parsed = RequestId::Parse(work->request_id);
+    if (parsed) {
+      id = *parsed;
+    }
+  }
+  const auto task = std::make_shared<WorkTask>(
+      entry, frame.header.request, frame.header.attempt, std::move(*work),
+      std::move(id), this->options.ledger.max_answer_bytes);
+  if (!parsed) {
+    this->Refuse(*task, ErrorCode::kInvalidArgument, parsed.error().message,
+                 wire::Refusal::NONE);
+    return;
+  }
+  if (ServiceName(task->work().service_name) != this->options.service) {
+    this->Refuse(*task, ErrorCode::kNotFound,
+                 "this agent serves '" + this->options.service.value() + "'",
+                 wire::Refusal::STOPPED);
+    return;
+  }
+  // Repeats are answered from the ledger even while no new work is taken.
+  if (task->id() && !this->BeginInLedger(task)) {
+    return;
+  }
+  this->Offer(task);
+}
+
+bool WorkService::BeginInLedger(const std::shared_ptr<WorkTask>& task) {
+  const RequestId& id = *task->id();
+  const BeginOutcome outcome =
+      this->requests.Begin(id, task->attempt(), this->loop.Now());
+  switch (outcome.result) {
+    case BeginResult::kRun:
+      return true;
+    case BeginResult::kDuplicateRunning:
+      this->duplicates.Add();
+      this->waiting_duplicates[id.ToString()].push_back(task);
+      return false;
+    case BeginResult::kAnswered:
+      this->duplicates.Add();
+      task->SendStored(*outcome.answer, this->Load());
+      return false;
+    case BeginResult::kBehind:
+      this->Refuse(*task, ErrorCode::kUnavailable,
+                   "the request id is newer than the agent's slot table",
+                   wire::Refusal::BEHIND);
+      return false;
+    case BeginResult::kMoved:
+      task->SendFailure({Verdict::kNotRun, ErrorCode::kUnavailable,
+                         "another agent holds the request's slot"},
+                        wire::Refusal::MOVED, outcome.moved_to, this->Load());
+      return false;
+    case BeginResult::kNotRun:
+      this->Refuse(*task, ErrorCode::kUnavailable,
+                   "an attempt of this number was refused before",
+                   wire::Refusal::FULL);
+      return false;
+    case BeginResult::kMayHaveRun:
+      this->duplicates.Add();
+      task->SendFailure(
+          {outcome.ran ? Verdict::kRan : Verdict::kMayHaveRun,
+           ErrorCode::kConflict,
+           outcome.ran
+               ? "the request has run; its answer is not stored"
+               : "the request may have run before and is not run again"},
+          wire::Refusal::NONE, {}, this->Load());
+      return false;
+  }
+  return false;
+}
+
+void WorkService::Offer(const std::shared_ptr<WorkTask>& task) {
+  const auto refuse = [&](ErrorCode code, std::string message,
+                          wire::Refusal::type refusal) {
+    if (task->id()) {
+      this->requests.ReleaseNotRun(*task->id());
+    }
+    this->Refuse(*task, code, std::move(message), refusal);
+    if (task->id()) {
+      this->AnswerDuplicates(*task->id());
+    }
+  };
+  if (this->stopped()) {
+    refuse(ErrorCode::kUnavailable, this->stop_reason, wire::Refusal::STOPPED);
+    return;
+  }
+  const TimePoint now = this->loop.Now();
+  const TaskKey key = this->next_key++;
+  AdmissionRequest request;
+  request.id = key;
+  request.workspace = WorkspaceName(task->work().workspace);
+  request.priority =
+      static_cast<Priority>(std::clamp(task->work().priority, 0, 2));
+  request.deadline = now + std::chrono::milliseconds(task->work().deadline_ms);
+  const AdmissionOutcome outcome =
+      this->gate->admission.Offer(std::move(request), now);
+  if (outcome.displaced) {
+    this->RefuseWaiting(*outcome.displaced, ErrorCode::kOverloaded,
+                        "displaced by a request with more right to the queue",
+                        wire::Refusal::FULL);
+  }
+  if (outcome.decision == AdmissionDecision::kRefused) {
+    refuse(outcome.code, outcome.message, wire::Refusal::FULL);
+    return;
+  }
+  this->tasks.emplace(key, task);
+  if (outcome.decision == AdmissionDecision::kRun) {
+    this->Run(key);
+  }
+}
+
+void WorkService::Run(TaskKey key) {
+  const auto it = this->tasks.find(key);
+  CELERYPOST_ASSERT(it != this->tasks.end(),
+                    "P2: only admitted requests count towards the limit");
+  const auto task = it->second;
+  // A restarted target is cold, so what the limit was computed from is void.
+  if (!this->handlers.target_alive()) {
+    this->tasks.erase(key);
+    if (task->id()) {
+      this->requests.ReleaseNotRun(*task->id());
+    }
+    this->Refuse(*task, ErrorCode::kUnavailable, "the target is not running",
+                 wire::Refusal::STOPPED);
+    if (task->id()) {
+      this->AnswerDuplicates(*task->id());
+    }
+    this->Apply(
+        this->gate->admission.OnFinished(key, false, this->loop.Now(), false));
+    return;
+  }
+  const uint64_t epoch = this->gate->cold_start.epoch();
+  WorkTaskHandlers task_handlers;
+  task_handlers.on_head = [this](const HttpHeaders& headers) {
+    const std::string_view id = FindHeader(headers, "x-start-id");
+    if (!id.empty()) {
+      this->handlers.on_start_id(id);
+    }
+  };
+  task_handlers.on_first_body = [this, epoch](Duration latency) {
+    this->first_token.Observe(latency);
+    if (epoch == this->gate->cold_start.epoch()) {
+      this->gate->cold_start.OnFirstToken(latency, this->loop.Now());
+    }
+  };
+  task_handlers.on_done = [this, key](WorkResult result) {
+    this->OnDone(key, std::move(result));
+  };
+  task_handlers.load = [this] { return this->Load(); };
+  task->Dispatch(this->target, this->loop.Now(), std::move(task_handlers));
+}
+
+void WorkService::Apply(const AdmissionActions& actions) {
+  for (const TaskKey key : actions.refused) {
+    this->RefuseWaiting(key, ErrorCode::kDeadlineExceeded,
+                        "the deadline cannot be met", wire::Refusal::FULL);
+  }
+  for (const TaskKey key : actions.run) {
+    this->Run(key);
+  }
+}
+
+void WorkService::RefuseWaiting(TaskKey key,
+                                ErrorCode code,
+                                std::string message,
+                                wire::Refusal::type refusal) {
+  const auto it = this->tasks.find(key);
+  if (it == this->tasks.end()) {
+    return;
+  }
+  const auto task = it->second;
+  CELERYPOST_ASSERT(!task->dispatched(), "P5: \"not run\" is true");
+  this->tasks.erase(it);
+  if (task->id()) {
+    this->requests.ReleaseNotRun(*task->id());
+  }
+  this->Refuse(*task, code, std::move(message), refusal);
+  if (task->id()) {
+    this->AnswerDuplicates(*task->id());
+  }
+}
+
+void WorkService::Refuse(WorkTask& task,
+                         ErrorCode code,
+                         std::string message,
+                         wire::Refusal::type refusal) {
+  CELERYPOST_ASSERT(!task.dispatched(), "P5: \"not run\" is true");
+  this->refused.Add();
+  task.SendFailure({Verdict::kNotRun, code, std::move(message)}, refusal, {},
+                   this->Load());
+}
+
+void WorkService::OnDone(TaskKey key, WorkResult result) {
+  const auto it = this->tasks.find(key);
+  CELERYPOST_ASSERT(it != this->tasks.end(), "P4: a request ends once");
+  const auto task = it->second;
+  this->tasks.erase(it);
+  const bool ok = !result.failure.has_value();
+  (ok ? this->answered : this->failed).Add();
+  const bool reached_target = ok || result.failure->verdict != Verdict::kNotRun;
+  if (task->id()) {
+    this->SettleLedger(*task, result);
+    this->AnswerDuplicates(*task->id());
+  }
+  // The task's call is on the stack; it goes in the next iteration.
+  this->loop.BeforeWait([task] {});
+  this->Apply(this->gate->admission.OnFinished(key, ok, this->loop.Now(),
+                                               reached_target));
+}
+
+void WorkService::SettleLedger(const WorkTask& task, const WorkResult& result) {
+  if (result.failure) {
+    if (result.failure->verdict == Verdict::kNotRun) {
+      this->requests.ReleaseNotRun(*task.id());
+    } else {
+      this->requests.FinishUnknown(*task.id(), this->loop.Now());
+    }
+    return;
+  }
+  if (result.answer) {
+    this->requests.Finish(*task.id(), *result.answer, this->loop.Now());
+  } else {
+    this->requests.FinishUnknown(*task.id(), this->loop.Now());
+  }
+}
+
+void WorkService::AnswerDuplicates(const RequestId& id) {
+  const auto it = this->waiting_duplicates.find(id.ToString());
+  if (it == this->waiting_duplicates.end()) {
+    return;
+  }
+  const auto waiting = std::move(it->second);
+  this->waiting_duplicates.erase(it);
+  for (const auto& task : waiting) {
+    if (task->abandoned()) {
+      continue;
+    }
+    // Decides again: the outcome is known now. A request that was released
+    // "not run" may run for a higher attempt number.
+    if (this->BeginInLedger(task)) {
+      this->Offer(task);
+    }
+  }
+}
+
+void WorkService::OnCancel(const PeerConnection& entry, const Frame& frame) {
+  for (const auto& [key, task] : this->tasks) {
+    if (task->entry() == &entry && task->number() == frame.header.request &&
+        task->attempt() == static_cast<uint32_t>(frame.header.attempt)) {
+      const TaskKey found = key;
+      const auto keep = task;
+      if (!keep->dispatched()) {
+        this->gate->admission.Cancel(found);
+        this->RefuseWaiting(found, ErrorCode::kCancelled, "cancelled",
+                            wire::Refusal::NONE);
+        return;
+      }
+      keep->Abandon();
+      if (!keep->id()) {
+        WorkResult result;
+        result.failure =
+            Failure{Verdict::kMayHaveRun, ErrorCode::kCancelled, "cancelled"};
+        this->OnDone(found, std::move(result));
+      }
+      return;
+    }
+  }
+}
+
+void WorkService::OnConnectionClosed(const PeerConnection& entry) {
+  std::vector<std::pair<int64_t, uint32_t>> lost;
+  for (const auto& [key, task] : this->tasks) {
+    if (task->entry() == &entry) {
+      lost.emplace_back(task->number(), task->attempt());
+    }
+  }
+  for (const auto& [number, attempt] : lost) {
+    Frame cancel;
+    cancel.header.request = number;
+    cancel.header.attempt = static_cast<int32_t>(attempt);
+    this->OnCancel(entry, cancel);
+  }
+  for (auto& [id, waiting] : this->waiting_duplicates) {
+    std::erase_if(waiting, [&entry](const auto& task) {
+      return task->entry() == &entry;
+    });
+  }
+}
+
+}  // namespace celerypost
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -70,6 +70,41 @@
   }
 }
 
+int _kRefusalValues[] = {
+  Refusal::NONE,
+  Refusal::BEHIND,
+  Refusal::MOVED,
+  Refusal::STOPPED,
+  Refusal::FULL
+};
+const char* _kRefusalNames[] = {
+  "NONE",
+  "BEHIND",
+  "MOVED",
+  "STOPPED",
+  "FULL"
+};
+const std::map<int, const char*> _Refusal_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kRefusalValues, _kRefusalNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const Refusal::type& val) {
+  std::map<int, const char*>::const_iterator it = _Refusal_VALUES_TO_NAMES.find(val);
+  if (it != _Refusal_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const Refusal::type& val) {
+  std::map<int, const char*>::const_iterator it = _Refusal_VALUES_TO_NAMES.find(val);
+  if (it != _Refusal_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 Header::~Header() noexcept {
 }
@@ -2468,6 +2503,10 @@
 void WorkEnd::__set_moved_to(const int64_t val) {
   this->moved_to = val;
 }
+
+void WorkEnd::__set_refusal(const Refusal::type val) {
+  this->refusal = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkEnd& obj)
 {
   obj.printTo(out);
@@ -2536,6 +2575,16 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast67;
+          xfer += iprot->readI32(ecast67);
+          this->refusal = static_cast<Refusal::type>(ecast67);
+          this->__isset.refusal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2573,6 +2622,10 @@
   xfer += oprot->writeI64(this->moved_to);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("refusal", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->refusal));
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2585,43 +2638,48 @@
   swap(a.message, b.message);
   swap(a.load, b.load);
   swap(a.moved_to, b.moved_to);
+  swap(a.refusal, b.refusal);
   swap(a.__isset, b.__isset);
 }
 
-WorkEnd::WorkEnd(const WorkEnd& other67) {
-  verdict = other67.verdict;
-  error = other67.error;
-  message = other67.message;
-  load = other67.load;
-  moved_to = other67.moved_to;
-  __isset = other67.__isset;
-}
-WorkEnd::WorkEnd(WorkEnd&& other68) noexcept {
+WorkEnd::WorkEnd(const WorkEnd& other68) {
   verdict = other68.verdict;
   error = other68.error;
-  message = std::move(other68.message);
-  load = std::move(other68.load);
+  message = other68.message;
+  load = other68.load;
   moved_to = other68.moved_to;
+  refusal = other68.refusal;
   __isset = other68.__isset;
 }
-WorkEnd& WorkEnd::operator=(const WorkEnd& other69) {
+WorkEnd::WorkEnd(WorkEnd&& other69) noexcept {
   verdict = other69.verdict;
   error = other69.error;
-  message = other69.message;
-  load = other69.load;
+  message = std::move(other69.message);
+  load = std::move(other69.load);
   moved_to = other69.moved_to;
+  refusal = other69.refusal;
   __isset = other69.__isset;
-  return *this;
 }
-WorkEnd& WorkEnd::operator=(WorkEnd&& other70) noexcept {
+WorkEnd& WorkEnd::operator=(const WorkEnd& other70) {
   verdict = other70.verdict;
   error = other70.error;
-  message = std::move(other70.message);
-  load = std::move(other70.load);
+  message = other70.message;
+  load = other70.load;
   moved_to = other70.moved_to;
+  refusal = other70.refusal;
   __isset = other70.__isset;
   return *this;
 }
+WorkEnd& WorkEnd::operator=(WorkEnd&& other71) noexcept {
+  verdict = other71.verdict;
+  error = other71.error;
+  message = std::move(other71.message);
+  load = std::move(other71.load);
+  moved_to = other71.moved_to;
+  refusal = other71.refusal;
+  __isset = other71.__isset;
+  return *this;
+}
 void WorkEnd::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "WorkEnd(";
@@ -2630,6 +2688,7 @@
   out << ", " << "message=" << to_string(message);
   out << ", " << "load=" << to_string(load);
   out << ", " << "moved_to=" << to_string(moved_to);
+  out << ", " << "refusal=" << to_string(refusal);
   out << ")";
 }
 
@@ -2709,24 +2768,24 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelWork::CancelWork(const CancelWork& other71) {
-  reason = other71.reason;
-  __isset = other71.__isset;
-}
-CancelWork::CancelWork(CancelWork&& other72) noexcept {
-  reason = std::move(other72.reason);
+CancelWork::CancelWork(const CancelWork& other72) {
+  reason = other72.reason;
   __isset = other72.__isset;
 }
-CancelWork& CancelWork::operator=(const CancelWork& other73) {
-  reason = other73.reason;
+CancelWork::CancelWork(CancelWork&& other73) noexcept {
+  reason = std::move(other73.reason);
   __isset = other73.__isset;
-  return *this;
 }
-CancelWork& CancelWork::operator=(CancelWork&& other74) noexcept {
-  reason = std::move(other74.reason);
+CancelWork& CancelWork::operator=(const CancelWork& other74) {
+  reason = other74.reason;
   __isset = other74.__isset;
   return *this;
 }
+CancelWork& CancelWork::operator=(CancelWork&& other75) noexcept {
+  reason = std::move(other75.reason);
+  __isset = other75.__isset;
+  return *this;
+}
 void CancelWork::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "CancelWork(";
@@ -2758,6 +2817,14 @@
 void SlotRecord::__set_answer(const std::string& val) {
   this->answer = val;
 }
+
+void SlotRecord::__set_attempt(const int32_t val) {
+  this->attempt = val;
+}
+
+void SlotRecord::__set_has_answer(const bool val) {
+  this->has_answer = val;
+}
 std::ostream& operator<<(std::ostream& out, const SlotRecord& obj)
 {
   obj.printTo(out);
@@ -2826,6 +2893,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->has_answer);
+          this->__isset.has_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2863,6 +2946,14 @@
   xfer += oprot->writeBinary(this->answer);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("has_answer", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->has_answer);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2875,43 +2966,53 @@
   swap(a.status, b.status);
   swap(a.content_type, b.content_type);
   swap(a.answer, b.answer);
+  swap(a.attempt, b.attempt);
+  swap(a.has_answer, b.has_answer);
   swap(a.__isset, b.__isset);
 }
 
-SlotRecord::SlotRecord(const SlotRecord& other75) {
-  request_id = other75.request_id;
-  state = other75.state;
-  status = other75.status;
-  content_type = other75.content_type;
-  answer = other75.answer;
-  __isset = other75.__isset;
-}
-SlotRecord::SlotRecord(SlotRecord&& other76) noexcept {
-  request_id = std::move(other76.request_id);
+SlotRecord::SlotRecord(const SlotRecord& other76) {
+  request_id = other76.request_id;
   state = other76.state;
   status = other76.status;
-  content_type = std::move(other76.content_type);
-  answer = std::move(other76.answer);
+  content_type = other76.content_type;
+  answer = other76.answer;
+  attempt = other76.attempt;
+  has_answer = other76.has_answer;
   __isset = other76.__isset;
 }
-SlotRecord& SlotRecord::operator=(const SlotRecord& other77) {
-  request_id = other77.request_id;
+SlotRecord::SlotRecord(SlotRecord&& other77) noexcept {
+  request_id = std::move(other77.request_id);
   state = other77.state;
   status = other77.status;
-  content_type = other77.content_type;
-  answer = other77.answer;
+  content_type = std::move(other77.content_type);
+  answer = std::move(other77.answer);
+  attempt = other77.attempt;
+  has_answer = other77.has_answer;
   __isset = other77.__isset;
-  return *this;
 }
-SlotRecord& SlotRecord::operator=(SlotRecord&& other78) noexcept {
-  request_id = std::move(other78.request_id);
+SlotRecord& SlotRecord::operator=(const SlotRecord& other78) {
+  request_id = other78.request_id;
   state = other78.state;
   status = other78.status;
-  content_type = std::move(other78.content_type);
-  answer = std::move(other78.answer);
+  content_type = other78.content_type;
+  answer = other78.answer;
+  attempt = other78.attempt;
+  has_answer = other78.has_answer;
   __isset = other78.__isset;
   return *this;
 }
+SlotRecord& SlotRecord::operator=(SlotRecord&& other79) noexcept {
+  request_id = std::move(other79.request_id);
+  state = other79.state;
+  status = other79.status;
+  content_type = std::move(other79.content_type);
+  answer = std::move(other79.answer);
+  attempt = other79.attempt;
+  has_answer = other79.has_answer;
+  __isset = other79.__isset;
+  return *this;
+}
 void SlotRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "SlotRecord(";
@@ -2920,6 +3021,8 @@
   out << ", " << "status=" << to_string(status);
   out << ", " << "content_type=" << to_string(content_type);
   out << ", " << "answer=" << to_string(answer);
+  out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "has_answer=" << to_string(has_answer);
   out << ")";
 }
 
@@ -3023,14 +3126,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->records.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->records.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->records[_i83].read(iprot);
+              xfer += this->records[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3079,10 +3182,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<SlotRecord> ::const_iterator _iter84;
-    for (_iter84 = this->records.begin(); _iter84 != this->records.end(); ++_iter84)
+    std::vector<SlotRecord> ::const_iterator _iter85;
+    for (_iter85 = this->records.begin(); _iter85 != this->records.end(); ++_iter85)
     {
-      xfer += (*_iter84).write(oprot);
+      xfer += (*_iter85).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3104,44 +3207,44 @@
   swap(a.__isset, b.__isset);
 }
 
-HandOff::HandOff(const HandOff& other85) {
-  service_name = other85.service_name;
-  slot = other85.slot;
-  since_version = other85.since_version;
-  until_version = other85.until_version;
-  floor_ms = other85.floor_ms;
-  records = other85.records;
-  __isset = other85.__isset;
-}
-HandOff::HandOff(HandOff&& other86) noexcept {
-  service_name = std::move(other86.service_name);
+HandOff::HandOff(const HandOff& other86) {
+  service_name = other86.service_name;
   slot = other86.slot;
   since_version = other86.since_version;
   until_version = other86.until_version;
   floor_ms = other86.floor_ms;
-  records = std::move(other86.records);
+  records = other86.records;
   __isset = other86.__isset;
 }
-HandOff& HandOff::operator=(const HandOff& other87) {
-  service_name = other87.service_name;
+HandOff::HandOff(HandOff&& other87) noexcept {
+  service_name = std::move(other87.service_name);
   slot = other87.slot;
   since_version = other87.since_version;
   until_version = other87.until_version;
   floor_ms = other87.floor_ms;
-  records = other87.records;
+  records = std::move(other87.records);
   __isset = other87.__isset;
-  return *this;
 }
-HandOff& HandOff::operator=(HandOff&& other88) noexcept {
-  service_name = std::move(other88.service_name);
+HandOff& HandOff::operator=(const HandOff& other88) {
+  service_name = other88.service_name;
   slot = other88.slot;
   since_version = other88.since_version;
   until_version = other88.until_version;
   floor_ms = other88.floor_ms;
-  records = std::move(other88.records);
+  records = other88.records;
   __isset = other88.__isset;
   return *this;
 }
+HandOff& HandOff::operator=(HandOff&& other89) noexcept {
+  service_name = std::move(other89.service_name);
+  slot = other89.slot;
+  since_version = other89.since_version;
+  until_version = other89.until_version;
+  floor_ms = other89.floor_ms;
+  records = std::move(other89.records);
+  __isset = other89.__isset;
+  return *this;
+}
 void HandOff::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "HandOff(";
@@ -3264,32 +3367,32 @@
   swap(a.__isset, b.__isset);
 }
 
-HandOffDone::HandOffDone(const HandOffDone& other89) {
-  service_name = other89.service_name;
-  slot = other89.slot;
-  accepted = other89.accepted;
-  __isset = other89.__isset;
-}
-HandOffDone::HandOffDone(HandOffDone&& other90) noexcept {
-  service_name = std::move(other90.service_name);
+HandOffDone::HandOffDone(const HandOffDone& other90) {
+  service_name = other90.service_name;
   slot = other90.slot;
   accepted = other90.accepted;
   __isset = other90.__isset;
 }
-HandOffDone& HandOffDone::operator=(const HandOffDone& other91) {
-  service_name = other91.service_name;
+HandOffDone::HandOffDone(HandOffDone&& other91) noexcept {
+  service_name = std::move(other91.service_name);
   slot = other91.slot;
   accepted = other91.accepted;
   __isset = other91.__isset;
-  return *this;
 }
-HandOffDone& HandOffDone::operator=(HandOffDone&& other92) noexcept {
-  service_name = std::move(other92.service_name);
+HandOffDone& HandOffDone::operator=(const HandOffDone& other92) {
+  service_name = other92.service_name;
   slot = other92.slot;
   accepted = other92.accepted;
   __isset = other92.__isset;
   return *this;
 }
+HandOffDone& HandOffDone::operator=(HandOffDone&& other93) noexcept {
+  service_name = std::move(other93.service_name);
+  slot = other93.slot;
+  accepted = other93.accepted;
+  __isset = other93.__isset;
+  return *this;
+}
 void HandOffDone::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "HandOffDone(";
@@ -3375,24 +3478,24 @@
   swap(a.__isset, b.__isset);
 }
 
-PullChunk::PullChunk(const PullChunk& other93) {
-  digest = other93.digest;
-  __isset = other93.__isset;
-}
-PullChunk::PullChunk(PullChunk&& other94) noexcept {
-  digest = std::move(other94.digest);
+PullChunk::PullChunk(const PullChunk& other94) {
+  digest = other94.digest;
   __isset = other94.__isset;
 }
-PullChunk& PullChunk::operator=(const PullChunk& other95) {
-  digest = other95.digest;
+PullChunk::PullChunk(PullChunk&& other95) noexcept {
+  digest = std::move(other95.digest);
   __isset = other95.__isset;
-  return *this;
 }
-PullChunk& PullChunk::operator=(PullChunk&& other96) noexcept {
-  digest = std::move(other96.digest);
+PullChunk& PullChunk::operator=(const PullChunk& other96) {
+  digest = other96.digest;
   __isset = other96.__isset;
   return *this;
 }
+PullChunk& PullChunk::operator=(PullChunk&& other97) noexcept {
+  digest = std::move(other97.digest);
+  __isset = other97.__isset;
+  return *this;
+}
 void PullChunk::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "PullChunk(";
@@ -3416,6 +3519,10 @@
 void Chunk::__set_bytes(const std::string& val) {
   this->bytes = val;
 }
+
+void Chunk::__set_busy(const bool val) {
+  this->busy = val;
+}
 std::ostream& operator<<(std::ostream& out, const Chunk& obj)
 {
   obj.printTo(out);
@@ -3468,6 +3575,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->busy);
+          this->__isset.busy = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3497,6 +3612,10 @@
   xfer += oprot->writeBinary(this->bytes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("busy", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->busy);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3507,41 +3626,47 @@
   swap(a.digest, b.digest);
   swap(a.found, b.found);
   swap(a.bytes, b.bytes);
+  swap(a.busy, b.busy);
   swap(a.__isset, b.__isset);
 }
 
-Chunk::Chunk(const Chunk& other97) {
-  digest = other97.digest;
-  found = other97.found;
-  bytes = other97.bytes;
-  __isset = other97.__isset;
-}
-Chunk::Chunk(Chunk&& other98) noexcept {
-  digest = std::move(other98.digest);
+Chunk::Chunk(const Chunk& other98) {
+  digest = other98.digest;
   found = other98.found;
-  bytes = std::move(other98.bytes);
+  bytes = other98.bytes;
+  busy = other98.busy;
   __isset = other98.__isset;
 }
-Chunk& Chunk::operator=(const Chunk& other99) {
-  digest = other99.digest;
+Chunk::Chunk(Chunk&& other99) noexcept {
+  digest = std::move(other99.digest);
   found = other99.found;
-  bytes = other99.bytes;
+  bytes = std::move(other99.bytes);
+  busy = other99.busy;
   __isset = other99.__isset;
-  return *this;
 }
-Chunk& Chunk::operator=(Chunk&& other100) noexcept {
-  digest = std::move(other100.digest);
+Chunk& Chunk::operator=(const Chunk& other100) {
+  digest = other100.digest;
   found = other100.found;
-  bytes = std::move(other100.bytes);
+  bytes = other100.bytes;
+  busy = other100.busy;
   __isset = other100.__isset;
   return *this;
 }
+Chunk& Chunk::operator=(Chunk&& other101) noexcept {
+  digest = std::move(other101.digest);
+  found = other101.found;
+  bytes = std::move(other101.bytes);
+  busy = other101.busy;
+  __isset = other101.__isset;
+  return *this;
+}
 void Chunk::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Chunk(";
   out << "digest=" << to_string(digest);
   out << ", " << "found=" << to_string(found);
   out << ", " << "bytes=" << to_string(bytes);
+  out << ", " << "busy=" << to_string(busy);
   out << ")";
 }
 
@@ -3655,32 +3780,32 @@
   swap(a.__isset, b.__isset);
 }
 
-HaveChunks::HaveChunks(const HaveChunks& other101) {
-  set_digest = other101.set_digest;
-  bitmap = other101.bitmap;
-  complete = other101.complete;
-  __isset = other101.__isset;
-}
-HaveChunks::HaveChunks(HaveChunks&& other102) noexcept {
-  set_digest = std::move(other102.set_digest);
-  bitmap = std::move(other102.bitmap);
+HaveChunks::HaveChunks(const HaveChunks& other102) {
+  set_digest = other102.set_digest;
+  bitmap = other102.bitmap;
   complete = other102.complete;
   __isset = other102.__isset;
 }
-HaveChunks& HaveChunks::operator=(const HaveChunks& other103) {
-  set_digest = other103.set_digest;
-  bitmap = other103.bitmap;
+HaveChunks::HaveChunks(HaveChunks&& other103) noexcept {
+  set_digest = std::move(other103.set_digest);
+  bitmap = std::move(other103.bitmap);
   complete = other103.complete;
   __isset = other103.__isset;
-  return *this;
 }
-HaveChunks& HaveChunks::operator=(HaveChunks&& other104) noexcept {
-  set_digest = std::move(other104.set_digest);
-  bitmap = std::move(other104.bitmap);
+HaveChunks& HaveChunks::operator=(const HaveChunks& other104) {
+  set_digest = other104.set_digest;
+  bitmap = other104.bitmap;
   complete = other104.complete;
   __isset = other104.__isset;
   return *this;
 }
+HaveChunks& HaveChunks::operator=(HaveChunks&& other105) noexcept {
+  set_digest = std::move(other105.set_digest);
+  bitmap = std::move(other105.bitmap);
+  complete = other105.complete;
+  __isset = other105.__isset;
+  return *this;
+}
 void HaveChunks::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "HaveChunks(";
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -48,6 +48,22 @@
 
 std::string to_string(const Kind::type& val);
 
+struct Refusal {
+  enum type {
+    NONE = 0,
+    BEHIND = 1,
+    MOVED = 2,
+    STOPPED = 3,
+    FULL = 4
+  };
+};
+
+extern const std::map<int, const char*> _Refusal_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const Refusal::type& val);
+
+std::string to_string(const Refusal::type& val);
+
 class Header;
 
 class Hello;
@@ -979,12 +995,13 @@
 std::ostream& operator<<(std::ostream& out, const WorkBody& obj);
 
 typedef struct _WorkEnd__isset {
-  _WorkEnd__isset() : verdict(false), error(false), message(false), load(false), moved_to(false) {}
+  _WorkEnd__isset() : verdict(false), error(false), message(false), load(false), moved_to(false), refusal(false) {}
   bool verdict :1;
   bool error :1;
   bool message :1;
   bool load :1;
   bool moved_to :1;
+  bool refusal :1;
 } _WorkEnd__isset;
 
 class WorkEnd : public virtual ::apache::thrift::TBase {
@@ -998,7 +1015,8 @@
           : verdict(0),
             error(0),
             message(),
-            moved_to(0) {
+            moved_to(0),
+            refusal(static_cast<Refusal::type>(0)) {
   }
 
   virtual ~WorkEnd() noexcept;
@@ -1007,6 +1025,11 @@
   std::string message;
   LoadReport load;
   int64_t moved_to;
+  /**
+   * 
+   * @see Refusal
+   */
+  Refusal::type refusal;
 
   _WorkEnd__isset __isset;
 
@@ -1020,6 +1043,8 @@
 
   void __set_moved_to(const int64_t val);
 
+  void __set_refusal(const Refusal::type val);
+
   bool operator == (const WorkEnd & rhs) const
   {
     if (!(verdict == rhs.verdict))
@@ -1032,6 +1057,8 @@
       return false;
     if (!(moved_to == rhs.moved_to))
       return false;
+    if (!(refusal == rhs.refusal))
+      return false;
     return true;
   }
   bool operator != (const WorkEnd &rhs) const {
@@ -1096,12 +1123,14 @@
 std::ostream& operator<<(std::ostream& out, const CancelWork& obj);
 
 typedef struct _SlotRecord__isset {
-  _SlotRecord__isset() : request_id(false), state(false), status(false), content_type(false), answer(false) {}
+  _SlotRecord__isset() : request_id(false), state(false), status(false), content_type(false), answer(false), attempt(false), has_answer(false) {}
   bool request_id :1;
   bool state :1;
   bool status :1;
   bool content_type :1;
   bool answer :1;
+  bool attempt :1;
+  bool has_answer :1;
 } _SlotRecord__isset;
 
 class SlotRecord : public virtual ::apache::thrift::TBase {
@@ -1116,7 +1145,9 @@
                state(0),
                status(0),
                content_type(),
-               answer() {
+               answer(),
+               attempt(0),
+               has_answer(0) {
   }
 
   virtual ~SlotRecord() noexcept;
@@ -1125,6 +1156,8 @@
   int32_t status;
   std::string content_type;
   std::string answer;
+  int32_t attempt;
+  bool has_answer;
 
   _SlotRecord__isset __isset;
 
@@ -1138,6 +1171,10 @@
 
   void __set_answer(const std::string& val);
 
+  void __set_attempt(const int32_t val);
+
+  void __set_has_answer(const bool val);
+
   bool operator == (const SlotRecord & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -1150,6 +1187,10 @@
       return false;
     if (!(answer == rhs.answer))
       return false;
+    if (!(attempt == rhs.attempt))
+      return false;
+    if (!(has_answer == rhs.has_answer))
+      return false;
     return true;
   }
   bool operator != (const SlotRecord &rhs) const {
@@ -1352,10 +1393,11 @@
 std::ostream& operator<<(std::ostream& out, const PullChunk& obj);
 
 typedef struct _Chunk__isset {
-  _Chunk__isset() : digest(false), found(false), bytes(false) {}
+  _Chunk__isset() : digest(false), found(false), bytes(false), busy(false) {}
   bool digest :1;
   bool found :1;
   bool bytes :1;
+  bool busy :1;
 } _Chunk__isset;
 
 class Chunk : public virtual ::apache::thrift::TBase {
@@ -1368,13 +1410,15 @@
   Chunk() noexcept
         : digest(),
           found(0),
-          bytes() {
+          bytes(),
+          busy(0) {
   }
 
   virtual ~Chunk() noexcept;
   std::string digest;
   bool found;
   std::string bytes;
+  bool busy;
 
   _Chunk__isset __isset;
 
@@ -1384,6 +1428,8 @@
 
   void __set_bytes(const std::string& val);
 
+  void __set_busy(const bool val);
+
   bool operator == (const Chunk & rhs) const
   {
     if (!(digest == rhs.digest))
@@ -1392,6 +1438,8 @@
       return false;
     if (!(bytes == rhs.bytes))
       return false;
+    if (!(busy == rhs.busy))
+      return false;
     return true;
   }
   bool operator != (const Chunk &rhs) const {
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -129,6 +129,20 @@
   1: binary bytes
 }
 
+// Why an agent did not take an attempt, beyond the error code.
+enum Refusal {
+  NONE = 0,
+  // The id is newer than the slot table that the agent knows.
+  BEHIND = 1,
+  // Another agent holds the slot.
+  MOVED = 2,
+  // The agent takes no new work: it leaves, its zone is out, it is isolated, or
+  // its target serves nothing.
+  STOPPED = 3,
+  // The target or the agent's queue is full.
+  FULL = 4,
+}
+
 struct WorkEnd {
   // celerypost::Verdict as a number.
   1: i32 verdict
@@ -136,8 +150,9 @@
   2: i32 error
   3: string message
   4: LoadReport load
-  // Instance and address of the agent that owns the slot now, if it moved.
+  // Instance of the agent that holds the slot now, with refusal MOVED.
   5: i64 moved_to
+  6: Refusal refusal
 }
 
 struct CancelWork {
@@ -146,11 +161,13 @@
 
 struct SlotRecord {
   1: string request_id
-  // 0 running, 1 finished, 2 may have run.
+  // celerypost::RecordState as a number.
   2: i32 state
   3: i32 status
   4: string content_type
   5: binary answer
+  6: i32 attempt
+  7: bool has_answer
 }
 
 struct HandOff {
@@ -176,6 +193,8 @@
   1: string digest
   2: bool found
   3: binary bytes
+  // Not sent now because too many requests wait; ask again later.
+  4: bool busy
 }
 
 struct HaveChunks {
