--- /dev/null
+++ b/src/process/runtime.h
@@ -0,0 +1,77 @@
+#ifndef SRC_PROCESS_RUNTIME_H_
+#define SRC_PROCESS_RUNTIME_H_
+
+#include <memory>
+#include <string>
+
+#include "celerypost/random.h"
+#include "src/connection/loop.h"
+#include "src/process/audit_trail.h"
+#include "src/process/gossip_task.h"
+#include "src/process/log.h"
+#include "src/process/loop_scheduler.h"
+#include "src/process/membership_client.h"
+#include "src/process/metrics.h"
+#include "src/process/peer_mesh.h"
+#include "src/process/settings.h"
+#include "src/process/shared_peer_key.h"
+
+namespace celerypost {
+
+// What entries and agents have in common: the loop, the connections to peers,
+// gossip and the membership list.
+class Runtime {
+ public:
+  struct Handlers {
+    // Frames that are not gossip's.
+    std::function<void(PeerConnection&, Frame)> on_frame;
+    std::function<void(PeerConnection&)> on_open;
+    std::function<void(PeerConnection&)> on_closed;
+    std::function<void(const VersionedDocument&)> on_document;
+    std::function<void()> on_members_changed;
+  };
+
+  // `key_value` is null at agents. Fails when an address is taken or the audit
+  // file cannot be opened.
+  static Result<std::unique_ptr<Runtime>> Make(const CommonSettings& settings,
+                                               Role role,
+                                               ServiceName service);
+
+  Runtime(const Runtime&) = delete;
+  Runtime& operator=(const Runtime&) = delete;
+
+  // Opens the peer address and starts gossip. `key_value` is null at agents.
+  Result<void> Start(KeyValueClient* key_value, Handlers handlers);
+
+  Loop loop;
+  LoopScheduler scheduler;
+  const InstanceId instance;
+  PeerIdentity identity;
+  Log log;
+  Metrics metrics;
+  SplitMixRandom random;
+  std::unique_ptr<AuditTrail> audit;
+  std::unique_ptr<PeerMesh> mesh;
+  std::unique_ptr<GossipTask> gossip;
+
+ private:
+  Runtime(const CommonSettings& settings, Role role, ServiceName service);
+
+  void OnFrame(PeerConnection& from, Frame frame);
+  void OnOpen(PeerConnection& connection);
+  void OnClosed(PeerConnection& connection, bool last);
+  void OnDocument(const VersionedDocument& document);
+  void OnPlatformList(std::vector<PlatformMember> list);
+  void UpdateMetrics();
+
+  const CommonSettings settings;
+  SharedPeerKey peer_key;
+  Handlers handlers;
+  std::unique_ptr<MembershipClient> membership_client;
+  std::unique_ptr<Timer> metrics_timer;
+  bool membership_failing = false;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_PROCESS_RUNTIME_H_
