--- a/src/request/retry_budget.cc
+++ b/src/request/retry_budget.cc
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace celerypost {
+namespace {
+
+// One retry, less the rounding error of adding up a share such as 0.1.
+constexpr double kOneRetry = 1.0 - 1e-9;
+
+}  // namespace
 
 RetryBudget::RetryBudget(RetryBudgetOptions options, Random& random)
     : options(options), random(random), tokens(options.max_saved) {}
@@ -21,7 +27,7 @@
   const bool repeatable = verdict == Verdict::kNotRun ||
                           (verdict == Verdict::kMayHaveRun && idempotent);
   if (!repeatable || attempt >= this->options.max_attempts ||
-      this->tokens < 1.0) {
+      this->tokens < kOneRetry) {
     return std::nullopt;
   }
   const uint32_t doublings = std::min(attempt > 0 ? attempt - 1 : 0, 20u);
--- a/src/request/router.h
+++ b/src/request/router.h
@@ -17,7 +17,7 @@
   // Where this entry is.
   ZoneName zone;
   RegionName region;
-  AffinityOptions affinity;
+  AffinityOptions affinity{};
 };
 
 // Selects a target for each request of one service and version (design 4.12).
--- a/src/request/routing_strategy.h
+++ b/src/request/routing_strategy.h
@@ -18,7 +18,7 @@
   // Hash of the leading part of the prompt; 0 when the request has none.
   uint64_t prefix_hash = 0;
   // Targets that failed an earlier attempt.
-  std::span<const InstanceId> exclude;
+  std::span<const InstanceId> exclude{};
 };
 
 struct AffinityOptions {
