Implement configuration state, freshness, membership, gossip and commit

The daemons need working decision components behind the committed headers. GetRange and Watch of the key-value interface now take a key range: one range covers the configuration and all slot tables and leaves the audit trail out, so that a process needs one read and one watch.

--- a/src/process/etcd_client.h
+++ b/src/process/etcd_client.h
@@ -17,9 +17,6 @@
 // Fails with kInvalidArgument.
 Result<std::string> DecodeBase64(std::string_view text);
 
-// Returns the first key after all keys with `prefix`.
-std::string PrefixEnd(std::string prefix);
-
 struct EtcdClientOptions {
   // A read or transaction without an answer fails after this time.
   std::chrono::milliseconds call_timeout{1000};
@@ -34,14 +31,14 @@
 
   void Get(const std::string& key,
            std::function<void(Result<std::optional<KeyValue>>)> done) override;
-  void GetRange(const std::string& prefix,
+  void GetRange(const KeyRange& range,
                 bool keys_only,
                 std::function<void(Result<KeyValueRange>)> done) override;
   void Transact(
       KeyValueTransaction transaction,
       std::function<void(Result<KeyValueTransactionResult>)> done) override;
   std::unique_ptr<KeyValueWatch> Watch(
-      const std::string& prefix,
+      const KeyRange& range,
       int64_t from_revision,
       std::function<void(std::vector<KeyValue>)> on_change,
       std::function<void(Failure)> on_end) override;
--- a/src/process/gossip_task.h
+++ b/src/process/gossip_task.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -98,7 +99,7 @@
   void Tick();
   void Beat();
   void Probe();
-  void RefreshNeighbours();
+  void OnTableChanged();
   void RefreshWitnesses();
   void ScheduleFlush();
   void Deliver(std::vector<GossipMessage> messages);
@@ -107,10 +108,11 @@
   int64_t WireClock() const;
 
   // Key-value service, at witnesses.
-  void ReadStore();
-  void OnStoreRead(TimePoint asked_at, const Result<KeyValueRange>& range);
-  void LoadAll(TimePoint asked_at);
-  void OnAllLoaded(TimePoint asked_at, const Result<KeyValueRange>& range);
+  void StoreTick();
+  void ReadStore(bool keys_only);
+  void OnStoreRead(TimePoint asked_at,
+                   bool keys_only,
+                   const Result<KeyValueRange>& range);
   void OpenWatch(int64_t from_revision);
   void TakeFromStore(const KeyValue& item);
   void IssueStamp(bool store_reachable, Duration age);
@@ -133,20 +135,24 @@
   Membership members;
   Gossip gossip;
   std::map<InstanceId, Echo> echoes;
-  std::vector<InstanceId> neighbours;
-  uint64_t neighbours_revision = 0;
   uint64_t seen_revision = 0;
+  std::map<RegionName, std::vector<InstanceId>> proposed_witnesses;
+  std::set<InstanceId> silent_members;
   size_t next_probe = 0;
   GossipCounters counts;
   std::function<void(const VersionedDocument&)> on_document;
   std::function<void()> on_members_changed;
 
-  // Whether a read of the key-value service is under way.
+  // Number of the read that is under way; answers of earlier ones count too,
+  // but only the current one starts the next.
+  uint64_t current_read = 0;
   bool reading = false;
   // Last known revisions by key; empty until the first whole read.
   std::map<std::string, int64_t, std::less<>> store_revisions;
   bool loaded = false;
-  uint64_t read_generation = 0;
+  // When the last answered read was sent.
+  std::optional<TimePoint> answered_read;
+  uint64_t stamped_number = 0;
   std::unique_ptr<KeyValueWatch> watch;
 
   std::unique_ptr<ScheduledCall> tick_call;
--- a/src/process/key_value_client.h
+++ b/src/process/key_value_client.h
@@ -21,6 +21,12 @@
   int64_t mod_revision = 0;
 };
 
+// Keys from `first` up to and without `end`.
+struct KeyRange {
+  std::string first;
+  std::string end;
+};
+
 struct KeyValueRange {
   std::vector<KeyValue> items;
   // Revision of the whole service at the time of the read.
@@ -70,9 +76,9 @@
       const std::string& key,
       std::function<void(Result<std::optional<KeyValue>>)> done) = 0;
 
-  // Linearizable read of all keys with `prefix`. `keys_only` leaves the values
-  // out.
-  virtual void GetRange(const std::string& prefix,
+  // Linearizable read of all keys in `range`, by key. `keys_only` leaves the
+  // values out.
+  virtual void GetRange(const KeyRange& range,
                         bool keys_only,
                         std::function<void(Result<KeyValueRange>)> done) = 0;
 
@@ -80,10 +86,10 @@
       KeyValueTransaction transaction,
       std::function<void(Result<KeyValueTransactionResult>)> done) = 0;
 
-  // Reports changes of all keys with `prefix` from `from_revision` on, until
+  // Reports changes of all keys in `range` from `from_revision` on, until
   // `on_end`, which runs once when the watch breaks.
   virtual std::unique_ptr<KeyValueWatch> Watch(
-      const std::string& prefix,
+      const KeyRange& range,
       int64_t from_revision,
       std::function<void(std::vector<KeyValue>)> on_change,
       std::function<void(Failure)> on_end) = 0;
--- /dev/null
+++ b/src/process/state/commit.cc
@@ -0,0 +1,252 @@
+#include "src/process/state/commit.h"
+
+#include <algorithm>
+
+namespace celerypost {
+
+std::string_view CommitOutcomeName(CommitOutcome outcome) {
+  static constexpr std::string_view kNames[] = {
+      "accepted",    "refused_newer",      "unknown",
+      "unavailable", "region_unreachable", "invalid"};
+  const auto index = static_cast<size_t>(outcome);
+  return index < std::size(kNames) ? kNames[index] : "unknown";
+}
+
+Commit::Commit(CommitOptions options,
+               ChangeRequest request,
+               std::string when,
+               ManifestValidator validator)
+    : options(options),
+      request(std::move(request)),
+      when(std::move(when)),
+      validator(std::move(validator)) {}
+
+std::vector<CommitAction> Commit::Start(TimePoint now) {
+  this->started_at = now;
+  CommitAction read;
+  read.kind = CommitAction::Kind::kReadConfig;
+  return {read};
+}
+
+std::vector<CommitAction> Commit::OnConfigRead(const Result<StoredValue>& read,
+                                               const CommitContext&,
+                                               TimePoint) {
+  if (this->state != State::kReading) {
+    return {};
+  }
+  if (!read) {
+    return this->Finish(CommitOutcome::kUnavailable, 0,
+                        "key-value service: " + read.error().message);
+  }
+  if (read->value) {
+    auto parsed = ConfigDocument::Parse(*read->value);
+    if (!parsed) {
+      return this->Finish(
+          CommitOutcome::kUnavailable, 0,
+          "stored configuration is malformed: " + parsed.error().message);
+    }
+    this->current = std::move(*parsed);
+  }
+  this->revision = read->revision;
+  // The id is read after the configuration. A change that is stored later moves
+  // the revision, so that the comparison of the write fails.
+  CommitAction read_change;
+  read_change.kind = CommitAction::Kind::kReadChange;
+  return {read_change};
+}
+
+std::vector<CommitAction> Commit::OnChangeRead(const Result<StoredValue>& read,
+                                               const CommitContext& context,
+                                               TimePoint now) {
+  if (this->state != State::kReading && this->state != State::kReadingBack) {
+    return {};
+  }
+  if (!read) {
+    if (!this->may_have_run) {
+      return this->Finish(CommitOutcome::kUnavailable, 0,
+                          "key-value service: " + read.error().message);
+    }
+    this->state = State::kRetryWait;
+    this->retry_at = now + this->options.retry_delay;
+    return {};
+  }
+  if (read->value) {
+    const auto json = nlohmann::json::parse(*read->value, nullptr, false);
+    const bool valid = json.is_object() && json.contains("number") &&
+                       json["number"].is_number_unsigned();
+    if (!valid) {
+      return this->Finish(CommitOutcome::kUnknown, 0,
+                          "stored change record is malformed");
+    }
+    return this->Confirming(json["number"].get<uint64_t>(), context);
+  }
+  if (this->state == State::kReadingBack) {
+    // The comparison failed and the id is not stored: the revision that every
+    // repetition of the write expects is past, so none can take effect.
+    return this->Finish(CommitOutcome::kRefusedNewer, context.own_number,
+                        "another change came first");
+  }
+  return this->Prepare(context);
+}
+
+std::vector<CommitAction> Commit::OnWritten(const Result<bool>& written,
+                                            const CommitContext& context,
+                                            TimePoint now) {
+  if (this->state != State::kWriting) {
+    return {};
+  }
+  if (written && *written) {
+    return this->Confirming(this->next.number, context);
+  }
+  if (written) {
+    // The write of a lost answer may be the change that came first.
+    this->state = State::kReadingBack;
+    CommitAction read_change;
+    read_change.kind = CommitAction::Kind::kReadChange;
+    return {read_change};
+  }
+  if (written.error().verdict == Verdict::kNotRun && !this->may_have_run) {
+    return this->Finish(CommitOutcome::kUnavailable, 0,
+                        "key-value service: " + written.error().message);
+  }
+  this->may_have_run |= written.error().verdict != Verdict::kNotRun;
+  this->state = State::kRetryWait;
+  this->retry_at = now + this->options.retry_delay;
+  return {};
+}
+
+std::vector<CommitAction> Commit::OnTick(const CommitContext& context,
+                                         TimePoint now) {
+  if (this->state == State::kFinished) {
+    return {};
+  }
+  const bool late = now - this->started_at >= this->options.deadline;
+  if (this->state == State::kConfirming) {
+    const bool all =
+        std::all_of(this->concerned.begin(), this->concerned.end(),
+                    [&](const RegionName& region) {
+                      return context.confirmed(this->number, region);
+                    });
+    if (all || this->options.disable_confirmation) {
+      return this->Finish(CommitOutcome::kAccepted, this->number, "");
+    }
+    if (late) {
+      return this->Finish(CommitOutcome::kUnknown, this->number,
+                          "stored as number " + std::to_string(this->number) +
+                              ", not yet confirmed by every concerned region");
+    }
+    return {};
+  }
+  if (late) {
+    // A write that is still under way may take effect later.
+    const bool sent = this->state != State::kReading;
+    return this->Finish(
+        sent ? CommitOutcome::kUnknown : CommitOutcome::kUnavailable, 0,
+        sent ? "no certain answer of the key-value service in time; ask again "
+               "for change " +
+                   this->request.id
+             : "key-value service: no answer in time");
+  }
+  if (this->state == State::kRetryWait && now >= this->retry_at) {
+    return this->Write();
+  }
+  return {};
+}
+
+std::vector<CommitAction> Commit::Finish(CommitOutcome outcome,
+                                         uint64_t number,
+                                         std::string message) {
+  this->state = State::kFinished;
+  CommitAction finish;
+  finish.kind = CommitAction::Kind::kFinish;
+  finish.result = CommitResult{outcome, number, std::move(message)};
+  return {finish};
+}
+
+std::vector<CommitAction> Commit::Prepare(const CommitContext& context) {
+  if (context.own_number > this->current.number) {
+    return this->Finish(CommitOutcome::kUnavailable, context.own_number,
+                        "the key-value service holds number " +
+                            std::to_string(this->current.number) +
+                            ", which is older than number " +
+                            std::to_string(context.own_number) + " in force");
+  }
+  if (this->request.expected_number &&
+      *this->request.expected_number != this->current.number) {
+    return this->Finish(
+        CommitOutcome::kRefusedNewer, this->current.number,
+        "expected_number is " + std::to_string(*this->request.expected_number) +
+            ", the current number is " + std::to_string(this->current.number));
+  }
+  auto applied = this->current.Apply(this->request, this->when,
+                                     context.known_zones, this->validator);
+  if (!applied) {
+    return this->Finish(CommitOutcome::kInvalid, this->current.number,
+                        applied.error().message);
+  }
+  this->next = std::move(*applied);
+  auto regions = this->current.ConcernedRegions(
+      this->request, context.known_zones, this->validator);
+  if (!regions) {
+    return this->Finish(CommitOutcome::kInvalid, this->current.number,
+                        regions.error().message);
+  }
+  this->concerned = std::move(*regions);
+  for (const RegionName& region : this->concerned) {
+    if (!context.reachable(region)) {
+      return this->Finish(CommitOutcome::kRegionUnreachable,
+                          this->current.number,
+                          "region " + region.value() +
+                              " is not reachable; nothing was written");
+    }
+  }
+  return this->Write();
+}
+
+std::vector<CommitAction> Commit::Write() {
+  this->state = State::kWriting;
+  const std::string number_text = std::to_string(this->next.number);
+  CommitAction write;
+  write.kind = CommitAction::Kind::kWrite;
+  write.expected_revision = this->revision;
+  write.value = this->next.Serialize();
+  write.number = this->next.number;
+  nlohmann::json record{{"number", this->next.number}};
+  record["regions"] = nlohmann::json::array();
+  for (const RegionName& region : this->concerned) {
+    record["regions"].push_back(region.value());
+  }
+  write.extra_puts = {
+      {std::string(kAuditPrefix) + number_text,
+       ChangeToJson(this->next.change)
+           .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)},
+      {std::string(kChangePrefix) + this->request.id, record.dump()}};
+  return {write};
+}
+
+std::vector<CommitAction> Commit::Confirming(uint64_t stored_number,
+                                             const CommitContext& context) {
+  this->number = stored_number;
+  std::vector<CommitAction> actions;
+  if (this->next.number == stored_number) {
+    CommitAction publish;
+    publish.kind = CommitAction::Kind::kPublish;
+    publish.number = stored_number;
+    publish.value = this->next.Serialize();
+    actions.push_back(std::move(publish));
+  } else {
+    // An earlier request with this id; its regions are those of this one.
+    auto regions = this->current.ConcernedRegions(
+        this->request, context.known_zones, this->validator);
+    if (!regions) {
+      auto finish = this->Finish(CommitOutcome::kUnknown, stored_number,
+                                 regions.error().message);
+      return finish;
+    }
+    this->concerned = std::move(*regions);
+  }
+  this->state = State::kConfirming;
+  return actions;
+}
+
+}  // namespace celerypost
--- /dev/null
+++ b/src/process/state/freshness.cc
@@ -0,0 +1,174 @@
+#include "src/process/state/freshness.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace celerypost {
+namespace {
+
+constexpr size_t kMaxWitnesses = 5;
+
+}  // namespace
+
+Freshness::Freshness(FreshnessOptions options) : options(std::move(options)) {}
+
+bool Freshness::OnStamp(const Stamp& stamp, Duration age, TimePoint now) {
+  if (stamp.witness == this->options.self || age < Duration::zero()) {
+    return false;
+  }
+  auto [entry, inserted] = this->evidence.try_emplace(stamp.witness);
+  if (!inserted && entry->second.stamp.sequence >= stamp.sequence) {
+    return false;
+  }
+  entry->second = Evidence{stamp, now - age};
+  this->highest = std::max(this->highest, stamp.config_number);
+  return true;
+}
+
+void Freshness::SetNumber(uint64_t number) {
+  this->own_number = std::max(this->own_number, number);
+  this->highest = std::max(this->highest, number);
+}
+
+void Freshness::SetWitnesses(const RegionName& region,
+                             std::vector<InstanceId> proposed,
+                             const std::set<InstanceId>& silent,
+                             TimePoint now) {
+  std::vector<InstanceId>& current = this->witnesses[region];
+  std::sort(proposed.begin(), proposed.end());
+  if (proposed == current) {
+    return;
+  }
+  const bool safe =
+      std::all_of(current.begin(), current.end(), [&](InstanceId member) {
+        return std::binary_search(proposed.begin(), proposed.end(), member) ||
+               !silent.contains(member);
+      });
+  if (safe || this->options.disable_isolation ||
+      this->CountHeard(current, now) * 2 > current.size()) {
+    current = std::move(proposed);
+  }
+}
+
+void Freshness::SetListedEntries(size_t count) {
+  this->listed_entries = count;
+}
+
+bool Freshness::MayGiveNewWork(TimePoint now) {
+  const bool fresh =
+      this->HoldsStoreEvidence(now) || this->HearsHalfOfWitnesses(now);
+  this->is_admitted = this->is_admitted || fresh;
+  return fresh || (this->options.disable_isolation && this->own_number > 0);
+}
+
+bool Freshness::IsWitness() const {
+  const auto& set = this->Witnesses(this->options.region);
+  return std::find(set.begin(), set.end(), this->options.self) != set.end();
+}
+
+std::optional<AgedStamp> Freshness::IssueStamp(bool store_reachable,
+                                               Duration age,
+                                               TimePoint now) {
+  const Stamp stamp{this->options.self, this->options.region,
+                    this->next_sequence, this->own_number, store_reachable};
+  if (!store_reachable) {
+    // Evidence of an earlier read is stronger than a statement without one.
+    age = Duration::zero();
+    if (!this->is_admitted && !this->MayGiveNewWork(now)) {
+      return std::nullopt;
+    }
+  }
+  if (!this->IsWitness()) {
+    return std::nullopt;
+  }
+  ++this->next_sequence;
+  this->evidence[this->options.self] = Evidence{stamp, now - age};
+  this->is_admitted = this->is_admitted || store_reachable;
+  return AgedStamp{stamp, age};
+}
+
+bool Freshness::Confirmed(uint64_t number, const RegionName& region) const {
+  const auto& set = this->Witnesses(region);
+  const auto confirming =
+      std::count_if(set.begin(), set.end(), [&](InstanceId witness) {
+        const auto found = this->evidence.find(witness);
+        return found != this->evidence.end() &&
+               found->second.stamp.config_number >= number;
+      });
+  return static_cast<size_t>(confirming) * 2 > set.size();
+}
+
+bool Freshness::Reachable(const RegionName& region, TimePoint now) const {
+  const auto& set = this->Witnesses(region);
+  return this->CountHeard(set, now) * 2 > set.size();
+}
+
+std::vector<AgedStamp> Freshness::Stamps(TimePoint now) const {
+  std::vector<AgedStamp> stamps;
+  for (const auto& [witness, item] : this->evidence) {
+    if (this->IsFresh(item, now)) {
+      stamps.push_back(AgedStamp{item.stamp, now - item.since});
+    }
+  }
+  std::sort(
+      stamps.begin(), stamps.end(),
+      [](const AgedStamp& a, const AgedStamp& b) { return a.age < b.age; });
+  return stamps;
+}
+
+uint64_t Freshness::NumberOf(InstanceId witness) const {
+  const auto found = this->evidence.find(witness);
+  return found == this->evidence.end() ? 0 : found->second.stamp.config_number;
+}
+
+const std::vector<InstanceId>& Freshness::Witnesses(
+    const RegionName& region) const {
+  static const std::vector<InstanceId> kNone;
+  const auto found = this->witnesses.find(region);
+  return found == this->witnesses.end() ? kNone : found->second;
+}
+
+bool Freshness::IsFresh(const Evidence& item, TimePoint now) const {
+  return now - item.since <= this->options.max_age;
+}
+
+size_t Freshness::CountHeard(const std::vector<InstanceId>& set,
+                             TimePoint now) const {
+  return static_cast<size_t>(
+      std::count_if(set.begin(), set.end(), [&](InstanceId witness) {
+        if (witness == this->options.self) {
+          return this->is_admitted;
+        }
+        const auto found = this->evidence.find(witness);
+        return found != this->evidence.end() &&
+               this->IsFresh(found->second, now);
+      }));
+}
+
+bool Freshness::HoldsStoreEvidence(TimePoint now) const {
+  return std::any_of(this->evidence.begin(), this->evidence.end(),
+                     [&](const auto& item) {
+                       const Stamp& stamp = item.second.stamp;
+                       return stamp.store_reachable &&
+                              stamp.config_number <= this->own_number &&
+                              this->IsFresh(item.second, now);
+                     });
+}
+
+bool Freshness::HearsHalfOfWitnesses(TimePoint now) const {
+  const auto& set = this->Witnesses(this->options.region);
+  if (this->own_number == 0 || this->highest > this->own_number ||
+      set.empty()) {
+    return false;
+  }
+  size_t needed = set.size();
+  if (!this->is_admitted) {
+    if (!this->listed_entries) {
+      return false;
+    }
+    needed = std::max(needed, std::min(*this->listed_entries, kMaxWitnesses));
+  }
+  return this->CountHeard(set, now) * 2 >= needed;
+}
+
+}  // namespace celerypost
--- a/src/process/state/freshness.h
+++ b/src/process/state/freshness.h
@@ -52,14 +52,14 @@
   // The number of the configuration that this process holds.
   void SetNumber(uint64_t number);
 
-  // Proposes the witnesses of `region` by the current member table. Members of
-  // the previous set may only be dropped when more than half of that set is
-  // heard, or when they are all in `gone`: their VM has left the platform's
-  // list, or another instance runs at their address. A process that merely
-  // lost its connections therefore keeps the old set and becomes isolated.
+  // Proposes the witnesses of `region` by the current member table. `silent`
+  // are the members that peers found dead but that may still run elsewhere
+  // (Membership::MayStillRun). One of those leaves the set only while more than
+  // half of the set is heard: a process that merely lost its connections keeps
+  // the old set and becomes isolated.
   void SetWitnesses(const RegionName& region,
                     std::vector<InstanceId> proposed,
-                    const std::set<InstanceId>& gone,
+                    const std::set<InstanceId>& silent,
                     TimePoint now);
 
   // The number of entries that the platform lists in this process's region. A
@@ -91,6 +91,9 @@
   // Stamps no older than max_age, the youngest first.
   std::vector<AgedStamp> Stamps(TimePoint now) const;
 
+  // The number that a witness named last; 0 when it was never heard.
+  uint64_t NumberOf(InstanceId witness) const;
+
   // The largest number that any stamp named.
   uint64_t HighestNumber() const { return this->highest; }
 
--- a/src/process/state/gossip.h
+++ b/src/process/state/gossip.h
@@ -54,8 +54,13 @@
   // Members per message when the whole table is sent.
   size_t table_part = 128;
   // A peer whose digest has differed for this long, while neither table
-  // changed, is asked for its table.
+  // changed, is asked for its table: changes alone would have arrived by then.
   std::chrono::milliseconds digest_patience{2000};
+  // The same while tables keep changing.
+  std::chrono::milliseconds digest_patience_in_churn{30000};
+  // All document numbers are announced again after this many heartbeats, in
+  // case an announcement was lost.
+  uint64_t announce_every = 40;
   // Shortest time between two requests for a table.
   std::chrono::milliseconds table_pull_gap{5000};
   // A pull without an answer is repeated at another peer after this time.
@@ -110,7 +115,10 @@
     // Document numbers that the peer announced.
     std::map<std::string, uint64_t, std::less<>> offers;
     uint64_t digest = 0;
+    uint64_t own_digest = 0;
+    uint64_t beats = 0;
     std::optional<TimePoint> differs_since;
+    TimePoint stable_since;
   };
   struct Pull {
     InstanceId peer;
@@ -119,8 +127,7 @@
   };
 
   GossipHeartbeat Build(InstanceId id, Peer& peer, TimePoint now);
-  void SetUrgent() { this->urgent = true; }
-  void Adopt(const VersionedDocument& document);
+  bool Adopt(const VersionedDocument& document);
   void StartPulls(TimePoint now);
   void CheckDigest(InstanceId from, Peer& peer, TimePoint now);
   void SendTable(InstanceId to);
@@ -134,8 +141,6 @@
   std::vector<GossipMessage> outgoing;
   std::vector<VersionedDocument> new_documents;
   std::optional<TimePoint> table_asked_at;
-  uint64_t seen_revision = 0;
-  TimePoint table_changed_at;
   bool urgent = false;
 };
 
--- a/src/process/state/membership.h
+++ b/src/process/state/membership.h
@@ -24,8 +24,8 @@
   // Time that a suspected member has to answer with a higher incarnation. The
   // sum stays below 2 s.
   std::chrono::milliseconds dead_after_suspicion{700};
-  // How long a dead member is remembered, so that an old record of it that
-  // still travels is not taken for a new member.
+  // How long a dead member that is certainly gone is remembered, so that an old
+  // record of it that still travels is not taken for a new member.
   std::chrono::milliseconds forget_dead_after{600000};
   // A gap between two ticks above this means that this process was paused; its
   // own pause is then not counted as silence of others.
@@ -74,17 +74,18 @@
   std::vector<const Member*> NotDead() const;
 
   // Members that this process should keep connections to.
-  std::vector<InstanceId> Neighbours() const;
+  const std::vector<InstanceId>& Neighbours() const;
   // Entries that should be the witnesses of `region`.
   std::vector<InstanceId> Witnesses(const RegionName& region) const;
   // Regions of all members that are not dead, and of the platform's list.
   std::set<RegionName> Regions() const;
   ZoneMap Zones() const;
 
-  // Whether a dead member is certainly gone: its VM has left the platform's
-  // list, it said itself that it leaves, or a newer instance runs at its
-  // address.
-  bool IsGone(InstanceId instance) const;
+  // Dead members that may still run in a part of the network that this process
+  // cannot hear: the platform lists their VM, they did not announce that they
+  // leave, and no newer instance runs at their address.
+  std::set<InstanceId> MayStillRun() const;
+  std::vector<InstanceId> Dead() const;
   // When this process learnt that the member is dead.
   std::optional<TimePoint> DeadSince(InstanceId instance) const;
   // Entries that the platform lists in `region`.
@@ -107,6 +108,7 @@
   // Whether something changed that peers should learn at once; cleared by the
   // call.
   bool TakeUrgent();
+  bool HasUrgent() const { return this->urgent; }
 
   uint64_t suspicions() const { return this->suspicion_count; }
   uint64_t deaths() const { return this->death_count; }
@@ -118,10 +120,16 @@
     TimePoint evidence_at;
     TimePoint suspected_at;
     TimePoint dead_at;
+    // Since when this process expects heartbeats from the member.
+    std::optional<TimePoint> watched_since;
     uint64_t revision = 0;
     InstanceId learnt_from;
+    // A newer instance runs at the member's address.
+    bool replaced = false;
   };
 
+  bool MayRun(const Entry& entry) const;
+
   Entry& Insert(const Member& member, TimePoint now);
   void Store(Entry& entry, const Member& member, InstanceId from);
   void Suspect(Entry& entry, TimePoint now);
@@ -144,6 +152,9 @@
   uint64_t death_count = 0;
   std::optional<TimePoint> last_tick;
   bool urgent = false;
+  // Choice of neighbours at a revision of the table.
+  mutable std::vector<InstanceId> chosen;
+  mutable uint64_t chosen_revision = 0;
 };
 
 }  // namespace celerypost
--- /dev/null
+++ b/src/process/state/slot_keeper.cc
@@ -0,0 +1,83 @@
+#include "src/process/state/slot_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/process/state/rendezvous.h"
+
+namespace celerypost {
+
+SlotKeeper::SlotKeeper(SlotKeeperOptions options,
+                       InstanceId self,
+                       ServiceName service,
+                       const Membership& membership,
+                       const ConfigState& config,
+                       SlotReassign reassign)
+    : options(options),
+      self(self),
+      service(std::move(service)),
+      membership(membership),
+      config(config),
+      reassign(std::move(reassign)),
+      table_key(std::string(kSlotsPrefix) + this->service.value()) {}
+
+std::optional<SlotProposal> SlotKeeper::OnTick(TimePoint now) {
+  if (!this->started_at) {
+    this->started_at = now;
+  }
+  std::vector<InstanceId> live;
+  for (const Member* member :
+       this->membership.Live(Role::kAgent, this->service)) {
+    if (this->config.Current().ZoneIsIn(member->zone)) {
+      live.push_back(member->instance);
+    }
+  }
+  const auto proposers = RendezvousSelect(
+      this->table_key + "#" +
+          std::to_string(this->config.NumberOf(this->table_key)),
+      live, live.size());
+  const auto own = std::find(proposers.begin(), proposers.end(), this->self);
+  // Members and tables arrive within the settle time; before that an owner may
+  // only look unknown.
+  if (own == proposers.end() ||
+      now - *this->started_at < this->options.settle_time) {
+    this->needed_since.reset();
+    return std::nullopt;
+  }
+  const VersionedDocument* const table = this->config.Find(this->table_key);
+  auto next = this->reassign(table == nullptr ? "" : table->bytes,
+                             this->Keep(now), live);
+  if (!next || !*next) {
+    this->needed_since.reset();
+    return std::nullopt;
+  }
+  const uint64_t number = table == nullptr ? 0 : table->number;
+  if (!this->needed_since || this->needed_number != number) {
+    this->needed_since = now;
+    this->needed_number = number;
+    this->proposed_at.reset();
+  }
+  const auto rank = own - proposers.begin();
+  if (now - *this->needed_since < this->options.fallback_delay * rank ||
+      (this->proposed_at &&
+       now - *this->proposed_at < this->options.retry_delay)) {
+    return std::nullopt;
+  }
+  this->proposed_at = now;
+  return SlotProposal{this->table_key, number, std::move(**next)};
+}
+
+std::set<InstanceId> SlotKeeper::Keep(TimePoint now) const {
+  std::set<InstanceId> keep;
+  for (const Member* member : this->membership.NotDead()) {
+    keep.insert(member->instance);
+  }
+  for (const InstanceId instance : this->membership.Dead()) {
+    if (now - *this->membership.DeadSince(instance) < this->options.dead_for) {
+      keep.insert(instance);
+    }
+  }
+  return keep;
+}
+
+}  // namespace celerypost
