--- a/src/process/ctl.cc
+++ b/src/process/ctl.cc
@@ -1,6 +1,7 @@
 #include "src/process/ctl.h"
 
 #include <algorithm>
+#include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -15,6 +16,7 @@
 namespace {
 
 using Json = nlohmann::ordered_json;
+using std::chrono::milliseconds;
 
 // The key-value service accepts values up to 1 MB.
 constexpr size_t kMaxManifestBytes = 1'000'000;
@@ -22,6 +24,10 @@
 // while weights roll.
 constexpr int kMaxFailedReads = 10;
 
+// An entry may store a change up to 5 s after it was sent. Only a change that
+// is still not stored after that is reported as not applied.
+constexpr milliseconds kSettleTime{6000};
+
 constexpr const char* kChangeFlags =
     "operator shared_key who why id expected_number timeout json";
 
@@ -58,20 +64,21 @@
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-// Appends the member `name` of a status as a titled table.
+// Appends the member `name` of a status as a titled table. `first` are the
+// columns that come first; the first of them names the keys of an object.
 void PrintSection(std::ostream& out,
                   const Json& status,
                   const char* name,
-                  std::string_view key_name) {
+                  const std::vector<std::string>& first) {
   const auto it = status.find(name);
   if (it == status.end()) {
     return;
   }
   out << "\n" << name << "\n";
   if (it->is_object()) {
-    out << RenderKeyedObjects(key_name, *it);
+    out << RenderKeyedObjects(first.front(), *it);
   } else if (it->is_array()) {
-    out << RenderObjects(*it);
+    out << RenderObjects(*it, first);
   } else {
     out << Printable(Dump(*it)) << "\n";
   }
@@ -104,7 +111,7 @@
        "operator shared_key follow interval expected_number timeout json",
        true},
       {"change", "ID", "settle the outcome of the change with this id",
-       "operator shared_key timeout json", true},
+       "operator shared_key interval timeout json", true},
       {"make-manifest", "DESCRIPTION",
        "build a manifest and index documents from artefact files",
        "output manifest_name chunk_kb json", false},
@@ -264,10 +271,16 @@
   std::ostream& out = this->context.out;
   out << "configuration number "
       << (outcome.number ? std::to_string(*outcome.number) : "unknown") << "\n";
-  PrintSection(out, outcome.body, "zones", "zone");
-  PrintSection(out, outcome.body, "services", "service");
-  PrintSection(out, outcome.body, "rollouts", "service");
-  PrintSection(out, outcome.body, "members", "instance");
+  const auto isolated = outcome.body.find("isolated");
+  if (isolated != outcome.body.end() && *isolated == true) {
+    out << "this entry is isolated: it takes no new work, and what follows may "
+           "be out of date\n";
+  }
+  PrintSection(out, outcome.body, "zones", {"zone"});
+  PrintSection(out, outcome.body, "services", {"service", "kind"});
+  PrintSection(out, outcome.body, "rollouts", {"service", "version"});
+  PrintSection(out, outcome.body, "members",
+               {"role", "zone", "service", "state"});
   return CtlExit::kDone;
 }
 
@@ -290,7 +303,8 @@
   if (this->settings.json) {
     this->PrintJson(outcome.body);
   } else {
-    this->context.out << RenderObjects(*changes);
+    this->context.out << RenderObjects(*changes,
+                                       {"number", "when", "who", "kind"});
   }
   return CtlExit::kDone;
 }
--- a/src/process/ctl_outcome.cc
+++ b/src/process/ctl_outcome.cc
@@ -144,7 +144,7 @@
     Apply(outcome, *known);
   } else if (answer->status == 404) {
     outcome.name = "not_found";
-    outcome.message = "no accepted change has this id";
+    outcome.message = "not applied: no stored change has this id";
   } else if (outcome.exit == CtlExit::kDone) {
     outcome.exit = CtlExit::kUnknown;
     outcome.name = "unknown";
@@ -173,9 +173,11 @@
     const std::string error = ErrorMessage(outcome.body);
     outcome.exit = CtlExit::kUnavailable;
     outcome.name = "unavailable";
-    outcome.message = "the entry gave an unexpected answer with status " +
-                      std::to_string(answer->status) +
-                      (error.empty() ? "" : ": " + error);
+    outcome.message = answer->status == 503 && !error.empty()
+                          ? "the entry cannot answer now: " + error
+                          : "the entry gave an unexpected answer with status " +
+                                std::to_string(answer->status) +
+                                (error.empty() ? "" : ": " + error);
   }
   return outcome;
 }
--- a/src/process/ctl_table.cc
+++ b/src/process/ctl_table.cc
@@ -9,15 +9,26 @@
 
 using Json = nlohmann::ordered_json;
 
+constexpr size_t kShownDigits = 12;
+
 size_t CodePoints(std::string_view text) {
   return static_cast<size_t>(std::count_if(
       text.begin(), text.end(),
       [](char c) { return (static_cast<unsigned char>(c) & 0xC0) != 0x80; }));
 }
 
+bool IsDigest(std::string_view text) {
+  return text.size() == 64 &&
+         text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
 std::string CellText(const Json& value) {
   if (value.is_string()) {
-    return value.get<std::string>();
+    std::string text = value.get<std::string>();
+    if (IsDigest(text)) {
+      text.resize(kShownDigits);
+    }
+    return text;
   }
   return value.is_null()
              ? std::string()
@@ -78,8 +89,18 @@
   return text;
 }
 
-std::string RenderObjects(const Json& list) {
+std::string RenderObjects(const Json& list,
+                          const std::vector<std::string>& first) {
   std::vector<std::string> header;
+  for (const std::string& key : first) {
+    const bool used =
+        std::any_of(list.begin(), list.end(), [&key](const Json& object) {
+          return object.is_object() && object.contains(key);
+        });
+    if (used) {
+      header.push_back(key);
+    }
+  }
   for (const Json& object : list) {
     for (const auto& [key, value] : object.items()) {
       if (std::find(header.begin(), header.end(), key) == header.end()) {
--- a/src/process/ctl_table.h
+++ b/src/process/ctl_table.h
@@ -28,10 +28,12 @@
   std::vector<std::vector<std::string>> rows;
 };
 
-// Renders a list of objects, one a row, with their members as columns in the
-// order of first appearance. Nested values are shown as JSON. Returns "none\n"
-// for an empty list.
-std::string RenderObjects(const nlohmann::ordered_json& list);
+// Renders a list of objects, one a row, with their members as columns: those of
+// `first`, then the others in the order of appearance. Nested values are shown
+// as JSON, and of a SHA-256 digest its first 12 digits. Returns "none\n" for an
+// empty list.
+std::string RenderObjects(const nlohmann::ordered_json& list,
+                          const std::vector<std::string>& first = {});
 
 // Renders an object of objects; the first column `key_name` holds the keys.
 std::string RenderKeyedObjects(std::string_view key_name,
--- a/src/process/settings.cc
+++ b/src/process/settings.cc
@@ -273,6 +273,7 @@
       kind == "plain" ? TargetKind::kPlain : TargetKind::kEngine;
   if (kind != "plain" || !reader.Text("origin_address").empty()) {
     settings.origin_address = reader.Address("origin_address");
+    settings.origin_region = RegionName(reader.NameOf("origin_region", 63));
   }
   settings.weights_memory_bytes =
       reader.Number<uint64_t>("weights_memory_mb", 1, 65536, "1 to 65536 MiB")
