Identify a roll-out by the number of its manifest; let entries write slot tables

Cause: a zone change raised the number by which agents identified the same roll-out, so a restarted agent would wait for peers that had long switched; and agents have no connection to the key-value service to write slot tables.

--- a/src/process/flags.cc
+++ b/src/process/flags.cc
@@ -57,6 +57,9 @@
               "",
               "IPv4:port of the weight origin; port 1 to 65535; required when "
               "target_kind is engine");
+DEFINE_string(origin_region,
+              "",
+              "region of the weight origin; empty for the agent's own region");
 DEFINE_string(weights_memory_mb, "64", "memory for chunks, in MiB; 1 to 65536");
 DEFINE_string(link_mbit,
               "1000",
@@ -140,6 +143,7 @@
     {"target_address", kAgent},
     {"target_kind", kAgent},
     {"origin_address", kAgent},
+    {"origin_region", kAgent},
     {"weights_memory_mb", kAgent},
     {"link_mbit", kAgent},
     {"region_link_mbit", kAgent},
--- a/src/process/settings.cc
+++ b/src/process/settings.cc
@@ -272,6 +272,9 @@
   if (kind != "plain" || !reader.Text("origin_address").empty()) {
     settings.origin_address = reader.Address("origin_address");
   }
+  settings.origin_region = reader.Text("origin_region").empty()
+                               ? settings.region
+                               : RegionName(reader.NameOf("origin_region", 63));
   settings.weights_memory_bytes =
       reader.Number<uint64_t>("weights_memory_mb", 1, 65536, "1 to 65536 MiB")
       << 20;
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -46,6 +46,7 @@
   TargetKind target_kind = TargetKind::kEngine;
   // Not set for a plain target.
   std::optional<SocketAddress> origin_address;
+  RegionName origin_region;
   uint64_t weights_memory_bytes = 64u << 20;
   // Bytes per second, in each direction.
   uint64_t link_bytes_per_second = 125'000'000;
--- a/src/process/state/config_document.cc
+++ b/src/process/state/config_document.cc
@@ -244,6 +244,15 @@
     }
     document.manifest = *manifest;
   }
+  const auto manifest_number = object->find("manifest_number");
+  if (manifest_number != object->end()) {
+    if (!manifest_number->is_number_unsigned() ||
+        manifest_number->get<uint64_t>() > document.number) {
+      return Invalid(
+          "field \"manifest_number\" must be a whole number up to \"number\"");
+    }
+    document.manifest_number = manifest_number->get<uint64_t>();
+  }
   return document;
 }
 
@@ -256,7 +265,8 @@
   return Json{{"number", this->number},
               {"change", ChangeToJson(this->change)},
               {"zones", std::move(zones_json)},
-              {"manifest", this->manifest}}
+              {"manifest", this->manifest},
+              {"manifest_number", this->manifest_number}}
       .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -281,6 +291,7 @@
     next.change.from = ManifestName(this->manifest);
     next.change.to = ManifestName(request.manifest);
     next.manifest = request.manifest;
+    next.manifest_number = next.number;
     return next;
   }
   const auto zone = next.zones.find(request.zone);
--- a/src/process/state/config_document.h
+++ b/src/process/state/config_document.h
@@ -89,6 +89,9 @@
   std::map<ZoneName, Zone> zones;
   // Checked by a ManifestValidator when it is committed; null before the first.
   nlohmann::json manifest;
+  // Number of the change that brought the manifest; 0 before the first. All
+  // processes identify a roll-out by it, whichever zone changes follow.
+  uint64_t manifest_number = 0;
 
   // Errors name the field.
   static Result<ConfigDocument> Parse(std::string_view json);
--- a/src/process/state/slot_keeper.cc
+++ b/src/process/state/slot_keeper.cc
@@ -32,10 +32,15 @@
       live.push_back(member->instance);
     }
   }
+  std::vector<InstanceId> entries;
+  for (const Member* member :
+       this->membership.Live(Role::kEntry, ServiceName())) {
+    entries.push_back(member->instance);
+  }
   const auto proposers = RendezvousSelect(
       this->table_key + "#" +
           std::to_string(this->config.NumberOf(this->table_key)),
-      live, live.size());
+      entries, entries.size());
   const auto own = std::find(proposers.begin(), proposers.end(), this->self);
   // Members and tables arrive within the settle time; before that an owner may
   // only look unknown.
@@ -69,8 +74,13 @@
 
 std::set<InstanceId> SlotKeeper::Keep(TimePoint now) const {
   std::set<InstanceId> keep;
-  for (const Member* member : this->membership.NotDead()) {
-    keep.insert(member->instance);
+  // A leaving agent and one in a zone that is out pass their slots on, so the
+  // table may name their successors at once.
+  for (const Member* member :
+       this->membership.Live(Role::kAgent, this->service)) {
+    if (this->config.Current().ZoneIsIn(member->zone)) {
+      keep.insert(member->instance);
+    }
   }
   for (const InstanceId instance : this->membership.Dead()) {
     if (now - *this->membership.DeadSince(instance) < this->options.dead_for) {
--- a/src/process/state/slot_keeper.h
+++ b/src/process/state/slot_keeper.h
@@ -45,8 +45,8 @@
   std::string bytes;
 };
 
-// Decides, at one agent, when to reassign slots of its service (section 4.2).
-// Proposers are the live agents of the service, in the order of rendezvous
+// Decides, at one entry, when to reassign slots of a service (section 4.2).
+// Proposers are the live entries, in the order of rendezvous
 // hashing over the table version; the first proposes at once and each further
 // one fallback_delay later, so that normally one process writes.
 class SlotKeeper {
