--- /dev/null
+++ b/src/process/gossip_task.cc
@@ -0,0 +1,314 @@
+#include "src/process/gossip_task.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/process/gossip_wire.h"
+
+namespace celerypost {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Events that arrive together are answered together.
+constexpr milliseconds kFlushDelay{10};
+// Header.attempt holds a clock reading in 31 bits; 0 means none.
+constexpr int64_t kEchoMask = 0x7fffffff;
+
+// Bytes of a value in Thrift's zigzag varint form.
+size_t VarintBytes(int64_t value) {
+  auto zigzag =
+      (static_cast<uint64_t>(value) << 1) ^ static_cast<uint64_t>(value >> 63);
+  size_t bytes = 1;
+  for (; zigzag >= 0x80; zigzag >>= 7) {
+    ++bytes;
+  }
+  return bytes;
+}
+
+// Bytes of a whole frame: the length, four fields with one byte of type each,
+// the end of the header, and the message.
+size_t FrameBytes(const Frame& frame) {
+  return 4 + 5 + VarintBytes(frame.header.version) +
+         VarintBytes(frame.header.kind) + VarintBytes(frame.header.request) +
+         VarintBytes(frame.header.attempt) + frame.payload.size();
+}
+
+FreshnessOptions WithSelf(FreshnessOptions options, const Member& self) {
+  options.self = self.instance;
+  options.region = self.region;
+  return options;
+}
+
+}  // namespace
+
+GossipTask::GossipTask(GossipTaskOptions task_options,
+                       Member self,
+                       Scheduler& scheduler,
+                       PeerTransport& transport,
+                       KeyValueClient* key_value)
+    : options(std::move(task_options)),
+      scheduler(scheduler),
+      transport(transport),
+      key_value(key_value),
+      origin(scheduler.Now()),
+      fresh(WithSelf(options.freshness, self)),
+      members(options.membership, std::move(self)),
+      gossip(options.gossip, members, fresh, config_state),
+      alive(std::make_shared<bool>(true)) {}
+
+GossipTask::~GossipTask() = default;
+
+void GossipTask::Start() {
+  this->OnTableChanged();
+  this->Tick();
+  this->Beat();
+  this->Probe();
+  if (this->key_value != nullptr) {
+    this->StoreTick();
+  }
+}
+
+void GossipTask::OnPeerConnected(const Member& peer) {
+  const TimePoint now = this->scheduler.Now();
+  this->echoes.erase(peer.instance);
+  this->gossip.OnConnected(peer.instance, now);
+  this->members.OnPeerConnected(peer, now);
+  this->AfterEvent();
+}
+
+void GossipTask::OnPeerDisconnected(InstanceId peer) {
+  this->echoes.erase(peer);
+  this->gossip.OnDisconnected(peer);
+  this->members.OnPeerDisconnected(peer, this->scheduler.Now());
+}
+
+void GossipTask::OnPeerHeard(InstanceId peer) {
+  this->members.OnPeerHeard(peer, this->scheduler.Now());
+}
+
+void GossipTask::OnFrame(InstanceId from, const Frame& frame) {
+  const TimePoint now = this->scheduler.Now();
+  ++this->counts.frames_received;
+  this->counts.bytes_received += FrameBytes(frame);
+  this->members.OnPeerHeard(from, now);
+  switch (frame.header.kind) {
+    case wire::Kind::HEARTBEAT: {
+      auto message = DecodeMessage<wire::Heartbeat>(frame);
+      auto heartbeat =
+          message ? FromWire(*message)
+                  : Result<GossipHeartbeat>(tl::unexpected(message.error()));
+      if (!heartbeat) {
+        ++this->counts.bad_frames;
+        return;
+      }
+      this->echoes[from] = Echo{frame.header.request, now};
+      std::optional<Duration> transit;
+      if (frame.header.attempt != 0) {
+        // One more for the rounding of both clock readings.
+        transit = milliseconds(
+            ((this->WireClock() - frame.header.attempt) & kEchoMask) + 1);
+      }
+      this->gossip.OnHeartbeat(from, *heartbeat, transit, now);
+      break;
+    }
+    case wire::Kind::PULL_DOCUMENT: {
+      const auto message = DecodeMessage<wire::PullDocument>(frame);
+      if (!message) {
+        ++this->counts.bad_frames;
+        return;
+      }
+      this->gossip.OnPull(from, GossipPull{message->key}, now);
+      break;
+    }
+    case wire::Kind::DOCUMENT: {
+      const auto message = DecodeMessage<wire::Document>(frame);
+      if (!message || message->number < 0) {
+        ++this->counts.bad_frames;
+        return;
+      }
+      this->gossip.OnDocument(
+          from,
+          VersionedDocument{message->key,
+                            static_cast<uint64_t>(message->number),
+                            message->bytes},
+          now);
+      break;
+    }
+    default:
+      ++this->counts.bad_frames;
+      return;
+  }
+  this->AfterEvent();
+}
+
+void GossipTask::OnPlatformList(const std::vector<PlatformMember>& list) {
+  this->members.OnPlatformList(list, this->scheduler.Now());
+  this->fresh.SetListedEntries(
+      this->members.ListedEntries(this->members.Self().region));
+  this->AfterEvent();
+}
+
+void GossipTask::Offer(const VersionedDocument& document) {
+  this->gossip.Offer(document, this->scheduler.Now());
+  this->AfterEvent();
+}
+
+bool GossipTask::MayGiveNewWork() {
+  return this->fresh.MayGiveNewWork(this->scheduler.Now());
+}
+
+void GossipTask::UpdateSelf(const std::function<void(Member&)>& change) {
+  this->members.UpdateSelf(change);
+  this->AfterEvent();
+}
+
+void GossipTask::SetLeaving() {
+  this->members.SetLeaving();
+  this->AfterEvent();
+}
+
+void GossipTask::OnDocument(
+    std::function<void(const VersionedDocument&)> callback) {
+  this->on_document = std::move(callback);
+}
+
+void GossipTask::OnMembersChanged(std::function<void()> callback) {
+  this->on_members_changed = std::move(callback);
+}
+
+void GossipTask::Tick() {
+  this->members.OnTick(this->scheduler.Now());
+  this->RefreshWitnesses();
+  // Admission must not depend on whether somebody asks for it.
+  this->MayGiveNewWork();
+  this->AfterEvent();
+  this->tick_call =
+      this->scheduler.After(this->options.tick, [this] { this->Tick(); });
+}
+
+void GossipTask::Beat() {
+  this->Deliver(this->gossip.Heartbeats(this->scheduler.Now()));
+  this->beat_call = this->scheduler.After(this->options.gossip.heartbeat_period,
+                                          [this] { this->Beat(); });
+}
+
+void GossipTask::Probe() {
+  auto addresses = this->members.UnknownAddresses();
+  for (const std::string& seed : this->options.seeds) {
+    if (this->members.FindByAddress(seed) == nullptr) {
+      addresses.push_back(seed);
+    }
+  }
+  if (!addresses.empty()) {
+    this->transport.Probe(addresses[this->next_probe++ % addresses.size()]);
+  }
+  this->probe_call = this->scheduler.After(this->options.probe_period,
+                                           [this] { this->Probe(); });
+}
+
+void GossipTask::OnTableChanged() {
+  this->seen_revision = this->members.revision();
+  std::vector<PeerTarget> targets;
+  for (const InstanceId instance : this->members.Neighbours()) {
+    targets.push_back(
+        PeerTarget{instance, this->members.Find(instance)->address});
+  }
+  this->transport.SetNeighbours(targets);
+  this->proposed_witnesses.clear();
+  for (const RegionName& region : this->members.Regions()) {
+    this->proposed_witnesses[region] = this->members.Witnesses(region);
+  }
+  this->silent_members = this->members.MayStillRun();
+  this->RefreshWitnesses();
+}
+
+void GossipTask::RefreshWitnesses() {
+  for (const auto& [region, proposed] : this->proposed_witnesses) {
+    this->fresh.SetWitnesses(region, proposed, this->silent_members,
+                             this->scheduler.Now());
+  }
+}
+
+void GossipTask::ScheduleFlush() {
+  if (this->flush_call != nullptr || !this->gossip.HasUrgent()) {
+    return;
+  }
+  this->flush_call = this->scheduler.After(kFlushDelay, [this] {
+    this->flush_call.reset();
+    this->Deliver(this->gossip.Flush(this->scheduler.Now()));
+    this->ScheduleFlush();
+  });
+}
+
+void GossipTask::Deliver(std::vector<GossipMessage> messages) {
+  const TimePoint now = this->scheduler.Now();
+  for (const GossipMessage& message : messages) {
+    std::string frame;
+    if (const auto* heartbeat = std::get_if<GossipHeartbeat>(&message.body)) {
+      int64_t echo = 0;
+      if (const auto found = this->echoes.find(message.to);
+          found != this->echoes.end()) {
+        // Rounded down, so that the peer's bound of the travel time is not
+        // understated.
+        echo = (found->second.peer_clock + std::chrono::floor<milliseconds>(
+                                               now - found->second.received_at)
+                                               .count()) &
+               kEchoMask;
+        echo = echo == 0 ? kEchoMask : echo;
+      }
+      frame = EncodeFrame(wire::Kind::HEARTBEAT, this->WireClock(),
+                          static_cast<int32_t>(echo), ToWire(*heartbeat));
+    } else if (const auto* pull = std::get_if<GossipPull>(&message.body)) {
+      wire::PullDocument out;
+      out.key = pull->key;
+      frame = EncodeFrame(wire::Kind::PULL_DOCUMENT, 0, 0, out);
+    } else {
+      const auto& document = std::get<VersionedDocument>(message.body);
+      wire::Document out;
+      out.key = document.key;
+      out.number = static_cast<int64_t>(document.number);
+      out.bytes = document.bytes;
+      frame = EncodeFrame(wire::Kind::DOCUMENT, 0, 0, out);
+    }
+    ++this->counts.frames_sent;
+    this->counts.bytes_sent += frame.size();
+    this->transport.Send(message.to, std::move(frame));
+  }
+}
+
+void GossipTask::AfterEvent() {
+  if (this->seen_revision != this->members.revision()) {
+    this->OnTableChanged();
+    if (this->on_members_changed) {
+      this->on_members_changed();
+    }
+  }
+  for (const VersionedDocument& document : this->gossip.TakeNewDocuments()) {
+    if (this->on_document) {
+      this->on_document(document);
+    }
+  }
+  if (this->config_state.number() > this->stamped_number &&
+      this->fresh.IsWitness()) {
+    // Others wait for this witness's confirmation. The last answered read still
+    // bounds how old the knowledge is.
+    const TimePoint now = this->scheduler.Now();
+    const bool recent =
+        this->answered_read &&
+        now - *this->answered_read < this->options.freshness.max_age;
+    this->IssueStamp(recent,
+                     recent ? now - *this->answered_read : Duration::zero());
+  }
+  this->ScheduleFlush();
+}
+
+int64_t GossipTask::WireClock() const {
+  // Never 0, which an echo uses for "none".
+  return (std::chrono::floor<milliseconds>(this->scheduler.Now() - this->origin)
+              .count() +
+          1) &
+         kEchoMask;
+}
+
+}  // namespace celerypost
--- a/src/process/gossip_task.h
+++ b/src/process/gossip_task.h
@@ -45,7 +45,9 @@
   uint64_t bytes_received = 0;
   // Frames that were refused: malformed, or with values out of range.
   uint64_t bad_frames = 0;
-  // Reads that showed an older configuration than the one in force.
+  // Values in the key-value service that are no documents.
+  uint64_t bad_documents = 0;
+  // Reads that showed an older document than the one in force.
   uint64_t store_went_back = 0;
 };
 
@@ -143,9 +145,7 @@
   std::function<void(const VersionedDocument&)> on_document;
   std::function<void()> on_members_changed;
 
-  // Number of the read that is under way; answers of earlier ones count too,
-  // but only the current one starts the next.
-  uint64_t current_read = 0;
+  // A read is under way.
   bool reading = false;
   // Last known revisions by key; empty until the first whole read.
   std::map<std::string, int64_t, std::less<>> store_revisions;
@@ -153,6 +153,9 @@
   // When the last answered read was sent.
   std::optional<TimePoint> answered_read;
   uint64_t stamped_number = 0;
+  // The stored configuration is malformed or newer than the one in force, so a
+  // read proves nothing about this process's number.
+  bool store_ahead = false;
   std::unique_ptr<KeyValueWatch> watch;
 
   std::unique_ptr<ScheduledCall> tick_call;
--- a/src/process/state/commit.cc
+++ b/src/process/state/commit.cc
@@ -83,7 +83,8 @@
   if (this->state == State::kReadingBack) {
     // The comparison failed and the id is not stored: the revision that every
     // repetition of the write expects is past, so none can take effect.
-    return this->Finish(CommitOutcome::kRefusedNewer, context.own_number,
+    return this->Finish(CommitOutcome::kRefusedNewer,
+                        std::max(context.own_number, this->next.number),
                         "another change came first");
   }
   return this->Prepare(context);
@@ -96,7 +97,12 @@
     return {};
   }
   if (written && *written) {
-    return this->Confirming(this->next.number, context);
+    CommitAction publish;
+    publish.kind = CommitAction::Kind::kPublish;
+    publish.number = this->next.number;
+    publish.value = this->next.Serialize();
+    this->Confirming(this->next.number, context);
+    return {publish};
   }
   if (written) {
     // The write of a lost answer may be the change that came first.
@@ -227,26 +233,19 @@
 std::vector<CommitAction> Commit::Confirming(uint64_t stored_number,
                                              const CommitContext& context) {
   this->number = stored_number;
-  std::vector<CommitAction> actions;
-  if (this->next.number == stored_number) {
-    CommitAction publish;
-    publish.kind = CommitAction::Kind::kPublish;
-    publish.number = stored_number;
-    publish.value = this->next.Serialize();
-    actions.push_back(std::move(publish));
-  } else {
-    // An earlier request with this id; its regions are those of this one.
+  if (this->concerned.empty()) {
+    // An earlier request with this id stored it; its regions are those of this
+    // one.
     auto regions = this->current.ConcernedRegions(
         this->request, context.known_zones, this->validator);
     if (!regions) {
-      auto finish = this->Finish(CommitOutcome::kUnknown, stored_number,
-                                 regions.error().message);
-      return finish;
+      return this->Finish(CommitOutcome::kUnknown, stored_number,
+                          regions.error().message);
     }
     this->concerned = std::move(*regions);
   }
   this->state = State::kConfirming;
-  return actions;
+  return {};
 }
 
 }  // namespace celerypost
--- a/src/process/state/gossip.cc
+++ b/src/process/state/gossip.cc
@@ -4,6 +4,16 @@
 #include <utility>
 
 namespace celerypost {
+namespace {
+
+template <typename Body>
+void Append(std::vector<GossipMessage>& messages, InstanceId to, Body body) {
+  GossipMessage& message = messages.emplace_back();
+  message.to = to;
+  message.body.template emplace<Body>(std::move(body));
+}
+
+}  // namespace
 
 Gossip::Gossip(GossipOptions options,
                Membership& membership,
@@ -70,7 +80,7 @@
   }
   const VersionedDocument* const document = this->config.Find(pull.key);
   if (document != nullptr) {
-    this->outgoing.push_back(GossipMessage{from, *document});
+    Append(this->outgoing, from, *document);
   }
 }
 
@@ -106,7 +116,7 @@
     if (++peer.beats % this->options.announce_every == 0) {
       peer.documents.clear();
     }
-    messages.push_back(GossipMessage{id, this->Build(id, peer, now)});
+    Append(messages, id, this->Build(id, peer, now));
   }
   return messages;
 }
@@ -114,7 +124,8 @@
 std::vector<GossipMessage> Gossip::Flush(TimePoint now) {
   // An announcement or its answer may have been lost.
   this->StartPulls(now);
-  std::vector<GossipMessage> messages = std::exchange(this->outgoing, {});
+  std::vector<GossipMessage> messages;
+  messages.swap(this->outgoing);
   const bool members_changed = this->membership.TakeUrgent();
   if (!std::exchange(this->urgent, false) && !members_changed) {
     return messages;
@@ -123,7 +134,7 @@
     GossipHeartbeat heartbeat = this->Build(id, peer, now);
     if (!heartbeat.stamps.empty() || !heartbeat.members.empty() ||
         !heartbeat.documents.empty()) {
-      messages.push_back(GossipMessage{id, std::move(heartbeat)});
+      Append(messages, id, std::move(heartbeat));
     }
   }
   return messages;
@@ -210,7 +221,7 @@
         continue;
       }
       this->pulls[key] = Pull{id, number, now};
-      this->outgoing.push_back(GossipMessage{id, GossipPull{key}});
+      Append(this->outgoing, id, GossipPull{key});
     }
   }
 }
@@ -239,8 +250,7 @@
   }
   this->table_asked_at = now;
   peer.differs_since.reset();
-  this->outgoing.push_back(
-      GossipMessage{from, GossipPull{std::string(kMembersKey)}});
+  Append(this->outgoing, from, GossipPull{std::string(kMembersKey)});
 }
 
 void Gossip::SendTable(InstanceId to) {
@@ -257,7 +267,7 @@
     const size_t last = std::min(first + this->options.table_part, all.size());
     part.members.assign(all.begin() + static_cast<std::ptrdiff_t>(first),
                         all.begin() + static_cast<std::ptrdiff_t>(last));
-    this->outgoing.push_back(GossipMessage{to, std::move(part)});
+    Append(this->outgoing, to, std::move(part));
   }
 }
 
