--- a/src/process/weight_task.h
+++ b/src/process/weight_task.h
@@ -16,6 +16,7 @@
 #include "celerypost/types.h"
 #include "src/process/chunk_transport.h"
 #include "src/process/engine_client.h"
+#include "src/process/engine_driver.h"
 #include "src/version/chunk_planner.h"
 #include "src/version/chunk_store.h"
 #include "src/version/link_pacer.h"
@@ -28,40 +29,15 @@
   ChunkPlannerOptions planner;
   SwarmOptions swarm;
   SwitchOptions switching;
+  EngineDriverOptions engine;
   // Bytes of verified chunks that wait for the engine before fetching pauses.
   uint64_t max_unstaged_bytes = 16u << 20;
-  // Chunks on their way to the engine.
-  uint32_t max_stages = 4;
   // Requests of peers that wait for the link before further ones are refused.
   uint32_t max_uploads = 4;
   // Shortest time between two announcements.
   Duration announce_period = std::chrono::milliseconds(20);
-  // How often the engine is asked for its report when nothing is pending.
-  Duration health_period = std::chrono::milliseconds(500);
-  // Wait after a failed order to the engine, doubled up to the limit.
-  Duration engine_backoff = std::chrono::milliseconds(100);
-  Duration max_engine_backoff = std::chrono::seconds(5);
-  // How long the former set stays loaded after a switch.
-  Duration keep_former_set = std::chrono::seconds(30);
 };
 
-enum class WeightPhase : uint8_t {
-  // The engine's report has not been read since it or the agent started.
-  kUnknown = 0,
-  // No goal.
-  kIdle = 1,
-  kFetching = 2,
-  kLoading = 3,
-  // Loaded and verified; waits for its turn.
-  kWaiting = 4,
-  kSwitching = 5,
-  // The engine reports the goal.
-  kServing = 6,
-};
-
-// "unknown", "idle", "fetching", "loading", "waiting", "switching", "serving".
-std::string_view WeightPhaseName(WeightPhase phase);
-
 struct WeightState {
   WeightPhase phase = WeightPhase::kUnknown;
   // The verified set that the target serves. Absent means that no work may be
@@ -80,6 +56,8 @@
   uint64_t corrupt_chunks = 0;
   // The latest failure of the engine or of a transfer; empty if none.
   std::string last_error;
+
+  bool operator==(const WeightState&) const = default;
 };
 
 // Brings one target to the weight set that the configuration states: fetches
@@ -89,7 +67,8 @@
 class WeightTask {
  public:
   // `now` returns the current time. `on_change` is called after `state` has
-  // changed; it may not destroy the task.
+  // changed; it may not destroy the task. `strategy` replaces the swarm
+  // strategy of `options`.
   WeightTask(WeightTaskOptions options,
              ChunkTransport& transport,
              EngineClient& engine,
@@ -97,7 +76,8 @@
              LinkPacer& pacer,
              std::mt19937_64& random,
              std::function<TimePoint()> now,
-             std::function<void()> on_change);
+             std::function<void()> on_change,
+             std::unique_ptr<FetchStrategy> strategy = nullptr);
   ~WeightTask();
   WeightTask(const WeightTask&) = delete;
   WeightTask& operator=(const WeightTask&) = delete;
@@ -122,7 +102,7 @@
 
   // Answers a peer's request for a chunk or an index document. `done` is called
   // once, when the link permits: with the bytes, kNotFound, or kOverloaded when
-  // too many requests wait.
+  // too many requests wait. It may be called before this function returns.
   void ServeChunk(const Digest& digest,
                   bool crosses_regions,
                   TransferCallback done);
@@ -132,12 +112,36 @@
   HaveAnnouncement Have() const;
 
  private:
+  struct Running {
+    FetchSource source;
+    uint64_t length = 0;
+    std::unique_ptr<Transfer> transfer;
+  };
   struct Upload {
     Digest digest;
     bool crosses_regions = false;
     TransferCallback done;
   };
 
+  void SetPlannerGoal();
+  void FetchMore();
+  void StartFetch(const FetchAction& action);
+  void OnTransfer(const ChunkRef& chunk,
+                  FetchSource source,
+                  TransferResult result);
+  FetchOutcome Accept(const ChunkRef& chunk, std::string content);
+  void AddUnstaged(const Digest& digest);
+  void RemoveUnstaged(const Digest& digest);
+  bool EvictOne();
+  Result<void> PutWithEviction(const Digest& digest, std::string content);
+  void OnStaged(const Digest& digest);
+  void OnLost(const Digest& digest);
+  void SendUploads();
+  void SendUpload(Upload upload);
+  bool Available(const Digest& digest) const;
+  void AnnounceIfDue();
+  void Publish();
+
   ChunkTransport& transport;
   EngineClient& engine;
   ChunkStore& store;
@@ -147,7 +151,31 @@
   WeightTaskOptions options;
   ChunkPlanner planner;
   SwitchPlanner switch_planner;
+  EngineDriver driver;
   WeightState current;
+
+  std::optional<WeightSet> goal;
+  uint64_t rollout = 0;
+  std::vector<std::optional<WeightIndex>> indices;
+
+  std::unordered_map<Digest, Running> running;
+  uint64_t running_bytes = 0;
+  // Lengths of the chunks that the store or the engine holds.
+  std::unordered_map<Digest, uint64_t> lengths;
+  // Chunks of the goal that the engine does not have yet.
+  std::unordered_map<Digest, uint64_t> unstaged;
+  uint64_t unstaged_bytes = 0;
+  // Chunks that the engine has as well, oldest first; dropped from the store
+  // when it needs room.
+  std::deque<Digest> evictable;
+
+  std::deque<Upload> uploads;
+  bool announce_due = false;
+  TimePoint last_announced{};
+  uint64_t origin_bytes = 0;
+  uint64_t corrupt_chunks = 0;
+  std::string transfer_error;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 }  // namespace celerypost
--- a/src/version/chunk_planner.cc
+++ b/src/version/chunk_planner.cc
@@ -507,6 +507,10 @@
   return this->held.contains(digest);
 }
 
+bool ChunkPlanner::Wants(const Digest& digest) const {
+  return this->position_of.contains(digest);
+}
+
 HaveAnnouncement ChunkPlanner::Have() const {
   HaveAnnouncement have;
   have.set = this->goal.set;
--- a/src/version/chunk_planner.h
+++ b/src/version/chunk_planner.h
@@ -120,6 +120,8 @@
   // True if every chunk of a whole goal is held.
   bool complete() const;
   bool Holds(const Digest& digest) const;
+  // True if the goal contains `digest`.
+  bool Wants(const Digest& digest) const;
   // What this agent holds of its goal, for its peers.
   HaveAnnouncement Have() const;
   size_t chunks_held() const { return this->goal_held; }
