--- a/src/process/ctl.cc
+++ b/src/process/ctl.cc
@@ -225,9 +225,15 @@
                             "' is not accepted; expected 1 to 64 of a-z A-Z "
                             "0-9 . _ -");
   }
-  return this->ReportChange(JudgeChangeQuery(this->client->Call(
-                                "GET", "/v1/operator/changes/" + id, "")),
-                            id);
+  const std::string path = "/v1/operator/changes/" + id;
+  CtlOutcome outcome = JudgeChangeQuery(this->client->Call("GET", path, ""));
+  for (milliseconds waited{0};
+       outcome.name == "not_found" && waited < kSettleTime;
+       waited += this->settings.interval) {
+    this->context.sleep(this->settings.interval);
+    outcome = JudgeChangeQuery(this->client->Call("GET", path, ""));
+  }
+  return this->ReportChange(outcome, id);
 }
 
 CtlExit Ctl::ReportChange(const CtlOutcome& outcome, const std::string& id) {
--- a/src/process/flags.cc
+++ b/src/process/flags.cc
@@ -60,7 +60,7 @@
 DEFINE_string(origin_region,
               "",
               "region of the weight origin; 1 to 63 of a-z A-Z 0-9 . _ -; "
-              "required when target_kind is engine");
+              "default: the agent's own region");
 DEFINE_string(weights_memory_mb, "64", "memory for chunks, in MiB; 1 to 65536");
 DEFINE_string(link_mbit,
               "1000",
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -46,7 +46,7 @@
   TargetKind target_kind = TargetKind::kEngine;
   // Not set for a plain target.
   std::optional<SocketAddress> origin_address;
-  // Region of the weight origin. Empty for a plain target.
+  // Region of the weight origin. The agent's own by default.
   RegionName origin_region;
   uint64_t weights_memory_bytes = 64u << 20;
   // Bytes per second, in each direction.
