--- a/src/process/runtime.cc
+++ b/src/process/runtime.cc
@@ -3,6 +3,8 @@
 #include <random>
 #include <utility>
 
+#include "src/process/audit_record.h"
+
 namespace celerypost {
 
 namespace {
@@ -186,16 +188,9 @@
                    {{"number", config.number},
                     {"change", config.change.id},
                     {"kind", ChangeKindName(config.change.kind)}});
-    AuditRecord record;
-    record.number = config.number;
-    record.id = config.change.id;
-    record.kind = ChangeKindName(config.change.kind);
-    record.who = config.change.who;
-    record.when = std::chrono::system_clock::now();
-    record.from = config.change.from;
-    record.to = config.change.to;
-    record.why = config.change.why;
-    if (const auto written = this->audit->Append(record); !written) {
+    const auto written =
+        this->audit->Append(ToAuditRecord(config.number, config.change));
+    if (!written) {
       this->log.Error("audit_write_failed", written.error().message);
     }
   }
