--- a/src/process/request_signature.cc
+++ b/src/process/request_signature.cc
@@ -16,7 +16,6 @@
 
 constexpr std::string_view kScheme = "Celerypost-HMAC-SHA256 ";
 constexpr size_t kHexDigestLength = 64;
-constexpr size_t kMinNonceLength = 16;
 
 std::string ToHex(std::string_view bytes) {
   static constexpr char kDigits[] = "0123456789abcdef";
@@ -150,28 +149,6 @@
   return {};
 }
 
-std::string PeerProof(const SharedKey& key,
-                      std::string_view nonce,
-                      InstanceId prover) {
-  std::string message = "celerypost-peer\n";
-  message.append(std::to_string(prover.value)).append("\n");
-  message.append(nonce);
-  return HmacSha256(key, message);
-}
-
-Result<void> VerifyPeerProof(const SharedKey& key,
-                             std::string_view nonce,
-                             InstanceId prover,
-                             std::string_view proof) {
-  if (key.empty() || nonce.size() < kMinNonceLength) {
-    return Refused("peer proof: no shared key, or nonce shorter than 16 bytes");
-  }
-  if (!ConstantTimeEqual(PeerProof(key, nonce, prover), proof)) {
-    return Refused("peer proof does not match the shared key");
-  }
-  return {};
-}
-
 std::string MakeNonce() {
   std::string nonce(32, '\0');
   const int drawn = RAND_bytes(reinterpret_cast<unsigned char*>(nonce.data()),
--- a/src/process/request_signature.h
+++ b/src/process/request_signature.h
@@ -8,7 +8,6 @@
 #include <string>
 #include <string_view>
 
-#include "celerypost/types.h"
 #include "celerypost/verdict.h"
 #include "src/connection/http.h"
 
@@ -73,20 +72,6 @@
   std::set<std::string, std::less<>> seen;
 };
 
-// Returns the proof that process `prover` knows the key, over the nonce that
-// the other side drew. It contains the prover's instance, so a proof cannot be
-// reflected to its sender.
-std::string PeerProof(const SharedKey& key,
-                      std::string_view nonce,
-                      InstanceId prover);
-
-// Checks a proof against the nonce that this process drew for the connection.
-// Fails with kUnauthenticated.
-Result<void> VerifyPeerProof(const SharedKey& key,
-                             std::string_view nonce,
-                             InstanceId prover,
-                             std::string_view proof);
-
 // Returns 32 random bytes of the operating system's generator.
 std::string MakeNonce();
 
--- a/tests/process/command_line_test.cc
+++ b/tests/process/command_line_test.cc
@@ -1,5 +1,7 @@
 #include "src/process/command_line.h"
 
+#include <filesystem>
+#include <fstream>
 #include <map>
 #include <sstream>
 #include <string>
@@ -124,6 +126,22 @@
   LONGS_EQUAL(0, this->Run({"version"}));
 }
 
+// Guards against a flag that the operators' page does not describe, or
+// describes with another range.
+TEST(CommandLineTest, OperationsPageDescribesEveryFlag) {
+  std::filesystem::path root(__FILE__);
+  root = root.parent_path().parent_path().parent_path();
+  std::ifstream in(root / "docs" / "operations.md");
+  const std::string page{std::istreambuf_iterator<char>(in), {}};
+  for (const FlagRole role :
+       {FlagRole::kEntry, FlagRole::kAgent, FlagRole::kCtl}) {
+    for (const FlagDescription& flag : DescribeFlags(role)) {
+      STRCMP_CONTAINS(("| `--" + flag.name + "` | " + flag.help).c_str(),
+                      page.c_str());
+    }
+  }
+}
+
 // Guards against an entry that cannot be reached and exit code 0.
 TEST(CommandLineTest, CtlReportsAnUnreachableEntry) {
   this->variables = {{"CELERYPOST_SHARED_KEY", "a shared key of the tests"},
--- a/tests/process/request_signature_test.cc
+++ b/tests/process/request_signature_test.cc
@@ -129,27 +129,6 @@
   CHECK_TRUE(this->verifier.Verify(this->Signed(later), later).has_value());
 }
 
-// Guards against peers without the key, replays of a proof on another
-// connection and proofs that are reflected to their sender.
-TEST(RequestSignatureTest, PeerProofBelongsToNonceAndProver) {
-  const std::string nonce = MakeNonce();
-  const std::string proof = PeerProof(this->key, nonce, InstanceId{7});
-  LONGS_EQUAL(32, proof.size());
-  const auto verify = [&](const SharedKey& key, const std::string& nonce,
-                          uint64_t prover, const std::string& proof) {
-    return VerifyPeerProof(key, nonce, InstanceId{prover}, proof).has_value();
-  };
-  CHECK_TRUE(verify(this->key, nonce, 7, proof));
-  CHECK_FALSE(verify(SharedKey("another key of the tests"), nonce, 7, proof));
-  CHECK_FALSE(verify(this->key, MakeNonce(), 7, proof));
-  CHECK_FALSE(verify(this->key, nonce, 8, proof));
-  CHECK_FALSE(verify(this->key, nonce, 7, ""));
-  CHECK_FALSE(verify(this->key, nonce, 7, proof.substr(1)));
-  CHECK_FALSE(verify(SharedKey(), nonce, 7,
-                     PeerProof(SharedKey(), nonce, InstanceId{7})));
-  CHECK_FALSE(verify(this->key, "", 7, PeerProof(this->key, "", {7})));
-}
-
 // Guards against a nonce that repeats.
 TEST(RequestSignatureTest, NoncesDiffer) {
   LONGS_EQUAL(32, MakeNonce().size());
