Keep the sentinel connection open with requests; read its TCP state

A peek also cannot see the end of a connection behind unread bytes. Change: the sentinel requests /health every second, and Check asks the kernel for the connection's state (TCP_INFO) in place of a peek. Ruled out: ignoring the close, which would miss real restarts.

--- a/src/connection/sentinel.cc
+++ b/src/connection/sentinel.cc
@@ -1,8 +1,9 @@
 #include "src/connection/sentinel.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <cerrno>
 #include <utility>
 
 namespace celerypost {
@@ -18,15 +19,18 @@
 
 Sentinel::Sentinel(Loop& loop,
                    SocketAddress target,
-                   std::chrono::milliseconds reconnect_delay,
+                   SentinelOptions options,
                    std::function<void()> on_opened,
                    std::function<void()> on_closed)
     : loop(loop),
       target(std::move(target)),
-      reconnect_delay(reconnect_delay),
+      options(std::move(options)),
       on_opened(std::move(on_opened)),
       on_closed(std::move(on_closed)),
       reconnect(std::make_unique<Timer>(loop, [this] { this->Connect(); })) {
+  this->keep_alive =
+      std::make_unique<Timer>(loop, [this] { this->KeepAlive(); });
+  this->keep_alive->StartRepeating(this->options.keep_alive_period);
   this->Connect();
 }
 
@@ -78,6 +82,21 @@
   }
 }
 
+void Sentinel::KeepAlive() {
+  if (!this->opened) {
+    return;
+  }
+  std::string request = "GET " + this->options.keep_alive_path +
+                        " HTTP/1.1\r\nhost: " + this->target.ToString() +
+                        "\r\n\r\n";
+  uv_buf_t buffer =
+      uv_buf_init(request.data(), static_cast<unsigned>(request.size()));
+  // A full send buffer means that the target reads nothing; the next request
+  // may succeed.
+  uv_try_write(reinterpret_cast<uv_stream_t*>(&this->socket->handle), &buffer,
+               1);
+}
+
 bool Sentinel::Check() {
   if (!this->opened) {
     return false;
@@ -85,9 +104,12 @@
   uv_os_fd_t descriptor;
   if (uv_fileno(reinterpret_cast<uv_handle_t*>(&this->socket->handle),
                 &descriptor) == 0) {
-    char byte;
-    const ssize_t count = recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (count > 0 || (count < 0 && (errno == EAGAIN || errno == EINTR))) {
+    // Unlike a read, the state shows the end of the connection even while
+    // bytes that came before it are unread.
+    tcp_info info{};
+    socklen_t length = sizeof(info);
+    if (getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &length) == 0 &&
+        info.tcpi_state == TCP_ESTABLISHED) {
       return true;
     }
   }
@@ -104,7 +126,7 @@
   uv_close(
       reinterpret_cast<uv_handle_t*>(&closing->handle),
       [](uv_handle_t* handle) { delete static_cast<Socket*>(handle->data); });
-  this->reconnect->StartOnce(this->reconnect_delay);
+  this->reconnect->StartOnce(this->options.reconnect_delay);
   if (std::exchange(this->opened, false)) {
     this->on_closed();
   }
--- a/src/connection/sentinel.h
+++ b/src/connection/sentinel.h
@@ -4,23 +4,33 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "src/connection/http_client.h"
 #include "src/connection/loop.h"
 
 namespace celerypost {
 
-// Keeps one idle TCP connection to a target open, to learn of the end of the
+struct SentinelOptions {
+  // Pause before a lost connection is opened again.
+  std::chrono::milliseconds reconnect_delay{50};
+  // HTTP servers close connections that are idle for some seconds, which looks
+  // like the end of the process. A request in this period prevents it.
+  std::chrono::milliseconds keep_alive_period{1000};
+  std::string keep_alive_path = "/health";
+};
+
+// Keeps one TCP connection to a target open, to learn of the end of the
 // target's process. The kernel closes the connection of a process that ended
-// before another process can listen on the same port, so a peek at the
-// connection right before a dispatch sees a restart that the loop has not
-// handled yet.
+// before another process can listen on the same port, so a look at the
+// connection's state right before a dispatch sees a restart that the loop has
+// not handled yet.
 class Sentinel {
  public:
   // `on_opened` and `on_closed` are called on the loop, alternately.
   Sentinel(Loop& loop,
            SocketAddress target,
-           std::chrono::milliseconds reconnect_delay,
+           SentinelOptions options,
            std::function<void()> on_opened,
            std::function<void()> on_closed);
   ~Sentinel();
@@ -35,14 +45,16 @@
   struct Socket;
 
   void Connect();
+  void KeepAlive();
   void HandleClosed();
 
   Loop& loop;
   SocketAddress target;
-  std::chrono::milliseconds reconnect_delay;
+  const SentinelOptions options;
   std::function<void()> on_opened;
   std::function<void()> on_closed;
   std::unique_ptr<Timer> reconnect;
+  std::unique_ptr<Timer> keep_alive;
   Socket* socket = nullptr;
   bool opened = false;
 };
--- a/src/process/agent_process.cc
+++ b/src/process/agent_process.cc
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTick{20};
-constexpr std::chrono::milliseconds kSentinelReconnect{50};
 constexpr size_t kMaxHealthBytes = 64u << 10;
 // Agents of the service that an agent keeps connections to for chunks and slot
 // hand-offs. The connections of both sides count, so an agent has about twice
@@ -92,7 +91,7 @@
     this->MakeWeights();
   }
   this->sentinel = std::make_unique<Sentinel>(
-      run.loop, this->settings.target_address, kSentinelReconnect,
+      run.loop, this->settings.target_address, SentinelOptions{},
       [this] { this->OnTargetOpened(); }, [this] { this->OnTargetClosed(); });
 
   HttpServerOptions http_options;
--- a/tests/connection/http_test.cc
+++ b/tests/connection/http_test.cc
@@ -5,6 +5,7 @@
 
 #include "src/connection/http_client.h"
 #include "src/connection/http_server.h"
+#include "src/connection/sentinel.h"
 
 #include "CppUTest/TestHarness.h"
 
@@ -109,6 +110,29 @@
   CHECK_TRUE(!response.has_value() || response->status == 413);
 }
 
+// Guards against an agent that takes the idle timeout of its target's HTTP
+// server for a restart.
+TEST(HttpTest, SentinelSendsRequestsToStayOpen) {
+  int requests = 0;
+  this->Serve([&](const HttpRequest& request,
+                  const std::shared_ptr<HttpResponder>& out) {
+    requests += request.path == "/health" ? 1 : 0;
+    out->Send(200, {}, "{}");
+  });
+  SentinelOptions options;
+  options.keep_alive_period = milliseconds(5);
+  int closed = 0;
+  Sentinel sentinel(
+      this->loop, SocketAddress{"127.0.0.1", this->server->port()}, options,
+      [] {}, [&closed] { ++closed; });
+  for (int i = 0; i < kMaxIterations && requests < 3; ++i) {
+    this->loop.RunFor(milliseconds(20));
+  }
+  CHECK_TRUE(requests >= 3);
+  CHECK_TRUE(sentinel.Check());
+  LONGS_EQUAL(0, closed);
+}
+
 // Guards against work that goes on after the caller has left.
 TEST(HttpTest, CancelledCallClosesTheConnection) {
   bool closed = false;
--- a/tests/connection/peer_connection_test.cc
+++ b/tests/connection/peer_connection_test.cc
@@ -142,7 +142,7 @@
   int closed = 0;
   Sentinel sentinel(
       this->loop, SocketAddress{"127.0.0.1", this->listener->port()},
-      milliseconds(10), [&opened] { ++opened; }, [&closed] { ++closed; });
+      SentinelOptions{}, [&opened] { ++opened; }, [&closed] { ++closed; });
   this->RunUntil([&] { return opened == 1 && !this->accepted.empty(); });
   CHECK_TRUE(sentinel.Check());
   this->accepted.clear();
