Let evidence of the current configuration last its full age

Cause: the stamp that announced a newer number replaced the one that vouched for the present number, so for the milliseconds until the document was pulled every agent and entry refused work; each zone change produced such a gap. Change: Freshness remembers the latest moment at which the key-value service showed no newer number, and that moment counts until max_age has passed. Ruled out: a fixed grace period, which would lengthen the time until a change holds; here the bound of 1.5 s after acceptance is as before.

--- a/src/process/state/freshness.cc
+++ b/src/process/state/freshness.cc
@@ -21,12 +21,16 @@
     return false;
   }
   entry->second = Evidence{stamp, now - age};
+  this->NoteStoreEvidence(entry->second);
   this->highest = std::max(this->highest, stamp.config_number);
   return true;
 }
 
 void Freshness::SetNumber(uint64_t number) {
   this->own_number = std::max(this->own_number, number);
+  for (const auto& [witness, item] : this->evidence) {
+    this->NoteStoreEvidence(item);
+  }
   this->highest = std::max(this->highest, number);
 }
 
@@ -83,6 +87,7 @@
   }
   ++this->next_sequence;
   this->evidence[this->options.self] = Evidence{stamp, now - age};
+  this->NoteStoreEvidence(this->evidence[this->options.self]);
   this->is_admitted = this->is_admitted || store_reachable;
   return AgedStamp{stamp, age};
 }
@@ -145,14 +150,16 @@
       }));
 }
 
+void Freshness::NoteStoreEvidence(const Evidence& item) {
+  if (item.stamp.store_reachable &&
+      item.stamp.config_number <= this->own_number) {
+    this->current_at =
+        std::max(this->current_at.value_or(item.since), item.since);
+  }
+}
+
 bool Freshness::HoldsStoreEvidence(TimePoint now) const {
-  return std::any_of(this->evidence.begin(), this->evidence.end(),
-                     [&](const auto& item) {
-                       const Stamp& stamp = item.second.stamp;
-                       return stamp.store_reachable &&
-                              stamp.config_number <= this->own_number &&
-                              this->IsFresh(item.second, now);
-                     });
+  return this->current_at && now - *this->current_at <= this->options.max_age;
 }
 
 bool Freshness::HearsHalfOfWitnesses(TimePoint now) const {
--- a/src/process/state/freshness.h
+++ b/src/process/state/freshness.h
@@ -108,6 +108,7 @@
 
   bool IsFresh(const Evidence& evidence, TimePoint now) const;
   size_t CountHeard(const std::vector<InstanceId>& set, TimePoint now) const;
+  void NoteStoreEvidence(const Evidence& item);
   bool HoldsStoreEvidence(TimePoint now) const;
   bool HearsHalfOfWitnesses(TimePoint now) const;
 
@@ -119,6 +120,11 @@
   uint64_t highest = 0;
   uint64_t next_sequence = 1;
   bool is_admitted = false;
+  // Latest moment at which a read of the key-value service showed that no
+  // number above this process's own existed. News of a newer number does not
+  // undo it: a change accepted after that moment need not be in force until
+  // max_age later, which leaves time to pull the document.
+  std::optional<TimePoint> current_at;
 };
 
 }  // namespace celerypost
