--- a/src/request/attempt.cc
+++ b/src/request/attempt.cc
@@ -5,25 +5,32 @@
 namespace celerypost {
 namespace {
 
-constexpr uint32_t kMaxEntryAttempt = 255;
-constexpr uint32_t kMaxCallerAttempt = (1u << 23) - 1;
+constexpr AttemptNumber kGeneratedBit = 1u << 30;
 
 }  // namespace
 
 AttemptNumber MakeAttempt(uint32_t caller_attempt, uint32_t entry_attempt) {
-  // Two copies of an unnumbered attempt through two entries cannot be ordered,
-  // so an entry's retries of it do not count as later attempts either.
-  if (caller_attempt == 0) {
-    return 0;
-  }
-  return (std::min(caller_attempt, kMaxCallerAttempt) << 8) |
-         std::min(entry_attempt, kMaxEntryAttempt);
+  return caller_attempt == kGeneratedId
+             ? kGeneratedBit | std::min(entry_attempt, kGeneratedBit - 1)
+             : std::min(caller_attempt, kGeneratedBit - 1);
+}
+
+bool IsGeneratedAttempt(AttemptNumber attempt) {
+  return (attempt & kGeneratedBit) != 0;
 }
 
 Verdict RefusalVerdict(const RefusalFacts& facts) {
-  const bool first = facts.id_generated_here || facts.caller_attempt == 1;
-  return first && facts.frames_unanswered == 0 ? Verdict::kNotRun
-                                               : Verdict::kMayHaveRun;
+  if (facts.frames_unanswered > 0) {
+    return Verdict::kMayHaveRun;
+  }
+  if (facts.id_generated_here) {
+    return Verdict::kNotRun;
+  }
+  // A late copy of the caller's message also looks like a first attempt, so the
+  // mark counts only while no agent had reason to redirect the request.
+  return facts.caller_attempt == 1 && facts.frames_redirected == 0
+             ? Verdict::kNotRun
+             : Verdict::kMayHaveRun;
 }
 
 }  // namespace celerypost
--- a/src/request/request_ledger.cc
+++ b/src/request/request_ledger.cc
@@ -9,12 +9,6 @@
 
 constexpr char kAtMostOnce[] = "P6: a non-idempotent request runs at most once";
 
-// Only an attempt whose refusal RefusalVerdict may call "not run" has to be
-// closed by an instance that does not hold the id.
-bool IsFirstCallerAttempt(AttemptNumber attempt) {
-  return attempt >> 8 == 1;
-}
-
 }  // namespace
 
 RequestLedger::RequestLedger(LedgerOptions options, InstanceId self)
@@ -74,8 +68,10 @@
   }
   if (!held) {
     const BeginOutcome outcome = this->Refuse(id, slot);
+    // RefusalVerdict calls a redirected request "not run" only when its entry
+    // generated the id; late copies of that attempt must then stay closed.
     if (outcome.result != BeginResult::kMayHaveRun &&
-        IsFirstCallerAttempt(attempt)) {
+        IsGeneratedAttempt(attempt)) {
       Record& closed = this->Insert(id, RecordState::kNotRun, now);
       closed.attempt = std::max(closed.attempt, attempt);
     }
