--- a/src/request/admission.cc
+++ b/src/request/admission.cc
@@ -34,7 +34,7 @@
     return {.decision = AdmissionDecision::kRun};
   }
   if (this->options.shed_early &&
-      now + this->ExpectedWait(request, now) + this->mean_service_time >
+      now + this->ExpectedWait(request, now) + this->ServiceAllowance() >
           request.deadline) {
     return {.message = "the request would miss its deadline in the queue"};
   }
@@ -77,8 +77,11 @@
   if (found != this->running.end()) {
     if (reached_target) {
       if (ok) {
-        this->mean_service_time +=
-            (now - found->second.started - this->mean_service_time) /
+        const Duration difference =
+            now - found->second.started - this->mean_service_time;
+        this->mean_service_time += difference / kServiceTimeShare;
+        this->service_time_deviation +=
+            (std::chrono::abs(difference) - this->service_time_deviation) /
             kServiceTimeShare;
       }
       if (found->second.epoch == this->cold_start.epoch()) {
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -78,6 +78,12 @@
   }
   size_t queued() const { return this->queue.size(); }
   Duration service_time() const { return this->mean_service_time; }
+  // Time that nearly all requests need once they run: the mean and twice the
+  // mean deviation. With the mean alone, a full queue holds requests that start
+  // so late that half of them miss their deadline.
+  Duration ServiceAllowance() const {
+    return this->mean_service_time + 2 * this->service_time_deviation;
+  }
 
  private:
   struct Running {
@@ -95,6 +101,7 @@
   FairQueue& queue;
   std::unordered_map<uint64_t, Running> running;
   Duration mean_service_time;
+  Duration service_time_deviation{0};
   std::optional<std::string> stop_reason;
 };
 
--- a/tests/request/admission_test.cc
+++ b/tests/request/admission_test.cc
@@ -75,6 +75,22 @@
   CHECK_TRUE(actions.run.empty());
 }
 
+// Guards against a queue whose requests start so late that the longer ones miss
+// their deadline.
+TEST(AdmissionTest, AllowsForServiceTimesThatVary) {
+  for (int round = 0; round < 200; ++round) {
+    Offer();
+    now += milliseconds(round % 2 == 0 ? 50 : 150);
+    admission.OnFinished(next_id, true, now);
+  }
+  CHECK(admission.service_time() > milliseconds(80));
+  CHECK(admission.service_time() < milliseconds(120));
+  Offer();
+  Offer();
+  Expect(AdmissionDecision::kRefused, Offer(200));
+  Expect(AdmissionDecision::kQueued, Offer(400));
+}
+
 // Guards against shedding by a wrong estimate while the target is idle, which
 // would never be corrected.
 TEST(AdmissionTest, IdleTargetRunsAnyDeadline) {
