--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -44,6 +44,9 @@
   std::vector<uint64_t> refused;
 };
 
+// Waiting requests of one workspace that a load report counts.
+inline constexpr size_t kReportedDepth = 4;
+
 // Decides for one target which requests run, wait or are refused, so that no
 // more than the cold-start limit run at once (P2).
 class Admission {
@@ -77,6 +80,12 @@
     return static_cast<uint32_t>(this->running.size());
   }
   size_t queued() const { return this->queue.size(); }
+  // Queue length for load reports (LoadReport.queued). A flood of one workspace
+  // counts little: it delays the others little, and at full length it would
+  // hide from routing how the others' requests are spread.
+  size_t ReportedQueue() const {
+    return this->queue.SharedLength(kReportedDepth);
+  }
   Duration service_time() const { return this->mean_service_time; }
   // Time that nearly all requests need once they run: the mean and twice the
   // mean deviation. With the mean alone, a full queue holds requests that start
--- a/src/request/fair_queue.cc
+++ b/src/request/fair_queue.cc
@@ -144,6 +144,14 @@
   return true;
 }
 
+size_t FairQueue::SharedLength(size_t depth) const {
+  size_t length = 0;
+  for (const auto& [name, workspace] : this->active) {
+    length += std::min(workspace.waiting.size(), depth);
+  }
+  return length;
+}
+
 size_t FairQueue::Ahead(const WorkspaceName& name, Priority priority) const {
   const auto found = this->active.find(name);
   if (found == this->active.end()) {
--- a/src/request/fair_queue.h
+++ b/src/request/fair_queue.h
@@ -59,6 +59,9 @@
   bool empty() const { return this->requests.empty(); }
   // Waiting requests of `workspace` in the class `priority` or a higher one.
   size_t Ahead(const WorkspaceName& workspace, Priority priority) const;
+  // Waiting requests as they matter to the next request of a workspace that is
+  // not ahead of its share: at most `depth` of each workspace.
+  size_t SharedLength(size_t depth) const;
   // Workspaces with waiting requests.
   size_t ActiveWorkspaces() const { return this->active.size(); }
 
--- a/tests/request/fair_queue_test.cc
+++ b/tests/request/fair_queue_test.cc
@@ -107,6 +107,15 @@
   CHECK_FALSE(queue.Pop().has_value());
 }
 
+// Guards against load reports that a flood of one workspace drowns.
+TEST(FairQueueTest, SharedLengthCountsEachWorkspaceUpToTheDepth) {
+  for (int count = 0; count < 20; ++count) {
+    Push("flood");
+  }
+  Push("small");
+  LONGS_EQUAL(5, queue.SharedLength(4));
+}
+
 // Guards against a duplicated id that loses one of two callers.
 TEST(FairQueueTest, RefusesAnIdThatWaits) {
   Push("a");
