Add a simulated swarm under virtual time and fix what it showed

The first runs of many weight tasks showed two faults. When every transfer was slower than the initial timeout, no fetch ended and the timeout never grew, so three regions of 14 replicas fetched 55 origin copies without finishing; the timeout now grows without a sample as well, and fetches across regions are bounded apart. Publishing the state computed the set's digest on every tick; it is kept now.

--- /dev/null
+++ b/bench/weight_swarm_bench.cc
@@ -0,0 +1,108 @@
+// Distribution of one set under virtual time. The counters are the figures:
+// time to all replicas divided by the max-flow bound, origin copies, and copies
+// into the busiest remote region. The wall time of the benchmark itself is the
+// cost of the simulation.
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include <benchmark/benchmark.h>
+
+#include "tests/process/weight_swarm.h"
+
+namespace celerypost {
+namespace {
+
+constexpr size_t kChunks = 128;
+constexpr size_t kChunkSize = 4096;
+
+struct Case {
+  std::vector<uint32_t> regions;
+  bool faults = false;
+  std::function<std::unique_ptr<FetchStrategy>()> strategy;
+};
+
+void Distribute(benchmark::State& state, const Case& scenario) {
+  for (auto iteration : state) {
+    SwarmSetup setup;
+    setup.regions = scenario.regions;
+    // A VM's link carries two copies in the time in which the origin's carries
+    // four.
+    setup.vm_rate = kChunks * kChunkSize / 20.0;
+    setup.origin_rate = 2 * setup.vm_rate;
+    setup.region_rate = setup.vm_rate / 2;
+    setup.neighbours = 24;
+    setup.corrupt = scenario.faults ? 0.01 : 0;
+    setup.strategy = scenario.strategy;
+    setup.adjust = [](WeightTaskOptions& o) {
+      const auto get = [](const char* n, int d) {
+        return getenv(n) ? atoi(getenv(n)) : d;
+      };
+      o.planner.max_fetches = get("MF", 8);
+      o.planner.max_fetches_per_peer = get("MP", 2);
+      o.max_uploads = get("MU", 4);
+    };
+    Swarm swarm(setup);
+    const FakeSet set =
+        FakeSet::Make("v1", std::vector<uint32_t>(kChunks, 1), kChunkSize);
+    // Agents know each other before a roll-out begins.
+    swarm.timeline.RunFor(std::chrono::seconds(2));
+    const TimePoint start = swarm.timeline.Now();
+    swarm.SetGoal(set);
+    if (scenario.faults) {
+      auto victims = swarm.Live();
+      std::shuffle(victims.begin(), victims.end(), swarm.random);
+      for (size_t i = 0; i < victims.size() / 10; ++i) {
+        swarm.timeline.After(
+            milliseconds(2000 + swarm.random() % 15000),
+            [&swarm, id = victims[i]->instance] { swarm.Kill(id); });
+      }
+    }
+    const bool finished = swarm.Run(std::chrono::seconds(4000));
+    const double size = static_cast<double>(set.set.TotalBytes());
+    const double seconds =
+        std::chrono::duration<double>(swarm.timeline.Now() - start).count();
+    uint64_t most = 0;
+    for (size_t to = 1; to < setup.regions.size(); ++to) {
+      uint64_t into = 0;
+      for (const auto& [key, bytes] : swarm.region_bytes) {
+        into += key % 16 == to ? bytes : 0;
+      }
+      most = std::max(most, into);
+    }
+    state.counters["finished"] = finished ? 1 : 0;
+    state.counters["seconds"] = seconds;
+    state.counters["over_bound"] = seconds / swarm.Bound(set.set.TotalBytes());
+    state.counters["origin_copies"] = swarm.origin_bytes / size;
+    state.counters["region_copies"] = most / size;
+  }
+}
+
+std::unique_ptr<FetchStrategy> Swarming() {
+  return MakeSwarmStrategy({});
+}
+std::unique_ptr<FetchStrategy> Tree() {
+  return MakeTreeStrategy(2);
+}
+
+#define CELERYPOST_SWARM_BENCH(name, ...)                \
+  BENCHMARK_CAPTURE(Distribute, name, Case{__VA_ARGS__}) \
+      ->Iterations(1)                                    \
+      ->Unit(benchmark::kMillisecond)
+
+CELERYPOST_SWARM_BENCH(swarm_14, {14}, false, Swarming);
+CELERYPOST_SWARM_BENCH(swarm_310, {310}, false, Swarming);
+CELERYPOST_SWARM_BENCH(swarm_14_three_regions, {5, 5, 4}, false, Swarming);
+CELERYPOST_SWARM_BENCH(swarm_310_two_regions, {155, 155}, false, Swarming);
+CELERYPOST_SWARM_BENCH(swarm_14_faults, {14}, true, Swarming);
+CELERYPOST_SWARM_BENCH(swarm_310_faults, {310}, true, Swarming);
+CELERYPOST_SWARM_BENCH(origin_14, {14}, false, MakeOriginStrategy);
+CELERYPOST_SWARM_BENCH(origin_310, {310}, false, MakeOriginStrategy);
+CELERYPOST_SWARM_BENCH(tree_14, {14}, false, Tree);
+CELERYPOST_SWARM_BENCH(tree_310, {310}, false, Tree);
+CELERYPOST_SWARM_BENCH(random_14, {14}, false, MakeRandomStrategy);
+CELERYPOST_SWARM_BENCH(random_310, {310}, false, MakeRandomStrategy);
+
+}  // namespace
+}  // namespace celerypost
--- a/src/process/weight_task.cc
+++ b/src/process/weight_task.cc
@@ -68,6 +68,7 @@
   this->rollout = new_rollout;
   const bool same = this->goal == set;
   this->goal = set;
+  this->goal_digest = set.SetDigest();
   this->driver.SetGoal(set, new_rollout);
   if (!same) {
     this->origin_bytes = 0;
@@ -428,7 +429,7 @@
   next.start_id = engine_state.start_id;
   next.switched = engine_state.switched;
   if (this->goal) {
-    next.goal = this->goal->SetDigest();
+    next.goal = this->goal_digest;
   }
   next.rollout = this->rollout;
   next.chunks_held = this->planner.chunks_held();
--- a/src/process/weight_task.h
+++ b/src/process/weight_task.h
@@ -155,6 +155,7 @@
   WeightState current;
 
   std::optional<WeightSet> goal;
+  Digest goal_digest;
   uint64_t rollout = 0;
   std::vector<std::optional<WeightIndex>> indices;
 
--- a/src/version/chunk_planner.cc
+++ b/src/version/chunk_planner.cc
@@ -49,6 +49,7 @@
     const Digest& digest = this->goal.chunks[i].digest;
     this->position_of[digest] = i;
     this->positions[i].held = this->held.contains(digest);
+    this->positions[i].in_flight = this->fetches.contains(digest);
     this->goal_held += this->positions[i].held ? 1 : 0;
   }
   std::vector<Fetch> unwanted;
@@ -338,6 +339,13 @@
 }
 
 void ChunkPlanner::EndFetch(const Fetch& fetch) {
+  if (fetch.crosses_regions) {
+    --this->cross_in_flight;
+  }
+  const auto position = this->position_of.find(fetch.chunk.digest);
+  if (position != this->position_of.end()) {
+    this->positions[position->second].in_flight = false;
+  }
   if (fetch.source.origin) {
     --this->origin_in_flight;
   } else {
@@ -377,9 +385,11 @@
   }
   // When every transfer slows down, the usual duration must follow although
   // none of them ends.
-  if (!expired.empty() && this->usual_duration) {
-    *this->usual_duration =
-        std::min(*this->usual_duration * 3 / 2, this->options.max_timeout);
+  if (!expired.empty()) {
+    this->usual_duration = std::min(
+        this->usual_duration.value_or(this->options.initial_timeout / 4) * 3 /
+            2,
+        this->options.max_timeout);
   }
 }
 
@@ -413,8 +423,7 @@
 std::vector<size_t> ChunkPlanner::Missing() {
   std::vector<size_t> missing;
   for (size_t i = 0; i < this->positions.size(); ++i) {
-    if (!this->positions[i].held &&
-        !this->fetches.contains(this->goal.chunks[i].digest)) {
+    if (!this->positions[i].held && !this->positions[i].in_flight) {
       missing.push_back(i);
     }
   }
@@ -478,6 +487,9 @@
     return actions;
   }
   for (const size_t position : this->Missing()) {
+    limits.cross_regions =
+        limits.cross_regions &&
+        this->cross_in_flight < this->options.max_cross_fetches;
     if (actions.fetch.size() >= limits.fetches ||
         this->fetches.size() >= this->options.max_fetches) {
       break;
@@ -488,13 +500,17 @@
       continue;
     }
     const ChunkRef& chunk = this->goal.chunks[position];
-    this->fetches[chunk.digest] = {chunk, *source, now, now + this->Timeout()};
+    const bool crosses = this->Crosses(*source);
+    this->fetches[chunk.digest] = {chunk, *source, crosses, now,
+                                   now + this->Timeout()};
+    this->positions[position].in_flight = true;
+    this->cross_in_flight += crosses ? 1 : 0;
     if (source->origin) {
       ++this->origin_in_flight;
     } else {
       ++this->peers.at(source->peer).in_flight;
     }
-    actions.fetch.push_back({chunk, *source, this->Crosses(*source)});
+    actions.fetch.push_back({chunk, *source, crosses});
   }
   return actions;
 }
--- a/src/version/chunk_planner.h
+++ b/src/version/chunk_planner.h
@@ -21,10 +21,11 @@
   InstanceId self;
   RegionName region;
   RegionName origin_region;
-  // Fetches in flight: in total, per peer, and from the origin.
+  // Fetches in flight: in total, per peer, from the origin and across regions.
   uint32_t max_fetches = 8;
   uint32_t max_fetches_per_peer = 2;
   uint32_t max_origin_fetches = 2;
+  uint32_t max_cross_fetches = 2;
   // A fetch that takes longer than four times the usual duration is given up,
   // within these bounds. The initial value holds until a fetch has ended.
   Duration initial_timeout = std::chrono::seconds(5);
@@ -149,11 +150,13 @@
   struct Fetch {
     ChunkRef chunk;
     FetchSource source;
+    bool crosses_regions = false;
     TimePoint started;
     TimePoint deadline;
   };
   struct Position {
     bool held = false;
+    bool in_flight = false;
     uint32_t holders_in_region = 0;
     uint32_t holders_elsewhere = 0;
     // Peers that hold it, avoided ones included.
@@ -203,6 +206,7 @@
   SwarmView view;
   bool view_dirty = true;
 
+  uint32_t cross_in_flight = 0;
   uint32_t origin_in_flight = 0;
   // Consecutive ones.
   uint32_t origin_refusals = 0;
