Take over and time out only when the origin makes no progress

With 310 replicas the requests of all fetchers wait in the origin's queue for longer than a takeover period; agents took over from each other and asked again, and the origin sent 2.31 copies. A takeover and the timeout of an origin fetch now count from the last chunk that came in.

--- a/bench/weight_swarm_bench.cc
+++ b/bench/weight_swarm_bench.cc
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr size_t kChunks = 128;
-constexpr size_t kChunkSize = 4096;
+constexpr size_t kChunkSize = 16384;
 
 struct Case {
   std::vector<uint32_t> regions;
@@ -33,6 +33,7 @@
     setup.origin_rate = 2 * setup.vm_rate;
     setup.region_rate = setup.vm_rate / 2;
     setup.neighbours = 24;
+    setup.store_bytes = 16 * kChunkSize;
     setup.corrupt = scenario.faults ? 0.01 : 0;
     setup.strategy = scenario.strategy;
     setup.adjust = [](WeightTaskOptions& o) {
--- a/src/version/chunk_planner.cc
+++ b/src/version/chunk_planner.cc
@@ -170,6 +170,9 @@
                         ? entry.holders_in_region
                         : entry.holders_elsewhere;
   const bool had = count > 0;
+  if (entry.holders_in_region + entry.holders_elsewhere == 0) {
+    this->last_new_chunk = now;
+  }
   count += change;
   if (had != (count > 0)) {
     this->strategy->OnAvailability(position, entry.holders_in_region,
@@ -185,6 +188,8 @@
 
 void ChunkPlanner::Avoid(Peer& peer, Duration period, TimePoint now) {
   peer.avoided_until = std::max(peer.avoided_until, now + period);
+  this->next_avoidance_end =
+      std::min(this->next_avoidance_end, peer.avoided_until);
   this->SetAvoided(peer, true, now);
 }
 
@@ -201,6 +206,21 @@
   }
 }
 
+void ChunkPlanner::EndAvoidance(TimePoint now) {
+  if (now < this->next_avoidance_end) {
+    return;
+  }
+  this->next_avoidance_end = TimePoint::max();
+  for (auto& [instance, peer] : this->peers) {
+    if (peer.avoided && now >= peer.avoided_until) {
+      this->SetAvoided(peer, false, now);
+    } else if (peer.avoided) {
+      this->next_avoidance_end =
+          std::min(this->next_avoidance_end, peer.avoided_until);
+    }
+  }
+}
+
 void ChunkPlanner::OnChunk(const Digest& digest,
                            FetchSource source,
                            FetchOutcome outcome,
@@ -369,7 +389,12 @@
 void ChunkPlanner::ExpireFetches(TimePoint now) {
   std::vector<Fetch> expired;
   for (const auto& [digest, fetch] : this->fetches) {
-    if (now >= fetch.deadline) {
+    // While chunks come from the origin, it is slow rather than stalled; asking
+    // again would put the request at the end of its queue.
+    const bool queued =
+        fetch.source.origin &&
+        now < this->last_new_chunk + this->options.initial_timeout;
+    if (now >= fetch.deadline && !queued) {
       expired.push_back(fetch);
     }
   }
@@ -471,11 +496,7 @@
 
 PlannerActions ChunkPlanner::Next(TimePoint now, NextLimits limits) {
   this->ExpireFetches(now);
-  for (auto& [instance, peer] : this->peers) {
-    if (peer.avoided && now >= peer.avoided_until) {
-      this->SetAvoided(peer, false, now);
-    }
-  }
+  this->EndAvoidance(now);
   PlannerActions actions;
   actions.cancel = std::exchange(this->cancelled, {});
   if (this->view_dirty) {
--- a/src/version/chunk_planner.h
+++ b/src/version/chunk_planner.h
@@ -168,6 +168,7 @@
   void ClearHolds(Peer& peer, TimePoint now);
   void Count(const Peer& peer, size_t position, int change, TimePoint now);
   void Avoid(Peer& peer, Duration period, TimePoint now);
+  void EndAvoidance(TimePoint now);
   void SetAvoided(Peer& peer, bool avoided, TimePoint now);
   void OnOriginOutcome(FetchOutcome outcome,
                        TimePoint now,
@@ -211,7 +212,10 @@
   // Consecutive ones.
   uint32_t origin_refusals = 0;
   TimePoint origin_usable_from{};
+  // When a chunk of the goal last got its first holder among the peers.
+  TimePoint last_new_chunk{};
   TimePoint paused_until{};
+  TimePoint next_avoidance_end = TimePoint::max();
   std::optional<Duration> usual_duration;
 };
 
--- a/src/version/swarm_strategy.cc
+++ b/src/version/swarm_strategy.cc
@@ -1,6 +1,4 @@
 #include <algorithm>
-#include <map>
-#include <unordered_map>
 #include <utility>
 
 #include "celerypost/assert.h"
@@ -45,9 +43,8 @@
       this->started = now;
     }
     if (new_goal) {
-      this->goal_start = now;
       this->last_new_chunk = now;
-      this->progress.clear();
+      this->last_in_region = now;
       this->chunks.assign(view.chunks->size(), {});
       for (Chunk& chunk : this->chunks) {
         chunk.missing_since = now;
@@ -69,7 +66,7 @@
       this->last_new_chunk = now;
     }
     if (!was_here && chunk.in_region) {
-      this->progress[chunk.first] = now;
+      this->last_in_region = now;
     } else if (was_here && !chunk.in_region) {
       chunk.missing_since = now;
     }
@@ -107,8 +104,7 @@
     // agent's region imports it from.
     RegionName entry;
     RegionName import_from;
-    // The agent of this region that comes first, and this agent's place.
-    InstanceId first;
+    // This agent's place among the agents of its region.
     uint32_t own_rank = 0;
     bool in_region = false;
     bool elsewhere = false;
@@ -123,14 +119,13 @@
     if (chunk.own_rank == 0) {
       return true;
     }
-    TimePoint stalled_since = std::max(this->goal_start, chunk.missing_since);
+    // While other chunks come in, the first agent may only be waiting for its
+    // turn on a slow link, and a takeover would make the link slower still.
+    TimePoint stalled_since =
+        std::max(this->last_in_region, chunk.missing_since);
     if (chunk.entry != this->view->self_region) {
       stalled_since = std::max(stalled_since, chunk.elsewhere_since);
     }
-    const auto progress = this->progress.find(chunk.first);
-    if (progress != this->progress.end()) {
-      stalled_since = std::max(stalled_since, progress->second);
-    }
     return now >= stalled_since + this->options.takeover * chunk.own_rank;
   }
 
@@ -206,30 +201,22 @@
                        instance.value);
     };
     const auto own = place(this->view->self);
-    auto best = own;
-    chunk.first = this->view->self;
     chunk.own_rank = 0;
     for (const SwarmMember& member : this->view->members) {
       if (member.region != this->view->self_region ||
           member.instance == this->view->self) {
         continue;
       }
-      const auto other = place(member.instance);
-      chunk.own_rank += other > own ? 1 : 0;
-      if (other > best) {
-        best = other;
-        chunk.first = member.instance;
-      }
+      chunk.own_rank += place(member.instance) > own ? 1 : 0;
     }
   }
 
   SwarmOptions options;
   const SwarmView* view = nullptr;
   std::vector<Chunk> chunks;
-  // When a chunk of that first agent last appeared in this region.
-  std::unordered_map<InstanceId, TimePoint> progress;
   std::optional<TimePoint> started;
-  TimePoint goal_start{};
+  // When a chunk last got its first holder, in this region and in any.
+  TimePoint last_in_region{};
   TimePoint last_new_chunk{};
 };
 
--- a/tests/process/weight_swarm.cc
+++ b/tests/process/weight_swarm.cc
@@ -31,7 +31,8 @@
       region(region),
       random(instance.value),
       engine(swarm.timeline, "e" + std::to_string(instance.value)),
-      pacer(PacerOptions(swarm.setup)) {
+      pacer(PacerOptions(swarm.setup)),
+      told{instance, Zone(region), 0, false} {
   this->in.rate = swarm.setup.vm_rate;
   this->out.rate = swarm.setup.vm_rate;
   if (swarm.setup.verify) {
@@ -83,6 +84,7 @@
 
 void Swarm::Introduce(Node& a, Node& b) {
   a.task->OnPeer({b.instance, Zone(b.region), Region(b.region)});
+  a.task->OnPeerSwitch(b.told);
   if (b.task->Have().bitmap.size() > 0) {
     a.task->OnHave(b.instance, b.task->Have());
   }
@@ -94,13 +96,18 @@
     return;
   }
   node.task->OnTick();
-  // Gossip of the switch state, a tick late.
-  for (Node* other : this->Live()) {
-    if (other != &node &&
-        this->timeline.Now().time_since_epoch().count() % 8 == 0) {
-      other->task->OnPeerSwitch({instance, Zone(node.region),
-                                 node.task->state().switched,
-                                 node.task->state().serving.has_value()});
+  const PeerSwitchState told{instance, Zone(node.region),
+                             node.task->state().switched,
+                             node.task->state().serving.has_value()};
+  if (told.switched != node.told.switched ||
+      told.warm_and_serving != node.told.warm_and_serving) {
+    node.told = told;
+    for (Node* other : this->Live()) {
+      if (other != &node) {
+        this->timeline.After(milliseconds(this->random() % 50), [other, told] {
+          other->task->OnPeerSwitch(told);
+        });
+      }
     }
   }
   this->timeline.After(milliseconds(10),
--- a/tests/process/weight_swarm.h
+++ b/tests/process/weight_swarm.h
@@ -344,6 +344,8 @@
     FakeEngine engine;
     std::unique_ptr<ChunkStore> store;
     LinkPacer pacer;
+    // The switch state that peers have been told.
+    PeerSwitchState told;
     std::set<InstanceId> neighbours;
     std::unique_ptr<WeightTask> task;
     std::optional<TimePoint> served_at;
