--- /dev/null
+++ b/tests/version/chunk_planner_test.cc
@@ -0,0 +1,277 @@
+#include "src/version/chunk_planner.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "CppUTest/TestHarness.h"
+
+namespace celerypost {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Digest Chunk(const std::string& name) {
+  return Digest::Of(name);
+}
+
+ChunkGoal Goal(const std::string& version,
+               const std::vector<std::string>& names) {
+  ChunkGoal goal{Digest::Of(version), {}, true};
+  for (size_t i = 0; i < names.size(); ++i) {
+    goal.chunks.push_back({Chunk(names[i]), Digest::Of("a"), i * 10, 10});
+  }
+  return goal;
+}
+
+HaveAnnouncement Have(const ChunkGoal& goal,
+                      const std::vector<size_t>& positions) {
+  HaveAnnouncement have{goal.set, "", false};
+  for (const size_t position : positions) {
+    SetBit(have.bitmap, position);
+  }
+  return have;
+}
+
+// An agent whose peers 2 and 3 are in its region and 9 in another one. It has
+// the smallest weight for every chunk that PeerFirst names.
+TEST_GROUP(ChunkPlannerTest) {
+  std::mt19937_64 random{1};
+  TimePoint now = TimePoint(seconds(1000));
+  std::unique_ptr<ChunkPlanner> planner;
+  const InstanceId peer2{2};
+  const InstanceId peer3{3};
+
+  void setup() override { this->Make(RegionName("home")); }
+  void Make(const RegionName& region) {
+    ChunkPlannerOptions options;
+    options.self = InstanceId{1};
+    options.region = region;
+    options.origin_region = RegionName("home");
+    this->planner = std::make_unique<ChunkPlanner>(
+        options, MakeSwarmStrategy({}), this->random);
+    for (const InstanceId peer : {this->peer2, this->peer3}) {
+      this->planner->OnPeer({peer, ZoneName("z"), region}, this->now);
+    }
+    this->planner->SetGoal(Goal("none", {}), this->now);
+    this->now += seconds(10);
+  }
+  // `count` names for which the weights order the instances as given.
+  static std::vector<std::string> Names(std::vector<uint64_t> order,
+                                        size_t count) {
+    std::vector<std::string> names;
+    for (int i = 0; names.size() < count; ++i) {
+      const std::string name = "chunk " + std::to_string(i);
+      const auto weight = [&name](uint64_t instance) {
+        return RendezvousWeight(Chunk(name), instance);
+      };
+      if (std::is_sorted(order.begin(), order.end(),
+                         [&weight](uint64_t a, uint64_t b) {
+                           return weight(a) > weight(b);
+                         })) {
+        names.push_back(name);
+      }
+    }
+    return names;
+  }
+  std::vector<FetchAction> Fetches() {
+    return this->planner->Next(this->now).fetch;
+  }
+  void End(const FetchAction& action, FetchOutcome outcome) {
+    this->planner->OnChunk(action.chunk.digest, action.source, outcome,
+                           this->now);
+  }
+};
+
+// Guards against two agents that fetch the same chunk from the origin, and
+// against a chunk that nobody fetches when the first agent makes no progress.
+TEST(ChunkPlannerTest, FirstAgentFetchesAndNextTakesOver) {
+  const auto mine = Names({1, 2, 3}, 1);
+  const auto others = Names({2, 1, 3}, 1);
+  const auto last = Names({2, 3, 1}, 1);
+  this->planner->SetGoal(Goal("v", {mine[0], others[0], last[0]}), this->now);
+  auto fetches = this->Fetches();
+  LONGS_EQUAL(1, fetches.size());
+  CHECK(fetches[0].chunk.digest == Chunk(mine[0]));
+  CHECK_TRUE(fetches[0].source.origin);
+  End(fetches[0], FetchOutcome::kStored);
+  this->now += milliseconds(4900);
+  CHECK_TRUE(this->Fetches().empty());
+  this->now += milliseconds(200);
+  fetches = this->Fetches();
+  LONGS_EQUAL(1, fetches.size());
+  CHECK(fetches[0].chunk.digest == Chunk(others[0]));
+  // The third in the order waits for both before it.
+  End(fetches[0], FetchOutcome::kStored);
+  this->now += seconds(5);
+  LONGS_EQUAL(1, this->Fetches().size());
+}
+
+// Guards against a wait for an agent that is dead.
+TEST(ChunkPlannerTest, DeadFirstAgentIsReplacedAtOnce) {
+  const auto names = Names({2, 1, 3}, 2);
+  this->planner->SetGoal(Goal("v", names), this->now);
+  CHECK_TRUE(this->Fetches().empty());
+  this->planner->OnPeerGone(this->peer2, this->now);
+  LONGS_EQUAL(2, this->Fetches().size());
+}
+
+// Guards against the loss of a chunk whose only holder dies while it sends.
+TEST(ChunkPlannerTest, OnlyHolderDiesMidFetch) {
+  const ChunkGoal goal = Goal("v", Names({2, 1, 3}, 1));
+  this->planner->SetGoal(goal, this->now);
+  this->planner->OnHave(this->peer2, Have(goal, {0}), this->now);
+  auto fetches = this->Fetches();
+  CHECK(fetches.at(0).source == FetchSource::Peer(this->peer2));
+  this->planner->OnPeerGone(this->peer2, this->now);
+  const PlannerActions actions = this->planner->Next(this->now);
+  LONGS_EQUAL(1, actions.cancel.size());
+  CHECK_TRUE(actions.fetch.at(0).source.origin);
+  // The late answer of the dead peer changes nothing.
+  End(fetches[0], FetchOutcome::kFailed);
+  LONGS_EQUAL(1, this->planner->in_flight());
+}
+
+// Guards against common chunks being fetched first, which leaves every agent
+// waiting for the last rare ones.
+TEST(ChunkPlannerTest, RarestFirstWithinTheLimits) {
+  const ChunkGoal goal = Goal("v", Names({2, 3, 1}, 5));
+  this->planner->SetGoal(goal, this->now);
+  this->planner->OnHave(this->peer2, Have(goal, {0, 1, 2, 3, 4}), this->now);
+  this->planner->OnHave(this->peer3, Have(goal, {0, 1, 2}), this->now);
+  const auto fetches = this->Fetches();
+  // At most two fetches per peer.
+  LONGS_EQUAL(4, fetches.size());
+  for (const size_t i : {0, 1}) {
+    CHECK(fetches[i].chunk.offset >= 30);
+    CHECK(fetches[i].source == FetchSource::Peer(this->peer2));
+  }
+  CHECK(fetches[2].source == FetchSource::Peer(this->peer3));
+}
+
+// Guards against a peer with corrupt chunks that is asked again and again, also
+// when it is the only holder.
+TEST(ChunkPlannerTest, CorruptPeerIsBlamedAndAvoided) {
+  const ChunkGoal goal = Goal("v", Names({2, 1, 3}, 1));
+  this->planner->SetGoal(goal, this->now);
+  this->planner->OnHave(this->peer2, Have(goal, {0}), this->now);
+  End(this->Fetches().at(0), FetchOutcome::kCorrupt);
+  LONGS_EQUAL(1, this->planner->Blame(this->peer2));
+  // Without the blamed peer this agent is the first for the chunk.
+  const auto fetches = this->Fetches();
+  CHECK_TRUE(fetches.at(0).source.origin);
+  End(fetches[0], FetchOutcome::kFailed);
+  this->planner->OnHave(this->peer3, Have(goal, {0}), this->now);
+  CHECK(this->Fetches().at(0).source == FetchSource::Peer(this->peer3));
+}
+
+// Guards against fetches that a stalled peer keeps for ever.
+TEST(ChunkPlannerTest, StalledPeerIsGivenUp) {
+  const ChunkGoal goal = Goal("v", Names({2, 1, 3}, 1));
+  this->planner->SetGoal(goal, this->now);
+  this->planner->OnHave(this->peer2, Have(goal, {0}), this->now);
+  LONGS_EQUAL(1, this->Fetches().size());
+  this->now += milliseconds(4900);
+  CHECK_TRUE(this->planner->Next(this->now).cancel.empty());
+  this->now += milliseconds(200);
+  LONGS_EQUAL(1, this->planner->Next(this->now).cancel.size());
+  // Asked once more after a backoff, then no longer counted as a holder.
+  this->now += milliseconds(100);
+  CHECK(this->Fetches().at(0).source == FetchSource::Peer(this->peer2));
+  this->now += seconds(60);
+  CHECK_TRUE(this->Fetches().at(0).source.origin);
+}
+
+// Guards against refused agents that return at once or all together.
+TEST(ChunkPlannerTest, RefusalsAreFollowedByBackoff) {
+  const ChunkGoal goal = Goal("v", Names({1, 2, 3}, 1));
+  this->planner->SetGoal(goal, this->now);
+  const auto fetches = this->Fetches();
+  this->planner->OnChunk(fetches.at(0).chunk.digest, fetches[0].source,
+                         FetchOutcome::kRefused, this->now, seconds(2));
+  this->now += milliseconds(2099);
+  CHECK_TRUE(this->Fetches().empty());
+  this->now += milliseconds(101);
+  End(this->Fetches().at(0), FetchOutcome::kRefused);
+  this->now += milliseconds(199);
+  CHECK_TRUE(this->Fetches().empty());
+  this->now += milliseconds(201);
+  LONGS_EQUAL(1, this->Fetches().size());
+}
+
+// Guards against fetches for a former goal that go on, against chunks of both
+// goals that are fetched twice, and against a return that starts from nothing.
+TEST(ChunkPlannerTest, NewGoalMidFlightAndBack) {
+  const auto names = Names({1, 2, 3}, 3);
+  const ChunkGoal first = Goal("v1", {names[0], names[1]});
+  const ChunkGoal second = Goal("v2", {names[2], names[1]});
+  this->planner->SetGoal(first, this->now);
+  const auto fetches = this->Fetches();
+  LONGS_EQUAL(2, fetches.size());
+  this->planner->SetGoal(second, this->now);
+  auto actions = this->planner->Next(this->now);
+  LONGS_EQUAL(1, actions.cancel.size());
+  CHECK(actions.cancel[0].digest == Chunk(names[0]));
+  LONGS_EQUAL(1, actions.fetch.size());
+  CHECK(actions.fetch[0].chunk.digest == Chunk(names[2]));
+  for (const FetchAction& fetch : fetches) {
+    // The bytes of the cancelled fetch were already under way.
+    End(fetch, FetchOutcome::kStored);
+  }
+  LONGS_EQUAL(1, this->planner->chunks_held());
+  this->planner->SetGoal(first, this->now);
+  CHECK_TRUE(this->planner->complete());
+  LONGS_EQUAL(1, this->planner->Next(this->now).cancel.size());
+}
+
+// Guards against a peer that still has the former set and cannot be asked for
+// the chunks that both sets share.
+TEST(ChunkPlannerTest, FormerSetOfAPeerServesSharedChunks) {
+  const auto names = Names({2, 3, 1}, 3);
+  const ChunkGoal first = Goal("v1", {names[0], names[1]});
+  this->planner->SetGoal(first, this->now);
+  this->planner->OnHave(this->peer3, Have(first, {0, 1}), this->now);
+  this->planner->SetGoal(Goal("v2", {names[2], names[1]}), this->now);
+  const auto fetches = this->Fetches();
+  LONGS_EQUAL(1, fetches.size());
+  CHECK(fetches[0].chunk.digest == Chunk(names[1]));
+  CHECK(fetches[0].source == FetchSource::Peer(this->peer3));
+}
+
+// Guards against several copies that enter one remote region.
+TEST(ChunkPlannerTest, OneAgentImportsIntoARemoteRegion) {
+  this->Make(RegionName("away"));
+  const InstanceId remote{9};
+  this->planner->OnPeer({remote, ZoneName("h"), RegionName("home")},
+                        this->now);
+  const ChunkGoal goal =
+      Goal("v", {Names({1, 2, 3}, 1)[0], Names({2, 1, 3}, 1)[0]});
+  this->planner->SetGoal(goal, this->now);
+  CHECK_TRUE(this->Fetches().empty());
+  this->planner->OnHave(remote, Have(goal, {0, 1}), this->now);
+  CHECK_TRUE(this->planner->Next(this->now, {.cross_regions = false})
+                 .fetch.empty());
+  const auto fetches = this->Fetches();
+  LONGS_EQUAL(1, fetches.size());
+  CHECK(fetches[0].chunk.digest == goal.chunks[0].digest);
+  CHECK_TRUE(fetches[0].crosses_regions);
+}
+
+// Guards against an agent that has just started, knows no peer and takes itself
+// for the first of all chunks.
+TEST(ChunkPlannerTest, StartingAgentWaitsForItsPeers) {
+  this->now = TimePoint(seconds(2000));
+  ChunkPlannerOptions options;
+  options.self = InstanceId{1};
+  ChunkPlanner fresh(options, MakeSwarmStrategy({}), this->random);
+  fresh.SetGoal(Goal("v", {"a"}), this->now);
+  CHECK_TRUE(fresh.Next(this->now).fetch.empty());
+  this->now += milliseconds(500);
+  LONGS_EQUAL(1, fresh.Next(this->now).fetch.size());
+}
+
+}  // namespace
+}  // namespace celerypost
