--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -48,6 +48,22 @@
 
 std::string to_string(const Kind::type& val);
 
+struct Refusal {
+  enum type {
+    NONE = 0,
+    BEHIND = 1,
+    MOVED = 2,
+    STOPPED = 3,
+    FULL = 4
+  };
+};
+
+extern const std::map<int, const char*> _Refusal_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const Refusal::type& val);
+
+std::string to_string(const Refusal::type& val);
+
 class Header;
 
 class Hello;
@@ -159,7 +175,7 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _Hello__isset {
-  _Hello__isset() : role(false), instance(false), zone(false), region(false), service_name(false), address(false), nonce(false), proof(false) {}
+  _Hello__isset() : role(false), instance(false), zone(false), region(false), service_name(false), address(false), nonce(false), proof(false), http_address(false), incarnation(false) {}
   bool role :1;
   bool instance :1;
   bool zone :1;
@@ -168,6 +184,8 @@
   bool address :1;
   bool nonce :1;
   bool proof :1;
+  bool http_address :1;
+  bool incarnation :1;
 } _Hello__isset;
 
 class Hello : public virtual ::apache::thrift::TBase {
@@ -185,7 +203,9 @@
           service_name(),
           address(),
           nonce(),
-          proof() {
+          proof(),
+          http_address(),
+          incarnation(0) {
   }
 
   virtual ~Hello() noexcept;
@@ -197,6 +217,8 @@
   std::string address;
   std::string nonce;
   std::string proof;
+  std::string http_address;
+  int64_t incarnation;
 
   _Hello__isset __isset;
 
@@ -216,6 +238,10 @@
 
   void __set_proof(const std::string& val);
 
+  void __set_http_address(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
   bool operator == (const Hello & rhs) const
   {
     if (!(role == rhs.role))
@@ -234,6 +260,10 @@
       return false;
     if (!(proof == rhs.proof))
       return false;
+    if (!(http_address == rhs.http_address))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
     return true;
   }
   bool operator != (const Hello &rhs) const {
@@ -979,12 +1009,13 @@
 std::ostream& operator<<(std::ostream& out, const WorkBody& obj);
 
 typedef struct _WorkEnd__isset {
-  _WorkEnd__isset() : verdict(false), error(false), message(false), load(false), moved_to(false) {}
+  _WorkEnd__isset() : verdict(false), error(false), message(false), load(false), moved_to(false), refusal(false) {}
   bool verdict :1;
   bool error :1;
   bool message :1;
   bool load :1;
   bool moved_to :1;
+  bool refusal :1;
 } _WorkEnd__isset;
 
 class WorkEnd : public virtual ::apache::thrift::TBase {
@@ -998,7 +1029,8 @@
           : verdict(0),
             error(0),
             message(),
-            moved_to(0) {
+            moved_to(0),
+            refusal(static_cast<Refusal::type>(0)) {
   }
 
   virtual ~WorkEnd() noexcept;
@@ -1007,6 +1039,11 @@
   std::string message;
   LoadReport load;
   int64_t moved_to;
+  /**
+   * 
+   * @see Refusal
+   */
+  Refusal::type refusal;
 
   _WorkEnd__isset __isset;
 
@@ -1020,6 +1057,8 @@
 
   void __set_moved_to(const int64_t val);
 
+  void __set_refusal(const Refusal::type val);
+
   bool operator == (const WorkEnd & rhs) const
   {
     if (!(verdict == rhs.verdict))
@@ -1032,6 +1071,8 @@
       return false;
     if (!(moved_to == rhs.moved_to))
       return false;
+    if (!(refusal == rhs.refusal))
+      return false;
     return true;
   }
   bool operator != (const WorkEnd &rhs) const {
@@ -1096,12 +1137,14 @@
 std::ostream& operator<<(std::ostream& out, const CancelWork& obj);
 
 typedef struct _SlotRecord__isset {
-  _SlotRecord__isset() : request_id(false), state(false), status(false), content_type(false), answer(false) {}
+  _SlotRecord__isset() : request_id(false), state(false), status(false), content_type(false), answer(false), attempt(false), has_answer(false) {}
   bool request_id :1;
   bool state :1;
   bool status :1;
   bool content_type :1;
   bool answer :1;
+  bool attempt :1;
+  bool has_answer :1;
 } _SlotRecord__isset;
 
 class SlotRecord : public virtual ::apache::thrift::TBase {
@@ -1116,7 +1159,9 @@
                state(0),
                status(0),
                content_type(),
-               answer() {
+               answer(),
+               attempt(0),
+               has_answer(0) {
   }
 
   virtual ~SlotRecord() noexcept;
@@ -1125,6 +1170,8 @@
   int32_t status;
   std::string content_type;
   std::string answer;
+  int32_t attempt;
+  bool has_answer;
 
   _SlotRecord__isset __isset;
 
@@ -1138,6 +1185,10 @@
 
   void __set_answer(const std::string& val);
 
+  void __set_attempt(const int32_t val);
+
+  void __set_has_answer(const bool val);
+
   bool operator == (const SlotRecord & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -1150,6 +1201,10 @@
       return false;
     if (!(answer == rhs.answer))
       return false;
+    if (!(attempt == rhs.attempt))
+      return false;
+    if (!(has_answer == rhs.has_answer))
+      return false;
     return true;
   }
   bool operator != (const SlotRecord &rhs) const {
@@ -1352,10 +1407,11 @@
 std::ostream& operator<<(std::ostream& out, const PullChunk& obj);
 
 typedef struct _Chunk__isset {
-  _Chunk__isset() : digest(false), found(false), bytes(false) {}
+  _Chunk__isset() : digest(false), found(false), bytes(false), busy(false) {}
   bool digest :1;
   bool found :1;
   bool bytes :1;
+  bool busy :1;
 } _Chunk__isset;
 
 class Chunk : public virtual ::apache::thrift::TBase {
@@ -1368,13 +1424,15 @@
   Chunk() noexcept
         : digest(),
           found(0),
-          bytes() {
+          bytes(),
+          busy(0) {
   }
 
   virtual ~Chunk() noexcept;
   std::string digest;
   bool found;
   std::string bytes;
+  bool busy;
 
   _Chunk__isset __isset;
 
@@ -1384,6 +1442,8 @@
 
   void __set_bytes(const std::string& val);
 
+  void __set_busy(const bool val);
+
   bool operator == (const Chunk & rhs) const
   {
     if (!(digest == rhs.digest))
@@ -1392,6 +1452,8 @@
       return false;
     if (!(bytes == rhs.bytes))
       return false;
+    if (!(busy == rhs.busy))
+      return false;
     return true;
   }
   bool operator != (const Chunk &rhs) const {
