--- a/src/version/chunk_planner.cc
+++ b/src/version/chunk_planner.cc
@@ -8,7 +8,6 @@
 namespace celerypost {
 namespace {
 
-constexpr size_t kEarlierGoals = 3;
 // Consecutive failures or timeouts after which a peer no longer counts as a
 // holder, so that a stalled peer that holds the only copy does not block the
 // others.
@@ -24,7 +23,10 @@
                            std::mt19937_64& random)
     : options(std::move(options)),
       strategy(std::move(strategy)),
-      random(random) {}
+      random(random),
+      timeouts{FetchTimeout(this->options.timeout),
+               FetchTimeout(this->options.timeout),
+               FetchTimeout(this->options.timeout)} {}
 
 ChunkPlanner::~ChunkPlanner() = default;
 
@@ -33,13 +35,7 @@
     peer.holds.clear();
   }
   if (!this->goal.chunks.empty() && this->goal.set != new_goal.set) {
-    std::erase_if(this->earlier, [this](const ChunkGoal& known) {
-      return known.set == this->goal.set;
-    });
-    this->earlier.push_front(std::move(this->goal));
-    if (this->earlier.size() > kEarlierGoals) {
-      this->earlier.pop_back();
-    }
+    this->earlier.Remember(std::move(this->goal));
   }
   this->goal = std::move(new_goal);
   this->position_of.clear();
@@ -117,25 +113,8 @@
 }
 
 void ChunkPlanner::ApplyHave(Peer& peer, TimePoint now) {
-  std::vector<bool> holds(this->positions.size(), false);
-  if (peer.have.set == this->goal.set) {
-    for (size_t i = 0; i < holds.size(); ++i) {
-      holds[i] = TestBit(peer.have.bitmap, i);
-    }
-  } else {
-    for (const ChunkGoal& known : this->earlier) {
-      if (known.set != peer.have.set) {
-        continue;
-      }
-      for (size_t i = 0; i < known.chunks.size(); ++i) {
-        const auto position = this->position_of.find(known.chunks[i].digest);
-        if (position != this->position_of.end() &&
-            TestBit(peer.have.bitmap, i)) {
-          holds[position->second] = true;
-        }
-      }
-    }
-  }
+  const std::vector<bool> holds =
+      this->earlier.Holds(peer.have, this->goal, this->position_of);
   peer.holds.resize(this->positions.size(), false);
   for (size_t i = 0; i < holds.size(); ++i) {
     this->SetHolds(peer, i, holds[i], now);
@@ -233,10 +212,8 @@
     const Fetch fetch = found->second;
     this->EndFetch(fetch);
     if (outcome == FetchOutcome::kStored) {
-      const Duration taken = now - fetch.started;
-      this->usual_duration = this->usual_duration
-                                 ? (*this->usual_duration * 7 + taken) / 8
-                                 : taken;
+      this->Timeout(fetch.source, fetch.crosses_regions)
+          .OnEnded(now - fetch.started);
     }
   }
   if (outcome == FetchOutcome::kStored) {
@@ -257,18 +234,12 @@
                                    TimePoint now,
                                    std::optional<Duration> retry_after) {
   if (outcome == FetchOutcome::kStored) {
-    this->origin_refusals = 0;
+    this->origin_backoff.OnSuccess();
     return;
   }
-  Duration wait =
-      this->Jittered(this->options.origin_backoff, this->origin_refusals,
-                     this->options.max_origin_backoff);
-  ++this->origin_refusals;
-  if (retry_after) {
-    // Jitter on top, so that agents refused together do not return together.
-    wait += *retry_after;
-  }
-  this->origin_usable_from = std::max(this->origin_usable_from, now + wait);
+  this->origin_backoff.OnRefused(this->options.origin_backoff,
+                                 this->options.max_origin_backoff, retry_after,
+                                 this->random, now);
 }
 
 void ChunkPlanner::OnPeerOutcome(const Digest& digest,
@@ -286,7 +257,7 @@
   Peer& peer = found->second;
   switch (outcome) {
     case FetchOutcome::kStored:
-      peer.refusals = 0;
+      peer.backoff.OnSuccess();
       peer.failures = 0;
       return;
     case FetchOutcome::kCorrupt: {
@@ -313,23 +284,9 @@
     case FetchOutcome::kNoRoom:
       break;
   }
-  Duration wait = this->Jittered(this->options.peer_backoff, peer.refusals,
-                                 this->options.max_peer_backoff);
-  ++peer.refusals;
-  if (retry_after) {
-    wait += *retry_after;
-  }
-  peer.usable_from = std::max(peer.usable_from, now + wait);
-}
-
-Duration ChunkPlanner::Jittered(Duration base,
-                                uint32_t refusals,
-                                Duration limit) {
-  const Duration full =
-      std::min(base * (1u << std::min<uint32_t>(refusals, 16)), limit);
-  // Between half and all of it.
-  std::uniform_real_distribution<double> share(0.5, 1.0);
-  return std::chrono::duration_cast<Duration>(full * share(this->random));
+  peer.backoff.OnRefused(this->options.peer_backoff,
+                         this->options.max_peer_backoff, retry_after,
+                         this->random, now);
 }
 
 void ChunkPlanner::OnHeld(const Digest& digest, TimePoint /*now*/) {
@@ -378,12 +335,8 @@
   this->fetches.erase(digest);
 }
 
-Duration ChunkPlanner::Timeout() const {
-  if (!this->usual_duration) {
-    return this->options.initial_timeout;
-  }
-  return std::clamp(*this->usual_duration * 4, this->options.min_timeout,
-                    this->options.max_timeout);
+FetchTimeout& ChunkPlanner::Timeout(FetchSource source, bool crosses) {
+  return this->timeouts[source.origin ? 2 : (crosses ? 1 : 0)];
 }
 
 void ChunkPlanner::ExpireFetches(TimePoint now) {
@@ -393,7 +346,7 @@
     // again would put the request at the end of its queue.
     const bool queued =
         fetch.source.origin &&
-        now < this->last_new_chunk + this->options.initial_timeout;
+        now < this->last_new_chunk + this->options.timeout.initial;
     if (now >= fetch.deadline && !queued) {
       expired.push_back(fetch);
     }
@@ -401,6 +354,7 @@
   for (const Fetch& fetch : expired) {
     this->EndFetch(fetch);
     this->cancelled.push_back({fetch.chunk.digest, fetch.source});
+    this->Timeout(fetch.source, fetch.crosses_regions).OnExpired();
     if (fetch.source.origin) {
       this->OnOriginOutcome(FetchOutcome::kFailed, now, std::nullopt);
     } else {
@@ -408,14 +362,6 @@
                           FetchOutcome::kFailed, now, std::nullopt);
     }
   }
-  // When every transfer slows down, the usual duration must follow although
-  // none of them ends.
-  if (!expired.empty()) {
-    this->usual_duration = std::min(
-        this->usual_duration.value_or(this->options.initial_timeout / 4) * 3 /
-            2,
-        this->options.max_timeout);
-  }
 }
 
 void ChunkPlanner::UpdateView(bool new_goal, TimePoint now) {
@@ -479,13 +425,13 @@
   chunk.holders_elsewhere = entry.holders_elsewhere;
   chunk.cross_regions = limits.cross_regions;
   chunk.origin_usable =
-      now >= this->origin_usable_from &&
+      this->origin_backoff.Usable(now) &&
       this->origin_in_flight < this->options.max_origin_fetches &&
       (limits.cross_regions || !this->Crosses(FetchSource::Origin()));
   for (const InstanceId instance : entry.holders) {
     const Peer& peer = this->peers.at(instance);
     const bool crosses = peer.state.region != this->options.region;
-    if (!peer.avoided && now >= peer.usable_from &&
+    if (!peer.avoided && peer.backoff.Usable(now) &&
         peer.in_flight < this->options.max_fetches_per_peer &&
         (limits.cross_regions || !crosses)) {
       chunk.usable.push_back({instance, peer.state.region, peer.in_flight});
@@ -522,8 +468,9 @@
     }
     const ChunkRef& chunk = this->goal.chunks[position];
     const bool crosses = this->Crosses(*source);
-    this->fetches[chunk.digest] = {chunk, *source, crosses, now,
-                                   now + this->Timeout()};
+    this->fetches[chunk.digest] = {
+        chunk, *source, crosses, now,
+        now + this->Timeout(*source, crosses).Value()};
     this->positions[position].in_flight = true;
     this->cross_in_flight += crosses ? 1 : 0;
     if (source->origin) {
@@ -536,18 +483,6 @@
   return actions;
 }
 
-bool ChunkPlanner::complete() const {
-  return this->goal.whole && this->goal_held == this->positions.size();
-}
-
-bool ChunkPlanner::Holds(const Digest& digest) const {
-  return this->held.contains(digest);
-}
-
-bool ChunkPlanner::Wants(const Digest& digest) const {
-  return this->position_of.contains(digest);
-}
-
 HaveAnnouncement ChunkPlanner::Have() const {
   HaveAnnouncement have;
   have.set = this->goal.set;
--- a/src/version/chunk_planner.h
+++ b/src/version/chunk_planner.h
@@ -1,8 +1,8 @@
 #ifndef SRC_VERSION_CHUNK_PLANNER_H_
 #define SRC_VERSION_CHUNK_PLANNER_H_
 
+#include <array>
 #include <cstdint>
-#include <deque>
 #include <memory>
 #include <optional>
 #include <random>
@@ -12,8 +12,11 @@
 #include <vector>
 
 #include "celerypost/types.h"
+#include "src/version/backoff.h"
 #include "src/version/chunk_goal.h"
 #include "src/version/fetch_strategy.h"
+#include "src/version/fetch_timeout.h"
+#include "src/version/goal_history.h"
 
 namespace celerypost {
 
@@ -26,11 +29,8 @@
   uint32_t max_fetches_per_peer = 2;
   uint32_t max_origin_fetches = 2;
   uint32_t max_cross_fetches = 2;
-  // A fetch that takes longer than four times the usual duration is given up,
-  // within these bounds. The initial value holds until a fetch has ended.
-  Duration initial_timeout = std::chrono::seconds(5);
-  Duration min_timeout = std::chrono::seconds(1);
-  Duration max_timeout = std::chrono::seconds(30);
+  // When a fetch is given up.
+  FetchTimeoutOptions timeout;
   // Backoff after refusals: doubles from the first to the second value, with
   // jitter.
   Duration peer_backoff = std::chrono::milliseconds(20);
@@ -119,10 +119,14 @@
   PlannerActions Next(TimePoint now, NextLimits limits = {});
 
   // True if every chunk of a whole goal is held.
-  bool complete() const;
-  bool Holds(const Digest& digest) const;
+  bool complete() const {
+    return this->goal.whole && this->goal_held == this->positions.size();
+  }
+  bool Holds(const Digest& digest) const { return this->held.contains(digest); }
   // True if the goal contains `digest`.
-  bool Wants(const Digest& digest) const;
+  bool Wants(const Digest& digest) const {
+    return this->position_of.contains(digest);
+  }
   // What this agent holds of its goal, for its peers.
   HaveAnnouncement Have() const;
   size_t chunks_held() const { return this->goal_held; }
@@ -139,10 +143,9 @@
     // One flag per position of the goal.
     std::vector<bool> holds;
     uint32_t in_flight = 0;
+    Backoff backoff;
     // Consecutive ones.
-    uint32_t refusals = 0;
     uint32_t failures = 0;
-    TimePoint usable_from{};
     // Neither asked nor counted as a holder or fetcher.
     bool avoided = false;
     TimePoint avoided_until{};
@@ -181,8 +184,7 @@
   void UpdateView(bool new_goal, TimePoint now);
   void ExpireFetches(TimePoint now);
   void EndFetch(const Fetch& fetch);
-  Duration Timeout() const;
-  Duration Jittered(Duration base, uint32_t refusals, Duration limit);
+  FetchTimeout& Timeout(FetchSource source, bool crosses);
   std::vector<size_t> Missing();
   ChunkView MakeView(size_t position, TimePoint now, const NextLimits& limits);
   bool Crosses(const FetchSource& source) const;
@@ -195,9 +197,7 @@
   std::unordered_map<Digest, size_t> position_of;
   std::vector<Position> positions;
   size_t goal_held = 0;
-  // Earlier goals, newest first; announcements of peers that still have one of
-  // them are understood through its list.
-  std::deque<ChunkGoal> earlier;
+  GoalHistory earlier;
   std::unordered_set<Digest> held;
 
   std::unordered_map<InstanceId, Peer> peers;
@@ -209,14 +209,13 @@
 
   uint32_t cross_in_flight = 0;
   uint32_t origin_in_flight = 0;
-  // Consecutive ones.
-  uint32_t origin_refusals = 0;
-  TimePoint origin_usable_from{};
+  Backoff origin_backoff;
   // When a chunk of the goal last got its first holder among the peers.
   TimePoint last_new_chunk{};
   TimePoint paused_until{};
   TimePoint next_avoidance_end = TimePoint::max();
-  std::optional<Duration> usual_duration;
+  // Fetches from peers of this region, of other regions, and from the origin.
+  std::array<FetchTimeout, 3> timeouts;
 };
 
 }  // namespace celerypost
