Run many processes under virtual time with faults

Peers that receive a part of a member table now send back records that they know better: without it a member that one process held for dead was never told to contradict.

--- a/src/process/gossip_task.cc
+++ b/src/process/gossip_task.cc
@@ -179,6 +179,14 @@
 
 void GossipTask::Tick() {
   this->members.OnTick(this->scheduler.Now());
+  // Once per tick, as changes come in groups and the choices cost a pass over
+  // the table.
+  if (this->seen_revision != this->members.revision()) {
+    this->OnTableChanged();
+    if (this->on_members_changed) {
+      this->on_members_changed();
+    }
+  }
   this->RefreshWitnesses();
   // Admission must not depend on whether somebody asks for it.
   this->MayGiveNewWork();
@@ -278,12 +286,6 @@
 }
 
 void GossipTask::AfterEvent() {
-  if (this->seen_revision != this->members.revision()) {
-    this->OnTableChanged();
-    if (this->on_members_changed) {
-      this->on_members_changed();
-    }
-  }
   for (const VersionedDocument& document : this->gossip.TakeNewDocuments()) {
     if (this->on_document) {
       this->on_document(document);
--- a/src/process/state/gossip.cc
+++ b/src/process/state/gossip.cc
@@ -58,14 +58,23 @@
       this->urgent = true;
     }
   }
+  // Only parts of a whole table carry no digest. The sender of a table learns
+  // what it does not know yet, such as the death of a member that still runs:
+  // it passes that on, and the member itself contradicts.
+  GossipHeartbeat corrections;
   for (const Member& member : heartbeat.members) {
-    this->membership.OnGossip(member, from, now);
+    if (!this->membership.OnGossip(member, from, now) &&
+        heartbeat.members_digest == 0 && this->membership.KnowsNewer(member)) {
+      corrections.members.push_back(*this->membership.Find(member.instance));
+    }
+  }
+  if (!corrections.members.empty()) {
+    Append(this->outgoing, from, std::move(corrections));
   }
   for (const DocumentHead& document : heartbeat.documents) {
     uint64_t& offered = peer.offers[document.key];
     offered = std::max(offered, document.number);
   }
-  // Parts of a table carry no digest.
   if (heartbeat.members_digest != 0) {
     peer.digest = heartbeat.members_digest;
     this->CheckDigest(from, peer, now);
--- a/src/process/state/membership.cc
+++ b/src/process/state/membership.cc
@@ -29,6 +29,11 @@
   return XXH3_64bits(fields, sizeof(fields));
 }
 
+bool IsNewer(const Member& a, const Member& b) {
+  return a.incarnation > b.incarnation ||
+         (a.incarnation == b.incarnation && Rank(a) > Rank(b));
+}
+
 bool IsUrgentChange(const Member& before, const Member& after) {
   return before.state != after.state || before.suspected != after.suspected;
 }
@@ -129,8 +134,7 @@
   }
   Entry& entry = known->second;
   const Member& held = entry.member;
-  if (delta.incarnation < held.incarnation ||
-      (delta.incarnation == held.incarnation && Rank(delta) <= Rank(held))) {
+  if (!IsNewer(delta, held)) {
     return false;
   }
   Member merged = delta;
@@ -155,6 +159,11 @@
   return true;
 }
 
+bool Membership::KnowsNewer(const Member& record) const {
+  const Member* const held = this->Find(record.instance);
+  return held != nullptr && IsNewer(*held, record);
+}
+
 void Membership::OnTick(TimePoint now) {
   const Duration gap =
       this->last_tick ? now - *this->last_tick : Duration::zero();
@@ -168,36 +177,45 @@
       }
     }
   }
-  std::set<InstanceId> watched = this->connected;
-  watched.insert(this->Neighbours().begin(), this->Neighbours().end());
-  std::vector<InstanceId> forgotten;
-  for (auto& [instance, entry] : this->table) {
-    if (instance == this->self) {
+  std::set<InstanceId> next_watched = this->connected;
+  next_watched.insert(this->Neighbours().begin(), this->Neighbours().end());
+  for (const InstanceId instance : this->watched) {
+    if (!next_watched.contains(instance) && this->table.contains(instance)) {
+      this->table[instance].watched_since.reset();
+    }
+  }
+  this->watched = std::move(next_watched);
+  for (const InstanceId instance : this->watched) {
+    const auto found = this->table.find(instance);
+    if (found == this->table.end()) {
       continue;
     }
-    const Member& member = entry.member;
-    if (!watched.contains(instance)) {
-      entry.watched_since.reset();
-    } else if (!entry.watched_since) {
+    Entry& entry = found->second;
+    if (!entry.watched_since) {
       entry.watched_since = now;
     }
-    if (member.state == MemberState::kDead) {
+    if (entry.member.state != MemberState::kDead && !entry.member.suspected &&
+        now - std::max(entry.evidence_at, *entry.watched_since) >=
+            this->options.suspect_after) {
+      this->Suspect(entry, now);
+    }
+  }
+  std::vector<InstanceId> forgotten;
+  // A copy, as deaths change the set.
+  for (const InstanceId instance : std::set<InstanceId>(this->unsettled)) {
+    Entry& entry = this->table[instance];
+    if (entry.member.state == MemberState::kDead) {
       if (now - entry.dead_at > this->options.forget_dead_after &&
           !this->MayRun(entry)) {
         forgotten.push_back(instance);
       }
-    } else if (member.suspected) {
-      if (now - entry.suspected_at >= this->options.dead_after_suspicion) {
-        this->MarkDead(entry, now);
-      }
-    } else if (entry.watched_since &&
-               now - std::max(entry.evidence_at, *entry.watched_since) >=
-                   this->options.suspect_after) {
-      this->Suspect(entry, now);
+    } else if (now - entry.suspected_at >= this->options.dead_after_suspicion) {
+      this->MarkDead(entry, now);
     }
   }
   for (const InstanceId instance : forgotten) {
     this->changes.erase(this->table[instance].revision);
+    this->unsettled.erase(instance);
     this->table.erase(instance);
   }
 }
@@ -412,6 +430,11 @@
   entry.revision = ++this->table_revision;
   this->changes[entry.revision] = member.instance;
   this->table_digest ^= RecordDigest(entry.member);
+  if (member.suspected || member.state == MemberState::kDead) {
+    this->unsettled.insert(member.instance);
+  } else {
+    this->unsettled.erase(member.instance);
+  }
 }
 
 void Membership::Suspect(Entry& entry, TimePoint now) {
--- a/src/process/state/membership.h
+++ b/src/process/state/membership.h
@@ -53,6 +53,9 @@
   // A record that `from` passed on; returns whether it changed the table.
   bool OnGossip(const Member& delta, InstanceId from, TimePoint now);
 
+  // Whether the table holds a newer record of that member.
+  bool KnowsNewer(const Member& record) const;
+
   // Advances suspicion; call at least every 100 ms.
   void OnTick(TimePoint now);
 
@@ -143,6 +146,10 @@
   // Change revision to instance.
   std::map<uint64_t, InstanceId> changes;
   std::set<InstanceId> connected;
+  // Connected peers and neighbours, as of the last tick.
+  std::set<InstanceId> watched;
+  // Suspected and dead members.
+  std::set<InstanceId> unsettled;
   std::map<std::string, PlatformMember> platform;
   std::set<std::string> left_platform;
   bool platform_known = false;
--- /dev/null
+++ b/tests/support/virtual_store.h
@@ -0,0 +1,61 @@
+#ifndef TESTS_SUPPORT_VIRTUAL_STORE_H_
+#define TESTS_SUPPORT_VIRTUAL_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/process/key_value_client.h"
+#include "tests/support/virtual_time.h"
+
+namespace celerypost {
+
+// Key-value service under virtual time, with outages and lost messages.
+class VirtualStore {
+ public:
+  VirtualStore(VirtualTime& time, uint64_t seed) : time(time), random(seed) {}
+
+  // Client of one process; `reachable` says whether its network path is open.
+  std::unique_ptr<KeyValueClient> MakeClient(std::function<bool()> reachable);
+
+  // Breaks all watches and leaves calls without an answer until it is up again.
+  void SetUp(bool up);
+
+  // Share of transactions whose request or whose answer is lost.
+  double lost_requests = 0;
+  double lost_answers = 0;
+  // Every value that a key had, in order.
+  std::map<std::string, std::vector<std::string>> history;
+  KeyValueCalls calls;
+
+ private:
+  friend class VirtualStoreClient;
+  struct Watcher {
+    KeyRange range;
+    std::function<void(std::vector<KeyValue>)> on_change;
+    std::function<void(Failure)> on_end;
+    std::function<bool()> reachable;
+  };
+
+  void Put(const std::string& key, const std::string& value);
+  bool Chance(double share) {
+    return std::uniform_real_distribution<double>()(this->random) < share;
+  }
+
+  VirtualTime& time;
+  std::mt19937_64 random;
+  bool is_up = true;
+  int64_t revision = 1;
+  std::map<std::string, KeyValue> values;
+  std::map<uint64_t, Watcher> watchers;
+  uint64_t next_watcher = 1;
+};
+
+}  // namespace celerypost
+
+#endif  // TESTS_SUPPORT_VIRTUAL_STORE_H_
