--- a/src/version/chunk_planner.cc
+++ b/src/version/chunk_planner.cc
@@ -8,7 +8,6 @@
 namespace celerypost {
 namespace {
 
-constexpr size_t kEarlierGoals = 3;
 // Consecutive failures or timeouts after which a peer no longer counts as a
 // holder, so that a stalled peer that holds the only copy does not block the
 // others.
@@ -24,7 +23,10 @@
                            std::mt19937_64& random)
     : options(std::move(options)),
       strategy(std::move(strategy)),
-      random(random) {}
+      random(random),
+      timeouts{FetchTimeout(this->options.timeout),
+               FetchTimeout(this->options.timeout),
+               FetchTimeout(this->options.timeout)} {}
 
 ChunkPlanner::~ChunkPlanner() = default;
 
@@ -33,13 +35,7 @@
     peer.holds.clear();
   }
   if (!this->goal.chunks.empty() && this->goal.set != new_goal.set) {
-    std::erase_if(this->earlier, [this](const ChunkGoal& known) {
-      return known.set == this->goal.set;
-    });
-    this->earlier.push_front(std::move(this->goal));
-    if (this->earlier.size() > kEarlierGoals) {
-      this->earlier.pop_back();
-    }
+    this->earlier.Remember(std::move(this->goal));
   }
   this->goal = std::move(new_goal);
   this->position_of.clear();
@@ -49,6 +45,7 @@
     const Digest& digest = this->goal.chunks[i].digest;
     this->position_of[digest] = i;
     this->positions[i].held = this->held.contains(digest);
+    this->positions[i].in_flight = this->fetches.contains(digest);
     this->goal_held += this->positions[i].held ? 1 : 0;
   }
   std::vector<Fetch> unwanted;
@@ -116,25 +113,8 @@
 }
 
 void ChunkPlanner::ApplyHave(Peer& peer, TimePoint now) {
-  std::vector<bool> holds(this->positions.size(), false);
-  if (peer.have.set == this->goal.set) {
-    for (size_t i = 0; i < holds.size(); ++i) {
-      holds[i] = TestBit(peer.have.bitmap, i);
-    }
-  } else {
-    for (const ChunkGoal& known : this->earlier) {
-      if (known.set != peer.have.set) {
-        continue;
-      }
-      for (size_t i = 0; i < known.chunks.size(); ++i) {
-        const auto position = this->position_of.find(known.chunks[i].digest);
-        if (position != this->position_of.end() &&
-            TestBit(peer.have.bitmap, i)) {
-          holds[position->second] = true;
-        }
-      }
-    }
-  }
+  const std::vector<bool> holds =
+      this->earlier.Holds(peer.have, this->goal, this->position_of);
   peer.holds.resize(this->positions.size(), false);
   for (size_t i = 0; i < holds.size(); ++i) {
     this->SetHolds(peer, i, holds[i], now);
@@ -169,6 +149,9 @@
                         ? entry.holders_in_region
                         : entry.holders_elsewhere;
   const bool had = count > 0;
+  if (entry.holders_in_region + entry.holders_elsewhere == 0) {
+    this->last_new_chunk = now;
+  }
   count += change;
   if (had != (count > 0)) {
     this->strategy->OnAvailability(position, entry.holders_in_region,
@@ -184,6 +167,8 @@
 
 void ChunkPlanner::Avoid(Peer& peer, Duration period, TimePoint now) {
   peer.avoided_until = std::max(peer.avoided_until, now + period);
+  this->next_avoidance_end =
+      std::min(this->next_avoidance_end, peer.avoided_until);
   this->SetAvoided(peer, true, now);
 }
 
@@ -200,6 +185,21 @@
   }
 }
 
+void ChunkPlanner::EndAvoidance(TimePoint now) {
+  if (now < this->next_avoidance_end) {
+    return;
+  }
+  this->next_avoidance_end = TimePoint::max();
+  for (auto& [instance, peer] : this->peers) {
+    if (peer.avoided && now >= peer.avoided_until) {
+      this->SetAvoided(peer, false, now);
+    } else if (peer.avoided) {
+      this->next_avoidance_end =
+          std::min(this->next_avoidance_end, peer.avoided_until);
+    }
+  }
+}
+
 void ChunkPlanner::OnChunk(const Digest& digest,
                            FetchSource source,
                            FetchOutcome outcome,
@@ -212,10 +212,8 @@
     const Fetch fetch = found->second;
     this->EndFetch(fetch);
     if (outcome == FetchOutcome::kStored) {
-      const Duration taken = now - fetch.started;
-      this->usual_duration = this->usual_duration
-                                 ? (*this->usual_duration * 7 + taken) / 8
-                                 : taken;
+      this->Timeout(fetch.source, fetch.crosses_regions)
+          .OnEnded(now - fetch.started);
     }
   }
   if (outcome == FetchOutcome::kStored) {
@@ -236,18 +234,12 @@
                                    TimePoint now,
                                    std::optional<Duration> retry_after) {
   if (outcome == FetchOutcome::kStored) {
-    this->origin_refusals = 0;
+    this->origin_backoff.OnSuccess();
     return;
   }
-  Duration wait =
-      this->Jittered(this->options.origin_backoff, this->origin_refusals,
-                     this->options.max_origin_backoff);
-  ++this->origin_refusals;
-  if (retry_after) {
-    // Jitter on top, so that agents refused together do not return together.
-    wait += *retry_after;
-  }
-  this->origin_usable_from = std::max(this->origin_usable_from, now + wait);
+  this->origin_backoff.OnRefused(this->options.origin_backoff,
+                                 this->options.max_origin_backoff, retry_after,
+                                 this->random, now);
 }
 
 void ChunkPlanner::OnPeerOutcome(const Digest& digest,
@@ -265,7 +257,7 @@
   Peer& peer = found->second;
   switch (outcome) {
     case FetchOutcome::kStored:
-      peer.refusals = 0;
+      peer.backoff.OnSuccess();
       peer.failures = 0;
       return;
     case FetchOutcome::kCorrupt: {
@@ -292,23 +284,9 @@
     case FetchOutcome::kNoRoom:
       break;
   }
-  Duration wait = this->Jittered(this->options.peer_backoff, peer.refusals,
-                                 this->options.max_peer_backoff);
-  ++peer.refusals;
-  if (retry_after) {
-    wait += *retry_after;
-  }
-  peer.usable_from = std::max(peer.usable_from, now + wait);
-}
-
-Duration ChunkPlanner::Jittered(Duration base,
-                                uint32_t refusals,
-                                Duration limit) {
-  const Duration full =
-      std::min(base * (1u << std::min<uint32_t>(refusals, 16)), limit);
-  // Between half and all of it.
-  std::uniform_real_distribution<double> share(0.5, 1.0);
-  return std::chrono::duration_cast<Duration>(full * share(this->random));
+  peer.backoff.OnRefused(this->options.peer_backoff,
+                         this->options.max_peer_backoff, retry_after,
+                         this->random, now);
 }
 
 void ChunkPlanner::OnHeld(const Digest& digest, TimePoint /*now*/) {
@@ -338,6 +316,13 @@
 }
 
 void ChunkPlanner::EndFetch(const Fetch& fetch) {
+  if (fetch.crosses_regions) {
+    --this->cross_in_flight;
+  }
+  const auto position = this->position_of.find(fetch.chunk.digest);
+  if (position != this->position_of.end()) {
+    this->positions[position->second].in_flight = false;
+  }
   if (fetch.source.origin) {
     --this->origin_in_flight;
   } else {
@@ -350,24 +335,26 @@
   this->fetches.erase(digest);
 }
 
-Duration ChunkPlanner::Timeout() const {
-  if (!this->usual_duration) {
-    return this->options.initial_timeout;
-  }
-  return std::clamp(*this->usual_duration * 4, this->options.min_timeout,
-                    this->options.max_timeout);
+FetchTimeout& ChunkPlanner::Timeout(FetchSource source, bool crosses) {
+  return this->timeouts[source.origin ? 2 : (crosses ? 1 : 0)];
 }
 
 void ChunkPlanner::ExpireFetches(TimePoint now) {
   std::vector<Fetch> expired;
   for (const auto& [digest, fetch] : this->fetches) {
-    if (now >= fetch.deadline) {
+    // While chunks come from the origin, it is slow rather than stalled; asking
+    // again would put the request at the end of its queue.
+    const bool queued =
+        fetch.source.origin &&
+        now < this->last_new_chunk + this->options.timeout.initial;
+    if (now >= fetch.deadline && !queued) {
       expired.push_back(fetch);
     }
   }
   for (const Fetch& fetch : expired) {
     this->EndFetch(fetch);
     this->cancelled.push_back({fetch.chunk.digest, fetch.source});
+    this->Timeout(fetch.source, fetch.crosses_regions).OnExpired();
     if (fetch.source.origin) {
       this->OnOriginOutcome(FetchOutcome::kFailed, now, std::nullopt);
     } else {
@@ -375,12 +362,6 @@
                           FetchOutcome::kFailed, now, std::nullopt);
     }
   }
-  // When every transfer slows down, the usual duration must follow although
-  // none of them ends.
-  if (!expired.empty() && this->usual_duration) {
-    *this->usual_duration =
-        std::min(*this->usual_duration * 3 / 2, this->options.max_timeout);
-  }
 }
 
 void ChunkPlanner::UpdateView(bool new_goal, TimePoint now) {
@@ -413,8 +394,7 @@
 std::vector<size_t> ChunkPlanner::Missing() {
   std::vector<size_t> missing;
   for (size_t i = 0; i < this->positions.size(); ++i) {
-    if (!this->positions[i].held &&
-        !this->fetches.contains(this->goal.chunks[i].digest)) {
+    if (!this->positions[i].held && !this->positions[i].in_flight) {
       missing.push_back(i);
     }
   }
@@ -445,13 +425,13 @@
   chunk.holders_elsewhere = entry.holders_elsewhere;
   chunk.cross_regions = limits.cross_regions;
   chunk.origin_usable =
-      now >= this->origin_usable_from &&
+      this->origin_backoff.Usable(now) &&
       this->origin_in_flight < this->options.max_origin_fetches &&
       (limits.cross_regions || !this->Crosses(FetchSource::Origin()));
   for (const InstanceId instance : entry.holders) {
     const Peer& peer = this->peers.at(instance);
     const bool crosses = peer.state.region != this->options.region;
-    if (!peer.avoided && now >= peer.usable_from &&
+    if (!peer.avoided && peer.backoff.Usable(now) &&
         peer.in_flight < this->options.max_fetches_per_peer &&
         (limits.cross_regions || !crosses)) {
       chunk.usable.push_back({instance, peer.state.region, peer.in_flight});
@@ -462,11 +442,7 @@
 
 PlannerActions ChunkPlanner::Next(TimePoint now, NextLimits limits) {
   this->ExpireFetches(now);
-  for (auto& [instance, peer] : this->peers) {
-    if (peer.avoided && now >= peer.avoided_until) {
-      this->SetAvoided(peer, false, now);
-    }
-  }
+  this->EndAvoidance(now);
   PlannerActions actions;
   actions.cancel = std::exchange(this->cancelled, {});
   if (this->view_dirty) {
@@ -478,6 +454,9 @@
     return actions;
   }
   for (const size_t position : this->Missing()) {
+    limits.cross_regions =
+        limits.cross_regions &&
+        this->cross_in_flight < this->options.max_cross_fetches;
     if (actions.fetch.size() >= limits.fetches ||
         this->fetches.size() >= this->options.max_fetches) {
       break;
@@ -488,29 +467,22 @@
       continue;
     }
     const ChunkRef& chunk = this->goal.chunks[position];
-    this->fetches[chunk.digest] = {chunk, *source, now, now + this->Timeout()};
+    const bool crosses = this->Crosses(*source);
+    this->fetches[chunk.digest] = {
+        chunk, *source, crosses, now,
+        now + this->Timeout(*source, crosses).Value()};
+    this->positions[position].in_flight = true;
+    this->cross_in_flight += crosses ? 1 : 0;
     if (source->origin) {
       ++this->origin_in_flight;
     } else {
       ++this->peers.at(source->peer).in_flight;
     }
-    actions.fetch.push_back({chunk, *source, this->Crosses(*source)});
+    actions.fetch.push_back({chunk, *source, crosses});
   }
   return actions;
 }
 
-bool ChunkPlanner::complete() const {
-  return this->goal.whole && this->goal_held == this->positions.size();
-}
-
-bool ChunkPlanner::Holds(const Digest& digest) const {
-  return this->held.contains(digest);
-}
-
-bool ChunkPlanner::Wants(const Digest& digest) const {
-  return this->position_of.contains(digest);
-}
-
 HaveAnnouncement ChunkPlanner::Have() const {
   HaveAnnouncement have;
   have.set = this->goal.set;
