Report a question without an answer as unknown; print small bounds plainly

Cause: with the key-value service down, ctl change said 'not changed' and exited with 3 for a change that may be in force. Seen against a real entry without a key-value service. Histogram bounds below 1 ms were printed as 1e-04.

Change: ctl change exits with 4 unless the entry says accepted or not stored. Numbers from 1e-9 to 1e9 are printed without exponent.

--- a/src/process/ctl_outcome.cc
+++ b/src/process/ctl_outcome.cc
@@ -137,20 +137,22 @@
 
 CtlOutcome JudgeChangeQuery(const Result<HttpResponse>& answer) {
   CtlOutcome outcome = JudgeRead(answer);
-  if (!answer) {
+  const OutcomeName* const known =
+      answer ? FindOutcome(answer->status, outcome.body) : nullptr;
+  if (known != nullptr && known->exit != CtlExit::kUnavailable) {
+    Apply(outcome, *known);
     return outcome;
   }
-  if (const OutcomeName* known = FindOutcome(answer->status, outcome.body)) {
-    Apply(outcome, *known);
-  } else if (answer->status == 404) {
+  if (answer && answer->status == 404) {
     outcome.name = "not_found";
     outcome.message = "not applied: no stored change has this id";
-  } else if (outcome.exit == CtlExit::kDone) {
-    outcome.exit = CtlExit::kUnknown;
-    outcome.name = "unknown";
-    outcome.message =
-        std::string(kUnknownMessage) + ": the entry gave an unexpected answer";
+    return outcome;
   }
+  outcome.exit = CtlExit::kUnknown;
+  outcome.name = "unknown";
+  outcome.message =
+      "the outcome cannot be found out now: " +
+      (outcome.message.empty() ? "unexpected answer" : outcome.message);
   return outcome;
 }
 
--- a/src/process/ctl_outcome.h
+++ b/src/process/ctl_outcome.h
@@ -43,7 +43,9 @@
 // not show clearly that nothing was changed is kUnknown.
 CtlOutcome JudgeChange(const Result<HttpResponse>& answer);
 
-// Judges the answer to GET /v1/operator/changes/<id>.
+// Judges the answer to GET /v1/operator/changes/<id>: accepted, not applied or
+// kUnknown. A question that is refused or not answered says nothing about the
+// change, so it is kUnknown, too.
 CtlOutcome JudgeChangeQuery(const Result<HttpResponse>& answer);
 
 // Judges the answer to any other read; `name` is "ok" when it succeeded.
--- a/src/process/metrics.cc
+++ b/src/process/metrics.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 #include "celerypost/assert.h"
 
@@ -11,8 +12,13 @@
 
 std::string FormatNumber(double value) {
   std::array<char, 32> buffer;
-  const auto end =
-      std::to_chars(buffer.data(), buffer.data() + buffer.size(), value);
+  // Bounds below a millisecond would otherwise appear as 1e-04.
+  const double magnitude = std::abs(value);
+  const auto format = magnitude >= 1e-9 && magnitude < 1e9
+                          ? std::chars_format::fixed
+                          : std::chars_format::general;
+  const auto end = std::to_chars(buffer.data(), buffer.data() + buffer.size(),
+                                 value, format);
   return {buffer.data(), end.ptr};
 }
 
--- a/tests/process/metrics_test.cc
+++ b/tests/process/metrics_test.cc
@@ -1,6 +1,8 @@
 #include "src/process/metrics.h"
 
 #include <chrono>
+#include <utility>
+#include <vector>
 
 #include "CppUTest/TestHarness.h"
 
@@ -71,6 +73,24 @@
   STRCMP_CONTAINS("h_seconds_count 5\n", text.c_str());
 }
 
+// Guards against numbers that do not fit their buffer or are not plain.
+TEST(MetricsTest, FormatsNumbersOfAllSizes) {
+  Gauge& gauge = this->metrics.AddGauge("g", "");
+  for (const auto& [value, text] :
+       std::vector<std::pair<double, const char*>>{{0.0001, "\ng 0.0001\n"},
+                                                   {1e300, "\ng 1e+300\n"},
+                                                   {-1e-300, "\ng -1e-300\n"},
+                                                   {1e8 / 3, "\ng 33333333."},
+                                                   {1e-9 / 3, "\ng 3.3333"},
+                                                   {2e-9 / 3, "\ng 6.66666"},
+                                                   {-5e-9 / 3, "\ng -0.00000"},
+                                                   {123456789, "g 123456789\n"},
+                                                   {0, "\ng 0\n"}}) {
+    gauge.Set(value);
+    STRCMP_CONTAINS(text, this->metrics.Expose().c_str());
+  }
+}
+
 // Guards against default bounds out of order, which would lose observations.
 TEST(MetricsTest, DefaultBoundsAscend) {
   const auto bounds = DefaultLatencyBounds();
