--- /dev/null
+++ b/tests/standins/blocking_client.h
@@ -0,0 +1,28 @@
+#ifndef TESTS_STANDINS_BLOCKING_CLIENT_H_
+#define TESTS_STANDINS_BLOCKING_CLIENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "src/connection/http_client.h"
+
+namespace celerypost::standins {
+
+// Sends a request to a loopback port and runs the loop until the answer is
+// whole, at most `limit` long.
+Result<HttpResponse> Call(
+    Loop& loop,
+    uint16_t port,
+    HttpRequest request,
+    std::chrono::milliseconds limit = std::chrono::seconds(5));
+
+// Call with a body.
+Result<HttpResponse> Post(Loop& loop,
+                          uint16_t port,
+                          const std::string& path,
+                          const std::string& body);
+
+}  // namespace celerypost::standins
+
+#endif  // TESTS_STANDINS_BLOCKING_CLIENT_H_
--- /dev/null
+++ b/tests/standins/cold_clock.cc
@@ -0,0 +1,80 @@
+#include "tests/standins/cold_clock.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace celerypost::standins {
+
+namespace {
+
+// Requests that the caller's side sent before the slow answer reached it.
+constexpr int64_t kAnswerTravelMs = 20;
+
+}  // namespace
+
+void ColdClock::Configure(const nlohmann::json& settings) {
+  this->cold = settings.value("cold", this->cold);
+  this->full = settings.value("full", this->full);
+  this->warm_up_ms = settings.value("warm_up_ms", this->warm_up_ms);
+}
+
+void ColdClock::Restart(int64_t now_ms) {
+  this->cold_since_ms = now_ms;
+  this->visible_from_ms = now_ms;
+}
+
+void ColdClock::TurnColdWithoutSign(int64_t now_ms) {
+  this->cold_since_ms = now_ms;
+  this->visible_from_ms = -1;
+}
+
+void ColdClock::OnSlowAnswer(int64_t now_ms) {
+  if (this->visible_from_ms < 0) {
+    // The warm-up starts when the callers can start to spare the target.
+    this->cold_since_ms = now_ms;
+    this->visible_from_ms = now_ms + kAnswerTravelMs;
+  }
+}
+
+bool ColdClock::IsCold(int64_t now_ms) const {
+  return this->visible_from_ms < 0 ||
+         now_ms < this->cold_since_ms + this->warm_up_ms;
+}
+
+int64_t ColdClock::Bound(int64_t now_ms) const {
+  if (this->visible_from_ms < 0) {
+    return this->cold;
+  }
+  if (!this->IsCold(now_ms)) {
+    return this->full;
+  }
+  const double share = static_cast<double>(now_ms - this->cold_since_ms) /
+                       static_cast<double>(this->warm_up_ms);
+  const double growth =
+      static_cast<double>(this->full) / static_cast<double>(this->cold);
+  return static_cast<int64_t>(
+      std::floor(static_cast<double>(this->cold) * std::pow(growth, share)));
+}
+
+void ColdClock::OnArrival(int64_t in_flight, int64_t now_ms) {
+  if (this->IsCold(now_ms)) {
+    ++this->cold_arrivals;
+    this->highest_in_flight_cold =
+        std::max(this->highest_in_flight_cold, in_flight);
+  }
+  if (in_flight > this->Bound(now_ms)) {
+    const bool visible =
+        this->visible_from_ms >= 0 && now_ms >= this->visible_from_ms;
+    ++(visible ? this->over_bound : this->over_bound_unseen);
+  }
+}
+
+void ColdClock::AddFigures(nlohmann::json& figures, int64_t now_ms) const {
+  figures["over_bound"] = this->over_bound;
+  figures["over_bound_unseen"] = this->over_bound_unseen;
+  figures["cold_arrivals"] = this->cold_arrivals;
+  figures["highest_in_flight_cold"] = this->highest_in_flight_cold;
+  figures["cold"] = this->IsCold(now_ms) ? 1 : 0;
+}
+
+}  // namespace celerypost::standins
