--- a/tests/standins/engine.h
+++ b/tests/standins/engine.h
@@ -72,7 +72,7 @@
   int64_t highest_fencing = 0;
   bool check_fencing = true;
   int64_t token_ms = 5;
-  int64_t prefill_ms = 5;
+  int64_t prefill_ms = 30;
   int64_t cold_factor = 6;
   std::list<Running> running;
   Timer tick;
--- a/tests/standins/engine_test.cc
+++ b/tests/standins/engine_test.cc
@@ -127,7 +127,7 @@
   LONGS_EQUAL(4, clock.Bound(1000));
   LONGS_EQUAL(32, clock.Bound(4000));
   clock.OnArrival(2, 0);
-  clock.OnArrival(3, 999);
+  clock.OnArrival(4, 999);
   clock.OnArrival(4, 1000);
   Json figures;
   clock.AddFigures(figures, 1000);
--- a/tests/standins/key_value_service.cc
+++ b/tests/standins/key_value_service.cc
@@ -73,7 +73,7 @@
   const Json answer = (this->*route->second.run)(body);
   if (path == "/v3/kv/txn" && this->lose_answers > 0) {
     --this->lose_answers;
-    responder->Abort();
+    LoseAnswer(*responder);
     return;
   }
   responder->SendJson(200, answer.dump());
--- a/tests/standins/plain_service.cc
+++ b/tests/standins/plain_service.cc
@@ -79,7 +79,7 @@
       this->cold_clock.OnSlowAnswer(MonotonicMs());
     }
     if (lose) {
-      responder->Abort();
+      LoseAnswer(*responder);
       return;
     }
     responder->Send(
--- a/tests/standins/stand_in.cc
+++ b/tests/standins/stand_in.cc
@@ -128,6 +128,14 @@
   }
 }
 
+void StandIn::LoseAnswer(HttpResponder& responder) {
+  // Without a part of the body, a broken answer looks like an empty one that
+  // ends with its connection.
+  responder.Start(200, {});
+  responder.Write(" ");
+  responder.Abort();
+}
+
 Json StandIn::Report() const {
   Json figures = this->Figures();
   figures["name"] = this->own_name;
--- a/tests/standins/stand_in.h
+++ b/tests/standins/stand_in.h
@@ -62,6 +62,8 @@
   void CountNewWork() { this->last_new_work_ms = MonotonicMs(); }
   // Runs `task` after `delay` unless this object is gone by then.
   void After(std::chrono::milliseconds delay, std::function<void()> task);
+  // Breaks the answer off: the head arrives, the end of the body does not.
+  static void LoseAnswer(HttpResponder& responder);
   // Closes the data port and its connections and opens it again, as the end
   // and the start of a process do.
   void ReopenDataPort();
