--- a/src/process/flags.cc
+++ b/src/process/flags.cc
@@ -57,6 +57,9 @@
               "",
               "IPv4:port of the weight origin; port 1 to 65535; required when "
               "target_kind is engine");
+DEFINE_string(origin_region,
+              "",
+              "region of the weight origin; empty for the agent's own region");
 DEFINE_string(weights_memory_mb, "64", "memory for chunks, in MiB; 1 to 65536");
 DEFINE_string(link_mbit,
               "1000",
@@ -91,8 +94,8 @@
               "required for changes");
 DEFINE_string(id,
               "",
-              "id of the change, 1 to 100 of a-z A-Z 0-9 . _ -; the same id "
-              "applies once; default: a random id");
+              "id of the change, by which an unknown outcome is settled; 1 to "
+              "64 of a-z A-Z 0-9 . _ -; default: a random id");
 DEFINE_string(expected_number,
               "",
               "refuse the change unless the configuration has this number; 0 "
@@ -112,7 +115,7 @@
               "",
               "name of the manifest; 1 to 100 of a-z A-Z 0-9 . _ -; default: "
               "that of the description");
-DEFINE_string(chunk_kb, "1024", "size of a chunk, in KiB; 4 to 65536");
+DEFINE_string(chunk_kb, "1024", "size of a chunk, in KiB; 4 to 1024");
 
 namespace celerypost {
 namespace {
@@ -140,6 +143,7 @@
     {"target_address", kAgent},
     {"target_kind", kAgent},
     {"origin_address", kAgent},
+    {"origin_region", kAgent},
     {"weights_memory_mb", kAgent},
     {"link_mbit", kAgent},
     {"region_link_mbit", kAgent},
--- a/src/process/gossip_task.h
+++ b/src/process/gossip_task.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,7 +45,9 @@
   uint64_t bytes_received = 0;
   // Frames that were refused: malformed, or with values out of range.
   uint64_t bad_frames = 0;
-  // Reads that showed an older configuration than the one in force.
+  // Values in the key-value service that are no documents.
+  uint64_t bad_documents = 0;
+  // Reads that showed an older document than the one in force.
   uint64_t store_went_back = 0;
 };
 
@@ -98,7 +101,7 @@
   void Tick();
   void Beat();
   void Probe();
-  void RefreshNeighbours();
+  void OnTableChanged();
   void RefreshWitnesses();
   void ScheduleFlush();
   void Deliver(std::vector<GossipMessage> messages);
@@ -107,10 +110,11 @@
   int64_t WireClock() const;
 
   // Key-value service, at witnesses.
-  void ReadStore();
-  void OnStoreRead(TimePoint asked_at, const Result<KeyValueRange>& range);
-  void LoadAll(TimePoint asked_at);
-  void OnAllLoaded(TimePoint asked_at, const Result<KeyValueRange>& range);
+  void StoreTick();
+  void ReadStore(bool keys_only);
+  void OnStoreRead(TimePoint asked_at,
+                   bool keys_only,
+                   const Result<KeyValueRange>& range);
   void OpenWatch(int64_t from_revision);
   void TakeFromStore(const KeyValue& item);
   void IssueStamp(bool store_reachable, Duration age);
@@ -133,20 +137,25 @@
   Membership members;
   Gossip gossip;
   std::map<InstanceId, Echo> echoes;
-  std::vector<InstanceId> neighbours;
-  uint64_t neighbours_revision = 0;
   uint64_t seen_revision = 0;
+  std::map<RegionName, std::vector<InstanceId>> proposed_witnesses;
+  std::set<InstanceId> silent_members;
   size_t next_probe = 0;
   GossipCounters counts;
   std::function<void(const VersionedDocument&)> on_document;
   std::function<void()> on_members_changed;
 
-  // Whether a read of the key-value service is under way.
+  // A read is under way.
   bool reading = false;
   // Last known revisions by key; empty until the first whole read.
   std::map<std::string, int64_t, std::less<>> store_revisions;
   bool loaded = false;
-  uint64_t read_generation = 0;
+  // When the last answered read was sent.
+  std::optional<TimePoint> answered_read;
+  uint64_t stamped_number = 0;
+  // The stored configuration is malformed or newer than the one in force, so a
+  // read proves nothing about this process's number.
+  bool store_ahead = false;
   std::unique_ptr<KeyValueWatch> watch;
 
   std::unique_ptr<ScheduledCall> tick_call;
