--- a/tests/scenarios/caller.cc
+++ b/tests/scenarios/caller.cc
@@ -75,9 +75,8 @@
   this->addresses = body["addresses"].get<std::vector<std::string>>();
   this->current = 0;
   this->prefix = body.value("request_id_prefix", "");
-  this->valid_until =
-      this->loop.Now() +
-      std::chrono::milliseconds(body.value("max_age_ms", int64_t{1000}));
+  this->valid_until = this->loop.Now() + std::chrono::milliseconds(body.value(
+                                             "max_age_ms", int64_t{1000}));
 }
 
 void Caller::MoveOn(const std::string& address) {
--- a/tests/scenarios/figures.cc
+++ b/tests/scenarios/figures.cc
@@ -139,8 +139,8 @@
            static_cast<double>(size->second);
   }
   if (kind == "last_work_s" || kind == "last_work_after_stop_s") {
-    const int64_t since = kind == "last_work_s" ? this->state.changed_ms
-                                                : this->state.stopped_ms;
+    const int64_t since =
+        kind == "last_work_s" ? this->state.changed_ms : this->state.stopped_ms;
     double last = -1;
     for (const std::string& target : this->fleet.Targets(argument)) {
       const auto at = Number(this->fleet.Report(target), "last_new_work_ms");
--- a/tests/scenarios/fleet.cc
+++ b/tests/scenarios/fleet.cc
@@ -54,11 +54,12 @@
     const uint16_t control = this->FreePort();
     this->platform_ports[name] = port;
     this->control_ports[name] = control;
-    arguments.push_back(Json{{"kind", kind},
-                             {"name", name},
-                             {"port", port},
-                             {"control_port", control}}
-                            .dump());
+    arguments.push_back(Json{
+        {"kind", kind},
+        {"name", name},
+        {"port", port},
+        {"control_port",
+         control}}.dump());
   }
   this->table.Start("platform", arguments, {});
   this->WaitFor(this->control_ports["link"], "platform");
@@ -208,6 +209,37 @@
   return error;
 }
 
+std::string Fleet::WaitReady() {
+  size_t members = 0;
+  for (const auto& [name, node] : this->nodes) {
+    members += node.role != "target" && this->table.IsRunning(name) ? 1 : 0;
+  }
+  const TimePoint limit = Clock::now() + std::chrono::seconds(10);
+  std::string waiting;
+  for (const auto& [name, node] : this->nodes) {
+    while (node.role == "entry" && this->table.IsRunning(name)) {
+      HttpRequest request;
+      request.path = "/healthz";
+      const auto health =
+          standins::Call(this->loop, node.ports.at("http"), request);
+      const Json status = this->Operator(name, "/v1/operator/status");
+      size_t live = 0;
+      for (const Json& member : status.value("members", Json::array())) {
+        live += member.value("state", "") == "live" ? 1 : 0;
+      }
+      if (health && health->status == 200 && live >= members) {
+        break;
+      }
+      if (Clock::now() > limit) {
+        return name + " is not ready; it knows " + std::to_string(live) +
+               " live members of " + std::to_string(members);
+      }
+      this->loop.RunFor(std::chrono::milliseconds(20));
+    }
+  }
+  return "";
+}
+
 std::string Fleet::Kill(const std::string& name) {
   if (!this->table.Signal(name, SIGKILL)) {
     return name + " does not run";
@@ -241,9 +273,8 @@
 }
 
 Json Fleet::Control(const std::string& stand_in, const Json& order) {
-  const auto answer =
-      standins::Post(this->loop, this->control_ports[stand_in], "/control",
-                     order.dump());
+  const auto answer = standins::Post(this->loop, this->control_ports[stand_in],
+                                     "/control", order.dump());
   return answer ? Json::parse(answer->body, nullptr, false)
                 : Json{{"error", answer.error().message}};
 }
@@ -260,9 +291,8 @@
   HttpRequest request;
   request.path = path;
   request.headers = {
-      {"authorization",
-       SignRequest(SharedKey(kSharedKey), "GET", path,
-                   std::chrono::system_clock::now(), "")}};
+      {"authorization", SignRequest(SharedKey(kSharedKey), "GET", path,
+                                    std::chrono::system_clock::now(), "")}};
   const auto answer = standins::Call(
       this->loop, this->nodes.at(entry).ports.at("operator"), request);
   return answer ? Json::parse(answer->body, nullptr, false) : Json::object();
@@ -330,7 +360,7 @@
     const bool engine = kind == "engine";
     Json& entry = services[service];
     const std::string zone = Get(node.words, "zone", "");
-    Json zones = entry.value("zones", Json::array());
+    Json zones = entry.is_null() ? Json::array() : entry["zones"];
     if (std::find(zones.begin(), zones.end(), Json(zone)) == zones.end()) {
       zones.push_back(zone);
     }
--- a/tests/scenarios/fleet.h
+++ b/tests/scenarios/fleet.h
@@ -38,6 +38,9 @@
   std::string StartAgent(const std::string& name, const Words& words);
   // Starts a process again with the arguments of its first start.
   std::string Restart(const std::string& name);
+  // Waits until every running entry says that it is ready and knows all running
+  // processes.
+  std::string WaitReady();
   // Ends a process at once; the platform notices.
   std::string Kill(const std::string& name);
   // Planned stop: the platform lists the VM as leaving, then SIGTERM.
--- a/tests/scenarios/load_generator.cc
+++ b/tests/scenarios/load_generator.cc
@@ -108,9 +108,9 @@
   }
   const Duration elapsed = std::min<Duration>(this->loop.Now() - this->started,
                                               this->options.duration);
-  const auto due = static_cast<int64_t>(
-      std::chrono::duration<double>(elapsed).count() *
-      this->options.requests_per_second);
+  const auto due =
+      static_cast<int64_t>(std::chrono::duration<double>(elapsed).count() *
+                           this->options.requests_per_second);
   while (this->begun < due) {
     this->Begin();
   }
@@ -118,8 +118,7 @@
 
 void LoadGenerator::Begin() {
   Exchange& exchange = this->running.emplace_back();
-  exchange.caller =
-      this->callers[this->begun % this->callers.size()].get();
+  exchange.caller = this->callers[this->begun % this->callers.size()].get();
   exchange.payload = "request " + std::to_string(this->begun) + " of " +
                      std::to_string(reinterpret_cast<uintptr_t>(this)) + "," +
                      std::to_string(this->started.time_since_epoch().count());
@@ -135,12 +134,11 @@
   request.method = "POST";
   request.path = "/s/" + this->options.service +
                  (this->options.engine ? "/v1/completions" : "/orders");
-  request.headers = {
-      {"content-type", "application/json"},
-      {"celerypost-workspace", this->options.workspace},
-      {"celerypost-priority", this->options.priority},
-      {"celerypost-deadline-ms", "10000"},
-      {"celerypost-attempt", std::to_string(exchange.attempt)}};
+  request.headers = {{"content-type", "application/json"},
+                     {"celerypost-workspace", this->options.workspace},
+                     {"celerypost-priority", this->options.priority},
+                     {"celerypost-deadline-ms", "10000"},
+                     {"celerypost-attempt", std::to_string(exchange.attempt)}};
   if (!this->options.engine) {
     request.headers.emplace_back("celerypost-request-id", exchange.id);
   }
@@ -155,7 +153,8 @@
 
 void LoadGenerator::Attempt(Exchange& exchange) {
   exchange.address = exchange.caller->Address();
-  if (exchange.address.empty() || exchange.caller->Prefix().empty()) {
+  if (exchange.address.empty() ||
+      (!this->options.engine && exchange.caller->Prefix().empty())) {
     // Waits for the answer of /v1/entries, as long as an attempt may take.
     if (this->loop.Now() - exchange.started >
         this->options.attempt_timeout * this->options.attempts) {
@@ -170,6 +169,8 @@
     return;
   }
   if (exchange.id.empty()) {
+    // An entry gives no prefix for services whose requests may be repeated;
+    // the id is then used in messages only.
     exchange.id = exchange.caller->Prefix() + "-" +
                   Sha256Hex(exchange.payload).substr(0, 16);
   }
@@ -206,8 +207,8 @@
     exchange.caller->Expire();
   }
   if (exchange.head.status != 200) {
-    const bool not_run = FindHeader(exchange.head.headers,
-                                    "celerypost-verdict") == "not-run";
+    const bool not_run =
+        FindHeader(exchange.head.headers, "celerypost-verdict") == "not-run";
     this->results.refused += not_run ? 1 : 0;
     exchange.head.status = 0;
     this->OnAttemptFailed(exchange, not_run, exchange.body);
--- a/tests/scenarios/main.cc
+++ b/tests/scenarios/main.cc
@@ -1,4 +1,5 @@
-// scenario_runner --celerypost <binary> --standins <binary> --output <directory>
+// scenario_runner --celerypost <binary> --standins <binary> --output
+// <directory>
 //     [--json] [--quiet] <scenario file>...
 //
 // Runs scenarios against real processes; README.md describes the language. The
@@ -66,8 +67,7 @@
   int failed = files.empty() ? 1 : 0;
   const std::string output = options.output;
   for (const std::string& file : files) {
-    options.output =
-        output + "/" + std::filesystem::path(file).stem().string();
+    options.output = output + "/" + std::filesystem::path(file).stem().string();
     std::filesystem::remove_all(options.output);
     std::filesystem::create_directories(options.output);
     celerypost::Loop loop;
--- a/tests/scenarios/process_table.cc
+++ b/tests/scenarios/process_table.cc
@@ -65,8 +65,7 @@
 }
 
 bool ProcessTable::Signal(const std::string& name, int signal) {
-  return this->IsRunning(name) &&
-         kill(this->children[name].pid, signal) == 0;
+  return this->IsRunning(name) && kill(this->children[name].pid, signal) == 0;
 }
 
 bool ProcessTable::IsRunning(const std::string& name) {
--- a/tests/scenarios/scenario.cc
+++ b/tests/scenarios/scenario.cc
@@ -32,8 +32,7 @@
   const char* end = text.data() + text.size();
   const auto parsed = std::from_chars(text.data(), end, value);
   const std::string unit(parsed.ptr, end);
-  return milliseconds(
-      static_cast<int64_t>(unit == "s" ? value * 1000 : value));
+  return milliseconds(static_cast<int64_t>(unit == "s" ? value * 1000 : value));
 }
 
 // "64k", "1m" or a plain number of bytes.
@@ -89,15 +88,15 @@
 
 const std::map<std::string, Scenario::Command>& Scenario::Commands() {
   static const auto* commands = new std::map<std::string, Command>{
-      {"start", &Scenario::Start},     {"restart", &Scenario::Signal},
-      {"kill", &Scenario::Signal},     {"stop", &Scenario::Signal},
-      {"freeze", &Scenario::Signal},   {"resume", &Scenario::Signal},
-      {"fault", &Scenario::Fault},     {"set", &Scenario::Fault},
+      {"start", &Scenario::Start},      {"restart", &Scenario::Signal},
+      {"kill", &Scenario::Signal},      {"stop", &Scenario::Signal},
+      {"freeze", &Scenario::Signal},    {"resume", &Scenario::Signal},
+      {"fault", &Scenario::Fault},      {"set", &Scenario::Fault},
       {"weights", &Scenario::Artefact}, {"ctl", &Scenario::Ctl},
-      {"race", &Scenario::Race},       {"load", &Scenario::Load},
-      {"wait", &Scenario::Wait},       {"expect", &Scenario::Expect},
-      {"figure", &Scenario::Figure},   {"http", &Scenario::Http},
-      {"garbage", &Scenario::Garbage}, {"cut", &Scenario::Cut},
+      {"race", &Scenario::Race},        {"load", &Scenario::Load},
+      {"wait", &Scenario::Wait},        {"expect", &Scenario::Expect},
+      {"figure", &Scenario::Figure},    {"http", &Scenario::Http},
+      {"garbage", &Scenario::Garbage},  {"cut", &Scenario::Cut},
       {"stall", &Scenario::Cut}};
   return *commands;
 }
@@ -254,8 +253,8 @@
   const Json manifest = {
       {"format", 1},
       {"name", "scenario." + version},
-      {"services", this->fleet.Services(
-                       {{"version", version}, {"artefacts", artefacts}})}};
+      {"services",
+       this->fleet.Services({{"version", version}, {"artefacts", artefacts}})}};
   std::ofstream(this->options.output + "/" + version + ".json")
       << manifest.dump(1);
   return "";
@@ -265,10 +264,10 @@
                                const Tokens& arguments) {
   Tokens command = {this->options.celerypost, "ctl"};
   for (const std::string& argument : arguments) {
-    command.push_back(
-        argument.starts_with('@')
-            ? this->options.output + "/" + argument.substr(1) + ".json"
-            : argument);
+    command.push_back(argument.starts_with('@')
+                          ? this->options.output + "/" + argument.substr(1) +
+                                ".json"
+                          : argument);
   }
   const auto has = [&arguments](const std::string& flag) {
     return std::any_of(arguments.begin(), arguments.end(),
@@ -277,12 +276,14 @@
                        });
   };
   if (!has("--operator")) {
-    command.push_back(
-        "--operator=" +
-        this->fleet.Address(this->fleet.AnyEntry(), "operator"));
+    command.push_back("--operator=" +
+                      this->fleet.Address(this->fleet.AnyEntry(), "operator"));
+  }
+  const std::string name = arguments.empty() ? "" : arguments[0];
+  if (name == "commit" || name.starts_with("zone-")) {
+    command.push_back("--who=scenario");
+    command.push_back("--why=scenario");
   }
-  command.push_back("--who=scenario");
-  command.push_back("--why=scenario");
   return this->fleet.processes().Start(process, command, Fleet::Environment())
              ? ""
              : "ctl could not be started";
@@ -303,8 +304,7 @@
 std::string Scenario::Ctl(const Tokens& tokens) {
   const bool fails = tokens.size() > 1 && tokens[1] == "fails";
   const std::string process = "ctl-" + std::to_string(++this->ctl_runs);
-  const double bytes =
-      this->reader.Evaluate("origin.bytes").value_or(0);
+  const double bytes = this->reader.Evaluate("origin.bytes").value_or(0);
   if (std::string error = this->StartCtl(
           process, Tokens(tokens.begin() + (fails ? 2 : 1), tokens.end()));
       !error.empty()) {
@@ -316,8 +316,8 @@
     this->state.origin_bytes_before = bytes;
   }
   // Killed by a signal is never right.
-  const bool right = fails ? this->state.last_exit > 0
-                           : this->state.last_exit == 0;
+  const bool right =
+      fails ? this->state.last_exit > 0 : this->state.last_exit == 0;
   if (right) {
     return "";
   }
@@ -389,6 +389,9 @@
 }
 
 std::string Scenario::Wait(const Tokens& tokens) {
+  if (tokens.at(1) == "ready") {
+    return this->fleet.WaitReady();
+  }
   if (tokens.at(1) != "load") {
     this->Pump(ParseTime(tokens[1]));
     return "";
