--- a/tests/scenarios/figures.cc
+++ b/tests/scenarios/figures.cc
@@ -4,6 +4,8 @@
 #include <fstream>
 #include <set>
 
+#include "tests/standins/stand_in.h"
+
 namespace celerypost::scenarios {
 
 namespace {
@@ -126,6 +128,16 @@
     }
     return count;
   }
+  if (const auto start = this->state.counters.find(kind);
+      start != this->state.counters.end()) {
+    const auto before = start->second.second.find(argument);
+    const auto now = this->Value(argument);
+    if (!now || before == start->second.second.end()) {
+      return std::nullopt;
+    }
+    return (*now - before->second) * 1000 /
+           static_cast<double>(standins::MonotonicMs() - start->second.first);
+  }
   if (kind == "rollout_s") {
     return this->Rollout(argument);
   }
--- a/tests/scenarios/figures.h
+++ b/tests/scenarios/figures.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "tests/scenarios/fleet.h"
 #include "tests/scenarios/load_generator.h"
@@ -24,6 +25,9 @@
   int64_t stopped_ms = 0;
   // Origin bytes when the last change was accepted.
   double origin_bytes_before = 0;
+  // Time and values at a `counter` command, by label.
+  std::map<std::string, std::pair<int64_t, std::map<std::string, double>>>
+      counters;
   int last_exit = 0;
   int last_http_status = 0;
   // Of the last race: changes that were accepted.
--- a/tests/scenarios/fleet.cc
+++ b/tests/scenarios/fleet.cc
@@ -237,6 +237,11 @@
       this->loop.RunFor(std::chrono::milliseconds(20));
     }
   }
+  // Stamps of other regions' witnesses come with heartbeats, every 500 ms.
+  const TimePoint settled = Clock::now() + std::chrono::milliseconds(1500);
+  while (Clock::now() < settled) {
+    this->loop.RunFor(std::chrono::milliseconds(20));
+  }
   return "";
 }
 
--- a/tests/scenarios/scenario.cc
+++ b/tests/scenarios/scenario.cc
@@ -96,8 +96,8 @@
       {"race", &Scenario::Race},        {"load", &Scenario::Load},
       {"wait", &Scenario::Wait},        {"expect", &Scenario::Expect},
       {"figure", &Scenario::Figure},    {"http", &Scenario::Http},
-      {"garbage", &Scenario::Garbage},  {"cut", &Scenario::Cut},
-      {"stall", &Scenario::Cut}};
+      {"garbage", &Scenario::Garbage},  {"counter", &Scenario::Counter},
+      {"cut", &Scenario::Cut},          {"stall", &Scenario::Cut}};
   return *commands;
 }
 
@@ -411,6 +411,16 @@
   return "";
 }
 
+std::string Scenario::Counter(const Tokens& tokens) {
+  // counter <label>: later "<label>:<figure>" is the figure's growth per
+  // second.
+  this->state.counters[tokens.at(1)] = {
+      standins::MonotonicMs(),
+      {{"kv.reads", this->reader.Evaluate("kv.reads").value_or(0)},
+       {"kv.writes", this->reader.Evaluate("kv.writes").value_or(0)}}};
+  return "";
+}
+
 bool Scenario::Compare(const Tokens& condition,
                        double* value,
                        std::string* shown) {
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -52,6 +52,7 @@
   std::string Figure(const Tokens& tokens);
   std::string Http(const Tokens& tokens);
   std::string Garbage(const Tokens& tokens);
+  std::string Counter(const Tokens& tokens);
   std::string Cut(const Tokens& tokens);
 
   std::string StartCtl(const std::string& process, const Tokens& arguments);
