--- a/src/request/request_ledger.cc
+++ b/src/request/request_ledger.cc
@@ -39,11 +39,10 @@
 BeginOutcome RequestLedger::Begin(const RequestId& id,
                                   AttemptNumber attempt,
                                   TimePoint now) {
-  const Slot& slot = this->slots[id.Slot()];
+  const size_t index = id.Slot();
+  const Slot& slot = this->slots[index];
   const bool held = slot.held.Contains(id.table_version);
-  const auto found = this->records.find(id.ToString());
-  Record* const record =
-      found == this->records.end() ? nullptr : &found->second;
+  Record* const record = this->Find({index, id.ToString()});
   if (record != nullptr) {
     switch (record->state) {
       case RecordState::kRunning:
@@ -101,12 +100,14 @@
 RequestLedger::Record& RequestLedger::Insert(const RequestId& id,
                                              RecordState state,
                                              TimePoint now) {
-  std::string key = id.ToString();
-  const bool is_new = !this->records.contains(key);
-  if (is_new && this->records.size() >= this->options.max_records) {
+  Key key{id.Slot(), id.ToString()};
+  auto& records = this->slots[key.slot].records;
+  const bool is_new = !records.contains(key.text);
+  if (is_new && this->record_total >= this->options.max_records) {
     this->DropOldest(now, /*expired_only=*/false);
   }
-  Record& record = this->records[key];
+  this->record_total += is_new;
+  Record& record = records[key.text];
   const bool was_running = !is_new && record.state == RecordState::kRunning;
   if (was_running) {
     --this->running_count;
@@ -122,31 +123,37 @@
   return record;
 }
 
+RequestLedger::Record* RequestLedger::Find(const Key& key) {
+  auto& records = this->slots[key.slot].records;
+  const auto found = records.find(key.text);
+  return found == records.end() ? nullptr : &found->second;
+}
+
+RequestLedger::Record* RequestLedger::FindRunning(const RequestId& id,
+                                                  const char* promise) {
+  Record* const record = this->Find({id.Slot(), id.ToString()});
+  CELERYPOST_ASSERT(record != nullptr && record->state == RecordState::kRunning,
+                    promise);
+  return record;
+}
+
 void RequestLedger::Finish(const RequestId& id,
                            StoredAnswer answer,
                            TimePoint now) {
-  const auto found = this->records.find(id.ToString());
-  CELERYPOST_ASSERT(found != this->records.end() &&
-                        found->second.state == RecordState::kRunning,
-                    kAtMostOnce);
+  this->FindRunning(id, kAtMostOnce);
   Record& record = this->Insert(id, RecordState::kFinished, now);
   this->StoreAnswer(id, &record, std::move(answer));
 }
 
 void RequestLedger::FinishUnknown(const RequestId& id, TimePoint now) {
-  const auto found = this->records.find(id.ToString());
-  CELERYPOST_ASSERT(found != this->records.end() &&
-                        found->second.state == RecordState::kRunning,
-                    kAtMostOnce);
+  this->FindRunning(id, kAtMostOnce);
   this->Insert(id, RecordState::kMayHaveRun, now);
 }
 
 void RequestLedger::ReleaseNotRun(const RequestId& id) {
-  const auto found = this->records.find(id.ToString());
-  CELERYPOST_ASSERT(found != this->records.end() &&
-                        found->second.state == RecordState::kRunning,
-                    "P5: a refusal that says \"not run\" is true");
-  this->Insert(id, RecordState::kNotRun, found->second.touched);
+  const Record* const record =
+      this->FindRunning(id, "P5: a refusal that says \"not run\" is true");
+  this->Insert(id, RecordState::kNotRun, record->touched);
 }
 
 void RequestLedger::StoreAnswer(const RequestId& id,
@@ -159,16 +166,16 @@
   }
   while (this->total_answer_bytes + bytes >
          this->options.max_total_answer_bytes) {
-    const auto oldest = this->records.find(this->answers.front());
+    Record* const oldest = this->Find(this->answers.front());
     this->answers.pop_front();
-    if (oldest != this->records.end()) {
-      this->DropAnswer(&oldest->second);
+    if (oldest != nullptr) {
+      this->DropAnswer(oldest);
     }
   }
   this->total_answer_bytes += bytes;
   record->has_answer = true;
   record->answer = std::move(answer);
-  this->answers.push_back(id.ToString());
+  this->answers.push_back({id.Slot(), id.ToString()});
 }
 
 void RequestLedger::DropAnswer(Record* record) {
@@ -184,18 +191,18 @@
     return false;
   }
   const auto oldest = this->settled.begin();
-  const auto found = this->records.find(oldest->second);
+  Slot& slot = this->slots[oldest->second.slot];
+  const auto found = slot.records.find(oldest->second.text);
   if (expired_only && found->second.touched + this->options.retention > now) {
     return false;
   }
   // Nothing remembers the request from here on, so ids as old as it are never
   // run again.
-  const size_t index = RequestId::Parse(oldest->second)->Slot();
-  Slot& slot = this->slots[index];
   slot.floor =
       std::max(slot.floor, oldest->first + std::chrono::milliseconds(1));
   this->DropAnswer(&found->second);
-  this->records.erase(found);
+  slot.records.erase(found);
+  --this->record_total;
   this->settled.erase(oldest);
   return true;
 }
@@ -206,8 +213,8 @@
   // Names of answers whose records are gone would otherwise stay until the
   // memory bound is reached.
   while (!this->answers.empty()) {
-    const auto oldest = this->records.find(this->answers.front());
-    if (oldest != this->records.end() && oldest->second.has_answer) {
+    const Record* const oldest = this->Find(this->answers.front());
+    if (oldest != nullptr && oldest->has_answer) {
       break;
     }
     this->answers.pop_front();
@@ -236,13 +243,11 @@
     result.since = slot.given.first;
     result.until = slot.given.last;
   }
-  for (const auto& [key, record] : this->records) {
-    const RequestId id = *RequestId::Parse(key);
-    if (id.Slot() != index) {
-      continue;
-    }
+  for (const auto& [key, record] : slot.records) {
+    const auto id = RequestId::Parse(key);
+    CELERYPOST_ASSERT(id.has_value(), kAtMostOnce);
     SlotRecord& sent = result.records.emplace_back();
-    sent.id = id;
+    sent.id = *id;
     sent.state = record.state == RecordState::kRunning
                      ? RecordState::kMayHaveRun
                      : record.state;
@@ -262,9 +267,9 @@
     if (incoming.id.Slot() != received.slot) {
       continue;
     }
-    const auto found = this->records.find(incoming.id.ToString());
-    if (found != this->records.end()) {
-      Record& known = found->second;
+    if (Record* const found =
+            this->Find({received.slot, incoming.id.ToString()})) {
+      Record& known = *found;
       // What this instance did itself is newer than what the sender knows. An
       // uncertain record only becomes more certain, and a refusal here does not
       // hide that the sender ran the request.
--- a/src/request/request_ledger.h
+++ b/src/request/request_ledger.h
@@ -91,7 +91,9 @@
 
 // What an owner passes to the next owner of a slot. The receiver may run ids
 // with since <= version <= until that are in no record; the sender no longer
-// runs them. An empty range (since > until) passes records only.
+// runs them. An empty range (since > until) passes records only. A sender that
+// splits a large message sends the parts without range first, and the range
+// after the receiver has confirmed them.
 struct SlotRecords {
   size_t slot = 0;
   uint64_t since = 1;
@@ -115,7 +117,8 @@
   // Returns whether it was newer.
   bool ApplyTable(const SlotTable& table);
 
-  // Decides about an attempt that arrived.
+  // Decides about an attempt that arrived. `id` must come from
+  // RequestId::Parse or Make.
   BeginOutcome Begin(const RequestId& id, AttemptNumber attempt, TimePoint now);
 
   // Records that a request that Begin let run has ended with `answer`.
@@ -151,7 +154,7 @@
   // Slots that this instance owns in the newest table.
   std::vector<size_t> OwnedSlots() const;
   size_t running() const { return this->running_count; }
-  size_t record_count() const { return this->records.size(); }
+  size_t record_count() const { return this->record_total; }
   size_t answer_bytes() const { return this->total_answer_bytes; }
 
  private:
@@ -171,12 +174,23 @@
     // The last range handed off, and to whom.
     InstanceId given_to;
     VersionRange given;
+    // By the text form of the id.
+    std::unordered_map<std::string, Record> records;
   };
 
   // Decides about an id without a record that allows or forbids it.
   BeginOutcome Refuse(const RequestId& id, const Slot& slot) const;
+  // Text form of an id, and its slot.
+  struct Key {
+    size_t slot;
+    std::string text;
+    auto operator<=>(const Key&) const = default;
+  };
+
+  // Returns nothing when there is no record.
+  Record* Find(const Key& key);
+  Record* FindRunning(const RequestId& id, const char* promise);
   Record& Insert(const RequestId& id, RecordState state, TimePoint now);
-  void Settle(const RequestId& id, Record* record, RecordState state);
   void StoreAnswer(const RequestId& id, Record* record, StoredAnswer answer);
   void DropAnswer(Record* record);
   bool DropOldest(TimePoint now, bool expired_only);
@@ -185,11 +199,11 @@
   const InstanceId self;
   SlotTable table;
   std::array<Slot, kSlotCount> slots;
-  std::unordered_map<std::string, Record> records;
+  size_t record_total = 0;
   // Settled records by issue time, oldest first.
-  std::set<std::pair<std::chrono::milliseconds, std::string>> settled;
+  std::set<std::pair<std::chrono::milliseconds, Key>> settled;
   // Ids with a stored answer, oldest answer first; may name dropped ones.
-  std::deque<std::string> answers;
+  std::deque<Key> answers;
   size_t total_answer_bytes = 0;
   size_t running_count = 0;
 };
