Queue chunks again that a restarting engine had not stored

A reset now reports them as lost too. The new test EngineRestartsUnnoticedWhileChunksAreStaged fails without the fix.

--- a/src/process/engine_driver.cc
+++ b/src/process/engine_driver.cc
@@ -122,11 +122,13 @@
   this->current.serving.reset();
   this->current.warm = false;
   this->current.start_id.clear();
-  this->stage_queue.clear();
-  this->staging.clear();
   this->deleting.clear();
   this->restages = 0;
-  const auto lost = std::exchange(this->staged, {});
+  // Chunks that were queued or under way must be queued again as well.
+  auto lost = std::exchange(this->staged, {});
+  lost.merge(std::exchange(this->staging, {}));
+  lost.insert(this->stage_queue.begin(), this->stage_queue.end());
+  this->stage_queue.clear();
   this->UpdatePhase();
   for (const Digest& digest : lost) {
     this->callbacks.on_lost(digest);
--- a/src/version/chunk_planner.cc
+++ b/src/version/chunk_planner.cc
@@ -96,7 +96,9 @@
     this->EndFetch(fetch);
     this->cancelled.push_back({fetch.chunk.digest, fetch.source});
   }
-  this->ClearHolds(found->second, now);
+  for (size_t i = 0; i < found->second.holds.size(); ++i) {
+    this->SetHolds(found->second, i, false, now);
+  }
   this->peers.erase(found);
   this->view_dirty = true;
 }
@@ -159,12 +161,6 @@
   }
 }
 
-void ChunkPlanner::ClearHolds(Peer& peer, TimePoint now) {
-  for (size_t i = 0; i < peer.holds.size(); ++i) {
-    this->SetHolds(peer, i, false, now);
-  }
-}
-
 void ChunkPlanner::Avoid(Peer& peer, Duration period, TimePoint now) {
   peer.avoided_until = std::max(peer.avoided_until, now + period);
   this->next_avoidance_end =
--- a/src/version/chunk_planner.h
+++ b/src/version/chunk_planner.h
@@ -168,7 +168,6 @@
 
   void ApplyHave(Peer& peer, TimePoint now);
   void SetHolds(Peer& peer, size_t position, bool holds, TimePoint now);
-  void ClearHolds(Peer& peer, TimePoint now);
   void Count(const Peer& peer, size_t position, int change, TimePoint now);
   void Avoid(Peer& peer, Duration period, TimePoint now);
   void EndAvoidance(TimePoint now);
--- a/tests/process/weight_task_test.cc
+++ b/tests/process/weight_task_test.cc
@@ -157,6 +157,20 @@
   this->Finish();
 }
 
+// Guards against chunks that are forgotten when the engine restarts between
+// their staging and the load, which only the refused load tells.
+TEST(WeightTaskTest, EngineRestartsUnnoticedWhileChunksAreStaged) {
+  for (const uint64_t held : {1, 10, 25, 40, 41}) {
+    this->Start(Setup({3}));
+    Swarm::Node& node = this->swarm->At(0);
+    CHECK_TRUE(this->swarm->timeline.RunUntil(
+        [&node, held] { return node.task->state().chunks_held >= held; },
+        seconds(60)));
+    node.engine.Restart();
+    this->Finish();
+  }
+}
+
 // Guards against a restarted agent that loads again what its engine serves, or
 // gives work to it before the report has been read.
 TEST(WeightTaskTest, RestartedAgentReadsTheEnginesState) {
