Keep imports between regions at the links' rate

An importer turned to the origin's region after five seconds although its relay region was receiving chunks; it now does so only when nothing comes in. Fetches across regions expired while they were queued on the shared link. And they took the slots of fetches within the region; they are counted apart now, eight at a time.

--- a/src/version/chunk_planner.cc
+++ b/src/version/chunk_planner.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "celerypost/assert.h"
-
 namespace celerypost {
 namespace {
 
@@ -41,6 +39,7 @@
   this->position_of.clear();
   this->positions.assign(this->goal.chunks.size(), {});
   this->goal_held = 0;
+  this->region_progress = now;
   for (size_t i = 0; i < this->goal.chunks.size(); ++i) {
     const Digest& digest = this->goal.chunks[i].digest;
     this->position_of[digest] = i;
@@ -48,16 +47,9 @@
     this->positions[i].in_flight = this->fetches.contains(digest);
     this->goal_held += this->positions[i].held ? 1 : 0;
   }
-  std::vector<Fetch> unwanted;
-  for (const auto& [digest, fetch] : this->fetches) {
-    if (!this->position_of.contains(digest)) {
-      unwanted.push_back(fetch);
-    }
-  }
-  for (const Fetch& fetch : unwanted) {
-    this->EndFetch(fetch);
-    this->cancelled.push_back({fetch.chunk.digest, fetch.source});
-  }
+  this->CancelFetches([this](const Fetch& fetch) {
+    return !this->position_of.contains(fetch.chunk.digest);
+  });
   this->UpdateView(true, now);
   for (auto& [instance, peer] : this->peers) {
     this->ApplyHave(peer, now);
@@ -86,16 +78,9 @@
   if (found == this->peers.end()) {
     return;
   }
-  std::vector<Fetch> lost;
-  for (const auto& [digest, fetch] : this->fetches) {
-    if (fetch.source == FetchSource::Peer(instance)) {
-      lost.push_back(fetch);
-    }
-  }
-  for (const Fetch& fetch : lost) {
-    this->EndFetch(fetch);
-    this->cancelled.push_back({fetch.chunk.digest, fetch.source});
-  }
+  this->CancelFetches([instance](const Fetch& fetch) {
+    return fetch.source == FetchSource::Peer(instance);
+  });
   for (size_t i = 0; i < found->second.holds.size(); ++i) {
     this->SetHolds(found->second, i, false, now);
   }
@@ -154,6 +139,10 @@
   if (entry.holders_in_region + entry.holders_elsewhere == 0) {
     this->last_new_chunk = now;
   }
+  if (entry.holders_in_region == 0 &&
+      peer.state.region == this->options.region) {
+    this->region_progress = now;
+  }
   count += change;
   if (had != (count > 0)) {
     this->strategy->OnAvailability(position, entry.holders_in_region,
@@ -276,8 +265,7 @@
         this->Avoid(peer, kAvoidAfterFailures * (1u << doublings), now);
       }
       break;
-    case FetchOutcome::kRefused:
-    case FetchOutcome::kNoRoom:
+    default:
       break;
   }
   peer.backoff.OnRefused(this->options.peer_backoff,
@@ -285,32 +273,45 @@
                          this->random, now);
 }
 
-void ChunkPlanner::OnHeld(const Digest& digest, TimePoint /*now*/) {
+void ChunkPlanner::OnHeld(const Digest& digest, TimePoint now) {
   this->held.insert(digest);
   const auto position = this->position_of.find(digest);
   if (position != this->position_of.end() &&
       !this->positions[position->second].held) {
+    if (this->positions[position->second].holders_in_region == 0) {
+      this->region_progress = now;
+    }
     this->positions[position->second].held = true;
     ++this->goal_held;
   }
-  const auto fetch = this->fetches.find(digest);
-  if (fetch != this->fetches.end()) {
-    const Fetch needless = fetch->second;
-    this->EndFetch(needless);
-    this->cancelled.push_back({needless.chunk.digest, needless.source});
-  }
+  this->CancelFetches(
+      [&digest](const Fetch& fetch) { return fetch.chunk.digest == digest; });
 }
 
 void ChunkPlanner::OnDropped(const Digest& digest, TimePoint /*now*/) {
   this->held.erase(digest);
-  const auto position = this->position_of.find(digest);
-  if (position != this->position_of.end() &&
-      this->positions[position->second].held) {
-    this->positions[position->second].held = false;
+  const auto found = this->position_of.find(digest);
+  if (found != this->position_of.end() && this->positions[found->second].held) {
+    this->positions[found->second].held = false;
     --this->goal_held;
   }
 }
 
+std::vector<ChunkPlanner::Fetch> ChunkPlanner::CancelFetches(
+    const std::function<bool(const Fetch&)>& unwanted) {
+  std::vector<Fetch> ended;
+  for (const auto& [digest, fetch] : this->fetches) {
+    if (unwanted(fetch)) {
+      ended.push_back(fetch);
+    }
+  }
+  for (const Fetch& fetch : ended) {
+    this->EndFetch(fetch);
+    this->cancelled.push_back({fetch.chunk.digest, fetch.source});
+  }
+  return ended;
+}
+
 void ChunkPlanner::EndFetch(const Fetch& fetch) {
   if (fetch.crosses_regions) {
     --this->cross_in_flight;
@@ -336,20 +337,18 @@
 }
 
 void ChunkPlanner::ExpireFetches(TimePoint now) {
-  std::vector<Fetch> expired;
-  for (const auto& [digest, fetch] : this->fetches) {
-    // While chunks come from the origin, it is slow rather than stalled; asking
-    // again would put the request at the end of its queue.
+  const auto expired = this->CancelFetches([this, now](const Fetch& fetch) {
+    // While chunks come over the links that all agents share, a fetch is queued
+    // rather than stalled; another one would only make the queue longer.
+    const Duration patience = this->options.timeout.initial;
     const bool queued =
-        fetch.source.origin &&
-        now < this->last_new_chunk + this->options.timeout.initial;
-    if (now >= fetch.deadline && !queued) {
-      expired.push_back(fetch);
-    }
-  }
+        fetch.source.origin
+            ? now < this->last_new_chunk + patience
+            : fetch.crosses_regions && now < this->region_progress + patience &&
+                  now < fetch.started + this->options.timeout.most;
+    return now >= fetch.deadline && !queued;
+  });
   for (const Fetch& fetch : expired) {
-    this->EndFetch(fetch);
-    this->cancelled.push_back({fetch.chunk.digest, fetch.source});
     this->Timeout(fetch.source, fetch.crosses_regions).OnExpired();
     if (fetch.source.origin) {
       this->OnOriginOutcome(FetchOutcome::kFailed, now, std::nullopt);
@@ -413,23 +412,27 @@
 
 ChunkView ChunkPlanner::MakeView(size_t position,
                                  TimePoint now,
-                                 const NextLimits& limits) {
+                                 bool local,
+                                 bool cross_regions) const {
   const Position& entry = this->positions[position];
+  const auto allowed = [local, cross_regions](bool crosses) {
+    return crosses ? cross_regions : local;
+  };
   ChunkView chunk;
   chunk.position = position;
   chunk.holders_in_region = entry.holders_in_region;
   chunk.holders_elsewhere = entry.holders_elsewhere;
-  chunk.cross_regions = limits.cross_regions;
+  chunk.cross_regions = cross_regions;
+  chunk.region_progress = this->region_progress;
   chunk.origin_usable =
       this->origin_backoff.Usable(now) &&
       this->origin_in_flight < this->options.max_origin_fetches &&
-      (limits.cross_regions || !this->Crosses(FetchSource::Origin()));
+      allowed(this->Crosses(FetchSource::Origin()));
   for (const InstanceId instance : entry.holders) {
     const Peer& peer = this->peers.at(instance);
-    const bool crosses = peer.state.region != this->options.region;
     if (!peer.avoided && peer.backoff.Usable(now) &&
         peer.in_flight < this->options.max_fetches_per_peer &&
-        (limits.cross_regions || !crosses)) {
+        allowed(peer.state.region != this->options.region)) {
       chunk.usable.push_back({instance, peer.state.region, peer.in_flight});
     }
   }
@@ -445,20 +448,22 @@
     this->UpdateView(false, now);
   }
   if (now < this->paused_until || this->goal_held == this->positions.size() ||
-      limits.fetches == 0 ||
-      this->fetches.size() >= this->options.max_fetches) {
+      limits.fetches == 0) {
     return actions;
   }
   for (const size_t position : this->Missing()) {
+    const bool local = this->fetches.size() - this->cross_in_flight <
+                       this->options.max_fetches;
     limits.cross_regions =
         limits.cross_regions &&
         this->cross_in_flight < this->options.max_cross_fetches;
     if (actions.fetch.size() >= limits.fetches ||
-        this->fetches.size() >= this->options.max_fetches) {
+        !(local || limits.cross_regions)) {
       break;
     }
     const auto source = this->strategy->Choose(
-        this->MakeView(position, now, limits), this->random, now);
+        this->MakeView(position, now, local, limits.cross_regions),
+        this->random, now);
     if (!source) {
       continue;
     }
@@ -491,9 +496,4 @@
   return have;
 }
 
-uint32_t ChunkPlanner::Blame(InstanceId peer) const {
-  const auto found = this->corrupt_counts.find(peer);
-  return found == this->corrupt_counts.end() ? 0 : found->second;
-}
-
 }  // namespace celerypost
--- a/src/version/chunk_planner.h
+++ b/src/version/chunk_planner.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -24,11 +25,13 @@
   InstanceId self;
   RegionName region;
   RegionName origin_region;
-  // Fetches in flight: in total, per peer, from the origin and across regions.
+  // Fetches in flight: within the region (the origin included), per peer, from
+  // the origin, and across regions. Those across regions are counted apart, so
+  // that a slow link between regions takes no slots from the fast ones.
   uint32_t max_fetches = 8;
   uint32_t max_fetches_per_peer = 2;
   uint32_t max_origin_fetches = 2;
-  uint32_t max_cross_fetches = 2;
+  uint32_t max_cross_fetches = 8;
   // When a fetch is given up.
   FetchTimeoutOptions timeout;
   // Backoff after refusals: doubles from the first to the second value, with
@@ -134,7 +137,10 @@
   const ChunkGoal& current_goal() const { return this->goal; }
   size_t in_flight() const { return this->fetches.size(); }
   // Corrupt chunks received from `peer`.
-  uint32_t Blame(InstanceId peer) const;
+  uint32_t Blame(InstanceId peer) const {
+    const auto found = this->corrupt_counts.find(peer);
+    return found == this->corrupt_counts.end() ? 0 : found->second;
+  }
 
  private:
   struct Peer {
@@ -182,10 +188,18 @@
                      std::optional<Duration> retry_after);
   void UpdateView(bool new_goal, TimePoint now);
   void ExpireFetches(TimePoint now);
+  // Ends the fetches for which `unwanted` is true and returns them.
+  std::vector<Fetch> CancelFetches(
+      const std::function<bool(const Fetch&)>& unwanted);
   void EndFetch(const Fetch& fetch);
   FetchTimeout& Timeout(FetchSource source, bool crosses);
   std::vector<size_t> Missing();
-  ChunkView MakeView(size_t position, TimePoint now, const NextLimits& limits);
+  // `local` and `cross_regions`: whether sources within and outside this region
+  // may be asked.
+  ChunkView MakeView(size_t position,
+                     TimePoint now,
+                     bool local,
+                     bool cross_regions) const;
   bool Crosses(const FetchSource& source) const;
 
   ChunkPlannerOptions options;
@@ -211,6 +225,8 @@
   Backoff origin_backoff;
   // When a chunk of the goal last got its first holder among the peers.
   TimePoint last_new_chunk{};
+  // When a chunk of the goal last came into this agent's region.
+  TimePoint region_progress{};
   TimePoint paused_until{};
   TimePoint next_avoidance_end = TimePoint::max();
   // Fetches from peers of this region, of other regions, and from the origin.
--- a/src/version/fetch_strategy.h
+++ b/src/version/fetch_strategy.h
@@ -62,6 +62,8 @@
   bool origin_usable = false;
   // Whether a fetch may cross regions now.
   bool cross_regions = true;
+  // When a chunk of the goal last came into this agent's region.
+  TimePoint region_progress{};
 };
 
 // Chooses sources. One object serves one planner.
--- a/src/version/swarm_strategy.cc
+++ b/src/version/swarm_strategy.cc
@@ -44,7 +44,6 @@
     }
     if (new_goal) {
       this->last_new_chunk = now;
-      this->last_in_region = now;
       this->chunks.assign(view.chunks->size(), {});
       for (Chunk& chunk : this->chunks) {
         chunk.missing_since = now;
@@ -65,9 +64,7 @@
     if (!was_here && !was_elsewhere && (chunk.in_region || chunk.elsewhere)) {
       this->last_new_chunk = now;
     }
-    if (!was_here && chunk.in_region) {
-      this->last_in_region = now;
-    } else if (was_here && !chunk.in_region) {
+    if (was_here && !chunk.in_region) {
       chunk.missing_since = now;
     }
     if (!was_elsewhere && chunk.elsewhere) {
@@ -82,7 +79,7 @@
       return PickLeastBusy(chunk.usable, this->view->self_region, random);
     }
     const Chunk& known = this->chunks[chunk.position];
-    if (!this->IsTurn(known, now)) {
+    if (!this->IsTurn(chunk, known, now)) {
       return std::nullopt;
     }
     if (chunk.holders_elsewhere > 0) {
@@ -112,7 +109,7 @@
     TimePoint elsewhere_since{};
   };
 
-  bool IsTurn(const Chunk& chunk, TimePoint now) const {
+  bool IsTurn(const ChunkView& view, const Chunk& chunk, TimePoint now) const {
     if (now < *this->started + this->options.settle) {
       return false;
     }
@@ -122,7 +119,7 @@
     // While other chunks come in, the first agent may only be waiting for its
     // turn on a slow link, and a takeover would make the link slower still.
     TimePoint stalled_since =
-        std::max(this->last_in_region, chunk.missing_since);
+        std::max(view.region_progress, chunk.missing_since);
     if (chunk.entry != this->view->self_region) {
       stalled_since = std::max(stalled_since, chunk.elsewhere_since);
     }
@@ -140,7 +137,11 @@
     if (auto holder = PickLeastBusy(chunk.usable, known.import_from, random)) {
       return holder;
     }
-    if (now < known.elsewhere_since + this->options.takeover) {
+    // While chunks come in, the region to import from may still be waiting for
+    // this one; taking it from elsewhere would load the other link with both
+    // halves.
+    if (now < std::max(known.elsewhere_since, chunk.region_progress) +
+                  this->options.takeover) {
       return std::nullopt;
     }
     for (const Holder& holder : chunk.usable) {
@@ -215,8 +216,7 @@
   const SwarmView* view = nullptr;
   std::vector<Chunk> chunks;
   std::optional<TimePoint> started;
-  // When a chunk last got its first holder, in this region and in any.
-  TimePoint last_in_region{};
+  // When a chunk last got its first holder in any region.
   TimePoint last_new_chunk{};
 };
 
