--- a/tests/process/weight_clients_test.cc
+++ b/tests/process/engine_client_test.cc
@@ -1,11 +1,10 @@
+#include "src/process/engine_client.h"
+
 #include <functional>
-#include <memory>
+#include <optional>
 #include <string>
-#include <vector>
 
-#include "src/connection/http_server.h"
-#include "src/process/engine_client.h"
-#include "src/process/origin_client.h"
+#include "tests/process/fake_http_server.h"
 
 #include "CppUTest/TestHarness.h"
 
@@ -14,94 +13,8 @@
 
 using std::chrono::milliseconds;
 
-// A server that records requests and answers what a test sets.
-struct FakeServer {
-  FakeServer() {
-    auto made = HttpServer::Make(
-        this->loop, {},
-        [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
-          this->requests.push_back(std::move(request));
-          responder->Send(this->status, this->headers, this->body);
-        });
-    CHECK_TRUE(made.has_value());
-    this->server = std::move(*made);
-  }
-  SocketAddress address() const { return {"127.0.0.1", this->server->port()}; }
-  void RunUntil(const std::function<bool()>& done) {
-    for (int i = 0; i < 500 && !done(); ++i) {
-      this->loop.RunFor(milliseconds(20));
-    }
-    CHECK_TRUE(done());
-  }
-
-  Loop loop;
-  std::unique_ptr<HttpServer> server;
-  std::vector<HttpRequest> requests;
-  int status = 200;
-  HttpHeaders headers;
-  std::string body;
-};
-
-TEST_GROUP(OriginClientTest) {
-  FakeServer origin;
-  std::optional<TransferResult> result;
-
-  const TransferResult& Range() {
-    this->result.reset();
-    OriginClient client(this->origin.loop, this->origin.address(), {});
-    const auto transfer = client.RequestRange(
-        Digest::Of("a"), 10, 4,
-        [this](TransferResult answer) { this->result = std::move(answer); });
-    this->origin.RunUntil([this] { return this->result.has_value(); });
-    return *this->result;
-  }
-};
-
-// Guards against a range that is off by one, and against a truncated answer
-// that is taken for a chunk.
-TEST(OriginClientTest, AsksForTheRangeAndChecksItsLength) {
-  this->origin.status = 206;
-  this->origin.body = "four";
-  CHECK(Range().value() == "four");
-  CHECK(FindHeader(this->origin.requests[0].headers, "range") == "bytes=10-13");
-  CHECK(this->origin.requests[0].path ==
-        "/artefacts/" + Digest::Of("a").ToHex());
-  this->origin.body = "fou";
-  CHECK(Range().error().code == ErrorCode::kCorrupt);
-  // An origin that ignores the range sends other bytes.
-  this->origin.status = 200;
-  this->origin.body = "four";
-  CHECK_FALSE(Range().has_value());
-}
-
-// Guards against refusals that are retried before the origin allows it.
-TEST(OriginClientTest, ReadsRetryAfter) {
-  this->origin.status = 429;
-  this->origin.headers = {{"retry-after", "3"}};
-  const TransferFailure refused = Range().error();
-  CHECK(refused.code == ErrorCode::kOverloaded);
-  CHECK(refused.retry_after == milliseconds(3000));
-  this->origin.headers = {{"retry-after", "soon"}};
-  CHECK_FALSE(Range().error().retry_after.has_value());
-  this->origin.status = 404;
-  CHECK(Range().error().code == ErrorCode::kNotFound);
-}
-
-// Guards against a callback after the transfer was cancelled.
-TEST(OriginClientTest, DestroyedTransferIsSilent) {
-  OriginClient client(this->origin.loop, this->origin.address(), {});
-  auto transfer = client.RequestIndex(
-      Digest::Of("i"),
-      [this](TransferResult answer) { this->result = std::move(answer); });
-  transfer.reset();
-  for (int i = 0; i < 5; ++i) {
-    this->origin.loop.RunFor(milliseconds(10));
-  }
-  CHECK_FALSE(this->result.has_value());
-}
-
 TEST_GROUP(EngineClientTest) {
-  FakeServer engine;
+  FakeHttpServer engine;
   HttpEngineClient client{this->engine.loop, this->engine.address(), {}};
   std::optional<Result<void>> result;
 
