Keep witnesses among entries that know the configuration; add tests

In the randomised run a region became isolated during an outage of the key-value service although it had enough entries: entries that had just started took the places of witnesses and could not speak for the configuration yet. An entry now says in its member record (field warm) that it has known the newest configuration, and such entries come first in the choice of witnesses.

--- /dev/null
+++ b/bench/measure_control.cc
@@ -0,0 +1,291 @@
+// Measures the figures of configuration, membership and gossip (sections 1.7
+// and 9 of the design page) with real tasks under virtual time. Prints one JSON
+// line per figure; exits 0 only if all bounds hold.
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+#include <functional>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "tests/support/control_run.h"
+#include "tests/support/virtual_fleet.h"
+
+namespace celerypost {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint64_t kSeed = 20261204;
+constexpr size_t kFullEntries = 370;
+constexpr size_t kFullAgents = 860;
+
+struct Figure {
+  std::string name;
+  double value = 0;
+  std::string unit;
+  // Rows without a bound are for comparison.
+  std::optional<double> bound;
+};
+
+using Figures = std::vector<Figure>;
+
+double Milliseconds(Duration span) {
+  return std::chrono::duration<double, std::milli>(span).count();
+}
+
+double Percentile(std::vector<double> values, double share) {
+  if (values.empty()) {
+    return -1;
+  }
+  std::sort(values.begin(), values.end());
+  const auto index =
+      static_cast<size_t>(share * double(values.size() - 1) + 0.5);
+  return values[index];
+}
+
+double ThreadSeconds() {
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return double(now.tv_sec) + double(now.tv_nsec) / 1e9;
+}
+
+// From an operator's request, and from its acceptance, until all 300 processes
+// hold the change.
+Figures InForce(double loss, const std::string& suffix) {
+  FleetOptions options;
+  options.seed = kSeed;
+  options.loss = loss;
+  VirtualFleet fleet(options);
+  fleet.RunFor(seconds(5));
+  std::vector<double> from_request;
+  std::vector<double> from_acceptance;
+  size_t missing = 0;
+  for (uint64_t i = 1; i <= 60; ++i) {
+    const TimePoint asked = fleet.time.Now();
+    std::optional<CommitResult> result;
+    TimePoint answered;
+    fleet.Submit(i * 7 % options.entries, ZoneChange(fleet, i % 4, i),
+                 [&](const CommitResult& outcome) {
+                   result = outcome;
+                   answered = fleet.time.Now();
+                 });
+    fleet.RunFor(milliseconds(600 + fleet.random() % 150));
+    const auto adopted =
+        result ? fleet.adopted.find(result->number) : fleet.adopted.end();
+    if (!result || result->outcome != CommitOutcome::kAccepted ||
+        adopted == fleet.adopted.end() ||
+        adopted->second.first != fleet.size()) {
+      ++missing;
+      continue;
+    }
+    from_request.push_back(Milliseconds(adopted->second.second - asked));
+    from_acceptance.push_back(
+        std::max(0.0, Milliseconds(adopted->second.second - answered)));
+  }
+  return {{"request_to_in_force_everywhere_p99_300" + suffix,
+           Percentile(from_request, 0.99), "ms", 1000},
+          {"acceptance_to_in_force_everywhere_p99_300" + suffix,
+           Percentile(from_acceptance, 0.99), "ms", 1000},
+          {"changes_not_in_force_everywhere_within_600_ms" + suffix,
+           double(missing), "of 60", std::nullopt}};
+}
+
+// An idle fleet.
+Figures Idle(size_t entries, size_t agents) {
+  FleetOptions options;
+  options.entries = entries;
+  options.agents = agents;
+  options.zones_per_region = 2;
+  options.seed = kSeed;
+  VirtualFleet fleet(options);
+  fleet.RunFor(seconds(12));
+  fleet.Submit(0, ZoneChange(fleet, 0, 1), nullptr);
+  fleet.RunFor(seconds(2));
+  const auto bytes = [&] {
+    std::vector<double> all;
+    for (size_t i = 0; i < fleet.size(); ++i) {
+      const GossipCounters& counters = fleet.node(i).gossip->counters();
+      all.push_back(double(counters.bytes_sent + counters.bytes_received));
+    }
+    return all;
+  };
+  const auto before = bytes();
+  const KeyValueCalls calls = fleet.store.calls;
+  const double cpu = ThreadSeconds();
+  constexpr double kSpan = 10;
+  fleet.RunFor(seconds(10));
+  const double used = ThreadSeconds() - cpu;
+  auto rates = bytes();
+  double sum = 0;
+  for (size_t i = 0; i < rates.size(); ++i) {
+    rates[i] = (rates[i] - before[i]) / kSpan / 1000;
+    sum += rates[i];
+  }
+  const bool full = entries + agents >= kFullEntries + kFullAgents;
+  const auto bound = [full](double value) {
+    return full ? std::optional(value) : std::nullopt;
+  };
+  const std::string size = "_" + std::to_string(entries + agents);
+  const double count = double(fleet.size());
+  return {
+      {"store_reads_idle" + size,
+       double(fleet.store.calls.reads - calls.reads) / kSpan, "1/s", bound(50)},
+      {"store_writes_idle" + size,
+       double(fleet.store.calls.writes - calls.writes) / kSpan, "1/s",
+       bound(10)},
+      {"store_watches_open" + size, double(fleet.store.open_watches()), "",
+       std::nullopt},
+      {"control_bytes_per_node_mean" + size, sum / count, "KB/s", std::nullopt},
+      {"control_bytes_per_node_max" + size,
+       *std::max_element(rates.begin(), rates.end()), "KB/s", bound(15)},
+      {"control_cpu_per_node_simulation_included" + size,
+       used / kSpan / count * 100, "% of a core", bound(2.4)}};
+}
+
+// Time until every process knows of a death, and members given up wrongly.
+Figures Detection() {
+  FleetOptions options;
+  options.seed = kSeed;
+  VirtualFleet fleet(options);
+  fleet.RunFor(seconds(5));
+  std::vector<double> detected;
+  for (size_t round = 0; round < 12; ++round) {
+    const size_t victim = 5 + round * 23;
+    const InstanceId instance = fleet.node(victim).self.instance;
+    fleet.RunFor(milliseconds(fleet.random() % 500));
+    fleet.Stop(victim);
+    const TimePoint stopped = fleet.time.Now();
+    std::vector<bool> seen(fleet.size(), false);
+    for (size_t left = fleet.size() - 1; left > 0;) {
+      fleet.RunFor(milliseconds(10));
+      const TimePoint now = fleet.time.Now();
+      for (size_t i = 0; i < fleet.size(); ++i) {
+        if (i != victim && !seen[i] &&
+            (now - stopped > seconds(5) ||
+             fleet.node(i).gossip->membership().DeadSince(instance))) {
+          seen[i] = true;
+          --left;
+          detected.push_back(Milliseconds(now - stopped));
+        }
+      }
+    }
+    fleet.Start(victim);
+    fleet.RunFor(seconds(2));
+  }
+  const auto deaths = [&fleet] {
+    uint64_t sum = 0;
+    for (size_t i = 0; i < fleet.size(); ++i) {
+      sum += fleet.node(i).gossip->membership().deaths();
+    }
+    return double(sum);
+  };
+  fleet.RunFor(seconds(5));
+  const double before = deaths();
+  for (size_t i = 0; i < 40; ++i) {
+    fleet.Pause(fleet.random() % fleet.size(), milliseconds(1000));
+    fleet.RunFor(milliseconds(250));
+  }
+  fleet.RunFor(seconds(3));
+  return {
+      {"death_known_p50_300", Percentile(detected, 0.5), "ms", std::nullopt},
+      {"death_known_everywhere_max_300", Percentile(detected, 1), "ms", 2000},
+      {"slow_members_given_up_pauses_1_s", deaths() - before, "of 40", 0}};
+}
+
+// The key-value service is down for an hour, in which every VM is replaced, at
+// Kilele's size.
+Figures HourOfOutage() {
+  FleetOptions options;
+  options.regions = 3;
+  options.zones_per_region = 1;
+  options.entries = 8;
+  options.agents = 18;
+  options.seed = kSeed;
+  options.task.tick = milliseconds(100);
+  VirtualFleet fleet(options);
+  fleet.RunFor(seconds(5));
+  fleet.Submit(0, ZoneChange(fleet, 0, 1), nullptr);
+  fleet.RunFor(seconds(3));
+  fleet.CheckPromises();
+  fleet.store.SetUp(false);
+  const seconds gap = seconds(3600) / int64_t(fleet.size());
+  for (size_t i = 0; i < fleet.size(); ++i) {
+    fleet.Stop(i);
+    fleet.RunFor(seconds(2));
+    fleet.Start(i);
+    fleet.RunFor(gap - seconds(2));
+  }
+  size_t lost = 0;
+  for (size_t i = 0; i < fleet.size(); ++i) {
+    const bool holds = fleet.node(i).gossip->config().number() == 1 &&
+                       fleet.node(i).gossip->MayGiveNewWork();
+    lost += holds ? 0 : 1;
+  }
+  fleet.store.SetUp(true);
+  fleet.RunFor(seconds(5));
+  bool accepted = false;
+  fleet.Submit(0, ZoneChange(fleet, 1, 2), [&](const CommitResult& result) {
+    accepted = result.outcome == CommitOutcome::kAccepted;
+  });
+  fleet.RunFor(seconds(5));
+  return {
+      {"outage_1_h_processes_without_configuration", double(lost), "of 26", 0},
+      {"outage_1_h_most_processes_isolated", double(fleet.most_isolated),
+       "of 26", 0},
+      {"outage_1_h_broken_promises", double(fleet.violations.size()), "", 0},
+      {"outage_1_h_change_refused_afterwards", accepted ? 0.0 : 1.0, "", 0}};
+}
+
+bool Print(const Figures& figures) {
+  bool all = true;
+  for (const Figure& figure : figures) {
+    nlohmann::ordered_json row{
+        {"name", figure.name}, {"value", figure.value}, {"unit", figure.unit}};
+    if (figure.bound) {
+      const bool holds = figure.value >= 0 && figure.value <= *figure.bound;
+      row["bound"] = *figure.bound;
+      row["holds"] = holds;
+      all = all && holds;
+    } else {
+      row["bound"] = nullptr;
+    }
+    row["seed"] = kSeed;
+    std::printf("%s\n", row.dump().c_str());
+    std::fflush(stdout);
+  }
+  return all;
+}
+
+int Run() {
+  const std::function<Figures()> parts[] = {
+      [] { return Idle(kFullEntries, kFullAgents); },
+      [] { return HourOfOutage(); },
+      [] { return InForce(0, ""); },
+      [] { return InForce(0.01, "_loss_1_percent"); },
+      [] { return Detection(); },
+      [] { return Idle(kFullEntries, kFullAgents / 2); },
+      [] { return Idle(60, 240); },
+      [] { return Idle(20, 80); },
+  };
+  std::vector<std::future<Figures>> running;
+  for (const auto& part : parts) {
+    running.push_back(std::async(std::launch::async, part));
+  }
+  bool all = true;
+  for (auto& part : running) {
+    all = Print(part.get()) && all;
+  }
+  return all ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace celerypost
+
+int main() {
+  return celerypost::Run();
+}
--- a/src/process/gossip_task.cc
+++ b/src/process/gossip_task.cc
@@ -190,6 +190,9 @@
   this->RefreshWitnesses();
   // Admission must not depend on whether somebody asks for it.
   this->MayGiveNewWork();
+  if (this->members.Self().role == Role::kEntry && this->fresh.admitted()) {
+    this->members.UpdateSelf([](Member& own) { own.warm = true; });
+  }
   this->AfterEvent();
   this->tick_call =
       this->scheduler.After(this->options.tick, [this] { this->Tick(); });
--- a/src/process/state/gossip.h
+++ b/src/process/state/gossip.h
@@ -57,7 +57,7 @@
   // changed, is asked for its table: changes alone would have arrived by then.
   std::chrono::milliseconds digest_patience{2000};
   // The same while tables keep changing.
-  std::chrono::milliseconds digest_patience_in_churn{30000};
+  std::chrono::milliseconds digest_patience_in_churn{6000};
   // All document numbers are announced again after this many heartbeats, in
   // case an announcement was lost.
   uint64_t announce_every = 40;
--- a/src/process/state/member.h
+++ b/src/process/state/member.h
@@ -32,7 +32,9 @@
   std::string http_address;
   // Agents: digest of the weight set that the target serves.
   std::string serving;
-  // Agents: the target is past its cold start.
+  // Agents: the target is past its cold start. Entries: the process has known
+  // that its configuration is the newest, so it can be a witness; GossipTask
+  // sets it.
   bool warm = false;
   // Agents: number of the roll-out up to which this agent has switched.
   int64_t switched = 0;
--- a/src/process/state/membership.cc
+++ b/src/process/state/membership.cc
@@ -307,16 +307,25 @@
 }
 
 std::vector<InstanceId> Membership::Witnesses(const RegionName& region) const {
-  std::vector<InstanceId> entries;
+  std::vector<InstanceId> warm;
+  std::vector<InstanceId> others;
   for (const auto& [instance, entry] : this->table) {
     const Member& member = entry.member;
     if (member.role == Role::kEntry && member.region == region &&
         member.state == MemberState::kLive) {
-      entries.push_back(instance);
+      (member.warm ? warm : others).push_back(instance);
     }
   }
-  return RendezvousSelect("witness:" + region.value(), std::move(entries),
-                          this->options.witnesses_per_region);
+  // An entry that does not know the newest configuration yet cannot speak for
+  // it. If such entries took the places of others, a region whose entries are
+  // replaced one by one during an outage would run out of witnesses.
+  const std::string key = "witness:" + region.value();
+  const size_t count = this->options.witnesses_per_region;
+  auto chosen = RendezvousSelect(key, std::move(warm), count);
+  const auto rest =
+      RendezvousSelect(key, std::move(others), count - chosen.size());
+  chosen.insert(chosen.end(), rest.begin(), rest.end());
+  return chosen;
 }
 
 std::set<RegionName> Membership::Regions() const {
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -61,7 +61,8 @@
   9: string http_address
   // Agents: digest of the weight set that the target serves.
   10: string serving
-  // Agents: 1 when the target is past its cold start.
+  // Agents: the target is past its cold start. Entries: the process has known
+  // that its configuration is the newest.
   11: bool warm
   // Agents: roll-out number up to which this agent has finished switching.
   12: i64 switched
--- a/tests/support/virtual_fleet.h
+++ b/tests/support/virtual_fleet.h
@@ -99,6 +99,8 @@
   };
   std::map<uint64_t, Accepted> accepted;
   std::map<CommitOutcome, uint64_t> outcomes;
+  // Configuration number to the processes that took it and the last time.
+  std::map<uint64_t, std::pair<size_t, TimePoint>> adopted;
 
  private:
   friend class FleetTransport;
--- a/tests/support/virtual_store.h
+++ b/tests/support/virtual_store.h
@@ -29,6 +29,8 @@
   // Share of transactions whose request or whose answer is lost.
   double lost_requests = 0;
   double lost_answers = 0;
+  size_t open_watches() const { return this->watchers.size(); }
+
   // Every value that a key had, in order.
   std::map<std::string, std::vector<std::string>> history;
   KeyValueCalls calls;
