--- a/src/process/gossip_task.cc
+++ b/src/process/gossip_task.cc
@@ -11,7 +11,7 @@
 using std::chrono::milliseconds;
 
 // Events that arrive together are answered together.
-constexpr milliseconds kFlushDelay{10};
+constexpr milliseconds kFlushDelay{20};
 // Header.attempt holds a clock reading in 31 bits; 0 means none.
 constexpr int64_t kEchoMask = 0x7fffffff;
 
@@ -190,6 +190,9 @@
   this->RefreshWitnesses();
   // Admission must not depend on whether somebody asks for it.
   this->MayGiveNewWork();
+  if (this->members.Self().role == Role::kEntry && this->fresh.admitted()) {
+    this->members.UpdateSelf([](Member& own) { own.warm = true; });
+  }
   this->AfterEvent();
   this->tick_call =
       this->scheduler.After(this->options.tick, [this] { this->Tick(); });
--- a/tests/support/virtual_fleet.h
+++ b/tests/support/virtual_fleet.h
@@ -29,6 +29,9 @@
   double loss = 0;
   GossipTaskOptions task;
   CommitOptions commit;
+  // Every process starts with the whole member table, which shortens the start
+  // of a large fleet.
+  bool preload = false;
   // How far the platform's list lags behind.
   std::chrono::milliseconds platform_lag{10000};
 };
@@ -99,6 +102,8 @@
   };
   std::map<uint64_t, Accepted> accepted;
   std::map<CommitOutcome, uint64_t> outcomes;
+  // Configuration number to the processes that took it and the last time.
+  std::map<uint64_t, std::pair<size_t, TimePoint>> adopted;
 
  private:
   friend class FleetTransport;
