--- a/tests/scenarios/fleet.cc
+++ b/tests/scenarios/fleet.cc
@@ -119,6 +119,26 @@
   return seeds;
 }
 
+std::string Fleet::Via(const std::string& service, const std::string& region) {
+  if (this->platform_region.empty()) {
+    this->platform_region = region;
+  }
+  const uint16_t direct = this->platform_ports[service];
+  if (region == this->platform_region) {
+    return Loopback(direct);
+  }
+  uint16_t& port = this->forwards[{service, region}];
+  if (port == 0) {
+    port = this->FreePort();
+    this->Control("link", {{"forward",
+                            {{"port", port},
+                             {"to", Loopback(direct)},
+                             {"region", this->platform_region},
+                             {"from", region}}}});
+  }
+  return Loopback(port);
+}
+
 std::string Fleet::StartEntry(const std::string& name, const Words& words) {
   Node node;
   node.role = "entry";
@@ -134,7 +154,7 @@
       "--peer_address=" + Loopback(node.ports["peer"]),
       "--http_address=" + Loopback(node.ports["http"]),
       "--operator_address=" + Loopback(node.ports["operator"]),
-      "--key_value_address=" + Loopback(this->platform_ports["kv"]),
+      "--key_value_address=" + this->Via("kv", RegionOf(words)),
       "--membership_address=" + Loopback(this->platform_ports["members"]),
       "--seeds=" + this->Seeds(),
       "--entry_max_age=" + Get(words, "max_age", "1s")};
@@ -192,7 +212,8 @@
       "--region_link_mbit=" + Get(words, "region_link_mbit", "1000")};
   if (kind == "engine") {
     node.arguments.push_back("--origin_address=" +
-                             Loopback(this->platform_ports["origin"]));
+                             this->Via("origin", RegionOf(words)));
+    node.arguments.push_back("--origin_region=" + this->platform_region);
   }
   std::string error = this->Launch(name, std::move(node));
   this->Announce(name, "live");
--- a/tests/scenarios/fleet.h
+++ b/tests/scenarios/fleet.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/connection/loop.h"
@@ -85,6 +86,10 @@
   std::string WaitFor(uint16_t port, const std::string& name);
   void Announce(const std::string& name, const std::string& state);
   std::string Seeds() const;
+  // Address of the key-value service or the origin as seen from `region`: over
+  // a link when the platform is in another region. The first process that
+  // starts is in the platform's region.
+  std::string Via(const std::string& service, const std::string& region);
 
   Loop& loop;
   const FleetOptions options;
@@ -93,6 +98,8 @@
   std::map<std::string, Node> nodes;
   std::map<std::string, uint16_t> control_ports;
   std::map<std::string, uint16_t> platform_ports;
+  std::string platform_region;
+  std::map<std::pair<std::string, std::string>, uint16_t> forwards;
 };
 
 }  // namespace celerypost::scenarios
