--- a/tests/scenarios/main.cc
+++ b/tests/scenarios/main.cc
@@ -24,6 +24,7 @@
   std::printf("%s\n", nlohmann::json{{"name", row.name},
                                      {"value", row.value},
                                      {"unit", row.unit},
+                                     {"comparison", row.comparison},
                                      {"bound", row.bound},
                                      {"holds", row.holds},
                                      {"seed", 0}}
@@ -32,11 +33,12 @@
 }
 
 void PrintTable(const std::vector<FigureRow>& rows) {
-  std::printf("%-44s %12s  %-8s %-10s %s\n", "figure", "value", "unit", "bound",
+  std::printf("%-44s %12s  %-9s %8s  %s\n", "figure", "value", "unit", "bound",
               "holds");
   for (const FigureRow& row : rows) {
-    std::printf("%-44s %12.3f  %-8s %-10s %s\n", row.name.c_str(), row.value,
-                row.unit.c_str(), row.bound.c_str(), row.holds ? "yes" : "NO");
+    std::printf("%-44s %12.3f  %-9s %2s %5g  %s\n", row.name.c_str(), row.value,
+                row.unit.c_str(), row.comparison.c_str(), row.bound,
+                row.holds ? "yes" : "NO");
   }
 }
 
--- a/tests/scenarios/scenario.cc
+++ b/tests/scenarios/scenario.cc
@@ -475,11 +475,13 @@
   FigureRow row;
   row.name = tokens[1];
   row.unit = tokens[tokens.size() - 3];
-  row.bound = tokens[tokens.size() - 2] + " " + tokens.back();
+  row.comparison = tokens[tokens.size() - 2];
+  row.bound = std::stod(tokens.back());
   std::string shown;
   row.holds = this->Compare(condition, &row.value, &shown);
   this->rows.push_back(row);
-  return row.holds ? "" : shown + ", bound " + row.bound;
+  return row.holds ? ""
+                   : shown + ", bound " + row.comparison + " " + tokens.back();
 }
 
 std::string Scenario::Http(const Tokens& tokens) {
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -15,7 +15,9 @@
   std::string name;
   double value = 0;
   std::string unit;
-  std::string bound;
+  // Operator and number.
+  std::string comparison;
+  double bound = 0;
   bool holds = false;
 };
 
