Word the refusal of a change by what the entry compared

Change: the message says that the configuration has another number than the change was made for; the entry's own message follows.

--- a/src/process/ctl_outcome.cc
+++ b/src/process/ctl_outcome.cc
@@ -22,8 +22,8 @@
 constexpr OutcomeName kOutcomes[] = {
     {200, "accepted", CtlExit::kDone, "accepted"},
     {409, "refused_newer", CtlExit::kRefused,
-     "refused: another change was accepted first; look at the status and "
-     "repeat if the change is still wanted"},
+     "refused: the configuration has another number than this change was made "
+     "for; look at the status and repeat if the change is still wanted"},
     {503, "unavailable", CtlExit::kUnavailable,
      "not changed: the key-value service cannot be reached; try again later"},
     {503, "region_unreachable", CtlExit::kUnavailable,
