Number generated ids apart, count redirections, and sign the whole Hello

Cause: the serving components number attempts of ids that an entry generated in their own range and need to know of redirected frames to say "not run" truly; the peer proof covered only a nonce, so the sender's name could be changed on the way. Change: ForwardTask passes kGeneratedId and frames_redirected; load reports use ReportedQueue; the proof covers every field of Hello.

--- a/src/connection/peer_connection.cc
+++ b/src/connection/peer_connection.cc
@@ -25,8 +25,20 @@
   std::string bytes;
 };
 
-std::string Join(std::string_view label, std::string_view nonce) {
-  return std::string(label).append(nonce);
+// What a proof covers: the side, the nonce of the other side, and everything
+// the Hello says of its sender, so that none of it can be changed on the way.
+std::string ProofMessage(std::string_view label,
+                         std::string_view nonce,
+                         const wire::Hello& hello) {
+  std::string message(label);
+  message.append(nonce);
+  for (const std::string& field :
+       {std::to_string(hello.role), std::to_string(hello.instance), hello.zone,
+        hello.region, hello.service_name, hello.address, hello.http_address,
+        std::to_string(hello.incarnation)}) {
+    message.append("\n").append(field);
+  }
+  return message;
 }
 
 }  // namespace
@@ -156,7 +168,7 @@
   }
 }
 
-void PeerConnection::SendHello(std::string_view proof) {
+void PeerConnection::SendHello(std::string_view answered_nonce) {
   wire::Hello hello;
   hello.role = static_cast<int32_t>(this->self.role);
   hello.instance = static_cast<int64_t>(this->self.instance.value);
@@ -167,7 +179,11 @@
   hello.http_address = this->self.http_address;
   hello.incarnation = static_cast<int64_t>(this->self.incarnation);
   hello.nonce = this->own_nonce;
-  hello.proof = std::string(proof);
+  if (!answered_nonce.empty()) {
+    hello.proof = this->key.Sign(
+        ProofMessage(this->connector ? kConnectorLabel : kAcceptorLabel,
+                     answered_nonce, hello));
+  }
   this->SendBytes(EncodeFrame(wire::Kind::HELLO, 0, 1, hello));
 }
 
@@ -273,18 +289,19 @@
       !this->connector && this->remote_nonce.empty();
   if (first_of_connector) {
     this->remote_nonce = hello->nonce;
-    this->SendHello(this->key.Sign(Join(kAcceptorLabel, hello->nonce)));
+    this->SendHello(hello->nonce);
     return;
   }
   const std::string_view label =
       this->connector ? kAcceptorLabel : kConnectorLabel;
-  if (!this->key.Verify(Join(label, this->own_nonce), hello->proof)) {
+  if (!this->key.Verify(ProofMessage(label, this->own_nonce, *hello),
+                        hello->proof)) {
     this->Fail(Verdict::kNotRun, ErrorCode::kUnauthenticated,
                "Hello.proof does not match the shared key");
     return;
   }
   if (this->connector) {
-    this->SendHello(this->key.Sign(Join(kConnectorLabel, hello->nonce)));
+    this->SendHello(hello->nonce);
   }
   this->remote.role = hello->role == static_cast<int32_t>(Role::kAgent)
                           ? Role::kAgent
--- a/src/connection/peer_connection.h
+++ b/src/connection/peer_connection.h
@@ -125,7 +125,8 @@
                  PeerConnectionHandlers handlers);
 
   void StartHandshake();
-  void SendHello(std::string_view proof);
+  // `answered_nonce` is the other side's nonce, or empty in the first Hello.
+  void SendHello(std::string_view answered_nonce);
   void SendBytes(std::string bytes);
   void Flush();
   void OnBytes(std::string_view bytes);
--- a/src/request/task/forward_task.cc
+++ b/src/request/task/forward_task.cc
@@ -216,7 +216,7 @@
   work.config_number =
       static_cast<int64_t>(this->context.gossip.config().number());
   const uint32_t caller_attempt =
-      this->id_generated_here ? 1 : this->request.attempt;
+      this->id_generated_here ? kGeneratedId : this->request.attempt;
   this->attempt_number = MakeAttempt(caller_attempt, this->entry_attempt);
   this->connection = std::move(to);
   this->target = chosen;
@@ -300,6 +300,10 @@
     this->Finish();
     return;
   }
+  if (end.refusal == wire::Refusal::MOVED ||
+      end.refusal == wire::Refusal::BEHIND) {
+    ++this->frames_redirected;
+  }
   if (end.refusal == wire::Refusal::MOVED) {
     this->moved_to = InstanceId{static_cast<uint64_t>(end.moved_to)};
   }
@@ -382,6 +386,7 @@
   facts.id_generated_here = this->id_generated_here;
   facts.caller_attempt = this->request.attempt;
   facts.frames_unanswered = this->frames_unanswered;
+  facts.frames_redirected = this->frames_redirected;
   return RefusalVerdict(facts);
 }
 
--- a/src/request/task/forward_task.h
+++ b/src/request/task/forward_task.h
@@ -103,6 +103,8 @@
   uint32_t entry_attempt = 0;
   // Work frames without an answer from their agent, also from earlier attempts.
   uint32_t frames_unanswered = 0;
+  // Work frames answered by agents that do not hold the request's slot.
+  uint32_t frames_redirected = 0;
   bool any_may_have_run = false;
   // The current attempt.
   std::shared_ptr<PeerConnection> connection;
--- a/src/request/task/work_service.cc
+++ b/src/request/task/work_service.cc
@@ -141,7 +141,7 @@
 wire::LoadReport WorkService::Load() const {
   wire::LoadReport report;
   report.in_flight = static_cast<int32_t>(this->gate->admission.in_flight());
-  report.queued = static_cast<int32_t>(this->gate->admission.queued());
+  report.queued = static_cast<int32_t>(this->gate->admission.ReportedQueue());
   report.limit =
       static_cast<int32_t>(this->gate->cold_start.Limit(this->loop.Now()));
   report.cold = !this->warm();
--- a/tests/process/operator_api_test.cc
+++ b/tests/process/operator_api_test.cc
@@ -21,6 +21,7 @@
   void End() override {}
   void Abort() override {}
   void OnClosed(std::function<void()>) override {}
+  void CloseConnectionAfter() override {}
   bool closed() const override { return false; }
 
   int status = 0;
