Let a roll-out go on when targets get too little work to warm up

Cause: an agent switches only while enough peers are warm, and a target that has switched is cold until it has finished requests; without enough traffic no target became warm and the roll-out stalled (scenario thin_path: 2 of 4 after 20 s). Change: a target also counts as settled when its limit has held no request back for its warm-up time, at least 2 s. The limit itself is unchanged. Ruled out: counting cold targets as serving at once, which would let the whole service become cold under load.

--- a/src/process/agent_process.cc
+++ b/src/process/agent_process.cc
@@ -415,7 +415,7 @@
 
 void AgentProcess::UpdateMember() {
   const Member& self = this->runtime->gossip->membership().Self();
-  const bool warm = this->work->warm();
+  const bool warm = this->work->settled();
   std::string serving;
   int64_t switched = 0;
   if (this->weights) {
--- a/src/process/state/member.h
+++ b/src/process/state/member.h
@@ -32,7 +32,7 @@
   std::string http_address;
   // Agents: digest of the weight set that the target serves.
   std::string serving;
-  // Agents: the target is past its cold start. Entries: the process has known
+  // Agents: the target is past its cold start, or is not held back by it.
   // that its configuration is the newest, so it can be a witness; GossipTask
   // sets it.
   bool warm = false;
--- a/src/request/task/work_service.cc
+++ b/src/request/task/work_service.cc
@@ -12,6 +12,10 @@
 // Limits while no manifest names the service.
 constexpr ServiceLimits kUnknownLimits{1, 1, std::chrono::milliseconds(0), 0};
 
+// Shortest time without a waiting request after which a cold target counts as
+// settled.
+constexpr std::chrono::milliseconds kSettleTime{2000};
+
 ColdStartOptions ToColdStartOptions(const ServiceLimits& limits) {
   ColdStartOptions options;
   options.cold_limit = limits.cold;
@@ -89,6 +93,12 @@
   return this->gate->cold_start.state() == ColdState::kWarm;
 }
 
+bool WorkService::settled() const {
+  const Duration quiet = std::max<Duration>(
+      kSettleTime, this->limits ? this->limits->warm_up : kSettleTime);
+  return this->warm() || this->loop.Now() - this->limited_at >= quiet;
+}
+
 uint32_t WorkService::running() const {
   return this->gate->admission.in_flight();
 }
@@ -118,15 +128,20 @@
 }
 
 void WorkService::OnTargetStarted(InstanceId id) {
+  if (id != this->start_id) {
+    this->limited_at = this->loop.Now();
+  }
   this->start_id = id;
   this->gate->cold_start.OnTargetStarted(id, this->loop.Now());
 }
 
 void WorkService::OnSentinelClosed() {
+  this->limited_at = this->loop.Now();
   this->gate->cold_start.OnSentinelClosed(this->loop.Now());
 }
 
 void WorkService::OnSwitchCompleted() {
+  this->limited_at = this->loop.Now();
   this->gate->cold_start.OnSwitchCompleted(this->loop.Now());
 }
 
@@ -273,6 +288,9 @@
                         "displaced by a request with more right to the queue",
                         wire::Refusal::FULL);
   }
+  if (outcome.decision != AdmissionDecision::kRun) {
+    this->limited_at = now;
+  }
   if (outcome.decision == AdmissionDecision::kRefused) {
     refuse(outcome.code, outcome.message, wire::Refusal::FULL);
     return;
--- a/src/request/task/work_service.h
+++ b/src/request/task/work_service.h
@@ -75,7 +75,11 @@
   void OnTick();
 
   RequestLedger& ledger() { return this->requests; }
+  // Past the cold start. Tells entries what load the target bears.
   bool warm() const;
+  // Warm, or not held back by its cold start for a while: a target without
+  // enough requests to warm up still carries all the load that it is offered.
+  bool settled() const;
   // Requests that run or wait.
   size_t in_flight() const { return this->tasks.size(); }
   // Requests that run at the target.
@@ -134,6 +138,8 @@
   bool limits_changed = false;
   InstanceId start_id;
   std::string stop_reason = "the agent is starting";
+  // Last time that the target became cold or its limit held a request back.
+  TimePoint limited_at{};
   TaskKey next_key = 1;
   std::unordered_map<TaskKey, std::shared_ptr<WorkTask>> tasks;
   // Attempts that wait for the outcome of the same id.
