Bound the chunks that a region imports at a time

Agents now import only the first chunks of the list that they all see, so the region's queue is bounded without a share per agent.

--- a/bench/weight_swarm_bench.cc
+++ b/bench/weight_swarm_bench.cc
@@ -96,6 +96,7 @@
 CELERYPOST_SWARM_BENCH(swarm_14_half_links, {5, 5, 4}, false, Swarming, 2);
 CELERYPOST_SWARM_BENCH(swarm_14_quarter_links, {5, 5, 4}, false, Swarming, 4);
 CELERYPOST_SWARM_BENCH(swarm_14_no_exchange, {5, 5, 4}, false, Direct, 4);
+CELERYPOST_SWARM_BENCH(swarm_80_two_regions, {40, 40}, false, Swarming);
 CELERYPOST_SWARM_BENCH(swarm_310_two_regions, {155, 155}, false, Swarming);
 CELERYPOST_SWARM_BENCH(swarm_14_faults, {14}, true, Swarming);
 CELERYPOST_SWARM_BENCH(swarm_310_faults, {310}, true, Swarming);
--- a/src/version/chunk_planner.cc
+++ b/src/version/chunk_planner.cc
@@ -373,7 +373,7 @@
   }
   std::sort(this->view.members.begin(), this->view.members.end(),
             [](const SwarmMember& a, const SwarmMember& b) {
-              return a.instance < b.instance;
+              return a.instance.value < b.instance.value;
             });
   this->view_dirty = false;
   this->strategy->OnView(this->view, new_goal, now);
--- a/src/version/digest.h
+++ b/src/version/digest.h
@@ -2,7 +2,6 @@
 #define SRC_VERSION_DIGEST_H_
 
 #include <array>
-#include <compare>
 #include <cstdint>
 #include <cstring>
 #include <functional>
@@ -16,7 +15,11 @@
 struct Digest {
   std::array<uint8_t, 32> bytes{};
 
-  auto operator<=>(const Digest&) const = default;
+  bool operator==(const Digest&) const = default;
+  bool operator<(const Digest& other) const {
+    return std::memcmp(this->bytes.data(), other.bytes.data(),
+                       this->bytes.size()) < 0;
+  }
 
   // 64 lower-case hexadecimal digits.
   std::string ToHex() const;
--- a/src/version/fetch_strategy.h
+++ b/src/version/fetch_strategy.h
@@ -97,6 +97,9 @@
   // Regions other than the origin's exchange chunks, so that each link from the
   // origin's region carries only a part of the set.
   bool exchange_between_regions = true;
+  // Chunks that all agents of a region together import at a time. Bounds the
+  // queue on the region's links however many agents the region has.
+  uint32_t import_window = 16;
 };
 
 // Section 4.11: one fetcher per chunk and region, all others from peers.
--- a/src/version/swarm_strategy.cc
+++ b/src/version/swarm_strategy.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "celerypost/assert.h"
@@ -44,6 +45,7 @@
     }
     if (new_goal) {
       this->last_new_chunk = now;
+      this->importable.clear();
       this->chunks.assign(view.chunks->size(), {});
       for (Chunk& chunk : this->chunks) {
         chunk.missing_since = now;
@@ -70,6 +72,11 @@
     if (!was_elsewhere && chunk.elsewhere) {
       chunk.elsewhere_since = now;
     }
+    if (chunk.elsewhere && !chunk.in_region) {
+      this->importable.insert(position);
+    } else {
+      this->importable.erase(position);
+    }
   }
 
   std::optional<FetchSource> Choose(const ChunkView& chunk,
@@ -126,12 +133,27 @@
     return now >= stalled_since + this->options.takeover * chunk.own_rank;
   }
 
+  // Every agent of the region sees about the same chunks that wait to be
+  // imported, so that the window is shared without any message.
+  bool InWindow(size_t position) const {
+    uint32_t place = 0;
+    for (const size_t waiting : this->importable) {
+      if (waiting == position) {
+        return true;
+      }
+      if (++place >= this->options.import_window) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   // Chooses a holder in another region.
   std::optional<FetchSource> Import(const ChunkView& chunk,
                                     const Chunk& known,
                                     std::mt19937_64& random,
                                     TimePoint now) const {
-    if (!chunk.cross_regions) {
+    if (!chunk.cross_regions || !this->InWindow(chunk.position)) {
       return std::nullopt;
     }
     if (auto holder = PickLeastBusy(chunk.usable, known.import_from, random)) {
@@ -215,6 +237,8 @@
   SwarmOptions options;
   const SwarmView* view = nullptr;
   std::vector<Chunk> chunks;
+  // Positions of the chunks that only other regions hold.
+  std::set<size_t> importable;
   std::optional<TimePoint> started;
   // When a chunk last got its first holder in any region.
   TimePoint last_new_chunk{};
--- a/tests/process/weight_swarm.cc
+++ b/tests/process/weight_swarm.cc
@@ -6,12 +6,7 @@
 LinkPacerOptions PacerOptions(const SwarmSetup& setup) {
   LinkPacerOptions options;
   options.link_rate = setup.vm_rate;
-  // The importers of a region share its links; twice the equal share lets those
-  // with more chunks than the others use what is free.
-  const double links = setup.region_rate * (setup.regions.size() - 1.0);
-  options.region_rate =
-      links * std::min(1.0, 2.0 / *std::min_element(setup.regions.begin(),
-                                                    setup.regions.end()));
+  options.region_rate = setup.region_rate * (setup.regions.size() - 1.0);
   return options;
 }
 
--- a/tests/process/weight_swarm.h
+++ b/tests/process/weight_swarm.h
@@ -283,6 +283,12 @@
   std::map<Digest, std::string> chunks;
 };
 
+struct ByValue {
+  bool operator()(InstanceId a, InstanceId b) const {
+    return a.value < b.value;
+  }
+};
+
 struct SwarmSetup {
   // Replicas per region; the first region is the origin's.
   std::vector<uint32_t> regions = {8};
@@ -346,7 +352,7 @@
     LinkPacer pacer;
     // The switch state that peers have been told.
     PeerSwitchState told;
-    std::set<InstanceId> neighbours;
+    std::set<InstanceId, ByValue> neighbours;
     std::unique_ptr<WeightTask> task;
     std::optional<TimePoint> served_at;
   };
@@ -377,7 +383,7 @@
   SwarmSetup setup;
   Timeline timeline;
   std::mt19937_64 random;
-  std::map<InstanceId, std::unique_ptr<Node>> nodes;
+  std::map<InstanceId, std::unique_ptr<Node>, ByValue> nodes;
   FakeLink origin_link;
   // Bytes by direction, from region * 16 + to.
   std::map<size_t, FakeLink> region_links;
