--- a/src/version/chunk_goal.cc
+++ b/src/version/chunk_goal.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <unordered_set>
-#include <utility>
 
 namespace celerypost {
 
@@ -23,9 +22,9 @@
                std::all_of(indices.begin(), indices.end(),
                            [](const auto& index) { return index.has_value(); });
   std::unordered_set<Digest> listed;
-  const auto list = [&goal, &listed](ChunkRef chunk) {
+  const auto list = [&goal, &listed](const ChunkRef& chunk) {
     if (listed.insert(chunk.digest).second) {
-      goal.chunks.push_back(std::move(chunk));
+      goal.chunks.push_back(chunk);
     }
   };
   for (const Artefact& artefact : set.artefacts) {
--- a/src/version/json_fields.cc
+++ b/src/version/json_fields.cc
@@ -9,8 +9,8 @@
 using nlohmann::json;
 
 const json& Nothing() {
-  static const json kNothing;
-  return kNothing;
+  static const json nothing;
+  return nothing;
 }
 
 bool IsIdentifier(std::string_view text) {
@@ -159,11 +159,11 @@
 }
 
 const json& JsonFields::Object(std::string_view name) {
-  static const json kEmpty = json::object();
+  static const json empty_object = json::object();
   const json& value = this->Field(name, "an object");
   if (!value.is_object()) {
     this->Fail(name, ShortJson(value), "an object");
-    return kEmpty;
+    return empty_object;
   }
   return value;
 }
@@ -171,7 +171,7 @@
 const json& JsonFields::Array(std::string_view name,
                               size_t least,
                               size_t most) {
-  static const json kEmpty = json::array();
+  static const json empty_array = json::array();
   const std::string accepted = "an array of " + std::to_string(least) + " to " +
                                std::to_string(most) + " elements";
   const json& value = this->Field(name, accepted);
@@ -181,7 +181,7 @@
                    ? "an array of " + std::to_string(value.size()) + " elements"
                    : ShortJson(value),
                accepted);
-    return kEmpty;
+    return empty_array;
   }
   return value;
 }
