--- a/src/process/ctl_outcome.cc
+++ b/src/process/ctl_outcome.cc
@@ -22,8 +22,8 @@
 constexpr OutcomeName kOutcomes[] = {
     {200, "accepted", CtlExit::kDone, "accepted"},
     {409, "refused_newer", CtlExit::kRefused,
-     "refused: another change was accepted first; look at the status and "
-     "repeat if the change is still wanted"},
+     "refused: the configuration has another number than this change was made "
+     "for; look at the status and repeat if the change is still wanted"},
     {503, "unavailable", CtlExit::kUnavailable,
      "not changed: the key-value service cannot be reached; try again later"},
     {503, "region_unreachable", CtlExit::kUnavailable,
@@ -137,20 +137,22 @@
 
 CtlOutcome JudgeChangeQuery(const Result<HttpResponse>& answer) {
   CtlOutcome outcome = JudgeRead(answer);
-  if (!answer) {
+  const OutcomeName* const known =
+      answer ? FindOutcome(answer->status, outcome.body) : nullptr;
+  if (known != nullptr && known->exit != CtlExit::kUnavailable) {
+    Apply(outcome, *known);
     return outcome;
   }
-  if (const OutcomeName* known = FindOutcome(answer->status, outcome.body)) {
-    Apply(outcome, *known);
-  } else if (answer->status == 404) {
+  if (answer && answer->status == 404) {
     outcome.name = "not_found";
-    outcome.message = "no accepted change has this id";
-  } else if (outcome.exit == CtlExit::kDone) {
-    outcome.exit = CtlExit::kUnknown;
-    outcome.name = "unknown";
-    outcome.message =
-        std::string(kUnknownMessage) + ": the entry gave an unexpected answer";
+    outcome.message = "not applied: no stored change has this id";
+    return outcome;
   }
+  outcome.exit = CtlExit::kUnknown;
+  outcome.name = "unknown";
+  outcome.message =
+      "the outcome cannot be found out now: " +
+      (outcome.message.empty() ? "unexpected answer" : outcome.message);
   return outcome;
 }
 
@@ -173,9 +175,11 @@
     const std::string error = ErrorMessage(outcome.body);
     outcome.exit = CtlExit::kUnavailable;
     outcome.name = "unavailable";
-    outcome.message = "the entry gave an unexpected answer with status " +
-                      std::to_string(answer->status) +
-                      (error.empty() ? "" : ": " + error);
+    outcome.message = answer->status == 503 && !error.empty()
+                          ? "the entry cannot answer now: " + error
+                          : "the entry gave an unexpected answer with status " +
+                                std::to_string(answer->status) +
+                                (error.empty() ? "" : ": " + error);
   }
   return outcome;
 }
--- a/src/process/flags.cc
+++ b/src/process/flags.cc
@@ -59,7 +59,8 @@
               "target_kind is engine");
 DEFINE_string(origin_region,
               "",
-              "region of the weight origin; empty for the agent's own region");
+              "region of the weight origin; 1 to 63 of a-z A-Z 0-9 . _ -; "
+              "default: the agent's own region");
 DEFINE_string(weights_memory_mb, "64", "memory for chunks, in MiB; 1 to 65536");
 DEFINE_string(link_mbit,
               "1000",
--- a/src/process/gossip_task.cc
+++ b/src/process/gossip_task.cc
@@ -11,7 +11,7 @@
 using std::chrono::milliseconds;
 
 // Events that arrive together are answered together.
-constexpr milliseconds kFlushDelay{10};
+constexpr milliseconds kFlushDelay{20};
 // Header.attempt holds a clock reading in 31 bits; 0 means none.
 constexpr int64_t kEchoMask = 0x7fffffff;
 
@@ -179,9 +179,20 @@
 
 void GossipTask::Tick() {
   this->members.OnTick(this->scheduler.Now());
+  // Once per tick, as changes come in groups and the choices cost a pass over
+  // the table.
+  if (this->seen_revision != this->members.revision()) {
+    this->OnTableChanged();
+    if (this->on_members_changed) {
+      this->on_members_changed();
+    }
+  }
   this->RefreshWitnesses();
   // Admission must not depend on whether somebody asks for it.
   this->MayGiveNewWork();
+  if (this->members.Self().role == Role::kEntry && this->fresh.admitted()) {
+    this->members.UpdateSelf([](Member& own) { own.warm = true; });
+  }
   this->AfterEvent();
   this->tick_call =
       this->scheduler.After(this->options.tick, [this] { this->Tick(); });
@@ -278,12 +289,6 @@
 }
 
 void GossipTask::AfterEvent() {
-  if (this->seen_revision != this->members.revision()) {
-    this->OnTableChanged();
-    if (this->on_members_changed) {
-      this->on_members_changed();
-    }
-  }
   for (const VersionedDocument& document : this->gossip.TakeNewDocuments()) {
     if (this->on_document) {
       this->on_document(document);
--- a/src/process/state/gossip.cc
+++ b/src/process/state/gossip.cc
@@ -58,14 +58,23 @@
       this->urgent = true;
     }
   }
+  // Only parts of a whole table carry no digest. The sender of a table learns
+  // what it does not know yet, such as the death of a member that still runs:
+  // it passes that on, and the member itself contradicts.
+  GossipHeartbeat corrections;
   for (const Member& member : heartbeat.members) {
-    this->membership.OnGossip(member, from, now);
+    if (!this->membership.OnGossip(member, from, now) &&
+        heartbeat.members_digest == 0 && this->membership.KnowsNewer(member)) {
+      corrections.members.push_back(*this->membership.Find(member.instance));
+    }
+  }
+  if (!corrections.members.empty()) {
+    Append(this->outgoing, from, std::move(corrections));
   }
   for (const DocumentHead& document : heartbeat.documents) {
     uint64_t& offered = peer.offers[document.key];
     offered = std::max(offered, document.number);
   }
-  // Parts of a table carry no digest.
   if (heartbeat.members_digest != 0) {
     peer.digest = heartbeat.members_digest;
     this->CheckDigest(from, peer, now);
@@ -112,11 +121,12 @@
 
 std::vector<GossipMessage> Gossip::Heartbeats(TimePoint now) {
   std::vector<GossipMessage> messages = this->Flush(now);
+  const auto stamps = this->freshness.Stamps(now);
   for (auto& [id, peer] : this->peers) {
     if (++peer.beats % this->options.announce_every == 0) {
       peer.documents.clear();
     }
-    Append(messages, id, this->Build(id, peer, now));
+    Append(messages, id, this->Build(id, peer, stamps));
   }
   return messages;
 }
@@ -130,8 +140,9 @@
   if (!std::exchange(this->urgent, false) && !members_changed) {
     return messages;
   }
+  const auto stamps = this->freshness.Stamps(now);
   for (auto& [id, peer] : this->peers) {
-    GossipHeartbeat heartbeat = this->Build(id, peer, now);
+    GossipHeartbeat heartbeat = this->Build(id, peer, stamps);
     if (!heartbeat.stamps.empty() || !heartbeat.members.empty() ||
         !heartbeat.documents.empty()) {
       Append(messages, id, std::move(heartbeat));
@@ -149,10 +160,12 @@
   return std::exchange(this->new_documents, {});
 }
 
-GossipHeartbeat Gossip::Build(InstanceId id, Peer& peer, TimePoint now) {
+GossipHeartbeat Gossip::Build(InstanceId id,
+                              Peer& peer,
+                              const std::vector<AgedStamp>& stamps) {
   GossipHeartbeat heartbeat;
   heartbeat.members_digest = this->membership.Digest();
-  for (const AgedStamp& aged : this->freshness.Stamps(now)) {
+  for (const AgedStamp& aged : stamps) {
     uint64_t& known = peer.stamps[aged.stamp.witness];
     if (aged.stamp.witness == id || known >= aged.stamp.sequence ||
         heartbeat.stamps.size() >= this->options.max_stamps) {
--- a/src/process/state/membership.cc
+++ b/src/process/state/membership.cc
@@ -29,6 +29,11 @@
   return XXH3_64bits(fields, sizeof(fields));
 }
 
+bool IsNewer(const Member& a, const Member& b) {
+  return a.incarnation > b.incarnation ||
+         (a.incarnation == b.incarnation && Rank(a) > Rank(b));
+}
+
 bool IsUrgentChange(const Member& before, const Member& after) {
   return before.state != after.state || before.suspected != after.suspected;
 }
@@ -129,8 +134,7 @@
   }
   Entry& entry = known->second;
   const Member& held = entry.member;
-  if (delta.incarnation < held.incarnation ||
-      (delta.incarnation == held.incarnation && Rank(delta) <= Rank(held))) {
+  if (!IsNewer(delta, held)) {
     return false;
   }
   Member merged = delta;
@@ -155,6 +159,11 @@
   return true;
 }
 
+bool Membership::KnowsNewer(const Member& record) const {
+  const Member* const held = this->Find(record.instance);
+  return held != nullptr && IsNewer(*held, record);
+}
+
 void Membership::OnTick(TimePoint now) {
   const Duration gap =
       this->last_tick ? now - *this->last_tick : Duration::zero();
@@ -168,36 +177,51 @@
       }
     }
   }
-  std::set<InstanceId> watched = this->connected;
-  watched.insert(this->Neighbours().begin(), this->Neighbours().end());
-  std::vector<InstanceId> forgotten;
-  for (auto& [instance, entry] : this->table) {
-    if (instance == this->self) {
+  std::set<InstanceId> next_watched = this->connected;
+  next_watched.insert(this->Neighbours().begin(), this->Neighbours().end());
+  for (const InstanceId instance : this->watched) {
+    if (!next_watched.contains(instance) && this->table.contains(instance)) {
+      this->table[instance].watched_since.reset();
+    }
+  }
+  this->watched = std::move(next_watched);
+  for (const InstanceId instance : this->watched) {
+    const auto found = this->table.find(instance);
+    if (found == this->table.end()) {
       continue;
     }
-    const Member& member = entry.member;
-    if (!watched.contains(instance)) {
-      entry.watched_since.reset();
-    } else if (!entry.watched_since) {
+    Entry& entry = found->second;
+    if (!entry.watched_since) {
       entry.watched_since = now;
     }
-    if (member.state == MemberState::kDead) {
+    if (entry.member.state != MemberState::kDead && !entry.member.suspected &&
+        now - std::max(entry.evidence_at, *entry.watched_since) >=
+            this->options.suspect_after) {
+      this->Suspect(entry, now);
+    }
+  }
+  std::vector<InstanceId> forgotten;
+  // A copy, as deaths change the set.
+  for (const InstanceId instance : std::set<InstanceId>(this->unsettled)) {
+    Entry& entry = this->table[instance];
+    if (entry.member.state == MemberState::kDead) {
       if (now - entry.dead_at > this->options.forget_dead_after &&
           !this->MayRun(entry)) {
         forgotten.push_back(instance);
       }
-    } else if (member.suspected) {
-      if (now - entry.suspected_at >= this->options.dead_after_suspicion) {
-        this->MarkDead(entry, now);
-      }
-    } else if (entry.watched_since &&
-               now - std::max(entry.evidence_at, *entry.watched_since) >=
-                   this->options.suspect_after) {
-      this->Suspect(entry, now);
+    } else if (now - entry.suspected_at >= this->options.dead_after_suspicion) {
+      this->MarkDead(entry, now);
     }
   }
   for (const InstanceId instance : forgotten) {
     this->changes.erase(this->table[instance].revision);
+    this->unsettled.erase(instance);
+    const auto at_address =
+        this->by_address.find(this->table[instance].member.address);
+    at_address->second.erase(instance);
+    if (at_address->second.empty()) {
+      this->by_address.erase(at_address);
+    }
     this->table.erase(instance);
   }
 }
@@ -230,11 +254,15 @@
 
 const Member* Membership::FindByAddress(const std::string& address) const {
   const Member* newest = nullptr;
-  for (const auto& [instance, entry] : this->table) {
-    if (entry.member.address == address &&
-        entry.member.state != MemberState::kDead &&
-        (newest == nullptr || newest->incarnation < entry.member.incarnation)) {
-      newest = &entry.member;
+  const auto found = this->by_address.find(address);
+  if (found == this->by_address.end()) {
+    return nullptr;
+  }
+  for (const InstanceId instance : found->second) {
+    const Member& member = this->table.at(instance).member;
+    if (member.state != MemberState::kDead &&
+        (newest == nullptr || newest->incarnation < member.incarnation)) {
+      newest = &member;
     }
   }
   return newest;
@@ -289,16 +317,25 @@
 }
 
 std::vector<InstanceId> Membership::Witnesses(const RegionName& region) const {
-  std::vector<InstanceId> entries;
+  std::vector<InstanceId> warm;
+  std::vector<InstanceId> others;
   for (const auto& [instance, entry] : this->table) {
     const Member& member = entry.member;
     if (member.role == Role::kEntry && member.region == region &&
         member.state == MemberState::kLive) {
-      entries.push_back(instance);
+      (member.warm ? warm : others).push_back(instance);
     }
   }
-  return RendezvousSelect("witness:" + region.value(), std::move(entries),
-                          this->options.witnesses_per_region);
+  // An entry that does not know the newest configuration yet cannot speak for
+  // it. If such entries took the places of others, a region whose entries are
+  // replaced one by one during an outage would run out of witnesses.
+  const std::string key = "witness:" + region.value();
+  const size_t count = this->options.witnesses_per_region;
+  auto chosen = RendezvousSelect(key, std::move(warm), count);
+  const auto rest =
+      RendezvousSelect(key, std::move(others), count - chosen.size());
+  chosen.insert(chosen.end(), rest.begin(), rest.end());
+  return chosen;
 }
 
 std::set<RegionName> Membership::Regions() const {
@@ -407,11 +444,20 @@
     this->urgent = true;
   }
   this->changes.erase(entry.revision);
+  if (entry.member.address != member.address || entry.revision == 0) {
+    this->by_address[entry.member.address].erase(member.instance);
+    this->by_address[member.address].insert(member.instance);
+  }
   entry.member = member;
   entry.learnt_from = from;
   entry.revision = ++this->table_revision;
   this->changes[entry.revision] = member.instance;
   this->table_digest ^= RecordDigest(entry.member);
+  if (member.suspected || member.state == MemberState::kDead) {
+    this->unsettled.insert(member.instance);
+  } else {
+    this->unsettled.erase(member.instance);
+  }
 }
 
 void Membership::Suspect(Entry& entry, TimePoint now) {
@@ -436,17 +482,15 @@
 }
 
 void Membership::RetireOlderAt(const Member& newer, TimePoint now) {
-  for (auto& [instance, entry] : this->table) {
-    const Member& member = entry.member;
+  for (const InstanceId instance : this->by_address[newer.address]) {
+    Entry& entry = this->table[instance];
     if (instance == newer.instance || instance == this->self ||
-        member.address != newer.address) {
+        entry.member.incarnation >= newer.incarnation) {
       continue;
     }
-    if (member.incarnation < newer.incarnation) {
-      entry.replaced = true;
-      if (member.state != MemberState::kDead) {
-        this->MarkDead(entry, now);
-      }
+    entry.replaced = true;
+    if (entry.member.state != MemberState::kDead) {
+      this->MarkDead(entry, now);
     }
   }
 }
--- a/tests/process/settings_test.cc
+++ b/tests/process/settings_test.cc
@@ -118,6 +118,7 @@
                          {"target_address", ":9000"},
                          {"target_kind", "gpu"},
                          {"origin_address", ""},
+                         {"origin_region", "dar/1"},
                          {"weights_memory_mb", "0"},
                          {"weights_memory_mb", "65537"},
                          {"link_mbit", "nan"},
@@ -181,15 +182,20 @@
   flags["seeds"] = "10.0.0.2:7000,10.0.0.3:7001";
   flags["link_mbit"] = "0.5";
   flags["weights_memory_mb"] = "2";
-  const auto agent = MakeAgentSettings(flags);
+  auto agent = MakeAgentSettings(flags);
   CHECK_TRUE(agent.has_value());
   CHECK(agent->zone == ZoneName("dar-a"));
+  CHECK(agent->origin_region == RegionName("dar"));
   LONGS_EQUAL(2, agent->seeds.size());
   LONGS_EQUAL(7001, agent->seeds[1].port);
   LONGS_EQUAL(62500, agent->link_bytes_per_second);
   LONGS_EQUAL(2500000, agent->region_link_bytes_per_second);
   LONGS_EQUAL(2 << 20, agent->weights_memory_bytes);
   CHECK(agent->shared_key.bytes() == kKey);
+  flags["origin_region"] = "arusha";
+  agent = MakeAgentSettings(flags);
+  CHECK_TRUE(agent.has_value());
+  CHECK(agent->origin_region == RegionName("arusha"));
   const auto entry = MakeEntrySettings(EntryFlags());
   CHECK_TRUE(entry.has_value());
   CHECK(entry->entry_max_age == milliseconds(5000));
