--- a/src/version/fetch_strategy.h
+++ b/src/version/fetch_strategy.h
@@ -99,7 +99,7 @@
   bool exchange_between_regions = true;
   // Chunks that all agents of a region together import at a time. Bounds the
   // queue on the region's links however many agents the region has.
-  uint32_t import_window = 16;
+  uint32_t import_window = 64;
 };
 
 // Section 4.11: one fetcher per chunk and region, all others from peers.
