--- a/tests/support/control_run.h
+++ b/tests/support/control_run.h
@@ -12,11 +12,13 @@
   FleetOptions fleet;
   // Length of the key-value service's outage, in which every process restarts.
   std::chrono::seconds outage{30};
+  // Pauses and cuts of single processes last up to this long; longer than the
+  // time after which a process counts as dead.
+  std::chrono::milliseconds longest_fault{7000};
   // Time before the outage, and rounds in which region 1 is cut off.
   std::chrono::seconds before{10};
   size_t cuts = 2;
-  // Time after the last fault until the last change; cuts of single processes
-  // end within its first 7 s.
+  // Time after the start of the last fault until the last change.
   std::chrono::seconds repair{25};
   // Between two requests of operators; each second one races with another.
   std::chrono::milliseconds operator_period{300};
