--- a/src/connection/peer_connection.h
+++ b/src/connection/peer_connection.h
@@ -24,6 +24,10 @@
   ServiceName service;
   // Where this process accepts peers, as "IPv4:port".
   std::string address;
+  // Where this process accepts HTTP requests, as "IPv4:port".
+  std::string http_address;
+  // Incarnation of the process's first member record.
+  uint64_t incarnation = 0;
 };
 
 // Proves knowledge of the key that all processes of one system share.
@@ -93,13 +97,12 @@
             int64_t request,
             int32_t attempt,
             const Message& message) {
-    if (!this->open()) {
-      return false;
-    }
-    this->SendBytes(EncodeFrame(kind, request, attempt, message));
-    return true;
+    return this->SendFrame(EncodeFrame(kind, request, attempt, message));
   }
 
+  // Queues a frame that EncodeFrame made; as Send.
+  bool SendFrame(std::string frame);
+
   void Close();
 
   bool open() const { return this->phase == Phase::kOpen; }
--- a/src/version/chunk_planner.h
+++ b/src/version/chunk_planner.h
@@ -1,8 +1,9 @@
 #ifndef SRC_VERSION_CHUNK_PLANNER_H_
 #define SRC_VERSION_CHUNK_PLANNER_H_
 
+#include <array>
 #include <cstdint>
-#include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -12,8 +13,11 @@
 #include <vector>
 
 #include "celerypost/types.h"
+#include "src/version/backoff.h"
 #include "src/version/chunk_goal.h"
 #include "src/version/fetch_strategy.h"
+#include "src/version/fetch_timeout.h"
+#include "src/version/goal_history.h"
 
 namespace celerypost {
 
@@ -21,15 +25,15 @@
   InstanceId self;
   RegionName region;
   RegionName origin_region;
-  // Fetches in flight: in total, per peer, and from the origin.
+  // Fetches in flight: within the region (the origin included), per peer, from
+  // the origin, and across regions. Those across regions are counted apart, so
+  // that a slow link between regions takes no slots from the fast ones.
   uint32_t max_fetches = 8;
   uint32_t max_fetches_per_peer = 2;
   uint32_t max_origin_fetches = 2;
-  // A fetch that takes longer than four times the usual duration is given up,
-  // within these bounds. The initial value holds until a fetch has ended.
-  Duration initial_timeout = std::chrono::seconds(5);
-  Duration min_timeout = std::chrono::seconds(1);
-  Duration max_timeout = std::chrono::seconds(30);
+  uint32_t max_cross_fetches = 8;
+  // When a fetch is given up.
+  FetchTimeoutOptions timeout;
   // Backoff after refusals: doubles from the first to the second value, with
   // jitter.
   Duration peer_backoff = std::chrono::milliseconds(20);
@@ -118,8 +122,14 @@
   PlannerActions Next(TimePoint now, NextLimits limits = {});
 
   // True if every chunk of a whole goal is held.
-  bool complete() const;
-  bool Holds(const Digest& digest) const;
+  bool complete() const {
+    return this->goal.whole && this->goal_held == this->positions.size();
+  }
+  bool Holds(const Digest& digest) const { return this->held.contains(digest); }
+  // True if the goal contains `digest`.
+  bool Wants(const Digest& digest) const {
+    return this->position_of.contains(digest);
+  }
   // What this agent holds of its goal, for its peers.
   HaveAnnouncement Have() const;
   size_t chunks_held() const { return this->goal_held; }
@@ -127,7 +137,10 @@
   const ChunkGoal& current_goal() const { return this->goal; }
   size_t in_flight() const { return this->fetches.size(); }
   // Corrupt chunks received from `peer`.
-  uint32_t Blame(InstanceId peer) const;
+  uint32_t Blame(InstanceId peer) const {
+    const auto found = this->corrupt_counts.find(peer);
+    return found == this->corrupt_counts.end() ? 0 : found->second;
+  }
 
  private:
   struct Peer {
@@ -136,10 +149,9 @@
     // One flag per position of the goal.
     std::vector<bool> holds;
     uint32_t in_flight = 0;
+    Backoff backoff;
     // Consecutive ones.
-    uint32_t refusals = 0;
     uint32_t failures = 0;
-    TimePoint usable_from{};
     // Neither asked nor counted as a holder or fetcher.
     bool avoided = false;
     TimePoint avoided_until{};
@@ -147,11 +159,13 @@
   struct Fetch {
     ChunkRef chunk;
     FetchSource source;
+    bool crosses_regions = false;
     TimePoint started;
     TimePoint deadline;
   };
   struct Position {
     bool held = false;
+    bool in_flight = false;
     uint32_t holders_in_region = 0;
     uint32_t holders_elsewhere = 0;
     // Peers that hold it, avoided ones included.
@@ -160,9 +174,9 @@
 
   void ApplyHave(Peer& peer, TimePoint now);
   void SetHolds(Peer& peer, size_t position, bool holds, TimePoint now);
-  void ClearHolds(Peer& peer, TimePoint now);
   void Count(const Peer& peer, size_t position, int change, TimePoint now);
   void Avoid(Peer& peer, Duration period, TimePoint now);
+  void EndAvoidance(TimePoint now);
   void SetAvoided(Peer& peer, bool avoided, TimePoint now);
   void OnOriginOutcome(FetchOutcome outcome,
                        TimePoint now,
@@ -174,11 +188,18 @@
                      std::optional<Duration> retry_after);
   void UpdateView(bool new_goal, TimePoint now);
   void ExpireFetches(TimePoint now);
+  // Ends the fetches for which `unwanted` is true and returns them.
+  std::vector<Fetch> CancelFetches(
+      const std::function<bool(const Fetch&)>& unwanted);
   void EndFetch(const Fetch& fetch);
-  Duration Timeout() const;
-  Duration Jittered(Duration base, uint32_t refusals, Duration limit);
+  FetchTimeout& Timeout(FetchSource source, bool crosses);
   std::vector<size_t> Missing();
-  ChunkView MakeView(size_t position, TimePoint now, const NextLimits& limits);
+  // `local` and `cross_regions`: whether sources within and outside this region
+  // may be asked.
+  ChunkView MakeView(size_t position,
+                     TimePoint now,
+                     bool local,
+                     bool cross_regions) const;
   bool Crosses(const FetchSource& source) const;
 
   ChunkPlannerOptions options;
@@ -189,9 +210,7 @@
   std::unordered_map<Digest, size_t> position_of;
   std::vector<Position> positions;
   size_t goal_held = 0;
-  // Earlier goals, newest first; announcements of peers that still have one of
-  // them are understood through its list.
-  std::deque<ChunkGoal> earlier;
+  GoalHistory earlier;
   std::unordered_set<Digest> held;
 
   std::unordered_map<InstanceId, Peer> peers;
@@ -201,12 +220,17 @@
   SwarmView view;
   bool view_dirty = true;
 
+  uint32_t cross_in_flight = 0;
   uint32_t origin_in_flight = 0;
-  // Consecutive ones.
-  uint32_t origin_refusals = 0;
-  TimePoint origin_usable_from{};
+  Backoff origin_backoff;
+  // When a chunk of the goal last got its first holder among the peers.
+  TimePoint last_new_chunk{};
+  // When a chunk of the goal last came into this agent's region.
+  TimePoint region_progress{};
   TimePoint paused_until{};
-  std::optional<Duration> usual_duration;
+  TimePoint next_avoidance_end = TimePoint::max();
+  // Fetches from peers of this region, of other regions, and from the origin.
+  std::array<FetchTimeout, 3> timeouts;
 };
 
 }  // namespace celerypost
