--- a/tests/process/operator_api_test.cc
+++ b/tests/process/operator_api_test.cc
@@ -20,6 +20,7 @@
   void Write(std::string_view bytes) override { this->body.append(bytes); }
   void End() override {}
   void Abort() override {}
+  void CloseConnectionAfter() override {}
   void OnClosed(std::function<void()>) override {}
   bool closed() const override { return false; }
 
