--- a/tests/scenarios/fleet.cc
+++ b/tests/scenarios/fleet.cc
@@ -270,6 +270,10 @@
   if (!this->table.Signal(name, SIGKILL)) {
     return name + " does not run";
   }
+  // A restart that follows must not find the dying process.
+  while (this->table.IsRunning(name)) {
+    this->loop.RunFor(std::chrono::milliseconds(1));
+  }
   this->Announce(name, "");
   return "";
 }
