--- a/tests/process/operator_api_test.cc
+++ b/tests/process/operator_api_test.cc
@@ -22,7 +22,6 @@
   void Abort() override {}
   void CloseConnectionAfter() override {}
   void OnClosed(std::function<void()>) override {}
-  void CloseConnectionAfter() override {}
   bool closed() const override { return false; }
 
   int status = 0;
