--- a/src/process/service_directory.cc
+++ b/src/process/service_directory.cc
@@ -73,7 +73,7 @@
     return;
   }
   if (auto table = SlotTable::Parse(document->bytes)) {
-    view.slots = std::move(*table);
+    view.slots = *table;
   }
 }
 
--- a/src/process/slot_table_writer.cc
+++ b/src/process/slot_table_writer.cc
@@ -18,7 +18,7 @@
     if (!parsed) {
       return tl::unexpected<Failure>(parsed.error());
     }
-    table = std::move(*parsed);
+    table = *parsed;
   }
   if (live.empty()) {
     return std::optional<std::string>();
--- a/src/process/state/freshness.cc
+++ b/src/process/state/freshness.cc
@@ -128,9 +128,9 @@
 
 const std::vector<InstanceId>& Freshness::Witnesses(
     const RegionName& region) const {
-  static const std::vector<InstanceId> kNone;
+  static const std::vector<InstanceId> none;
   const auto found = this->witnesses.find(region);
-  return found == this->witnesses.end() ? kNone : found->second;
+  return found == this->witnesses.end() ? none : found->second;
 }
 
 bool Freshness::IsFresh(const Evidence& item, TimePoint now) const {
--- a/src/process/state/gossip.cc
+++ b/src/process/state/gossip.cc
@@ -223,13 +223,14 @@
       // After a timeout another peer is asked, if there is one.
       const bool other_offers =
           pull != this->pulls.end() && pull->second.peer == id &&
-          std::any_of(this->peers.begin(), this->peers.end(),
-                      [&](const auto& other) {
-                        const auto offer = other.second.offers.find(key);
-                        return other.first != id &&
-                               offer != other.second.offers.end() &&
-                               offer->second >= number;
-                      });
+          std::any_of(
+              this->peers.begin(), this->peers.end(),
+              [&key = key, &id = id, &number = number](const auto& other) {
+                const auto offer = other.second.offers.find(key);
+                return other.first != id &&
+                       offer != other.second.offers.end() &&
+                       offer->second >= number;
+              });
       if (other_offers) {
         continue;
       }
