Let a callback destroy its HTTP call; close a loop's remaining handles

Cause: the first sanitizer run of the whole tree found that an HttpCall destroyed in its own callback freed that callback while it ran (heap-use-after-free in OriginClientTest.CallbackMayDestroyItsTransfer), and that every process left its loop open because h2o keeps handles, which the leak checker counts and which made 9 scenarios and the stand-in tests fail under sanitizers. Change: a call that is destroyed in a callback is only marked; the loop closes all handles that are left when it ends.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -189,11 +189,12 @@
   explicit H2oCall(Exchange* exchange) : exchange(exchange) {}
 
   ~H2oCall() override {
-    this->exchange->callbacks = {};
     if (this->exchange->users > 0) {
+      // A callback destroys its own call; it must not be freed while it runs.
       this->exchange->dropped = true;
       return;
     }
+    this->exchange->callbacks = {};
     if (!this->exchange->done && this->exchange->client != nullptr) {
       h2o_http1client_cancel(this->exchange->client);
     }
--- a/src/connection/loop.cc
+++ b/src/connection/loop.cc
@@ -88,8 +88,16 @@
     uv_close(reinterpret_cast<uv_handle_t*>(&this->signals->interrupt),
              nullptr);
   }
-  // Runs the close callbacks. Handles that h2o keeps stay open until the
-  // process ends.
+  // h2o never closes some of its handles. Their memory outlives the loop.
+  uv_walk(
+      &this->handle,
+      [](uv_handle_t* open, void*) {
+        if (uv_is_closing(open) == 0) {
+          uv_close(open, nullptr);
+        }
+      },
+      nullptr);
+  // Runs the close callbacks.
   for (int i = 0; i < 16 && uv_run(&this->handle, UV_RUN_NOWAIT) != 0; ++i) {
   }
   uv_loop_close(&this->handle);
