Keep callers away from cold targets; switch a zone's next target when the last is warm

A target is slow until it has warmed up, callers were sent to cold targets like to idle ones, and an agent counted as done with switching while still cold, so all 14 targets were cold at once 3.8 s after the commit. Change: a cold target costs more and gets 3 % of requests to warm up; targets that have switched and are not warm count against the zone's switch window.

--- a/src/process/service_directory.cc
+++ b/src/process/service_directory.cc
@@ -111,6 +111,7 @@
       state.region = member->region;
       state.limit =
           member->warm ? view.service.limits.full : view.service.limits.cold;
+      state.cold = !member->warm;
       view.router->UpdateTarget(state);
       targets.insert(member->instance);
     }
--- a/src/request/router.cc
+++ b/src/request/router.cc
@@ -64,6 +64,7 @@
   const uint32_t total = report.in_flight + report.queued;
   target.others = total - std::min(total, target.own_in_flight);
   target.limit = std::max(1u, report.limit);
+  target.cold = report.cold;
   target.reported_at = now;
 }
 
--- a/src/request/routing_strategy.cc
+++ b/src/request/routing_strategy.cc
@@ -51,6 +51,9 @@
                                  TimePoint now,
                                  Random& random) override {
     Best best;
+    const double cold_cost = random.Unit() < this->options.warming_share
+                                 ? -this->options.cold_cost
+                                 : this->options.cold_cost;
     for (const Distance distance : kByDistance) {
       const std::span<const uint32_t> group = targets.Group(distance);
       if (group.empty()) {
@@ -67,10 +70,12 @@
         }
         const double utilisation = this->Utilisation(targets.at(*index), now);
         this->mean += (utilisation - this->mean) * kMeanShare;
-        best.Offer(*index, utilisation + extra);
+        best.Offer(*index, utilisation + extra +
+                               (targets.at(*index).cold ? cold_cost : 0.0));
       }
       if (request.prefix_hash != 0) {
-        this->OfferPrefixTargets(targets, request, distance, now, &best);
+        this->OfferPrefixTargets(targets, request, distance, now, cold_cost,
+                                 &best);
       }
     }
     return best.index;
@@ -95,6 +100,7 @@
                           const RouteRequest& request,
                           Distance distance,
                           TimePoint now,
+                          double cold_cost,
                           Best* best) const {
     const double extra = this->distance_costs[static_cast<size_t>(distance)];
     for (const uint64_t hash : {request.prefix_hash, ~request.prefix_hash}) {
@@ -104,7 +110,8 @@
       const double bound = std::max(this->options.affinity_bound * this->mean,
                                     this->options.affinity_free_utilisation);
       if (utilisation <= bound && !IsExcluded(request, target.instance)) {
-        best->Offer(index, utilisation + extra - this->options.affinity_gain);
+        best->Offer(index, utilisation + extra - this->options.affinity_gain +
+                               (target.cold ? cold_cost : 0.0));
         return;
       }
     }
--- a/src/request/routing_strategy.h
+++ b/src/request/routing_strategy.h
@@ -33,6 +33,12 @@
   double affinity_bound = 1.25;
   // A target below this utilisation is never too loaded for its prefixes.
   double affinity_free_utilisation = 0.25;
+  // Added to the cost of a cold target, whose answers are several times slower.
+  // Larger than `affinity_gain`, so that a prefix does not draw callers to it.
+  double cold_cost = 0.75;
+  // Share of requests that prefer a cold target, so that it warms up. Below
+  // 0.05: the cold targets' answers must not set the p95.
+  double warming_share = 0.03;
   // Farther targets are considered when the best cost nearby exceeds this.
   double spill_cost = 1.0;
   // Age at which half of a load report's deviation from the mean is believed.
--- a/src/request/target_table.cc
+++ b/src/request/target_table.cc
@@ -43,8 +43,9 @@
       this->free_indexes.pop_back();
     }
     this->indexes.emplace(state.instance, index);
-    this->targets[index] =
-        Target{.instance = state.instance, .limit = std::max(1u, state.limit)};
+    this->targets[index] = Target{.instance = state.instance,
+                                  .limit = std::max(1u, state.limit),
+                                  .cold = state.cold};
   }
   Target& target = this->targets[index];
   const Distance distance = this->DistanceOf(state);
--- a/src/request/target_table.h
+++ b/src/request/target_table.h
@@ -21,8 +21,10 @@
   RegionName region;
   // False for a target that is leaving, in a zone taken out, or unreachable.
   bool accepting = true;
-  // Concurrency limit until the first load report.
+  // Concurrency limit, and whether the target is cold, until the first load
+  // report.
   uint32_t limit = 1;
+  bool cold = false;
 };
 
 // How far a target is from this entry.
@@ -35,6 +37,8 @@
   Distance distance = Distance::kRemote;
   bool accepting = false;
   uint32_t limit = 1;
+  // Slow until it has warmed up.
+  bool cold = false;
   // Sent by this entry and not finished.
   uint32_t own_in_flight = 0;
   // Requests of other entries there, as of the last load report.
--- a/src/version/switch_planner.cc
+++ b/src/version/switch_planner.cc
@@ -43,7 +43,7 @@
   };
   const auto own = place(this->self);
   uint32_t in_zone = 1;
-  uint32_t pending_before = 0;
+  uint32_t pending = 0;
   uint32_t warm = 0;
   for (const auto& [instance, peer] : this->peers) {
     warm += peer.warm_and_serving ? 1 : 0;
@@ -51,8 +51,12 @@
       continue;
     }
     ++in_zone;
-    if (peer.switched < rollout && place(instance) < own) {
-      ++pending_before;
+    // A target that has switched is cold; the next one waits until it is warm,
+    // so that cold targets never make up more of the zone than the window.
+    const bool switching = peer.switched < rollout && place(instance) < own;
+    const bool warming = peer.switched >= rollout && !peer.warm_and_serving;
+    if (switching || warming) {
+      ++pending;
     }
   }
   const auto window = std::max<uint32_t>(
@@ -60,7 +64,7 @@
   // A service with fewer replicas than the limit could otherwise never switch.
   const auto required = std::min<uint32_t>(
       this->options.min_serving, static_cast<uint32_t>(this->peers.size()));
-  return pending_before < window && warm >= required;
+  return pending < window && warm >= required;
 }
 
 }  // namespace celerypost
