--- a/src/process/service_directory.cc
+++ b/src/process/service_directory.cc
@@ -73,6 +73,9 @@
     return;
   }
   if (auto table = SlotTable::Parse(document->bytes)) {
+    if (view.slots && view.slots->version < table->version) {
+      view.former_slots = view.slots;
+    }
     view.slots = *table;
   }
 }
--- a/src/process/service_directory.h
+++ b/src/process/service_directory.h
@@ -33,6 +33,8 @@
   std::unique_ptr<Router> router;
   // Absent until the first table is written; plain services only.
   std::optional<SlotTable> slots;
+  // The table before; its owners may still hold ids of earlier versions.
+  std::optional<SlotTable> former_slots;
   // Targets that the router holds.
   std::set<InstanceId> targets;
 };
--- a/src/request/task/forward_task.cc
+++ b/src/request/task/forward_task.cc
@@ -182,7 +182,15 @@
   const ServiceView* view = this->context.services.Find(this->request.service);
   InstanceId holder = this->moved_to;
   if (holder == InstanceId{} && view != nullptr && view->slots) {
-    holder = view->slots->slots[this->request.id->Slot()].owner;
+    const size_t slot = this->request.id->Slot();
+    holder = view->slots->slots[slot].owner;
+    // The new owner of a slot may not have received the former owner's records
+    // yet. The former owner knows to whom it has passed them.
+    if (this->request.id->table_version < view->slots->slots[slot].since &&
+        view->former_slots &&
+        this->context.mesh.Find(view->former_slots->slots[slot].owner)) {
+      holder = view->former_slots->slots[slot].owner;
+    }
   }
   auto to = this->context.mesh.Find(holder);
   if (!to) {
@@ -351,10 +359,8 @@
       (refusal == wire::Refusal::BEHIND || refusal == wire::Refusal::MOVED);
   if (slot_lookup && verdict == Verdict::kNotRun) {
     if (this->entry_attempt < kMaxSlotAttempts) {
-      const bool known = refusal == wire::Refusal::MOVED &&
-                         this->context.mesh.Find(this->moved_to);
-      this->SendAgainAfter(known ? std::chrono::milliseconds(0)
-                                 : kSlotRetryDelay);
+      // Also after MOVED: the records may still be on their way.
+      this->SendAgainAfter(kSlotRetryDelay);
       return;
     }
   } else if (const auto delay = this->context.budget.MayRetry(
