--- a/src/connection/loop.cc
+++ b/src/connection/loop.cc
@@ -64,19 +64,19 @@
   std::function<void()> on_signal;
 };
 
-Loop::Loop() {
+Loop::Loop() : handle(std::make_unique<uv_loop_t>()) {
   // A write to a connection that the other side has closed must fail with an
   // error, not end the process.
   std::signal(SIGPIPE, SIG_IGN);
-  const int status = uv_loop_init(&this->handle);
+  const int status = uv_loop_init(this->handle.get());
   CELERYPOST_ASSERT(status == 0, "a process has one working event loop");
-  uv_prepare_init(&this->handle, &this->prepare);
+  uv_prepare_init(this->handle.get(), &this->prepare);
   this->prepare.data = this;
   uv_prepare_start(&this->prepare, [](uv_prepare_t* prepare) {
     static_cast<Loop*>(prepare->data)->RunDeferred();
   });
   uv_unref(reinterpret_cast<uv_handle_t*>(&this->prepare));
-  uv_timer_init(&this->handle, &this->wake);
+  uv_timer_init(this->handle.get(), &this->wake);
 }
 
 Loop::~Loop() {
@@ -88,34 +88,32 @@
     uv_close(reinterpret_cast<uv_handle_t*>(&this->signals->interrupt),
              nullptr);
   }
-  // h2o never closes some of its handles. Their memory outlives the loop.
-  uv_walk(
-      &this->handle,
-      [](uv_handle_t* open, void*) {
-        if (uv_is_closing(open) == 0) {
-          uv_close(open, nullptr);
-        }
-      },
-      nullptr);
   // Runs the close callbacks.
-  for (int i = 0; i < 16 && uv_run(&this->handle, UV_RUN_NOWAIT) != 0; ++i) {
+  for (int i = 0; i < 16 && uv_run(this->handle.get(), UV_RUN_NOWAIT) != 0;
+       ++i) {
+  }
+  if (uv_loop_close(this->handle.get()) != 0) {
+    // h2o never closes some of its handles. They refer to the loop, so both
+    // stay until the process ends.
+    static std::vector<std::unique_ptr<uv_loop_t>>& retired =
+        *new std::vector<std::unique_ptr<uv_loop_t>>();
+    retired.push_back(std::move(this->handle));
   }
-  uv_loop_close(&this->handle);
 }
 
 void Loop::Run() {
-  uv_run(&this->handle, UV_RUN_DEFAULT);
+  uv_run(this->handle.get(), UV_RUN_DEFAULT);
 }
 
 void Loop::Stop() {
-  uv_stop(&this->handle);
+  uv_stop(this->handle.get());
 }
 
 void Loop::RunFor(std::chrono::milliseconds limit) {
-  uv_update_time(&this->handle);
+  uv_update_time(this->handle.get());
   uv_timer_start(
       &this->wake, [](uv_timer_t*) {}, ToUvTimeout(limit), 0);
-  uv_run(&this->handle, UV_RUN_ONCE);
+  uv_run(this->handle.get(), UV_RUN_ONCE);
   uv_timer_stop(&this->wake);
 }
 
@@ -125,7 +123,7 @@
 
 void Loop::Post(std::function<void()> task) {
   auto* posted = new PostedTask{{}, std::move(task)};
-  uv_timer_init(&this->handle, &posted->handle);
+  uv_timer_init(this->handle.get(), &posted->handle);
   posted->handle.data = posted;
   uv_timer_start(
       &posted->handle,
@@ -157,7 +155,7 @@
   this->signals = std::make_unique<Signals>();
   this->signals->on_signal = std::move(on_signal);
   const auto start = [this](uv_signal_t* signal, int number) {
-    uv_signal_init(&this->handle, signal);
+    uv_signal_init(this->handle.get(), signal);
     signal->data = this->signals.get();
     uv_signal_start(
         signal,
--- a/src/connection/loop.h
+++ b/src/connection/loop.h
@@ -63,14 +63,14 @@
   // Calls `on_signal` on the loop when the process receives SIGTERM or SIGINT.
   void OnTerminate(std::function<void()> on_signal);
 
-  uv_loop_t* uv() { return &this->handle; }
+  uv_loop_t* uv() { return this->handle.get(); }
 
  private:
   struct Signals;
 
   void RunDeferred();
 
-  uv_loop_t handle;
+  std::unique_ptr<uv_loop_t> handle;
   uv_prepare_t prepare;
   // Limits RunFor. Kept open, since closing a handle makes the next iteration
   // return at once.
--- a/src/request/target_table.cc
+++ b/src/request/target_table.cc
@@ -53,6 +53,8 @@
     this->Leave(index);
   }
   target.distance = distance;
+  // Load reports alone cannot clear it on a target that gets no requests.
+  target.cold = target.cold && state.cold;
   if (state.accepting && !target.accepting) {
     this->Join(index);
   }
--- a/src/request/target_table.h
+++ b/src/request/target_table.h
@@ -21,9 +21,9 @@
   RegionName region;
   // False for a target that is leaving, in a zone taken out, or unreachable.
   bool accepting = true;
-  // Concurrency limit, and whether the target is cold, until the first load
-  // report.
+  // Concurrency limit until the first load report.
   uint32_t limit = 1;
+  // False ends what an earlier load report said.
   bool cold = false;
 };
 
