--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -79,7 +79,7 @@
     this->Finish(H2O_SEND_STATE_ERROR);
   }
 
-  void SetContentLength(size_t length) {
+  void SetContentLength(size_t length) override {
     if (!this->closed()) {
       this->request->res.content_length = length;
     }
@@ -213,7 +213,7 @@
   if (this->closed()) {
     return;
   }
-  static_cast<H2oResponder*>(this)->SetContentLength(body.size());
+  this->SetContentLength(body.size());
   this->Start(status, headers);
   this->Write(body);
   this->End();
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -38,6 +38,10 @@
   // request goes to another address. Call before Start.
   virtual void CloseConnectionAfter() = 0;
 
+  // Announces the length of the body; without it the body is sent in chunks.
+  // Call before Start.
+  virtual void SetContentLength(size_t /*length*/) {}
+
   // Called once when the caller's connection ends before the answer does.
   virtual void OnClosed(std::function<void()> callback) = 0;
   virtual bool closed() const = 0;
