Share hex, rendezvous and refusal code; times as std::chrono; split two files

Cause: the read-through of the whole change found logic that stood twice. Change: HexValue and ToHex stand in src/version/hex.h only (three copies before); RendezvousWeight of a string key is one function, and ServiceDirectory and AgentProcess call RendezvousSelect instead of sorting weights themselves; EntryList calls RequestId::Prefix; ForwardTask sends every error by SendError and every cancellation by SendCancel; WorkService releases and refuses in one place instead of three. Scheduler::UnixTime, EntryList and the request signature take std::chrono. Behaviour is unchanged; tests changed only in the type of a time.

--- a/src/connection/http.cc
+++ b/src/connection/http.cc
@@ -1,22 +1,11 @@
 #include "src/connection/http.h"
 
+#include "src/version/hex.h"
+
 namespace celerypost {
 
 namespace {
 
-int HexValue(char digit) {
-  if (digit >= '0' && digit <= '9') {
-    return digit - '0';
-  }
-  if (digit >= 'a' && digit <= 'f') {
-    return digit - 'a' + 10;
-  }
-  if (digit >= 'A' && digit <= 'F') {
-    return digit - 'A' + 10;
-  }
-  return -1;
-}
-
 std::string DecodePercent(std::string_view text) {
   std::string decoded;
   for (size_t i = 0; i < text.size(); ++i) {
--- a/src/process/agent_process.cc
+++ b/src/process/agent_process.cc
@@ -9,6 +9,7 @@
 #include "src/process/process_http.h"
 #include "src/process/roles.h"
 #include "src/process/service_directory.h"
+#include "src/process/state/rendezvous.h"
 
 namespace celerypost {
 
@@ -308,29 +309,26 @@
 
 void AgentProcess::OnMembersChanged() {
   Runtime& run = *this->runtime;
-  std::vector<std::pair<uint64_t, const Member*>> ranked;
+  const Membership& members = run.gossip->membership();
   std::vector<InstanceId> present;
   for (const Member* member :
-       run.gossip->membership().Live(Role::kAgent, this->settings.service)) {
-    if (member->instance == run.instance) {
-      continue;
+       members.Live(Role::kAgent, this->settings.service)) {
+    if (member->instance != run.instance) {
+      present.push_back(member->instance);
     }
-    present.push_back(member->instance);
-    ranked.emplace_back(RendezvousWeight(std::to_string(run.instance.value),
-                                         member->instance.value),
-                        member);
   }
-  std::sort(ranked.rbegin(), ranked.rend());
   std::vector<PeerTarget> wanted;
-  for (size_t i = 0; i < std::min(kServicePeers, ranked.size()); ++i) {
-    wanted.push_back({ranked[i].second->instance, ranked[i].second->address});
+  for (const InstanceId instance : RendezvousSelect(
+           std::to_string(run.instance.value), present, kServicePeers)) {
+    wanted.push_back({instance, members.Find(instance)->address});
   }
   run.mesh->SetWanted("service", wanted);
   if (!this->weights) {
     return;
   }
   uint32_t in_region = 1;
-  for (const auto& [weight, member] : ranked) {
+  for (const InstanceId instance : present) {
+    const Member* member = members.Find(instance);
     in_region += member->region == this->settings.region ? 1 : 0;
     this->weights->task->OnPeer(
         {member->instance, member->zone, member->region});
--- a/src/process/commit_task.cc
+++ b/src/process/commit_task.cc
@@ -14,8 +14,9 @@
 constexpr milliseconds kTick{20};
 constexpr uint64_t kMaxAudit = 1000;
 
-std::string Rfc3339(uint64_t unix_ms) {
-  const auto seconds = static_cast<std::time_t>(unix_ms / 1000);
+std::string Rfc3339(milliseconds since_epoch) {
+  const auto seconds = static_cast<std::time_t>(
+      std::chrono::floor<std::chrono::seconds>(since_epoch).count());
   std::tm utc{};
   gmtime_r(&seconds, &utc);
   char text[32];
@@ -80,7 +81,7 @@
   const uint64_t run = this->next_run++;
   this->runs[run] = std::make_unique<Run>(
       Run{Commit(this->options, std::move(request),
-                 Rfc3339(this->scheduler.UnixMs()), this->validator),
+                 Rfc3339(this->scheduler.UnixTime()), this->validator),
           std::move(done)});
   this->Perform(run, this->runs[run]->commit.Start(this->scheduler.Now()));
   if (this->tick_call == nullptr) {
--- a/src/process/entry_process.cc
+++ b/src/process/entry_process.cc
@@ -197,7 +197,7 @@
     const std::shared_ptr<HttpResponder>& responder) {
   const ServiceName service(FindQueryParameter(request.path, "service"));
   const EntryAnswer answer = this->entry_list->ForCaller(
-      service, this->settings.zone, this->runtime->scheduler.UnixMs());
+      service, this->settings.zone, this->runtime->scheduler.UnixTime());
   const nlohmann::json body = {{"addresses", answer.addresses},
                                {"max_age_ms", answer.max_age.count()},
                                {"request_id_prefix", answer.request_id_prefix}};
--- a/src/process/loop_scheduler.cc
+++ b/src/process/loop_scheduler.cc
@@ -26,11 +26,9 @@
   return this->loop.Now();
 }
 
-uint64_t LoopScheduler::UnixMs() const {
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
+std::chrono::milliseconds LoopScheduler::UnixTime() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
 }
 
 std::unique_ptr<ScheduledCall> LoopScheduler::After(
--- a/src/process/loop_scheduler.h
+++ b/src/process/loop_scheduler.h
@@ -14,7 +14,7 @@
   explicit LoopScheduler(Loop& loop);
 
   TimePoint Now() const override;
-  uint64_t UnixMs() const override;
+  std::chrono::milliseconds UnixTime() const override;
   std::unique_ptr<ScheduledCall> After(std::chrono::milliseconds delay,
                                        std::function<void()> task) override;
 
--- a/src/process/request_signature.cc
+++ b/src/process/request_signature.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "celerypost/assert.h"
+#include "src/version/hex.h"
 
 namespace celerypost {
 namespace {
@@ -17,18 +18,6 @@
 constexpr std::string_view kScheme = "Celerypost-HMAC-SHA256 ";
 constexpr size_t kHexDigestLength = 64;
 
-std::string ToHex(std::string_view bytes) {
-  static constexpr char kDigits[] = "0123456789abcdef";
-  std::string hex;
-  hex.reserve(bytes.size() * 2);
-  for (const char byte : bytes) {
-    const auto value = static_cast<unsigned char>(byte);
-    hex.push_back(kDigits[value >> 4]);
-    hex.push_back(kDigits[value & 15]);
-  }
-  return hex;
-}
-
 int64_t ToUnixMs(WallTime time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              time.time_since_epoch())
@@ -40,13 +29,13 @@
 std::string SignatureHex(const SharedKey& key,
                          std::string_view method,
                          std::string_view path,
-                         int64_t unix_ms,
+                         std::chrono::milliseconds signed_at,
                          std::string_view body) {
   std::string message;
   message.reserve(method.size() + path.size() + body.size() + 32);
   message.append(method).append("\n");
   message.append(path).append("\n");
-  message.append(std::to_string(unix_ms)).append("\n");
+  message.append(std::to_string(signed_at.count())).append("\n");
   message.append(body).append("\n");
   return ToHex(HmacSha256(key, message));
 }
@@ -84,7 +73,8 @@
   const int64_t unix_ms = ToUnixMs(now);
   std::string header(kScheme);
   header.append(std::to_string(unix_ms)).append(":");
-  header.append(SignatureHex(key, method, path, unix_ms, body));
+  header.append(SignatureHex(key, method, path,
+                             std::chrono::milliseconds(unix_ms), body));
   return header;
 }
 
@@ -117,8 +107,9 @@
   }
   // The signature is checked before the time, so that only a holder of the key
   // learns anything about this process's clock.
-  const std::string expected = SignatureHex(
-      this->key, request.method, request.path, unix_ms, request.body);
+  const std::string expected =
+      SignatureHex(this->key, request.method, request.path,
+                   std::chrono::milliseconds(unix_ms), request.body);
   if (this->key.empty() || !ConstantTimeEqual(expected, signature)) {
     return Refused("header authorization: signature does not match");
   }
--- a/src/process/runtime.cc
+++ b/src/process/runtime.cc
@@ -36,7 +36,7 @@
                           Role role,
                           ServiceName service,
                           InstanceId instance,
-                          uint64_t unix_ms) {
+                          std::chrono::milliseconds since_epoch) {
   PeerIdentity identity;
   identity.role = role;
   identity.instance = instance;
@@ -45,7 +45,7 @@
   identity.service = std::move(service);
   identity.address = settings.peer_address.ToString();
   identity.http_address = settings.http_address.ToString();
-  identity.incarnation = unix_ms;
+  identity.incarnation = static_cast<uint64_t>(since_epoch.count());
   return identity;
 }
 
@@ -71,7 +71,7 @@
                             role,
                             std::move(service),
                             instance,
-                            scheduler.UnixMs())),
+                            scheduler.UnixTime())),
       log(MakeLogOptions(settings, role, instance)),
       random(std::random_device()() ^ instance.value),
       settings(settings),
--- a/src/process/scheduler.h
+++ b/src/process/scheduler.h
@@ -21,8 +21,8 @@
   virtual ~Scheduler() = default;
 
   virtual TimePoint Now() const = 0;
-  // Wall clock, milliseconds since 1970; only for text and request ids.
-  virtual uint64_t UnixMs() const = 0;
+  // Wall clock, time since 1970; only for text and request ids.
+  virtual std::chrono::milliseconds UnixTime() const = 0;
   // Calls `task` once after `delay` unless the result is destroyed before.
   // `task` may destroy the result.
   [[nodiscard]] virtual std::unique_ptr<ScheduledCall> After(
--- a/src/process/service_directory.cc
+++ b/src/process/service_directory.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "src/version/digest.h"
+#include "src/process/state/rendezvous.h"
 
 namespace celerypost {
 
@@ -88,26 +88,22 @@
 
 void ServiceDirectory::RefreshTargets(ServiceView& view) {
   const ConfigDocument& config = this->gossip.config().Current();
-  std::map<ZoneName, std::vector<std::pair<uint64_t, const Member*>>> by_zone;
+  std::map<ZoneName, std::vector<InstanceId>> by_zone;
   for (const Member* member :
        this->gossip.membership().Live(Role::kAgent, view.service.name)) {
     const bool serves =
         view.service.kind == ServiceKind::kPlain || !member->serving.empty();
     if (serves && config.ZoneIsIn(member->zone) &&
         IsPlacedIn(view.service, member->zone)) {
-      by_zone[member->zone].emplace_back(
-          RendezvousWeight(std::to_string(this->options.self.value),
-                           member->instance.value),
-          member);
+      by_zone[member->zone].push_back(member->instance);
     }
   }
   std::set<InstanceId> targets;
   for (auto& [zone, members] : by_zone) {
-    std::sort(members.rbegin(), members.rend());
-    if (members.size() > this->options.targets_per_zone) {
-      members.resize(this->options.targets_per_zone);
-    }
-    for (const auto& [weight, member] : members) {
+    for (const InstanceId instance :
+         RendezvousSelect(std::to_string(this->options.self.value),
+                          std::move(members), this->options.targets_per_zone)) {
+      const Member* member = this->gossip.membership().Find(instance);
       TargetState state;
       state.instance = member->instance;
       state.zone = member->zone;
--- a/src/process/state/entry_list.cc
+++ b/src/process/state/entry_list.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "src/request/request_id.h"
+
 namespace celerypost {
 
 EntryList::EntryList(EntryListOptions options,
@@ -11,13 +13,12 @@
 
 EntryAnswer EntryList::ForCaller(const ServiceName& service,
                                  const ZoneName& zone,
-                                 uint64_t unix_ms) {
+                                 std::chrono::milliseconds issued_at) {
   EntryAnswer answer;
   answer.max_age = this->options.max_age;
   const std::string key = std::string(kSlotsPrefix) + service.value();
   if (const uint64_t version = this->config.NumberOf(key); version > 0) {
-    answer.request_id_prefix =
-        "v" + std::to_string(version) + "-" + std::to_string(unix_ms);
+    answer.request_id_prefix = RequestId::Prefix(version, issued_at);
   }
   const ZoneMap zones =
       this->config.Current().KnownZones(this->membership.Zones());
--- a/src/process/state/entry_list.h
+++ b/src/process/state/entry_list.h
@@ -37,10 +37,11 @@
 
   // Addresses of live entries in zones that are in: those of `zone` first,
   // then of its region, then others. The order within a group rotates from one
-  // answer to the next. `unix_ms` is the issue time put into the prefix.
+  // answer to the next. `issued_at` is the Unix
+  // time put into the prefix.
   EntryAnswer ForCaller(const ServiceName& service,
                         const ZoneName& zone,
-                        uint64_t unix_ms);
+                        std::chrono::milliseconds issued_at);
 
  private:
   const EntryListOptions options;
--- a/src/process/state/member.h
+++ b/src/process/state/member.h
@@ -42,6 +42,17 @@
   bool operator==(const Member&) const = default;
 };
 
+// Only what decides about work and neighbours, so that a suspicion does not
+// make peers compare whole tables. Dead members do not count, as processes
+// forget them at different times.
+uint64_t RecordDigest(const Member& member);
+
+// Whether record `a` of a member replaces record `b`.
+bool IsNewer(const Member& a, const Member& b);
+
+// Whether peers should learn of the change without waiting for a heartbeat.
+bool IsUrgentChange(const Member& before, const Member& after);
+
 // One line of the platform's membership list. It names VMs, not instances.
 struct PlatformMember {
   std::string vm;
--- a/src/process/state/membership.cc
+++ b/src/process/state/membership.cc
@@ -6,39 +6,6 @@
 #include "src/process/state/rendezvous.h"
 
 namespace celerypost {
-namespace {
-
-// Of two records with the same incarnation the one with the larger rank holds.
-int Rank(const Member& member) {
-  if (member.state == MemberState::kDead) {
-    return 4;
-  }
-  return (member.state == MemberState::kLeaving ? 2 : 0) +
-         (member.suspected ? 1 : 0);
-}
-
-// Only what decides about work and neighbours, so that a suspicion does not
-// make peers compare whole tables. Dead members do not count, as processes
-// forget them at different times.
-uint64_t RecordDigest(const Member& member) {
-  if (member.state == MemberState::kDead) {
-    return 0;
-  }
-  const uint64_t fields[] = {member.instance.value, member.incarnation,
-                             static_cast<uint64_t>(member.state)};
-  return XXH3_64bits(fields, sizeof(fields));
-}
-
-bool IsNewer(const Member& a, const Member& b) {
-  return a.incarnation > b.incarnation ||
-         (a.incarnation == b.incarnation && Rank(a) > Rank(b));
-}
-
-bool IsUrgentChange(const Member& before, const Member& after) {
-  return before.state != after.state || before.suspected != after.suspected;
-}
-
-}  // namespace
 
 Membership::Membership(MembershipOptions options, Member self_record)
     : options(options), self(self_record.instance) {
--- a/src/process/state/rendezvous.h
+++ b/src/process/state/rendezvous.h
@@ -1,21 +1,20 @@
 #ifndef SRC_PROCESS_STATE_RENDEZVOUS_H_
 #define SRC_PROCESS_STATE_RENDEZVOUS_H_
 
-#include <xxhash.h>
-
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
 #include <vector>
 
 #include "celerypost/types.h"
+#include "src/version/digest.h"
 
 namespace celerypost {
 
 // Weight of `instance` for `key` in rendezvous hashing; the largest comes
 // first. Equal on every process.
 inline uint64_t RendezvousWeight(std::string_view key, InstanceId instance) {
-  return XXH3_64bits_withSeed(key.data(), key.size(), instance.value);
+  return RendezvousWeight(key, instance.value);
 }
 
 // Returns at most `count` of `candidates` in the order of their weight for
--- a/src/request/task/forward_task.cc
+++ b/src/request/task/forward_task.cc
@@ -58,11 +58,11 @@
                int status,
                Verdict verdict,
                ErrorCode code,
-               std::string_view message) {
-  responder.Send(status,
-                 {{"content-type", "application/json"},
-                  {"celerypost-verdict", std::string(VerdictName(verdict))}},
-                 ErrorJson(verdict, code, message));
+               std::string_view message,
+               HttpHeaders headers) {
+  headers.emplace_back("content-type", "application/json");
+  headers.emplace_back("celerypost-verdict", std::string(VerdictName(verdict)));
+  responder.Send(status, std::move(headers), ErrorJson(verdict, code, message));
 }
 
 ForwardTask::ForwardTask(ForwardContext& context,
@@ -154,7 +154,7 @@
   if (view == nullptr || !view->slots) {
     return false;
   }
-  const std::chrono::milliseconds issued_at(this->context.scheduler.UnixMs());
+  const auto issued_at = this->context.scheduler.UnixTime();
   for (int i = 0; i < kMaxIdDraws; ++i) {
     RequestId id =
         RequestId::Make(view->slots->version, issued_at, this->context.random);
@@ -396,13 +396,17 @@
   return RefusalVerdict(facts);
 }
 
+void ForwardTask::SendCancel(std::string_view reason) {
+  wire::CancelWork cancel;
+  cancel.reason = std::string(reason);
+  this->connection->Send(wire::Kind::CANCEL_WORK, this->number,
+                         static_cast<int32_t>(this->attempt_number), cancel);
+}
+
 void ForwardTask::OnDeadline() {
   const bool sent = this->connection != nullptr;
   if (sent) {
-    wire::CancelWork cancel;
-    cancel.reason = "deadline";
-    this->connection->Send(wire::Kind::CANCEL_WORK, this->number,
-                           static_cast<int32_t>(this->attempt_number), cancel);
+    this->SendCancel("deadline");
   }
   this->EndAttempt();
   const Verdict verdict =
@@ -417,10 +421,7 @@
 
 void ForwardTask::Cancel(std::string_view reason) {
   if (this->connection) {
-    wire::CancelWork cancel;
-    cancel.reason = std::string(reason);
-    this->connection->Send(wire::Kind::CANCEL_WORK, this->number,
-                           static_cast<int32_t>(this->attempt_number), cancel);
+    this->SendCancel(reason);
   }
   this->EndAttempt();
   this->Finish();
@@ -434,11 +435,8 @@
   } else {
     this->context.counters.failed_may_have_run.Add();
   }
-  HttpHeaders headers = this->AnswerHeaders();
-  headers.emplace_back("content-type", "application/json");
-  headers.emplace_back("celerypost-verdict", std::string(VerdictName(verdict)));
-  this->responder->Send(StatusFor(verdict, code), std::move(headers),
-                        ErrorJson(verdict, code, message));
+  SendError(*this->responder, StatusFor(verdict, code), verdict, code, message,
+            this->AnswerHeaders());
   this->Finish();
 }
 
--- a/src/request/task/forward_task.h
+++ b/src/request/task/forward_task.h
@@ -83,6 +83,8 @@
                        wire::Refusal::type refusal);
   void SendAgainAfter(std::chrono::milliseconds delay);
   void OnDeadline();
+  // Tells the agent that the current attempt is no longer wanted.
+  void SendCancel(std::string_view reason);
   void Cancel(std::string_view reason);
   void Refuse(Verdict verdict, ErrorCode code, std::string_view message);
   void BreakStream(Verdict verdict, std::string_view message);
@@ -120,12 +122,13 @@
   std::unique_ptr<ScheduledCall> retry_call;
 };
 
-// Sends an error in the form of design 10.4.
+// Sends an error in the form of design 10.4 with `headers` added to it.
 void SendError(HttpResponder& responder,
                int status,
                Verdict verdict,
                ErrorCode code,
-               std::string_view message);
+               std::string_view message,
+               HttpHeaders headers = {});
 
 }  // namespace celerypost
 
--- a/src/request/task/work_service.cc
+++ b/src/request/task/work_service.cc
@@ -259,18 +259,9 @@
 }
 
 void WorkService::Offer(const std::shared_ptr<WorkTask>& task) {
-  const auto refuse = [&](ErrorCode code, std::string message,
-                          wire::Refusal::type refusal) {
-    if (task->id()) {
-      this->requests.ReleaseNotRun(*task->id());
-    }
-    this->Refuse(*task, code, std::move(message), refusal);
-    if (task->id()) {
-      this->AnswerDuplicates(*task->id());
-    }
-  };
   if (this->stopped()) {
-    refuse(ErrorCode::kUnavailable, this->stop_reason, wire::Refusal::STOPPED);
+    this->ReleaseAndRefuse(*task, ErrorCode::kUnavailable, this->stop_reason,
+                           wire::Refusal::STOPPED);
     return;
   }
   const TimePoint now = this->loop.Now();
@@ -292,7 +283,8 @@
     this->limited_at = now;
   }
   if (outcome.decision == AdmissionDecision::kRefused) {
-    refuse(outcome.code, outcome.message, wire::Refusal::FULL);
+    this->ReleaseAndRefuse(*task, outcome.code, outcome.message,
+                           wire::Refusal::FULL);
     return;
   }
   this->tasks.emplace(key, task);
@@ -309,14 +301,8 @@
   // A restarted target is cold, so what the limit was computed from is void.
   if (!this->handlers.target_alive()) {
     this->tasks.erase(key);
-    if (task->id()) {
-      this->requests.ReleaseNotRun(*task->id());
-    }
-    this->Refuse(*task, ErrorCode::kUnavailable, "the target is not running",
-                 wire::Refusal::STOPPED);
-    if (task->id()) {
-      this->AnswerDuplicates(*task->id());
-    }
+    this->ReleaseAndRefuse(*task, ErrorCode::kUnavailable,
+                           "the target is not running", wire::Refusal::STOPPED);
     this->Apply(
         this->gate->admission.OnFinished(key, false, this->loop.Now(), false));
     return;
@@ -363,12 +349,19 @@
   const auto task = it->second;
   CELERYPOST_ASSERT(!task->dispatched(), "P5: \"not run\" is true");
   this->tasks.erase(it);
-  if (task->id()) {
-    this->requests.ReleaseNotRun(*task->id());
+  this->ReleaseAndRefuse(*task, code, std::move(message), refusal);
+}
+
+void WorkService::ReleaseAndRefuse(WorkTask& task,
+                                   ErrorCode code,
+                                   std::string message,
+                                   wire::Refusal::type refusal) {
+  if (task.id()) {
+    this->requests.ReleaseNotRun(*task.id());
   }
-  this->Refuse(*task, code, std::move(message), refusal);
-  if (task->id()) {
-    this->AnswerDuplicates(*task->id());
+  this->Refuse(task, code, std::move(message), refusal);
+  if (task.id()) {
+    this->AnswerDuplicates(*task.id());
   }
 }
 
--- a/src/request/task/work_service.h
+++ b/src/request/task/work_service.h
@@ -111,6 +111,11 @@
                      ErrorCode code,
                      std::string message,
                      wire::Refusal::type refusal);
+  // Refuses a request that the ledger let run, and settles its repeats.
+  void ReleaseAndRefuse(WorkTask& task,
+                        ErrorCode code,
+                        std::string message,
+                        wire::Refusal::type refusal);
   void Refuse(WorkTask& task,
               ErrorCode code,
               std::string message,
--- a/src/version/digest.cc
+++ b/src/version/digest.cc
@@ -3,33 +3,12 @@
 #include <openssl/sha.h>
 #include <xxhash.h>
 
-namespace celerypost {
-namespace {
-
-int HexValue(char digit) {
-  if (digit >= '0' && digit <= '9') {
-    return digit - '0';
-  }
-  if (digit >= 'a' && digit <= 'f') {
-    return digit - 'a' + 10;
-  }
-  if (digit >= 'A' && digit <= 'F') {
-    return digit - 'A' + 10;
-  }
-  return -1;
-}
-
-}  // namespace
+#include "src/version/hex.h"
 
+namespace celerypost {
 std::string Digest::ToHex() const {
-  static constexpr char kDigits[] = "0123456789abcdef";
-  std::string text;
-  text.reserve(2 * this->bytes.size());
-  for (const uint8_t byte : this->bytes) {
-    text.push_back(kDigits[byte >> 4]);
-    text.push_back(kDigits[byte & 15]);
-  }
-  return text;
+  return celerypost::ToHex(std::string_view(
+      reinterpret_cast<const char*>(this->bytes.data()), this->bytes.size()));
 }
 
 std::optional<Digest> Digest::FromHex(std::string_view text) {
--- a/tests/process/state/entry_list_test.cc
+++ b/tests/process/state/entry_list_test.cc
@@ -31,8 +31,8 @@
 
 // Guards against callers sent to a far entry first.
 TEST(EntryListTest, OwnZoneThenRegion) {
-  const auto answer =
-      this->list.ForCaller(ServiceName("s"), ZoneName("dar-b"), 1000);
+  const auto answer = this->list.ForCaller(ServiceName("s"), ZoneName("dar-b"),
+                                           std::chrono::milliseconds(1000));
   LONGS_EQUAL(3, answer.addresses.size());
   CHECK(answer.addresses[0] == "http-2");
   CHECK(answer.addresses[1] == "http-1");
@@ -50,8 +50,8 @@
   Member leaving = EntryIn(2, "dar-b", "dar");
   leaving.state = MemberState::kLeaving;
   this->members.OnGossip(leaving, InstanceId{2}, TimePoint());
-  const auto answer =
-      this->list.ForCaller(ServiceName("s"), ZoneName("dar-b"), 1000);
+  const auto answer = this->list.ForCaller(ServiceName("s"), ZoneName("dar-b"),
+                                           std::chrono::milliseconds(1000));
   LONGS_EQUAL(1, answer.addresses.size());
   CHECK(answer.addresses[0] == "http-1");
 }
@@ -61,7 +61,8 @@
   this->config.Offer(VersionedDocument{"celerypost/slots/s", 7,
                                        R"({"version":7,"slots":[]})"});
   const auto answer =
-      this->list.ForCaller(ServiceName("s"), ZoneName("dar-a"), 1765000000000);
+      this->list.ForCaller(ServiceName("s"), ZoneName("dar-a"),
+                           std::chrono::milliseconds(1765000000000));
   CHECK(answer.request_id_prefix == "v7-1765000000000");
 }
 
--- a/tests/support/virtual_fleet.cc
+++ b/tests/support/virtual_fleet.cc
@@ -36,7 +36,7 @@
       : time(time), node(node) {}
 
   TimePoint Now() const override { return this->time.Now(); }
-  uint64_t UnixMs() const override { return this->time.UnixMs(); }
+  milliseconds UnixTime() const override { return this->time.UnixTime(); }
   std::unique_ptr<ScheduledCall> After(milliseconds delay,
                                        std::function<void()> task) override {
     auto flag = std::make_shared<bool>(true);
@@ -165,7 +165,7 @@
 void VirtualFleet::Start(size_t index) {
   FleetNode& node = *this->nodes[index];
   node.self.instance = InstanceId{this->random()};
-  node.self.incarnation = this->time.UnixMs();
+  node.self.incarnation = static_cast<uint64_t>(this->time.UnixTime().count());
   node.running = true;
   node.started_at = this->time.Now();
   node.paused_until = TimePoint();
--- a/tests/support/virtual_time.h
+++ b/tests/support/virtual_time.h
@@ -17,12 +17,10 @@
 class VirtualTime : public Scheduler {
  public:
   TimePoint Now() const override { return this->now; }
-  uint64_t UnixMs() const override {
-    return 1765000000000 +
-           static_cast<uint64_t>(
-               std::chrono::duration_cast<std::chrono::milliseconds>(
-                   this->now.time_since_epoch())
-                   .count());
+  std::chrono::milliseconds UnixTime() const override {
+    return std::chrono::milliseconds(1765000000000) +
+           std::chrono::duration_cast<std::chrono::milliseconds>(
+               this->now.time_since_epoch());
   }
 
   std::unique_ptr<ScheduledCall> After(std::chrono::milliseconds delay,
