--- /dev/null
+++ b/src/connection/http1_client.cc
@@ -0,0 +1,540 @@
+#include "src/connection/http1_client.h"
+
+#include <http_parser.h>
+#include <uv.h>
+
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
+#include <deque>
+#include <utility>
+
+namespace celerypost {
+
+namespace {
+
+class Channel;
+
+// State of one request; shared by the caller's HttpCall and the channel.
+struct Exchange {
+  HttpRequest request;
+  Http1SendOptions options;
+  HttpResponseCallbacks callbacks;
+  Channel* channel = nullptr;
+  std::unique_ptr<Timer> timer;
+  bool done = false;
+};
+
+void FailExchange(const std::shared_ptr<Exchange>& exchange,
+                  Verdict verdict,
+                  ErrorCode code,
+                  const std::string& message) {
+  if (exchange->done) {
+    return;
+  }
+  exchange->done = true;
+  exchange->channel = nullptr;
+  exchange->timer.reset();
+  auto callbacks = std::move(exchange->callbacks);
+  exchange->callbacks = {};
+  if (callbacks.on_failure) {
+    callbacks.on_failure(Failure{verdict, code, message});
+  }
+}
+
+std::string Serialize(const HttpRequest& request, const SocketAddress& server) {
+  std::string head = request.method + " " + request.path + " HTTP/1.1\r\n";
+  if (FindHeader(request.headers, "host").empty()) {
+    head += "host: " + server.ToString() + "\r\n";
+  }
+  for (const auto& [name, value] : request.headers) {
+    head.append(name).append(": ").append(value).append("\r\n");
+  }
+  if (!request.body.empty() || request.method == "POST" ||
+      request.method == "PUT") {
+    head += "content-length: " + std::to_string(request.body.size()) + "\r\n";
+  }
+  head += "\r\n";
+  return head + request.body;
+}
+
+}  // namespace
+
+struct Http1Client::Impl : std::enable_shared_from_this<Http1Client::Impl> {
+  Impl(Loop& loop, SocketAddress server, Http1ClientOptions options)
+      : loop(loop), server(std::move(server)), options(options) {}
+
+  Loop& loop;
+  SocketAddress server;
+  Http1ClientOptions options;
+  // The most recently used connection is at the back.
+  std::deque<Channel*> idle;
+  uint64_t opened = 0;
+};
+
+namespace {
+
+// One connection. It owns itself until its handle is closed.
+class Channel {
+ public:
+  explicit Channel(std::shared_ptr<Http1Client::Impl> client)
+      : client(std::move(client)),
+        timer(std::make_unique<Timer>(this->client->loop,
+                                      [this] { this->OnTimer(); })) {
+    uv_tcp_init(this->client->loop.uv(), &this->tcp);
+    this->tcp.data = this;
+    http_parser_init(&this->parser, HTTP_RESPONSE);
+    this->parser.data = this;
+  }
+
+  void Connect(std::shared_ptr<Exchange> first) {
+    this->Attach(std::move(first));
+    ++this->client->opened;
+    sockaddr_in address{};
+    uv_ip4_addr(this->client->server.ip.c_str(), this->client->server.port,
+                &address);
+    uv_tcp_nodelay(&this->tcp, 1);
+    this->connect.data = this;
+    const int status =
+        uv_tcp_connect(&this->connect, &this->tcp,
+                       reinterpret_cast<const sockaddr*>(&address),
+                       [](uv_connect_t* request, int status) {
+                         static_cast<Channel*>(request->data)->OnConnect(status);
+                       });
+    if (status != 0) {
+      // Callbacks never run from inside Send.
+      this->timer->StartOnce(std::chrono::milliseconds(0));
+      return;
+    }
+    this->connecting = true;
+    this->timer->StartOnce(this->client->options.connect_timeout);
+  }
+
+  void Use(std::shared_ptr<Exchange> next) {
+    this->timer->Stop();
+    this->Attach(std::move(next));
+    this->SendRequest();
+  }
+
+  TimePoint idle_since{};
+
+  void Close() {
+    if (this->closing) {
+      return;
+    }
+    this->closing = true;
+    auto& idle = this->client->idle;
+    idle.erase(std::remove(idle.begin(), idle.end(), this), idle.end());
+    if (this->exchange) {
+      this->exchange->channel = nullptr;
+      this->exchange.reset();
+    }
+    this->timer.reset();
+    uv_close(reinterpret_cast<uv_handle_t*>(&this->tcp), [](uv_handle_t* h) {
+      delete static_cast<Channel*>(h->data);
+    });
+  }
+
+ private:
+  uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&this->tcp); }
+
+  void Attach(std::shared_ptr<Exchange> next) {
+    this->exchange = std::move(next);
+    this->exchange->channel = this;
+    this->head = {};
+    this->skipping = false;
+    this->complete = false;
+    this->response_started = false;
+    http_parser_init(&this->parser, HTTP_RESPONSE);
+    this->parser.data = this;
+  }
+
+  void OnTimer() {
+    if (!this->exchange) {
+      this->Close();
+      return;
+    }
+    this->Fail(Verdict::kNotRun, ErrorCode::kUnavailable,
+               "no connection to " + this->client->server.ToString() +
+                   " within the connect timeout");
+  }
+
+  void OnConnect(int status) {
+    this->connecting = false;
+    if (this->closing || status == UV_ECANCELED) {
+      return;
+    }
+    if (status != 0) {
+      this->Fail(Verdict::kNotRun, ErrorCode::kUnavailable,
+                 "connection to " + this->client->server.ToString() +
+                     " failed: " + uv_strerror(status));
+      return;
+    }
+    this->timer->Stop();
+    uv_read_start(this->stream(), Allocate, OnRead);
+    this->SendRequest();
+  }
+
+  struct Write {
+    uv_write_t request;
+    std::string bytes;
+    Channel* channel;
+  };
+
+  void SendRequest() {
+    auto* write = new Write{
+        {}, Serialize(this->exchange->request, this->client->server), this};
+    this->exchange->request.body.clear();
+    write->request.data = write;
+    uv_buf_t buffer = uv_buf_init(write->bytes.data(),
+                                  static_cast<unsigned>(write->bytes.size()));
+    this->write_pending = true;
+    if (uv_write(&write->request, this->stream(), &buffer, 1,
+                 [](uv_write_t* request, int status) {
+                   const std::unique_ptr<Write> done(
+                       static_cast<Write*>(request->data));
+                   done->channel->OnWritten(status);
+                 }) != 0) {
+      delete write;
+      this->write_pending = false;
+      this->client->loop.Post([exchange = this->exchange] {
+        if (exchange->channel != nullptr) {
+          exchange->channel->Fail(Verdict::kMayHaveRun, ErrorCode::kUnavailable,
+                                  "write failed");
+        }
+      });
+    }
+  }
+
+  void OnWritten(int status) {
+    this->write_pending = false;
+    if (this->closing || status == 0) {
+      return;
+    }
+    // A response may have arrived before the server closed; the read reports.
+    if (status != UV_ECONNRESET && status != UV_EPIPE) {
+      this->Fail(Verdict::kMayHaveRun, ErrorCode::kUnavailable,
+                 std::string("write failed: ") + uv_strerror(status));
+    }
+  }
+
+  void Fail(Verdict verdict, ErrorCode code, const std::string& message) {
+    const auto failed = this->exchange;
+    this->Close();
+    if (failed) {
+      FailExchange(failed, verdict, code, message);
+    }
+  }
+
+  static void Allocate(uv_handle_t*, size_t, uv_buf_t* buffer) {
+    static thread_local char shared[65536];
+    *buffer = uv_buf_init(shared, sizeof(shared));
+  }
+
+  static void OnRead(uv_stream_t* stream, ssize_t count, const uv_buf_t* buf) {
+    auto* channel = static_cast<Channel*>(stream->data);
+    if (count < 0) {
+      channel->OnEnd(static_cast<int>(count));
+    } else if (count > 0) {
+      channel->OnBytes({buf->base, static_cast<size_t>(count)});
+    }
+  }
+
+  void OnEnd(int error) {
+    if (!this->exchange) {
+      this->Close();
+      return;
+    }
+    if (error == UV_EOF && this->response_started) {
+      // Ends a response without a length; an error for any other.
+      http_parser_execute(&this->parser, Settings(), nullptr, 0);
+      if (this->closing) {
+        return;
+      }
+      if (this->complete && !this->skipping) {
+        this->Finish(/*reuse=*/false);
+        return;
+      }
+    }
+    this->Fail(Verdict::kMayHaveRun, ErrorCode::kUnavailable,
+               std::string("connection ended before the response: ") +
+                   uv_strerror(error));
+  }
+
+  void OnBytes(std::string_view bytes) {
+    if (!this->exchange) {
+      // Nothing was asked, so these bytes belong to no request.
+      this->Close();
+      return;
+    }
+    while (!bytes.empty()) {
+      this->delivering = true;
+      const size_t used = http_parser_execute(&this->parser, Settings(),
+                                              bytes.data(), bytes.size());
+      this->delivering = false;
+      if (this->cancelled) {
+        this->Close();
+        return;
+      }
+      bytes.remove_prefix(std::min(used, bytes.size()));
+      const auto error = HTTP_PARSER_ERRNO(&this->parser);
+      if (error == HPE_PAUSED && this->complete) {
+        const bool informational = this->parser.status_code < 200;
+        const bool keep = http_should_keep_alive(&this->parser) != 0;
+        if (informational || (this->skipping && keep)) {
+          http_parser_init(&this->parser, HTTP_RESPONSE);
+          this->parser.data = this;
+          this->head = {};
+          this->complete = false;
+          this->skipping = false;
+          this->response_started = false;
+          continue;
+        }
+        if (this->skipping) {
+          this->Fail(Verdict::kMayHaveRun, ErrorCode::kCorrupt,
+                     "the connection's last response belongs to another "
+                     "request");
+          return;
+        }
+        this->Finish(keep && bytes.empty() && !this->write_pending);
+        return;
+      }
+      if (error != HPE_OK || this->parser.upgrade) {
+        this->Fail(Verdict::kMayHaveRun, ErrorCode::kCorrupt,
+                   std::string("response is not HTTP: ") +
+                       http_errno_name(error));
+        return;
+      }
+    }
+  }
+
+  void Finish(bool reuse) {
+    const auto finished = this->exchange;
+    this->exchange.reset();
+    finished->channel = nullptr;
+    finished->done = true;
+    finished->timer.reset();
+    auto callbacks = std::move(finished->callbacks);
+    finished->callbacks = {};
+    if (reuse) {
+      this->idle_since = this->client->loop.Now();
+      this->client->idle.push_back(this);
+      this->timer->StartOnce(this->IdleTimeout());
+    } else {
+      this->Close();
+    }
+    if (callbacks.on_end) {
+      callbacks.on_end();
+    }
+  }
+
+  // Four fifths of the time that the server states in Keep-Alive, so that no
+  // request crosses the server's close.
+  std::chrono::milliseconds IdleTimeout() const {
+    const auto text = FindHeader(this->head.headers, "keep-alive");
+    const size_t at = text.find("timeout=");
+    if (at == std::string_view::npos) {
+      return this->client->options.idle_timeout;
+    }
+    const long seconds = std::strtol(
+        std::string(text.substr(at + 8)).c_str(), nullptr, 10);
+    return std::min(this->client->options.idle_timeout,
+                    std::chrono::milliseconds(seconds * 800));
+  }
+
+  static const http_parser_settings* Settings() {
+    static const http_parser_settings settings = MakeSettings();
+    return &settings;
+  }
+
+  static http_parser_settings MakeSettings() {
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_message_begin = [](http_parser* parser) {
+      auto* self = static_cast<Channel*>(parser->data);
+      self->response_started = true;
+      self->value_last = true;
+      return 0;
+    };
+    settings.on_header_field = [](http_parser* parser, const char* at,
+                                  size_t length) {
+      auto* self = static_cast<Channel*>(parser->data);
+      if (self->value_last) {
+        self->head.headers.emplace_back();
+        self->value_last = false;
+      }
+      std::string& name = self->head.headers.back().first;
+      for (size_t i = 0; i < length; ++i) {
+        name.push_back(static_cast<char>(
+            std::tolower(static_cast<unsigned char>(at[i]))));
+      }
+      return 0;
+    };
+    settings.on_header_value = [](http_parser* parser, const char* at,
+                                  size_t length) {
+      auto* self = static_cast<Channel*>(parser->data);
+      self->value_last = true;
+      self->head.headers.back().second.append(at, length);
+      return 0;
+    };
+    settings.on_headers_complete = [](http_parser* parser) {
+      auto* self = static_cast<Channel*>(parser->data);
+      self->head.status = static_cast<int>(parser->status_code);
+      if (self->head.status < 200) {
+        return 0;
+      }
+      const auto current = self->exchange;
+      self->skipping =
+          current->options.accepts && !current->options.accepts(self->head);
+      if (!self->skipping && current->callbacks.on_head) {
+        current->callbacks.on_head(self->head);
+      }
+      return self->cancelled ? -1 : 0;
+    };
+    settings.on_body = [](http_parser* parser, const char* at, size_t length) {
+      auto* self = static_cast<Channel*>(parser->data);
+      const auto current = self->exchange;
+      if (!self->skipping && current && current->callbacks.on_body) {
+        current->callbacks.on_body({at, length});
+      }
+      return self->cancelled ? 1 : 0;
+    };
+    settings.on_message_complete = [](http_parser* parser) {
+      auto* self = static_cast<Channel*>(parser->data);
+      self->complete = true;
+      http_parser_pause(parser, 1);
+      return 0;
+    };
+    return settings;
+  }
+
+ public:
+  // The caller has dropped its call.
+  void Cancel() {
+    // A callback that is running must not be destroyed; the parser stops after
+    // it.
+    if (this->delivering) {
+      this->cancelled = true;
+      return;
+    }
+    this->Close();
+  }
+
+ private:
+  std::shared_ptr<Http1Client::Impl> client;
+  uv_tcp_t tcp{};
+  uv_connect_t connect{};
+  http_parser parser{};
+  std::unique_ptr<Timer> timer;
+  std::shared_ptr<Exchange> exchange;
+  HttpResponseHead head;
+  bool value_last = true;
+  bool connecting = false;
+  bool write_pending = false;
+  bool response_started = false;
+  bool skipping = false;
+  bool complete = false;
+  // True while the parser runs callbacks.
+  bool delivering = false;
+  bool cancelled = false;
+  bool closing = false;
+};
+
+class Http1Call : public HttpCall {
+ public:
+  explicit Http1Call(std::shared_ptr<Exchange> exchange)
+      : exchange(std::move(exchange)) {}
+  ~Http1Call() override {
+    if (!this->exchange->done) {
+      this->exchange->done = true;
+      this->exchange->timer.reset();
+      if (this->exchange->channel != nullptr) {
+        this->exchange->channel->Cancel();
+      }
+    }
+  }
+  Http1Call(const Http1Call&) = delete;
+  Http1Call& operator=(const Http1Call&) = delete;
+
+ private:
+  std::shared_ptr<Exchange> exchange;
+};
+
+}  // namespace
+
+Http1Client::Http1Client(Loop& loop,
+                         SocketAddress server,
+                         Http1ClientOptions options)
+    : impl(std::make_shared<Impl>(loop, std::move(server), options)) {}
+
+Http1Client::~Http1Client() {
+  while (!this->impl->idle.empty()) {
+    this->impl->idle.back()->Close();
+  }
+}
+
+uint64_t Http1Client::connections_opened() const {
+  return this->impl->opened;
+}
+
+std::unique_ptr<HttpCall> Http1Client::Send(HttpRequest request,
+                                            Http1SendOptions options,
+                                            HttpResponseCallbacks callbacks) {
+  auto exchange = std::make_shared<Exchange>();
+  exchange->request = std::move(request);
+  exchange->options = std::move(options);
+  exchange->callbacks = std::move(callbacks);
+  auto call = std::make_unique<Http1Call>(exchange);
+  if (exchange->options.timeout.count() > 0) {
+    exchange->timer = std::make_unique<Timer>(
+        this->impl->loop, [weak = std::weak_ptr<Exchange>(exchange)] {
+          const auto late = weak.lock();
+          if (!late || late->done) {
+            return;
+          }
+          Channel* const channel = late->channel;
+          if (channel != nullptr) {
+            channel->Close();
+          }
+          FailExchange(late, Verdict::kMayHaveRun, ErrorCode::kDeadlineExceeded,
+                       "no complete response within the timeout");
+        });
+    exchange->timer->StartOnce(exchange->options.timeout);
+  }
+  Impl& pool = *this->impl;
+  const TimePoint now = pool.loop.Now();
+  if (!pool.idle.empty() &&
+      now - pool.idle.back()->idle_since <= exchange->options.max_idle) {
+    Channel* const channel = pool.idle.back();
+    pool.idle.pop_back();
+    channel->Use(exchange);
+    return call;
+  }
+  (new Channel(this->impl))->Connect(exchange);
+  return call;
+}
+
+std::unique_ptr<HttpCall> Http1Client::Fetch(
+    HttpRequest request,
+    std::chrono::milliseconds timeout,
+    std::function<void(Result<HttpResponse>)> done) {
+  auto response = std::make_shared<HttpResponse>();
+  HttpResponseCallbacks callbacks;
+  callbacks.on_head = [response](const HttpResponseHead& head) {
+    response->status = head.status;
+    response->headers = head.headers;
+  };
+  callbacks.on_body = [response](std::string_view bytes) {
+    response->body.append(bytes);
+  };
+  callbacks.on_end = [response, done] { done(std::move(*response)); };
+  callbacks.on_failure = [done](Failure failure) {
+    done(tl::unexpected<Failure>(std::move(failure)));
+  };
+  Http1SendOptions options;
+  options.timeout = timeout;
+  return this->Send(std::move(request), std::move(options),
+                    std::move(callbacks));
+}
+
+}  // namespace celerypost
--- /dev/null
+++ b/src/connection/http1_client.h
@@ -0,0 +1,66 @@
+#ifndef SRC_CONNECTION_HTTP1_CLIENT_H_
+#define SRC_CONNECTION_HTTP1_CLIENT_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "src/connection/http_client.h"
+#include "src/connection/loop.h"
+
+namespace celerypost {
+
+struct Http1ClientOptions {
+  // Longest time until a new connection is established.
+  std::chrono::milliseconds connect_timeout{1000};
+  // How long an idle connection is kept when the server does not say.
+  std::chrono::milliseconds idle_timeout{4000};
+};
+
+struct Http1SendOptions {
+  // A kept connection is used only if it has been idle for at most this long.
+  std::chrono::milliseconds max_idle{4000};
+  // Returns false for a response that belongs to another request; it is skipped
+  // and the next one on the connection is read. Every response is accepted when
+  // empty.
+  std::function<bool(const HttpResponseHead&)> accepts;
+  // Longest time until the response is complete; 0 means no limit.
+  std::chrono::milliseconds timeout{0};
+};
+
+// HTTP/1.1 client of one server, on libuv. Unlike HttpClient it tells a reset
+// from the end of a response without a length, notices bytes after a response,
+// and drops idle connections as soon as the server closes them.
+class Http1Client {
+ public:
+  Http1Client(Loop& loop, SocketAddress server, Http1ClientOptions options);
+  ~Http1Client();
+  Http1Client(const Http1Client&) = delete;
+  Http1Client& operator=(const Http1Client&) = delete;
+
+  // Sends a request and streams the response. Destroying the call closes its
+  // connection. A failure has verdict kNotRun if no byte was sent.
+  std::unique_ptr<HttpCall> Send(HttpRequest request,
+                                 Http1SendOptions options,
+                                 HttpResponseCallbacks callbacks);
+
+  // Sends a request and collects the response. `done` is called once, never
+  // from inside this call, unless the returned call is destroyed before.
+  std::unique_ptr<HttpCall> Fetch(
+      HttpRequest request,
+      std::chrono::milliseconds timeout,
+      std::function<void(Result<HttpResponse>)> done);
+
+  // Connections that were opened.
+  uint64_t connections_opened() const;
+
+  struct Impl;
+
+ private:
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_CONNECTION_HTTP1_CLIENT_H_
--- /dev/null
+++ b/src/connection/http1_limits.h
@@ -0,0 +1,21 @@
+#ifndef SRC_CONNECTION_HTTP1_LIMITS_H_
+#define SRC_CONNECTION_HTTP1_LIMITS_H_
+
+#include <chrono>
+#include <cstddef>
+
+namespace celerypost {
+
+// Bounds of what a caller may send and how long it may take.
+struct Http1Limits {
+  size_t max_header_bytes = 16384;
+  size_t max_body_bytes = 4u << 20;
+  // From the first byte of a request to the end of its headers.
+  std::chrono::milliseconds header_timeout{3000};
+  // Silence between two requests.
+  std::chrono::milliseconds idle_timeout{15000};
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_CONNECTION_HTTP1_LIMITS_H_
--- /dev/null
+++ b/src/connection/http1_server.cc
@@ -0,0 +1,602 @@
+#include "src/connection/http1_server.h"
+
+#include <arpa/inet.h>
+#include <http_parser.h>
+#include <uv.h>
+
+#include <algorithm>
+#include <cctype>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace celerypost {
+
+namespace {
+
+constexpr int kListenBacklog = 1024;
+// How often idle connections and unfinished headers are looked at.
+constexpr std::chrono::milliseconds kSweepPeriod{500};
+// How long a closing connection waits for the caller's end, so that unread
+// bytes do not reset it before the caller has read the answer.
+constexpr std::chrono::milliseconds kLinger{1000};
+// Bytes of pipelined requests that are kept while one is being answered.
+constexpr size_t kMaxPipelined = 1u << 20;
+
+class Connection;
+
+std::string_view StatusReason(int status) {
+  return http_status_str(static_cast<http_status>(status));
+}
+
+class Responder : public HttpResponder {
+ public:
+  explicit Responder(Connection* connection) : connection(connection) {}
+
+  void Start(int status, const HttpHeaders& headers) override;
+  void Write(std::string_view bytes) override;
+  void End() override;
+  void Abort() override;
+  void CloseConnectionAfter() override { this->close_after = true; }
+  void SetContentLength(size_t length) override {
+    this->content_length = length;
+    this->has_length = true;
+  }
+  void OnClosed(std::function<void()> callback) override {
+    this->on_closed = std::move(callback);
+  }
+  bool closed() const override { return this->connection == nullptr; }
+
+  void Detach() {
+    this->connection = nullptr;
+    auto callback = std::move(this->on_closed);
+    this->on_closed = nullptr;
+    if (callback) {
+      callback();
+    }
+  }
+  void Finish() {
+    this->connection = nullptr;
+    this->on_closed = nullptr;
+  }
+
+  Connection* connection;
+  std::function<void()> on_closed;
+  size_t content_length = 0;
+  bool has_length = false;
+  bool started = false;
+  bool close_after = false;
+};
+
+}  // namespace
+
+struct Http1Server::Impl : std::enable_shared_from_this<Http1Server::Impl> {
+  Impl(Loop& loop, HttpHandler handler)
+      : loop(loop),
+        handler(std::move(handler)),
+        sweep(loop, [this] { this->Sweep(); }) {}
+
+  void Sweep();
+
+  Loop& loop;
+  HttpHandler handler;
+  Http1Limits limits;
+  Timer sweep;
+  uv_tcp_t* listener = nullptr;
+  uint16_t bound_port = 0;
+  bool close_after_answers = false;
+  bool stopped = false;
+  size_t in_progress = 0;
+  std::unordered_set<Connection*> connections;
+};
+
+namespace {
+
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  explicit Connection(std::shared_ptr<Http1Server::Impl> server)
+      : server(std::move(server)), since(this->server->loop.Now()) {
+    uv_tcp_init(this->server->loop.uv(), &this->tcp);
+    this->tcp.data = this;
+    http_parser_init(&this->parser, HTTP_REQUEST);
+    this->parser.data = this;
+  }
+
+  bool Accept(uv_stream_t* listener) {
+    this->self = this->shared_from_this();
+    this->server->connections.insert(this);
+    if (uv_accept(listener, this->stream()) != 0) {
+      this->Close();
+      return false;
+    }
+    uv_tcp_nodelay(&this->tcp, 1);
+    uv_read_start(this->stream(), Allocate, OnRead);
+    return true;
+  }
+
+  void Close() {
+    if (this->closing) {
+      return;
+    }
+    this->closing = true;
+    this->server->connections.erase(this);
+    if (this->responder) {
+      --this->server->in_progress;
+      auto gone = std::move(this->responder);
+      gone->Detach();
+    }
+    uv_close(reinterpret_cast<uv_handle_t*>(&this->tcp), [](uv_handle_t* h) {
+      auto* connection = static_cast<Connection*>(h->data);
+      const auto last = std::move(connection->self);
+    });
+  }
+
+  bool idle() const { return !this->responder && !this->in_message; }
+  bool lingering() const { return this->shut; }
+
+  void Expire(TimePoint now) {
+    const auto& limits = this->server->limits;
+    const auto age = now - this->since;
+    if (this->shut) {
+      if (age > kLinger) {
+        this->Close();
+      }
+    } else if (this->responder) {
+      return;
+    } else if (this->in_message && !this->headers_done) {
+      if (age > limits.header_timeout) {
+        this->Reject(408);
+      }
+    } else if (!this->in_message && age > limits.idle_timeout) {
+      this->Close();
+    }
+  }
+
+  // Appends to the output of this loop iteration.
+  void Output(std::string_view bytes) {
+    if (this->closing || this->shut) {
+      return;
+    }
+    this->output.append(bytes);
+    if (!this->flush_planned) {
+      this->flush_planned = true;
+      this->server->loop.BeforeWait([weak = this->weak_from_this()] {
+        if (const auto connection = weak.lock()) {
+          connection->Flush();
+        }
+      });
+    }
+  }
+
+  void EndAnswer(bool close_after) {
+    auto done = std::move(this->responder);
+    --this->server->in_progress;
+    done->Finish();
+    this->since = this->server->loop.Now();
+    if (close_after || !this->keep_alive) {
+      this->close_when_flushed = true;
+      return;
+    }
+    // The next request may already be here; it must not start inside a handler
+    // of this one.
+    if (!this->pipelined.empty()) {
+      this->server->loop.Post([weak = this->weak_from_this()] {
+        const auto connection = weak.lock();
+        if (connection && !connection->closing && !connection->responder) {
+          const std::string bytes = std::move(connection->pipelined);
+          connection->pipelined.clear();
+          connection->Parse(bytes);
+        }
+      });
+    }
+  }
+
+  std::shared_ptr<Http1Server::Impl> server;
+  bool chunked = false;
+  bool head_request = false;
+  bool keep_alive = true;
+
+ private:
+  uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&this->tcp); }
+
+  static void Allocate(uv_handle_t*, size_t, uv_buf_t* buffer) {
+    // All connections of the loop's thread read into one buffer, since a read
+    // is consumed before the next one starts.
+    static thread_local char shared[65536];
+    *buffer = uv_buf_init(shared, sizeof(shared));
+  }
+
+  static void OnRead(uv_stream_t* stream, ssize_t count, const uv_buf_t* buf) {
+    auto* connection = static_cast<Connection*>(stream->data);
+    const auto keep = connection->shared_from_this();
+    if (count < 0) {
+      connection->Close();
+      return;
+    }
+    if (count == 0 || connection->shut || connection->close_when_flushed) {
+      return;
+    }
+    const std::string_view bytes(buf->base, static_cast<size_t>(count));
+    if (connection->responder || !connection->pipelined.empty()) {
+      connection->pipelined.append(bytes);
+      if (connection->pipelined.size() > kMaxPipelined) {
+        connection->Close();
+      }
+      return;
+    }
+    connection->Parse(bytes);
+  }
+
+  void Parse(std::string_view bytes) {
+    static const http_parser_settings settings = MakeParserSettings();
+    const size_t used =
+        http_parser_execute(&this->parser, &settings, bytes.data(),
+                            bytes.size());
+    if (this->closing || this->shut) {
+      return;
+    }
+    const auto error = HTTP_PARSER_ERRNO(&this->parser);
+    if (error == HPE_PAUSED) {
+      http_parser_pause(&this->parser, 0);
+      this->pipelined.assign(bytes.substr(used));
+      this->Dispatch();
+      return;
+    }
+    if (error != HPE_OK || this->parser.upgrade) {
+      this->Reject(this->reject_status != 0 ? this->reject_status : 400);
+    }
+  }
+
+  void Dispatch() {
+    this->in_message = false;
+    this->keep_alive = http_should_keep_alive(&this->parser) != 0;
+    this->head_request = this->request.method == "HEAD";
+    this->responder = std::make_shared<Responder>(this);
+    ++this->server->in_progress;
+    if (this->server->close_after_answers) {
+      this->responder->CloseConnectionAfter();
+    }
+    const auto held = this->responder;
+    this->server->handler(std::move(this->request), held);
+    this->request = {};
+  }
+
+  void Reject(int status) {
+    this->Output("HTTP/1.1 " + std::to_string(status) + " " +
+                 std::string(StatusReason(status)) +
+                 "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    this->close_when_flushed = true;
+  }
+
+  void Flush() {
+    this->flush_planned = false;
+    if (this->closing) {
+      return;
+    }
+    if (!this->output.empty()) {
+      uv_buf_t buffer = uv_buf_init(this->output.data(),
+                                    static_cast<unsigned>(this->output.size()));
+      int sent = this->queued_writes > 0
+                     ? UV_EAGAIN
+                     : uv_try_write(this->stream(), &buffer, 1);
+      if (sent < 0 && sent != UV_EAGAIN) {
+        this->Close();
+        return;
+      }
+      sent = std::max(sent, 0);
+      if (static_cast<size_t>(sent) < this->output.size()) {
+        this->QueueWrite(this->output.substr(static_cast<size_t>(sent)));
+      }
+      this->output.clear();
+    }
+    this->CloseIfDone();
+  }
+
+  struct Write {
+    uv_write_t request;
+    std::string bytes;
+    std::shared_ptr<Connection> connection;
+  };
+
+  void QueueWrite(std::string bytes) {
+    auto* write = new Write{{}, std::move(bytes), this->shared_from_this()};
+    write->request.data = write;
+    ++this->queued_writes;
+    uv_buf_t buffer = uv_buf_init(write->bytes.data(),
+                                  static_cast<unsigned>(write->bytes.size()));
+    const int status = uv_write(
+        &write->request, this->stream(), &buffer, 1,
+        [](uv_write_t* request, int status) {
+          const std::unique_ptr<Write> done(static_cast<Write*>(request->data));
+          --done->connection->queued_writes;
+          if (status != 0) {
+            done->connection->Close();
+          } else {
+            done->connection->CloseIfDone();
+          }
+        });
+    if (status != 0) {
+      --this->queued_writes;
+      delete write;
+      this->Close();
+    }
+  }
+
+  void CloseIfDone() {
+    if (!this->close_when_flushed || this->closing || this->shut ||
+        this->queued_writes > 0 || !this->output.empty()) {
+      return;
+    }
+    this->shut = true;
+    this->since = this->server->loop.Now();
+    auto* request = new uv_shutdown_t;
+    if (uv_shutdown(request, this->stream(), [](uv_shutdown_t* done, int) {
+          delete done;
+        }) != 0) {
+      delete request;
+      this->Close();
+    }
+  }
+
+  static http_parser_settings MakeParserSettings() {
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_message_begin = [](http_parser* parser) {
+      auto* self = static_cast<Connection*>(parser->data);
+      self->in_message = true;
+      self->headers_done = false;
+      self->header_bytes = 0;
+      self->value_last = true;
+      self->request = {};
+      self->request.path.clear();
+      self->since = self->server->loop.Now();
+      return 0;
+    };
+    settings.on_url = [](http_parser* parser, const char* at, size_t length) {
+      auto* self = static_cast<Connection*>(parser->data);
+      self->request.path.append(at, length);
+      return self->CountHeader(length);
+    };
+    settings.on_header_field = [](http_parser* parser, const char* at,
+                                  size_t length) {
+      auto* self = static_cast<Connection*>(parser->data);
+      if (self->value_last) {
+        self->request.headers.emplace_back();
+        self->value_last = false;
+      }
+      std::string& name = self->request.headers.back().first;
+      for (size_t i = 0; i < length; ++i) {
+        name.push_back(static_cast<char>(
+            std::tolower(static_cast<unsigned char>(at[i]))));
+      }
+      return self->CountHeader(length);
+    };
+    settings.on_header_value = [](http_parser* parser, const char* at,
+                                  size_t length) {
+      auto* self = static_cast<Connection*>(parser->data);
+      self->value_last = true;
+      self->request.headers.back().second.append(at, length);
+      return self->CountHeader(length);
+    };
+    settings.on_headers_complete = [](http_parser* parser) {
+      auto* self = static_cast<Connection*>(parser->data);
+      self->headers_done = true;
+      self->request.method = http_method_str(
+          static_cast<http_method>(parser->method));
+      if (FindHeader(self->request.headers, "expect") == "100-continue") {
+        self->Output("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+      return 0;
+    };
+    settings.on_body = [](http_parser* parser, const char* at, size_t length) {
+      auto* self = static_cast<Connection*>(parser->data);
+      if (self->request.body.size() + length >
+          self->server->limits.max_body_bytes) {
+        self->reject_status = 413;
+        return 1;
+      }
+      self->request.body.append(at, length);
+      return 0;
+    };
+    settings.on_message_complete = [](http_parser* parser) {
+      http_parser_pause(parser, 1);
+      return 0;
+    };
+    return settings;
+  }
+
+  int CountHeader(size_t length) {
+    this->header_bytes += length;
+    if (this->header_bytes > this->server->limits.max_header_bytes) {
+      this->reject_status = 431;
+      return 1;
+    }
+    return 0;
+  }
+
+  uv_tcp_t tcp{};
+  http_parser parser{};
+  std::shared_ptr<Connection> self;
+  std::shared_ptr<Responder> responder;
+  HttpRequest request;
+  std::string pipelined;
+  std::string output;
+  TimePoint since;
+  size_t header_bytes = 0;
+  int reject_status = 0;
+  int queued_writes = 0;
+  bool value_last = true;
+  bool in_message = false;
+  bool headers_done = false;
+  bool flush_planned = false;
+  bool close_when_flushed = false;
+  // The sending side is closed.
+  bool shut = false;
+  bool closing = false;
+};
+
+void Responder::Start(int status, const HttpHeaders& headers) {
+  if (this->closed() || this->started) {
+    return;
+  }
+  this->started = true;
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " " +
+                     std::string(StatusReason(status)) + "\r\n";
+  for (const auto& [name, value] : headers) {
+    head.append(name).append(": ").append(value).append("\r\n");
+  }
+  const bool close =
+      this->close_after || !this->connection->keep_alive ||
+      this->connection->server->close_after_answers;
+  this->close_after = close;
+  if (close) {
+    head += "Connection: close\r\n";
+  }
+  this->connection->chunked = !this->has_length;
+  if (this->has_length) {
+    head += "Content-Length: " + std::to_string(this->content_length) + "\r\n";
+  } else {
+    head += "Transfer-Encoding: chunked\r\n";
+  }
+  head += "\r\n";
+  this->connection->Output(head);
+}
+
+void Responder::Write(std::string_view bytes) {
+  if (this->closed() || bytes.empty() || this->connection->head_request) {
+    return;
+  }
+  if (!this->connection->chunked) {
+    this->connection->Output(bytes);
+    return;
+  }
+  char size[24];
+  const int length = std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+  std::string chunk(size, static_cast<size_t>(length));
+  chunk.append(bytes).append("\r\n");
+  this->connection->Output(chunk);
+}
+
+void Responder::End() {
+  if (this->closed()) {
+    return;
+  }
+  if (this->connection->chunked && !this->connection->head_request) {
+    this->connection->Output("0\r\n\r\n");
+  }
+  this->connection->EndAnswer(this->close_after);
+}
+
+void Responder::Abort() {
+  if (this->closed()) {
+    return;
+  }
+  this->on_closed = nullptr;
+  this->connection->Close();
+}
+
+}  // namespace
+
+void Http1Server::Impl::Sweep() {
+  const TimePoint now = this->loop.Now();
+  const std::vector<Connection*> all(this->connections.begin(),
+                                     this->connections.end());
+  for (Connection* connection : all) {
+    if (this->connections.contains(connection)) {
+      connection->Expire(now);
+    }
+  }
+}
+
+Result<std::unique_ptr<Http1Server>> Http1Server::Make(Loop& loop,
+                                                       const std::string& ip,
+                                                       uint16_t port,
+                                                       HttpHandler handler) {
+  auto impl = std::make_shared<Impl>(loop, std::move(handler));
+  sockaddr_in address{};
+  int status = uv_ip4_addr(ip.c_str(), port, &address);
+  impl->listener = new uv_tcp_t;
+  uv_tcp_init(loop.uv(), impl->listener);
+  impl->listener->data = impl.get();
+  if (status == 0) {
+    status = uv_tcp_bind(impl->listener,
+                         reinterpret_cast<const sockaddr*>(&address), 0);
+  }
+  if (status == 0) {
+    status = uv_listen(reinterpret_cast<uv_stream_t*>(impl->listener),
+                       kListenBacklog, [](uv_stream_t* listener, int error) {
+                         auto* server = static_cast<Impl*>(listener->data);
+                         if (error == 0 && server != nullptr) {
+                           std::make_shared<Connection>(
+                               server->shared_from_this())
+                               ->Accept(listener);
+                         }
+                       });
+  }
+  std::unique_ptr<Http1Server> server(new Http1Server(impl));
+  if (status != 0) {
+    return NotRun(ErrorCode::kUnavailable,
+                  "cannot listen on " + ip + ":" + std::to_string(port) + ": " +
+                      uv_strerror(status));
+  }
+  int length = sizeof(address);
+  uv_tcp_getsockname(impl->listener, reinterpret_cast<sockaddr*>(&address),
+                     &length);
+  impl->bound_port = ntohs(address.sin_port);
+  impl->sweep.StartRepeating(kSweepPeriod);
+  return server;
+}
+
+Http1Server::Http1Server(std::shared_ptr<Impl> impl) : impl(std::move(impl)) {}
+
+Http1Server::~Http1Server() {
+  this->StopListening();
+  const std::vector<Connection*> all(this->impl->connections.begin(),
+                                     this->impl->connections.end());
+  for (Connection* connection : all) {
+    connection->Close();
+  }
+}
+
+uint16_t Http1Server::port() const {
+  return this->impl->bound_port;
+}
+
+size_t Http1Server::connections() const {
+  return this->impl->connections.size();
+}
+
+size_t Http1Server::requests() const {
+  return this->impl->in_progress;
+}
+
+void Http1Server::SetLimits(const Http1Limits& limits) {
+  this->impl->limits = limits;
+}
+
+void Http1Server::CloseAfterAnswers() {
+  this->impl->close_after_answers = true;
+}
+
+void Http1Server::CloseIdle() {
+  const std::vector<Connection*> all(this->impl->connections.begin(),
+                                     this->impl->connections.end());
+  for (Connection* connection : all) {
+    if (connection->idle() && !connection->lingering()) {
+      connection->Close();
+    }
+  }
+}
+
+void Http1Server::StopListening() {
+  if (this->impl->listener != nullptr) {
+    this->impl->listener->data = nullptr;
+    uv_close(reinterpret_cast<uv_handle_t*>(this->impl->listener),
+             [](uv_handle_t* handle) {
+               delete reinterpret_cast<uv_tcp_t*>(handle);
+             });
+    this->impl->listener = nullptr;
+  }
+}
+
+}  // namespace celerypost
--- /dev/null
+++ b/src/connection/http1_server.h
@@ -0,0 +1,53 @@
+#ifndef SRC_CONNECTION_HTTP1_SERVER_H_
+#define SRC_CONNECTION_HTTP1_SERVER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "celerypost/verdict.h"
+#include "src/connection/http1_limits.h"
+#include "src/connection/http_server.h"
+#include "src/connection/loop.h"
+
+namespace celerypost {
+
+// HTTP/1.1 server on libuv. Unlike HttpServer it keeps reading while a request
+// is being answered, so HttpResponder::OnClosed runs as soon as the caller
+// leaves, and it can hand back its connections before a planned stop.
+class Http1Server {
+ public:
+  // Binds and listens. Fails with kUnavailable when the address is taken.
+  static Result<std::unique_ptr<Http1Server>> Make(Loop& loop,
+                                                   const std::string& ip,
+                                                   uint16_t port,
+                                                   HttpHandler handler);
+  ~Http1Server();
+  Http1Server(const Http1Server&) = delete;
+  Http1Server& operator=(const Http1Server&) = delete;
+
+  uint16_t port() const;
+  // Open connections.
+  size_t connections() const;
+  // Requests whose answer has not been sent.
+  size_t requests() const;
+  void SetLimits(const Http1Limits& limits);
+  // Marks every further answer as the last one of its connection.
+  void CloseAfterAnswers();
+  // Closes connections that wait for a request.
+  void CloseIdle();
+  // Closes the listening socket; connections stay.
+  void StopListening();
+
+  struct Impl;
+
+ private:
+  explicit Http1Server(std::shared_ptr<Impl> impl);
+
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_CONNECTION_HTTP1_SERVER_H_
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -11,20 +11,10 @@
 #include "celerypost/verdict.h"
 #include "src/connection/http.h"
 #include "src/connection/loop.h"
+#include "src/connection/socket_address.h"
 
 namespace celerypost {
 
-// An IPv4 address and port.
-struct SocketAddress {
-  std::string ip;
-  uint16_t port = 0;
-
-  auto operator<=>(const SocketAddress&) const = default;
-  std::string ToString() const;
-  // Parses "127.0.0.1:8080"; fails with kInvalidArgument.
-  static Result<SocketAddress> Parse(std::string_view text);
-};
-
 struct HttpResponseHead {
   int status = 0;
   HttpHeaders headers;
--- a/src/connection/socket_address.cc
+++ b/src/connection/socket_address.cc
@@ -1,9 +1,9 @@
+#include "src/connection/socket_address.h"
+
 #include <arpa/inet.h>
 
 #include <charconv>
 
-#include "src/connection/http_client.h"
-
 namespace celerypost {
 
 std::string SocketAddress::ToString() const {
--- a/src/process/command_line.cc
+++ b/src/process/command_line.cc
@@ -21,12 +21,18 @@
 std::string UsageText() {
   return "usage: celerypost entry [FLAGS]\n"
          "       celerypost agent [FLAGS]\n"
+         "       celerypost gateway [FLAGS]\n"
+         "       celerypost stager [FLAGS]\n"
          "       celerypost ctl COMMAND [ARGUMENT] [FLAGS]\n"
-         "       celerypost help [entry|agent|ctl [COMMAND]|--completion "
+         "       celerypost help [entry|agent|gateway|stager|ctl [COMMAND]|--completion "
          "bash]\n"
          "       celerypost version\n\n"
          "entry  accepts requests on an entry VM and routes them to targets\n"
          "agent  sends work and weights to the target of its VM\n"
+         "gateway  accepts requests on an entry VM of the platform and sends "
+         "them\n"
+         "         to targets itself\n"
+         "stager   stages weights for the target of its VM on the platform\n"
          "ctl    commits manifests, takes zones out and shows the status\n";
 }
 
@@ -176,6 +182,16 @@
                                 &MakeAgentSettings, context.run_agent);
 }
 
+int RunGatewayRole(const Arguments& args, const CommandLineContext& context) {
+  return RunRole<NodeRoleSettings>(FlagRole::kNode, "gateway", args, context,
+                                   &MakeNodeRoleSettings, context.run_gateway);
+}
+
+int RunStagerRole(const Arguments& args, const CommandLineContext& context) {
+  return RunRole<NodeRoleSettings>(FlagRole::kNode, "stager", args, context,
+                                   &MakeNodeRoleSettings, context.run_stager);
+}
+
 int RunCtl(const Arguments& args, const CommandLineContext& context) {
   auto read = ReadFlags(FlagRole::kCtl, args, context.environment);
   if (WantsHelp(args)) {
@@ -230,6 +246,8 @@
     context.out << RoleHelp(FlagRole::kEntry, topic);
   } else if (topic == "agent") {
     context.out << RoleHelp(FlagRole::kAgent, topic);
+  } else if (topic == "gateway" || topic == "stager") {
+    context.out << RoleHelp(FlagRole::kNode, topic);
   } else if (topic == "ctl" && detail.empty()) {
     context.out << CtlHelp();
   } else if (topic == "ctl" && FindCtlCommand(detail) != nullptr) {
@@ -241,7 +259,7 @@
     return Fail(context, "help",
                 "unknown topic '" + topic +
                     (detail.empty() ? "" : " " + detail) +
-                    "'; expected entry, agent, ctl, ctl "
+                    "'; expected entry, agent, gateway, stager, ctl, ctl "
                     "COMMAND or --completion bash");
   }
   return 0;
@@ -263,6 +281,8 @@
 
 constexpr RoleCommand kRoles[] = {{"entry", &RunEntryRole},
                                   {"agent", &RunAgentRole},
+                                  {"gateway", &RunGatewayRole},
+                                  {"stager", &RunStagerRole},
                                   {"ctl", &RunCtl},
                                   {"help", &RunHelp},
                                   {"version", &RunVersion}};
@@ -293,7 +313,8 @@
       [&name](const RoleCommand& each) { return each.name == name; });
   if (role == std::end(kRoles)) {
     context.err << "celerypost: unknown role '" << Printable(name)
-                << "'; expected entry, agent, ctl, help or version\n";
+                << "'; expected entry, agent, gateway, stager, ctl, help or "
+                   "version\n";
     return kUsageExitCode;
   }
   return role->run({args.begin() + 1, args.end()}, context);
@@ -308,7 +329,7 @@
          "_celerypost() {\n"
          "  local current=${COMP_WORDS[COMP_CWORD]} words=\n"
          "  if [ \"$COMP_CWORD\" -eq 1 ]; then\n"
-         "    words='entry agent ctl help version'\n"
+         "    words='entry agent gateway stager ctl help version'\n"
          "  else\n"
          "    case ${COMP_WORDS[1]} in\n"
          "      entry) words='" +
@@ -317,6 +338,9 @@
          "      agent) words='" +
          FlagWords(FlagRole::kAgent) +
          "' ;;\n"
+         "      gateway|stager) words='" +
+         FlagWords(FlagRole::kNode) +
+         "' ;;\n"
          "      ctl)\n"
          "        if [ \"$COMP_CWORD\" -eq 2 ]; then\n"
          "          words='" +
@@ -334,7 +358,7 @@
          commands +
          "'\n"
          "        else\n"
-         "          words='entry agent ctl --completion'\n"
+         "          words='entry agent gateway stager ctl --completion'\n"
          "        fi ;;\n"
          "    esac\n"
          "  fi\n"
--- a/src/process/etcd_client.h
+++ b/src/process/etcd_client.h
@@ -7,16 +7,12 @@
 #include <string>
 #include <string_view>
 
+#include "src/connection/base64.h"
 #include "src/connection/http_client.h"
 #include "src/process/key_value_client.h"
 
 namespace celerypost {
 
-// Standard alphabet with padding, as the gateway uses it for keys and values.
-std::string EncodeBase64(std::string_view bytes);
-// Fails with kInvalidArgument.
-Result<std::string> DecodeBase64(std::string_view text);
-
 struct EtcdClientOptions {
   // A read or transaction without an answer fails after this time.
   std::chrono::milliseconds call_timeout{1000};
--- a/src/process/flags.cc
+++ b/src/process/flags.cc
@@ -116,6 +116,9 @@
               "",
               "name of the manifest; 1 to 100 of a-z A-Z 0-9 . _ -; default: "
               "that of the description");
+DEFINE_string(metrics_port,
+              "7715",
+              "port of /metrics on the VM's address; 0 to 65535, 0 for none");
 DEFINE_string(chunk_kb, "1024", "size of a chunk, in KiB; 4 to 1024");
 
 namespace celerypost {
@@ -124,6 +127,7 @@
 constexpr uint8_t kEntry = static_cast<uint8_t>(FlagRole::kEntry);
 constexpr uint8_t kAgent = static_cast<uint8_t>(FlagRole::kAgent);
 constexpr uint8_t kCtl = static_cast<uint8_t>(FlagRole::kCtl);
+constexpr uint8_t kNode = static_cast<uint8_t>(FlagRole::kNode);
 
 struct FlagEntry {
   const char* name;
@@ -150,7 +154,8 @@
     {"region_link_mbit", kAgent},
     {"operator", kCtl},
     {"shared_key", kEntry | kAgent | kCtl},
-    {"log_level", kEntry | kAgent},
+    {"log_level", kEntry | kAgent | kNode},
+    {"metrics_port", kNode},
     {"audit_file", kEntry | kAgent},
     {"json", kCtl},
     {"timeout", kCtl},
@@ -189,6 +194,8 @@
       return "agent";
     case FlagRole::kCtl:
       return "ctl";
+    case FlagRole::kNode:
+      return "gateway or stager";
   }
   return "unknown";
 }
--- a/src/process/flags.h
+++ b/src/process/flags.h
@@ -14,7 +14,9 @@
 namespace celerypost {
 
 // Command lines that accept flags; a flag belongs to one or more.
-enum class FlagRole : uint8_t { kEntry = 1, kAgent = 2, kCtl = 4 };
+// kNode stands for gateways and stagers, which read most of their settings from
+// the platform's file.
+enum class FlagRole : uint8_t { kEntry = 1, kAgent = 2, kCtl = 4, kNode = 8 };
 
 // Text of every flag of a role by name without dashes. Defaults are filled in.
 using FlagValues = std::map<std::string, std::string, std::less<>>;
--- /dev/null
+++ b/src/process/gateway/relay_task.cc
@@ -0,0 +1,524 @@
+#include "src/process/gateway/relay_task.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace celerypost {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr int kServerError = 500;
+
+// Retry-After of a gateway that knows no configuration: about the time of a
+// start.
+constexpr milliseconds kStartingRetry{500};
+// Retry-After when a target refused although it seemed to have room.
+constexpr milliseconds kFullRetry{400};
+// A caller that announces less than the longest wait by this much has waited
+// before; smaller differences are rounding.
+constexpr milliseconds kWaitTolerance{20};
+
+milliseconds Since(TimePoint start, TimePoint now) {
+  return std::chrono::duration_cast<milliseconds>(now - start);
+}
+
+// Requests of one caller attempt always fall on the same backend.
+ServiceName ChooseBackend(const Route& route, const std::string& id) {
+  double total = 0;
+  for (const RouteBackend& backend : route.backends) {
+    total += backend.weight;
+  }
+  constexpr uint64_t kSteps = 1u << 20;
+  double point = static_cast<double>(XXH64(id.data(), id.size(), 1) % kSteps) /
+                 kSteps * total;
+  for (const RouteBackend& backend : route.backends) {
+    point -= backend.weight;
+    if (point < 0) {
+      return backend.service;
+    }
+  }
+  return route.backends.empty() ? ServiceName()
+                                : route.backends.back().service;
+}
+
+}  // namespace
+
+RelayMetrics::RelayMetrics(Metrics& metrics)
+    : answered(metrics.AddCounter("celerypost_requests_total",
+                                  "Requests by outcome",
+                                  {{"outcome", "answered"}})),
+      refused(metrics.AddCounter("celerypost_requests_total",
+                                 "Requests by outcome",
+                                 {{"outcome", "refused"}})),
+      failed(metrics.AddCounter("celerypost_requests_total",
+                                "Requests by outcome",
+                                {{"outcome", "failed"}})),
+      abandoned(metrics.AddCounter("celerypost_requests_total",
+                                   "Requests by outcome",
+                                   {{"outcome", "abandoned"}})),
+      attempts(metrics.AddCounter("celerypost_attempts_total",
+                                  "Requests sent to targets")),
+      retries(metrics.AddCounter("celerypost_retries_total",
+                                 "Requests sent to another target")),
+      resumes(metrics.AddCounter("celerypost_stream_resumes_total",
+                                 "Streams that went on at another target")),
+      first_event(metrics.AddHistogram("celerypost_first_event_seconds",
+                                       "Time to the first event")),
+      total(metrics.AddHistogram("celerypost_request_seconds",
+                                 "Time to the end of the answer")) {}
+
+RelayTask::RelayTask(RelayContext& context,
+                     HttpRequest request,
+                     std::shared_ptr<HttpResponder> responder)
+    : context(context),
+      request(std::move(request)),
+      responder(std::move(responder)),
+      config(context.view.config()),
+      arrived(context.loop.Now()),
+      deadline(arrived) {}
+
+void RelayTask::Start() {
+  this->call = this->context.codec.ReadRequest(this->request);
+  if (!this->config) {
+    this->Refuse("no configuration known", kStartingRetry);
+    return;
+  }
+  this->route = this->config->FindRoute(
+      FindHeader(this->request.headers, "host"), this->request.path);
+  if (this->route == nullptr) {
+    this->FailWith(kNotFound, "no route");
+    return;
+  }
+  if (!this->config->workspaces.empty()) {
+    this->workspace = this->config->FindWorkspace(this->call.api_key);
+    if (this->workspace == nullptr && !this->route->open) {
+      this->FailWith(kUnauthorized, "unknown key");
+      return;
+    }
+  }
+  this->service = ChooseBackend(*this->route, this->call.id);
+  const milliseconds wait =
+      this->call.deadline.value_or(this->route->timeout);
+  milliseconds& longest = this->context.longest_waits[this->route->name];
+  longest = std::max(longest, wait);
+  if (longest - wait > kWaitTolerance) {
+    this->waited_before = longest - wait;
+  }
+  this->deadline = this->arrived + std::min(wait, this->route->timeout);
+  this->selecting.route = this->route;
+  this->selecting.workspace = this->workspace;
+  this->selecting.service = this->service;
+  this->responder->OnClosed(
+      [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->OnCallerGone();
+        }
+      });
+  // The timers keep the task alive until it is done.
+  this->deadline_timer = std::make_unique<Timer>(
+      this->context.loop,
+      [self = this->shared_from_this()] { self->OnDeadline(); });
+  this->patience_timer = std::make_unique<Timer>(
+      this->context.loop, [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->OnPatienceEnd();
+        }
+      });
+  this->deadline_timer->StartOnce(Since(this->arrived, this->deadline));
+  this->TryNext();
+}
+
+bool RelayTask::IsStream() const {
+  return this->route->kind == RouteKind::kStream;
+}
+
+milliseconds RelayTask::Patience() const {
+  if (!this->IsStream()) {
+    return milliseconds(static_cast<int64_t>(
+        static_cast<double>(this->route->latency_goal.count()) *
+        this->context.options.answer_patience));
+  }
+  return this->attempt && this->attempt->had_event
+             ? this->context.options.event_patience
+             : this->context.options.first_event_patience;
+}
+
+void RelayTask::TryNext() {
+  const TimePoint now = this->context.loop.Now();
+  PlacementRequest& work = this->selecting.work;
+  work.prompt_tokens = this->call.prompt_tokens;
+  work.deadline_left = Since(now, this->deadline);
+  work.on_time_left = this->route->latency_goal - this->waited_before -
+                      Since(this->arrived, now);
+  work.late_anyway = work.on_time_left.count() <= 0 || this->sends > 0;
+  this->selection = this->context.selector.Select(this->selecting, now);
+  if (this->selection.target) {
+    this->broken_at.reset();
+    this->SendTo(this->selection);
+    return;
+  }
+  if (this->head_sent) {
+    // The caller has a part of the stream; look for a target for a while.
+    if (!this->broken_at) {
+      this->broken_at = now;
+    }
+    if (now - *this->broken_at < this->context.options.resume_patience) {
+      this->patience_timer->StartOnce(this->context.options.resume_pause);
+      return;
+    }
+    this->FailWith(kBadGateway, "no target goes on with the stream");
+  } else if (this->verdict == Verdict::kNotRun) {
+    this->Refuse(this->selection.reason, this->selection.retry_after);
+  } else {
+    this->FailWith(kBadGateway, this->selection.reason);
+  }
+}
+
+void RelayTask::SendTo(const Selection& selection) {
+  const TimePoint now = this->context.loop.Now();
+  TargetCall target_call;
+  target_call.deadline_left = Since(now, this->deadline);
+  target_call.target_id = selection.target->id;
+  target_call.version = selection.version;
+  if (this->workspace != nullptr) {
+    target_call.workspace = this->workspace->name;
+  }
+  if (this->head_sent) {
+    target_call.last_event = this->events.last_id();
+    this->events.Restart();
+    this->context.metrics.resumes.Add();
+  }
+  this->attempt.emplace();
+  this->attempt->target = selection.target->id;
+  this->attempt->prompt_tokens = this->call.prompt_tokens;
+  this->selecting.tried.insert(selection.target->id);
+  ++this->sends;
+  this->context.metrics.attempts.Add();
+  this->context.book.OnSent(selection.target->id, this->call.prompt_tokens,
+                            now);
+  Http1SendOptions options;
+  if (!this->route->repeatable()) {
+    options.max_idle = this->context.options.unrepeatable_max_idle;
+  }
+  options.accepts = [this](const HttpResponseHead& head) {
+    const TargetAnswer answer =
+        this->context.codec.ReadAnswer(head.status, head.headers);
+    return answer.id.empty() || answer.id == this->call.id;
+  };
+  HttpResponseCallbacks callbacks;
+  callbacks.on_head = [this](const HttpResponseHead& head) {
+    this->OnHead(head);
+  };
+  callbacks.on_body = [this](std::string_view bytes) { this->OnBody(bytes); };
+  callbacks.on_end = [this] { this->OnEnd(); };
+  callbacks.on_failure = [this](const Failure& failure) {
+    this->OnFailure(failure);
+  };
+  this->http_call =
+      this->context.client(selection.target->address)
+          .Send(this->context.codec.MakeTargetRequest(this->request,
+                                                      target_call),
+                std::move(options), std::move(callbacks));
+  if (this->route->repeatable()) {
+    this->patience_timer->StartOnce(this->Patience());
+  }
+}
+
+void RelayTask::OnHead(const HttpResponseHead& head) {
+  const auto keep = this->shared_from_this();
+  this->attempt->answer =
+      this->context.codec.ReadAnswer(head.status, head.headers);
+  this->attempt->headers = head.headers;
+  const TargetAnswer& answer = this->attempt->answer;
+  if (answer.encoded) {
+    this->EndAttempt(AttemptOutcome::kBroken);
+    this->RetryOrEnd(Verdict::kMayHaveRun, kBadGateway,
+                     "the target's answer is encoded");
+    return;
+  }
+  if (answer.not_run) {
+    this->EndAttempt(AttemptOutcome::kRefused);
+    this->RetryOrEnd(Verdict::kNotRun, kUnavailable, "the target refused");
+    return;
+  }
+  if (answer.status >= kServerError && !this->head_sent &&
+      this->route->repeatable() && this->MayRetry(Verdict::kMayHaveRun)) {
+    this->http_call.reset();
+    this->EndAttempt(AttemptOutcome::kFailed);
+    ++this->runs;
+    this->verdict = Verdict::kMayHaveRun;
+    this->TryNext();
+    return;
+  }
+  if (this->head_sent && answer.status >= 300) {
+    this->EndAttempt(AttemptOutcome::kFailed);
+    this->RetryOrEnd(Verdict::kMayHaveRun, kBadGateway,
+                     "the target does not go on with the stream");
+  }
+}
+
+void RelayTask::OnBody(std::string_view bytes) {
+  const auto keep = this->shared_from_this();
+  if (!this->attempt || this->attempt->ended) {
+    return;
+  }
+  if (!this->IsStream() || this->attempt->answer.status >= 300) {
+    this->attempt->body.append(bytes);
+    return;
+  }
+  this->ForwardEvents(this->events.Add(bytes));
+}
+
+void RelayTask::ForwardEvents(const std::string& whole) {
+  if (whole.empty()) {
+    return;
+  }
+  if (!this->attempt->had_event) {
+    this->attempt->had_event = true;
+    this->context.book.OnFirstEvent(this->attempt->target,
+                                    this->attempt->prompt_tokens);
+  }
+  if (!this->first_event_at) {
+    this->first_event_at = this->context.loop.Now();
+    this->context.metrics.first_event.Observe(*this->first_event_at -
+                                              this->arrived);
+  }
+  if (!this->head_sent) {
+    this->head_sent = true;
+    this->responder->Start(
+        this->attempt->answer.status,
+        this->context.codec.MakeCallerHeaders(this->attempt->headers));
+  }
+  this->responder->Write(whole);
+  if (this->route->repeatable()) {
+    this->patience_timer->StartOnce(this->Patience());
+  }
+}
+
+void RelayTask::OnEnd() {
+  const auto keep = this->shared_from_this();
+  if (!this->attempt || this->attempt->ended) {
+    return;
+  }
+  const bool failed = this->attempt->answer.status >= kServerError;
+  if (this->IsStream() && this->attempt->answer.status < 300) {
+    this->ForwardEvents(this->events.TakeRest());
+    this->EndAttempt(AttemptOutcome::kAnswered);
+    if (!this->head_sent) {
+      this->SendTargetAnswer();
+      return;
+    }
+    const int status = this->attempt->answer.status;
+    this->context.budget.OnSuccess();
+    this->responder->End();
+    this->context.metrics.answered.Add();
+    this->Finish("answered", status, {});
+    return;
+  }
+  this->EndAttempt(failed ? AttemptOutcome::kFailed
+                          : AttemptOutcome::kAnswered);
+  this->SendTargetAnswer();
+}
+
+void RelayTask::SendTargetAnswer() {
+  const int status = this->attempt->answer.status;
+  if (status < kServerError) {
+    this->context.budget.OnSuccess();
+  }
+  this->responder->Send(
+      status, this->context.codec.MakeCallerHeaders(this->attempt->headers),
+      this->attempt->body);
+  (status < kServerError ? this->context.metrics.answered
+                         : this->context.metrics.failed)
+      .Add();
+  this->Finish("answered", status, {});
+}
+
+void RelayTask::OnFailure(const Failure& failure) {
+  const auto keep = this->shared_from_this();
+  if (this->done || !this->attempt || this->attempt->ended) {
+    return;
+  }
+  this->context.log.Info(
+      "attempt_broken", failure.message,
+      {{"target", this->attempt->target},
+       {"verdict", VerdictName(failure.verdict)},
+       {"events", this->events.events()},
+       {"attempt", this->sends}},
+      this->call.id);
+  this->EndAttempt(AttemptOutcome::kBroken);
+  this->RetryOrEnd(failure.verdict, kBadGateway, "the target broke off");
+}
+
+void RelayTask::OnPatienceEnd() {
+  if (this->done) {
+    return;
+  }
+  if (this->broken_at) {
+    this->TryNext();
+    return;
+  }
+  if (!this->attempt || this->attempt->ended ||
+      !this->MayRetry(Verdict::kMayHaveRun)) {
+    return;
+  }
+  this->context.log.Info("attempt_silent",
+                         "the target is silent; another one gets the request",
+                         {{"target", this->attempt->target},
+                          {"events", this->events.events()},
+                          {"attempt", this->sends}},
+                         this->call.id);
+  this->http_call.reset();
+  this->EndAttempt(AttemptOutcome::kBroken);
+  ++this->runs;
+  this->verdict = Verdict::kMayHaveRun;
+  this->TryNext();
+}
+
+void RelayTask::OnDeadline() {
+  if (this->done) {
+    return;
+  }
+  const auto keep = this->shared_from_this();
+  this->http_call.reset();
+  this->EndAttempt(AttemptOutcome::kAbandoned);
+  if (this->sends == 0) {
+    this->Refuse("deadline", kFullRetry);
+  } else {
+    this->FailWith(kGatewayTimeout, "deadline");
+  }
+}
+
+void RelayTask::OnCallerGone() {
+  if (this->done) {
+    return;
+  }
+  const auto keep = this->shared_from_this();
+  this->http_call.reset();
+  this->EndAttempt(AttemptOutcome::kAbandoned);
+  this->context.metrics.abandoned.Add();
+  this->Finish("abandoned", 0, "the caller left");
+}
+
+bool RelayTask::MayRetry(Verdict attempt_verdict) {
+  if (this->sends >= this->context.options.max_sends) {
+    return false;
+  }
+  // Only attempts that may have run count against the route's limit.
+  const uint32_t may_have_run =
+      this->runs + (attempt_verdict == Verdict::kNotRun ? 0 : 1);
+  if (may_have_run >= std::max(1u, this->route->max_attempts) &&
+      attempt_verdict != Verdict::kNotRun) {
+    return false;
+  }
+  const bool allowed =
+      this->context.budget
+          .MayRetry(attempt_verdict, this->route->repeatable(), 1,
+                    this->deadline, this->context.loop.Now())
+          .has_value();
+  if (allowed) {
+    this->context.metrics.retries.Add();
+  }
+  return allowed;
+}
+
+void RelayTask::RetryOrEnd(Verdict attempt_verdict,
+                           int status,
+                           std::string_view reason) {
+  // `http_call` may be running the callback that led here; the client closes
+  // it after the callback.
+  this->http_call.reset();
+  const bool retry = this->MayRetry(attempt_verdict);
+  if (attempt_verdict != Verdict::kNotRun) {
+    ++this->runs;
+    this->verdict = Verdict::kMayHaveRun;
+  }
+  if (retry) {
+    this->TryNext();
+  } else if (this->head_sent || this->verdict != Verdict::kNotRun) {
+    this->FailWith(status == kUnavailable ? kBadGateway : status, reason);
+  } else {
+    this->Refuse(reason, kFullRetry);
+  }
+}
+
+void RelayTask::EndAttempt(AttemptOutcome outcome) {
+  this->patience_timer->Stop();
+  if (!this->attempt || this->attempt->ended) {
+    return;
+  }
+  this->attempt->ended = true;
+  this->context.book.OnEnd(this->attempt->target, this->attempt->prompt_tokens,
+                           this->attempt->had_event, outcome,
+                           this->context.loop.Now());
+}
+
+void RelayTask::Refuse(std::string_view reason, milliseconds retry_after) {
+  this->responder->Send(
+      kUnavailable,
+      this->context.codec.MakeOwnHeaders(this->call.id, retry_after),
+      "not run: " + std::string(reason) + "\n");
+  this->context.metrics.refused.Add();
+  this->Finish("refused", kUnavailable, reason);
+}
+
+void RelayTask::FailWith(int status, std::string_view reason) {
+  if (this->head_sent) {
+    this->responder->Abort();
+  } else {
+    this->responder->Send(
+        status, this->context.codec.MakeOwnHeaders(this->call.id, std::nullopt),
+        std::string(reason) + "\n");
+  }
+  this->context.metrics.failed.Add();
+  this->Finish("failed", status, reason);
+}
+
+void RelayTask::Finish(std::string_view outcome,
+                       int status,
+                       std::string_view reason) {
+  this->done = true;
+  const TimePoint now = this->context.loop.Now();
+  const auto total = Since(this->arrived, now);
+  this->context.metrics.total.Observe(now - this->arrived);
+  this->context.log.Info(
+      "request", outcome,
+      {{"status", status},
+       {"reason", reason},
+       {"route", this->route != nullptr ? std::string_view(this->route->name)
+                                        : std::string_view()},
+       {"service", this->service.value()},
+       {"target", this->attempt ? std::string_view(this->attempt->target)
+                                : std::string_view()},
+       {"attempts", this->sends},
+       {"events", this->events.events()},
+       {"candidates", this->selection.candidates},
+       {"in_flight", this->selection.load.in_flight},
+       {"waiting_tokens", this->selection.load.waiting_tokens},
+       {"predicted_ms", this->selection.predicted.count()},
+       {"entry_age_ms", this->selection.entry_age.count()},
+       {"config_version", this->config ? this->config->version : 0},
+       {"waited_before_ms", this->waited_before.count()},
+       {"first_event_ms",
+        this->first_event_at
+            ? Since(this->arrived, *this->first_event_at).count()
+            : int64_t{-1}},
+       {"total_ms", total.count()}},
+      this->call.id);
+  this->http_call.reset();
+  this->patience_timer.reset();
+  // Destroys the closure that keeps this task alive.
+  this->context.loop.Post([timer = std::shared_ptr<Timer>(
+                               std::move(this->deadline_timer))] {});
+}
+
+}  // namespace celerypost
--- a/src/process/key_value_client.h
+++ b/src/process/key_value_client.h
@@ -1,6 +1,7 @@
 #ifndef SRC_PROCESS_KEY_VALUE_CLIENT_H_
 #define SRC_PROCESS_KEY_VALUE_CLIENT_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -41,8 +42,10 @@
   int64_t expected_revision = 0;
   std::string value;
   std::vector<std::pair<std::string, std::string>> extra_puts;
-  // Leaves the comparison out; only tests set it.
+  // Leaves the comparison out, for keys that one process alone writes.
   bool unconditional = false;
+  // The puts are removed when this lease ends; 0 keeps them.
+  int64_t lease = 0;
 };
 
 struct KeyValueTransactionResult {
@@ -64,6 +67,20 @@
   uint64_t watches = 0;
 };
 
+// Leases of the key-value service. A failure of Renew with kNotFound means that
+// the lease has ended; after any other failure it may still run.
+class LeaseClient {
+ public:
+  virtual ~LeaseClient() = default;
+
+  // Returns the id of a lease that ends `duration` after its last renewal.
+  virtual void Grant(std::chrono::milliseconds duration,
+                     std::function<void(Result<int64_t>)> done) = 0;
+  virtual void Renew(int64_t lease, std::function<void(Result<void>)> done) = 0;
+  virtual void Revoke(int64_t lease,
+                      std::function<void(Result<void>)> done) = 0;
+};
+
 // The key-value service. Each callback runs once, from the loop, never from
 // inside the call. A failure has verdict kNotRun only when the call certainly
 // had no effect.
--- a/src/process/main.cc
+++ b/src/process/main.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/roles.h"
 #include "src/process/command_line.h"
 #include "src/process/roles.h"
 
@@ -12,5 +13,6 @@
   return celerypost::RunCommandLine(
       args,
       {std::cout, std::cerr, celerypost::ProcessEnvironment,
-       isatty(STDOUT_FILENO) == 1, celerypost::RunEntry, celerypost::RunAgent});
+       isatty(STDOUT_FILENO) == 1, celerypost::RunEntry, celerypost::RunAgent,
+       celerypost::platform::RunGateway, celerypost::platform::RunStager});
 }
--- /dev/null
+++ b/src/process/node_core.cc
@@ -0,0 +1,287 @@
+#include "src/process/node_core.h"
+
+#include <utility>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "src/connection/base64.h"
+#include "src/version/json_fields.h"
+
+namespace celerypost {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Json = nlohmann::json;
+
+constexpr char kDocumentsPath[] = "/v1/documents";
+constexpr char kMetricsPath[] = "/metrics";
+// How often expired targets and late documents are looked at.
+constexpr milliseconds kTickPeriod{200};
+// A process that is connected but this far behind a peer asks the service on a
+// new connection: its own has gone silent.
+constexpr milliseconds kMostBehind{800};
+constexpr milliseconds kPullTimeout{1000};
+
+std::string EncodeDocuments(const ClusterView& view) {
+  Json items = Json::array();
+  for (const KeyValue& item : view.Documents()) {
+    items.push_back({item.key, EncodeBase64(item.value), item.mod_revision});
+  }
+  return Json{{"revision", view.revision()}, {"items", std::move(items)}}
+      .dump();
+}
+
+Result<KeyValueRange> DecodeDocuments(const std::string& text) {
+  const auto json = ParseJson(text, "documents of a peer");
+  if (!json) {
+    return tl::unexpected<Failure>(json.error());
+  }
+  KeyValueRange range;
+  if (!json->is_object() || !json->contains("revision") ||
+      !(*json)["revision"].is_number_integer() || !json->contains("items")) {
+    return NotRun(ErrorCode::kCorrupt, "a peer's documents lack a field");
+  }
+  range.revision = (*json)["revision"].get<int64_t>();
+  for (const Json& item : (*json)["items"]) {
+    if (!item.is_array() || item.size() != 3 || !item[0].is_string() ||
+        !item[1].is_string() || !item[2].is_number_integer()) {
+      return NotRun(ErrorCode::kCorrupt, "a peer's document is malformed");
+    }
+    auto value = DecodeBase64(item[1].get_ref<const std::string&>());
+    if (!value) {
+      return tl::unexpected<Failure>(value.error());
+    }
+    range.items.push_back(
+        {item[0].get<std::string>(), std::move(*value), item[2].get<int64_t>()});
+  }
+  return range;
+}
+
+}  // namespace
+
+NodeCore::NodeCore(NodeDependencies dependencies, NodeRole role)
+    : parts(dependencies),
+      role(role),
+      cluster_view(parts.decoder,
+                   ClusterViewOptions{.removal_grace =
+                                          parts.settings.drain_bound / 2}),
+      peer_exchange(
+          parts.loop,
+          parts.log,
+          PeerExchangeOptions{
+              .ip = parts.settings.ip,
+              .port = static_cast<uint16_t>(
+                  parts.settings.first_internal_port + 1)}),
+      sync(parts.loop,
+           parts.store,
+           parts.log,
+           parts.random,
+           {},
+           {[this](const std::vector<KeyValue>& items, int64_t revision,
+                   bool after_outage) {
+              this->NoteNodes(items);
+              this->LogChanges(
+                  this->cluster_view.ApplySnapshot(items, revision,
+                                                   after_outage,
+                                                   this->parts.loop.Now()),
+                  "read");
+            },
+            [this](const std::vector<KeyValue>& changes) {
+              this->NoteNodes(changes);
+              this->LogChanges(this->cluster_view.ApplyChanges(
+                                   changes, this->parts.loop.Now()),
+                               "watch");
+            },
+            [this] {
+              this->cluster_view.OnServiceRegained(this->parts.loop.Now());
+            }}),
+      registry(parts.loop,
+               parts.store,
+               parts.leases,
+               parts.log,
+               NodeRegistryOptions{.ip = parts.settings.ip}),
+      tick(parts.loop, [this] { this->Tick(); }) {}
+
+Result<void> NodeCore::Start() {
+  for (const std::string& ip : this->parts.settings.seed_ips) {
+    this->peer_exchange.AddAddress(ip);
+  }
+  auto listening = this->peer_exchange.Listen();
+  if (!listening) {
+    return listening;
+  }
+  const HttpHandler handler =
+      [this](HttpRequest request,
+             const std::shared_ptr<HttpResponder>& responder) {
+        this->HandleInternal(request, responder);
+      };
+  auto server = Http1Server::Make(this->parts.loop, this->parts.settings.ip,
+                                  this->parts.settings.first_internal_port,
+                                  handler);
+  if (!server) {
+    return tl::unexpected<Failure>(server.error());
+  }
+  this->internal_server = std::move(*server);
+  if (this->parts.metrics_port != 0) {
+    auto metrics = Http1Server::Make(this->parts.loop, this->parts.settings.ip,
+                                     this->parts.metrics_port, handler);
+    if (!metrics) {
+      return tl::unexpected<Failure>(metrics.error());
+    }
+    this->metrics_server = std::move(*metrics);
+  }
+  this->sync.Start();
+  this->registry.Start();
+  this->tick.StartRepeating(kTickPeriod);
+  return {};
+}
+
+void NodeCore::Leave() {
+  this->registry.Leave();
+}
+
+wire::Beat NodeCore::MakeBeat(NodeState state) const {
+  const NodeSettings& settings = this->parts.settings;
+  wire::Beat beat;
+  beat.instance = static_cast<int64_t>(this->parts.instance.value);
+  beat.role = static_cast<int32_t>(this->role);
+  beat.ip = settings.ip;
+  beat.zone = settings.zone.value();
+  beat.region = settings.region.value();
+  if (settings.caller_address) {
+    beat.caller_address = settings.caller_address->ToString();
+  }
+  beat.state = static_cast<int32_t>(state);
+  beat.revision = this->cluster_view.revision();
+  return beat;
+}
+
+Http1Client& NodeCore::ClientOf(const SocketAddress& address) {
+  auto& client = this->clients[address];
+  if (!client) {
+    client = std::make_unique<Http1Client>(this->parts.loop, address,
+                                           Http1ClientOptions{});
+  }
+  return *client;
+}
+
+SocketAddress NodeCore::InternalAddress(const std::string& ip) const {
+  return {ip, this->parts.settings.first_internal_port};
+}
+
+void NodeCore::NoteNodes(const std::vector<KeyValue>& items) {
+  for (const KeyValue& item : items) {
+    const auto address = NodeRegistry::AddressOf(item.key);
+    if (address && !item.value.empty()) {
+      this->peer_exchange.AddAddress(*address);
+    }
+  }
+}
+
+void NodeCore::LogChanges(const std::vector<ViewChange>& changes,
+                          std::string_view source) {
+  bool changed = false;
+  for (const ViewChange& change : changes) {
+    if (NodeRegistry::AddressOf(change.key)) {
+      continue;
+    }
+    changed = changed || change.outcome != "older";
+    this->parts.log.Info("document", change.outcome,
+                         {{"key", change.key},
+                          {"revision", change.revision},
+                          {"source", source},
+                          {"detail", change.detail}});
+  }
+  if (changed && this->on_view_changed) {
+    this->on_view_changed();
+  }
+}
+
+void NodeCore::HandleInternal(
+    const HttpRequest& request,
+    const std::shared_ptr<HttpResponder>& responder) {
+  const auto path = PathWithoutQuery(request.path);
+  if (path == kDocumentsPath) {
+    responder->SendJson(200, EncodeDocuments(this->cluster_view));
+  } else if (path == kMetricsPath) {
+    responder->Send(200, {{"content-type", "text/plain; version=0.0.4"}},
+                    this->parts.metrics.Expose());
+  } else if (!this->internal_handler ||
+             !this->internal_handler(request, responder)) {
+    responder->SendJson(404, R"({"error":{"code":"not_found"}})");
+  }
+}
+
+void NodeCore::Tick() {
+  const TimePoint now = this->parts.loop.Now();
+  if (this->cluster_view.DropExpired(now) && this->on_view_changed) {
+    this->on_view_changed();
+  }
+  bool newer = false;
+  for (const auto& [ip, peer] : this->peer_exchange.peers()) {
+    newer = newer || (this->peer_exchange.Live(peer) &&
+                      peer.beat.revision > this->cluster_view.revision());
+  }
+  if (!newer) {
+    this->behind = false;
+    return;
+  }
+  if (!this->behind) {
+    this->behind = true;
+    this->behind_since = now;
+  }
+  if (!this->sync.connected()) {
+    this->PullDocuments();
+  } else if (now - this->behind_since > kMostBehind) {
+    this->parts.log.Info("store_silent",
+                         "peers know a newer revision; asking again",
+                         {{"revision", this->cluster_view.revision()}});
+    this->behind_since = now;
+    this->sync.Restart();
+    this->PullDocuments();
+  }
+}
+
+void NodeCore::PullDocuments() {
+  if (this->pull) {
+    return;
+  }
+  std::string newest;
+  int64_t revision = this->cluster_view.revision();
+  for (const auto& [ip, peer] : this->peer_exchange.peers()) {
+    if (this->peer_exchange.Live(peer) && peer.beat.revision > revision) {
+      revision = peer.beat.revision;
+      newest = ip;
+    }
+  }
+  if (newest.empty()) {
+    return;
+  }
+  HttpRequest request;
+  request.path = kDocumentsPath;
+  this->pull = this->ClientOf(this->InternalAddress(newest))
+                   .Fetch(std::move(request), kPullTimeout,
+                          [this, newest](const Result<HttpResponse>& response) {
+                            const auto call = std::move(this->pull);
+                            if (!response || response->status != 200) {
+                              return;
+                            }
+                            const auto range = DecodeDocuments(response->body);
+                            if (!range) {
+                              this->parts.log.Warn("peer_documents_unreadable",
+                                                   range.error().message,
+                                                   {{"peer", newest}});
+                              return;
+                            }
+                            this->LogChanges(
+                                this->cluster_view.ApplySnapshot(
+                                    range->items, range->revision,
+                                    /*after_outage=*/false,
+                                    this->parts.loop.Now()),
+                                newest);
+                          });
+}
+
+}  // namespace celerypost
--- /dev/null
+++ b/src/process/peer_exchange.cc
@@ -0,0 +1,173 @@
+#include "src/process/peer_exchange.h"
+
+#include <arpa/inet.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <utility>
+
+namespace celerypost {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+// The largest datagram that is sent or read.
+constexpr size_t kMaxDatagram = 16384;
+constexpr size_t kMaxNamedPeers = 64;
+
+std::string Encode(const wire::Beat& beat) {
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+  beat.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+bool Decode(const char* bytes, size_t length, wire::Beat& beat) {
+  auto buffer = std::make_shared<TMemoryBuffer>(
+      reinterpret_cast<uint8_t*>(const_cast<char*>(bytes)),
+      static_cast<uint32_t>(length));
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer, kMaxDatagram, kMaxDatagram);
+  // Thrift reports malformed input by exceptions, which end here.
+  try {
+    beat.read(&protocol);
+  } catch (const std::exception&) {
+    return false;
+  }
+  return beat.instance != 0;
+}
+
+}  // namespace
+
+PeerExchange::PeerExchange(Loop& loop, Log& log, PeerExchangeOptions options)
+    : loop(loop), log(log), options(std::move(options)) {}
+
+PeerExchange::~PeerExchange() {
+  if (this->socket != nullptr) {
+    this->socket->data = nullptr;
+    uv_close(reinterpret_cast<uv_handle_t*>(this->socket),
+             [](uv_handle_t* handle) {
+               delete reinterpret_cast<uv_udp_t*>(handle);
+             });
+  }
+}
+
+Result<void> PeerExchange::Listen() {
+  this->socket = new uv_udp_t;
+  uv_udp_init(this->loop.uv(), this->socket);
+  this->socket->data = this;
+  sockaddr_in address{};
+  uv_ip4_addr(this->options.ip.c_str(), this->options.port, &address);
+  int status = uv_udp_bind(this->socket,
+                           reinterpret_cast<const sockaddr*>(&address), 0);
+  if (status == 0) {
+    status = uv_udp_recv_start(
+        this->socket,
+        [](uv_handle_t*, size_t, uv_buf_t* buffer) {
+          static thread_local char shared[kMaxDatagram];
+          *buffer = uv_buf_init(shared, sizeof(shared));
+        },
+        [](uv_udp_t* socket, ssize_t count, const uv_buf_t* buffer,
+           const sockaddr* from, unsigned) {
+          auto* self = static_cast<PeerExchange*>(socket->data);
+          if (self == nullptr || count <= 0 || from == nullptr) {
+            return;
+          }
+          char ip[INET_ADDRSTRLEN] = {};
+          uv_ip4_name(reinterpret_cast<const sockaddr_in*>(from), ip,
+                      sizeof(ip));
+          self->OnDatagram(buffer->base, static_cast<size_t>(count), ip);
+        });
+  }
+  if (status != 0) {
+    return NotRun(ErrorCode::kUnavailable,
+                  "cannot receive beats on port " +
+                      std::to_string(this->options.port) + ": " +
+                      uv_strerror(status));
+  }
+  return {};
+}
+
+void PeerExchange::AddAddress(const std::string& ip) {
+  if (ip == this->options.ip || ip.empty()) {
+    return;
+  }
+  Peer& peer = this->known[ip];
+  peer.ip = ip;
+  peer.named = this->loop.Now();
+}
+
+void PeerExchange::OnDatagram(const char* bytes,
+                              size_t length,
+                              const std::string& ip) {
+  wire::Beat beat;
+  if (!Decode(bytes, length, beat)) {
+    if (this->unreadable++ == 0) {
+      this->log.Warn("beat_unreadable", "a datagram is not a beat",
+                     {{"from", ip}, {"bytes", length}});
+    }
+    return;
+  }
+  Peer& peer = this->known[ip];
+  if (peer.beat.instance == 0 || !this->Live(peer)) {
+    this->log.Info("peer_heard", "a peer is heard",
+                   {{"ip", ip}, {"role", beat.role}, {"zone", beat.zone}});
+  }
+  peer.ip = ip;
+  peer.heard = this->loop.Now();
+  peer.beat = std::move(beat);
+  const std::vector<std::string> named = peer.beat.known;
+  if (this->on_beat) {
+    this->on_beat(peer);
+  }
+  for (const std::string& address : named) {
+    if (!this->known.contains(address)) {
+      this->AddAddress(address);
+    }
+  }
+}
+
+void PeerExchange::ForgetSilent() {
+  const TimePoint now = this->loop.Now();
+  std::erase_if(this->known, [&](const auto& item) {
+    const Peer& peer = item.second;
+    return now - peer.heard > this->options.forget &&
+           now - peer.named > this->options.forget;
+  });
+}
+
+void PeerExchange::Send(wire::Beat& beat,
+                        const std::function<bool(const Peer&)>& wanted) {
+  this->ForgetSilent();
+  const std::string bytes = Encode(beat);
+  uv_buf_t buffer = uv_buf_init(const_cast<char*>(bytes.data()),
+                                static_cast<unsigned>(bytes.size()));
+  for (const auto& [ip, peer] : this->known) {
+    if (!wanted(peer)) {
+      continue;
+    }
+    sockaddr_in address{};
+    uv_ip4_addr(ip.c_str(), this->options.port, &address);
+    // A datagram that cannot be sent now is lost; the next beat follows soon.
+    uv_udp_try_send(this->socket, &buffer, 1,
+                    reinterpret_cast<const sockaddr*>(&address));
+  }
+}
+
+bool PeerExchange::Live(const Peer& peer) const {
+  return peer.beat.instance != 0 &&
+         this->loop.Now() - peer.heard <= this->options.silence;
+}
+
+std::vector<std::string> PeerExchange::LiveAddresses() const {
+  std::vector<std::string> addresses;
+  for (const auto& [ip, peer] : this->known) {
+    if (this->Live(peer) && addresses.size() < kMaxNamedPeers) {
+      addresses.push_back(ip);
+    }
+  }
+  return addresses;
+}
+
+}  // namespace celerypost
--- a/src/process/settings.cc
+++ b/src/process/settings.cc
@@ -285,6 +285,15 @@
   return reader.Finish(std::move(settings));
 }
 
+Result<NodeRoleSettings> MakeNodeRoleSettings(const FlagValues& flags) {
+  SettingReader reader(flags);
+  NodeRoleSettings settings;
+  settings.metrics_port = reader.Number<uint16_t>("metrics_port", 0, 65535,
+                                                  "a port from 0 to 65535");
+  settings.log_level = reader.Level("log_level");
+  return reader.Finish(std::move(settings));
+}
+
 Result<CtlSettings> MakeCtlSettings(const FlagValues& flags,
                                     bool needs_operator) {
   SettingReader reader(flags);
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -74,6 +74,13 @@
   uint64_t chunk_bytes = 1u << 20;
 };
 
+// Settings of a gateway or stager that the platform's file does not hold.
+struct NodeRoleSettings {
+  // 0 serves no metrics.
+  uint16_t metrics_port = 0;
+  LogLevel log_level = LogLevel::kInfo;
+};
+
 // Parses a whole number with a unit: "500us", "200ms", "5s", "10m" or "1h".
 // Fails with kInvalidArgument.
 Result<std::chrono::microseconds> ParseDuration(std::string_view text);
@@ -83,6 +90,7 @@
 // range. The value of --shared_key is never in it.
 Result<EntrySettings> MakeEntrySettings(const FlagValues& flags);
 Result<AgentSettings> MakeAgentSettings(const FlagValues& flags);
+Result<NodeRoleSettings> MakeNodeRoleSettings(const FlagValues& flags);
 // `needs_operator`: --operator and --shared_key must be given.
 Result<CtlSettings> MakeCtlSettings(const FlagValues& flags,
                                     bool needs_operator);
--- /dev/null
+++ b/src/process/stager/stager.h
@@ -0,0 +1,143 @@
+#ifndef SRC_PROCESS_STAGER_STAGER_H_
+#define SRC_PROCESS_STAGER_STAGER_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "src/process/node_core.h"
+#include "src/process/stager/model_target.h"
+#include "src/version/chunk_planner.h"
+#include "src/version/switch_planner.h"
+
+namespace celerypost {
+
+struct StagerOptions {
+  // How often the target is asked while weights are on their way, and
+  // otherwise.
+  std::chrono::milliseconds busy_period{100};
+  std::chrono::milliseconds idle_period{250};
+  // Beats without news; others follow changes at once, at most this often.
+  std::chrono::milliseconds beat_period{1000};
+  std::chrono::milliseconds least_beat_gap{100};
+  // Staged chunks can spoil, so an order follows their check within this time.
+  std::chrono::milliseconds check_lifetime{1000};
+  // The order goes out this long before the bound even if other targets have
+  // not finished: the loading that it begins takes a moment.
+  std::chrono::milliseconds order_margin{2300};
+  // Share of a zone's targets that load at a time.
+  double loading_share = 0.34;
+  // Pause after an order that the target did not take.
+  std::chrono::milliseconds order_pause{200};
+  // Staged chunks that are read at a time when they are checked.
+  size_t checks_at_a_time = 8;
+};
+
+// The process beside a model target: keeps the named weights staged, checks
+// them and orders the target to load them, and passes chunks to other stagers.
+class Stager {
+ public:
+  using OriginFactory =
+      std::function<std::unique_ptr<WeightOrigin>(const SocketAddress&)>;
+
+  Stager(NodeDependencies dependencies,
+         ModelTarget& target,
+         OriginFactory make_origin,
+         StagerOptions options);
+
+  // Binds the internal ports. Fails with kUnavailable.
+  Result<void> Start();
+  void Stop();
+
+ private:
+  // Weights that are to be staged and loaded.
+  struct Goal {
+    int64_t version = 0;
+    ChunkDigests digests;
+    std::optional<TimePoint> due;
+  };
+
+  void Step();
+  void OnReport(const Result<TargetReport>& report);
+  void UpdateGoal();
+  void AskForDigests(int64_t version);
+  void SetGoal(ChunkDigests digests);
+  void CheckWhatIsStaged();
+  void Fetch();
+  void FetchChunk(const FetchAction& action);
+  void OnBytes(const FetchAction& action, const Result<std::string>& bytes);
+  void BeginCheck();
+  void CheckNext();
+  void OnCheckDone();
+  void MaybeOrder();
+  bool MayOrder() const;
+  void OnBeat(const Peer& peer);
+  void NotePeer(const Peer& peer);
+  void SendBeat(bool to_all);
+  void BeatSoon(bool to_all);
+  bool HandleInternal(const HttpRequest& request,
+                      const std::shared_ptr<HttpResponder>& responder);
+  void ServeChunk(size_t number,
+                  int64_t version,
+                  const std::shared_ptr<HttpResponder>& responder);
+  void ServeDigests(int64_t version,
+                    const std::shared_ptr<HttpResponder>& responder);
+  WeightOrigin* Origin();
+  const ServiceConfig* Service() const;
+  int64_t WantedVersion() const;
+  bool Serving(int64_t version) const;
+  Digest SetDigest(int64_t version) const;
+  std::string Held() const;
+
+  NodeDependencies parts;
+  ModelTarget& target;
+  OriginFactory make_origin;
+  StagerOptions options;
+  NodeCore core;
+  std::mt19937_64 random;
+  ChunkPlanner planner;
+  SwitchPlanner switches;
+  std::string model;
+  uint32_t layers = 1;
+  std::unique_ptr<WeightOrigin> origin;
+  std::string origin_address;
+  std::optional<TargetReport> report;
+  // Whole weights that the target has loaded, 0 for none.
+  int64_t serving_version = 0;
+  std::optional<Goal> goal;
+  bool asking_digests = false;
+  bool asking_report = false;
+  // A check of all staged chunks: the next to read, those being read, and
+  // whether any was bad.
+  bool checking = false;
+  size_t check_next = 0;
+  size_t checks_running = 0;
+  bool check_found_bad = false;
+  // Whether chunks found staged are to be added, not only bad ones dropped.
+  bool check_adds = false;
+  std::optional<TimePoint> checked_at;
+  bool ordering = false;
+  bool loading = false;
+  TimePoint order_again{};
+  std::optional<int64_t> first_check_of;
+  std::vector<std::unique_ptr<HttpCall>> fetches;
+  Timer step_timer;
+  Timer beat_timer;
+  TimePoint last_beat{};
+  bool beat_to_all = false;
+  bool beat_planned = false;
+  Counter& chunks_from_peers;
+  Counter& chunks_from_origin;
+  Counter& chunks_bad;
+  Counter& orders;
+  // Invalidates callbacks of an earlier goal.
+  uint64_t goal_number = 0;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_PROCESS_STAGER_STAGER_H_
--- /dev/null
+++ b/src/process/state/cluster_view.cc
@@ -0,0 +1,181 @@
+#include "src/process/state/cluster_view.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace celerypost {
+
+ClusterView::ClusterView(const DocumentDecoder& decoder,
+                         ClusterViewOptions options)
+    : decoder(decoder), options(options) {}
+
+std::vector<ViewChange> ClusterView::ApplyChanges(
+    const std::vector<KeyValue>& changes,
+    TimePoint now) {
+  std::vector<ViewChange> applied;
+  for (const KeyValue& change : changes) {
+    applied.push_back(
+        change.value.empty()
+            ? this->Remove(change.key, change.mod_revision, /*lapsed=*/false,
+                           now)
+            : this->Apply(change, /*seen_happening=*/true, /*lapsed=*/false,
+                          now));
+    this->AdvanceRevision(change.mod_revision);
+  }
+  return applied;
+}
+
+std::vector<ViewChange> ClusterView::ApplySnapshot(
+    const std::vector<KeyValue>& items,
+    int64_t revision,
+    bool after_outage,
+    TimePoint now) {
+  std::vector<ViewChange> applied;
+  std::set<std::string> listed;
+  const bool first = this->newest_revision == 0;
+  for (const KeyValue& item : items) {
+    listed.insert(item.key);
+    const auto known = this->documents.find(item.key);
+    if (known != this->documents.end() &&
+        known->second.mod_revision == item.mod_revision) {
+      continue;
+    }
+    applied.push_back(this->Apply(item, !first, false, now));
+  }
+  std::vector<std::string> missing;
+  for (const auto& [key, document] : this->documents) {
+    if (!listed.contains(key) && document.mod_revision <= revision) {
+      missing.push_back(key);
+    }
+  }
+  for (const std::string& key : missing) {
+    applied.push_back(this->Remove(key, revision, after_outage, now));
+  }
+  this->AdvanceRevision(revision);
+  return applied;
+}
+
+void ClusterView::OnServiceRegained(TimePoint now) {
+  this->regained_at = now;
+}
+
+ViewChange ClusterView::Apply(const KeyValue& change,
+                              bool seen_happening,
+                              bool /*lapsed*/,
+                              TimePoint now) {
+  ViewChange result{change.key, change.mod_revision, "applied", {}};
+  const auto known = this->documents.find(change.key);
+  const auto gone = this->removed.find(change.key);
+  if ((known != this->documents.end() &&
+       known->second.mod_revision >= change.mod_revision) ||
+      (gone != this->removed.end() && gone->second >= change.mod_revision)) {
+    result.outcome = "older";
+    return result;
+  }
+  this->removed.erase(change.key);
+  this->documents[change.key] = change;
+  const auto decoded = this->decoder.Decode(change.key, change.value);
+  if (!decoded) {
+    result.outcome = "unreadable";
+    result.detail = decoded.error().message;
+    // An entry that cannot be read names no target, even if an earlier one did.
+    const auto target = this->target_of_key.find(change.key);
+    if (target != this->target_of_key.end()) {
+      this->known_targets.erase(target->second);
+      this->target_of_key.erase(target);
+    }
+    return result;
+  }
+  if (const auto* config =
+          std::get_if<std::shared_ptr<const GatewayConfig>>(&*decoded)) {
+    if (this->current_config &&
+        (*config)->version <= this->current_config->version) {
+      result.outcome = "older";
+      return result;
+    }
+    this->current_config = *config;
+    result.detail = "version " + std::to_string((*config)->version);
+  } else if (const auto* target = std::get_if<TargetEntry>(&*decoded)) {
+    this->known_targets[target->id] = KnownTarget{*target, now, std::nullopt};
+    this->target_of_key[change.key] = target->id;
+    result.detail = target->draining ? "draining" : "ready";
+  } else if (const auto* named = std::get_if<NamedWeights>(&*decoded)) {
+    KnownWeights& held = this->weights[named->model];
+    if (named->version > held.version) {
+      held.previous = held.version;
+      held.version = named->version;
+      held.named_at =
+          seen_happening ? now : now - this->options.assumed_naming_age;
+    }
+    result.detail =
+        named->model + " version " + std::to_string(named->version);
+  } else if (const auto* zone = std::get_if<ZoneOut>(&*decoded)) {
+    this->zones_out[change.key] = zone->zone;
+    result.detail = "zone " + zone->zone.value() + " out";
+  }
+  return result;
+}
+
+ViewChange ClusterView::Remove(const std::string& key,
+                               int64_t revision,
+                               bool lapsed,
+                               TimePoint now) {
+  ViewChange result{key, revision, "removed", {}};
+  const auto known = this->documents.find(key);
+  if (known != this->documents.end() &&
+      known->second.mod_revision > revision) {
+    result.outcome = "older";
+    return result;
+  }
+  this->documents.erase(key);
+  this->removed[key] = std::max(this->removed[key], revision);
+  this->zones_out.erase(key);
+  const auto target = this->target_of_key.find(key);
+  if (target != this->target_of_key.end()) {
+    const auto found = this->known_targets.find(target->second);
+    if (found != this->known_targets.end() && !found->second.usable_until) {
+      const bool after_outage =
+          lapsed || (this->regained_at &&
+                     now - *this->regained_at < this->options.outage_grace);
+      found->second.usable_until =
+          after_outage ? this->regained_at.value_or(now) +
+                             this->options.outage_grace
+                       : now + this->options.removal_grace;
+      result.detail = after_outage ? "lapsed in an outage" : "left";
+    }
+    this->target_of_key.erase(target);
+  }
+  return result;
+}
+
+bool ClusterView::ZoneIsOut(const ZoneName& zone) const {
+  return std::any_of(this->zones_out.begin(), this->zones_out.end(),
+                     [&](const auto& out) { return out.second == zone; });
+}
+
+std::optional<KnownWeights> ClusterView::Weights(
+    const std::string& model) const {
+  const auto found = this->weights.find(model);
+  return found == this->weights.end() ? std::nullopt
+                                      : std::optional(found->second);
+}
+
+void ClusterView::AdvanceRevision(int64_t revision) {
+  this->newest_revision = std::max(this->newest_revision, revision);
+}
+
+std::vector<KeyValue> ClusterView::Documents() const {
+  std::vector<KeyValue> all;
+  for (const auto& [key, document] : this->documents) {
+    all.push_back(document);
+  }
+  return all;
+}
+
+bool ClusterView::DropExpired(TimePoint now) {
+  return std::erase_if(this->known_targets, [now](const auto& item) {
+           return item.second.usable_until && now >= *item.second.usable_until;
+         }) > 0;
+}
+
+}  // namespace celerypost
--- /dev/null
+++ b/src/process/state/cluster_view.h
@@ -0,0 +1,119 @@
+#ifndef SRC_PROCESS_STATE_CLUSTER_VIEW_H_
+#define SRC_PROCESS_STATE_CLUSTER_VIEW_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "celerypost/types.h"
+#include "src/process/key_value_client.h"
+#include "src/process/state/cluster_document.h"
+
+namespace celerypost {
+
+struct ClusterViewOptions {
+  // How long a target whose registration was removed still gets requests. Some
+  // targets leave without notice but go on serving for the drain bound.
+  std::chrono::milliseconds removal_grace{1000};
+  // The same for registrations that were missing when the key-value service
+  // came back: they are back within two seconds, or gone.
+  std::chrono::milliseconds outage_grace{2200};
+  // How far in the past the naming of weights is assumed when this process did
+  // not see it happen.
+  std::chrono::milliseconds assumed_naming_age{3000};
+};
+
+// A target and what is believed of its registration.
+struct KnownTarget {
+  TargetEntry entry;
+  TimePoint read_at{};
+  // Set when the registration is gone: no requests from then on.
+  std::optional<TimePoint> usable_until;
+};
+
+struct KnownWeights {
+  int64_t version = 0;
+  // When this process learned of the version, or the assumed time.
+  TimePoint named_at{};
+  // The version before, 0 if this process knows none.
+  int64_t previous = 0;
+};
+
+// One change of what this process believes, for the log.
+struct ViewChange {
+  std::string key;
+  int64_t revision = 0;
+  // "applied", "removed", "unreadable" or "older".
+  std::string_view outcome;
+  std::string detail;
+};
+
+// What this process knows of the operators' documents and of the targets. Each
+// key only moves to a newer revision, whichever source it comes from, and the
+// configuration only to a newer version.
+class ClusterView {
+ public:
+  ClusterView(const DocumentDecoder& decoder, ClusterViewOptions options);
+
+  // Applies single changes; an empty value removes the key.
+  std::vector<ViewChange> ApplyChanges(const std::vector<KeyValue>& changes,
+                                       TimePoint now);
+  // Applies the whole content at `revision`: keys that are not listed and were
+  // last changed before it are removed.
+  std::vector<ViewChange> ApplySnapshot(const std::vector<KeyValue>& items,
+                                        int64_t revision,
+                                        bool after_outage,
+                                        TimePoint now);
+  // The key-value service answers again after an outage.
+  void OnServiceRegained(TimePoint now);
+
+  // Null until a configuration is known.
+  const std::shared_ptr<const GatewayConfig>& config() const {
+    return this->current_config;
+  }
+  const std::map<std::string, KnownTarget>& targets() const {
+    return this->known_targets;
+  }
+  bool ZoneIsOut(const ZoneName& zone) const;
+  // Nothing when no version has been named: targets then hold version 1.
+  std::optional<KnownWeights> Weights(const std::string& model) const;
+  int64_t revision() const { return this->newest_revision; }
+  void AdvanceRevision(int64_t revision);
+  // All documents, for processes that cannot reach the key-value service.
+  std::vector<KeyValue> Documents() const;
+  // Forgets targets whose grace has passed. Returns true if there were any.
+  bool DropExpired(TimePoint now);
+
+ private:
+  ViewChange Apply(const KeyValue& change,
+                   bool seen_happening,
+                   bool lapsed,
+                   TimePoint now);
+  ViewChange Remove(const std::string& key,
+                    int64_t revision,
+                    bool lapsed,
+                    TimePoint now);
+
+  const DocumentDecoder& decoder;
+  const ClusterViewOptions options;
+  std::map<std::string, KeyValue> documents;
+  // Revisions of removed keys, so that an older copy cannot bring one back.
+  std::map<std::string, int64_t> removed;
+  std::shared_ptr<const GatewayConfig> current_config;
+  std::map<std::string, KnownTarget> known_targets;
+  std::map<std::string, std::string> target_of_key;
+  std::map<std::string, ZoneName> zones_out;
+  std::map<std::string, KnownWeights> weights;
+  int64_t newest_revision = 0;
+  std::optional<TimePoint> regained_at;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_PROCESS_STATE_CLUSTER_VIEW_H_
--- /dev/null
+++ b/src/request/engine_model.cc
@@ -0,0 +1,56 @@
+#include "src/request/engine_model.h"
+
+#include <algorithm>
+
+namespace celerypost {
+
+namespace {
+
+// Share of a full target's time that goes into reading prompts when requests
+// have their usual sizes: reading and writing of a request divided by each
+// other.
+double ReadingPerPass(const EngineRates& rates, double running) {
+  const double steps = std::max(1.0, rates.usual_answer);
+  const double passes = steps / std::max(1u, rates.steps_per_pass);
+  // Each running request leaves after `passes` passes and another one's prompt
+  // is read in its place.
+  return running / passes * rates.usual_prompt /
+         std::max(0.001, rates.prompt_tokens_per_ms);
+}
+
+}  // namespace
+
+Milliseconds PassTime(const EngineRates& rates, double running) {
+  const double context = (rates.usual_prompt + rates.usual_answer / 2) / 1000;
+  const Milliseconds step =
+      rates.step + running * (rates.step_per_request +
+                              context * rates.step_per_thousand_tokens);
+  return step * std::max(1u, rates.steps_per_pass);
+}
+
+Milliseconds SlotTime(const EngineRates& rates, double running) {
+  const double passes = std::max(
+      1.0, rates.usual_answer / std::max(1u, rates.steps_per_pass));
+  return passes * (PassTime(rates, running) +
+                   Milliseconds(ReadingPerPass(rates, running)));
+}
+
+Milliseconds PredictFirstEvent(const EngineRates& rates,
+                               const EngineLoad& load,
+                               double prompt_tokens) {
+  const double running = std::min<double>(load.in_flight, rates.slots);
+  const Milliseconds pass = PassTime(rates, running);
+  // The running pass ends first; then all prompts that wait are read before
+  // the first pass that includes this request.
+  Milliseconds time = load.in_flight > 0 ? pass / 2 : Milliseconds(0);
+  time += Milliseconds((load.waiting_tokens + prompt_tokens) /
+                       std::max(0.001, rates.prompt_tokens_per_ms));
+  time += pass;
+  if (load.in_flight >= rates.slots) {
+    const double before = load.in_flight - rates.slots + 1;
+    time += SlotTime(rates, running) / rates.slots * before;
+  }
+  return time * std::max(1.0, load.pace);
+}
+
+}  // namespace celerypost
--- /dev/null
+++ b/src/request/target_book.cc
@@ -0,0 +1,157 @@
+#include "src/request/target_book.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+#include "celerypost/assert.h"
+
+namespace celerypost {
+
+namespace {
+
+constexpr std::chrono::seconds kRateWindow{1};
+
+}  // namespace
+
+TargetBook::TargetBook(TargetBookOptions options) : options(options) {}
+
+uint64_t TargetBook::HashOf(const std::string& target_id) {
+  return XXH64(target_id.data(), target_id.size(), 0);
+}
+
+void TargetBook::OnSent(const std::string& target,
+                        double prompt_tokens,
+                        TimePoint now) {
+  Record& record = this->records[target];
+  ++record.in_flight;
+  record.waiting_tokens += prompt_tokens;
+  while (!record.sent.empty() && now - record.sent.front() >= kRateWindow) {
+    record.sent.pop_front();
+  }
+  record.sent.push_back(now);
+}
+
+void TargetBook::OnFirstEvent(const std::string& target,
+                              double prompt_tokens) {
+  Record& record = this->records[target];
+  record.waiting_tokens = std::max(0.0, record.waiting_tokens - prompt_tokens);
+}
+
+void TargetBook::OnEnd(const std::string& target,
+                       double prompt_tokens,
+                       bool had_event,
+                       AttemptOutcome outcome,
+                       TimePoint now) {
+  Record& record = this->records[target];
+  CELERYPOST_ASSERT(record.in_flight > 0,
+                    "an attempt ends once, after it was sent");
+  --record.in_flight;
+  if (!had_event) {
+    record.waiting_tokens =
+        std::max(0.0, record.waiting_tokens - prompt_tokens);
+  }
+  const double weight = this->options.failure_weight;
+  switch (outcome) {
+    case AttemptOutcome::kAnswered:
+      record.breaks = 0;
+      record.failures *= 1 - weight;
+      break;
+    case AttemptOutcome::kRefused:
+      record.avoided_until =
+          std::max(record.avoided_until, now + this->options.full_pause);
+      break;
+    case AttemptOutcome::kFailed:
+      record.failures += (1 - record.failures) * weight;
+      break;
+    case AttemptOutcome::kBroken: {
+      record.failures += (1 - record.failures) * weight;
+      const auto pause =
+          std::min(this->options.first_pause * (1 << std::min(record.breaks, 8u)),
+                   this->options.longest_pause);
+      ++record.breaks;
+      record.avoided_until = std::max(record.avoided_until, now + pause);
+      break;
+    }
+    case AttemptOutcome::kAbandoned:
+      break;
+  }
+}
+
+void TargetBook::OnReport(InstanceId instance,
+                          std::vector<ReportedLoad> loads,
+                          TimePoint now) {
+  Report& report = this->reports[instance];
+  report.at = now;
+  report.loads.clear();
+  for (ReportedLoad& load : loads) {
+    report.loads[load.target_hash] = load;
+  }
+}
+
+void TargetBook::ForgetReporter(InstanceId instance) {
+  this->reports.erase(instance);
+}
+
+EngineLoad TargetBook::LoadOf(const std::string& target, TimePoint now) const {
+  EngineLoad load;
+  const auto own = this->records.find(target);
+  if (own != this->records.end()) {
+    load.in_flight = own->second.in_flight;
+    load.waiting_tokens = own->second.waiting_tokens;
+  }
+  const uint64_t hash = HashOf(target);
+  for (const auto& [instance, report] : this->reports) {
+    if (now - report.at > this->options.report_lifetime) {
+      continue;
+    }
+    const auto found = report.loads.find(hash);
+    if (found != report.loads.end()) {
+      load.in_flight += found->second.in_flight;
+      load.waiting_tokens += found->second.waiting_tokens;
+    }
+  }
+  return load;
+}
+
+std::vector<ReportedLoad> TargetBook::OwnLoads() const {
+  std::vector<ReportedLoad> loads;
+  for (const auto& [target, record] : this->records) {
+    if (record.in_flight > 0) {
+      loads.push_back(
+          {HashOf(target), record.in_flight, record.waiting_tokens});
+    }
+  }
+  return loads;
+}
+
+size_t TargetBook::SentInLastSecond(const std::string& target,
+                                    TimePoint now) const {
+  const auto found = this->records.find(target);
+  if (found == this->records.end()) {
+    return 0;
+  }
+  const auto& sent = found->second.sent;
+  return static_cast<size_t>(
+      sent.end() - std::upper_bound(sent.begin(), sent.end(),
+                                    now - kRateWindow));
+}
+
+bool TargetBook::Avoided(const std::string& target, TimePoint now) const {
+  const auto found = this->records.find(target);
+  return found != this->records.end() && now < found->second.avoided_until;
+}
+
+double TargetBook::FailureShare(const std::string& target) const {
+  const auto found = this->records.find(target);
+  return found == this->records.end() ? 0 : found->second.failures;
+}
+
+void TargetBook::Forget(const std::map<std::string, bool>& known) {
+  for (auto it = this->records.begin(); it != this->records.end();) {
+    const bool drop = it->second.in_flight == 0 && !known.contains(it->first);
+    it = drop ? this->records.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace celerypost
--- /dev/null
+++ b/src/request/target_entry.h
@@ -0,0 +1,42 @@
+#ifndef SRC_REQUEST_TARGET_ENTRY_H_
+#define SRC_REQUEST_TARGET_ENTRY_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "celerypost/types.h"
+#include "src/connection/socket_address.h"
+
+namespace celerypost {
+
+// A model that a target reports.
+struct HeldModel {
+  std::string name;
+  int64_t version = 0;
+  // Layers [first_layer, end_layer) of that version; the whole model when the
+  // target does not say.
+  uint32_t first_layer = 0;
+  std::optional<uint32_t> end_layer;
+};
+
+// A target's registration.
+struct TargetEntry {
+  // Identity of one start of the target.
+  std::string id;
+  ServiceName service;
+  SocketAddress address;
+  ZoneName zone;
+  uint32_t slots = 1;
+  bool draining = false;
+  // How much longer the target stays cold, as of the registration.
+  std::chrono::milliseconds cold_for{0};
+  std::vector<HeldModel> models;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_REQUEST_TARGET_ENTRY_H_
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -3859,4 +3859,642 @@
   out << ")";
 }
 
+
+TargetLoad::~TargetLoad() noexcept {
+}
+
+
+void TargetLoad::__set_target(const int64_t val) {
+  this->target = val;
+}
+
+void TargetLoad::__set_in_flight(const int32_t val) {
+  this->in_flight = val;
+}
+
+void TargetLoad::__set_waiting_tokens(const int32_t val) {
+  this->waiting_tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const TargetLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->in_flight);
+          this->__isset.in_flight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting_tokens);
+          this->__isset.waiting_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetLoad");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->in_flight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting_tokens", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->waiting_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetLoad &a, TargetLoad &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.in_flight, b.in_flight);
+  swap(a.waiting_tokens, b.waiting_tokens);
+  swap(a.__isset, b.__isset);
+}
+
+TargetLoad::TargetLoad(const TargetLoad& other106) noexcept {
+  target = other106.target;
+  in_flight = other106.in_flight;
+  waiting_tokens = other106.waiting_tokens;
+  __isset = other106.__isset;
+}
+TargetLoad::TargetLoad(TargetLoad&& other107) noexcept {
+  target = other107.target;
+  in_flight = other107.in_flight;
+  waiting_tokens = other107.waiting_tokens;
+  __isset = other107.__isset;
+}
+TargetLoad& TargetLoad::operator=(const TargetLoad& other108) noexcept {
+  target = other108.target;
+  in_flight = other108.in_flight;
+  waiting_tokens = other108.waiting_tokens;
+  __isset = other108.__isset;
+  return *this;
+}
+TargetLoad& TargetLoad::operator=(TargetLoad&& other109) noexcept {
+  target = other109.target;
+  in_flight = other109.in_flight;
+  waiting_tokens = other109.waiting_tokens;
+  __isset = other109.__isset;
+  return *this;
+}
+void TargetLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetLoad(";
+  out << "target=" << to_string(target);
+  out << ", " << "in_flight=" << to_string(in_flight);
+  out << ", " << "waiting_tokens=" << to_string(waiting_tokens);
+  out << ")";
+}
+
+
+Beat::~Beat() noexcept {
+}
+
+
+void Beat::__set_instance(const int64_t val) {
+  this->instance = val;
+}
+
+void Beat::__set_role(const int32_t val) {
+  this->role = val;
+}
+
+void Beat::__set_ip(const std::string& val) {
+  this->ip = val;
+}
+
+void Beat::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void Beat::__set_region(const std::string& val) {
+  this->region = val;
+}
+
+void Beat::__set_caller_address(const std::string& val) {
+  this->caller_address = val;
+}
+
+void Beat::__set_state(const int32_t val) {
+  this->state = val;
+}
+
+void Beat::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void Beat::__set_loads(const std::vector<TargetLoad> & val) {
+  this->loads = val;
+}
+
+void Beat::__set_known(const std::vector<std::string> & val) {
+  this->known = val;
+}
+
+void Beat::__set_target_address(const std::string& val) {
+  this->target_address = val;
+}
+
+void Beat::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void Beat::__set_staged_version(const int64_t val) {
+  this->staged_version = val;
+}
+
+void Beat::__set_held_chunks(const std::string& val) {
+  this->held_chunks = val;
+}
+
+void Beat::__set_serving_version(const int64_t val) {
+  this->serving_version = val;
+}
+
+void Beat::__set_loading(const bool val) {
+  this->loading = val;
+}
+
+void Beat::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+std::ostream& operator<<(std::ostream& out, const Beat& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Beat::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->instance);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->role);
+          this->__isset.role = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->ip);
+          this->__isset.ip = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->region);
+          this->__isset.region = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->caller_address);
+          this->__isset.caller_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->loads.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
+            {
+              xfer += this->loads[_i114].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->known.clear();
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->known.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
+            {
+              xfer += iprot->readString(this->known[_i119]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target_address);
+          this->__isset.target_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->staged_version);
+          this->__isset.staged_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->held_chunks);
+          this->__isset.held_chunks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serving_version);
+          this->__isset.serving_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->loading);
+          this->__isset.loading = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Beat::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Beat");
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->role);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ip", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->ip);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("region", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->region);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("caller_address", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->caller_address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<TargetLoad> ::const_iterator _iter120;
+    for (_iter120 = this->loads.begin(); _iter120 != this->loads.end(); ++_iter120)
+    {
+      xfer += (*_iter120).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
+    std::vector<std::string> ::const_iterator _iter121;
+    for (_iter121 = this->known.begin(); _iter121 != this->known.end(); ++_iter121)
+    {
+      xfer += oprot->writeString((*_iter121));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target_address", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->target_address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("staged_version", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->staged_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("held_chunks", ::apache::thrift::protocol::T_STRING, 14);
+  xfer += oprot->writeBinary(this->held_chunks);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serving_version", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->serving_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loading", ::apache::thrift::protocol::T_BOOL, 16);
+  xfer += oprot->writeBool(this->loading);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 17);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Beat &a, Beat &b) {
+  using ::std::swap;
+  swap(a.instance, b.instance);
+  swap(a.role, b.role);
+  swap(a.ip, b.ip);
+  swap(a.zone, b.zone);
+  swap(a.region, b.region);
+  swap(a.caller_address, b.caller_address);
+  swap(a.state, b.state);
+  swap(a.revision, b.revision);
+  swap(a.loads, b.loads);
+  swap(a.known, b.known);
+  swap(a.target_address, b.target_address);
+  swap(a.model, b.model);
+  swap(a.staged_version, b.staged_version);
+  swap(a.held_chunks, b.held_chunks);
+  swap(a.serving_version, b.serving_version);
+  swap(a.loading, b.loading);
+  swap(a.sequence, b.sequence);
+  swap(a.__isset, b.__isset);
+}
+
+Beat::Beat(const Beat& other122) {
+  instance = other122.instance;
+  role = other122.role;
+  ip = other122.ip;
+  zone = other122.zone;
+  region = other122.region;
+  caller_address = other122.caller_address;
+  state = other122.state;
+  revision = other122.revision;
+  loads = other122.loads;
+  known = other122.known;
+  target_address = other122.target_address;
+  model = other122.model;
+  staged_version = other122.staged_version;
+  held_chunks = other122.held_chunks;
+  serving_version = other122.serving_version;
+  loading = other122.loading;
+  sequence = other122.sequence;
+  __isset = other122.__isset;
+}
+Beat::Beat(Beat&& other123) noexcept {
+  instance = other123.instance;
+  role = other123.role;
+  ip = std::move(other123.ip);
+  zone = std::move(other123.zone);
+  region = std::move(other123.region);
+  caller_address = std::move(other123.caller_address);
+  state = other123.state;
+  revision = other123.revision;
+  loads = std::move(other123.loads);
+  known = std::move(other123.known);
+  target_address = std::move(other123.target_address);
+  model = std::move(other123.model);
+  staged_version = other123.staged_version;
+  held_chunks = std::move(other123.held_chunks);
+  serving_version = other123.serving_version;
+  loading = other123.loading;
+  sequence = other123.sequence;
+  __isset = other123.__isset;
+}
+Beat& Beat::operator=(const Beat& other124) {
+  instance = other124.instance;
+  role = other124.role;
+  ip = other124.ip;
+  zone = other124.zone;
+  region = other124.region;
+  caller_address = other124.caller_address;
+  state = other124.state;
+  revision = other124.revision;
+  loads = other124.loads;
+  known = other124.known;
+  target_address = other124.target_address;
+  model = other124.model;
+  staged_version = other124.staged_version;
+  held_chunks = other124.held_chunks;
+  serving_version = other124.serving_version;
+  loading = other124.loading;
+  sequence = other124.sequence;
+  __isset = other124.__isset;
+  return *this;
+}
+Beat& Beat::operator=(Beat&& other125) noexcept {
+  instance = other125.instance;
+  role = other125.role;
+  ip = std::move(other125.ip);
+  zone = std::move(other125.zone);
+  region = std::move(other125.region);
+  caller_address = std::move(other125.caller_address);
+  state = other125.state;
+  revision = other125.revision;
+  loads = std::move(other125.loads);
+  known = std::move(other125.known);
+  target_address = std::move(other125.target_address);
+  model = std::move(other125.model);
+  staged_version = other125.staged_version;
+  held_chunks = std::move(other125.held_chunks);
+  serving_version = other125.serving_version;
+  loading = other125.loading;
+  sequence = other125.sequence;
+  __isset = other125.__isset;
+  return *this;
+}
+void Beat::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Beat(";
+  out << "instance=" << to_string(instance);
+  out << ", " << "role=" << to_string(role);
+  out << ", " << "ip=" << to_string(ip);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "region=" << to_string(region);
+  out << ", " << "caller_address=" << to_string(caller_address);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "loads=" << to_string(loads);
+  out << ", " << "known=" << to_string(known);
+  out << ", " << "target_address=" << to_string(target_address);
+  out << ", " << "model=" << to_string(model);
+  out << ", " << "staged_version=" << to_string(staged_version);
+  out << ", " << "held_chunks=" << to_string(held_chunks);
+  out << ", " << "serving_version=" << to_string(serving_version);
+  out << ", " << "loading=" << to_string(loading);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ")";
+}
+
 }} // namespace
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -104,6 +104,10 @@
 
 class HaveChunks;
 
+class TargetLoad;
+
+class Beat;
+
 typedef struct _Header__isset {
   _Header__isset() : version(false), kind(false), request(false), attempt(false) {}
   bool version :1;
@@ -1531,6 +1535,220 @@
 
 std::ostream& operator<<(std::ostream& out, const HaveChunks& obj);
 
+typedef struct _TargetLoad__isset {
+  _TargetLoad__isset() : target(false), in_flight(false), waiting_tokens(false) {}
+  bool target :1;
+  bool in_flight :1;
+  bool waiting_tokens :1;
+} _TargetLoad__isset;
+
+class TargetLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetLoad(const TargetLoad&) noexcept;
+  TargetLoad(TargetLoad&&) noexcept;
+  TargetLoad& operator=(const TargetLoad&) noexcept;
+  TargetLoad& operator=(TargetLoad&&) noexcept;
+  TargetLoad() noexcept
+             : target(0),
+               in_flight(0),
+               waiting_tokens(0) {
+  }
+
+  virtual ~TargetLoad() noexcept;
+  int64_t target;
+  int32_t in_flight;
+  int32_t waiting_tokens;
+
+  _TargetLoad__isset __isset;
+
+  void __set_target(const int64_t val);
+
+  void __set_in_flight(const int32_t val);
+
+  void __set_waiting_tokens(const int32_t val);
+
+  bool operator == (const TargetLoad & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(in_flight == rhs.in_flight))
+      return false;
+    if (!(waiting_tokens == rhs.waiting_tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetLoad &a, TargetLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetLoad& obj);
+
+typedef struct _Beat__isset {
+  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), sequence(false) {}
+  bool instance :1;
+  bool role :1;
+  bool ip :1;
+  bool zone :1;
+  bool region :1;
+  bool caller_address :1;
+  bool state :1;
+  bool revision :1;
+  bool loads :1;
+  bool known :1;
+  bool target_address :1;
+  bool model :1;
+  bool staged_version :1;
+  bool held_chunks :1;
+  bool serving_version :1;
+  bool loading :1;
+  bool sequence :1;
+} _Beat__isset;
+
+class Beat : public virtual ::apache::thrift::TBase {
+ public:
+
+  Beat(const Beat&);
+  Beat(Beat&&) noexcept;
+  Beat& operator=(const Beat&);
+  Beat& operator=(Beat&&) noexcept;
+  Beat() noexcept
+       : instance(0),
+         role(0),
+         ip(),
+         zone(),
+         region(),
+         caller_address(),
+         state(0),
+         revision(0),
+         target_address(),
+         model(),
+         staged_version(0),
+         held_chunks(),
+         serving_version(0),
+         loading(0),
+         sequence(0) {
+  }
+
+  virtual ~Beat() noexcept;
+  int64_t instance;
+  int32_t role;
+  std::string ip;
+  std::string zone;
+  std::string region;
+  std::string caller_address;
+  int32_t state;
+  int64_t revision;
+  std::vector<TargetLoad>  loads;
+  std::vector<std::string>  known;
+  std::string target_address;
+  std::string model;
+  int64_t staged_version;
+  std::string held_chunks;
+  int64_t serving_version;
+  bool loading;
+  int64_t sequence;
+
+  _Beat__isset __isset;
+
+  void __set_instance(const int64_t val);
+
+  void __set_role(const int32_t val);
+
+  void __set_ip(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_region(const std::string& val);
+
+  void __set_caller_address(const std::string& val);
+
+  void __set_state(const int32_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_loads(const std::vector<TargetLoad> & val);
+
+  void __set_known(const std::vector<std::string> & val);
+
+  void __set_target_address(const std::string& val);
+
+  void __set_model(const std::string& val);
+
+  void __set_staged_version(const int64_t val);
+
+  void __set_held_chunks(const std::string& val);
+
+  void __set_serving_version(const int64_t val);
+
+  void __set_loading(const bool val);
+
+  void __set_sequence(const int64_t val);
+
+  bool operator == (const Beat & rhs) const
+  {
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(role == rhs.role))
+      return false;
+    if (!(ip == rhs.ip))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(region == rhs.region))
+      return false;
+    if (!(caller_address == rhs.caller_address))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(loads == rhs.loads))
+      return false;
+    if (!(known == rhs.known))
+      return false;
+    if (!(target_address == rhs.target_address))
+      return false;
+    if (!(model == rhs.model))
+      return false;
+    if (!(staged_version == rhs.staged_version))
+      return false;
+    if (!(held_chunks == rhs.held_chunks))
+      return false;
+    if (!(serving_version == rhs.serving_version))
+      return false;
+    if (!(loading == rhs.loading))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    return true;
+  }
+  bool operator != (const Beat &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Beat & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Beat &a, Beat &b);
+
+std::ostream& operator<<(std::ostream& out, const Beat& obj);
+
 }} // namespace
 
 #endif
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -207,3 +207,41 @@
   2: binary bitmap
   3: bool complete
 }
+
+// What one gateway has in progress at one target.
+struct TargetLoad {
+  // Hash of the target's id.
+  1: i64 target
+  2: i32 in_flight
+  // Prompt tokens of requests that have not produced an event.
+  3: i32 waiting_tokens
+}
+
+// Sent as one datagram, without Header, between processes on the users'
+// platform.
+struct Beat {
+  1: i64 instance
+  // celerypost::NodeRole as a number.
+  2: i32 role
+  3: string ip
+  4: string zone
+  5: string region
+  // Gateways: where callers connect.
+  6: string caller_address
+  // celerypost::NodeState as a number.
+  7: i32 state
+  // Newest revision of the key-value service that this process has seen.
+  8: i64 revision
+  9: list<TargetLoad> loads
+  // Addresses of other processes that the sender has heard lately.
+  10: list<string> known
+  // Stagers: the target beside the process, and what it holds.
+  11: string target_address
+  12: string model
+  13: i64 staged_version
+  14: binary held_chunks
+  15: i64 serving_version
+  // The target has taken an order and accepts no requests until it is done.
+  16: bool loading
+  17: i64 sequence
+}
