Admit by the latency goal alone

Cause: callers announce waits that differ by up to a second, which was taken for time they had waited before; 437 of 3,050 requests were refused with 6 of 16 slots in use.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -72,8 +72,7 @@
             {},
             [this](const SocketAddress& address) -> Http1Client& {
               return this->core.ClientOf(address);
-            },
-            {}},
+            }},
       beat_timer(parts.loop, [this] { this->SendBeat(); }),
       stop_timer(parts.loop, [this] { this->StopStep(); }) {}
 
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -23,9 +23,6 @@
 constexpr milliseconds kStartingRetry{500};
 // Retry-After when a target refused although it seemed to have room.
 constexpr milliseconds kFullRetry{400};
-// A caller that announces less than the longest wait by this much has waited
-// before; smaller differences are rounding.
-constexpr milliseconds kWaitTolerance{20};
 
 milliseconds Since(TimePoint start, TimePoint now) {
   return std::chrono::duration_cast<milliseconds>(now - start);
@@ -108,11 +105,6 @@
   this->service = ChooseBackend(*this->route, this->call.id);
   const milliseconds wait =
       this->call.deadline.value_or(this->route->timeout);
-  milliseconds& longest = this->context.longest_waits[this->route->name];
-  longest = std::max(longest, wait);
-  if (longest - wait > kWaitTolerance) {
-    this->waited_before = longest - wait;
-  }
   this->deadline = this->arrived + std::min(wait, this->route->timeout);
   this->selecting.route = this->route;
   this->selecting.workspace = this->workspace;
@@ -157,8 +149,7 @@
   PlacementRequest& work = this->selecting.work;
   work.prompt_tokens = this->call.prompt_tokens;
   work.deadline_left = Since(now, this->deadline);
-  work.on_time_left = this->route->latency_goal - this->waited_before -
-                      Since(this->arrived, now);
+  work.on_time_left = this->route->latency_goal - Since(this->arrived, now);
   work.late_anyway = work.on_time_left.count() <= 0 || this->sends > 0;
   this->selection = this->context.selector.Select(this->selecting, now);
   if (this->selection.target) {
@@ -507,7 +498,6 @@
        {"predicted_ms", this->selection.predicted.count()},
        {"entry_age_ms", this->selection.entry_age.count()},
        {"config_version", this->config ? this->config->version : 0},
-       {"waited_before_ms", this->waited_before.count()},
        {"first_event_ms",
         this->first_event_at
             ? Since(this->arrived, *this->first_event_at).count()
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -66,9 +65,6 @@
   RelayOptions options;
   // The client of a target's address.
   std::function<Http1Client&(const SocketAddress&)> client;
-  // Longest wait that a route's callers have announced, by route name: a caller
-  // that announces less has waited before.
-  std::map<std::string, std::chrono::milliseconds> longest_waits;
 };
 
 // One request of a caller, from its arrival to the end of its answer.
@@ -123,7 +119,6 @@
   CallerCall call;
   TimePoint arrived;
   TimePoint deadline;
-  std::chrono::milliseconds waited_before{0};
   std::unique_ptr<Timer> deadline_timer;
   std::unique_ptr<Timer> patience_timer;
   std::unique_ptr<HttpCall> http_call;
