Bound chunk transfers to two downloads and two uploads a stager

Cause: twelve concurrent chunks filled the VMs' 7.3 Mbit/s links, which running streams share; a stream event that is 120 ms late makes its answer late.

--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -20,6 +20,7 @@
 // A chunk between two stagers on links of several Mbit/s that others share.
 constexpr milliseconds kChunkTimeout{3000};
 constexpr milliseconds kDigestsTimeout{1500};
+constexpr int kBusy = 503;
 // Version of the weights that targets hold before operators name one.
 constexpr int64_t kFirstVersion = 1;
 
@@ -27,10 +28,12 @@
   ChunkPlannerOptions options;
   options.self = parts.instance;
   options.region = parts.settings.region;
-  options.max_fetches = 12;
-  options.max_fetches_per_peer = 3;
-  options.max_origin_fetches = 3;
-  options.max_cross_fetches = 6;
+  // Two chunks in flight fill the VM's link without a queue that would hold up
+  // the events of running streams, which share it.
+  options.max_fetches = 2;
+  options.max_fetches_per_peer = 1;
+  options.max_origin_fetches = 1;
+  options.max_cross_fetches = 1;
   options.timeout.initial = std::chrono::milliseconds(1500);
   options.timeout.least = std::chrono::milliseconds(700);
   options.timeout.most = std::chrono::seconds(3);
@@ -446,9 +449,12 @@
                      this->OnBytes(action,
                                    tl::unexpected<Failure>(response.error()));
                    } else if (response->status != 200) {
-                     this->planner.OnChunk(
-                         action.chunk.digest, action.source,
-                         FetchOutcome::kNotFound, this->parts.loop.Now());
+                     this->planner.OnChunk(action.chunk.digest, action.source,
+                                           response->status == kBusy
+                                               ? FetchOutcome::kRefused
+                                               : FetchOutcome::kNotFound,
+                                           this->parts.loop.Now());
+                     this->Fetch();
                    } else {
                      this->OnBytes(action, std::move(response->body));
                    }
@@ -699,15 +705,29 @@
 void Stager::ServeChunk(size_t number,
                         int64_t version,
                         const std::shared_ptr<HttpResponder>& responder) {
+  const TimePoint now = this->parts.loop.Now();
+  while (!this->upload_ends.empty() && this->upload_ends.front() <= now) {
+    this->upload_ends.pop_front();
+    --this->uploads;
+  }
   const int64_t staged =
       this->goal ? this->goal->version : this->serving_version;
   if (staged != version) {
     responder->SendJson(404, R"({"error":{"code":"not_found"}})");
     return;
   }
+  if (this->uploads >= this->options.most_uploads) {
+    responder->SendJson(kBusy, R"({"error":{"code":"overloaded"}})");
+    return;
+  }
+  ++this->uploads;
   this->target.GetChunk(
       this->model, number,
       [this, number, version, responder](const Result<std::string>& bytes) {
+        // The link still carries the chunk for a while after it was handed to
+        // the system.
+        this->upload_ends.push_back(this->parts.loop.Now() +
+                                    this->options.upload_time);
         const bool known = this->goal && this->goal->version == version &&
                            number < this->goal->digests.digests.size();
         if (!bytes || (known && Digest::Of(*bytes) !=
--- a/src/process/stager/stager.h
+++ b/src/process/stager/stager.h
@@ -2,6 +2,7 @@
 #define SRC_PROCESS_STAGER_STAGER_H_
 
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -33,6 +34,10 @@
   double loading_share = 0.34;
   // Pause after an order that the target did not take.
   std::chrono::milliseconds order_pause{200};
+  // Chunks that are passed on at a time, and the time for which one occupies a
+  // link of about 7 Mbit/s.
+  size_t most_uploads = 2;
+  std::chrono::milliseconds upload_time{25};
   // Staged chunks that are read at a time when they are checked.
   size_t checks_at_a_time = 8;
 };
@@ -134,6 +139,8 @@
   Counter& chunks_from_origin;
   Counter& chunks_bad;
   Counter& orders;
+  size_t uploads = 0;
+  std::deque<TimePoint> upload_ends;
   // Invalidates callbacks of an earlier goal.
   uint64_t goal_number = 0;
 };
