--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -30,10 +30,10 @@
   options.region = parts.settings.region;
   // Two chunks in flight fill the VM's link without a queue that would hold up
   // the events of running streams, which share it.
-  options.max_fetches = 2;
+  options.max_fetches = 3;
   options.max_fetches_per_peer = 1;
   options.max_origin_fetches = 1;
-  options.max_cross_fetches = 1;
+  options.max_cross_fetches = 2;
   options.timeout.initial = std::chrono::milliseconds(1500);
   options.timeout.least = std::chrono::milliseconds(700);
   options.timeout.most = std::chrono::seconds(3);
--- a/src/process/stager/stager.h
+++ b/src/process/stager/stager.h
@@ -24,12 +24,12 @@
   std::chrono::milliseconds idle_period{250};
   // Beats without news; others follow changes at once, at most this often.
   std::chrono::milliseconds beat_period{1000};
-  std::chrono::milliseconds least_beat_gap{100};
+  std::chrono::milliseconds least_beat_gap{60};
   // Staged chunks can spoil, so an order follows their check within this time.
   std::chrono::milliseconds check_lifetime{1000};
   // The order goes out this long before the bound even if other targets have
   // not finished: the loading that it begins takes a moment.
-  std::chrono::milliseconds order_margin{2300};
+  std::chrono::milliseconds order_margin{600};
   // Share of a zone's targets that load at a time.
   double loading_share = 0.34;
   // Pause after an order that the target did not take.
