--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -59,8 +59,9 @@
       selector(core.view(), book, *policy, SelectorOptions(parts.settings)),
       budget(BudgetOptions(parts.settings), parts.random),
       relay_metrics(parts.metrics),
-      live_gateways(parts.metrics.AddGauge("celerypost_live_gateways",
-                                           "Gateways heard, this one included")),
+      live_gateways(
+          parts.metrics.AddGauge("celerypost_live_gateways",
+                                 "Gateways heard, this one included")),
       relay{parts.loop,
             parts.log,
             core.view(),
@@ -91,12 +92,12 @@
                   "a gateway needs addresses for callers, the directory and "
                   "readiness");
   }
-  auto callers = this->Listen(
-      *settings.caller_address,
-      [this](HttpRequest request,
-             const std::shared_ptr<HttpResponder>& responder) {
-        this->HandleRequest(std::move(request), responder);
-      });
+  auto callers =
+      this->Listen(*settings.caller_address,
+                   [this](HttpRequest request,
+                          const std::shared_ptr<HttpResponder>& responder) {
+                     this->HandleRequest(std::move(request), responder);
+                   });
   if (!callers) {
     return tl::unexpected<Failure>(callers.error());
   }
@@ -117,7 +118,8 @@
   }
   this->directory_server = std::move(*directory);
   this->core.OnViewChanged([this] { this->OnViewChanged(); });
-  this->core.exchange().OnBeat([this](const Peer& peer) { this->OnBeat(peer); });
+  this->core.exchange().OnBeat(
+      [this](const Peer& peer) { this->OnBeat(peer); });
   auto started = this->core.Start();
   if (!started) {
     return started;
@@ -136,10 +138,9 @@
                            {{"status", kUnavailable}, {"reason", "stopping"}},
                            call.id);
       this->relay_metrics.refused.Add();
-      responder->Send(
-          kUnavailable,
-          this->relay.codec.MakeOwnHeaders(call.id, kStoppingRetry),
-          "not run: stopping\n");
+      responder->Send(kUnavailable,
+                      this->relay.codec.MakeOwnHeaders(call.id, kStoppingRetry),
+                      "not run: stopping\n");
       return;
     }
   }
@@ -175,9 +176,9 @@
   for (const auto& [ip, peer] : this->core.exchange().peers()) {
     if (peer.beat.role == static_cast<int32_t>(NodeRole::kGateway) &&
         this->core.exchange().Live(peer)) {
-      entries.push_back({peer.beat.caller_address, RegionName(peer.beat.region),
-                         peer.beat.state ==
-                             static_cast<int32_t>(NodeState::kReady)});
+      entries.push_back(
+          {peer.beat.caller_address, RegionName(peer.beat.region),
+           peer.beat.state == static_cast<int32_t>(NodeState::kReady)});
     }
   }
   const auto addresses =
@@ -206,9 +207,9 @@
   this->book.Forget(known);
   if (this->Ready() && !this->was_ready) {
     this->was_ready = true;
-    this->parts.log.Info("ready", "this gateway takes requests",
-                         {{"config_version", config->version},
-                          {"targets", known.size()}});
+    this->parts.log.Info(
+        "ready", "this gateway takes requests",
+        {{"config_version", config->version}, {"targets", known.size()}});
     this->SendBeat();
   }
 }
@@ -219,7 +220,11 @@
   if (beat.role == static_cast<int32_t>(NodeRole::kStager)) {
     this->selector.OnStagerReport(
         beat.target_address,
-        StagerReport{beat.serving_version, beat.loading, now});
+        StagerReport{beat.serving_version, beat.loading,
+                     beat.__isset.loads_in_ms
+                         ? std::optional(now + milliseconds(beat.loads_in_ms))
+                         : std::nullopt,
+                     now});
     return;
   }
   std::vector<ReportedLoad> loads;
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -43,8 +43,7 @@
       return backend.service;
     }
   }
-  return route.backends.empty() ? ServiceName()
-                                : route.backends.back().service;
+  return route.backends.empty() ? ServiceName() : route.backends.back().service;
 }
 
 }  // namespace
@@ -103,18 +102,16 @@
     }
   }
   this->service = ChooseBackend(*this->route, this->call.id);
-  const milliseconds wait =
-      this->call.deadline.value_or(this->route->timeout);
+  const milliseconds wait = this->call.deadline.value_or(this->route->timeout);
   this->deadline = this->arrived + std::min(wait, this->route->timeout);
   this->selecting.route = this->route;
   this->selecting.workspace = this->workspace;
   this->selecting.service = this->service;
-  this->responder->OnClosed(
-      [weak = this->weak_from_this()] {
-        if (const auto self = weak.lock()) {
-          self->OnCallerGone();
-        }
-      });
+  this->responder->OnClosed([weak = this->weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->OnCallerGone();
+    }
+  });
   // The timers keep the task alive until it is done.
   this->deadline_timer = std::make_unique<Timer>(
       this->context.loop,
@@ -148,6 +145,7 @@
   const TimePoint now = this->context.loop.Now();
   PlacementRequest& work = this->selecting.work;
   work.prompt_tokens = this->call.prompt_tokens;
+  work.answer_tokens = this->call.answer_tokens;
   work.deadline_left = Since(now, this->deadline);
   work.on_time_left = this->route->latency_goal - Since(this->arrived, now);
   work.late_anyway = work.on_time_left.count() <= 0 || this->sends > 0;
@@ -214,11 +212,10 @@
   callbacks.on_failure = [this](const Failure& failure) {
     this->OnFailure(failure);
   };
-  this->http_call =
-      this->context.client(selection.target->address)
-          .Send(this->context.codec.MakeTargetRequest(this->request,
-                                                      target_call),
-                std::move(options), std::move(callbacks));
+  this->http_call = this->context.client(selection.target->address)
+                        .Send(this->context.codec.MakeTargetRequest(
+                                  this->request, target_call),
+                              std::move(options), std::move(callbacks));
   if (this->route->repeatable()) {
     this->patience_timer->StartOnce(this->Patience());
   }
@@ -339,13 +336,12 @@
   if (this->done || !this->attempt || this->attempt->ended) {
     return;
   }
-  this->context.log.Info(
-      "attempt_broken", failure.message,
-      {{"target", this->attempt->target},
-       {"verdict", VerdictName(failure.verdict)},
-       {"events", this->events.events()},
-       {"attempt", this->sends}},
-      this->call.id);
+  this->context.log.Info("attempt_broken", failure.message,
+                         {{"target", this->attempt->target},
+                          {"verdict", VerdictName(failure.verdict)},
+                          {"events", this->events.events()},
+                          {"attempt", this->sends}},
+                         this->call.id);
   this->EndAttempt(AttemptOutcome::kBroken);
   this->RetryOrEnd(failure.verdict, kBadGateway, "the target broke off");
 }
@@ -495,6 +491,8 @@
        {"candidates", this->selection.candidates},
        {"in_flight", this->selection.load.in_flight},
        {"waiting_tokens", this->selection.load.waiting_tokens},
+       {"prompt_tokens", this->call.prompt_tokens},
+       {"answer_tokens", this->call.answer_tokens},
        {"predicted_ms", this->selection.predicted.count()},
        {"entry_age_ms", this->selection.entry_age.count()},
        {"config_version", this->config ? this->config->version : 0},
@@ -507,8 +505,8 @@
   this->http_call.reset();
   this->patience_timer.reset();
   // Destroys the closure that keeps this task alive.
-  this->context.loop.Post([timer = std::shared_ptr<Timer>(
-                               std::move(this->deadline_timer))] {});
+  this->context.loop.Post(
+      [timer = std::shared_ptr<Timer>(std::move(this->deadline_timer))] {});
 }
 
 }  // namespace celerypost
--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -47,31 +47,27 @@
 std::optional<int64_t> TargetSelector::VersionFloor(
     const ServiceConfig& service,
     TimePoint now) const {
-  const auto weights = this->view.Weights(service.engine->model);
-  if (!weights) {
+  const KnownWeights* const weights = this->view.Weights(service.engine->model);
+  if (weights == nullptr) {
     return std::nullopt;
   }
-  const auto due = weights->named_at + this->options.version_bound -
-                   this->options.version_margin;
-  if (now >= due) {
-    return weights->version;
-  }
-  return std::nullopt;
+  const int64_t due = weights->NamedBy(now - this->options.version_bound +
+                                       this->options.version_margin);
+  return due > 0 ? std::optional(due) : std::nullopt;
 }
 
 int64_t TargetSelector::ServedVersion(const TargetEntry& target,
                                       const ServiceConfig& service,
                                       TimePoint now) const {
-  const auto report =
-      this->stager_reports.find(target.address.ToString());
+  const auto report = this->stager_reports.find(target.address.ToString());
   if (report != this->stager_reports.end() &&
       now - report->second.at <= this->options.report_lifetime) {
     return report->second.loading ? 0 : report->second.serving_version;
   }
   for (const HeldModel& model : target.models) {
     const bool whole =
-        !model.end_layer || (model.first_layer == 0 &&
-                             *model.end_layer >= service.engine->layers);
+        !model.end_layer ||
+        (model.first_layer == 0 && *model.end_layer >= service.engine->layers);
     if (model.name == service.engine->model && whole) {
       return model.version;
     }
@@ -79,12 +75,11 @@
   return 0;
 }
 
-std::string_view TargetSelector::Exclusion(
-    const KnownTarget& target,
-    const SelectionRequest& request,
-    const ServiceConfig& service,
-    std::optional<int64_t> version_floor,
-    TimePoint now) const {
+std::string_view TargetSelector::Exclusion(const KnownTarget& target,
+                                           const SelectionRequest& request,
+                                           const ServiceConfig& service,
+                                           std::optional<int64_t> version_floor,
+                                           TimePoint now) const {
   const TargetEntry& entry = target.entry;
   if (entry.draining || (target.usable_until && now >= *target.usable_until)) {
     return "leaving";
@@ -115,9 +110,8 @@
     // gateway takes its part of it.
     const double bound = service.cold_rate * this->options.cold_factor +
                          this->options.cold_slack - 1;
-    const auto part = static_cast<size_t>(
-        std::max(1.0, bound / static_cast<double>(
-                                  std::max<size_t>(1, this->gateways))));
+    const auto part = static_cast<size_t>(std::max(
+        1.0, bound / static_cast<double>(std::max<size_t>(1, this->gateways))));
     if (this->book.SentInLastSecond(entry.id, now) >= part) {
       return "cold bound";
     }
@@ -137,9 +131,8 @@
   }
   const EngineRates* const rates =
       service->second.engine ? &*service->second.engine : nullptr;
-  const auto floor = rates != nullptr
-                         ? this->VersionFloor(service->second, now)
-                         : std::nullopt;
+  const auto floor = rates != nullptr ? this->VersionFloor(service->second, now)
+                                      : std::nullopt;
   std::vector<PlacementCandidate> candidates;
   std::vector<const KnownTarget*> entries;
   selection.reason = "no target registered";
@@ -161,6 +154,13 @@
     candidate.same_region =
         this->RegionOf(target.entry.zone) == this->options.region;
     candidate.failure_share = this->book.FailureShare(id);
+    const auto report =
+        this->stager_reports.find(target.entry.address.ToString());
+    if (report != this->stager_reports.end() && report->second.loads_at &&
+        now - report->second.at <= this->options.report_lifetime) {
+      candidate.leaves_in = std::chrono::duration_cast<milliseconds>(
+          *report->second.loads_at - now);
+    }
     candidates.push_back(std::move(candidate));
     entries.push_back(&target);
   }
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -21,6 +21,8 @@
 struct StagerReport {
   int64_t serving_version = 0;
   bool loading = false;
+  // When the target is to be ordered to load.
+  std::optional<TimePoint> loads_at;
   TimePoint at{};
 };
 
--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -23,6 +23,10 @@
 // new connection: its own has gone silent.
 constexpr milliseconds kMostBehind{800};
 constexpr milliseconds kPullTimeout{1000};
+// Weights that were named before this process started count as named so long
+// ago that their bound is this far away: a process that has just started is
+// given about this time to learn where they are.
+constexpr milliseconds kLearningTime{2500};
 
 std::string EncodeDocuments(const ClusterView& view) {
   Json items = Json::array();
@@ -53,8 +57,8 @@
     if (!value) {
       return tl::unexpected<Failure>(value.error());
     }
-    range.items.push_back(
-        {item[0].get<std::string>(), std::move(*value), item[2].get<int64_t>()});
+    range.items.push_back({item[0].get<std::string>(), std::move(*value),
+                           item[2].get<int64_t>()});
   }
   return range;
 }
@@ -64,28 +68,29 @@
 NodeCore::NodeCore(NodeDependencies dependencies, NodeRole role)
     : parts(dependencies),
       role(role),
-      cluster_view(parts.decoder,
-                   ClusterViewOptions{.removal_grace =
-                                          parts.settings.drain_bound / 2}),
+      cluster_view(
+          parts.decoder,
+          ClusterViewOptions{.removal_grace = parts.settings.drain_bound / 2,
+                             .assumed_naming_age =
+                                 parts.settings.version_bound - kLearningTime}),
       peer_exchange(
           parts.loop,
           parts.log,
-          PeerExchangeOptions{
-              .ip = parts.settings.ip,
-              .port = static_cast<uint16_t>(
-                  parts.settings.first_internal_port + 1)}),
+          PeerExchangeOptions{.ip = parts.settings.ip,
+                              .port = static_cast<uint16_t>(
+                                  parts.settings.first_internal_port + 1)}),
       sync(parts.loop,
            parts.store,
            parts.log,
            parts.random,
            {},
-           {[this](const std::vector<KeyValue>& items, int64_t revision,
+           {[this](const std::vector<KeyValue>& items,
+                   int64_t revision,
                    bool after_outage) {
               this->NoteNodes(items);
               this->LogChanges(
-                  this->cluster_view.ApplySnapshot(items, revision,
-                                                   after_outage,
-                                                   this->parts.loop.Now()),
+                  this->cluster_view.ApplySnapshot(
+                      items, revision, after_outage, this->parts.loop.Now()),
                   "read");
             },
             [this](const std::vector<KeyValue>& changes) {
@@ -117,9 +122,9 @@
              const std::shared_ptr<HttpResponder>& responder) {
         this->HandleInternal(request, responder);
       };
-  auto server = Http1Server::Make(this->parts.loop, this->parts.settings.ip,
-                                  this->parts.settings.first_internal_port,
-                                  handler);
+  auto server =
+      Http1Server::Make(this->parts.loop, this->parts.settings.ip,
+                        this->parts.settings.first_internal_port, handler);
   if (!server) {
     return tl::unexpected<Failure>(server.error());
   }
@@ -199,9 +204,8 @@
   }
 }
 
-void NodeCore::HandleInternal(
-    const HttpRequest& request,
-    const std::shared_ptr<HttpResponder>& responder) {
+void NodeCore::HandleInternal(const HttpRequest& request,
+                              const std::shared_ptr<HttpResponder>& responder) {
   const auto path = PathWithoutQuery(request.path);
   if (path == kDocumentsPath) {
     responder->SendJson(200, EncodeDocuments(this->cluster_view));
@@ -275,12 +279,11 @@
                                                    {{"peer", newest}});
                               return;
                             }
-                            this->LogChanges(
-                                this->cluster_view.ApplySnapshot(
-                                    range->items, range->revision,
-                                    /*after_outage=*/false,
-                                    this->parts.loop.Now()),
-                                newest);
+                            this->LogChanges(this->cluster_view.ApplySnapshot(
+                                                 range->items, range->revision,
+                                                 /*after_outage=*/false,
+                                                 this->parts.loop.Now()),
+                                             newest);
                           });
 }
 
--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -28,25 +28,21 @@
   ChunkPlannerOptions options;
   options.self = parts.instance;
   options.region = parts.settings.region;
+  // The origin is asked by one agent a chunk, wherever it stands.
+  options.origin_region = parts.settings.region;
   // Two chunks in flight fill the VM's link without a queue that would hold up
   // the events of running streams, which share it.
   options.max_fetches = 3;
   options.max_fetches_per_peer = 1;
   options.max_origin_fetches = 1;
-  options.max_cross_fetches = 2;
+  options.max_cross_fetches = 1;
   options.timeout.initial = std::chrono::milliseconds(1500);
   options.timeout.least = std::chrono::milliseconds(700);
   options.timeout.most = std::chrono::seconds(3);
   options.blame = std::chrono::seconds(2);
-  return options;
-}
-
-SwarmOptions StrategyOptions() {
-  SwarmOptions options;
-  // New weights are due within seconds, so an agent that makes no progress is
-  // replaced within a fraction of one.
-  options.takeover = std::chrono::milliseconds(600);
-  options.settle = std::chrono::milliseconds(0);
+  // New weights are due within seconds of an origin's return.
+  options.max_origin_backoff = std::chrono::milliseconds(400);
+  options.max_peer_backoff = std::chrono::milliseconds(200);
   return options;
 }
 
@@ -68,17 +64,15 @@
       options(options),
       core(dependencies, NodeRole::kStager),
       random(parts.random.Next()),
-      planner(PlannerOptions(parts),
-              MakeSwarmStrategy(StrategyOptions()),
-              this->random),
-      switches(SwitchOptions{parts.settings.zone, options.loading_share, 0},
-               parts.instance),
+      planner(PlannerOptions(parts), MakeClaimStrategy({}), this->random),
+      switches(SwitchOptions{.zone = parts.settings.zone}, parts.instance),
       step_timer(parts.loop, [this] { this->Step(); }),
       beat_timer(parts.loop,
                  [this] {
                    this->beat_planned = false;
                    this->SendBeat(std::exchange(this->beat_to_all, false));
                  }),
+      upload_timer(parts.loop, [this] { this->OnUploadTime(); }),
       chunks_from_peers(parts.metrics.AddCounter("celerypost_chunks_total",
                                                  "Chunks fetched by source",
                                                  {{"source", "peer"}})),
@@ -92,9 +86,8 @@
 
 Result<void> Stager::Start() {
   this->core.OnViewChanged([this] { this->UpdateGoal(); });
-  this->core.exchange().OnBeat([this](const Peer& peer) {
-    this->OnBeat(peer);
-  });
+  this->core.exchange().OnBeat(
+      [this](const Peer& peer) { this->OnBeat(peer); });
   this->core.OnInternalRequest(
       [this](const HttpRequest& request,
              const std::shared_ptr<HttpResponder>& responder) {
@@ -119,8 +112,7 @@
   if (!config) {
     return nullptr;
   }
-  const auto found =
-      config->services.find(this->parts.settings.target_service);
+  const auto found = config->services.find(this->parts.settings.target_service);
   return found == config->services.end() || !found->second.engine
              ? nullptr
              : &found->second;
@@ -150,9 +142,9 @@
 }
 
 int64_t Stager::WantedVersion() const {
-  const auto weights =
+  const KnownWeights* const weights =
       const_cast<Stager*>(this)->core.view().Weights(this->model);
-  return weights ? weights->version : kFirstVersion;
+  return weights != nullptr ? weights->version() : kFirstVersion;
 }
 
 bool Stager::Serving(int64_t version) const {
@@ -197,9 +189,9 @@
     this->loading = false;
   } else {
     if (!this->report) {
-      this->parts.log.Info("target_found", "the target answers",
-                           {{"sequence", fresh->sequence},
-                            {"models", fresh->models.size()}});
+      this->parts.log.Info(
+          "target_found", "the target answers",
+          {{"sequence", fresh->sequence}, {"models", fresh->models.size()}});
     }
     this->report = *fresh;
     this->serving_version = 0;
@@ -232,6 +224,12 @@
     return;
   }
   const int64_t wanted = this->WantedVersion();
+  if (this->goal && this->goal->version < wanted &&
+      (this->Serving(this->goal->version) || this->loading)) {
+    // What the target loads was taken when it accepted the order; its staged
+    // chunks may be replaced now.
+    this->goal.reset();
+  }
   if (this->Serving(wanted)) {
     if (this->goal) {
       this->parts.log.Info("weights_loaded", "the target serves the weights",
@@ -243,18 +241,37 @@
   if (this->goal && this->goal->version == wanted) {
     return;
   }
-  if (!this->asking_digests) {
+  if (this->FinishFirst()) {
+    return;
+  }
+  if (!this->asking_digests && this->parts.loop.Now() >= this->ask_again) {
     this->AskForDigests(wanted);
   }
 }
 
+bool Stager::FinishFirst() const {
+  if (!this->goal || this->goal->version <= this->serving_version) {
+    return false;
+  }
+  const bool nearly = static_cast<double>(this->planner.chunks_held()) >=
+                      this->options.finish_share *
+                          static_cast<double>(this->planner.chunks_total());
+  return nearly && (this->planner.complete() ||
+                    this->parts.loop.Now() - this->last_progress <
+                        this->options.progress_patience);
+}
+
 void Stager::AskForDigests(int64_t version) {
   this->asking_digests = true;
   const auto done = [this, version](Result<ChunkDigests> digests) {
     this->asking_digests = false;
     if (!digests) {
-      this->parts.log.Warn("digests_failed", digests.error().message,
-                           {{"version", version}});
+      if (this->digests_failed_for != version) {
+        this->digests_failed_for = version;
+        this->parts.log.Warn("digests_failed", digests.error().message,
+                             {{"version", version}});
+      }
+      this->ask_again = this->parts.loop.Now() + this->options.digests_pause;
       return;
     }
     if (version == this->WantedVersion()) {
@@ -266,16 +283,17 @@
     if (!this->core.exchange().Live(peer) ||
         peer.beat.staged_version != version ||
         peer.beat.role != static_cast<int32_t>(NodeRole::kStager) ||
-        peer.beat.held_chunks.empty() || peer.beat.sequence < 0) {
+        peer.beat.fetching.empty()) {
       continue;
     }
     HttpRequest request;
     request.path =
         std::string(kDigestsPath) + "?version=" + std::to_string(version);
-    this->fetches.push_back(
+    this->digests_call =
         this->core.ClientOf(this->core.InternalAddress(ip))
             .Fetch(std::move(request), kDigestsTimeout,
                    [this, version, done](const Result<HttpResponse>& response) {
+                     const auto call = std::move(this->digests_call);
                      ChunkDigests digests{this->model, version, {}};
                      if (response && response->status == 200) {
                        const auto json = ParseJson(response->body, "digests");
@@ -302,7 +320,7 @@
                        return;
                      }
                      done(std::move(digests));
-                   }));
+                   });
     return;
   }
   WeightOrigin* const source = this->Origin();
@@ -318,9 +336,13 @@
   Goal next;
   next.version = digests.version;
   next.digests = std::move(digests);
-  const auto weights = this->core.view().Weights(this->model);
-  if (weights) {
-    next.due = weights->named_at + this->parts.settings.version_bound;
+  if (const KnownWeights* const weights =
+          this->core.view().Weights(this->model)) {
+    const auto named = weights->FirstNamedAbove(this->serving_version);
+    if (named) {
+      next.named_at = *named;
+      next.due = *named + this->parts.settings.version_bound;
+    }
   }
   this->parts.log.Info("weights_wanted", "new weights are to be staged",
                        {{"version", next.version},
@@ -337,6 +359,7 @@
   const bool first = !this->goal;
   this->goal = std::move(next);
   ++this->goal_number;
+  this->fetches.clear();
   this->checked_at.reset();
   this->checking = false;
   this->planner.SetGoal(std::move(chunks), now);
@@ -365,17 +388,18 @@
     this->switches.OnPeerGone(instance);
     return;
   }
-  this->planner.OnPeer(
-      {instance, ZoneName(beat.zone), RegionName(beat.region)}, now);
+  this->planner.OnPeer({instance, ZoneName(beat.zone), RegionName(beat.region)},
+                       now);
   HaveAnnouncement have;
   have.set = this->SetDigest(beat.staged_version);
   have.bitmap = beat.held_chunks;
+  have.fetching = beat.fetching;
   this->planner.OnHave(instance, have, now);
   PeerSwitchState state;
   state.instance = instance;
   state.zone = ZoneName(beat.zone);
-  state.switched = static_cast<uint64_t>(std::max<int64_t>(
-      0, beat.loading ? 0 : beat.serving_version));
+  state.switched = static_cast<uint64_t>(
+      std::max<int64_t>(0, beat.loading ? 0 : beat.serving_version));
   state.warm_and_serving = beat.serving_version > 0 && !beat.loading;
   this->switches.OnPeer(state);
 }
@@ -391,9 +415,10 @@
   if (!this->goal || (this->checking && this->check_adds)) {
     return;
   }
-  std::erase_if(this->fetches, [](const auto& call) { return !call; });
-  const PlannerActions actions =
-      this->planner.Next(this->parts.loop.Now(), {});
+  const PlannerActions actions = this->planner.Next(this->parts.loop.Now(), {});
+  for (const FetchCancel& cancel : actions.cancel) {
+    this->fetches.erase(cancel.digest);
+  }
   for (const FetchAction& action : actions.fetch) {
     this->FetchChunk(action);
   }
@@ -413,19 +438,18 @@
                             FetchOutcome::kFailed, this->parts.loop.Now());
       return;
     }
-    source->Chunk(this->model, version, number,
-                  [this, action, number_of_goal](
-                      const Result<std::string>& bytes) {
-                    if (number_of_goal == this->goal_number) {
-                      this->OnBytes(action, bytes);
-                    }
-                  });
+    source->Chunk(
+        this->model, version, number,
+        [this, action, number_of_goal](const Result<std::string>& bytes) {
+          if (number_of_goal == this->goal_number) {
+            this->OnBytes(action, bytes);
+          }
+        });
     return;
   }
   std::string ip;
   for (const auto& [address, peer] : this->core.exchange().peers()) {
-    if (peer.beat.instance ==
-        static_cast<int64_t>(action.source.peer.value)) {
+    if (peer.beat.instance == static_cast<int64_t>(action.source.peer.value)) {
       ip = address;
     }
   }
@@ -434,17 +458,20 @@
     return;
   }
   HttpRequest request;
-  request.path = std::string(kChunkPath) +
-                 "?version=" + std::to_string(version) +
-                 "&number=" + std::to_string(number);
-  this->fetches.push_back(
+  request.path =
+      std::string(kChunkPath) + "?version=" + std::to_string(version) +
+      "&number=" + std::to_string(number) + "&turn=" +
+      std::to_string(
+          this->switches.PeersBefore(static_cast<uint64_t>(version)));
+  this->fetches[action.chunk.digest] =
       this->core.ClientOf(this->core.InternalAddress(ip))
           .Fetch(std::move(request), kChunkTimeout,
-                 [this, action,
-                  number_of_goal](Result<HttpResponse> response) {
+                 [this, action, number_of_goal](Result<HttpResponse> response) {
                    if (number_of_goal != this->goal_number) {
                      return;
                    }
+                   // Keeps this closure alive while it runs.
+                   const auto call = this->fetches.extract(action.chunk.digest);
                    if (!response) {
                      this->OnBytes(action,
                                    tl::unexpected<Failure>(response.error()));
@@ -458,12 +485,23 @@
                    } else {
                      this->OnBytes(action, std::move(response->body));
                    }
-                 }));
+                 });
 }
 
 void Stager::OnBytes(const FetchAction& action,
                      const Result<std::string>& bytes) {
   const TimePoint now = this->parts.loop.Now();
+  if (action.source.origin && bytes.has_value() != this->origin_answers) {
+    this->origin_answers = bytes.has_value();
+    if (bytes) {
+      this->parts.log.Info("origin_found", "the origin hands out chunks again",
+                           {{"address", this->origin_address}});
+    } else {
+      this->parts.log.Warn("origin_lost", bytes.error().message,
+                           {{"address", this->origin_address},
+                            {"held", this->planner.chunks_held()}});
+    }
+  }
   if (!bytes) {
     this->planner.OnChunk(action.chunk.digest, action.source,
                           FetchOutcome::kFailed, now);
@@ -494,13 +532,18 @@
         if (number_of_goal != this->goal_number) {
           return;
         }
-        this->planner.OnChunk(action.chunk.digest, action.source,
-                              put ? FetchOutcome::kStored
-                                  : FetchOutcome::kFailed,
-                              this->parts.loop.Now());
+        this->planner.OnChunk(
+            action.chunk.digest, action.source,
+            put ? FetchOutcome::kStored : FetchOutcome::kFailed,
+            this->parts.loop.Now());
         if (!put) {
           this->parts.log.Warn("staging_failed", put.error().message);
         }
+        this->last_progress = this->parts.loop.Now();
+        if (this->planner.complete()) {
+          this->parts.log.Info("weights_staged", "every chunk is staged",
+                               {{"version", this->goal->version}});
+        }
         this->BeatSoon(/*to_all=*/false);
         this->Fetch();
         this->MaybeOrder();
@@ -539,11 +582,11 @@
           } else if (this->planner.Holds(digest)) {
             this->check_found_bad = true;
             this->chunks_bad.Add();
-            this->parts.log.Warn("staged_chunk_bad",
-                                 "a staged chunk is missing or has another "
-                                 "digest; fetching it again",
-                                 {{"chunk", number},
-                                  {"version", this->goal->version}});
+            this->parts.log.Warn(
+                "staged_chunk_bad",
+                "a staged chunk is missing or has another "
+                "digest; fetching it again",
+                {{"chunk", number}, {"version", this->goal->version}});
             this->planner.OnDropped(digest, now);
           }
           this->CheckNext();
@@ -570,23 +613,21 @@
   this->MaybeOrder();
 }
 
-bool Stager::MayOrder() const {
-  const TimePoint now = this->parts.loop.Now();
-  if (this->serving_version == 0) {
-    return true;
+TimePoint Stager::PlannedOrder() const {
+  if (this->serving_version == 0 || !this->goal->named_at) {
+    return TimePoint::min();
   }
-  if (this->goal->due && now >= *this->goal->due - this->options.order_margin) {
-    return true;
-  }
-  return this->switches.MaySwitch(static_cast<uint64_t>(this->goal->version),
-                                  now);
+  const auto version = static_cast<uint64_t>(this->goal->version);
+  return PlannedLoad(this->options.schedule, *this->goal->named_at,
+                     this->goal->due, this->switches.PeersBefore(version),
+                     this->switches.AgentsInZone());
 }
 
 void Stager::MaybeOrder() {
   const TimePoint now = this->parts.loop.Now();
   if (!this->goal || !this->planner.complete() || this->checking ||
       this->ordering || !this->report || this->report->busy ||
-      now < this->order_again || !this->MayOrder()) {
+      now < this->order_again || now < this->PlannedOrder()) {
     return;
   }
   if (!this->checked_at ||
@@ -620,21 +661,21 @@
       });
 }
 
-std::string Stager::Held() const {
+HaveAnnouncement Stager::Held() const {
   if (this->goal) {
-    return this->planner.Have().bitmap;
+    return this->planner.Have();
   }
+  HaveAnnouncement have;
   const ServiceConfig* const service = this->Service();
   if (this->serving_version == 0 || service == nullptr) {
-    return {};
+    return have;
   }
   // What the target serves is also staged, as far as is known; chunks are
   // checked when they are passed on and when they are received.
-  std::string bitmap((service->engine->chunks + 7) / 8, '\0');
   for (size_t i = 0; i < service->engine->chunks; ++i) {
-    SetBit(bitmap, i);
+    SetBit(have.bitmap, i);
   }
-  return bitmap;
+  return have;
 }
 
 void Stager::BeatSoon(bool to_all) {
@@ -656,10 +697,17 @@
                                                   : NodeState::kNotReady);
   beat.target_address = this->parts.settings.target_address->ToString();
   beat.model = this->model;
-  beat.staged_version =
-      this->goal ? this->goal->version : this->serving_version;
-  beat.held_chunks = this->Held();
+  beat.staged_version = this->StagedVersion();
+  const HaveAnnouncement have = this->Held();
+  beat.held_chunks = have.bitmap;
+  beat.fetching = have.fetching;
   beat.serving_version = this->serving_version;
+  if (this->goal && this->goal->named_at && this->serving_version > 0) {
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        this->PlannedOrder() - this->parts.loop.Now());
+    beat.__set_loads_in_ms(
+        static_cast<int32_t>(std::max<int64_t>(0, left.count())));
+  }
   beat.loading = this->loading;
   if (to_all) {
     beat.known = this->core.exchange().LiveAddresses();
@@ -682,8 +730,9 @@
   if (path == kChunkPath) {
     const int64_t number =
         ParseInteger(FindQueryParameter(request.path, "number"));
-    this->ServeChunk(static_cast<size_t>(std::max<int64_t>(0, number)), version,
-                     responder);
+    const int64_t turn = ParseInteger(FindQueryParameter(request.path, "turn"));
+    this->ServeChunk({static_cast<size_t>(std::max<int64_t>(0, number)),
+                      version, turn, responder});
     return true;
   }
   return false;
@@ -702,52 +751,92 @@
   responder->SendJson(200, list.dump());
 }
 
-void Stager::ServeChunk(size_t number,
-                        int64_t version,
-                        const std::shared_ptr<HttpResponder>& responder) {
+// Peers whose targets load first are served first, so that some targets can
+// load while others are still being staged.
+void Stager::ServeChunk(Upload upload) {
+  if (this->waiting_uploads.size() >= this->options.most_waiting_uploads) {
+    upload.responder->SendJson(kBusy, R"({"error":{"code":"overloaded"}})");
+    return;
+  }
+  const auto after = std::upper_bound(
+      this->waiting_uploads.begin(), this->waiting_uploads.end(), upload,
+      [](const Upload& a, const Upload& b) { return a.turn < b.turn; });
+  this->waiting_uploads.insert(after, std::move(upload));
+  this->UploadNext();
+}
+
+void Stager::UploadNext() {
+  while (this->uploads < this->options.most_uploads &&
+         !this->waiting_uploads.empty()) {
+    const Upload next = this->waiting_uploads.front();
+    this->waiting_uploads.pop_front();
+    if (next.responder->closed()) {
+      continue;
+    }
+    if (this->StagedVersion() != next.version) {
+      next.responder->SendJson(404, R"({"error":{"code":"not_found"}})");
+      continue;
+    }
+    ++this->uploads;
+    this->target.GetChunk(this->model, next.number,
+                          [this, next](const Result<std::string>& bytes) {
+                            this->SendChunk(next, bytes);
+                          });
+  }
+}
+
+void Stager::SendChunk(const Upload& upload, const Result<std::string>& bytes) {
+  const bool known = this->goal && this->goal->version == upload.version &&
+                     upload.number < this->goal->digests.digests.size();
+  if (!bytes || (known && Digest::Of(*bytes) !=
+                              this->goal->digests.digests[upload.number])) {
+    if (known) {
+      this->DropChunk(upload.number);
+    }
+    upload.responder->SendJson(404, R"({"error":{"code":"not_found"}})");
+    --this->uploads;
+    this->UploadNext();
+    return;
+  }
+  upload.responder->Send(200, {{"content-type", "application/octet-stream"}},
+                         *bytes);
+  // The link still carries the chunk after it was handed to the system.
+  this->upload_ends.push_back(this->parts.loop.Now() +
+                              this->options.upload_time);
+  if (this->upload_ends.size() == 1) {
+    this->upload_timer.StartOnce(this->options.upload_time);
+  }
+}
+
+void Stager::OnUploadTime() {
   const TimePoint now = this->parts.loop.Now();
   while (!this->upload_ends.empty() && this->upload_ends.front() <= now) {
     this->upload_ends.pop_front();
     --this->uploads;
   }
-  const int64_t staged =
-      this->goal ? this->goal->version : this->serving_version;
-  if (staged != version) {
-    responder->SendJson(404, R"({"error":{"code":"not_found"}})");
-    return;
+  if (!this->upload_ends.empty()) {
+    this->upload_timer.StartOnce(
+        std::chrono::ceil<milliseconds>(this->upload_ends.front() - now));
   }
-  if (this->uploads >= this->options.most_uploads) {
-    responder->SendJson(kBusy, R"({"error":{"code":"overloaded"}})");
+  this->UploadNext();
+}
+
+// A staged chunk is missing or has another digest than it should.
+void Stager::DropChunk(size_t number) {
+  const Digest& digest = this->goal->digests.digests[number];
+  if (!this->planner.Holds(digest)) {
     return;
   }
-  ++this->uploads;
-  this->target.GetChunk(
-      this->model, number,
-      [this, number, version, responder](const Result<std::string>& bytes) {
-        // The link still carries the chunk for a while after it was handed to
-        // the system.
-        this->upload_ends.push_back(this->parts.loop.Now() +
-                                    this->options.upload_time);
-        const bool known = this->goal && this->goal->version == version &&
-                           number < this->goal->digests.digests.size();
-        if (!bytes || (known && Digest::Of(*bytes) !=
-                                    this->goal->digests.digests[number])) {
-          if (known && this->planner.Holds(
-                           this->goal->digests.digests[number])) {
-            this->chunks_bad.Add();
-            this->parts.log.Warn("staged_chunk_bad",
-                                 "a staged chunk is missing or has another "
-                                 "digest; fetching it again",
-                                 {{"chunk", number}, {"version", version}});
-            this->planner.OnDropped(this->goal->digests.digests[number],
-                                    this->parts.loop.Now());
-          }
-          responder->SendJson(404, R"({"error":{"code":"not_found"}})");
-          return;
-        }
-        responder->Send(200, {{"content-type", "application/octet-stream"}},
-                        *bytes);
-      });
+  this->chunks_bad.Add();
+  this->parts.log.Warn(
+      "staged_chunk_bad",
+      "a staged chunk is missing or has another digest; fetching it again",
+      {{"chunk", number}, {"version", this->goal->version}});
+  this->planner.OnDropped(digest, this->parts.loop.Now());
+}
+
+int64_t Stager::StagedVersion() const {
+  return this->goal ? this->goal->version : this->serving_version;
 }
 
 }  // namespace celerypost
--- a/src/process/stager/stager.h
+++ b/src/process/stager/stager.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -13,6 +14,7 @@
 #include "src/process/node_core.h"
 #include "src/process/stager/model_target.h"
 #include "src/version/chunk_planner.h"
+#include "src/version/load_schedule.h"
 #include "src/version/switch_planner.h"
 
 namespace celerypost {
@@ -27,17 +29,22 @@
   std::chrono::milliseconds least_beat_gap{60};
   // Staged chunks can spoil, so an order follows their check within this time.
   std::chrono::milliseconds check_lifetime{1000};
-  // The order goes out this long before the bound even if other targets have
-  // not finished: the loading that it begins takes a moment.
-  std::chrono::milliseconds order_margin{600};
-  // Share of a zone's targets that load at a time.
-  double loading_share = 0.34;
+  LoadScheduleOptions schedule;
+  // A version that is named while another one is being staged waits if this
+  // share of the other is there: the rest takes less time than the bound of the
+  // other version leaves, and a new start would let that bound pass.
+  double finish_share = 0.6;
+  // Such a version waits no longer when no chunk has come for this long.
+  std::chrono::milliseconds progress_patience{500};
   // Pause after an order that the target did not take.
   std::chrono::milliseconds order_pause{200};
   // Chunks that are passed on at a time, and the time for which one occupies a
-  // link of about 7 Mbit/s.
-  size_t most_uploads = 2;
+  // link of about 7 Mbit/s. Others wait, up to a number.
+  size_t most_uploads = 1;
+  size_t most_waiting_uploads = 12;
   std::chrono::milliseconds upload_time{25};
+  // Pause after a failed question for digests.
+  std::chrono::milliseconds digests_pause{150};
   // Staged chunks that are read at a time when they are checked.
   size_t checks_at_a_time = 8;
 };
@@ -63,7 +70,9 @@
   struct Goal {
     int64_t version = 0;
     ChunkDigests digests;
-    std::optional<TimePoint> due;
+    // When the target's present weights were superseded and when they end.
+    std::optional<TimePoint> named_at;
+    TimePoint due{};
   };
 
   void Step();
@@ -79,16 +88,29 @@
   void CheckNext();
   void OnCheckDone();
   void MaybeOrder();
-  bool MayOrder() const;
+  // When the target is to be ordered; at once if it serves nothing.
+  TimePoint PlannedOrder() const;
   void OnBeat(const Peer& peer);
   void NotePeer(const Peer& peer);
   void SendBeat(bool to_all);
   void BeatSoon(bool to_all);
   bool HandleInternal(const HttpRequest& request,
                       const std::shared_ptr<HttpResponder>& responder);
-  void ServeChunk(size_t number,
-                  int64_t version,
-                  const std::shared_ptr<HttpResponder>& responder);
+  struct Upload {
+    size_t number = 0;
+    int64_t version = 0;
+    // Place of the peer in the order in which targets load.
+    int64_t turn = 0;
+    std::shared_ptr<HttpResponder> responder;
+  };
+
+  void ServeChunk(Upload upload);
+  void UploadNext();
+  void SendChunk(const Upload& upload, const Result<std::string>& bytes);
+  void OnUploadTime();
+  void DropChunk(size_t number);
+  int64_t StagedVersion() const;
+  bool FinishFirst() const;
   void ServeDigests(int64_t version,
                     const std::shared_ptr<HttpResponder>& responder);
   WeightOrigin* Origin();
@@ -96,7 +118,7 @@
   int64_t WantedVersion() const;
   bool Serving(int64_t version) const;
   Digest SetDigest(int64_t version) const;
-  std::string Held() const;
+  HaveAnnouncement Held() const;
 
   NodeDependencies parts;
   ModelTarget& target;
@@ -115,6 +137,9 @@
   int64_t serving_version = 0;
   std::optional<Goal> goal;
   bool asking_digests = false;
+  TimePoint ask_again{};
+  // The version for which a failure has been logged.
+  int64_t digests_failed_for = 0;
   bool asking_report = false;
   // A check of all staged chunks: the next to read, those being read, and
   // whether any was bad.
@@ -128,10 +153,14 @@
   bool ordering = false;
   bool loading = false;
   TimePoint order_again{};
+  TimePoint last_progress{};
   std::optional<int64_t> first_check_of;
-  std::vector<std::unique_ptr<HttpCall>> fetches;
+  // Chunks that peers are sending.
+  std::map<Digest, std::unique_ptr<HttpCall>> fetches;
+  std::unique_ptr<HttpCall> digests_call;
   Timer step_timer;
   Timer beat_timer;
+  Timer upload_timer;
   TimePoint last_beat{};
   bool beat_to_all = false;
   bool beat_planned = false;
@@ -139,7 +168,9 @@
   Counter& chunks_from_origin;
   Counter& chunks_bad;
   Counter& orders;
+  bool origin_answers = true;
   size_t uploads = 0;
+  std::deque<Upload> waiting_uploads;
   std::deque<TimePoint> upload_ends;
   // Invalidates callbacks of an earlier goal.
   uint64_t goal_number = 0;
--- a/src/process/state/cluster_view.cc
+++ b/src/process/state/cluster_view.cc
@@ -5,6 +5,25 @@
 
 namespace celerypost {
 
+int64_t KnownWeights::NamedBy(TimePoint time) const {
+  int64_t newest = 0;
+  for (const WeightNaming& naming : this->namings) {
+    if (naming.named_at <= time) {
+      newest = naming.version;
+    }
+  }
+  return newest;
+}
+
+std::optional<TimePoint> KnownWeights::FirstNamedAbove(int64_t version) const {
+  for (const WeightNaming& naming : this->namings) {
+    if (naming.version > version) {
+      return naming.named_at;
+    }
+  }
+  return std::nullopt;
+}
+
 ClusterView::ClusterView(const DocumentDecoder& decoder,
                          ClusterViewOptions options)
     : decoder(decoder), options(options) {}
@@ -101,11 +120,10 @@
     result.detail = target->draining ? "draining" : "ready";
   } else if (const auto* named = std::get_if<NamedWeights>(&*decoded)) {
     KnownWeights& held = this->weights[named->model];
-    if (named->version > held.version) {
-      held.previous = held.version;
-      held.version = named->version;
-      held.named_at =
-          seen_happening ? now : now - this->options.assumed_naming_age;
+    if (held.namings.empty() || named->version > held.version()) {
+      held.namings.push_back(
+          {named->version,
+           seen_happening ? now : now - this->options.assumed_naming_age});
     }
     result.detail =
         named->model + " version " + std::to_string(named->version);
@@ -153,11 +171,9 @@
                      [&](const auto& out) { return out.second == zone; });
 }
 
-std::optional<KnownWeights> ClusterView::Weights(
-    const std::string& model) const {
+const KnownWeights* ClusterView::Weights(const std::string& model) const {
   const auto found = this->weights.find(model);
-  return found == this->weights.end() ? std::nullopt
-                                      : std::optional(found->second);
+  return found == this->weights.end() ? nullptr : &found->second;
 }
 
 void ClusterView::AdvanceRevision(int64_t revision) {
--- a/src/process/state/cluster_view.h
+++ b/src/process/state/cluster_view.h
@@ -37,12 +37,24 @@
   std::optional<TimePoint> usable_until;
 };
 
-struct KnownWeights {
+// When operators named a version, as far as this process knows.
+struct WeightNaming {
   int64_t version = 0;
   // When this process learned of the version, or the assumed time.
   TimePoint named_at{};
-  // The version before, 0 if this process knows none.
-  int64_t previous = 0;
+};
+
+// The versions that have been named for a model, in ascending order. Each one
+// sets a time from which on no older version may be used, also when a newer one
+// follows before.
+struct KnownWeights {
+  std::vector<WeightNaming> namings;
+
+  int64_t version() const { return this->namings.back().version; }
+  // The newest version that was named at `time` or before; 0 if none was.
+  int64_t NamedBy(TimePoint time) const;
+  // When the first version above `version` was named.
+  std::optional<TimePoint> FirstNamedAbove(int64_t version) const;
 };
 
 // One change of what this process believes, for the log.
@@ -81,8 +93,8 @@
     return this->known_targets;
   }
   bool ZoneIsOut(const ZoneName& zone) const;
-  // Nothing when no version has been named: targets then hold version 1.
-  std::optional<KnownWeights> Weights(const std::string& model) const;
+  // Null when no version has been named: targets then hold version 1.
+  const KnownWeights* Weights(const std::string& model) const;
   int64_t revision() const { return this->newest_revision; }
   void AdvanceRevision(int64_t revision);
   // All documents, for processes that cannot reach the key-value service.
--- a/src/request/engine_model.cc
+++ b/src/request/engine_model.cc
@@ -29,12 +29,20 @@
 }
 
 Milliseconds SlotTime(const EngineRates& rates, double running) {
-  const double passes = std::max(
-      1.0, rates.usual_answer / std::max(1u, rates.steps_per_pass));
+  const double passes =
+      std::max(1.0, rates.usual_answer / std::max(1u, rates.steps_per_pass));
   return passes * (PassTime(rates, running) +
                    Milliseconds(ReadingPerPass(rates, running)));
 }
 
+Milliseconds AnswerTime(const EngineRates& rates,
+                        double running,
+                        double answer_tokens) {
+  const double at_once = std::min<double>(running, rates.slots);
+  return SlotTime(rates, at_once) *
+         (answer_tokens / std::max(1.0, rates.usual_answer));
+}
+
 Milliseconds PredictFirstEvent(const EngineRates& rates,
                                const EngineLoad& load,
                                double prompt_tokens) {
--- a/src/request/engine_model.h
+++ b/src/request/engine_model.h
@@ -30,6 +30,11 @@
                                const EngineLoad& load,
                                double prompt_tokens);
 
+// Time from the first event to the end of an answer of `answer_tokens`.
+Milliseconds AnswerTime(const EngineRates& rates,
+                        double running,
+                        double answer_tokens);
+
 // Mean time that a request holds one of the target's slots.
 Milliseconds SlotTime(const EngineRates& rates, double running);
 
--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -64,7 +64,14 @@
       if (predicted > limit) {
         continue;
       }
-      const double cost = predicted + this->WayCost(candidate);
+      double cost = predicted + this->WayCost(candidate);
+      if (candidate.leaves_in &&
+          predicted + AnswerTime(rates, candidate.load.in_flight,
+                                 request.answer_tokens)
+                          .count() >
+              static_cast<double>(candidate.leaves_in->count())) {
+        cost += static_cast<double>(this->options.leaving_cost.count());
+      }
       if (cost < best_cost) {
         best_cost = cost;
         placement.candidate = index;
@@ -74,9 +81,8 @@
     if (!placement.candidate) {
       placement.predicted = milliseconds(static_cast<int64_t>(
           candidates.empty() ? 0 : std::min(soonest, 1e6)));
-      placement.retry_after =
-          this->RetryAfter(milliseconds(static_cast<int64_t>(
-              std::max(0.0, std::min(soonest, 1e6) - limit))));
+      placement.retry_after = this->RetryAfter(milliseconds(
+          static_cast<int64_t>(std::max(0.0, std::min(soonest, 1e6) - limit))));
     }
     return placement;
   }
--- a/src/request/placement.h
+++ b/src/request/placement.h
@@ -23,11 +23,15 @@
   bool same_region = false;
   // Share of its recent attempts that failed.
   double failure_share = 0;
+  // Time until the target finishes what runs and loads other weights.
+  std::optional<std::chrono::milliseconds> leaves_in;
 };
 
 // What is to be placed.
 struct PlacementRequest {
   double prompt_tokens = 0;
+  // Expected tokens of the answer.
+  double answer_tokens = 0;
   // Time that is left until the first event would be late.
   std::chrono::milliseconds on_time_left{0};
   // Time that is left until the caller gives up.
@@ -67,6 +71,9 @@
   // A request whose first event is late anyway is placed while the prediction
   // is under this, so that it does not push others past their goal.
   std::chrono::milliseconds late_limit{450};
+  // Added for a target that is to load weights before the request would end,
+  // and that it would keep from loading: more than any queue that is on time.
+  std::chrono::milliseconds leaving_cost{600};
   // Bounds of the time after which a refused caller is asked to return.
   std::chrono::milliseconds least_retry_after{300};
   std::chrono::milliseconds most_retry_after{1800};
--- a/src/request/request_codec.h
+++ b/src/request/request_codec.h
@@ -20,7 +20,7 @@
   std::string api_key;
   // How long the caller waits.
   std::optional<std::chrono::milliseconds> deadline;
-  // Model requests: tokens of the prompt, and at most this many of output.
+  // Model requests: tokens of the prompt, and expected tokens of the answer.
   double prompt_tokens = 0;
   double answer_tokens = 0;
 };
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -4073,8 +4073,13 @@
   this->loading = val;
 }
 
-void Beat::__set_sequence(const int64_t val) {
-  this->sequence = val;
+void Beat::__set_fetching(const std::string& val) {
+  this->fetching = val;
+}
+
+void Beat::__set_loads_in_ms(const int32_t val) {
+  this->loads_in_ms = val;
+__isset.loads_in_ms = true;
 }
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
@@ -4257,9 +4262,17 @@
         }
         break;
       case 17:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->fetching);
+          this->__isset.fetching = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->loads_in_ms);
+          this->__isset.loads_in_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4361,10 +4374,15 @@
   xfer += oprot->writeBool(this->loading);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 17);
-  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldBegin("fetching", ::apache::thrift::protocol::T_STRING, 17);
+  xfer += oprot->writeBinary(this->fetching);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.loads_in_ms) {
+    xfer += oprot->writeFieldBegin("loads_in_ms", ::apache::thrift::protocol::T_I32, 18);
+    xfer += oprot->writeI32(this->loads_in_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4388,7 +4406,8 @@
   swap(a.held_chunks, b.held_chunks);
   swap(a.serving_version, b.serving_version);
   swap(a.loading, b.loading);
-  swap(a.sequence, b.sequence);
+  swap(a.fetching, b.fetching);
+  swap(a.loads_in_ms, b.loads_in_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -4409,7 +4428,8 @@
   held_chunks = other122.held_chunks;
   serving_version = other122.serving_version;
   loading = other122.loading;
-  sequence = other122.sequence;
+  fetching = other122.fetching;
+  loads_in_ms = other122.loads_in_ms;
   __isset = other122.__isset;
 }
 Beat::Beat(Beat&& other123) noexcept {
@@ -4429,7 +4449,8 @@
   held_chunks = std::move(other123.held_chunks);
   serving_version = other123.serving_version;
   loading = other123.loading;
-  sequence = other123.sequence;
+  fetching = std::move(other123.fetching);
+  loads_in_ms = other123.loads_in_ms;
   __isset = other123.__isset;
 }
 Beat& Beat::operator=(const Beat& other124) {
@@ -4449,7 +4470,8 @@
   held_chunks = other124.held_chunks;
   serving_version = other124.serving_version;
   loading = other124.loading;
-  sequence = other124.sequence;
+  fetching = other124.fetching;
+  loads_in_ms = other124.loads_in_ms;
   __isset = other124.__isset;
   return *this;
 }
@@ -4470,7 +4492,8 @@
   held_chunks = std::move(other125.held_chunks);
   serving_version = other125.serving_version;
   loading = other125.loading;
-  sequence = other125.sequence;
+  fetching = std::move(other125.fetching);
+  loads_in_ms = other125.loads_in_ms;
   __isset = other125.__isset;
   return *this;
 }
@@ -4493,7 +4516,8 @@
   out << ", " << "held_chunks=" << to_string(held_chunks);
   out << ", " << "serving_version=" << to_string(serving_version);
   out << ", " << "loading=" << to_string(loading);
-  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "fetching=" << to_string(fetching);
+  out << ", " << "loads_in_ms="; (__isset.loads_in_ms ? (out << to_string(loads_in_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -1595,7 +1595,7 @@
 std::ostream& operator<<(std::ostream& out, const TargetLoad& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), sequence(false) {}
+  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false) {}
   bool instance :1;
   bool role :1;
   bool ip :1;
@@ -1612,7 +1612,8 @@
   bool held_chunks :1;
   bool serving_version :1;
   bool loading :1;
-  bool sequence :1;
+  bool fetching :1;
+  bool loads_in_ms :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -1637,7 +1638,8 @@
          held_chunks(),
          serving_version(0),
          loading(0),
-         sequence(0) {
+         fetching(),
+         loads_in_ms(0) {
   }
 
   virtual ~Beat() noexcept;
@@ -1657,7 +1659,8 @@
   std::string held_chunks;
   int64_t serving_version;
   bool loading;
-  int64_t sequence;
+  std::string fetching;
+  int32_t loads_in_ms;
 
   _Beat__isset __isset;
 
@@ -1693,7 +1696,9 @@
 
   void __set_loading(const bool val);
 
-  void __set_sequence(const int64_t val);
+  void __set_fetching(const std::string& val);
+
+  void __set_loads_in_ms(const int32_t val);
 
   bool operator == (const Beat & rhs) const
   {
@@ -1729,7 +1734,11 @@
       return false;
     if (!(loading == rhs.loading))
       return false;
-    if (!(sequence == rhs.sequence))
+    if (!(fetching == rhs.fetching))
+      return false;
+    if (__isset.loads_in_ms != rhs.__isset.loads_in_ms)
+      return false;
+    else if (__isset.loads_in_ms && !(loads_in_ms == rhs.loads_in_ms))
       return false;
     return true;
   }
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -243,5 +243,8 @@
   15: i64 serving_version
   // The target has taken an order and accepts no requests until it is done.
   16: bool loading
-  17: i64 sequence
+  // Chunks that the sender is fetching from the origin or another region.
+  17: binary fetching
+  // Time until the target is to be ordered to load; absent when it is not.
+  18: optional i32 loads_in_ms
 }
--- a/src/version/chunk_goal.h
+++ b/src/version/chunk_goal.h
@@ -50,6 +50,9 @@
   Digest set;
   std::string bitmap;
   bool complete = false;
+  // Chunks that the process is fetching from the origin or from another region,
+  // in the same form; empty from processes that do not say.
+  std::string fetching{};
 
   bool operator==(const HaveAnnouncement&) const = default;
 };
--- a/src/version/chunk_planner.cc
+++ b/src/version/chunk_planner.cc
@@ -306,6 +306,16 @@
       this->origin_backoff.Usable(now) &&
       this->origin_in_flight < this->options.max_origin_fetches &&
       allowed(this->Crosses(FetchSource::Origin()));
+  for (const auto& [instance, peer] : this->peers) {
+    if (peer.have.set != this->goal.set) {
+      continue;
+    }
+    if (TestBit(peer.have.fetching, position)) {
+      (peer.state.region == this->options.region ? chunk.claimed_in_region
+                                                 : chunk.claimed_elsewhere) =
+          true;
+    }
+  }
   for (const InstanceId instance : entry.holders) {
     const Peer& peer = this->peers.at(instance);
     if (!peer.avoided && peer.backoff.Usable(now) &&
@@ -371,6 +381,11 @@
       SetBit(have.bitmap, i);
     }
   }
+  for (const auto& [digest, fetch] : this->fetches) {
+    if (fetch.source.origin || fetch.crosses_regions) {
+      SetBit(have.fetching, this->position_of.at(digest));
+    }
+  }
   return have;
 }
 
--- a/src/version/fetch_strategy.h
+++ b/src/version/fetch_strategy.h
@@ -64,6 +64,10 @@
   bool cross_regions = true;
   // When a chunk of the goal last came into this agent's region.
   TimePoint region_progress{};
+  // Whether a peer of this region, or of another one, has announced that it is
+  // fetching the chunk from the origin or from another region.
+  bool claimed_in_region = false;
+  bool claimed_elsewhere = false;
 };
 
 // Chooses sources. One object serves one planner.
@@ -105,6 +109,19 @@
 
 // Section 4.11: one fetcher per chunk and region, all others from peers.
 std::unique_ptr<FetchStrategy> MakeSwarmStrategy(SwarmOptions options);
+struct ClaimOptions {
+  // How long an agent leaves a chunk to each agent that ranks before it.
+  Duration patience = std::chrono::milliseconds(150);
+  // Agents that ask the origin, one chunk each at a time: enough to fill its
+  // link. More would only lengthen its queue, which delays the digests of the
+  // next version.
+  uint32_t origin_fetchers = 24;
+};
+
+// For sets that are due within seconds: an agent takes any chunk that nobody
+// has announced to be fetching, its own ones first, so that no agent waits for
+// one that is slow or gone.
+std::unique_ptr<FetchStrategy> MakeClaimStrategy(ClaimOptions options);
 // Baseline: every agent fetches everything from the origin.
 std::unique_ptr<FetchStrategy> MakeOriginStrategy();
 // Baseline: a fixed tree over the live agents; each fetches from its parent,
--- a/src/version/switch_planner.cc
+++ b/src/version/switch_planner.cc
@@ -33,6 +33,28 @@
   this->serving = serving;
 }
 
+uint32_t SwitchPlanner::PeersBefore(uint64_t rollout) const {
+  const std::string key = std::to_string(rollout);
+  const auto place = [&key](InstanceId instance) {
+    return std::pair(RendezvousWeight(key, instance.value), instance.value);
+  };
+  uint32_t before = 0;
+  for (const auto& [instance, peer] : this->peers) {
+    before +=
+        peer.zone == this->options.zone && place(instance) < place(this->self)
+            ? 1
+            : 0;
+  }
+  return before;
+}
+
+uint32_t SwitchPlanner::AgentsInZone() const {
+  return 1 + static_cast<uint32_t>(std::count_if(
+                 this->peers.begin(), this->peers.end(), [this](const auto& p) {
+                   return p.second.zone == this->options.zone;
+                 }));
+}
+
 bool SwitchPlanner::MaySwitch(uint64_t rollout, TimePoint /*now*/) const {
   if (!this->serving) {
     return true;
--- a/src/version/switch_planner.h
+++ b/src/version/switch_planner.h
@@ -41,6 +41,11 @@
   // nothing away by switching and needs no turn.
   void OnSelfServing(bool serving);
 
+  // Agents of this zone that come before this one in the order of the roll-out,
+  // and all of the zone's agents, this one included.
+  uint32_t PeersBefore(uint64_t rollout) const;
+  uint32_t AgentsInZone() const;
+
   // True if this agent may switch now, given that it has verified all bytes.
   bool MaySwitch(uint64_t rollout, TimePoint now) const;
 
