--- a/src/process/command_line.h
+++ b/src/process/command_line.h
@@ -23,8 +23,8 @@
   bool terminal = false;
   std::function<int(const EntrySettings&)> run_entry;
   std::function<int(const AgentSettings&)> run_agent;
-  std::function<int(const NodeRoleSettings&)> run_gateway;
-  std::function<int(const NodeRoleSettings&)> run_stager;
+  std::function<int(const NodeRoleSettings&)> run_gateway{};
+  std::function<int(const NodeRoleSettings&)> run_stager{};
 };
 
 // Runs `celerypost ARGS...` (without the program's name) and returns the exit
