--- a/src/process/node_settings.h
+++ b/src/process/node_settings.h
@@ -41,8 +41,6 @@
   std::optional<SocketAddress> target_address;
   ServiceName target_service;
 
-  // Time between two registrations of a target.
-  std::chrono::milliseconds target_heartbeat{1200};
   // Longest time from a target's notice to the last new request.
   std::chrono::milliseconds drain_bound{2000};
   // From SIGTERM to SIGKILL.
--- a/src/process/state/cluster_view.cc
+++ b/src/process/state/cluster_view.cc
@@ -36,8 +36,7 @@
     applied.push_back(change.value.empty()
                           ? this->Remove(change.key, change.mod_revision,
                                          /*lapsed=*/false, now)
-                          : this->Apply(change, /*seen_happening=*/true,
-                                        /*lapsed=*/false, now));
+                          : this->Apply(change, /*seen_happening=*/true, now));
     this->AdvanceRevision(change.mod_revision);
   }
   return applied;
@@ -58,7 +57,7 @@
         known->second.mod_revision == item.mod_revision) {
       continue;
     }
-    applied.push_back(this->Apply(item, !first, false, now));
+    applied.push_back(this->Apply(item, !first, now));
   }
   std::vector<std::string> missing;
   for (const auto& [key, document] : this->documents) {
@@ -79,7 +78,6 @@
 
 ViewChange ClusterView::Apply(const KeyValue& change,
                               bool seen_happening,
-                              bool /*lapsed*/,
                               TimePoint now) {
   ViewChange result{change.key, change.mod_revision, "applied", {}};
   const auto known = this->documents.find(change.key);
--- a/src/process/state/cluster_view.h
+++ b/src/process/state/cluster_view.h
@@ -105,10 +105,7 @@
   bool DropExpired(TimePoint now);
 
  private:
-  ViewChange Apply(const KeyValue& change,
-                   bool seen_happening,
-                   bool lapsed,
-                   TimePoint now);
+  ViewChange Apply(const KeyValue& change, bool seen_happening, TimePoint now);
   ViewChange Remove(const std::string& key,
                     int64_t revision,
                     bool lapsed,
--- a/src/request/gateway_config.h
+++ b/src/request/gateway_config.h
@@ -58,7 +58,6 @@
 // How fast the engine of a model target works, as the operators publish it.
 struct EngineRates {
   uint32_t slots = 1;
-  double tokens_of_memory = 0;
   // Time of one token step, its growth with each running request, and its
   // growth with each thousand tokens of context of a running request.
   std::chrono::duration<double, std::milli> step{10};
@@ -68,8 +67,6 @@
   double prompt_tokens_per_ms = 10;
   // Token steps between two looks at waiting prompts.
   uint32_t steps_per_pass = 1;
-  // Prompt tokens read in one pass at most.
-  uint32_t tokens_per_read = 2048;
   // Mean sizes of a request.
   double usual_prompt = 1000;
   double usual_answer = 100;
