Keep the drain bound when the news of a leaving target comes late

The grace is now 250 ms and a silent connection is noticed after 0.5 s. Ruled out: a target that was not removed (the log shows the removal). The test fails with the old grace.

--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -21,7 +21,7 @@
 constexpr milliseconds kTickPeriod{200};
 // A process that is connected but this far behind a peer asks the service on a
 // new connection: its own has gone silent.
-constexpr milliseconds kMostBehind{800};
+constexpr milliseconds kMostBehind{500};
 constexpr milliseconds kPullTimeout{1000};
 // Weights that were named before this process started count as named so long
 // ago that their bound is this far away: a process that has just started is
@@ -85,8 +85,7 @@
       role(role),
       cluster_view(
           parts.decoder,
-          ClusterViewOptions{.removal_grace = parts.settings.drain_bound / 2,
-                             .assumed_naming_age =
+          ClusterViewOptions{.assumed_naming_age =
                                  parts.settings.version_bound - kLearningTime}),
       peer_exchange(
           parts.loop,
--- a/src/process/state/cluster_view.h
+++ b/src/process/state/cluster_view.h
@@ -18,9 +18,11 @@
 namespace celerypost {
 
 struct ClusterViewOptions {
-  // How long a target whose registration was removed still gets requests. Some
-  // targets leave without notice but go on serving for the drain bound.
-  std::chrono::milliseconds removal_grace{1000};
+  // How long a target whose registration was removed still gets requests, for
+  // those that are being sent. The news may be over a second late when the
+  // connection to the key-value service has gone silent, and the drain bound
+  // counts from the removal.
+  std::chrono::milliseconds removal_grace{250};
   // The same for registrations that were missing when the key-value service
   // came back: they are back within two seconds, or gone.
   std::chrono::milliseconds outage_grace{2200};
--- a/tests/process/state/cluster_view_test.cc
+++ b/tests/process/state/cluster_view_test.cc
@@ -92,12 +92,24 @@
   this->Change("t/a", "target ready", 1);
   this->Change("t/a", "", 2);
   CHECK_TRUE(this->Usable("a"));
-  this->now += milliseconds(1000);
+  this->now += milliseconds(250);
   CHECK_FALSE(this->Usable("a"));
   CHECK_TRUE(this->view.DropExpired(this->now));
   CHECK_EQUAL(0u, this->view.targets().size());
 }
 
+// Guards against work for a target past the drain bound of two seconds when the
+// news of its leaving comes late over a silent connection (fruitdesk-oman,
+// hunt-5473-19: 45 ms past the bound).
+TEST(ClusterViewTest, LateNewsOfALeavingTargetKeepsTheDrainBound) {
+  this->Change("t/a", "target ready", 1);
+  const TimePoint left = this->now;
+  this->now = left + milliseconds(1400);
+  this->Change("t/a", "", 2);
+  this->now = left + milliseconds(2000);
+  CHECK_FALSE(this->Usable("a"));
+}
+
 // Guards against losing all targets when their registrations lapsed in an
 // outage: they are back within two seconds of its end, or gone.
 TEST(ClusterViewTest, TargetsThatLapsedInAnOutageGetLongerToReturn) {
