--- a/tests/process/command_line_test.cc
+++ b/tests/process/command_line_test.cc
@@ -129,8 +129,7 @@
 // Guards against a flag that the operators' page does not describe, or
 // describes with another range.
 TEST(CommandLineTest, OperationsPageDescribesEveryFlag) {
-  std::filesystem::path root(__FILE__);
-  root = root.parent_path().parent_path().parent_path();
+  const std::filesystem::path root(CELERYPOST_SOURCE_DIR);
   std::ifstream in(root / "docs" / "operations.md");
   const std::string page{std::istreambuf_iterator<char>(in), {}};
   for (const FlagRole role :
