--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -56,13 +56,20 @@
   return due > 0 ? std::optional(due) : std::nullopt;
 }
 
+const StagerReport* TargetSelector::FreshReport(const TargetEntry& target,
+                                                TimePoint now) const {
+  const auto found = this->stager_reports.find(target.address.ToString());
+  return found != this->stager_reports.end() &&
+                 now - found->second.at <= this->options.report_lifetime
+             ? &found->second
+             : nullptr;
+}
+
 int64_t TargetSelector::ServedVersion(const TargetEntry& target,
                                       const ServiceConfig& service,
                                       TimePoint now) const {
-  const auto report = this->stager_reports.find(target.address.ToString());
-  if (report != this->stager_reports.end() &&
-      now - report->second.at <= this->options.report_lifetime) {
-    return report->second.loading ? 0 : report->second.serving_version;
+  if (const StagerReport* const report = this->FreshReport(target, now)) {
+    return report->loading ? 0 : report->serving_version;
   }
   for (const HeldModel& model : target.models) {
     const bool whole =
@@ -154,12 +161,10 @@
     candidate.same_region =
         this->RegionOf(target.entry.zone) == this->options.region;
     candidate.failure_share = this->book.FailureShare(id);
-    const auto report =
-        this->stager_reports.find(target.entry.address.ToString());
-    if (report != this->stager_reports.end() && report->second.loads_at &&
-        now - report->second.at <= this->options.report_lifetime) {
-      candidate.leaves_in = std::chrono::duration_cast<milliseconds>(
-          *report->second.loads_at - now);
+    const StagerReport* const report = this->FreshReport(target.entry, now);
+    if (report != nullptr && report->loads_at) {
+      candidate.leaves_in =
+          std::chrono::duration_cast<milliseconds>(*report->loads_at - now);
     }
     candidates.push_back(std::move(candidate));
     entries.push_back(&target);
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -94,6 +94,9 @@
                              TimePoint now) const;
   std::optional<int64_t> VersionFloor(const ServiceConfig& service,
                                       TimePoint now) const;
+  // What the stager beside `target` said lately; null when it is silent.
+  const StagerReport* FreshReport(const TargetEntry& target,
+                                  TimePoint now) const;
   int64_t ServedVersion(const TargetEntry& target,
                         const ServiceConfig& service,
                         TimePoint now) const;
--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -294,26 +294,32 @@
   }
   HttpRequest request;
   request.path = kDocumentsPath;
-  this->pull = this->ClientOf(this->InternalAddress(newest))
-                   .Fetch(std::move(request), kPullTimeout,
-                          [this, newest](const Result<HttpResponse>& response) {
-                            const auto call = std::move(this->pull);
-                            if (!response || response->status != 200) {
-                              return;
-                            }
-                            const auto range = DecodeDocuments(response->body);
-                            if (!range) {
-                              this->parts.log.Warn("peer_documents_unreadable",
-                                                   range.error().message,
-                                                   {{"peer", newest}});
-                              return;
-                            }
-                            this->LogChanges(this->cluster_view.ApplySnapshot(
-                                                 range->items, range->revision,
-                                                 /*after_outage=*/false,
-                                                 this->parts.loop.Now()),
-                                             newest);
-                          });
+  this->pull =
+      this->ClientOf(this->InternalAddress(newest))
+          .Fetch(std::move(request), kPullTimeout,
+                 [this, newest](const Result<HttpResponse>& response) {
+                   const auto call = std::move(this->pull);
+                   if (!response || response->status != 200) {
+                     // Asked again with the next tick.
+                     this->parts.log.Debug("peer_documents_failed",
+                                           response ? "the peer refused"
+                                                    : response.error().message,
+                                           {{"peer", newest}});
+                     return;
+                   }
+                   const auto range = DecodeDocuments(response->body);
+                   if (!range) {
+                     this->parts.log.Warn("peer_documents_unreadable",
+                                          range.error().message,
+                                          {{"peer", newest}});
+                     return;
+                   }
+                   this->LogChanges(
+                       this->cluster_view.ApplySnapshot(
+                           range->items, range->revision,
+                           /*after_outage=*/false, this->parts.loop.Now()),
+                       newest);
+                 });
 }
 
 }  // namespace celerypost
--- a/src/process/node_core.h
+++ b/src/process/node_core.h
@@ -59,7 +59,7 @@
   wire::Beat MakeBeat(NodeState state) const;
   void Leave();
 
-  ClusterView& view() { return this->cluster_view; }
+  const ClusterView& view() const { return this->cluster_view; }
   PeerExchange& exchange() { return this->peer_exchange; }
   Http1Client& ClientOf(const SocketAddress& address);
   SocketAddress InternalAddress(const std::string& ip) const;
--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -108,7 +108,7 @@
 }
 
 const ServiceConfig* Stager::Service() const {
-  const auto& config = const_cast<Stager*>(this)->core.view().config();
+  const auto& config = this->core.view().config();
   if (!config) {
     return nullptr;
   }
@@ -142,8 +142,7 @@
 }
 
 int64_t Stager::WantedVersion() const {
-  const KnownWeights* const weights =
-      const_cast<Stager*>(this)->core.view().Weights(this->model);
+  const KnownWeights* const weights = this->core.view().Weights(this->model);
   return weights != nullptr ? weights->version() : kFirstVersion;
 }
 
--- a/src/version/switch_planner.cc
+++ b/src/version/switch_planner.cc
@@ -8,6 +8,16 @@
 
 namespace celerypost {
 
+namespace {
+
+// The place of an agent in the order of a roll-out, the same in every process.
+std::pair<uint64_t, uint64_t> Place(const std::string& rollout,
+                                    InstanceId instance) {
+  return {RendezvousWeight(rollout, instance.value), instance.value};
+}
+
+}  // namespace
+
 SwitchPlanner::SwitchPlanner(SwitchOptions options, InstanceId self)
     : options(std::move(options)), self(self) {}
 
@@ -35,15 +45,12 @@
 
 uint32_t SwitchPlanner::PeersBefore(uint64_t rollout) const {
   const std::string key = std::to_string(rollout);
-  const auto place = [&key](InstanceId instance) {
-    return std::pair(RendezvousWeight(key, instance.value), instance.value);
-  };
   uint32_t before = 0;
   for (const auto& [instance, peer] : this->peers) {
-    before +=
-        peer.zone == this->options.zone && place(instance) < place(this->self)
-            ? 1
-            : 0;
+    before += peer.zone == this->options.zone &&
+                      Place(key, instance) < Place(key, this->self)
+                  ? 1
+                  : 0;
   }
   return before;
 }
@@ -60,10 +67,7 @@
     return true;
   }
   const std::string key = std::to_string(rollout);
-  const auto place = [&key](InstanceId instance) {
-    return std::pair(RendezvousWeight(key, instance.value), instance.value);
-  };
-  const auto own = place(this->self);
+  const auto own = Place(key, this->self);
   uint32_t in_zone = 1;
   uint32_t pending = 0;
   uint32_t warm = 0;
@@ -75,7 +79,8 @@
     ++in_zone;
     // A target that has switched is cold; the next one waits until it is warm,
     // so that cold targets never make up more of the zone than the window.
-    const bool switching = peer.switched < rollout && place(instance) < own;
+    const bool switching =
+        peer.switched < rollout && Place(key, instance) < own;
     const bool warming = peer.switched >= rollout && !peer.warm_and_serving;
     if (switching || warming) {
       ++pending;
