--- a/bench/measure_serving.cc
+++ b/bench/measure_serving.cc
@@ -233,7 +233,7 @@
     RetryBudget& budget = *budgets[random.Below(budgets.size())];
     const bool down = request >= 30000;
     if (!down) {
-      budget.OnSuccess();
+      budget.Deposit();
       continue;
     }
     ++requests;
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "src/process/gateway/directory.h"
+#include "src/process/gateway/summary_wire.h"
 
 namespace celerypost {
 
@@ -13,15 +14,19 @@
 
 constexpr int kUnavailable = 503;
 constexpr milliseconds kStopCheckInterval{100};
-// Share of the fleet's retry budget that the gateways use. The rest is a
-// reserve, so that resends of requests that targets refused do not exhaust it.
-constexpr double kRetryBudgetShare = 0.7;
+// Share of the fleet's retry budget that the gateways use. The rest allows for
+// gateways that do not know all others.
+constexpr double kRetryBudgetShare = 0.85;
+// Share of the saved retries that only streams whose answer has started may
+// use. Targets cut running streams when they load new weights.
+constexpr double kReservedForStreams = 0.3;
 // Retry-After from a gateway that is about to exit. Short, since other gateways
 // can take the request at once.
 constexpr milliseconds kStoppingRetryAfter{20};
 
 TargetSelectorOptions SelectorOptions(const NodeSettings& settings) {
   TargetSelectorOptions options;
+  options.self_ip = settings.ip;
   options.zone = settings.zone;
   options.region = settings.region;
   options.regions_of_zones = settings.regions_of_zones;
@@ -31,14 +36,18 @@
   return options;
 }
 
-// The constant part of the fleet's budget is divided by the number of gateways
-// in a large installation; the share applies to each gateway's own requests.
+// The constant part of the fleet's budget is divided among `gateways`, but each
+// can save up one retry; the share applies to each gateway's own requests.
+double MaxSavedRetries(const NodeSettings& settings, size_t gateways) {
+  return std::max(1.0, settings.retry_slack * kRetryBudgetShare /
+                           static_cast<double>(std::max<size_t>(1, gateways)));
+}
+
 RetryBudgetOptions BudgetOptions(const NodeSettings& settings) {
-  constexpr double kGatewaysSharingSlack = 12;
   RetryBudgetOptions options;
   options.share = settings.retry_share * kRetryBudgetShare;
-  options.max_saved =
-      settings.retry_slack * kRetryBudgetShare / kGatewaysSharingSlack;
+  options.max_saved = MaxSavedRetries(settings, 1);
+  options.reserved_share = kReservedForStreams;
   options.base_delay = milliseconds(0);
   options.max_attempts = 4;
   return options;
@@ -60,7 +69,7 @@
                book,
                *policy,
                SelectorOptions(dependencies.settings)),
-      budget(BudgetOptions(dependencies.settings), dependencies.random),
+      budgets(BudgetOptions(dependencies.settings), dependencies.random),
       relay_metrics(dependencies.metrics),
       live_gateways(
           dependencies.metrics.AddGauge("celerypost_live_gateways",
@@ -71,7 +80,7 @@
                     book,
                     selector,
                     request_codec,
-                    budget,
+                    budgets,
                     relay_metrics,
                     {},
                     [this](const SocketAddress& address) -> Http1Client& {
@@ -79,6 +88,7 @@
                     }},
       beat_timer(dependencies.loop, [this] { this->SendBeat(); }),
       stop_timer(dependencies.loop, [this] { this->CheckStop(); }),
+      beats(options.beats),
       stop_policy{.grace = dependencies.settings.stop_grace,
                   .directory_ttl = dependencies.settings.max_directory_ttl} {}
 
@@ -194,12 +204,19 @@
                      this->dependencies.settings.region, this->Ready()});
   for (const auto& [ip, peer] : this->core.exchange().peers()) {
     if (peer.beat.role == static_cast<int32_t>(NodeRole::kGateway) &&
-        this->core.exchange().Live(peer)) {
+        this->core.exchange().Near(peer) && this->core.exchange().Live(peer)) {
       entries.push_back(
           {peer.beat.caller_address, RegionName(peer.beat.region),
            peer.beat.state == static_cast<int32_t>(NodeState::kReady)});
     }
   }
+  for (const RegionSummary* summary :
+       this->core.regions().Fresh(this->dependencies.loop.Now())) {
+    for (const RegionGateway& gateway : summary->gateways) {
+      entries.push_back({gateway.caller_address, summary->region,
+                         gateway.state == NodeState::kReady});
+    }
+  }
   const auto addresses =
       ChooseGateways(entries, *region, this->options.min_addresses,
                      this->options.max_addresses);
@@ -251,61 +268,191 @@
                      now});
     return;
   }
-  std::vector<ReportedLoad> loads;
-  for (const wire::TargetLoad& load : beat.loads) {
-    loads.push_back({static_cast<uint64_t>(load.target),
-                     static_cast<uint32_t>(std::max(0, load.in_flight)),
-                     static_cast<double>(load.waiting_tokens)});
-  }
-  const auto period = this->options.beat_period *
-                      (this->core.exchange().Near(peer)
-                           ? 1
-                           : this->options.beats.far_gateway_period);
-  this->book.OnReport(InstanceId{static_cast<uint64_t>(beat.instance)},
-                      std::move(loads), period, now);
+  const bool near = this->core.exchange().Near(peer);
+  if (near) {
+    this->book.OnReport(
+        InstanceId{static_cast<uint64_t>(beat.instance)},
+        DecodeLoads(beat.loads),
+        GatewayBeatPeriod(
+            this->options.beats, this->options.beat_period,
+            1 + this->core.exchange().CountNear(NodeRole::kGateway)),
+        now);
+  }
+  for (const wire::RegionSummary& summary : beat.summaries) {
+    const RegionSummary decoded = DecodeSummary(summary);
+    if (decoded.region != this->dependencies.settings.region) {
+      this->OnSummary(decoded);
+      this->core.regions().OnSummary(decoded, /*forward=*/!near, now);
+    }
+  }
+}
+
+void Gateway::OnSummary(const RegionSummary& summary) {
+  const TimePoint now = this->dependencies.loop.Now();
+  this->book.OnRegionReport(summary.region, summary.loads,
+                            this->options.summary_load_lifetime, now);
+  for (const RegionTarget& target : summary.targets) {
+    this->selector.OnStagerReport(
+        target.address,
+        StagerReport{target.serving_version, target.loading,
+                     target.loads_in ? std::optional(now + *target.loads_in)
+                                     : std::nullopt,
+                     now});
+  }
 }
 
 void Gateway::SendBeat() {
-  const uint64_t beat_number = this->beats_sent++;
+  const TimePoint now = this->dependencies.loop.Now();
   wire::Beat beat = this->core.MakeBeat(this->state());
   const bool new_document =
       beat.operator_revision != this->announced_operator_revision;
   this->announced_operator_revision = beat.operator_revision;
-  if (beat_number % this->options.beats.address_list_period == 0) {
-    beat.known = this->core.exchange().LiveAddresses();
-  }
-  // Stagers don't use the loads, so they get the beat before loads are added.
-  const auto reaches = [&](const BeatPeer& peer) {
-    return ShouldSendGatewayBeat(this->options.beats, beat_number, new_document,
-                                 peer);
-  };
+  this->beats.Begin(new_document, now);
+  if (this->beats.lists_addresses()) {
+    beat.known = this->core.exchange().SampleNearAddresses(
+        this->options.beats.max_addresses, this->dependencies.random);
+  }
+  // Stagers don't use the loads and summaries, so they get the beat before
+  // these are added.
   this->core.exchange().Send(beat, [&](const BeatPeer& peer) {
-    return peer.heard && peer.role == NodeRole::kStager && reaches(peer);
+    return peer.heard && peer.role == NodeRole::kStager &&
+           this->beats.ShouldSendTo(peer);
   });
-  for (const ReportedLoad& load : this->book.OwnLoads()) {
-    wire::TargetLoad wire_load;
-    wire_load.target = static_cast<int64_t>(load.target_hash);
-    wire_load.in_flight = static_cast<int32_t>(load.in_flight);
-    wire_load.waiting_tokens = static_cast<int32_t>(load.waiting_tokens);
-    beat.loads.push_back(wire_load);
+  beat.loads = EncodeLoads(this->book.OwnLoads());
+  for (const RegionSummary& summary : this->core.regions().TakeForwards()) {
+    beat.summaries.push_back(EncodeSummary(summary));
   }
   this->core.exchange().Send(beat, [&](const BeatPeer& peer) {
-    return (!peer.heard || peer.role == NodeRole::kGateway) && reaches(peer);
+    return (!peer.heard || peer.role == NodeRole::kGateway) &&
+           this->beats.ShouldSendTo(peer);
   });
-  size_t gateways = 1;
-  for (const auto& [ip, peer] : this->core.exchange().peers()) {
-    gateways += peer.beat.role == static_cast<int32_t>(NodeRole::kGateway) &&
-                        this->core.exchange().Live(peer)
-                    ? 1
-                    : 0;
-  }
-  this->selector.SetGatewayCount(gateways);
-  this->live_gateways.Set(static_cast<double>(gateways));
+  this->SendSummary();
+  this->UpdateShares();
   this->beat_timer.StartOnce(GatewayBeatPeriod(
       this->options.beats, this->options.beat_period,
       1 + this->core.exchange().CountNear(NodeRole::kGateway)));
 }
 
+std::vector<GatewayMember> Gateway::KnownGateways() const {
+  std::map<std::string, RegionName> regions;
+  regions[this->dependencies.settings.ip] = this->dependencies.settings.region;
+  for (const auto& [ip, node] : this->core.registered_nodes()) {
+    if (node.role == NodeRole::kGateway) {
+      regions[ip] = node.region;
+    }
+  }
+  for (const auto& [ip, peer] : this->core.exchange().peers()) {
+    if (peer.beat.role == static_cast<int32_t>(NodeRole::kGateway) &&
+        this->core.exchange().Live(peer)) {
+      regions[ip] = RegionName(peer.beat.region);
+    }
+  }
+  for (const RegionSummary* summary :
+       this->core.regions().Fresh(this->dependencies.loop.Now())) {
+    for (const RegionGateway& gateway : summary->gateways) {
+      regions[gateway.ip] = summary->region;
+    }
+  }
+  std::vector<GatewayMember> members;
+  members.reserve(regions.size());
+  for (const auto& [ip, region] : regions) {
+    members.push_back({ip, region});
+  }
+  return members;
+}
+
+void Gateway::UpdateShares() {
+  std::vector<GatewayMember> members = this->KnownGateways();
+  this->live_gateways.Set(static_cast<double>(members.size()));
+  this->budgets.SetMaxSaved(
+      MaxSavedRetries(this->dependencies.settings, members.size()));
+  this->selector.SetGateways(std::move(members));
+}
+
+RegionSummary Gateway::MakeSummary() const {
+  const TimePoint now = this->dependencies.loop.Now();
+  RegionSummary summary;
+  summary.region = this->dependencies.settings.region;
+  summary.ip = this->dependencies.settings.ip;
+  summary.revision = this->core.view().revision();
+  summary.operator_revision = this->core.view().operator_revision();
+  summary.gateways.push_back(
+      {this->dependencies.settings.ip,
+       this->dependencies.settings.caller_address->ToString(), this->state()});
+  for (const auto& [ip, peer] : this->core.exchange().peers()) {
+    if (!this->core.exchange().Near(peer) ||
+        !this->core.exchange().Live(peer)) {
+      continue;
+    }
+    const wire::Beat& beat = peer.beat;
+    if (beat.role == static_cast<int32_t>(NodeRole::kGateway)) {
+      summary.gateways.push_back(
+          {ip, beat.caller_address, static_cast<NodeState>(beat.state)});
+      continue;
+    }
+    RegionTarget target{beat.target_address, beat.serving_version, beat.loading,
+                        std::nullopt};
+    if (beat.__isset.loads_in_ms) {
+      target.loads_in =
+          milliseconds(beat.loads_in_ms) -
+          std::chrono::duration_cast<milliseconds>(now - peer.heard);
+    }
+    summary.targets.push_back(std::move(target));
+  }
+  summary.loads = this->book.CombinedLoads(now);
+  return summary;
+}
+
+std::vector<std::string> Gateway::ChooseSummaryReceivers() {
+  std::map<RegionName, std::vector<std::string>> by_region;
+  for (const auto& [ip, node] : this->core.registered_nodes()) {
+    if (node.role == NodeRole::kGateway) {
+      by_region[node.region].push_back(ip);
+    }
+  }
+  for (const RegionSummary* summary :
+       this->core.regions().Fresh(this->dependencies.loop.Now())) {
+    std::vector<std::string>& addresses = by_region[summary->region];
+    addresses.clear();
+    for (const RegionGateway& gateway : summary->gateways) {
+      addresses.push_back(gateway.ip);
+    }
+  }
+  std::vector<std::string> receivers;
+  for (const auto& [region, addresses] : by_region) {
+    if (region != this->dependencies.settings.region && !addresses.empty()) {
+      receivers.push_back(
+          addresses[this->dependencies.random.Below(addresses.size())]);
+    }
+  }
+  return receivers;
+}
+
+void Gateway::SendSummary() {
+  const TimePoint now = this->dependencies.loop.Now();
+  if (now < this->next_summary) {
+    return;
+  }
+  std::vector<InstanceId> near_gateways;
+  for (const auto& [ip, peer] : this->core.exchange().peers()) {
+    if (peer.beat.role == static_cast<int32_t>(NodeRole::kGateway) &&
+        peer.beat.state != static_cast<int32_t>(NodeState::kLeaving) &&
+        this->core.exchange().Near(peer) && this->core.exchange().Live(peer)) {
+      near_gateways.push_back(
+          InstanceId{static_cast<uint64_t>(peer.beat.instance)});
+    }
+  }
+  if (!SendsSummaries(this->options.summaries, this->dependencies.instance,
+                      near_gateways)) {
+    return;
+  }
+  wire::Beat beat = this->core.MakeBeat(this->state());
+  beat.summaries.push_back(EncodeSummary(this->MakeSummary()));
+  const size_t bytes =
+      this->core.exchange().SendTo(beat, this->ChooseSummaryReceivers());
+  this->next_summary = now + SummaryPeriod(this->options.summaries, bytes);
+}
+
 void Gateway::Stop() {
   if (this->stopping_since) {
     return;
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -17,6 +17,9 @@
   // enough for the choice of a target.
   std::chrono::milliseconds beat_period{100};
   GatewayBeatOptions beats;
+  SummaryOptions summaries;
+  // How long the loads in the summary of another region are used.
+  std::chrono::milliseconds summary_load_lifetime{2000};
   // How long callers may cache a directory response.
   std::chrono::milliseconds directory_ttl{2000};
   // With fewer ready gateways than `min_addresses` in the caller's region, a
@@ -52,6 +55,18 @@
   void OnViewChanged();
   void OnBeat(const Peer& peer);
   void SendBeat();
+  // Sends a summary of this region to one gateway of each other region when one
+  // is due from this gateway.
+  void SendSummary();
+  RegionSummary MakeSummary() const;
+  void OnSummary(const RegionSummary& summary);
+  // Returns the addresses of one live gateway of each other region, or of a
+  // registered one when no summary of the region has arrived.
+  std::vector<std::string> ChooseSummaryReceivers();
+  // Returns the gateways that may be running, this one included: those heard
+  // and those registered.
+  std::vector<GatewayMember> KnownGateways() const;
+  void UpdateShares();
   // Stops the loop once ShouldExit allows it.
   void CheckStop();
   std::chrono::milliseconds TimeSinceStop() const;
@@ -65,7 +80,7 @@
   TargetTracker book;
   std::unique_ptr<PlacementPolicy> policy;
   TargetSelector selector;
-  RetryBudget budget;
+  ServiceRetryBudgets budgets;
   RelayMetrics relay_metrics;
   Gauge& live_gateways;
   RelayContext relay_context;
@@ -74,7 +89,8 @@
   std::unique_ptr<Http1Server> directory_server;
   Timer beat_timer;
   Timer stop_timer;
-  uint64_t beats_sent = 0;
+  GatewayBeats beats;
+  TimePoint next_summary{};
   // Newest operator revision that a beat has carried.
   int64_t announced_operator_revision = 0;
   StopPolicyOptions stop_policy;
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -104,6 +104,7 @@
     }
   }
   this->service = ChooseBackend(*this->route, this->call.id);
+  this->context.budgets.For(this->service).Deposit();
   const milliseconds caller_timeout =
       this->call.deadline.value_or(this->route->timeout);
   this->deadline =
@@ -185,7 +186,7 @@
   TargetRequestInfo target_call;
   target_call.deadline_left = Since(now, this->deadline);
   target_call.target_id = selection.target->id;
-  target_call.version = selection.min_version;
+  target_call.version = selection.required_version;
   if (this->workspace != nullptr) {
     target_call.workspace = this->workspace->name;
   }
@@ -337,7 +338,6 @@
       return;
     }
     const int status = this->attempt->answer.status;
-    this->context.budget.OnSuccess();
     this->responder->End();
     this->context.metrics.answered.Add();
     this->Finish("answered", status, {});
@@ -350,9 +350,6 @@
 
 void RelayTask::SendTargetAnswer() {
   const int status = this->attempt->answer.status;
-  if (status < kServerError) {
-    this->context.budget.OnSuccess();
-  }
   this->responder->Send(
       status, this->context.codec.MakeCallerHeaders(this->attempt->headers),
       this->attempt->body);
@@ -448,9 +445,11 @@
     return false;
   }
   const bool allowed =
-      this->context.budget
+      this->context.budgets.For(this->service)
           .MayRetry(attempt_verdict, this->route->repeatable(), 1,
-                    this->deadline, this->context.loop.Now())
+                    this->deadline, this->context.loop.Now(),
+                    this->head_sent ? RetryPriority::kStarted
+                                    : RetryPriority::kOrdinary)
           .has_value();
   if (allowed) {
     this->context.metrics.retries.Add();
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -63,7 +63,7 @@
   TargetTracker& book;
   TargetSelector& selector;
   const RequestCodec& codec;
-  RetryBudget& budget;
+  ServiceRetryBudgets& budgets;
   RelayMetrics& metrics;
   RelayOptions options;
   // Returns the HTTP client for a target's address.
--- /dev/null
+++ b/src/process/gateway/summary_wire.cc
@@ -0,0 +1,83 @@
+#include "src/process/gateway/summary_wire.h"
+
+#include <algorithm>
+
+namespace celerypost {
+
+using std::chrono::milliseconds;
+
+std::vector<wire::TargetLoad> EncodeLoads(
+    const std::vector<ReportedLoad>& loads) {
+  std::vector<wire::TargetLoad> encoded;
+  encoded.reserve(loads.size());
+  for (const ReportedLoad& load : loads) {
+    wire::TargetLoad message;
+    message.target = static_cast<int64_t>(load.target_hash);
+    message.in_flight = static_cast<int32_t>(load.in_flight);
+    message.waiting_tokens = static_cast<int32_t>(load.waiting_tokens);
+    encoded.push_back(message);
+  }
+  return encoded;
+}
+
+std::vector<ReportedLoad> DecodeLoads(
+    const std::vector<wire::TargetLoad>& loads) {
+  std::vector<ReportedLoad> decoded;
+  decoded.reserve(loads.size());
+  for (const wire::TargetLoad& load : loads) {
+    decoded.push_back({static_cast<uint64_t>(load.target),
+                       static_cast<uint32_t>(std::max(0, load.in_flight)),
+                       static_cast<double>(load.waiting_tokens)});
+  }
+  return decoded;
+}
+
+wire::RegionSummary EncodeSummary(const RegionSummary& summary) {
+  wire::RegionSummary message;
+  message.region = summary.region.value();
+  message.ip = summary.ip;
+  message.revision = summary.revision;
+  message.operator_revision = summary.operator_revision;
+  for (const RegionGateway& gateway : summary.gateways) {
+    wire::RegionGateway entry;
+    entry.ip = gateway.ip;
+    entry.caller_address = gateway.caller_address;
+    entry.state = static_cast<int32_t>(gateway.state);
+    message.gateways.push_back(std::move(entry));
+  }
+  for (const RegionTarget& target : summary.targets) {
+    wire::RegionTarget entry;
+    entry.address = target.address;
+    entry.serving_version = target.serving_version;
+    entry.loading = target.loading;
+    if (target.loads_in) {
+      entry.__set_loads_in_ms(static_cast<int32_t>(target.loads_in->count()));
+    }
+    message.targets.push_back(std::move(entry));
+  }
+  message.loads = EncodeLoads(summary.loads);
+  return message;
+}
+
+RegionSummary DecodeSummary(const wire::RegionSummary& summary) {
+  RegionSummary decoded;
+  decoded.region = RegionName(summary.region);
+  decoded.ip = summary.ip;
+  decoded.revision = summary.revision;
+  decoded.operator_revision = summary.operator_revision;
+  for (const wire::RegionGateway& gateway : summary.gateways) {
+    decoded.gateways.push_back({gateway.ip, gateway.caller_address,
+                                static_cast<NodeState>(gateway.state)});
+  }
+  for (const wire::RegionTarget& target : summary.targets) {
+    decoded.targets.push_back(
+        {target.address, target.serving_version, target.loading,
+         target.__isset.loads_in_ms
+             ? std::optional(milliseconds(target.loads_in_ms))
+             : std::nullopt});
+  }
+  decoded.loads = DecodeLoads(summary.loads);
+  return decoded;
+}
+
+}  // namespace celerypost
--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -20,7 +20,14 @@
                                const TargetTracker& book,
                                PlacementPolicy& policy,
                                TargetSelectorOptions options)
-    : view(view), book(book), policy(policy), options(std::move(options)) {}
+    : view(view),
+      book(book),
+      policy(policy),
+      options(std::move(options)),
+      cold_shares({}, this->options.self_ip) {
+  this->cold_shares.SetGateways(
+      {{this->options.self_ip, this->options.region}});
+}
 
 void TargetSelector::OnStagerReport(const std::string& target_address,
                                     StagerReport report) {
@@ -67,6 +74,14 @@
              : nullptr;
 }
 
+bool TargetSelector::ReloadsNow(const TargetRegistration& target,
+                                TimePoint now) const {
+  const StagerReport* const report = this->FreshReport(target, now);
+  return report != nullptr && report->loads_at &&
+         now >= *report->loads_at - this->options.reload_lead &&
+         now <= *report->loads_at + this->options.reload_overdue;
+}
+
 int64_t TargetSelector::ServedVersion(const TargetRegistration& target,
                                       const ServiceConfig& service,
                                       TimePoint now) const {
@@ -89,7 +104,7 @@
     const SelectionRequest& request,
     const ServiceConfig& service,
     std::optional<int64_t> version_floor,
-    TimePoint now) const {
+    TimePoint now) {
   const TargetRegistration& entry = target.entry;
   if (entry.draining || (target.usable_until && now >= *target.usable_until)) {
     return "leaving";
@@ -114,16 +129,18 @@
     if (version_floor && served < *version_floor) {
       return "old weights";
     }
+    if (this->ReloadsNow(entry, now)) {
+      return "loading weights";
+    }
   }
   if (service.cold_rate > 0) {
     // A target may become cold without notice, so the rate limit of cold
-    // targets always applies, divided evenly among the gateways.
+    // targets always applies, divided among the gateways.
     const double fleet_limit = service.cold_rate * this->options.cold_factor +
                                this->options.cold_slack - 1;
-    const auto own_limit = static_cast<size_t>(
-        std::max(1.0, fleet_limit / static_cast<double>(std::max<size_t>(
-                                        1, this->gateway_count))));
-    if (this->book.SentInLastSecond(entry.id, now) >= own_limit) {
+    if (this->book.SentInLastSecond(entry.id, now) >=
+        this->cold_shares.ShareOf(entry.id, this->RegionOf(entry.zone),
+                                  fleet_limit)) {
       return "cold bound";
     }
   }
@@ -192,7 +209,10 @@
   selection.load = candidates[*placement.candidate].load;
   selection.entry_age =
       std::chrono::duration_cast<milliseconds>(now - chosen.read_at);
-  selection.min_version = version_floor;
+  if (version_floor) {
+    selection.required_version =
+        this->ServedVersion(chosen.entry, service->second, now);
+  }
   const KnownWeights* const weights =
       rates != nullptr ? this->view.Weights(rates->model) : nullptr;
   if (weights != nullptr) {
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -8,10 +8,13 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "celerypost/types.h"
 #include "src/process/node_settings.h"
 #include "src/process/state/cluster_view.h"
+#include "src/request/cold_share.h"
 #include "src/request/placement.h"
 #include "src/request/target_tracker.h"
 
@@ -23,7 +26,8 @@
   // Version of the complete weights that the target has loaded, 0 for none.
   int64_t serving_version = 0;
   bool loading = false;
-  // When the stager plans to order the target to load new weights.
+  // When the stager orders the target to load the new weights that it has
+  // staged.
   std::optional<TimePoint> loads_at;
   TimePoint received_at{};
 };
@@ -40,8 +44,9 @@
 struct Selection {
   // Empty when the request must be refused.
   std::optional<TargetRegistration> target;
-  // Lowest weights version that may answer the request.
-  std::optional<int64_t> min_version;
+  // The weights version that the target serves, when older ones must not answer
+  // the request any more. A target with any other version refuses the request.
+  std::optional<int64_t> required_version;
   // Set when the target's weights are superseded: a request that has not
   // started to run by then must be moved to another target.
   std::optional<TimePoint> must_begin_by;
@@ -58,6 +63,7 @@
 };
 
 struct TargetSelectorOptions {
+  std::string self_ip;
   ZoneName zone;
   RegionName region;
   std::map<ZoneName, RegionName> regions_of_zones;
@@ -70,6 +76,11 @@
   std::chrono::milliseconds version_margin{1000};
   // A request that is queued at a target is moved this long before the bound.
   std::chrono::milliseconds begin_margin{500};
+  // A target gets no requests from this long before its order to load, nor
+  // after it until the stager reports the target's state or `reload_overdue`
+  // has passed: the target refuses what arrives while it loads.
+  std::chrono::milliseconds reload_lead{20};
+  std::chrono::milliseconds reload_overdue{300};
   // A stager's report takes precedence over the target's registration for this
   // long: three beats of 1 s and a margin.
   std::chrono::milliseconds report_lifetime{3500};
@@ -95,9 +106,10 @@
   // Replaces what is known from the stager of the target at `target_address`,
   // "ip:port".
   void OnStagerReport(const std::string& target_address, StagerReport report);
-  // Sets the number of gateways that may send to the same targets, this one
-  // included.
-  void SetGatewayCount(size_t count) { this->gateway_count = count; }
+  // Replaces the gateways that may send to the same targets, this one included.
+  void SetGateways(std::vector<GatewayMember> gateways) {
+    this->cold_shares.SetGateways(std::move(gateways));
+  }
 
  private:
   // Returns why `target` may not get the request; empty when it may.
@@ -105,7 +117,7 @@
                                    const SelectionRequest& request,
                                    const ServiceConfig& service,
                                    std::optional<int64_t> version_floor,
-                                   TimePoint now) const;
+                                   TimePoint now);
   // Lowest weights version that may be used; nothing when any may.
   std::optional<int64_t> VersionFloor(const ServiceConfig& service,
                                       TimePoint now) const;
@@ -113,6 +125,9 @@
   // younger than `report_lifetime`.
   const StagerReport* FreshReport(const TargetRegistration& target,
                                   TimePoint now) const;
+  // Whether the stager of `target` is about to order it to load, or has just
+  // done so.
+  bool ReloadsNow(const TargetRegistration& target, TimePoint now) const;
   // Version of the complete weights that `target` serves, 0 for none.
   int64_t ServedVersion(const TargetRegistration& target,
                         const ServiceConfig& service,
@@ -127,7 +142,7 @@
   TargetSelectorOptions options;
   // By target address, as "ip:port".
   std::map<std::string, StagerReport> stager_reports;
-  size_t gateway_count = 1;
+  ColdShares cold_shares;
 };
 
 }  // namespace celerypost
--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -36,6 +36,10 @@
 // Shortest time between two pulls, so that changes in quick succession are
 // pulled together.
 constexpr milliseconds kMinPullInterval{100};
+// How long the summary of another region is used: several periods of its
+// senders, and little enough that the directory drops gateways that have died
+// (SummaryOptions, GatewayOptions::directory_ttl).
+constexpr milliseconds kSummaryLifetime{3000};
 // How long a starting process waits for documents from the gateways of its
 // region before it reads the key-value service: a few of their beats.
 constexpr milliseconds kStartupWait{700};
@@ -128,10 +132,13 @@
 NodeCore::NodeCore(NodeDependencies dependencies, NodeRole role)
     : dependencies(dependencies),
       role(role),
-      cluster_view(dependencies.decoder,
-                   ClusterViewOptions{.assumed_naming_age =
-                                          dependencies.settings.version_bound -
-                                          kWeightDiscoveryTime}),
+      cluster_view(
+          dependencies.decoder,
+          ClusterViewOptions{
+              .assumed_naming_age =
+                  dependencies.settings.version_bound - kWeightDiscoveryTime,
+              .registration_prefix = std::string(NodeRegistry::Prefix())}),
+      region_directory(kSummaryLifetime),
       peer_exchange(dependencies.loop,
                     dependencies.log,
                     PeerExchangeOptions{
@@ -147,14 +154,12 @@
            {[this](const std::vector<KeyValue>& items,
                    int64_t revision,
                    bool after_outage) {
-              this->AddPeerAddresses(items);
               this->ReportChanges(this->cluster_view.ApplySnapshot(
                                       items, revision, after_outage,
                                       this->dependencies.loop.Now()),
                                   "read");
             },
             [this](const std::vector<KeyValue>& changes) {
-              this->AddPeerAddresses(changes);
               this->ReportChanges(this->cluster_view.ApplyChanges(
                                       changes, this->dependencies.loop.Now()),
                                   "watch");
@@ -168,7 +173,9 @@
                dependencies.leases,
                dependencies.log,
                NodeRegistryOptions{.ip = dependencies.settings.ip,
+                                   .zone = dependencies.settings.zone,
                                    .region = dependencies.settings.region,
+                                   .instance = dependencies.instance,
                                    .role = role}),
       tick(dependencies.loop, [this] { this->Tick(); }),
       start_timer(dependencies.loop, [this] {
@@ -221,7 +228,8 @@
 
 void NodeCore::FindPeers() {
   KeyRange keys;
-  keys.first = std::string(NodeRegistry::Prefix());
+  keys.first = NodeRegistry::GroupPrefix(this->dependencies.settings.region,
+                                         NodeRole::kGateway);
   this->dependencies.store.GetRange(
       keys, /*keys_only=*/false, [this](const Result<KeyValueRange>& range) {
         if (range) {
@@ -234,14 +242,16 @@
 }
 
 void NodeCore::OnPeersFound(const std::vector<KeyValue>& registrations) {
-  this->AddPeerAddresses(registrations);
   size_t gateways = 0;
   size_t lower_addresses = 0;
   for (const KeyValue& item : registrations) {
     const auto node = NodeRegistry::Parse(item);
-    if (node && node->role == NodeRole::kGateway &&
-        node->region == this->dependencies.settings.region &&
-        node->ip != this->dependencies.settings.ip) {
+    if (!node || node->region != this->dependencies.settings.region ||
+        node->ip == this->dependencies.settings.ip) {
+      continue;
+    }
+    this->peer_exchange.AddAddress(node->ip);
+    if (node->role == NodeRole::kGateway) {
       ++gateways;
       lower_addresses += node->ip < this->dependencies.settings.ip ? 1 : 0;
     }
@@ -349,11 +359,33 @@
   return {ip, this->dependencies.settings.first_internal_port};
 }
 
-void NodeCore::AddPeerAddresses(const std::vector<KeyValue>& items) {
-  for (const KeyValue& item : items) {
-    const auto address = NodeRegistry::AddressOf(item.key);
-    if (address && !item.value.empty()) {
-      this->peer_exchange.AddAddress(*address);
+void NodeCore::UpdateRegisteredNodes() {
+  const auto& stored = this->cluster_view.stored();
+  const std::string prefix(NodeRegistry::Prefix());
+  std::erase_if(this->node_revisions, [&](const auto& item) {
+    const bool gone = !stored.contains(item.first);
+    if (gone) {
+      this->nodes.erase(NodeRegistry::AddressOf(item.first).value_or(""));
+    }
+    return gone;
+  });
+  for (auto it = stored.lower_bound(prefix);
+       it != stored.end() && it->first.starts_with(prefix); ++it) {
+    int64_t& revision = this->node_revisions[it->first];
+    if (revision == it->second.mod_revision) {
+      continue;
+    }
+    revision = it->second.mod_revision;
+    const auto node = NodeRegistry::Parse(it->second);
+    if (!node) {
+      this->dependencies.log.Warn("registration_unreadable",
+                                  "the registration of a process is malformed",
+                                  {{"key", it->first}});
+      continue;
+    }
+    this->nodes[node->ip] = *node;
+    if (node->region == this->dependencies.settings.region) {
+      this->peer_exchange.AddAddress(node->ip);
     }
   }
 }
@@ -361,8 +393,10 @@
 void NodeCore::ReportChanges(const std::vector<ViewChange>& changes,
                              std::string_view source) {
   bool changed = false;
+  bool nodes_changed = false;
   for (const ViewChange& change : changes) {
     if (NodeRegistry::AddressOf(change.key)) {
+      nodes_changed = true;
       continue;
     }
     changed = changed || change.outcome != "older";
@@ -372,6 +406,9 @@
                                  {"source", source},
                                  {"detail", change.detail}});
   }
+  if (nodes_changed) {
+    this->UpdateRegisteredNodes();
+  }
   if (changed && this->on_view_changed) {
     this->on_view_changed();
   }
@@ -398,6 +435,12 @@
   if (this->cluster_view.DropExpired(now) && this->on_view_changed) {
     this->on_view_changed();
   }
+  // Registered processes stay peers while they are silent.
+  for (const auto& [ip, node] : this->nodes) {
+    if (node.region == this->dependencies.settings.region) {
+      this->peer_exchange.AddAddress(ip);
+    }
+  }
   this->UpdateStoreReading();
   this->CatchUp();
 }
@@ -409,6 +452,9 @@
     newer = newer ||
             (this->peer_exchange.Live(peer) && this->HasNewerDocuments(peer));
   }
+  for (const RegionSummary* summary : this->region_directory.Fresh(now)) {
+    newer = newer || this->HasNewerDocuments(*summary);
+  }
   if (!newer) {
     this->behind = false;
     return;
@@ -445,25 +491,35 @@
          peer.beat.revision > this->cluster_view.revision();
 }
 
-const Peer* NodeCore::ChooseDocumentSource() const {
+bool NodeCore::HasNewerDocuments(const RegionSummary& summary) const {
+  return summary.operator_revision > this->cluster_view.operator_revision() ||
+         (this->role == NodeRole::kGateway &&
+          summary.revision > this->cluster_view.revision());
+}
+
+std::string NodeCore::ChooseDocumentSource() const {
   // Only gateways are asked: they hold all documents, stagers only the
   // operators'.
-  std::vector<const Peer*> same_region;
-  std::vector<const Peer*> other_regions;
+  const TimePoint now = this->dependencies.loop.Now();
+  std::vector<std::string> same_region;
+  std::vector<std::string> other_regions;
   for (const auto& [ip, peer] : this->peer_exchange.peers()) {
-    if (this->peer_exchange.Live(peer) &&
+    if (this->peer_exchange.Live(peer) && this->peer_exchange.Near(peer) &&
         peer.beat.role == static_cast<int32_t>(NodeRole::kGateway) &&
         this->HasNewerDocuments(peer)) {
-      (this->peer_exchange.Near(peer) ? same_region : other_regions)
-          .push_back(&peer);
+      same_region.push_back(ip);
+    }
+  }
+  for (const RegionSummary* summary : this->region_directory.Fresh(now)) {
+    if (this->HasNewerDocuments(*summary)) {
+      other_regions.push_back(summary->ip);
     }
   }
-  const bool waited =
-      this->dependencies.loop.Now() - this->behind_since >= kSameRegionWait;
+  const bool waited = now - this->behind_since >= kSameRegionWait;
   const auto& candidates =
       !same_region.empty() || !waited ? same_region : other_regions;
   return candidates.empty()
-             ? nullptr
+             ? std::string()
              : candidates[this->dependencies.random.Below(candidates.size())];
 }
 
@@ -472,8 +528,8 @@
   if (this->pull || now - this->last_pull < kMinPullInterval) {
     return;
   }
-  const Peer* const source = this->ChooseDocumentSource();
-  if (source == nullptr) {
+  const std::string source = this->ChooseDocumentSource();
+  if (source.empty()) {
     return;
   }
   this->last_pull = now;
@@ -483,13 +539,12 @@
   if (this->role == NodeRole::kStager) {
     request.path += "&for=stager";
   }
-  this->pull =
-      this->ClientOf(this->InternalAddress(source->ip))
-          .Fetch(std::move(request), kPullTimeout,
-                 [this, ip = source->ip](const Result<HttpResponse>& response) {
-                   const auto call = std::move(this->pull);
-                   this->OnPulled(ip, response);
-                 });
+  this->pull = this->ClientOf(this->InternalAddress(source))
+                   .Fetch(std::move(request), kPullTimeout,
+                          [this, source](const Result<HttpResponse>& response) {
+                            const auto call = std::move(this->pull);
+                            this->OnPulled(source, response);
+                          });
 }
 
 void NodeCore::OnPulled(const std::string& ip,
--- a/src/process/node_core.h
+++ b/src/process/node_core.h
@@ -15,6 +15,7 @@
 #include "src/process/node_settings.h"
 #include "src/process/peer_exchange.h"
 #include "src/process/state/cluster_view.h"
+#include "src/process/state/region_directory.h"
 #include "src/process/store_sync.h"
 
 namespace celerypost {
@@ -68,6 +69,16 @@
 
   const ClusterView& view() const { return this->cluster_view; }
   PeerExchange& exchange() { return this->peer_exchange; }
+  const PeerExchange& exchange() const { return this->peer_exchange; }
+  // Summaries of the other regions, which gateways exchange.
+  RegionDirectory& regions() { return this->region_directory; }
+  const RegionDirectory& regions() const { return this->region_directory; }
+  // The processes that are registered in the key-value service, as far as this
+  // process knows, by IP address. A process that ended without notice stays
+  // registered until its lease has ended.
+  const std::map<std::string, RegisteredNode>& registered_nodes() const {
+    return this->nodes;
+  }
   // Returns the HTTP client for `address`, which is made at the first call.
   Http1Client& ClientOf(const SocketAddress& address);
   // The address of the internal HTTP server of the process on the VM `ip`.
@@ -79,8 +90,9 @@
   // peer's IP address.
   void ReportChanges(const std::vector<ViewChange>& changes,
                      std::string_view source);
-  // Adds the processes whose registrations are among `items` to the peers.
-  void AddPeerAddresses(const std::vector<KeyValue>& items);
+  // Brings `nodes` in line with the registrations in `cluster_view` and adds
+  // the processes of this region to the peers.
+  void UpdateRegisteredNodes();
   void HandleInternal(const HttpRequest& request,
                       const std::shared_ptr<HttpResponder>& responder);
   void Tick();
@@ -100,15 +112,22 @@
   // Whether `peer` has seen a change that concerns this process and that this
   // process has not seen.
   bool HasNewerDocuments(const Peer& peer) const;
+  // The same for the gateways of another region.
+  bool HasNewerDocuments(const RegionSummary& summary) const;
   // Chooses a gateway to ask for newer documents: one of this region, or after
-  // a delay one of another region. Null when there is none to ask yet.
-  const Peer* ChooseDocumentSource() const;
+  // a delay one of another region. Returns its IP address, empty when there is
+  // none to ask yet.
+  std::string ChooseDocumentSource() const;
   void PullDocuments();
   void OnPulled(const std::string& ip, const Result<HttpResponse>& response);
 
   NodeDependencies dependencies;
   NodeRole role;
   ClusterView cluster_view;
+  RegionDirectory region_directory;
+  // By IP address, and the revisions of the registrations, by key.
+  std::map<std::string, RegisteredNode> nodes;
+  std::map<std::string, int64_t> node_revisions;
   PeerExchange peer_exchange;
   StoreSync sync;
   NodeRegistry registry;
--- a/src/process/node_registry.cc
+++ b/src/process/node_registry.cc
@@ -35,11 +35,17 @@
   return kNodePrefix;
 }
 
+std::string NodeRegistry::GroupPrefix(const RegionName& region, NodeRole role) {
+  return std::string(kNodePrefix) + region.value() +
+         (role == NodeRole::kGateway ? "/gateway/" : "/stager/");
+}
+
 std::optional<std::string> NodeRegistry::AddressOf(std::string_view key) {
-  if (!key.starts_with(kNodePrefix)) {
+  const size_t last_slash = key.rfind('/');
+  if (!key.starts_with(kNodePrefix) || last_slash < kNodePrefix.size()) {
     return std::nullopt;
   }
-  return std::string(key.substr(kNodePrefix.size()));
+  return std::string(key.substr(last_slash + 1));
 }
 
 std::optional<RegisteredNode> NodeRegistry::Parse(const KeyValue& item) {
@@ -54,8 +60,19 @@
       !role->is_number_integer()) {
     return std::nullopt;
   }
-  return RegisteredNode{*address, RegionName(region->get<std::string>()),
-                        static_cast<NodeRole>(role->get<int>())};
+  RegisteredNode node;
+  node.ip = *address;
+  node.region = RegionName(region->get<std::string>());
+  node.role = static_cast<NodeRole>(role->get<int>());
+  const auto zone = json->find("zone");
+  if (zone != json->end() && zone->is_string()) {
+    node.zone = ZoneName(zone->get<std::string>());
+  }
+  const auto instance = json->find("instance");
+  if (instance != json->end() && instance->is_number_unsigned()) {
+    node.instance = InstanceId{instance->get<uint64_t>()};
+  }
+  return node;
 }
 
 void NodeRegistry::SetReader(bool is_reader) {
@@ -97,9 +114,13 @@
           return;
         }
         KeyValueTransaction transaction;
-        transaction.key = std::string(kNodePrefix) + this->options.ip;
+        transaction.key =
+            GroupPrefix(this->options.region, this->options.role) +
+            this->options.ip;
         transaction.value =
             nlohmann::json{{"region", this->options.region.value()},
+                           {"zone", this->options.zone.value()},
+                           {"instance", this->options.instance.value},
                            {"role", static_cast<int>(this->options.role)}}
                 .dump();
         transaction.unconditional = true;
--- a/src/process/node_registry.h
+++ b/src/process/node_registry.h
@@ -16,7 +16,9 @@
 
 struct NodeRegistryOptions {
   std::string ip;
+  ZoneName zone;
   RegionName region;
+  InstanceId instance;
   NodeRole role = NodeRole::kGateway;
   // How long the registration stays after its last renewal unless Leave ends
   // it: longer than an ordinary restart takes, so that the key survives the
@@ -34,7 +36,10 @@
 // The content of a registration.
 struct RegisteredNode {
   std::string ip;
+  ZoneName zone;
   RegionName region;
+  // 0 when the registration does not name it.
+  InstanceId instance;
   NodeRole role = NodeRole::kGateway;
 };
 
@@ -53,6 +58,8 @@
   void Leave();
   // Prefix of the keys of all registrations.
   static std::string_view Prefix();
+  // The prefix of the keys of the registrations of one role in one region.
+  static std::string GroupPrefix(const RegionName& region, NodeRole role);
   // The IP address in the key of a registration; nothing for any other key.
   static std::optional<std::string> AddressOf(std::string_view key);
   // Parses a registration; nothing when it is malformed.
--- a/src/process/peer_exchange.cc
+++ b/src/process/peer_exchange.cc
@@ -16,7 +16,6 @@
 
 // The largest datagram that is received, in bytes.
 constexpr size_t kMaxDatagramBytes = 16384;
-constexpr size_t kMaxLiveAddresses = 256;
 
 std::string Encode(const wire::Beat& beat) {
   auto buffer = std::make_shared<TMemoryBuffer>();
@@ -144,21 +143,34 @@
                         const std::function<bool(const BeatPeer&)>& wanted) {
   this->RemoveSilentPeers();
   const std::string bytes = Encode(beat);
-  uv_buf_t buffer = uv_buf_init(const_cast<char*>(bytes.data()),
-                                static_cast<unsigned>(bytes.size()));
   for (const auto& [ip, peer] : this->known) {
-    if (!wanted({peer.beat.instance != 0, this->Near(peer),
-                 static_cast<NodeRole>(peer.beat.role)})) {
-      continue;
+    if (wanted({peer.beat.instance != 0, this->Near(peer),
+                static_cast<NodeRole>(peer.beat.role)})) {
+      this->SendBytes(bytes, ip);
     }
-    sockaddr_in address{};
-    uv_ip4_addr(ip.c_str(), this->options.port, &address);
-    // Failures are ignored: the next beat follows soon.
-    uv_udp_try_send(this->socket, &buffer, 1,
-                    reinterpret_cast<const sockaddr*>(&address));
   }
 }
 
+size_t PeerExchange::SendTo(const wire::Beat& beat,
+                            const std::vector<std::string>& ips) {
+  const std::string bytes = Encode(beat);
+  for (const std::string& ip : ips) {
+    this->SendBytes(bytes, ip);
+  }
+  return bytes.size();
+}
+
+void PeerExchange::SendBytes(const std::string& bytes, const std::string& ip) {
+  uv_buf_t buffer = uv_buf_init(const_cast<char*>(bytes.data()),
+                                static_cast<unsigned>(bytes.size()));
+  sockaddr_in address{};
+  uv_ip4_addr(ip.c_str(), this->options.port, &address);
+  // Failures are ignored: the next beat follows soon.
+  const int sent = uv_udp_try_send(this->socket, &buffer, 1,
+                                   reinterpret_cast<const sockaddr*>(&address));
+  this->total_bytes_sent += sent > 0 ? static_cast<uint64_t>(sent) : 0;
+}
+
 bool PeerExchange::Live(const Peer& peer) const {
   return peer.beat.instance != 0 &&
          this->loop.Now() - peer.heard <=
@@ -180,14 +192,24 @@
       }));
 }
 
-std::vector<std::string> PeerExchange::LiveAddresses() const {
-  std::vector<std::string> addresses;
+std::vector<std::string> PeerExchange::SampleNearAddresses(
+    size_t max_count,
+    Random& random) const {
+  std::vector<std::string> sample;
+  size_t seen = 0;
   for (const auto& [ip, peer] : this->known) {
-    if (this->Live(peer) && addresses.size() < kMaxLiveAddresses) {
-      addresses.push_back(ip);
+    if (!this->Near(peer) || !this->Live(peer)) {
+      continue;
+    }
+    // Reservoir sampling.
+    ++seen;
+    if (sample.size() < max_count) {
+      sample.push_back(ip);
+    } else if (const uint64_t slot = random.Below(seen); slot < max_count) {
+      sample[slot] = ip;
     }
   }
-  return addresses;
+  return sample;
 }
 
 }  // namespace celerypost
--- a/src/process/peer_exchange.h
+++ b/src/process/peer_exchange.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "celerypost/random.h"
 #include "celerypost/types.h"
 #include "messages_types.h"
 #include "src/connection/loop.h"
@@ -28,8 +29,8 @@
   // A peer of this region counts as dead when no beat of it has arrived for
   // this long. The limit spans several beats, since datagrams may be lost.
   std::chrono::milliseconds near_silence_limit{1500};
-  // The limit for peers of other regions, which send beats less often: twice
-  // their longest period.
+  // The limit for peers of other regions, which send beats only to a few
+  // processes of this one and less often.
   std::chrono::milliseconds far_silence_limit{4000};
   // A peer is removed, and is sent no more beats, when for this long it has
   // sent none and its address has not been added again.
@@ -67,6 +68,9 @@
   // Sends `beat` to every known peer for which `wanted` returns true.
   void Send(const wire::Beat& beat,
             const std::function<bool(const BeatPeer&)>& wanted);
+  // Sends `beat` to the processes on the VMs `ips`, known peers or not. Returns
+  // the size of the datagram in bytes.
+  size_t SendTo(const wire::Beat& beat, const std::vector<std::string>& ips);
   // Whether a beat of `peer` has arrived within the silence limit.
   bool Live(const Peer& peer) const;
   // Whether `peer` is in this process's region. True while its region is
@@ -75,12 +79,16 @@
   // Returns the number of live peers with `role` in this process's region.
   size_t CountNear(NodeRole role) const;
   const std::map<std::string, Peer>& peers() const { return this->known; }
-  // Returns the IP addresses of live peers, at most 256.
-  std::vector<std::string> LiveAddresses() const;
+  // Returns the IP addresses of live peers of this region: at most `max_count`,
+  // which are drawn at random.
+  std::vector<std::string> SampleNearAddresses(size_t max_count,
+                                               Random& random) const;
+  uint64_t bytes_sent() const { return this->total_bytes_sent; }
 
  private:
   void OnDatagram(const char* bytes, size_t length, const std::string& ip);
   void RemoveSilentPeers();
+  void SendBytes(const std::string& bytes, const std::string& ip);
 
   Loop& loop;
   Log& log;
@@ -91,6 +99,7 @@
   std::map<std::string, Peer> known;
   std::function<void(const Peer&)> on_beat;
   uint64_t malformed_datagrams = 0;
+  uint64_t total_bytes_sent = 0;
 };
 
 }  // namespace celerypost
--- a/src/process/state/beat_schedule.cc
+++ b/src/process/state/beat_schedule.cc
@@ -4,20 +4,26 @@
 
 namespace celerypost {
 
-bool ShouldSendGatewayBeat(const GatewayBeatOptions& options,
-                           uint64_t number,
-                           bool has_new_document,
-                           const BeatPeer& peer) {
+void GatewayBeats::Begin(bool has_new_document, TimePoint now) {
+  const auto due = [now](TimePoint& last, std::chrono::milliseconds period) {
+    if (now - last < period) {
+      return false;
+    }
+    last = now;
+    return true;
+  };
+  this->to_stagers = due(this->last_to_stagers, this->options.stager_period) ||
+                     has_new_document;
+  this->to_unheard = due(this->last_to_unheard, this->options.unheard_period);
+  this->with_addresses =
+      due(this->last_addresses, this->options.address_period);
+}
+
+bool GatewayBeats::ShouldSendTo(const BeatPeer& peer) const {
   if (!peer.heard) {
-    return number % options.unheard_period == 0;
-  }
-  if (peer.role == NodeRole::kGateway) {
-    return peer.near || number % options.far_gateway_period == 0;
+    return this->to_unheard;
   }
-  return (has_new_document && peer.near) ||
-         number % (peer.near ? options.near_stager_period
-                             : options.far_stager_period) ==
-             0;
+  return peer.near && (peer.role == NodeRole::kGateway || this->to_stagers);
 }
 
 std::chrono::milliseconds GatewayBeatPeriod(const GatewayBeatOptions& options,
@@ -29,22 +35,23 @@
 
 void StagerBeats::Begin(bool to_all, bool staging, TimePoint now) {
   this->to_all = to_all;
-  const auto interval_without_news =
-      staging ? this->options.far_staging : this->options.far_idle;
-  this->to_far_stagers =
-      now - this->last_far_beat >=
-      (this->has_far_news ? this->options.far_news : interval_without_news);
-  if (this->to_far_stagers) {
+  this->announced_far = staging && this->announced_far;
+  const auto interval =
+      this->has_far_news ? this->options.far_news : this->options.far_staging;
+  this->to_far_fetchers = (this->has_far_news || this->announced_far) &&
+                          now - this->last_far_beat >= interval;
+  if (this->to_far_fetchers) {
     this->last_far_beat = now;
     this->has_far_news = false;
+    this->announced_far = staging;
   }
 }
 
 bool StagerBeats::ShouldSendTo(const BeatPeer& peer) const {
   if (!peer.heard || peer.role == NodeRole::kGateway) {
-    return this->to_all;
+    return this->to_all && peer.near;
   }
-  return peer.near || this->to_far_stagers;
+  return peer.near;
 }
 
 std::chrono::milliseconds StagerBeats::MinGap(size_t near_stagers) const {
--- a/src/process/state/beat_schedule.h
+++ b/src/process/state/beat_schedule.h
@@ -20,28 +20,47 @@
   NodeRole role = NodeRole::kGateway;
 };
 
-// Periods are numbers of beats. Beats to other regions are sent less often, as
-// the links between regions also carry answers to callers and have the same
-// capacity for three VMs as for a hundred.
+// Beats go to processes of the sender's region; other regions get summaries
+// instead (RegionSummary), as the links between regions also carry answers and
+// have the same capacity for three VMs as for a hundred.
 struct GatewayBeatOptions {
-  uint64_t far_gateway_period = 5;
-  uint64_t near_stager_period = 10;
-  uint64_t far_stager_period = 20;
-  uint64_t unheard_period = 5;
-  // Beats that list the addresses of other processes.
-  uint64_t address_list_period = 10;
+  // Time between two beats to the stagers of the region and to peers that no
+  // beat was received from. Stagers take a gateway for dead when they have not
+  // heard it for longer (PeerExchangeOptions::near_silence_limit).
+  std::chrono::milliseconds stager_period{1000};
+  std::chrono::milliseconds unheard_period{500};
+  // Time between two beats that list addresses of other processes, and the
+  // number of addresses.
+  std::chrono::milliseconds address_period{1000};
+  size_t max_addresses = 16;
   // Number of near gateways above which the time between beats grows in
   // proportion to them.
   size_t full_rate_gateways = 12;
 };
 
-// Returns whether a gateway's beat with this number is sent to `peer`.
-// `has_new_document`: the sender has learned of a new operators' document since
-// its last beat; the stagers of its region learn of the document from this one.
-bool ShouldSendGatewayBeat(const GatewayBeatOptions& options,
-                           uint64_t number,
-                           bool has_new_document,
-                           const BeatPeer& peer);
+// Chooses the receivers of a gateway's beats.
+class GatewayBeats {
+ public:
+  explicit GatewayBeats(GatewayBeatOptions options) : options(options) {}
+
+  // Begins a beat. `has_new_document`: the sender has learned of a new
+  // operators' document since its last beat; the stagers of its region learn of
+  // the document from this one.
+  void Begin(bool has_new_document, TimePoint now);
+  // Returns whether the beat that was begun is sent to `peer`.
+  bool ShouldSendTo(const BeatPeer& peer) const;
+  // Whether the beat that was begun lists addresses.
+  bool lists_addresses() const { return this->with_addresses; }
+
+ private:
+  GatewayBeatOptions options;
+  bool to_stagers = false;
+  bool to_unheard = false;
+  bool with_addresses = false;
+  TimePoint last_to_stagers{};
+  TimePoint last_to_unheard{};
+  TimePoint last_addresses{};
+};
 
 // Returns the time between two beats of a gateway in a region with
 // `near_gateways` gateways, itself included. `period` is the time in a small
@@ -51,12 +70,11 @@
                                             size_t near_gateways);
 
 struct StagerBeatOptions {
-  // Minimum times between two beats to the stagers of other regions: with news
-  // for them (StagerBeats::NoteFarNews), while weights are being staged, and
-  // otherwise.
+  // Minimum times between two beats to stagers of other regions: with news for
+  // them (StagerBeats::NoteFarNews), and after that while weights are being
+  // staged, in case a datagram was lost.
   std::chrono::milliseconds far_news{100};
   std::chrono::milliseconds far_staging{500};
-  std::chrono::milliseconds far_idle{2000};
   // Minimum time between two beats, and the number of near stagers above which
   // it grows in proportion to them.
   std::chrono::milliseconds min_gap{60};
@@ -76,8 +94,12 @@
   // Begins a beat. `to_all`: the beat is also for gateways and unheard peers,
   // as it holds more than chunks. `staging`: weights are being staged.
   void Begin(bool to_all, bool staging, TimePoint now);
-  // Returns whether the beat that was begun is sent to `peer`.
+  // Returns whether the beat that was begun is sent to `peer`, which is not one
+  // of another region.
   bool ShouldSendTo(const BeatPeer& peer) const;
+  // Whether the beat that was begun is sent to the stagers of other regions
+  // that fetch across regions (AssignFetchRoles).
+  bool ReachesFarFetchers() const { return this->to_far_fetchers; }
   // Returns the minimum time between two beats with `near_stagers` stagers in
   // the region.
   std::chrono::milliseconds MinGap(size_t near_stagers) const;
@@ -86,7 +108,9 @@
   StagerBeatOptions options;
   bool has_far_news = false;
   bool to_all = false;
-  bool to_far_stagers = false;
+  bool to_far_fetchers = false;
+  // Whether other regions were told of a chunk since staging began.
+  bool announced_far = false;
   TimePoint last_far_beat{};
 };
 
--- a/src/process/state/cluster_view.cc
+++ b/src/process/state/cluster_view.cc
@@ -175,6 +175,12 @@
   }
 }
 
+bool ClusterView::ConcernsStagers(const std::string& key) const {
+  return key.starts_with(this->decoder.OperatorPrefix()) ||
+         (!this->options.registration_prefix.empty() &&
+          key.starts_with(this->options.registration_prefix));
+}
+
 bool ClusterView::ZoneIsOut(const ZoneName& zone) const {
   return std::any_of(this->zones_out.begin(), this->zones_out.end(),
                      [&](const auto& out) { return out.second == zone; });
@@ -214,8 +220,7 @@
   }
   const auto wanted = [&](const std::string& key, int64_t changed) {
     return (!delta.partial || changed > query.since) &&
-           (!query.for_stager ||
-            key.starts_with(this->decoder.OperatorPrefix()));
+           (!query.for_stager || this->ConcernsStagers(key));
   };
   for (const auto& [key, document] : this->documents) {
     if (wanted(key, document.mod_revision)) {
--- a/src/process/state/cluster_view.h
+++ b/src/process/state/cluster_view.h
@@ -30,6 +30,9 @@
   // Assumed age of the naming of a weight version that this process found in
   // its first snapshot, so that it did not see when operators named it.
   std::chrono::milliseconds assumed_naming_age{3000};
+  // Prefix of the keys under which this project's processes register. Stagers
+  // get them with the operators' documents. None when empty.
+  std::string registration_prefix;
 };
 
 // A target and the state of its registration.
@@ -81,7 +84,8 @@
   // The asking process knows all changes up to this revision.
   int64_t since = 0;
   // The asking process is a stager: it gets only the operators' documents,
-  // reduced by DocumentDecoder::ReduceForStagers.
+  // reduced by DocumentDecoder::ReduceForStagers, and the registrations of this
+  // project's processes.
   bool for_stager = false;
 };
 
@@ -122,6 +126,10 @@
     return this->known_targets;
   }
   bool ZoneIsOut(const ZoneName& zone) const;
+  // All documents as they are stored, by key.
+  const std::map<std::string, KeyValue>& stored() const {
+    return this->documents;
+  }
   // Null when no version has been named: targets then hold version 1.
   const KnownWeights* Weights(const std::string& model) const;
   int64_t revision() const { return this->newest_revision; }
@@ -147,6 +155,8 @@
                     TimePoint now);
 
   void NoteRevision(const std::string& key, int64_t revision);
+  // Whether stagers get the document with this key.
+  bool ConcernsStagers(const std::string& key) const;
   // Returns `document` as stagers get it.
   KeyValue Reduced(const KeyValue& document) const;
 
--- a/src/request/retry_budget.cc
+++ b/src/request/retry_budget.cc
@@ -14,21 +14,31 @@
 RetryBudget::RetryBudget(RetryBudgetOptions options, Random& random)
     : options(options), random(random), tokens(options.max_saved) {}
 
-void RetryBudget::OnSuccess() {
+void RetryBudget::Deposit() {
   this->tokens =
       std::min(this->tokens + this->options.share, this->options.max_saved);
 }
 
+void RetryBudget::SetMaxSaved(double max_saved) {
+  this->options.max_saved = max_saved;
+  this->tokens = std::min(this->tokens, max_saved);
+}
+
 std::optional<std::chrono::milliseconds> RetryBudget::MayRetry(
     Verdict verdict,
     bool idempotent,
     uint32_t attempt,
     TimePoint deadline,
-    TimePoint now) {
+    TimePoint now,
+    RetryPriority priority) {
   const bool repeatable = verdict == Verdict::kNotRun ||
                           (verdict == Verdict::kMayHaveRun && idempotent);
+  const double reserved =
+      priority == RetryPriority::kStarted
+          ? 0
+          : this->options.reserved_share * this->options.max_saved;
   if (!repeatable || attempt >= this->options.max_attempts ||
-      this->tokens < kOneRetry) {
+      this->tokens < kOneRetry + reserved) {
     return std::nullopt;
   }
   const uint32_t doublings = std::min(attempt > 0 ? attempt - 1 : 0, 20u);
@@ -43,4 +53,16 @@
   return delay;
 }
 
+RetryBudget& ServiceRetryBudgets::For(const ServiceName& service) {
+  return this->budgets.try_emplace(service, this->options, this->random)
+      .first->second;
+}
+
+void ServiceRetryBudgets::SetMaxSaved(double max_saved) {
+  this->options.max_saved = max_saved;
+  for (auto& [service, budget] : this->budgets) {
+    budget.SetMaxSaved(max_saved);
+  }
+}
+
 }  // namespace celerypost
--- a/src/request/target_tracker.cc
+++ b/src/request/target_tracker.cc
@@ -85,13 +85,26 @@
 }
 
 void TargetTracker::OnReport(InstanceId instance,
-                             std::vector<ReportedLoad> loads,
+                             const std::vector<ReportedLoad>& loads,
                              std::chrono::milliseconds period,
                              TimePoint now) {
-  Report& report = this->reports[instance];
-  report.expires_at = now + period * this->options.max_missed_reports;
+  SetReport(this->reports[instance], loads,
+            now + period * this->options.max_missed_reports);
+}
+
+void TargetTracker::OnRegionReport(const RegionName& region,
+                                   const std::vector<ReportedLoad>& loads,
+                                   std::chrono::milliseconds lifetime,
+                                   TimePoint now) {
+  SetReport(this->region_reports[region], loads, now + lifetime);
+}
+
+void TargetTracker::SetReport(Report& report,
+                              const std::vector<ReportedLoad>& loads,
+                              TimePoint expires_at) {
+  report.expires_at = expires_at;
   report.loads.clear();
-  for (ReportedLoad& load : loads) {
+  for (const ReportedLoad& load : loads) {
     report.loads[load.target_hash] = load;
   }
 }
@@ -109,19 +122,49 @@
     load.waiting_tokens = own->second.waiting_tokens;
   }
   const uint64_t hash = HashOf(target);
-  for (const auto& [instance, report] : this->reports) {
-    if (now > report.expires_at) {
-      continue;
-    }
+  const auto add = [&](const Report& report) {
     const auto found = report.loads.find(hash);
-    if (found != report.loads.end()) {
+    if (now <= report.expires_at && found != report.loads.end()) {
       load.in_flight += found->second.in_flight;
       load.waiting_tokens += found->second.waiting_tokens;
     }
+  };
+  for (const auto& [instance, report] : this->reports) {
+    add(report);
+  }
+  for (const auto& [region, report] : this->region_reports) {
+    add(report);
   }
   return load;
 }
 
+std::vector<ReportedLoad> TargetTracker::CombinedLoads(TimePoint now) const {
+  std::unordered_map<uint64_t, ReportedLoad> sums;
+  const auto add = [&sums](const ReportedLoad& load) {
+    ReportedLoad& sum = sums[load.target_hash];
+    sum.target_hash = load.target_hash;
+    sum.in_flight += load.in_flight;
+    sum.waiting_tokens += load.waiting_tokens;
+  };
+  for (const ReportedLoad& load : this->OwnLoads()) {
+    add(load);
+  }
+  for (const auto& [instance, report] : this->reports) {
+    if (now > report.expires_at) {
+      continue;
+    }
+    for (const auto& [hash, load] : report.loads) {
+      add(load);
+    }
+  }
+  std::vector<ReportedLoad> combined;
+  combined.reserve(sums.size());
+  for (const auto& [hash, sum] : sums) {
+    combined.push_back(sum);
+  }
+  return combined;
+}
+
 std::vector<ReportedLoad> TargetTracker::OwnLoads() const {
   std::vector<ReportedLoad> loads;
   for (const auto& [target, record] : this->records) {
--- a/src/request/target_tracker.h
+++ b/src/request/target_tracker.h
@@ -81,16 +81,25 @@
   // Replaces the load reported by the gateway `instance`, which reports every
   // `period`.
   void OnReport(InstanceId instance,
-                std::vector<ReportedLoad> loads,
+                const std::vector<ReportedLoad>& loads,
                 std::chrono::milliseconds period,
                 TimePoint now);
   void ForgetReporter(InstanceId instance);
+  // Replaces the load from all gateways of another region, which holds for
+  // `lifetime`.
+  void OnRegionReport(const RegionName& region,
+                      const std::vector<ReportedLoad>& loads,
+                      std::chrono::milliseconds lifetime,
+                      TimePoint now);
 
   // Returns the load at `target` from this gateway's requests and from reports
   // that have not expired.
   EngineLoad LoadOf(const std::string& target, TimePoint now) const;
   // Returns this gateway's requests in progress, to report to other gateways.
   std::vector<ReportedLoad> OwnLoads() const;
+  // Returns the requests in progress of this gateway and of those whose reports
+  // came with OnReport and have not expired, to report to other regions.
+  std::vector<ReportedLoad> CombinedLoads(TimePoint now) const;
   // Returns the number of requests that this gateway sent to `target` within
   // the last second.
   size_t SentInLastSecond(const std::string& target, TimePoint now) const;
@@ -115,9 +124,14 @@
     std::unordered_map<uint64_t, ReportedLoad> loads;
   };
 
+  static void SetReport(Report& report,
+                        const std::vector<ReportedLoad>& loads,
+                        TimePoint expires_at);
+
   TargetTrackerOptions options;
   std::unordered_map<std::string, Record> records;
   std::unordered_map<InstanceId, Report> reports;
+  std::map<RegionName, Report> region_reports;
 };
 
 }  // namespace celerypost
--- a/src/request/task/forward_task.cc
+++ b/src/request/task/forward_task.cc
@@ -304,7 +304,7 @@
   this->connection.reset();
   if (end.error < 0) {
     this->context.counters.answered.Add();
-    this->context.budget.OnSuccess();
+    this->context.budget.Deposit();
     this->context.counters.total.Observe(this->context.scheduler.Now() -
                                          this->started);
     this->responder->End();
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -4005,6 +4005,613 @@
 }
 
 
+RegionGateway::~RegionGateway() noexcept {
+}
+
+
+void RegionGateway::__set_ip(const std::string& val) {
+  this->ip = val;
+}
+
+void RegionGateway::__set_caller_address(const std::string& val) {
+  this->caller_address = val;
+}
+
+void RegionGateway::__set_state(const int32_t val) {
+  this->state = val;
+}
+std::ostream& operator<<(std::ostream& out, const RegionGateway& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RegionGateway::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->ip);
+          this->__isset.ip = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->caller_address);
+          this->__isset.caller_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RegionGateway::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RegionGateway");
+
+  xfer += oprot->writeFieldBegin("ip", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->ip);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("caller_address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->caller_address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RegionGateway &a, RegionGateway &b) {
+  using ::std::swap;
+  swap(a.ip, b.ip);
+  swap(a.caller_address, b.caller_address);
+  swap(a.state, b.state);
+  swap(a.__isset, b.__isset);
+}
+
+RegionGateway::RegionGateway(const RegionGateway& other110) {
+  ip = other110.ip;
+  caller_address = other110.caller_address;
+  state = other110.state;
+  __isset = other110.__isset;
+}
+RegionGateway::RegionGateway(RegionGateway&& other111) noexcept {
+  ip = std::move(other111.ip);
+  caller_address = std::move(other111.caller_address);
+  state = other111.state;
+  __isset = other111.__isset;
+}
+RegionGateway& RegionGateway::operator=(const RegionGateway& other112) {
+  ip = other112.ip;
+  caller_address = other112.caller_address;
+  state = other112.state;
+  __isset = other112.__isset;
+  return *this;
+}
+RegionGateway& RegionGateway::operator=(RegionGateway&& other113) noexcept {
+  ip = std::move(other113.ip);
+  caller_address = std::move(other113.caller_address);
+  state = other113.state;
+  __isset = other113.__isset;
+  return *this;
+}
+void RegionGateway::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RegionGateway(";
+  out << "ip=" << to_string(ip);
+  out << ", " << "caller_address=" << to_string(caller_address);
+  out << ", " << "state=" << to_string(state);
+  out << ")";
+}
+
+
+RegionTarget::~RegionTarget() noexcept {
+}
+
+
+void RegionTarget::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void RegionTarget::__set_serving_version(const int64_t val) {
+  this->serving_version = val;
+}
+
+void RegionTarget::__set_loading(const bool val) {
+  this->loading = val;
+}
+
+void RegionTarget::__set_loads_in_ms(const int32_t val) {
+  this->loads_in_ms = val;
+__isset.loads_in_ms = true;
+}
+std::ostream& operator<<(std::ostream& out, const RegionTarget& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RegionTarget::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serving_version);
+          this->__isset.serving_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->loading);
+          this->__isset.loading = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->loads_in_ms);
+          this->__isset.loads_in_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RegionTarget::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RegionTarget");
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serving_version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->serving_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loading", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->loading);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.loads_in_ms) {
+    xfer += oprot->writeFieldBegin("loads_in_ms", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->loads_in_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RegionTarget &a, RegionTarget &b) {
+  using ::std::swap;
+  swap(a.address, b.address);
+  swap(a.serving_version, b.serving_version);
+  swap(a.loading, b.loading);
+  swap(a.loads_in_ms, b.loads_in_ms);
+  swap(a.__isset, b.__isset);
+}
+
+RegionTarget::RegionTarget(const RegionTarget& other114) {
+  address = other114.address;
+  serving_version = other114.serving_version;
+  loading = other114.loading;
+  loads_in_ms = other114.loads_in_ms;
+  __isset = other114.__isset;
+}
+RegionTarget::RegionTarget(RegionTarget&& other115) noexcept {
+  address = std::move(other115.address);
+  serving_version = other115.serving_version;
+  loading = other115.loading;
+  loads_in_ms = other115.loads_in_ms;
+  __isset = other115.__isset;
+}
+RegionTarget& RegionTarget::operator=(const RegionTarget& other116) {
+  address = other116.address;
+  serving_version = other116.serving_version;
+  loading = other116.loading;
+  loads_in_ms = other116.loads_in_ms;
+  __isset = other116.__isset;
+  return *this;
+}
+RegionTarget& RegionTarget::operator=(RegionTarget&& other117) noexcept {
+  address = std::move(other117.address);
+  serving_version = other117.serving_version;
+  loading = other117.loading;
+  loads_in_ms = other117.loads_in_ms;
+  __isset = other117.__isset;
+  return *this;
+}
+void RegionTarget::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RegionTarget(";
+  out << "address=" << to_string(address);
+  out << ", " << "serving_version=" << to_string(serving_version);
+  out << ", " << "loading=" << to_string(loading);
+  out << ", " << "loads_in_ms="; (__isset.loads_in_ms ? (out << to_string(loads_in_ms)) : (out << "<null>"));
+  out << ")";
+}
+
+
+RegionSummary::~RegionSummary() noexcept {
+}
+
+
+void RegionSummary::__set_region(const std::string& val) {
+  this->region = val;
+}
+
+void RegionSummary::__set_ip(const std::string& val) {
+  this->ip = val;
+}
+
+void RegionSummary::__set_gateways(const std::vector<RegionGateway> & val) {
+  this->gateways = val;
+}
+
+void RegionSummary::__set_targets(const std::vector<RegionTarget> & val) {
+  this->targets = val;
+}
+
+void RegionSummary::__set_loads(const std::vector<TargetLoad> & val) {
+  this->loads = val;
+}
+
+void RegionSummary::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void RegionSummary::__set_operator_revision(const int64_t val) {
+  this->operator_revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const RegionSummary& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RegionSummary::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->region);
+          this->__isset.region = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->ip);
+          this->__isset.ip = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->gateways.clear();
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->gateways.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
+            {
+              xfer += this->gateways[_i122].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.gateways = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->targets.clear();
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->targets.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
+            {
+              xfer += this->targets[_i127].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->loads.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
+            {
+              xfer += this->loads[_i132].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operator_revision);
+          this->__isset.operator_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RegionSummary::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RegionSummary");
+
+  xfer += oprot->writeFieldBegin("region", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->region);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ip", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->ip);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gateways.size()));
+    std::vector<RegionGateway> ::const_iterator _iter133;
+    for (_iter133 = this->gateways.begin(); _iter133 != this->gateways.end(); ++_iter133)
+    {
+      xfer += (*_iter133).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
+    std::vector<RegionTarget> ::const_iterator _iter134;
+    for (_iter134 = this->targets.begin(); _iter134 != this->targets.end(); ++_iter134)
+    {
+      xfer += (*_iter134).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<TargetLoad> ::const_iterator _iter135;
+    for (_iter135 = this->loads.begin(); _iter135 != this->loads.end(); ++_iter135)
+    {
+      xfer += (*_iter135).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("operator_revision", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->operator_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RegionSummary &a, RegionSummary &b) {
+  using ::std::swap;
+  swap(a.region, b.region);
+  swap(a.ip, b.ip);
+  swap(a.gateways, b.gateways);
+  swap(a.targets, b.targets);
+  swap(a.loads, b.loads);
+  swap(a.revision, b.revision);
+  swap(a.operator_revision, b.operator_revision);
+  swap(a.__isset, b.__isset);
+}
+
+RegionSummary::RegionSummary(const RegionSummary& other136) {
+  region = other136.region;
+  ip = other136.ip;
+  gateways = other136.gateways;
+  targets = other136.targets;
+  loads = other136.loads;
+  revision = other136.revision;
+  operator_revision = other136.operator_revision;
+  __isset = other136.__isset;
+}
+RegionSummary::RegionSummary(RegionSummary&& other137) noexcept {
+  region = std::move(other137.region);
+  ip = std::move(other137.ip);
+  gateways = std::move(other137.gateways);
+  targets = std::move(other137.targets);
+  loads = std::move(other137.loads);
+  revision = other137.revision;
+  operator_revision = other137.operator_revision;
+  __isset = other137.__isset;
+}
+RegionSummary& RegionSummary::operator=(const RegionSummary& other138) {
+  region = other138.region;
+  ip = other138.ip;
+  gateways = other138.gateways;
+  targets = other138.targets;
+  loads = other138.loads;
+  revision = other138.revision;
+  operator_revision = other138.operator_revision;
+  __isset = other138.__isset;
+  return *this;
+}
+RegionSummary& RegionSummary::operator=(RegionSummary&& other139) noexcept {
+  region = std::move(other139.region);
+  ip = std::move(other139.ip);
+  gateways = std::move(other139.gateways);
+  targets = std::move(other139.targets);
+  loads = std::move(other139.loads);
+  revision = other139.revision;
+  operator_revision = other139.operator_revision;
+  __isset = other139.__isset;
+  return *this;
+}
+void RegionSummary::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RegionSummary(";
+  out << "region=" << to_string(region);
+  out << ", " << "ip=" << to_string(ip);
+  out << ", " << "gateways=" << to_string(gateways);
+  out << ", " << "targets=" << to_string(targets);
+  out << ", " << "loads=" << to_string(loads);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "operator_revision=" << to_string(operator_revision);
+  out << ")";
+}
+
+
 Beat::~Beat() noexcept {
 }
 
@@ -4093,6 +4700,10 @@
 void Beat::__set_digests_version(const int64_t val) {
   this->digests_version = val;
 }
+
+void Beat::__set_summaries(const std::vector<RegionSummary> & val) {
+  this->summaries = val;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -4189,14 +4800,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->loads.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->loads.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += this->loads[_i114].read(iprot);
+              xfer += this->loads[_i144].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4209,14 +4820,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size115;
-            ::apache::thrift::protocol::TType _etype118;
-            xfer += iprot->readListBegin(_etype118, _size115);
-            this->known.resize(_size115);
-            uint32_t _i119;
-            for (_i119 = 0; _i119 < _size115; ++_i119)
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->known.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
             {
-              xfer += iprot->readString(this->known[_i119]);
+              xfer += iprot->readString(this->known[_i149]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4313,6 +4924,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->summaries.clear();
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->summaries.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
+            {
+              xfer += this->summaries[_i154].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.summaries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4365,10 +4996,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<TargetLoad> ::const_iterator _iter120;
-    for (_iter120 = this->loads.begin(); _iter120 != this->loads.end(); ++_iter120)
+    std::vector<TargetLoad> ::const_iterator _iter155;
+    for (_iter155 = this->loads.begin(); _iter155 != this->loads.end(); ++_iter155)
     {
-      xfer += (*_iter120).write(oprot);
+      xfer += (*_iter155).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4377,10 +5008,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter121;
-    for (_iter121 = this->known.begin(); _iter121 != this->known.end(); ++_iter121)
+    std::vector<std::string> ::const_iterator _iter156;
+    for (_iter156 = this->known.begin(); _iter156 != this->known.end(); ++_iter156)
     {
-      xfer += oprot->writeString((*_iter121));
+      xfer += oprot->writeString((*_iter156));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4431,6 +5062,18 @@
   xfer += oprot->writeI64(this->digests_version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 22);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
+    std::vector<RegionSummary> ::const_iterator _iter157;
+    for (_iter157 = this->summaries.begin(); _iter157 != this->summaries.end(); ++_iter157)
+    {
+      xfer += (*_iter157).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4459,105 +5102,110 @@
   swap(a.operator_revision, b.operator_revision);
   swap(a.store_answers, b.store_answers);
   swap(a.digests_version, b.digests_version);
+  swap(a.summaries, b.summaries);
   swap(a.__isset, b.__isset);
 }
 
-Beat::Beat(const Beat& other122) {
-  instance = other122.instance;
-  role = other122.role;
-  ip = other122.ip;
-  zone = other122.zone;
-  region = other122.region;
-  caller_address = other122.caller_address;
-  state = other122.state;
-  revision = other122.revision;
-  loads = other122.loads;
-  known = other122.known;
-  target_address = other122.target_address;
-  model = other122.model;
-  staged_version = other122.staged_version;
-  held_chunks = other122.held_chunks;
-  serving_version = other122.serving_version;
-  loading = other122.loading;
-  fetching = other122.fetching;
-  loads_in_ms = other122.loads_in_ms;
-  operator_revision = other122.operator_revision;
-  store_answers = other122.store_answers;
-  digests_version = other122.digests_version;
-  __isset = other122.__isset;
-}
-Beat::Beat(Beat&& other123) noexcept {
-  instance = other123.instance;
-  role = other123.role;
-  ip = std::move(other123.ip);
-  zone = std::move(other123.zone);
-  region = std::move(other123.region);
-  caller_address = std::move(other123.caller_address);
-  state = other123.state;
-  revision = other123.revision;
-  loads = std::move(other123.loads);
-  known = std::move(other123.known);
-  target_address = std::move(other123.target_address);
-  model = std::move(other123.model);
-  staged_version = other123.staged_version;
-  held_chunks = std::move(other123.held_chunks);
-  serving_version = other123.serving_version;
-  loading = other123.loading;
-  fetching = std::move(other123.fetching);
-  loads_in_ms = other123.loads_in_ms;
-  operator_revision = other123.operator_revision;
-  store_answers = other123.store_answers;
-  digests_version = other123.digests_version;
-  __isset = other123.__isset;
-}
-Beat& Beat::operator=(const Beat& other124) {
-  instance = other124.instance;
-  role = other124.role;
-  ip = other124.ip;
-  zone = other124.zone;
-  region = other124.region;
-  caller_address = other124.caller_address;
-  state = other124.state;
-  revision = other124.revision;
-  loads = other124.loads;
-  known = other124.known;
-  target_address = other124.target_address;
-  model = other124.model;
-  staged_version = other124.staged_version;
-  held_chunks = other124.held_chunks;
-  serving_version = other124.serving_version;
-  loading = other124.loading;
-  fetching = other124.fetching;
-  loads_in_ms = other124.loads_in_ms;
-  operator_revision = other124.operator_revision;
-  store_answers = other124.store_answers;
-  digests_version = other124.digests_version;
-  __isset = other124.__isset;
+Beat::Beat(const Beat& other158) {
+  instance = other158.instance;
+  role = other158.role;
+  ip = other158.ip;
+  zone = other158.zone;
+  region = other158.region;
+  caller_address = other158.caller_address;
+  state = other158.state;
+  revision = other158.revision;
+  loads = other158.loads;
+  known = other158.known;
+  target_address = other158.target_address;
+  model = other158.model;
+  staged_version = other158.staged_version;
+  held_chunks = other158.held_chunks;
+  serving_version = other158.serving_version;
+  loading = other158.loading;
+  fetching = other158.fetching;
+  loads_in_ms = other158.loads_in_ms;
+  operator_revision = other158.operator_revision;
+  store_answers = other158.store_answers;
+  digests_version = other158.digests_version;
+  summaries = other158.summaries;
+  __isset = other158.__isset;
+}
+Beat::Beat(Beat&& other159) noexcept {
+  instance = other159.instance;
+  role = other159.role;
+  ip = std::move(other159.ip);
+  zone = std::move(other159.zone);
+  region = std::move(other159.region);
+  caller_address = std::move(other159.caller_address);
+  state = other159.state;
+  revision = other159.revision;
+  loads = std::move(other159.loads);
+  known = std::move(other159.known);
+  target_address = std::move(other159.target_address);
+  model = std::move(other159.model);
+  staged_version = other159.staged_version;
+  held_chunks = std::move(other159.held_chunks);
+  serving_version = other159.serving_version;
+  loading = other159.loading;
+  fetching = std::move(other159.fetching);
+  loads_in_ms = other159.loads_in_ms;
+  operator_revision = other159.operator_revision;
+  store_answers = other159.store_answers;
+  digests_version = other159.digests_version;
+  summaries = std::move(other159.summaries);
+  __isset = other159.__isset;
+}
+Beat& Beat::operator=(const Beat& other160) {
+  instance = other160.instance;
+  role = other160.role;
+  ip = other160.ip;
+  zone = other160.zone;
+  region = other160.region;
+  caller_address = other160.caller_address;
+  state = other160.state;
+  revision = other160.revision;
+  loads = other160.loads;
+  known = other160.known;
+  target_address = other160.target_address;
+  model = other160.model;
+  staged_version = other160.staged_version;
+  held_chunks = other160.held_chunks;
+  serving_version = other160.serving_version;
+  loading = other160.loading;
+  fetching = other160.fetching;
+  loads_in_ms = other160.loads_in_ms;
+  operator_revision = other160.operator_revision;
+  store_answers = other160.store_answers;
+  digests_version = other160.digests_version;
+  summaries = other160.summaries;
+  __isset = other160.__isset;
   return *this;
 }
-Beat& Beat::operator=(Beat&& other125) noexcept {
-  instance = other125.instance;
-  role = other125.role;
-  ip = std::move(other125.ip);
-  zone = std::move(other125.zone);
-  region = std::move(other125.region);
-  caller_address = std::move(other125.caller_address);
-  state = other125.state;
-  revision = other125.revision;
-  loads = std::move(other125.loads);
-  known = std::move(other125.known);
-  target_address = std::move(other125.target_address);
-  model = std::move(other125.model);
-  staged_version = other125.staged_version;
-  held_chunks = std::move(other125.held_chunks);
-  serving_version = other125.serving_version;
-  loading = other125.loading;
-  fetching = std::move(other125.fetching);
-  loads_in_ms = other125.loads_in_ms;
-  operator_revision = other125.operator_revision;
-  store_answers = other125.store_answers;
-  digests_version = other125.digests_version;
-  __isset = other125.__isset;
+Beat& Beat::operator=(Beat&& other161) noexcept {
+  instance = other161.instance;
+  role = other161.role;
+  ip = std::move(other161.ip);
+  zone = std::move(other161.zone);
+  region = std::move(other161.region);
+  caller_address = std::move(other161.caller_address);
+  state = other161.state;
+  revision = other161.revision;
+  loads = std::move(other161.loads);
+  known = std::move(other161.known);
+  target_address = std::move(other161.target_address);
+  model = std::move(other161.model);
+  staged_version = other161.staged_version;
+  held_chunks = std::move(other161.held_chunks);
+  serving_version = other161.serving_version;
+  loading = other161.loading;
+  fetching = std::move(other161.fetching);
+  loads_in_ms = other161.loads_in_ms;
+  operator_revision = other161.operator_revision;
+  store_answers = other161.store_answers;
+  digests_version = other161.digests_version;
+  summaries = std::move(other161.summaries);
+  __isset = other161.__isset;
   return *this;
 }
 void Beat::printTo(std::ostream& out) const {
@@ -4584,6 +5232,7 @@
   out << ", " << "operator_revision=" << to_string(operator_revision);
   out << ", " << "store_answers=" << to_string(store_answers);
   out << ", " << "digests_version=" << to_string(digests_version);
+  out << ", " << "summaries=" << to_string(summaries);
   out << ")";
 }
 
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -106,6 +106,12 @@
 
 class TargetLoad;
 
+class RegionGateway;
+
+class RegionTarget;
+
+class RegionSummary;
+
 class Beat;
 
 typedef struct _Header__isset {
@@ -1594,8 +1600,219 @@
 
 std::ostream& operator<<(std::ostream& out, const TargetLoad& obj);
 
+typedef struct _RegionGateway__isset {
+  _RegionGateway__isset() : ip(false), caller_address(false), state(false) {}
+  bool ip :1;
+  bool caller_address :1;
+  bool state :1;
+} _RegionGateway__isset;
+
+class RegionGateway : public virtual ::apache::thrift::TBase {
+ public:
+
+  RegionGateway(const RegionGateway&);
+  RegionGateway(RegionGateway&&) noexcept;
+  RegionGateway& operator=(const RegionGateway&);
+  RegionGateway& operator=(RegionGateway&&) noexcept;
+  RegionGateway() noexcept
+                : ip(),
+                  caller_address(),
+                  state(0) {
+  }
+
+  virtual ~RegionGateway() noexcept;
+  std::string ip;
+  std::string caller_address;
+  int32_t state;
+
+  _RegionGateway__isset __isset;
+
+  void __set_ip(const std::string& val);
+
+  void __set_caller_address(const std::string& val);
+
+  void __set_state(const int32_t val);
+
+  bool operator == (const RegionGateway & rhs) const
+  {
+    if (!(ip == rhs.ip))
+      return false;
+    if (!(caller_address == rhs.caller_address))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    return true;
+  }
+  bool operator != (const RegionGateway &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RegionGateway & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RegionGateway &a, RegionGateway &b);
+
+std::ostream& operator<<(std::ostream& out, const RegionGateway& obj);
+
+typedef struct _RegionTarget__isset {
+  _RegionTarget__isset() : address(false), serving_version(false), loading(false), loads_in_ms(false) {}
+  bool address :1;
+  bool serving_version :1;
+  bool loading :1;
+  bool loads_in_ms :1;
+} _RegionTarget__isset;
+
+class RegionTarget : public virtual ::apache::thrift::TBase {
+ public:
+
+  RegionTarget(const RegionTarget&);
+  RegionTarget(RegionTarget&&) noexcept;
+  RegionTarget& operator=(const RegionTarget&);
+  RegionTarget& operator=(RegionTarget&&) noexcept;
+  RegionTarget() noexcept
+               : address(),
+                 serving_version(0),
+                 loading(0),
+                 loads_in_ms(0) {
+  }
+
+  virtual ~RegionTarget() noexcept;
+  std::string address;
+  int64_t serving_version;
+  bool loading;
+  int32_t loads_in_ms;
+
+  _RegionTarget__isset __isset;
+
+  void __set_address(const std::string& val);
+
+  void __set_serving_version(const int64_t val);
+
+  void __set_loading(const bool val);
+
+  void __set_loads_in_ms(const int32_t val);
+
+  bool operator == (const RegionTarget & rhs) const
+  {
+    if (!(address == rhs.address))
+      return false;
+    if (!(serving_version == rhs.serving_version))
+      return false;
+    if (!(loading == rhs.loading))
+      return false;
+    if (__isset.loads_in_ms != rhs.__isset.loads_in_ms)
+      return false;
+    else if (__isset.loads_in_ms && !(loads_in_ms == rhs.loads_in_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const RegionTarget &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RegionTarget & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RegionTarget &a, RegionTarget &b);
+
+std::ostream& operator<<(std::ostream& out, const RegionTarget& obj);
+
+typedef struct _RegionSummary__isset {
+  _RegionSummary__isset() : region(false), ip(false), gateways(false), targets(false), loads(false), revision(false), operator_revision(false) {}
+  bool region :1;
+  bool ip :1;
+  bool gateways :1;
+  bool targets :1;
+  bool loads :1;
+  bool revision :1;
+  bool operator_revision :1;
+} _RegionSummary__isset;
+
+class RegionSummary : public virtual ::apache::thrift::TBase {
+ public:
+
+  RegionSummary(const RegionSummary&);
+  RegionSummary(RegionSummary&&) noexcept;
+  RegionSummary& operator=(const RegionSummary&);
+  RegionSummary& operator=(RegionSummary&&) noexcept;
+  RegionSummary() noexcept
+                : region(),
+                  ip(),
+                  revision(0),
+                  operator_revision(0) {
+  }
+
+  virtual ~RegionSummary() noexcept;
+  std::string region;
+  std::string ip;
+  std::vector<RegionGateway>  gateways;
+  std::vector<RegionTarget>  targets;
+  std::vector<TargetLoad>  loads;
+  int64_t revision;
+  int64_t operator_revision;
+
+  _RegionSummary__isset __isset;
+
+  void __set_region(const std::string& val);
+
+  void __set_ip(const std::string& val);
+
+  void __set_gateways(const std::vector<RegionGateway> & val);
+
+  void __set_targets(const std::vector<RegionTarget> & val);
+
+  void __set_loads(const std::vector<TargetLoad> & val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_operator_revision(const int64_t val);
+
+  bool operator == (const RegionSummary & rhs) const
+  {
+    if (!(region == rhs.region))
+      return false;
+    if (!(ip == rhs.ip))
+      return false;
+    if (!(gateways == rhs.gateways))
+      return false;
+    if (!(targets == rhs.targets))
+      return false;
+    if (!(loads == rhs.loads))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(operator_revision == rhs.operator_revision))
+      return false;
+    return true;
+  }
+  bool operator != (const RegionSummary &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RegionSummary & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RegionSummary &a, RegionSummary &b);
+
+std::ostream& operator<<(std::ostream& out, const RegionSummary& obj);
+
 typedef struct _Beat__isset {
-  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false) {}
+  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false) {}
   bool instance :1;
   bool role :1;
   bool ip :1;
@@ -1617,6 +1834,7 @@
   bool operator_revision :1;
   bool store_answers :1;
   bool digests_version :1;
+  bool summaries :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -1670,6 +1888,7 @@
   int64_t operator_revision;
   bool store_answers;
   int64_t digests_version;
+  std::vector<RegionSummary>  summaries;
 
   _Beat__isset __isset;
 
@@ -1715,6 +1934,8 @@
 
   void __set_digests_version(const int64_t val);
 
+  void __set_summaries(const std::vector<RegionSummary> & val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -1761,6 +1982,8 @@
       return false;
     if (!(digests_version == rhs.digests_version))
       return false;
+    if (!(summaries == rhs.summaries))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -219,6 +219,37 @@
   3: i32 waiting_tokens
 }
 
+// A gateway as other regions know it.
+struct RegionGateway {
+  1: string ip
+  // Where callers connect.
+  2: string caller_address
+  // celerypost::NodeState as a number.
+  3: i32 state
+}
+
+// A model target as other regions know it.
+struct RegionTarget {
+  1: string address
+  2: i64 serving_version
+  3: bool loading
+  // Time until the target is to be ordered to load; absent when it is not.
+  4: optional i32 loads_in_ms
+}
+
+// What one gateway knows of its region, for the gateways of other regions.
+struct RegionSummary {
+  1: string region
+  // The gateway that made the summary, which serves documents.
+  2: string ip
+  3: list<RegionGateway> gateways
+  4: list<RegionTarget> targets
+  // Requests of all gateways of the region, by target.
+  5: list<TargetLoad> loads
+  6: i64 revision
+  7: i64 operator_revision
+}
+
 // Sent as one datagram, without Header, between processes on the users'
 // platform.
 struct Beat {
@@ -256,4 +287,7 @@
   20: bool store_answers
   // Stagers: the version whose digests the sender hands out, 0 for none.
   21: i64 digests_version
+  // Gateways: summaries of regions. To another region: that of the sender's; to
+  // the sender's own region: those that arrived from others.
+  22: list<RegionSummary> summaries
 }
--- a/src/version/claim_strategy.cc
+++ b/src/version/claim_strategy.cc
@@ -17,11 +17,11 @@
       this->chunks.assign(view.chunks->size(), ChunkState{0, 0, now, now});
     }
     this->region = view.self_region;
-    const std::vector<InstanceId> fetchers = this->ChooseOriginFetchers(view);
-    this->asks_origin = std::find(fetchers.begin(), fetchers.end(),
-                                  view.self) != fetchers.end();
+    const FetchRoles roles = this->AssignRoles(view);
+    this->asks_origin = roles.origin_fetchers.contains(view.self);
+    this->imports = roles.importers.contains(view.self);
     for (size_t i = 0; i < this->chunks.size(); ++i) {
-      this->Rank(view, fetchers, (*view.chunks)[i].digest, this->chunks[i]);
+      Rank(view, roles, (*view.chunks)[i].digest, this->chunks[i]);
     }
   }
 
@@ -48,7 +48,7 @@
       const bool delay_over =
           now >= state.elsewhere_since +
                      this->options.delay_per_rank * state.region_rank;
-      return delay_over && chunk.cross_regions
+      return this->imports && delay_over && chunk.cross_regions
                  ? this->PickLeastBusy(chunk.usable, false, random)
                  : std::nullopt;
     }
@@ -64,37 +64,27 @@
  private:
   struct ChunkState {
     // Number of agents that rank before this one for the chunk, among those
-    // that fetch from the origin and among those of this region.
+    // that fetch from the origin and among the importers of this region.
     uint32_t rank = 0;
     uint32_t region_rank = 0;
     TimePoint missing_since{};
     TimePoint elsewhere_since{};
   };
 
-  // Returns the agents that fetch from the origin. Agents with the same members
-  // in view choose the same ones; the choice differs from set to set.
-  std::vector<InstanceId> ChooseOriginFetchers(const SwarmView& view) const {
-    std::vector<InstanceId> agents{view.self};
+  FetchRoles AssignRoles(const SwarmView& view) const {
+    std::vector<FetchMember> members{{view.self, view.self_region}};
     for (const SwarmMember& member : view.members) {
       if (member.instance != view.self) {
-        agents.push_back(member.instance);
+        members.push_back({member.instance, member.region});
       }
     }
-    if (view.chunks->empty()) {
-      return agents;
-    }
-    const Digest& key = view.chunks->front().digest;
-    std::sort(agents.begin(), agents.end(), [&key](InstanceId a, InstanceId b) {
-      return RendezvousWeight(key, a.value) > RendezvousWeight(key, b.value);
-    });
-    if (agents.size() > this->options.origin_fetchers) {
-      agents.resize(this->options.origin_fetchers);
-    }
-    return agents;
+    return AssignFetchRoles(
+        this->options.roles,
+        view.chunks->empty() ? Digest() : view.chunks->front().digest, members);
   }
 
   static void Rank(const SwarmView& view,
-                   const std::vector<InstanceId>& fetchers,
+                   const FetchRoles& roles,
                    const Digest& digest,
                    ChunkState& chunk) {
     const auto rank_key = [&digest](InstanceId instance) {
@@ -104,12 +94,13 @@
     const auto own_key = rank_key(view.self);
     chunk.rank = 0;
     chunk.region_rank = 0;
-    for (const InstanceId fetcher : fetchers) {
+    for (const InstanceId fetcher : roles.origin_fetchers) {
       chunk.rank += rank_key(fetcher) > own_key ? 1 : 0;
     }
     for (const SwarmMember& member : view.members) {
       chunk.region_rank += member.region == view.self_region &&
                                    member.instance != view.self &&
+                                   roles.importers.contains(member.instance) &&
                                    rank_key(member.instance) > own_key
                                ? 1
                                : 0;
@@ -138,7 +129,9 @@
   }
 
   ClaimOptions options;
+  // Whether this agent fetches from the origin and from other regions.
   bool asks_origin = false;
+  bool imports = false;
   RegionName region;
   std::vector<ChunkState> chunks;
 };
--- a/src/version/fetch_strategy.h
+++ b/src/version/fetch_strategy.h
@@ -9,6 +9,7 @@
 
 #include "celerypost/types.h"
 #include "src/version/chunk_goal.h"
+#include "src/version/fetch_roles.h"
 
 namespace celerypost {
 
@@ -118,10 +119,7 @@
   // How long an agent waits before it fetches a chunk, for each agent that
   // ranks before it for the chunk.
   Duration delay_per_rank = std::chrono::milliseconds(150);
-  // Number of agents that fetch from the origin, one chunk each at a time:
-  // enough to fill its link. More would only lengthen its queue, which delays
-  // the digests of the next version.
-  uint32_t origin_fetchers = 24;
+  FetchRoleOptions roles;
 };
 
 // For sets that are due within seconds. An agent fetches any chunk that no peer
--- a/tests/process/gateway/target_selector_test.cc
+++ b/tests/process/gateway/target_selector_test.cc
@@ -137,7 +137,7 @@
   newer.models[0].version = 2;
   this->Apply("t1", newer);
   const Selection chosen = this->selector->Select(this->request, this->now);
-  CHECK_EQUAL(2, *chosen.min_version);
+  CHECK_EQUAL(2, *chosen.required_version);
 }
 
 // Guards against a request that is queued at a target until its weights are
@@ -153,6 +153,38 @@
   CHECK_TRUE(*chosen.must_begin_by == named + milliseconds(7500));
 }
 
+// Guards against requests that name the oldest version that may answer them: a
+// target accepts only requests that name the version that it serves. While one
+// version followed another within the bound, all targets that already had the
+// newer one refused (lindqvist-binderi, quiet-1).
+TEST(TargetSelectorTest, NamesTheVersionThatTheTargetServes) {
+  auto target = this->Target("t1", "north-a");
+  target.models = {{"m", 3, 0, std::nullopt}};
+  this->Apply("t1", target);
+  this->Apply("w", NamedWeights{"m", 2});
+  this->now += milliseconds(7100);
+  this->Apply("w", NamedWeights{"m", 3});
+  const Selection chosen = this->selector->Select(this->request, this->now);
+  CHECK_EQUAL(3, *chosen.required_version);
+}
+
+// Guards against requests that reach a target while its stager orders it to
+// load: the planned time is known before, the target's report comes after.
+TEST(TargetSelectorTest, ATargetGetsNothingAtThePlannedTimeOfItsOrder) {
+  const auto target = this->Target("t1", "north-a");
+  this->Apply("t1", target);
+  const std::string address = target.address.ToString();
+  const TimePoint load = this->now + milliseconds(1000);
+  this->selector->OnStagerReport(address, {1, false, load, this->now});
+  STRCMP_EQUAL("t1", this->Choose().c_str());
+  this->now = load;
+  STRCMP_EQUAL("loading weights", this->Choose().c_str());
+  this->now = load + milliseconds(301);
+  STRCMP_EQUAL("t1", this->Choose().c_str());
+  this->selector->OnStagerReport(address, {2, false, std::nullopt, this->now});
+  STRCMP_EQUAL("t1", this->Choose().c_str());
+}
+
 // Guards against sending requests to a target that is loading, and against
 // waiting for the registration, which is updated late, once it has loaded.
 TEST(TargetSelectorTest, StagersReportGoesBeforeTheRegistration) {
@@ -167,10 +199,15 @@
 }
 
 // Guards against exceeding the rate limit of a cold target: seven gateways that
-// each send at their share of it stay below it in total. Simulates one second.
+// each send at their share of it stay below it in total (for more of them see
+// ColdShareTest). Simulates one second.
 TEST(TargetSelectorTest, GatewaysTogetherKeepTheColdBound) {
   constexpr size_t kGateways = 7;
-  this->selector->SetGatewayCount(kGateways);
+  std::vector<GatewayMember> gateways{{"", RegionName("north")}};
+  for (size_t i = 1; i < kGateways; ++i) {
+    gateways.push_back({"10.0.0." + std::to_string(i), RegionName("north")});
+  }
+  this->selector->SetGateways(gateways);
   this->Apply("t1", this->Target("t1", "north-a"));
   size_t sent = 0;
   for (int i = 0; i < 1000; ++i) {
--- a/tests/request/retry_budget_test.cc
+++ b/tests/request/retry_budget_test.cc
@@ -28,6 +28,14 @@
   CHECK_TRUE(CanRetry(Verdict::kMayHaveRun, true));
 }
 
+// Guards against gateways whose saved retries add up to more than the fleet may
+// use: the saving is divided among as many gateways as there are.
+TEST(RetryBudgetTest, ASmallerLimitDropsSavedRetries) {
+  budget.SetMaxSaved(1);
+  CHECK_TRUE(CanRetry(Verdict::kNotRun, false));
+  CHECK_FALSE(CanRetry(Verdict::kNotRun, false));
+}
+
 // Guards against retries that multiply the load of a failing service.
 TEST(RetryBudgetTest, SpendsAShareOfSuccesses) {
   CHECK_TRUE(CanRetry(Verdict::kNotRun, false));
@@ -35,11 +43,11 @@
   CHECK_FALSE(CanRetry(Verdict::kNotRun, false));
   for (int count = 0; count < 10; ++count) {
     CHECK_FALSE(CanRetry(Verdict::kNotRun, false));
-    budget.OnSuccess();
+    budget.Deposit();
   }
   CHECK_TRUE(CanRetry(Verdict::kNotRun, false));
   for (int count = 0; count < 1000; ++count) {
-    budget.OnSuccess();
+    budget.Deposit();
   }
   CHECK(budget.saved() <= 2.0);
 }
--- a/tests/request/target_tracker_test.cc
+++ b/tests/request/target_tracker_test.cc
@@ -34,6 +34,26 @@
   CHECK_EQUAL(0u, this->book.LoadOf("a", this->now).in_flight);
 }
 
+// Guards against targets that look idle although gateways of other regions use
+// them, and against loads that a region reports back to the region that they
+// came from.
+TEST(TargetTrackerTest, AddsTheLoadsOfOtherRegionsButDoesNotReportThem) {
+  const uint64_t hash = TargetTracker::HashOf("a");
+  this->book.OnSent("a", 100, this->now);
+  this->book.OnReport(InstanceId{7}, {{hash, 3, 900}}, milliseconds(100),
+                      this->now);
+  this->book.OnRegionReport(RegionName("south"), {{hash, 5, 50}},
+                            milliseconds(2000), this->now);
+  CHECK_EQUAL(9u, this->book.LoadOf("a", this->now).in_flight);
+  DOUBLES_EQUAL(1050, this->book.LoadOf("a", this->now).waiting_tokens, 0.01);
+  const auto combined = this->book.CombinedLoads(this->now);
+  CHECK_EQUAL(1u, combined.size());
+  CHECK_EQUAL(4u, combined.front().in_flight);
+  DOUBLES_EQUAL(1000, combined.front().waiting_tokens, 0.01);
+  this->now += milliseconds(2001);
+  CHECK_EQUAL(1u, this->book.LoadOf("a", this->now).in_flight);
+}
+
 // Guards against sending a cold target more requests in a second than this
 // gateway's share of the target's bound.
 TEST(TargetTrackerTest, CountsWhatWasSentInTheLastSecond) {
--- a/tests/version/claim_swarm.h
+++ b/tests/version/claim_swarm.h
@@ -53,6 +53,12 @@
           MakeClaimStrategy(options.claims), this->random);
       this->agents.push_back(std::move(agent));
     }
+    std::vector<FetchMember> members;
+    for (size_t i = 0; i < this->agents.size(); ++i) {
+      members.push_back({InstanceId{i + 1}, Region(this->agents[i]->region)});
+    }
+    this->roles = AssignFetchRoles(options.claims.roles,
+                                   this->goal.chunks.front().digest, members);
     for (size_t i = 0; i < this->agents.size(); ++i) {
       for (size_t j = 0; j < this->agents.size(); ++j) {
         if (i != j) {
@@ -231,8 +237,11 @@
     const HaveAnnouncement have = agent.planner->Have();
     for (size_t j = 0; j < this->agents.size(); ++j) {
       const bool near = this->agents[j]->region == agent.region;
-      if (j == i ||
-          !agent.beats.ShouldSendTo({true, near, NodeRole::kStager})) {
+      const bool sends =
+          near ? agent.beats.ShouldSendTo({true, true, NodeRole::kStager})
+               : agent.beats.ReachesFarFetchers() &&
+                     this->roles.NeedsFarNews(InstanceId{j + 1});
+      if (j == i || !sends) {
         continue;
       }
       this->far_beats += near ? 0 : 1;
@@ -250,6 +259,7 @@
   FakeLink origin;
   ChunkGoal goal;
   std::vector<std::unique_ptr<Agent>> agents;
+  FetchRoles roles;
   size_t complete = 0;
   size_t origin_chunks = 0;
 };
--- a/tests/version/claim_swarm_test.cc
+++ b/tests/version/claim_swarm_test.cc
@@ -48,5 +48,23 @@
   CHECK_TRUE(swarm.OriginCopies() <= kMostCopies);
 }
 
+// Guards against a time to the last copy that grows with the fleet, and against
+// announcements between regions that do: 138 stagers of five regions, with
+// announcements only to the stagers that fetch across regions, have a version
+// as soon as 52 of three, and no region gets more of them.
+TEST(ClaimSwarmTest, SizeDoesNotDelayTheLastCopy) {
+  ClaimSwarm small(this->options);
+  const auto small_times = small.Run(std::chrono::seconds(20));
+  this->options.agents = 138;
+  this->options.regions = 5;
+  ClaimSwarm large(this->options);
+  const auto large_times = large.Run(std::chrono::seconds(20));
+  constexpr double kMostGrowth = 1.3;
+  CHECK_TRUE(static_cast<double>(large_times.back().count()) <=
+             kMostGrowth * static_cast<double>(small_times.back().count()));
+  constexpr double kMostCopies = 1.15;
+  CHECK_TRUE(large.OriginCopies() <= kMostCopies);
+}
+
 }  // namespace
 }  // namespace celerypost
