--- a/src/process/node_settings.h
+++ b/src/process/node_settings.h
@@ -28,6 +28,8 @@
   std::optional<SocketAddress> caller_address;
   std::optional<SocketAddress> ready_address;
   std::optional<SocketAddress> directory_address;
+  // Rate of this VM's link, in bytes per second.
+  double link_rate = 7e6 / 8;
   // Ports for connections between processes of this project; the same on every
   // VM.
   uint16_t first_internal_port = 0;
--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -92,6 +92,7 @@
                    this->SendBeat(std::exchange(this->beat_to_all, false));
                  }),
       upload_timer(dependencies.loop, [this] { this->OnUploadTimer(); }),
+      order_timer(dependencies.loop, [this] { this->MaybeOrderLoad(); }),
       chunks_from_peers(
           dependencies.metrics.AddCounter("celerypost_chunks_total",
                                           "Chunks fetched by source",
@@ -386,14 +387,6 @@
   Goal next;
   next.version = digests.version;
   next.digests = std::move(digests);
-  if (const KnownWeights* const weights =
-          this->core.view().Weights(this->model)) {
-    const auto named = weights->FirstNamedAbove(this->serving_version);
-    if (named) {
-      next.named_at = *named;
-      next.deadline = *named + this->dependencies.settings.version_bound;
-    }
-  }
   this->dependencies.log.Info("weights_wanted", "staging new weights",
                               {{"version", next.version},
                                {"chunks", next.digests.digests.size()},
@@ -413,6 +406,7 @@
   this->checked_at.reset();
   this->checking = false;
   this->chunk_planner.SetGoal(std::move(chunks), now);
+  this->UpdateFarStagers();
   for (const auto& [ip, peer] : this->core.exchange().peers()) {
     this->UpdatePeer(peer);
   }
@@ -434,8 +428,12 @@
   const InstanceId instance{static_cast<uint64_t>(beat.instance)};
   const TimePoint now = this->dependencies.loop.Now();
   if (!this->core.exchange().Live(peer)) {
-    this->chunk_planner.OnPeerGone(instance, now);
     this->switch_planner.OnPeerGone(instance);
+    // Stagers of other regions send beats only when they have news, so their
+    // silence means nothing (UpdateFarStagers).
+    if (this->core.exchange().Near(peer)) {
+      this->chunk_planner.OnPeerGone(instance, now);
+    }
     return;
   }
   this->chunk_planner.OnPeer(
@@ -454,6 +452,47 @@
   this->switch_planner.OnPeer(state);
 }
 
+void Stager::UpdateFarStagers() {
+  const TimePoint now = this->dependencies.loop.Now();
+  std::map<std::string, InstanceId> current;
+  for (const auto& [ip, node] : this->core.registered_nodes()) {
+    if (node.role == NodeRole::kStager && node.instance.value != 0 &&
+        node.region != this->dependencies.settings.region) {
+      current[ip] = node.instance;
+      this->chunk_planner.OnPeer({node.instance, node.zone, node.region}, now);
+    }
+  }
+  for (const auto& [ip, instance] : this->far_stagers) {
+    const auto found = current.find(ip);
+    if (found == current.end() || found->second != instance) {
+      this->chunk_planner.OnPeerGone(instance, now);
+    }
+  }
+  this->far_stagers = std::move(current);
+}
+
+std::vector<std::string> Stager::FarNewsReceivers() const {
+  if (!this->goal || this->goal->digests.digests.empty()) {
+    return {};
+  }
+  std::vector<FetchMember> members{
+      {this->dependencies.instance, this->dependencies.settings.region}};
+  for (const auto& [ip, node] : this->core.registered_nodes()) {
+    if (node.role == NodeRole::kStager && node.instance.value != 0) {
+      members.push_back({node.instance, node.region});
+    }
+  }
+  const FetchRoles roles = AssignFetchRoles(
+      ClaimOptions{}.roles, this->goal->digests.digests.front(), members);
+  std::vector<std::string> receivers;
+  for (const auto& [ip, instance] : this->far_stagers) {
+    if (roles.NeedsFarNews(instance)) {
+      receivers.push_back(ip);
+    }
+  }
+  return receivers;
+}
+
 void Stager::OnBeat(const Peer& peer) {
   this->UpdatePeer(peer);
   if (this->goal) {
@@ -689,23 +728,38 @@
   this->MaybeOrderLoad();
 }
 
+std::optional<TimePoint> Stager::SupersededAt() const {
+  const KnownWeights* const weights = this->core.view().Weights(this->model);
+  if (weights == nullptr) {
+    return std::nullopt;
+  }
+  return weights->FirstNamedAbove(
+      this->loading ? std::max(this->serving_version, this->ordered_version)
+                    : this->serving_version);
+}
+
 TimePoint Stager::PlannedLoadTime() const {
-  if (this->serving_version == 0 || !this->goal->named_at) {
-    return TimePoint::min();
+  const auto superseded_at = this->SupersededAt();
+  if (this->serving_version == 0 || !superseded_at) {
+    return TimePoint();
   }
   const auto version = static_cast<uint64_t>(this->goal->version);
-  return ScheduledLoadTime(this->options.schedule, *this->goal->named_at,
-                           this->goal->deadline,
-                           this->switch_planner.PeersBefore(version),
-                           this->switch_planner.AgentsInZone());
+  return ScheduledLoadTime(
+      this->options.schedule, *superseded_at,
+      *superseded_at + this->dependencies.settings.version_bound,
+      this->switch_planner.PeersBefore(version),
+      this->switch_planner.AgentsInZone());
 }
 
 void Stager::MaybeOrderLoad() {
   const TimePoint now = this->dependencies.loop.Now();
   if (!this->goal || !this->chunk_planner.complete() || this->checking ||
       this->order_in_flight || !this->target_report ||
-      this->target_report->busy || now < this->next_order_time ||
-      now < this->PlannedLoadTime()) {
+      this->target_report->busy || now < this->next_order_time) {
+    return;
+  }
+  const TimePoint planned = this->PlannedLoadTime();
+  if (now < planned - this->options.check_lead) {
     return;
   }
   if (!this->checked_at ||
@@ -713,6 +767,10 @@
     this->StartCheck();
     return;
   }
+  if (now < planned) {
+    this->order_timer.StartOnce(std::chrono::ceil<milliseconds>(planned - now));
+    return;
+  }
   this->order_in_flight = true;
   this->orders.Add();
   const int64_t version = this->goal->version;
@@ -736,6 +794,7 @@
                         return;
                       }
                       this->loading = true;
+                      this->ordered_version = version;
                       this->ScheduleBeat(/*to_all=*/true);
                     });
 }
@@ -786,7 +845,8 @@
   beat.fetching = have.fetching;
   beat.digests_version = this->digests ? this->digests->version : 0;
   beat.serving_version = this->serving_version;
-  if (this->goal && this->goal->named_at && this->serving_version > 0) {
+  if (this->goal && this->serving_version > 0 && this->SupersededAt() &&
+      this->chunk_planner.complete()) {
     const auto left = std::chrono::duration_cast<milliseconds>(
         this->PlannedLoadTime() - this->dependencies.loop.Now());
     beat.__set_loads_in_ms(
@@ -797,6 +857,9 @@
   this->core.exchange().Send(beat, [this](const BeatPeer& peer) {
     return this->beats.ShouldSendTo(peer);
   });
+  if (this->beats.ReachesFarFetchers()) {
+    this->core.exchange().SendTo(beat, this->FarNewsReceivers());
+  }
 }
 
 bool Stager::HandleInternalRequest(
@@ -884,10 +947,12 @@
   upload.responder->Send(200, {{"content-type", "application/octet-stream"}},
                          *bytes);
   // The chunk still occupies the link after it was handed to the kernel.
-  this->upload_end_times.push_back(this->dependencies.loop.Now() +
-                                   this->options.uploads.chunk_time);
+  const milliseconds interval =
+      UploadInterval(this->options.uploads, bytes->size(),
+                     this->dependencies.settings.link_rate);
+  this->upload_end_times.push_back(this->dependencies.loop.Now() + interval);
   if (this->upload_end_times.size() == 1) {
-    this->upload_timer.StartOnce(this->options.uploads.chunk_time);
+    this->upload_timer.StartOnce(interval);
   }
 }
 
--- a/src/process/stager/stager.h
+++ b/src/process/stager/stager.h
@@ -33,6 +33,10 @@
   // Staged chunks can become corrupt, so the target is ordered to load them
   // only within this time after they were checked.
   std::chrono::milliseconds check_lifetime{1000};
+  // How long before the planned time of an order the chunks are checked, so
+  // that the order is sent at that time: gateways send the target no requests
+  // then.
+  std::chrono::milliseconds check_lead{500};
   DigestSourceOptions digest_source;
   LoadScheduleOptions schedule;
   // If at least this share of a version is staged when a newer version is
@@ -78,10 +82,6 @@
   struct Goal {
     int64_t version = 0;
     ChunkDigests digests;
-    // When the weights that the target serves were superseded, and the time
-    // after which it must no longer use them.
-    std::optional<TimePoint> named_at;
-    TimePoint deadline{};
   };
 
   void Step();
@@ -92,7 +92,6 @@
   void AskOriginForDigests(int64_t version);
   void OnDigests(int64_t version, const Result<ChunkDigests>& digests);
   void SetGoal(ChunkDigests digests);
-  void CheckWhatIsStaged();
   void DropExpiredClaims();
   void Fetch();
   void FetchChunk(const FetchAction& action);
@@ -103,11 +102,20 @@
   // Orders the target to load once all chunks are staged and verified and the
   // planned time has come. Starts a check when the last one is too old.
   void MaybeOrderLoad();
+  // When the weights that the target serves, or is loading, were superseded;
+  // nothing when they were not.
+  std::optional<TimePoint> SupersededAt() const;
   // When to order the target to load; at once if it serves nothing.
   TimePoint PlannedLoadTime() const;
   void OnBeat(const Peer& peer);
   // Passes what is known of a peer on to the planners.
   void UpdatePeer(const Peer& peer);
+  // Passes the stagers of other regions on to the chunk planner, as they are
+  // registered in the key-value service.
+  void UpdateFarStagers();
+  // Returns the addresses of the stagers of other regions that must learn what
+  // this one fetches from the origin or across regions.
+  std::vector<std::string> FarNewsReceivers() const;
   void SendBeat(bool to_all);
   // Sends a beat as soon as the least gap between beats allows; several calls
   // before it are merged. `to_all`: to gateways as well as to stagers.
@@ -185,6 +193,8 @@
   std::optional<TimePoint> checked_at;
   bool order_in_flight = false;
   bool loading = false;
+  // Version of the last order that the target accepted.
+  int64_t ordered_version = 0;
   TimePoint next_order_time{};
   TimePoint last_progress{};
   std::optional<int64_t> first_check_of;
@@ -195,6 +205,10 @@
   Timer step_timer;
   Timer beat_timer;
   Timer upload_timer;
+  // Runs MaybeOrderLoad at the planned time.
+  Timer order_timer;
+  // Stagers of other regions that the chunk planner knows.
+  std::map<std::string, InstanceId> far_stagers;
   TimePoint last_beat{};
   TimePoint last_full_beat{};
   bool beat_to_all = false;
--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -18,7 +18,7 @@
 constexpr double kFailureCostMs = 1500;
 // Factor by which an answer may exceed the length that its caller estimates.
 // One answer in ten is longer still.
-constexpr double kAnswerLengthFactor = 1.7;
+constexpr double kAnswerLengthFactor = 1.4;
 
 class PredictivePolicy : public PlacementPolicy {
  public:
--- a/src/version/stager_planning.h
+++ b/src/version/stager_planning.h
@@ -8,17 +8,28 @@
 
 namespace celerypost {
 
-// Limits of the chunks that a stager sends to peers over its VM's link of about
-// 7 Mbit/s.
+// Limits of the chunks that a stager sends to peers over its VM's link.
 struct StagerUploadOptions {
   size_t max_concurrent = 1;
   // Maximum number of queued requests; others are refused and go to another
   // holder.
   size_t max_waiting = 4;
-  // How long one chunk occupies the link.
-  std::chrono::milliseconds chunk_time{25};
+  // Share of the link that chunks may use. The rest is for the events of the
+  // target's streams, which must not queue behind chunks.
+  double link_share = 0.7;
 };
 
+// Returns the time from the start of one upload to the next over a link of
+// `link_rate` bytes per second.
+inline std::chrono::milliseconds UploadInterval(
+    const StagerUploadOptions& options,
+    size_t bytes,
+    double link_rate) {
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      std::chrono::duration<double>(static_cast<double>(bytes) /
+                                    (link_rate * options.link_share)));
+}
+
 // Returns the planner options of the stager `self`.
 inline ChunkPlannerOptions StagerPlannerOptions(InstanceId self,
                                                 const RegionName& region) {
