Bound responses without end and drop cancelled requests

Cause: a target in trouble may send bytes that are no answer without end. An answer without an id was taken for the answer to the next request on a kept connection. Change: limits of body, event and skipped responses, each named; cancelled and failed exchanges reset their connection; an answer without an id counts only on a new connection; a request is not sent on with less than 30 ms left. At most 1 MiB of an answer or 256 KiB of an event and 80 KiB of a head are kept for a connection.

--- a/src/connection/http1_client.cc
+++ b/src/connection/http1_client.cc
@@ -112,6 +112,7 @@
 
   void Use(std::shared_ptr<Exchange> next) {
     this->timer->Stop();
+    this->reused = true;
     this->Attach(std::move(next));
     this->SendRequest();
   }
@@ -130,8 +131,12 @@
       this->exchange.reset();
     }
     this->timer.reset();
-    uv_close(reinterpret_cast<uv_handle_t*>(&this->tcp),
-             [](uv_handle_t* h) { delete static_cast<Channel*>(h->data); });
+    const uv_close_cb deleter = [](uv_handle_t* h) {
+      delete static_cast<Channel*>(h->data);
+    };
+    if (!this->exchange_open || uv_tcp_close_reset(&this->tcp, deleter) != 0) {
+      uv_close(reinterpret_cast<uv_handle_t*>(&this->tcp), deleter);
+    }
   }
 
  private:
@@ -140,6 +145,9 @@
   void Attach(std::shared_ptr<Exchange> next) {
     this->exchange = std::move(next);
     this->exchange->channel = this;
+    this->exchange_open = true;
+    this->skipped_responses = 0;
+    this->body_bytes = 0;
     this->head = {};
     this->skipping = false;
     this->complete = false;
@@ -297,6 +305,13 @@
         const bool informational = this->parser.status_code < 200;
         const bool keep = http_should_keep_alive(&this->parser) != 0;
         if (informational || (this->skipping && keep)) {
+          if (++this->skipped_responses >
+              this->exchange->options.max_skipped_responses) {
+            this->Fail(Verdict::kMayHaveRun, ErrorCode::kCorrupt,
+                       "too many responses before the one to the request");
+            return;
+          }
+          this->body_bytes = 0;
           http_parser_init(&this->parser, HTTP_RESPONSE);
           this->parser.data = this;
           this->head = {};
@@ -314,6 +329,11 @@
         this->Finish(keep && bytes.empty() && !this->write_pending);
         return;
       }
+      if (this->body_too_large) {
+        this->Fail(Verdict::kMayHaveRun, ErrorCode::kCorrupt,
+                   "the response body exceeds the limit");
+        return;
+      }
       if (error != HPE_OK || this->parser.upgrade) {
         this->Fail(
             Verdict::kMayHaveRun, ErrorCode::kCorrupt,
@@ -326,6 +346,7 @@
   void Finish(bool reuse) {
     const auto finished = this->exchange;
     this->exchange.reset();
+    this->exchange_open = false;
     finished->channel = nullptr;
     finished->done = true;
     finished->timer.reset();
@@ -391,6 +412,7 @@
     settings.on_headers_complete = [](http_parser* parser) {
       auto* self = static_cast<Channel*>(parser->data);
       self->head.status = static_cast<int>(parser->status_code);
+      self->head.reused_connection = self->reused;
       if (self->head.status < 200) {
         return 0;
       }
@@ -405,7 +427,16 @@
     settings.on_body = [](http_parser* parser, const char* at, size_t length) {
       auto* self = static_cast<Channel*>(parser->data);
       const auto current = self->exchange;
-      if (!self->skipping && current && current->callbacks.on_body) {
+      if (!current) {
+        return 1;
+      }
+      self->body_bytes += length;
+      const size_t limit = current->options.max_body_bytes;
+      if (limit > 0 && self->body_bytes > limit) {
+        self->body_too_large = true;
+        return 1;
+      }
+      if (!self->skipping && current->callbacks.on_body) {
         current->callbacks.on_body({at, length});
       }
       return self->cancelled ? 1 : 0;
@@ -441,10 +472,17 @@
   HttpResponseHead head;
   bool last_was_value = true;
   bool connecting = false;
+  bool reused = false;
   bool write_pending = false;
   bool response_started = false;
   bool skipping = false;
   bool complete = false;
+  // Whether a request was attached whose response is not complete.
+  bool exchange_open = false;
+  uint32_t skipped_responses = 0;
+  // Of the current response.
+  size_t body_bytes = 0;
+  bool body_too_large = false;
   // True while the parser runs callbacks.
   bool delivering = false;
   bool cancelled = false;
--- a/src/connection/http1_client.h
+++ b/src/connection/http1_client.h
@@ -2,6 +2,8 @@
 #define SRC_CONNECTION_HTTP1_CLIENT_H_
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -29,6 +31,12 @@
   std::function<bool(const HttpResponseHead&)> accepts;
   // Longest time until the response is complete; 0 means no limit.
   std::chrono::milliseconds timeout{0};
+  // Largest body that is received; 0 means no limit. The head of a response is
+  // limited to HTTP_MAX_HEADER_SIZE of http_parser.
+  size_t max_body_bytes = 4u << 20;
+  // Most responses that are read before the one to the request: informational
+  // ones and those that `accepts` refuses.
+  uint32_t max_skipped_responses = 8;
 };
 
 // HTTP/1.1 client of one server, on libuv. Unlike HttpClient it distinguishes a
@@ -42,8 +50,10 @@
   Http1Client(const Http1Client&) = delete;
   Http1Client& operator=(const Http1Client&) = delete;
 
-  // Sends a request and streams the response. Destroying the call closes its
-  // connection. A failure has verdict kNotRun if no byte was sent.
+  // Sends a request and streams the response. Destroying the call resets its
+  // connection, so that a request that is still in the send buffer does not
+  // reach the server later. A failure has verdict kNotRun if no byte was sent.
+  // A response that exceeds a limit of `options` fails with kCorrupt.
   std::unique_ptr<HttpCall> Send(HttpRequest request,
                                  Http1SendOptions options,
                                  HttpResponseCallbacks callbacks);
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -18,6 +18,10 @@
 struct HttpResponseHead {
   int status = 0;
   HttpHeaders headers;
+  // Whether an earlier request was sent on the same connection (Http1Client
+  // only). A late copy of its response may then precede the one to this
+  // request.
+  bool reused_connection = false;
 };
 
 // Receive one response. Either on_end or on_failure is called, once and last.
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -156,6 +156,10 @@
       this->route->latency_goal - Since(this->arrived, now);
   placement.late_anyway =
       placement.on_time_left.count() <= 0 || this->sends > 0;
+  if (placement.deadline_left < this->context.options.min_time_left) {
+    this->EndForLackOfTime();
+    return;
+  }
   this->selection = this->context.selector.Select(this->selection_request, now);
   if (this->selection.target) {
     this->stream_broken_at.reset();
@@ -181,6 +185,14 @@
   }
 }
 
+void RelayTask::EndForLackOfTime() {
+  if (this->head_sent || this->verdict != Verdict::kNotRun) {
+    this->FailWith(kGatewayTimeout, "no time left for another target");
+  } else {
+    this->Refuse("no time left", kRefusedRetryAfter);
+  }
+}
+
 void RelayTask::SendTo(const Selection& selection) {
   const TimePoint now = this->context.loop.Now();
   TargetRequestInfo target_call;
@@ -207,10 +219,17 @@
   if (!this->route->repeatable()) {
     options.max_idle = this->context.options.non_repeatable_max_idle;
   }
+  // The answer to a stream is passed on as it arrives; its events are limited
+  // instead (OnBody).
+  options.max_body_bytes =
+      this->IsStream() ? 0 : this->context.options.max_answer_bytes;
   options.accepts = [this](const HttpResponseHead& head) {
     const TargetAnswer answer =
         this->context.codec.ReadAnswer(head.status, head.headers);
-    return answer.id.empty() || answer.id == this->call.id;
+    // Without an id, an answer can be told from a late copy of an earlier one
+    // only on a new connection.
+    return answer.id == this->call.id ||
+           (answer.id.empty() && !head.reused_connection);
   };
   HttpResponseCallbacks callbacks;
   callbacks.on_head = [this](const HttpResponseHead& head) {
@@ -295,9 +314,17 @@
   }
   if (!this->IsStream() || this->attempt->answer.status >= 300) {
     this->attempt->body.append(bytes);
+    if (this->attempt->body.size() > this->context.options.max_answer_bytes) {
+      this->OnFailure({Verdict::kMayHaveRun, ErrorCode::kCorrupt,
+                       "the answer exceeds the limit"});
+    }
     return;
   }
   this->ForwardEvents(this->events.Add(bytes));
+  if (this->events.incomplete_bytes() > this->context.options.max_event_bytes) {
+    this->OnFailure({Verdict::kMayHaveRun, ErrorCode::kCorrupt,
+                     "an event of the stream exceeds the limit"});
+  }
 }
 
 void RelayTask::ForwardEvents(const std::string& complete_events) {
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -38,6 +38,13 @@
   std::chrono::milliseconds resume_retry_interval{100};
   // Most targets that one request is sent to, including those that refused it.
   uint32_t max_sends = 4;
+  // A request is not sent to a target when less time is left until the caller's
+  // deadline: it would run for nobody.
+  std::chrono::milliseconds min_time_left{30};
+  // Largest answer that is collected before it is passed on, and largest event
+  // of a stream. They bound what a target that sends without end occupies.
+  size_t max_answer_bytes = 1u << 20;
+  size_t max_event_bytes = 256u << 10;
 };
 
 // Counters and histograms of relayed requests.
@@ -96,6 +103,9 @@
   // otherwise refuses the request, or fails it if an attempt may have run.
   void SendToNextTarget();
   void SendTo(const Selection& selection);
+  // Ends the request since the time until its deadline is too short for another
+  // attempt.
+  void EndForLackOfTime();
   void OnHead(const HttpResponseHead& head);
   void OnBody(std::string_view bytes);
   void OnEnd();
--- a/src/request/event_stream.h
+++ b/src/request/event_stream.h
@@ -22,6 +22,8 @@
 
   // Returns whether an event has been received in part.
   bool inside_event() const { return !this->partial.empty(); }
+  // Bytes of the incomplete event.
+  size_t incomplete_bytes() const { return this->partial.size(); }
   // Removes and returns the bytes of the incomplete event; call when the target
   // has ended the stream.
   std::string TakeIncompleteEvent();
--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -2,7 +2,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
+#include <cerrno>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -192,6 +195,128 @@
   CHECK_EQUAL(3u, client.connections_opened());
 }
 
+// Sends `head` and then `repeated` until the peer closes the connection. Gives
+// up after 64 MB, which no limit of a client allows.
+void SendWithoutEnd(int descriptor,
+                    const std::string& head,
+                    const std::string& repeated) {
+  constexpr size_t kMostBytes = 64u << 20;
+  std::string block;
+  while (block.size() < 16384) {
+    block += repeated;
+  }
+  ssize_t written = send(descriptor, head.data(), head.size(), MSG_NOSIGNAL);
+  for (size_t sent = 0; written >= 0 && sent < kMostBytes;
+       sent += block.size()) {
+    written = send(descriptor, block.data(), block.size(), MSG_NOSIGNAL);
+  }
+}
+
+// Guards against a server that fills the memory of this process with bytes that
+// never end, wherever in a response they come. The connection must be closed.
+TEST(Http1Test, FailsResponsesThatNeverEnd) {
+  struct Case {
+    const char* name;
+    std::string head;
+    std::string repeated;
+  };
+  const std::vector<Case> cases = {
+      {"status line", "HTTP/1.1 200 O", "K"},
+      {"header lines", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+      {"header value", "HTTP/1.1 200 OK\r\nX-A: ", "b"},
+      {"body with its connection", "HTTP/1.1 200 OK\r\n\r\n", "body"},
+      {"body past a length",
+       "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "body"},
+      {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "4\r\nbody\r\n"},
+      {"chunk extension",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x"},
+      {"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+       "X-A: b\r\n"},
+      {"informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"responses to others", "",
+       "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 1\r\n\r\na"},
+  };
+  for (const Case& each : cases) {
+    std::atomic<bool> closed = false;
+    RawServer server([&](int descriptor) {
+      SendWithoutEnd(descriptor, each.head, each.repeated);
+      closed = true;
+    });
+    Http1Client client(this->loop, server.address(), {});
+    Http1SendOptions options;
+    options.max_body_bytes = 100000;
+    options.accepts = [](const HttpResponseHead& head) {
+      return FindHeader(head.headers, "x-id") != "other";
+    };
+    const auto response = this->Fetch(client, options);
+    CHECK_FALSE_TEXT(response.has_value(), each.name);
+    CHECK_TRUE_TEXT(response.error().code == ErrorCode::kCorrupt, each.name);
+    CHECK_TRUE_TEXT(response.error().verdict == Verdict::kMayHaveRun,
+                    each.name);
+    for (int i = 0; i < kMaxIterations && !closed; ++i) {
+      this->loop.RunFor(milliseconds(20));
+    }
+    CHECK_TRUE_TEXT(closed, each.name);
+  }
+}
+
+// Guards against an answer without an id that is taken for the answer to the
+// next request on its connection. Only on a new connection must it be that of
+// the request.
+TEST(Http1Test, TellsWhetherTheConnectionWasUsedBefore) {
+  RawServer server([](int descriptor) {
+    char request[4096];
+    do {
+      Send(descriptor, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    } while (read(descriptor, request, sizeof(request)) > 0);
+  });
+  Http1Client client(this->loop, server.address(), {});
+  std::vector<bool> reused;
+  Http1SendOptions options;
+  options.accepts = [&reused](const HttpResponseHead& head) {
+    reused.push_back(head.reused_connection);
+    return true;
+  };
+  CHECK_TRUE(this->Fetch(client, options).has_value());
+  CHECK_TRUE(this->Fetch(client, options).has_value());
+  CHECK_EQUAL(2u, reused.size());
+  CHECK_FALSE(reused[0]);
+  CHECK_TRUE(reused[1]);
+}
+
+// Guards against a request that reaches its server after its caller has left: a
+// cancelled request that still lies in the send buffer must be dropped.
+TEST(Http1Test, CancelledRequestIsNotDeliveredLater) {
+  std::atomic<bool> cancelled = false;
+  std::atomic<int> error = 0;
+  RawServer server([&](int descriptor) {
+    while (!cancelled) {
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    std::this_thread::sleep_for(milliseconds(50));
+    char bytes[65536];
+    ssize_t count = 0;
+    do {
+      count = read(descriptor, bytes, sizeof(bytes));
+    } while (count > 0);
+    error = count < 0 ? errno : -1;
+  });
+  Http1Client client(this->loop, server.address(), {});
+  auto call =
+      client.Send({"POST", "/", {}, std::string(16u << 20, 'x')}, {}, {});
+  for (int i = 0; i < 10; ++i) {
+    this->loop.RunFor(milliseconds(20));
+  }
+  call.reset();
+  this->loop.RunFor(milliseconds(20));
+  cancelled = true;
+  for (int i = 0; i < kMaxIterations && error == 0; ++i) {
+    this->loop.RunFor(milliseconds(20));
+  }
+  CHECK_EQUAL(ECONNRESET, error);
+}
+
 // Guards against reporting a request that was never sent as possibly run.
 TEST(Http1Test, RefusedConnectionMeansNotRun) {
   SocketAddress address;
