Complete a version when the newer one would come too late

Stagers with less than 0.6 of version 2 dropped it, could not have version 3 before the bound of version 2, and all targets refused for two seconds. Change: FinishesCurrentVersion weighs the time left for the weights served against the time a whole version takes over the VM's link. Chunks may use 0.9 of the link instead of 0.7, which delayed staging; events still pass.

--- a/src/process/peer_exchange.cc
+++ b/src/process/peer_exchange.cc
@@ -112,8 +112,10 @@
     return;
   }
   Peer& peer = this->known[ip];
-  if (peer.beat.instance == 0 || !this->Live(peer)) {
-    this->log.Info("peer_heard", "received a beat of a new or silent peer",
+  const bool near = beat.region == this->options.region.value();
+  if (near && (peer.beat.instance == 0 || !this->Live(peer))) {
+    this->log.Info("peer_heard",
+                   "received a beat of a new or silent peer of the region",
                    {{"ip", ip}, {"role", beat.role}, {"zone", beat.zone}});
   }
   peer.ip = ip;
--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -282,13 +282,28 @@
   if (!this->goal || this->goal->version <= this->serving_version) {
     return false;
   }
-  const bool mostly_staged =
-      static_cast<double>(this->chunk_planner.chunks_held()) >=
-      this->options.finish_current_share *
-          static_cast<double>(this->chunk_planner.chunks_total());
-  return mostly_staged && (this->chunk_planner.complete() ||
-                           this->dependencies.loop.Now() - this->last_progress <
-                               this->options.progress_timeout);
+  const TimePoint now = this->dependencies.loop.Now();
+  StagingProgress progress;
+  progress.staged_share =
+      static_cast<double>(this->chunk_planner.chunks_held()) /
+      static_cast<double>(
+          std::max<size_t>(1, this->chunk_planner.chunks_total()));
+  progress.since_progress =
+      std::chrono::duration_cast<milliseconds>(now - this->last_progress);
+  progress.copy_time = this->CopyTime();
+  const auto superseded_at = this->SupersededAt();
+  if (this->serving_version > 0 && superseded_at) {
+    progress.until_due = std::chrono::duration_cast<milliseconds>(
+        *superseded_at + this->dependencies.settings.version_bound - now);
+  }
+  return FinishesCurrentVersion(this->options.version_choice, progress);
+}
+
+milliseconds Stager::CopyTime() const {
+  const auto bytes = static_cast<double>(this->chunk_bytes) *
+                     static_cast<double>(this->chunk_planner.chunks_total());
+  return std::chrono::ceil<milliseconds>(std::chrono::duration<double>(
+      bytes / this->dependencies.settings.link_rate));
 }
 
 void Stager::AskForDigests(int64_t version) {
@@ -632,6 +647,7 @@
   }
   (action.source.origin ? this->chunks_from_origin : this->chunks_from_peers)
       .Add();
+  this->chunk_bytes = bytes->size();
   const auto& digests = this->goal->digests.digests;
   const auto number = static_cast<size_t>(
       std::find(digests.begin(), digests.end(), action.chunk.digest) -
--- a/src/process/stager/stager.h
+++ b/src/process/stager/stager.h
@@ -18,6 +18,7 @@
 #include "src/version/load_schedule.h"
 #include "src/version/stager_planning.h"
 #include "src/version/switch_planner.h"
+#include "src/version/version_choice.h"
 
 namespace celerypost {
 
@@ -39,14 +40,7 @@
   std::chrono::milliseconds check_lead{500};
   DigestSourceOptions digest_source;
   LoadScheduleOptions schedule;
-  // If at least this share of a version is staged when a newer version is
-  // named, its staging is completed first: the rest takes less time than
-  // remains until its bound, while starting over with the newer version would
-  // miss that bound.
-  double finish_current_share = 0.6;
-  // The newer version is staged at once when no chunk of the incomplete one has
-  // arrived for this long.
-  std::chrono::milliseconds progress_timeout{500};
+  VersionChoiceOptions version_choice;
   // The chunks that a peer has announced to be fetching are available to other
   // stagers again when it has been silent for this long: two of its beats to
   // other regions while it is staging.
@@ -105,6 +99,8 @@
   // When the weights that the target serves, or is loading, were superseded;
   // nothing when they were not.
   std::optional<TimePoint> SupersededAt() const;
+  // Time that one copy of the weights takes over this VM's link.
+  std::chrono::milliseconds CopyTime() const;
   // When to order the target to load; at once if it serves nothing.
   TimePoint PlannedLoadTime() const;
   void OnBeat(const Peer& peer);
@@ -197,6 +193,8 @@
   int64_t ordered_version = 0;
   TimePoint next_order_time{};
   TimePoint last_progress{};
+  // Size of the last chunk that was fetched, 0 before the first.
+  size_t chunk_bytes = 0;
   std::optional<int64_t> first_check_of;
   // Chunk requests to peers that are in flight.
   std::map<Digest, std::unique_ptr<HttpCall>> peer_fetches;
--- a/src/version/stager_planning.h
+++ b/src/version/stager_planning.h
@@ -16,7 +16,7 @@
   size_t max_waiting = 4;
   // Share of the link that chunks may use. The rest is for the events of the
   // target's streams, which must not queue behind chunks.
-  double link_share = 0.7;
+  double link_share = 0.9;
 };
 
 // Returns the time from the start of one upload to the next over a link of
