Keep chunk announcements of peers that are not members yet

Cause: a peer announces the chunks that it holds when a connection opens, and again only when they change. Found by reading the way from HAVE_CHUNKS to ChunkPlanner::OnHave. Change: the planner keeps the announcement until OnPeer names the peer; at most 1,024 of them. Result: KeepsAnnouncementsOfPeersThatItDoesNotKnowYet, failed without the change (0 fetches).

--- a/src/version/chunk_planner.h
+++ b/src/version/chunk_planner.h
@@ -106,8 +106,8 @@
 
   void OnPeer(const PeerState& peer, TimePoint now);
   void OnPeerGone(InstanceId peer, TimePoint now);
-  // Replaces what is known of the chunks that `peer` holds and fetches.
-  // Announcements of unknown peers are ignored.
+  // Replaces what is known of the chunks that `peer` holds and fetches. The
+  // announcement of an unknown peer applies once OnPeer is called for it.
   void OnHave(InstanceId peer, const HaveAnnouncement& have, TimePoint now);
   // Forgets which chunks `peer` announced to be fetching: it has been silent,
   // and other agents must not wait for it. The chunks that it holds stay known.
@@ -141,6 +141,8 @@
   // Returns the announcement for peers: the chunks of the goal that this agent
   // holds, and those that it is fetching from the origin or another region.
   HaveAnnouncement Have() const;
+  // Number of unknown peers whose announcements are kept.
+  size_t early_announcements() const { return this->early_haves.size(); }
   size_t chunks_held() const { return this->goal_held; }
   size_t chunks_total() const { return this->goal.chunks.size(); }
   const ChunkGoal& current_goal() const { return this->goal; }
@@ -230,6 +232,8 @@
   std::unordered_set<Digest> held;
 
   std::unordered_map<InstanceId, Peer> peers;
+  // Announcements of peers that are not known yet.
+  std::unordered_map<InstanceId, HaveAnnouncement> early_haves;
   std::unordered_map<InstanceId, uint32_t> corrupt_counts;
   std::unordered_map<Digest, Fetch> fetches;
   std::vector<FetchCancel> cancelled;
--- a/src/version/chunk_planner_peers.cc
+++ b/src/version/chunk_planner_peers.cc
@@ -7,6 +7,13 @@
 
 namespace celerypost {
 
+namespace {
+
+// Bounds the memory for announcements of processes that never become members.
+constexpr size_t kMaxEarlyAnnouncements = 1024;
+
+}  // namespace
+
 void ChunkPlanner::OnPeer(const PeerState& state, TimePoint now) {
   if (state.instance == this->options.self) {
     return;
@@ -22,9 +29,15 @@
   Peer& peer = this->peers[state.instance];
   peer.state = state;
   this->view_dirty = true;
+  const auto early = this->early_haves.extract(state.instance);
+  if (!early.empty()) {
+    peer.have = early.mapped();
+    this->ApplyHave(peer, now);
+  }
 }
 
 void ChunkPlanner::OnPeerGone(InstanceId instance, TimePoint now) {
+  this->early_haves.erase(instance);
   const auto found = this->peers.find(instance);
   if (found == this->peers.end()) {
     return;
@@ -51,6 +64,10 @@
                           TimePoint now) {
   const auto found = this->peers.find(instance);
   if (found == this->peers.end()) {
+    // A connection may announce chunks before membership names its peer.
+    if (this->early_haves.size() < kMaxEarlyAnnouncements) {
+      this->early_haves[instance] = have;
+    }
     return;
   }
   found->second.have = have;
--- a/tests/version/chunk_planner_test.cc
+++ b/tests/version/chunk_planner_test.cc
@@ -88,6 +88,34 @@
   }
 };
 
+// Guards against an agent that never fetches since it connected to its peers
+// before it knew them as members: a peer announces what it holds when a
+// connection opens and again only when that changes. An agent that was restarted
+// during an outage of the key-value service stayed without weights
+// (scenario_key_value_outage, 4 of 20 plays under load).
+TEST(ChunkPlannerTest, KeepsAnnouncementsOfPeersThatItDoesNotKnowYet) {
+  const InstanceId late{7};
+  const ChunkGoal goal = Goal("v1", {"a", "b"});
+  this->planner->OnHave(late, Have(goal, {0, 1}), this->now);
+  this->planner->OnPeer({late, ZoneName("z"), RegionName("home")}, this->now);
+  this->planner->SetGoal(goal, this->now);
+  const auto fetches = this->Fetches();
+  CHECK_EQUAL(2u, fetches.size());
+  for (const FetchAction& fetch : fetches) {
+    CHECK_TRUE(fetch.source == FetchSource::Peer(late));
+  }
+}
+
+// Guards against memory that grows with announcements of processes that never
+// become members.
+TEST(ChunkPlannerTest, BoundsAnnouncementsOfUnknownPeers) {
+  const ChunkGoal goal = Goal("v1", {"a"});
+  for (uint64_t i = 0; i < 10000; ++i) {
+    this->planner->OnHave(InstanceId{100 + i}, Have(goal, {0}), this->now);
+  }
+  CHECK_TRUE(this->planner->early_announcements() <= 1024);
+}
+
 // Guards against two agents that fetch the same chunk from the origin, and
 // against a chunk that nobody fetches when the first agent makes no progress.
 TEST(ChunkPlannerTest, FirstAgentFetchesAndNextTakesOver) {
