Interrupt running requests only where all routes are repeatable

Cause: an order to load breaks off running requests since; a deployment whose streams cannot be resumed, or whose engines run requests that must not be repeated, would lose them.

--- a/src/process/stager/model_target.h
+++ b/src/process/stager/model_target.h
@@ -12,6 +12,14 @@
 
 namespace celerypost {
 
+// What an order to load does with the requests that run at the target.
+enum class LoadMode : uint8_t {
+  // Waits until they are done.
+  kAfterRunning,
+  // Breaks them off.
+  kInterrupt,
+};
+
 // The current state of a target, as reported by it.
 struct TargetReport {
   std::vector<HeldModel> models;
@@ -28,12 +36,13 @@
 
   // Asks the target for its current state.
   virtual void GetReport(std::function<void(Result<TargetReport>)> done) = 0;
-  // Orders the target to load the staged chunks once its running requests are
-  // done. The order is valid only while the target's sequence is `sequence`.
-  // Fails with kConflict when the target's state does not allow it.
+  // Orders the target to load the staged chunks. The order is valid only while
+  // the target's sequence is `sequence`. Fails with kConflict when the target's
+  // state does not allow it.
   virtual void Load(const std::string& model,
                     int64_t version,
                     int64_t sequence,
+                    LoadMode mode,
                     std::function<void(Result<void>)> done) = 0;
   // Stages a chunk. `number` is its index in the model's chunks, from 0.
   virtual void PutChunk(const std::string& model,
--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -798,7 +798,11 @@
        {"checked_ms_ago",
         std::chrono::duration_cast<milliseconds>(now - *this->checked_at)
             .count()}});
-  this->target.Load(this->model, version, this->target_report->sequence,
+  const ServiceConfig* const service = this->Service();
+  const LoadMode mode = service != nullptr && service->interruptible
+                            ? LoadMode::kInterrupt
+                            : LoadMode::kAfterRunning;
+  this->target.Load(this->model, version, this->target_report->sequence, mode,
                     [this, version](const Result<void>& taken) {
                       this->order_in_flight = false;
                       this->next_order_time = this->dependencies.loop.Now() +
--- a/src/request/gateway_config.h
+++ b/src/request/gateway_config.h
@@ -86,6 +86,9 @@
   // service are never cold.
   double cold_rate = 0;
   std::optional<EngineRates> engine;
+  // Whether every route to the service is repeatable, so that its targets may
+  // break off running requests, which gateways send to another target.
+  bool interruptible = true;
   // Address of the weight origin; set only for services that distribute
   // weights.
   std::optional<std::string> weight_origin;
--- a/tests/platform/document_decoder_test.cc
+++ b/tests/platform/document_decoder_test.cc
@@ -87,6 +87,29 @@
   STRCMP_EQUAL("{}", decoder.ReduceForStagers("op/version/m", "{}").c_str());
 }
 
+// Guards against loads of new weights that break off requests which must not be
+// sent again. Stagers must know of such routes although they get no routes.
+TEST(PlatformDocumentDecoderTest, TellsWhichServicesMayBeInterrupted) {
+  const std::string text =
+      R"({"version":3,"services":[{"name":"a"},{"name":"b"},{"name":"c"}],)"
+      R"("routes":[{"name":"1","host":"h","prefix":"/a/","kind":"stream",)"
+      R"("can_resume":true,"service":"a","timeout_ms":1},)"
+      R"({"name":"2","host":"h","prefix":"/b/","kind":"stream",)"
+      R"("can_resume":false,"service":"b","timeout_ms":1},)"
+      R"({"name":"3","host":"h","prefix":"/c/","kind":"non_idempotent",)"
+      R"("service":"c","timeout_ms":1}]})";
+  for (const std::string& document :
+       {text, this->decoder.ReduceForStagers("op/config", text)}) {
+    const auto decoded = this->decoder.Decode("op/config", document);
+    CHECK_TRUE(decoded.has_value());
+    const auto& services =
+        std::get<std::shared_ptr<const GatewayConfig>>(*decoded)->services;
+    CHECK_TRUE(services.at(ServiceName("a")).interruptible);
+    CHECK_FALSE(services.at(ServiceName("b")).interruptible);
+    CHECK_FALSE(services.at(ServiceName("c")).interruptible);
+  }
+}
+
 // Guards against malformed entries, which other programs may write: wrong
 // types, missing fields, unknown states and invalid JSON must fail to decode,
 // and must not crash the process.
