Wait for slow streams as their routes allow; count only events as progress

Cause: a repeatable stream was moved to another target after a second without an event, whatever the route aims at. A comment counted as an event, so a stalled target could keep its stream with one now and then. Change: AttemptTimeoutFor derives the times from the route; comments and parts of events are no progress. One gateway of a region watches the store while summaries of two other regions arrive.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -135,17 +135,6 @@
   return this->route->kind == RouteKind::kStream;
 }
 
-milliseconds RelayTask::AttemptTimeout() const {
-  if (!this->IsStream()) {
-    return milliseconds(static_cast<int64_t>(
-        static_cast<double>(this->route->latency_goal.count()) *
-        this->context.options.answer_timeout_factor));
-  }
-  return this->attempt && this->attempt->had_event
-             ? this->context.options.event_timeout
-             : this->context.options.first_event_timeout;
-}
-
 void RelayTask::SendToNextTarget() {
   const TimePoint now = this->context.loop.Now();
   PlacementRequest& placement = this->selection_request.placement;
@@ -251,7 +240,8 @@
   const bool awaiting_first_event = !this->attempt->had_event;
   std::optional<milliseconds> timeout;
   if (this->route->repeatable()) {
-    timeout = this->AttemptTimeout();
+    timeout = AttemptTimeoutFor(this->context.options.attempt_timeouts,
+                                *this->route, this->attempt->had_event);
   }
   if (awaiting_first_event && this->selection.must_begin_by) {
     const auto left = std::max(
@@ -320,17 +310,21 @@
     }
     return;
   }
-  this->ForwardEvents(this->events.Add(bytes));
+  const uint64_t events_before = this->events.events();
+  const std::string complete = this->events.Add(bytes);
+  // Only events count as progress: a stalled target may still send comments or
+  // parts of an event.
+  if (this->events.events() > events_before) {
+    this->NoteProgress();
+  }
+  this->ForwardEvents(complete);
   if (this->events.incomplete_bytes() > this->context.options.max_event_bytes) {
     this->OnFailure({Verdict::kMayHaveRun, ErrorCode::kCorrupt,
                      "an event of the stream exceeds the limit"});
   }
 }
 
-void RelayTask::ForwardEvents(const std::string& complete_events) {
-  if (complete_events.empty()) {
-    return;
-  }
+void RelayTask::NoteProgress() {
   if (!this->attempt->had_event) {
     this->attempt->had_event = true;
     this->context.book.OnFirstEvent(this->attempt->target,
@@ -341,6 +335,13 @@
     this->context.metrics.first_event.Observe(*this->first_event_at -
                                               this->arrived);
   }
+  this->StartAttemptTimer();
+}
+
+void RelayTask::ForwardEvents(const std::string& complete_events) {
+  if (complete_events.empty()) {
+    return;
+  }
   if (!this->head_sent) {
     this->head_sent = true;
     this->responder->Start(
@@ -348,7 +349,6 @@
         this->context.codec.MakeCallerHeaders(this->attempt->headers));
   }
   this->responder->Write(complete_events);
-  this->StartAttemptTimer();
 }
 
 void RelayTask::OnEnd() {
@@ -358,7 +358,11 @@
   }
   const bool failed = this->attempt->answer.status >= kServerError;
   if (this->IsStream() && this->attempt->answer.status < 300) {
-    this->ForwardEvents(this->events.TakeIncompleteEvent());
+    const std::string rest = this->events.TakeIncompleteEvent();
+    if (!rest.empty()) {
+      this->NoteProgress();
+    }
+    this->ForwardEvents(rest);
     this->EndAttempt(AttemptOutcome::kAnswered);
     if (!this->head_sent) {
       this->SendTargetAnswer();
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -12,6 +12,7 @@
 #include "src/process/gateway/target_selector.h"
 #include "src/process/log.h"
 #include "src/process/metrics.h"
+#include "src/request/attempt_timeout.h"
 #include "src/request/event_stream.h"
 #include "src/request/request_codec.h"
 #include "src/request/retry_budget.h"
@@ -19,15 +20,7 @@
 namespace celerypost {
 
 struct RelayOptions {
-  // A repeatable streaming request is moved to another target after this time
-  // without a first event. Twice the usual latency goal of a stream.
-  std::chrono::milliseconds first_event_timeout{1000};
-  // The same between two events. Callers disconnect after 2 s or more without
-  // an event.
-  std::chrono::milliseconds event_timeout{1000};
-  // The timeout of a repeatable request without a stream, as a multiple of the
-  // route's latency goal.
-  double answer_timeout_factor = 3;
+  AttemptTimeoutOptions attempt_timeouts;
   // A request that must not run twice is sent on an idle connection only if
   // that was used this recently. If the target had closed the connection in the
   // meantime, it would be unknown whether the request ran.
@@ -116,6 +109,8 @@
   void OnAttemptTimeout();
   void OnDeadline();
   void OnCallerDisconnected();
+  // The attempt has produced an event.
+  void NoteProgress();
   void ForwardEvents(const std::string& complete_events);
 
   // Returns whether the request may be sent to another target after an attempt
@@ -130,9 +125,6 @@
   void SendTargetAnswer();
   void Finish(std::string_view outcome, int status, std::string_view reason);
   bool IsStream() const;
-  // How long an attempt waits for the next event of a stream, or for the whole
-  // response of a request without a stream.
-  std::chrono::milliseconds AttemptTimeout() const;
   // Returns whether the attempt has not started to run by the time at which the
   // target's weights become too old for it.
   bool MustLeaveTarget() const;
--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -36,6 +36,9 @@
 // Shortest time between two pulls, so that changes in quick succession are
 // pulled together.
 constexpr milliseconds kMinPullInterval{100};
+// Number of other regions that are heard from which on one gateway of this
+// region watches the key-value service instead of two.
+constexpr size_t kRegionsThatReplaceAReader = 2;
 // How long the summary of another region is used: several periods of its
 // senders, and little enough that the directory drops gateways that have died
 // (SummaryOptions, GatewayOptions::directory_ttl).
@@ -302,8 +305,15 @@
   if (this->role == NodeRole::kStager) {
     return gateways.empty();
   }
-  return ReadsStore({}, {this->dependencies.instance, this->StoreAnswers()},
-                    gateways);
+  // The gateways of other regions tell of changes that the only reader of this
+  // one misses.
+  ReaderOptions options;
+  if (this->region_directory.Fresh(this->dependencies.loop.Now()).size() >=
+      kRegionsThatReplaceAReader) {
+    options.readers = 1;
+  }
+  return ReadsStore(
+      options, {this->dependencies.instance, this->StoreAnswers()}, gateways);
 }
 
 void NodeCore::UpdateStoreReading() {
--- a/src/request/event_stream.cc
+++ b/src/request/event_stream.cc
@@ -31,6 +31,19 @@
   return std::nullopt;
 }
 
+// Whether every line of the event is a comment or blank.
+bool IsComment(std::string_view event) {
+  size_t at = 0;
+  while (at < event.size()) {
+    const char first = event[at];
+    if (first != ':' && first != '\n' && first != '\r') {
+      return false;
+    }
+    at = std::min(event.find('\n', at), event.size() - 1) + 1;
+  }
+  return true;
+}
+
 std::optional<int64_t> ToNumber(const std::string& text) {
   int64_t value = 0;
   const auto parsed =
@@ -72,7 +85,7 @@
   if (id) {
     this->last_event_id = std::move(id);
   }
-  ++this->event_count;
+  this->event_count += IsComment(event) ? 0 : 1;
   return true;
 }
 
--- a/src/request/event_stream.h
+++ b/src/request/event_stream.h
@@ -32,11 +32,12 @@
   const std::optional<std::string>& last_id() const {
     return this->last_event_id;
   }
-  // Number of events that Add has returned.
+  // Number of events that Add has returned, without comments.
   uint64_t events() const { return this->event_count; }
 
  private:
-  // Counts an event unless it is a repeated one. Returns whether it is new.
+  // Counts an event unless it is a comment or a repeated one. Returns whether
+  // it is to be passed on.
   bool Accept(std::string_view event);
 
   std::string partial;
--- a/tests/request/event_stream_test.cc
+++ b/tests/request/event_stream_test.cc
@@ -36,5 +36,16 @@
   CHECK_FALSE(this->stream.last_id().has_value());
 }
 
+// Guards against a stalled stream that never ends since its target sends a
+// comment or a byte now and then: these are passed on but are no progress.
+TEST(EventStreamTest, CommentsAndPartsOfAnEventAreNoProgress) {
+  EventStream stream;
+  STRCMP_EQUAL(": ping\n\n", stream.Add(": ping\n\n").c_str());
+  STRCMP_EQUAL("", stream.Add("id: 1\nda").c_str());
+  CHECK_EQUAL(0u, stream.events());
+  stream.Add("ta: x\n\n");
+  CHECK_EQUAL(1u, stream.events());
+}
+
 }  // namespace
 }  // namespace celerypost
