Drop a part of the first event when a stream goes to another target

A target was interrupted two milliseconds after it began, within the first event. The part was dropped only when the caller had already received an event, so the next target's first event was appended to it: pieces of two runs were joined. Change: the part is dropped before every send.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -191,9 +191,11 @@
   if (this->workspace != nullptr) {
     target_call.workspace = this->workspace->name;
   }
+  // Also before the first complete event: the previous target may have broken
+  // off within it.
+  this->events.Restart();
   if (this->head_sent) {
     target_call.last_event_id = this->events.last_id();
-    this->events.Restart();
     this->context.metrics.resumes.Add();
   }
   this->attempt.emplace();
