Share the fake decoder of the gateway tests; drop an unused accessor

Cause: RelayTaskTest and TargetSelectorTest each had the same FakeDecoder; ColdShares::gateway_count has no caller. Tests keep their assertions, behaviour is the same.

--- a/src/request/cold_share.h
+++ b/src/request/cold_share.h
@@ -33,7 +33,6 @@
 
   // Replaces the gateways that may be running, this one included.
   void SetGateways(std::vector<GatewayMember> members);
-  size_t gateway_count() const { return this->members.size(); }
 
   // Returns how many requests this gateway may send to `target` of `region`
   // within a second if all gateways together may send `limit`.
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -8,6 +8,8 @@
 #include <string>
 #include <thread>
 
+#include "tests/process/gateway/fake_decoder.h"
+
 #include "CppUTest/TestHarness.h"
 
 namespace celerypost {
@@ -44,18 +46,6 @@
   }
 };
 
-// Returns the documents that a test has stored by key.
-class FakeDecoder : public DocumentDecoder {
- public:
-  std::string OperatorPrefix() const override { return ""; }
-  std::string TargetPrefix() const override { return ""; }
-  Result<ClusterDocument> Decode(std::string_view key,
-                                 std::string_view) const override {
-    return this->documents.at(std::string(key));
-  }
-  std::map<std::string, ClusterDocument> documents;
-};
-
 int ListenOnLoopback(uint16_t& port) {
   const int listener = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
--- a/tests/process/gateway/target_selector_test.cc
+++ b/tests/process/gateway/target_selector_test.cc
@@ -3,6 +3,8 @@
 #include <memory>
 #include <string>
 
+#include "tests/process/gateway/fake_decoder.h"
+
 #include "CppUTest/TestHarness.h"
 
 namespace celerypost {
@@ -10,18 +12,6 @@
 
 using std::chrono::milliseconds;
 
-// Returns the documents that a test has stored by key.
-class FakeDecoder : public DocumentDecoder {
- public:
-  std::string OperatorPrefix() const override { return ""; }
-  std::string TargetPrefix() const override { return ""; }
-  Result<ClusterDocument> Decode(std::string_view key,
-                                 std::string_view) const override {
-    return this->documents.at(std::string(key));
-  }
-  std::map<std::string, ClusterDocument> documents;
-};
-
 TEST_GROUP(TargetSelectorTest) {
   FakeDecoder decoder;
   ClusterView view{decoder, {}};
