Log the shared parts of a request's prompt

Requests with one part in their prompts crash the targets that begin to answer them, and the logs did not say which parts a request has, so no line told such requests from sound ones that were lost beside them. Change: the platform's codec reads the parts of a prompt but the last; the lines "request" and "attempt_broken" name them.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -48,6 +48,14 @@
   return route.backends.empty() ? ServiceName() : route.backends.back().service;
 }
 
+std::string Join(const std::vector<std::string>& ids) {
+  std::string joined;
+  for (const std::string& id : ids) {
+    joined.append(joined.empty() ? "" : ",").append(id);
+  }
+  return joined;
+}
+
 }  // namespace
 
 RelayMetrics::RelayMetrics(Metrics& metrics)
@@ -401,7 +409,8 @@
                          {{"target", this->attempt->target},
                           {"verdict", VerdictName(failure.verdict)},
                           {"events", this->events.events()},
-                          {"attempt", this->sends}},
+                          {"attempt", this->sends},
+                          {"shared_parts", Join(this->call.shared_parts)}},
                          this->call.id);
   this->EndAttempt(AttemptOutcome::kBroken);
   this->RetryOrEnd(failure.verdict, kBadGateway, "the target broke off");
@@ -565,6 +574,7 @@
        {"waiting_tokens", this->selection.load.waiting_tokens},
        {"prompt_tokens", this->call.prompt_tokens},
        {"answer_tokens", this->call.answer_tokens},
+       {"shared_parts", Join(this->call.shared_parts)},
        {"predicted_ms", this->selection.predicted.count()},
        {"entry_age_ms", this->selection.entry_age.count()},
        {"config_version", this->config ? this->config->version : 0},
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -54,6 +54,25 @@
   }
 }
 
+// Guards against taking the part that belongs to the request itself for a
+// shared one.
+TEST(PlatformRequestCodecTest, ReadsTheSharedPartsOfThePrompt) {
+  const auto parts = [this](const char* list) {
+    HttpRequest request;
+    request.headers = {{"x-prompt-prefix", list}};
+    std::string joined;
+    for (const auto& id : this->codec.ReadRequest(request).shared_parts) {
+      joined += id + ";";
+    }
+    return joined;
+  };
+  STRCMP_EQUAL("5c1e07a2;91bd3f06;",
+               parts("5c1e07a2:800, 91bd3f06:410,e4402b7d:250").c_str());
+  STRCMP_EQUAL("", parts("e4402b7d:250").c_str());
+  STRCMP_EQUAL("", parts("").c_str());
+  STRCMP_EQUAL("a;", parts(",a,:3,").c_str());
+}
+
 // Guards against forwarding a workspace name that a caller sent on a route that
 // needs no API key.
 TEST(PlatformRequestCodecTest, SendsNoWorkspaceWithoutAKey) {
