--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -1,8 +1,11 @@
 #include "src/process/gateway/gateway.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <utility>
 
+#include "src/process/gateway/crash_news_wire.h"
 #include "src/process/gateway/directory.h"
 #include "src/process/gateway/summary_wire.h"
 
@@ -69,6 +72,14 @@
                book,
                *policy,
                SelectorOptions(dependencies.settings)),
+      quarantined_parts(dependencies.metrics.AddGauge(
+          "celerypost_quarantined_parts",
+          "Parts of prompts whose requests are not sent")),
+      crashes(options.crashes,
+              dependencies.settings.ip,
+              [this](const QuarantineRecord& record, size_t crashes) {
+                this->OnQuarantine(record, crashes);
+              }),
       budgets(BudgetOptions(dependencies.settings), dependencies.random),
       relay_metrics(dependencies.metrics),
       live_gateways(
@@ -79,6 +90,7 @@
                     core.view(),
                     book,
                     selector,
+                    crashes,
                     request_codec,
                     budgets,
                     relay_metrics,
@@ -269,6 +281,11 @@
     return;
   }
   const bool near = this->core.exchange().Near(peer);
+  if (beat.__isset.crash_news) {
+    this->crashes.OnNews(DecodeCrashNews(beat.crash_news),
+                         near ? NewsScope::kRegion : NewsScope::kOtherRegions,
+                         now);
+  }
   if (near) {
     this->book.OnReport(
         InstanceId{static_cast<uint64_t>(beat.instance)},
@@ -287,6 +304,23 @@
   }
 }
 
+void Gateway::OnQuarantine(const QuarantineRecord& record, size_t crashes) {
+  std::array<char, 20> part{};
+  std::snprintf(part.data(), part.size(), "%016llx",
+                static_cast<unsigned long long>(record.part));
+  this->dependencies.log.Info(
+      "quarantine",
+      record.lifted
+          ? "requests with the part are sent again"
+          : "a part of prompts crashes targets; requests with it are not sent",
+      {{"part_hash", std::string_view(part.data())},
+       {"crashes", crashes},
+       {"round", record.round},
+       {"probe_in_ms", record.left.count()}});
+  this->quarantined_parts.Set(
+      static_cast<double>(this->crashes.quarantines().parts().size()));
+}
+
 void Gateway::OnSummary(const RegionSummary& summary) {
   const TimePoint now = this->dependencies.loop.Now();
   this->book.OnRegionReport(summary.region, summary.loads,
@@ -318,6 +352,11 @@
     return peer.heard && peer.role == NodeRole::kStager &&
            this->beats.ShouldSendTo(peer);
   });
+  this->crashes.Judge(now);
+  const CrashNews news = this->crashes.TakeNews(NewsScope::kRegion, now);
+  if (!news.empty()) {
+    beat.__set_crash_news(EncodeCrashNews(news));
+  }
   beat.loads = EncodeLoads(this->book.OwnLoads());
   for (const RegionSummary& summary : this->core.regions().TakeForwards()) {
     beat.summaries.push_back(EncodeSummary(summary));
@@ -327,6 +366,7 @@
            this->beats.ShouldSendTo(peer);
   });
   this->SendSummary();
+  this->SendCrashNews();
   this->UpdateShares();
   this->beat_timer.StartOnce(GatewayBeatPeriod(
       this->options.beats, this->options.beat_period,
@@ -366,6 +406,12 @@
   this->live_gateways.Set(static_cast<double>(members.size()));
   this->budgets.SetMaxSaved(
       MaxSavedRetries(this->dependencies.settings, members.size()));
+  std::vector<std::string> addresses;
+  addresses.reserve(members.size());
+  for (const GatewayMember& member : members) {
+    addresses.push_back(member.ip);
+  }
+  this->crashes.SetGateways(std::move(addresses));
   this->selector.SetGateways(std::move(members));
 }
 
@@ -428,11 +474,7 @@
   return receivers;
 }
 
-void Gateway::SendSummary() {
-  const TimePoint now = this->dependencies.loop.Now();
-  if (now < this->next_summary) {
-    return;
-  }
+bool Gateway::SendsToOtherRegions() const {
   std::vector<InstanceId> near_gateways;
   for (const auto& [ip, peer] : this->core.exchange().peers()) {
     if (peer.beat.role == static_cast<int32_t>(NodeRole::kGateway) &&
@@ -442,8 +484,13 @@
           InstanceId{static_cast<uint64_t>(peer.beat.instance)});
     }
   }
-  if (!SendsSummaries(this->options.summaries, this->dependencies.instance,
-                      near_gateways)) {
+  return SendsSummaries(this->options.summaries, this->dependencies.instance,
+                        near_gateways);
+}
+
+void Gateway::SendSummary() {
+  const TimePoint now = this->dependencies.loop.Now();
+  if (now < this->next_summary || !this->SendsToOtherRegions()) {
     return;
   }
   wire::Beat beat = this->core.MakeBeat(this->state());
@@ -453,6 +500,21 @@
   this->next_summary = now + SummaryPeriod(this->options.summaries, bytes);
 }
 
+void Gateway::SendCrashNews() {
+  const TimePoint now = this->dependencies.loop.Now();
+  if (now < this->next_far_crash_news || !this->SendsToOtherRegions()) {
+    return;
+  }
+  this->next_far_crash_news = now + this->options.far_crash_news_period;
+  const CrashNews news = this->crashes.TakeNews(NewsScope::kOtherRegions, now);
+  if (news.empty()) {
+    return;
+  }
+  wire::Beat beat = this->core.MakeBeat(this->state());
+  beat.__set_crash_news(EncodeCrashNews(news));
+  this->core.exchange().SendTo(beat, this->ChooseSummaryReceivers());
+}
+
 void Gateway::Stop() {
   if (this->stopping_since) {
     return;
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -20,6 +20,10 @@
   SummaryOptions summaries;
   // How long the loads in the summary of another region are used.
   std::chrono::milliseconds summary_load_lifetime{2000};
+  CrashGuardOptions crashes;
+  // Shortest time between two messages to other regions about parts of prompts
+  // that crash targets.
+  std::chrono::milliseconds far_crash_news_period{250};
   // How long callers may cache a directory response.
   std::chrono::milliseconds directory_ttl{2000};
   // With fewer ready gateways than `min_addresses` in the caller's region, a
@@ -55,9 +59,16 @@
   void OnViewChanged();
   void OnBeat(const Peer& peer);
   void SendBeat();
+  // A part of prompts was quarantined, or its quarantine was lifted.
+  void OnQuarantine(const QuarantineRecord& record, size_t crashes);
   // Sends a summary of this region to one gateway of each other region when one
   // is due from this gateway.
   void SendSummary();
+  // Whether this gateway is one of those that send to other regions.
+  bool SendsToOtherRegions() const;
+  // Tells one gateway of each other region what is new about parts of prompts
+  // that crash targets.
+  void SendCrashNews();
   RegionSummary MakeSummary() const;
   void OnSummary(const RegionSummary& summary);
   // Returns the addresses of one live gateway of each other region, or of a
@@ -80,6 +91,8 @@
   TargetTracker book;
   std::unique_ptr<PlacementPolicy> policy;
   TargetSelector selector;
+  Gauge& quarantined_parts;
+  CrashGuard crashes;
   ServiceRetryBudgets budgets;
   RelayMetrics relay_metrics;
   Gauge& live_gateways;
@@ -91,6 +104,7 @@
   Timer stop_timer;
   GatewayBeats beats;
   TimePoint next_summary{};
+  TimePoint next_far_crash_news{};
   // Newest operator revision that a beat has carried.
   int64_t announced_operator_revision = 0;
   StopPolicyOptions stop_policy;
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -77,6 +77,9 @@
                                  "Requests sent to another target")),
       resumes(metrics.AddCounter("celerypost_stream_resumes_total",
                                  "Streams that went on at another target")),
+      quarantined(metrics.AddCounter(
+          "celerypost_quarantined_requests_total",
+          "Requests not sent since a part of their prompt crashes targets")),
       first_event(metrics.AddHistogram("celerypost_first_event_seconds",
                                        "Time to the first event")),
       total(metrics.AddHistogram("celerypost_request_seconds",
@@ -112,6 +115,9 @@
     }
   }
   this->service = ChooseBackend(*this->route, this->call.id);
+  for (const std::string& part : this->call.shared_parts) {
+    this->parts.push_back(HashPart(this->service, part));
+  }
   this->context.budgets.For(this->service).Deposit();
   const milliseconds caller_timeout =
       this->call.deadline.value_or(this->route->timeout);
@@ -157,6 +163,10 @@
     this->EndForLackOfTime();
     return;
   }
+  if (!this->context.crashes.MaySend(this->parts, now)) {
+    this->EndForQuarantine();
+    return;
+  }
   this->selection = this->context.selector.Select(this->selection_request, now);
   if (this->selection.target) {
     this->stream_broken_at.reset();
@@ -190,6 +200,18 @@
   }
 }
 
+void RelayTask::EndForQuarantine() {
+  constexpr std::string_view kReason = "a part of the prompt is quarantined";
+  this->context.metrics.quarantined.Add();
+  if (this->head_sent || this->verdict != Verdict::kNotRun) {
+    this->FailWith(kBadGateway, kReason);
+  } else {
+    this->Refuse(kReason, std::max(kRefusedRetryAfter,
+                                   this->context.crashes.TimeLeft(
+                                       this->parts, this->context.loop.Now())));
+  }
+}
+
 void RelayTask::SendTo(const Selection& selection) {
   const TimePoint now = this->context.loop.Now();
   TargetRequestInfo target_call;
@@ -209,6 +231,7 @@
   this->attempt.emplace();
   this->attempt->target = selection.target->id;
   this->attempt->prompt_tokens = this->call.prompt_tokens;
+  this->attempt->incarnation = HashIncarnation(*selection.target);
   this->selection_request.tried.insert(selection.target->id);
   ++this->sends;
   this->context.metrics.attempts.Add();
@@ -335,19 +358,32 @@
 }
 
 void RelayTask::NoteProgress() {
+  const TimePoint now = this->context.loop.Now();
   if (!this->attempt->had_event) {
     this->attempt->had_event = true;
+    this->attempt->first_event_at = now;
     this->context.book.OnFirstEvent(this->attempt->target,
                                     this->attempt->prompt_tokens);
   }
+  if (now - this->attempt->first_event_at >=
+      this->context.options.survival_time) {
+    this->NoteSurvival();
+  }
   if (!this->first_event_at) {
-    this->first_event_at = this->context.loop.Now();
+    this->first_event_at = now;
     this->context.metrics.first_event.Observe(*this->first_event_at -
                                               this->arrived);
   }
   this->StartAttemptTimer();
 }
 
+void RelayTask::NoteSurvival() {
+  if (!this->attempt->survived) {
+    this->attempt->survived = true;
+    this->context.crashes.OnSurvived(this->parts, this->context.loop.Now());
+  }
+}
+
 void RelayTask::ForwardEvents(const std::string& complete_events) {
   if (complete_events.empty()) {
     return;
@@ -373,6 +409,7 @@
       this->NoteProgress();
     }
     this->ForwardEvents(rest);
+    this->NoteSurvival();
     this->EndAttempt(AttemptOutcome::kAnswered);
     if (!this->head_sent) {
       this->SendTargetAnswer();
@@ -384,6 +421,9 @@
     this->Finish("answered", status, {});
     return;
   }
+  if (!failed) {
+    this->NoteSurvival();
+  }
   this->EndAttempt(failed ? AttemptOutcome::kFailed
                           : AttemptOutcome::kAnswered);
   this->SendTargetAnswer();
@@ -412,6 +452,12 @@
                           {"attempt", this->sends},
                           {"shared_parts", Join(this->call.shared_parts)}},
                          this->call.id);
+  // Any other failure has a cause that is known and not the request.
+  if (failure.verdict == Verdict::kMayHaveRun &&
+      failure.code == ErrorCode::kUnavailable && !this->attempt->survived) {
+    this->context.crashes.OnBroken(this->parts, this->attempt->incarnation,
+                                   this->context.loop.Now());
+  }
   this->EndAttempt(AttemptOutcome::kBroken);
   this->RetryOrEnd(failure.verdict, kBadGateway, "the target broke off");
 }
@@ -476,7 +522,8 @@
 }
 
 bool RelayTask::MayRetry(Verdict attempt_verdict) {
-  if (this->sends >= this->context.options.max_sends) {
+  if (this->sends >= this->context.options.max_sends ||
+      !this->context.crashes.MayRepeat(this->parts, this->context.loop.Now())) {
     return false;
   }
   // Only attempts that may have run count against the route's limit.
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "src/connection/http1_client.h"
 #include "src/connection/http1_server.h"
@@ -13,6 +14,7 @@
 #include "src/process/log.h"
 #include "src/process/metrics.h"
 #include "src/request/attempt_timeout.h"
+#include "src/request/crash_guard.h"
 #include "src/request/event_stream.h"
 #include "src/request/request_codec.h"
 #include "src/request/retry_budget.h"
@@ -38,6 +40,9 @@
   // of a stream. They bound what a target that sends without end occupies.
   size_t max_answer_bytes = 1u << 20;
   size_t max_event_bytes = 256u << 10;
+  // A target that has sent events of an answer for this long does not crash on
+  // its request.
+  std::chrono::milliseconds survival_time{250};
 };
 
 // Counters and histograms of relayed requests.
@@ -51,6 +56,7 @@
   Counter& attempts;
   Counter& retries;
   Counter& resumes;
+  Counter& quarantined;
   Histogram& first_event;
   Histogram& total;
 };
@@ -62,6 +68,7 @@
   const ClusterView& view;
   TargetTracker& book;
   TargetSelector& selector;
+  CrashGuard& crashes;
   const RequestCodec& codec;
   ServiceRetryBudgets& budgets;
   RelayMetrics& metrics;
@@ -75,7 +82,11 @@
   // The target's ID.
   std::string target;
   double prompt_tokens = 0;
+  IncarnationHash incarnation = 0;
   bool had_event = false;
+  TimePoint first_event_at{};
+  // The target did not crash on the request (RelayOptions::survival_time).
+  bool survived = false;
   bool ended = false;
   TargetAnswer answer;
   HttpHeaders headers;
@@ -99,6 +110,8 @@
   // Ends the request since the time until its deadline is too short for another
   // attempt.
   void EndForLackOfTime();
+  // Ends the request since a part of its prompt is quarantined.
+  void EndForQuarantine();
   void OnHead(const HttpResponseHead& head);
   void OnBody(std::string_view bytes);
   void OnEnd();
@@ -111,6 +124,7 @@
   void OnCallerDisconnected();
   // The attempt has produced an event.
   void NoteProgress();
+  void NoteSurvival();
   void ForwardEvents(const std::string& complete_events);
 
   // Returns whether the request may be sent to another target after an attempt
@@ -138,6 +152,8 @@
   const Workspace* workspace = nullptr;
   ServiceName service;
   CallerRequestInfo call;
+  // Of the parts of the prompt that other requests may share.
+  std::vector<PartHash> parts;
   TimePoint arrived;
   TimePoint deadline;
   std::unique_ptr<Timer> deadline_timer;
--- /dev/null
+++ b/src/request/crash_evidence.h
@@ -0,0 +1,156 @@
+#ifndef SRC_REQUEST_CRASH_EVIDENCE_H_
+#define SRC_REQUEST_CRASH_EVIDENCE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "celerypost/types.h"
+#include "src/request/target_registration.h"
+
+namespace celerypost {
+
+// Hash of a service and the ID of a part of a prompt that requests share. The
+// same in every process.
+using PartHash = uint64_t;
+PartHash HashPart(const ServiceName& service, const std::string& part);
+
+// Hash of one start of a target's process.
+using IncarnationHash = uint64_t;
+IncarnationHash HashIncarnation(const TargetRegistration& target);
+
+// A request with the part had not survived when its target crashed.
+struct CrashAccusation {
+  PartHash part = 0;
+  IncarnationHash incarnation = 0;
+};
+
+struct CrashEvidenceOptions {
+  // A part is held responsible after crashes at this many times that no other
+  // part explains. Crashes within `same_event` of each other may have one
+  // cause, such as the failure of a zone, and count once.
+  size_t min_events = 3;
+  std::chrono::milliseconds same_event{150};
+  // Other requests of this gateway that must have survived since the first
+  // accusation: while none does, the parts are not the cause.
+  uint64_t min_other_survivals = 5;
+  // Largest probability that the part's requests all broke by chance, given the
+  // share of other requests that broke at the same times.
+  double max_chance = 0.01;
+  // Time from the first accusation in which other gateways can report that
+  // requests with the part survive, for a part that is new to this gateway, and
+  // for one whose requests have survived before: those are in progress at other
+  // targets.
+  std::chrono::milliseconds new_part_delay{500};
+  std::chrono::milliseconds known_part_delay{2000};
+  // A part that was never seen counts as new only after this gateway has seen
+  // requests survive for so long.
+  std::chrono::milliseconds min_history{2000};
+  // Accusations are kept for this long, so that rare crashes add up.
+  std::chrono::milliseconds lifetime{600000};
+  // Bounds of what is kept: accused parts, crashes of each, and parts whose
+  // requests have survived.
+  size_t max_suspects = 512;
+  size_t max_crashes_per_part = 64;
+  size_t max_known_parts = 4096;
+};
+
+// Finds the part of a prompt that crashes the targets which begin to answer it.
+//
+// A crash accuses the parts of all requests at the target that had not survived
+// yet, as any of them may have caused it. A request that survives acquits its
+// parts of all earlier crashes. A part that is accused by several crashes and
+// never acquitted is held responsible, the one with the most crashes first, and
+// explains them: other parts are no longer accused by these. Targets also crash
+// for other reasons, many at once when a zone fails; the share of other
+// requests that broke at the time of a crash says how much the crash proves.
+class CrashEvidence {
+ public:
+  explicit CrashEvidence(CrashEvidenceOptions options);
+
+  // A request of this gateway, with any parts, broke before it survived, or
+  // survived. Both count towards the share of requests that break.
+  void OnBroken(const std::vector<PartHash>& parts,
+                IncarnationHash incarnation,
+                TimePoint now);
+  void OnSurvived(const std::vector<PartHash>& parts, TimePoint now);
+
+  // The same from another gateway, for one part. Return whether it was new.
+  bool AddAccusation(const CrashAccusation& accusation, TimePoint at);
+  bool AddSurvival(PartHash part, TimePoint at);
+
+  // Returns the parts that are held responsible, apart from `quarantined` ones,
+  // which explain their crashes already.
+  std::vector<PartHash> Judge(const std::set<PartHash>& quarantined,
+                              TimePoint now);
+
+  // Returns the number of crashes that accuse the part and from which it has
+  // not been acquitted.
+  size_t Crashes(PartHash part) const;
+  // Returns whether any part is accused.
+  bool empty() const { return this->suspects.empty(); }
+  // When a request with the part last survived; the start of time if none is
+  // known to have.
+  TimePoint LastSurvival(PartHash part) const;
+  // Drops what accuses a part, after a quarantine of it was lifted.
+  void Forget(PartHash part) { this->suspects.erase(part); }
+
+ private:
+  struct Accusation {
+    TimePoint at{};
+    // `total_survived` at the time at which this gateway learned of the crash.
+    uint64_t survived_before = 0;
+    // A request of this gateway broke, which the shares count.
+    bool own = false;
+  };
+  struct Suspect {
+    std::map<IncarnationHash, Accusation> crashes;
+  };
+  // Requests of this gateway in one second.
+  struct Outcomes {
+    uint32_t survived = 0;
+    uint32_t broken = 0;
+  };
+
+  bool Accuse(PartHash part,
+              IncarnationHash incarnation,
+              TimePoint at,
+              bool own);
+  // Returns the crashes of `suspect` that `explained` does not hold, in the
+  // order of time.
+  static std::vector<Accusation> Unexplained(
+      const Suspect& suspect,
+      const std::set<IncarnationHash>& explained);
+  // Returns whether the accusations suffice to hold the part responsible.
+  bool Suffices(PartHash part,
+                const std::vector<Accusation>& accusations,
+                TimePoint now) const;
+  // Returns the share of requests that broke around `time`, without those that
+  // `accusations` counts.
+  double BrokenShare(TimePoint time,
+                     const std::vector<Accusation>& accusations) const;
+  // Whether the part was never seen although this gateway has run for long
+  // enough.
+  bool IsNew(PartHash part, TimePoint now) const;
+  void DropExpired(TimePoint now);
+  Outcomes& OutcomesAt(TimePoint now);
+
+  CrashEvidenceOptions options;
+  std::map<PartHash, Suspect> suspects;
+  std::unordered_map<PartHash, TimePoint> survivals;
+  // Requests of this gateway that have survived since the start.
+  uint64_t total_survived = 0;
+  // By second since the clock's epoch.
+  std::map<int64_t, Outcomes> outcomes;
+  // When a request of this gateway first survived.
+  TimePoint first_survival = TimePoint::max();
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_REQUEST_CRASH_EVIDENCE_H_
--- /dev/null
+++ b/src/request/crash_guard.cc
@@ -0,0 +1,249 @@
+#include "src/request/crash_guard.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <xxhash.h>
+
+#include "src/version/digest.h"
+
+namespace celerypost {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Bounds the queues when no news is taken, in items per kind.
+constexpr size_t kMaxPending = 1024;
+
+size_t Index(NewsScope scope) {
+  return static_cast<size_t>(scope);
+}
+
+template <typename Queue>
+void Trim(Queue& queue) {
+  while (queue.size() > kMaxPending) {
+    queue.pop_front();
+  }
+}
+
+milliseconds AgeOf(TimePoint at, TimePoint now) {
+  return std::max(milliseconds(0),
+                  std::chrono::duration_cast<milliseconds>(now - at));
+}
+
+}  // namespace
+
+CrashGuard::CrashGuard(CrashGuardOptions options,
+                       std::string self,
+                       OnChange on_change)
+    : options(options),
+      self(std::move(self)),
+      on_change(std::move(on_change)),
+      gateways({this->self}),
+      evidence(options.evidence),
+      quarantine(options.quarantine) {}
+
+CrashGuard::Copies CrashGuard::CopiesFor(const NewsScope* from) const {
+  Copies copies;
+  for (const NewsScope scope : {NewsScope::kRegion, NewsScope::kOtherRegions}) {
+    if (from == nullptr || *from != scope) {
+      copies.left[Index(scope)] = this->options.copies;
+    }
+  }
+  return copies;
+}
+
+bool CrashGuard::MayProbe(PartHash part) const {
+  const std::string key = std::to_string(part);
+  const auto weight = [&](const std::string& gateway) {
+    return std::pair(
+        RendezvousWeight(key, XXH64(gateway.data(), gateway.size(), 0)),
+        std::string_view(gateway));
+  };
+  return std::all_of(this->gateways.begin(), this->gateways.end(),
+                     [&](const std::string& gateway) {
+                       return weight(gateway) <= weight(this->self);
+                     });
+}
+
+bool CrashGuard::MaySend(const std::vector<PartHash>& parts, TimePoint now) {
+  if (!this->quarantine.Contains(parts)) {
+    return true;
+  }
+  std::map<PartHash, bool> may_probe;
+  for (const PartHash part : parts) {
+    may_probe[part] = this->MayProbe(part);
+  }
+  return this->quarantine.Admit(parts, may_probe, now) !=
+         PartQuarantine::Admission::kQuarantined;
+}
+
+bool CrashGuard::MayRepeat(const std::vector<PartHash>& parts,
+                           TimePoint now) const {
+  return std::none_of(parts.begin(), parts.end(), [&](PartHash part) {
+    return this->quarantine.parts().contains(part) ||
+           (this->evidence.Crashes(part) >
+                this->options.max_crashes_to_repeat &&
+            now - this->evidence.LastSurvival(part) >
+                this->options.evidence.known_part_delay);
+  });
+}
+
+void CrashGuard::OnSurvived(const std::vector<PartHash>& parts, TimePoint now) {
+  for (const PartHash part : parts) {
+    if (this->evidence.Crashes(part) > 0) {
+      this->AnnounceSurvival(part, nullptr, now);
+    }
+  }
+  this->evidence.OnSurvived(parts, now);
+  for (const PartHash part : parts) {
+    this->LiftIfSurvived(part, now);
+  }
+}
+
+void CrashGuard::LiftIfSurvived(PartHash part, TimePoint now) {
+  if (this->quarantine.OnSurvived(part, this->evidence.LastSurvival(part),
+                                  now)) {
+    this->AnnounceQuarantine(part, nullptr, now);
+  }
+}
+
+void CrashGuard::OnBroken(const std::vector<PartHash>& parts,
+                          IncarnationHash incarnation,
+                          TimePoint now) {
+  this->evidence.OnBroken(parts, incarnation, now);
+  for (const PartHash part : parts) {
+    const bool known = this->evidence.LastSurvival(part) != TimePoint{};
+    this->accusations.push_back(
+        {{{part, incarnation}, now},
+         known ? now + this->options.known_part_news_delay : now,
+         this->CopiesFor(nullptr)});
+    if (this->quarantine.OnBroken(part, now)) {
+      this->AnnounceQuarantine(part, nullptr, now);
+    }
+  }
+  Trim(this->accusations);
+}
+
+void CrashGuard::Judge(TimePoint now) {
+  this->quarantine.DropExpired(now);
+  if (this->evidence.empty()) {
+    return;
+  }
+  for (const PartHash part :
+       this->evidence.Judge(this->quarantine.parts(), now)) {
+    this->quarantine.Add(part, now);
+    this->AnnounceQuarantine(part, nullptr, now);
+  }
+}
+
+void CrashGuard::AnnounceSurvival(PartHash part,
+                                  const NewsScope* from,
+                                  TimePoint now) {
+  const auto [last, added] = this->last_survival_news.try_emplace(part, now);
+  if (!added && now - last->second < this->options.survival_news_period) {
+    return;
+  }
+  last->second = now;
+  if (this->last_survival_news.size() > kMaxPending) {
+    std::erase_if(this->last_survival_news, [&](const auto& entry) {
+      return now - entry.second >= this->options.survival_news_period;
+    });
+  }
+  this->survivals.push_back({part, now, this->CopiesFor(from)});
+  Trim(this->survivals);
+}
+
+void CrashGuard::AnnounceQuarantine(PartHash part,
+                                    const NewsScope* from,
+                                    TimePoint now) {
+  this->changed_quarantines.push_back({part, now, this->CopiesFor(from)});
+  Trim(this->changed_quarantines);
+  if (const auto record = this->quarantine.RecordOf(part, now)) {
+    if (record->lifted) {
+      this->evidence.Forget(part);
+    }
+    this->on_change(*record, this->evidence.Crashes(part));
+  }
+}
+
+void CrashGuard::OnNews(const CrashNews& news, NewsScope scope, TimePoint now) {
+  for (const CrashNews::Survival& survival : news.survivals) {
+    if (this->evidence.AddSurvival(survival.part, now - survival.age)) {
+      this->AnnounceSurvival(survival.part, &scope, now);
+      this->LiftIfSurvived(survival.part, now);
+    }
+  }
+  for (const CrashNews::Accusation& item : news.accusations) {
+    const PartHash part = item.accusation.part;
+    const TimePoint at = now - item.age;
+    if (this->evidence.AddAccusation(item.accusation, at)) {
+      this->accusations.push_back(
+          {{item.accusation, at}, now, this->CopiesFor(&scope)});
+    }
+    // Also when the requests survived before the crash: the part is then not a
+    // new one.
+    if (this->evidence.LastSurvival(part) != TimePoint{}) {
+      this->AnnounceSurvival(part, nullptr, now);
+    }
+  }
+  Trim(this->accusations);
+  for (const QuarantineRecord& record : news.quarantines) {
+    if (this->quarantine.Merge(record, now)) {
+      this->AnnounceQuarantine(record.part, &scope, now);
+      this->LiftIfSurvived(record.part, now);
+    }
+  }
+}
+
+CrashNews CrashGuard::TakeNews(NewsScope scope, TimePoint now) {
+  CrashNews news;
+  const size_t index = Index(scope);
+  // Passes the items that are due to `use` and drops those that have been sent
+  // often enough.
+  const auto take = [&](auto& queue, auto use) {
+    size_t count = 0;
+    for (auto& pending : queue) {
+      if (pending.copies.left[index] > 0 && now >= pending.not_before &&
+          count < this->options.max_items) {
+        --pending.copies.left[index];
+        count += use(pending.item) ? 1 : 0;
+      }
+    }
+    std::erase_if(queue, [&](const auto& pending) {
+      return (pending.copies.left[0] == 0 && pending.copies.left[1] == 0) ||
+             now - pending.not_before > this->options.news_lifetime;
+    });
+  };
+  take(this->accusations, [&](const TimedAccusation& item) {
+    if (this->evidence.LastSurvival(item.accusation.part) >= item.at) {
+      return false;
+    }
+    news.accusations.push_back({item.accusation, AgeOf(item.at, now)});
+    return true;
+  });
+  take(this->survivals, [&](PartHash part) {
+    const TimePoint at = this->evidence.LastSurvival(part);
+    if (at != TimePoint{}) {
+      news.survivals.push_back({part, AgeOf(at, now)});
+    }
+    return at != TimePoint{};
+  });
+  if (now >= this->next_quarantine_news[index]) {
+    news.quarantines = this->quarantine.Records(now);
+    this->next_quarantine_news[index] =
+        now + this->options.quarantine_news_period;
+    take(this->changed_quarantines, [](PartHash) { return true; });
+  } else {
+    take(this->changed_quarantines, [&](PartHash part) {
+      if (const auto record = this->quarantine.RecordOf(part, now)) {
+        news.quarantines.push_back(*record);
+      }
+      return true;
+    });
+  }
+  return news;
+}
+
+}  // namespace celerypost
--- /dev/null
+++ b/src/request/crash_guard.h
@@ -0,0 +1,160 @@
+#ifndef SRC_REQUEST_CRASH_GUARD_H_
+#define SRC_REQUEST_CRASH_GUARD_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "celerypost/types.h"
+#include "src/request/crash_evidence.h"
+#include "src/request/part_quarantine.h"
+
+namespace celerypost {
+
+// What gateways tell each other about parts of prompts that crash targets.
+struct CrashNews {
+  struct Accusation {
+    CrashAccusation accusation;
+    std::chrono::milliseconds age{0};
+  };
+  struct Survival {
+    PartHash part = 0;
+    // Time since the last request with the part survived.
+    std::chrono::milliseconds age{0};
+  };
+
+  std::vector<Accusation> accusations;
+  std::vector<Survival> survivals;
+  std::vector<QuarantineRecord> quarantines;
+
+  bool empty() const {
+    return this->accusations.empty() && this->survivals.empty() &&
+           this->quarantines.empty();
+  }
+};
+
+struct CrashGuardOptions {
+  CrashEvidenceOptions evidence;
+  QuarantineOptions quarantine;
+  // How often each item is sent, as datagrams may be lost.
+  uint32_t copies = 3;
+  // An item that has waited for so long is dropped: not every gateway sends to
+  // other regions.
+  std::chrono::milliseconds news_lifetime{5000};
+  // Most accusations and survivals in one message.
+  size_t max_items = 32;
+  // An accusation of a part whose requests have survived before is sent only
+  // after this long: most such parts are acquitted by then.
+  std::chrono::milliseconds known_part_news_delay{400};
+  // Shortest time between two reports that requests with a part survive.
+  std::chrono::milliseconds survival_news_period{500};
+  // Time between two messages that list all quarantines, for gateways that have
+  // just started.
+  std::chrono::milliseconds quarantine_news_period{1000};
+  // A request that broke at a target is not repeated when one of its parts is
+  // accused by this many crashes.
+  size_t max_crashes_to_repeat = 1;
+};
+
+// The receivers of news.
+enum class NewsScope : uint8_t {
+  // The gateways of the own region.
+  kRegion,
+  // One gateway of each other region.
+  kOtherRegions,
+};
+
+// Decides which requests are not sent because a part of their prompt crashes
+// targets. Each gateway sees only some of the crashes, so gateways exchange
+// what accuses and acquits a part; whichever has enough evidence first
+// quarantines the part and tells the others.
+class CrashGuard {
+ public:
+  // Called when a part is quarantined or its quarantine is lifted. `crashes` is
+  // the number of crashes that this gateway knows to accuse it.
+  using OnChange =
+      std::function<void(const QuarantineRecord& record, size_t crashes)>;
+
+  // `self` identifies this gateway among those passed to SetGateways.
+  CrashGuard(CrashGuardOptions options, std::string self, OnChange on_change);
+
+  // Returns whether a request with these parts may be sent, and begins a probe
+  // if it is one.
+  bool MaySend(const std::vector<PartHash>& parts, TimePoint now);
+  // Returns whether a request that broke at a target may be sent to another.
+  bool MayRepeat(const std::vector<PartHash>& parts, TimePoint now) const;
+  // When a request that MaySend turns away may be sent.
+  std::chrono::milliseconds TimeLeft(const std::vector<PartHash>& parts,
+                                     TimePoint now) const {
+    return this->quarantine.TimeLeft(parts, now);
+  }
+
+  // A request survived: its target did not crash on it. Without shared parts it
+  // only counts towards the share of requests that survive.
+  void OnSurvived(const std::vector<PartHash>& parts, TimePoint now);
+  // The connection to the target ended before the request survived.
+  void OnBroken(const std::vector<PartHash>& parts,
+                IncarnationHash incarnation,
+                TimePoint now);
+  // Quarantines the parts for which the evidence suffices. Call at intervals.
+  void Judge(TimePoint now);
+
+  // Replaces the gateways that may be running, this one included. For each part
+  // one of them sends the probes.
+  void SetGateways(std::vector<std::string> gateways) {
+    this->gateways = std::move(gateways);
+  }
+
+  // Takes over news from a gateway; `scope` is where the sender is.
+  void OnNews(const CrashNews& news, NewsScope scope, TimePoint now);
+  // Returns what has to be sent to the gateways of `scope` now.
+  CrashNews TakeNews(NewsScope scope, TimePoint now);
+
+  const PartQuarantine& quarantines() const { return this->quarantine; }
+
+ private:
+  // Copies that are still to be sent, by NewsScope.
+  struct Copies {
+    uint32_t left[2] = {0, 0};
+  };
+  template <typename Item>
+  struct Pending {
+    Item item;
+    TimePoint not_before{};
+    Copies copies;
+  };
+  struct TimedAccusation {
+    CrashAccusation accusation;
+    TimePoint at{};
+  };
+
+  // News from this gateway go to both scopes, news from one go to the other:
+  // its own gateways have them from the sender.
+  Copies CopiesFor(const NewsScope* from) const;
+  bool MayProbe(PartHash part) const;
+  // Lifts the quarantine of a part if a request with it has survived since.
+  void LiftIfSurvived(PartHash part, TimePoint now);
+  void AnnounceSurvival(PartHash part, const NewsScope* from, TimePoint now);
+  void AnnounceQuarantine(PartHash part, const NewsScope* from, TimePoint now);
+
+  CrashGuardOptions options;
+  std::string self;
+  OnChange on_change;
+  std::vector<std::string> gateways;
+  CrashEvidence evidence;
+  PartQuarantine quarantine;
+  std::deque<Pending<TimedAccusation>> accusations;
+  std::deque<Pending<PartHash>> survivals;
+  std::deque<Pending<PartHash>> changed_quarantines;
+  std::map<PartHash, TimePoint> last_survival_news;
+  TimePoint next_quarantine_news[2]{};
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_REQUEST_CRASH_GUARD_H_
--- a/src/request/target_registration.h
+++ b/src/request/target_registration.h
@@ -34,6 +34,9 @@
   bool draining = false;
   // Time that the target stays cold, counted from the registration.
   std::chrono::milliseconds cold_remaining{0};
+  // When the process started, since the Unix epoch on the target's clock; tells
+  // apart two starts with the same ID. 0 when the target does not report it.
+  std::chrono::milliseconds started_at{0};
   std::vector<HeldModel> models;
 };
 
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -4946,6 +4946,646 @@
 }
 
 
+CrashAccusation::~CrashAccusation() noexcept {
+}
+
+
+void CrashAccusation::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void CrashAccusation::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void CrashAccusation::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashAccusation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashAccusation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashAccusation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashAccusation");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashAccusation &a, CrashAccusation &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.incarnation, b.incarnation);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+CrashAccusation::CrashAccusation(const CrashAccusation& other154) noexcept {
+  part = other154.part;
+  incarnation = other154.incarnation;
+  age_ms = other154.age_ms;
+  __isset = other154.__isset;
+}
+CrashAccusation::CrashAccusation(CrashAccusation&& other155) noexcept {
+  part = other155.part;
+  incarnation = other155.incarnation;
+  age_ms = other155.age_ms;
+  __isset = other155.__isset;
+}
+CrashAccusation& CrashAccusation::operator=(const CrashAccusation& other156) noexcept {
+  part = other156.part;
+  incarnation = other156.incarnation;
+  age_ms = other156.age_ms;
+  __isset = other156.__isset;
+  return *this;
+}
+CrashAccusation& CrashAccusation::operator=(CrashAccusation&& other157) noexcept {
+  part = other157.part;
+  incarnation = other157.incarnation;
+  age_ms = other157.age_ms;
+  __isset = other157.__isset;
+  return *this;
+}
+void CrashAccusation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashAccusation(";
+  out << "part=" << to_string(part);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+PartSurvival::~PartSurvival() noexcept {
+}
+
+
+void PartSurvival::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void PartSurvival::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartSurvival& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartSurvival::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartSurvival::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartSurvival");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartSurvival &a, PartSurvival &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+PartSurvival::PartSurvival(const PartSurvival& other158) noexcept {
+  part = other158.part;
+  age_ms = other158.age_ms;
+  __isset = other158.__isset;
+}
+PartSurvival::PartSurvival(PartSurvival&& other159) noexcept {
+  part = other159.part;
+  age_ms = other159.age_ms;
+  __isset = other159.__isset;
+}
+PartSurvival& PartSurvival::operator=(const PartSurvival& other160) noexcept {
+  part = other160.part;
+  age_ms = other160.age_ms;
+  __isset = other160.__isset;
+  return *this;
+}
+PartSurvival& PartSurvival::operator=(PartSurvival&& other161) noexcept {
+  part = other161.part;
+  age_ms = other161.age_ms;
+  __isset = other161.__isset;
+  return *this;
+}
+void PartSurvival::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartSurvival(";
+  out << "part=" << to_string(part);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+PartQuarantine::~PartQuarantine() noexcept {
+}
+
+
+void PartQuarantine::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void PartQuarantine::__set_round(const int32_t val) {
+  this->round = val;
+}
+
+void PartQuarantine::__set_lifted(const bool val) {
+  this->lifted = val;
+}
+
+void PartQuarantine::__set_left_ms(const int32_t val) {
+  this->left_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartQuarantine& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartQuarantine::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->lifted);
+          this->__isset.lifted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->left_ms);
+          this->__isset.left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartQuarantine::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartQuarantine");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->round);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lifted", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->lifted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartQuarantine &a, PartQuarantine &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.round, b.round);
+  swap(a.lifted, b.lifted);
+  swap(a.left_ms, b.left_ms);
+  swap(a.__isset, b.__isset);
+}
+
+PartQuarantine::PartQuarantine(const PartQuarantine& other162) noexcept {
+  part = other162.part;
+  round = other162.round;
+  lifted = other162.lifted;
+  left_ms = other162.left_ms;
+  __isset = other162.__isset;
+}
+PartQuarantine::PartQuarantine(PartQuarantine&& other163) noexcept {
+  part = other163.part;
+  round = other163.round;
+  lifted = other163.lifted;
+  left_ms = other163.left_ms;
+  __isset = other163.__isset;
+}
+PartQuarantine& PartQuarantine::operator=(const PartQuarantine& other164) noexcept {
+  part = other164.part;
+  round = other164.round;
+  lifted = other164.lifted;
+  left_ms = other164.left_ms;
+  __isset = other164.__isset;
+  return *this;
+}
+PartQuarantine& PartQuarantine::operator=(PartQuarantine&& other165) noexcept {
+  part = other165.part;
+  round = other165.round;
+  lifted = other165.lifted;
+  left_ms = other165.left_ms;
+  __isset = other165.__isset;
+  return *this;
+}
+void PartQuarantine::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartQuarantine(";
+  out << "part=" << to_string(part);
+  out << ", " << "round=" << to_string(round);
+  out << ", " << "lifted=" << to_string(lifted);
+  out << ", " << "left_ms=" << to_string(left_ms);
+  out << ")";
+}
+
+
+CrashNews::~CrashNews() noexcept {
+}
+
+
+void CrashNews::__set_accusations(const std::vector<CrashAccusation> & val) {
+  this->accusations = val;
+}
+
+void CrashNews::__set_survivals(const std::vector<PartSurvival> & val) {
+  this->survivals = val;
+}
+
+void CrashNews::__set_quarantines(const std::vector<PartQuarantine> & val) {
+  this->quarantines = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->accusations.clear();
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->accusations.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
+            {
+              xfer += this->accusations[_i170].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.accusations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->survivals.clear();
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _etype174;
+            xfer += iprot->readListBegin(_etype174, _size171);
+            this->survivals.resize(_size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
+            {
+              xfer += this->survivals[_i175].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.survivals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantines.clear();
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->quarantines.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
+            {
+              xfer += this->quarantines[_i180].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantines = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashNews");
+
+  xfer += oprot->writeFieldBegin("accusations", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accusations.size()));
+    std::vector<CrashAccusation> ::const_iterator _iter181;
+    for (_iter181 = this->accusations.begin(); _iter181 != this->accusations.end(); ++_iter181)
+    {
+      xfer += (*_iter181).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("survivals", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->survivals.size()));
+    std::vector<PartSurvival> ::const_iterator _iter182;
+    for (_iter182 = this->survivals.begin(); _iter182 != this->survivals.end(); ++_iter182)
+    {
+      xfer += (*_iter182).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
+    std::vector<PartQuarantine> ::const_iterator _iter183;
+    for (_iter183 = this->quarantines.begin(); _iter183 != this->quarantines.end(); ++_iter183)
+    {
+      xfer += (*_iter183).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashNews &a, CrashNews &b) {
+  using ::std::swap;
+  swap(a.accusations, b.accusations);
+  swap(a.survivals, b.survivals);
+  swap(a.quarantines, b.quarantines);
+  swap(a.__isset, b.__isset);
+}
+
+CrashNews::CrashNews(const CrashNews& other184) {
+  accusations = other184.accusations;
+  survivals = other184.survivals;
+  quarantines = other184.quarantines;
+  __isset = other184.__isset;
+}
+CrashNews::CrashNews(CrashNews&& other185) noexcept {
+  accusations = std::move(other185.accusations);
+  survivals = std::move(other185.survivals);
+  quarantines = std::move(other185.quarantines);
+  __isset = other185.__isset;
+}
+CrashNews& CrashNews::operator=(const CrashNews& other186) {
+  accusations = other186.accusations;
+  survivals = other186.survivals;
+  quarantines = other186.quarantines;
+  __isset = other186.__isset;
+  return *this;
+}
+CrashNews& CrashNews::operator=(CrashNews&& other187) noexcept {
+  accusations = std::move(other187.accusations);
+  survivals = std::move(other187.survivals);
+  quarantines = std::move(other187.quarantines);
+  __isset = other187.__isset;
+  return *this;
+}
+void CrashNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashNews(";
+  out << "accusations=" << to_string(accusations);
+  out << ", " << "survivals=" << to_string(survivals);
+  out << ", " << "quarantines=" << to_string(quarantines);
+  out << ")";
+}
+
+
 Beat::~Beat() noexcept {
 }
 
@@ -5038,6 +5678,11 @@
 void Beat::__set_summaries(const std::vector<RegionSummary> & val) {
   this->summaries = val;
 }
+
+void Beat::__set_crash_news(const CrashNews& val) {
+  this->crash_news = val;
+__isset.crash_news = true;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -5134,14 +5779,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size154;
-            ::apache::thrift::protocol::TType _etype157;
-            xfer += iprot->readListBegin(_etype157, _size154);
-            this->loads.resize(_size154);
-            uint32_t _i158;
-            for (_i158 = 0; _i158 < _size154; ++_i158)
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->loads.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
             {
-              xfer += this->loads[_i158].read(iprot);
+              xfer += this->loads[_i192].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5154,14 +5799,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size159;
-            ::apache::thrift::protocol::TType _etype162;
-            xfer += iprot->readListBegin(_etype162, _size159);
-            this->known.resize(_size159);
-            uint32_t _i163;
-            for (_i163 = 0; _i163 < _size159; ++_i163)
+            uint32_t _size193;
+            ::apache::thrift::protocol::TType _etype196;
+            xfer += iprot->readListBegin(_etype196, _size193);
+            this->known.resize(_size193);
+            uint32_t _i197;
+            for (_i197 = 0; _i197 < _size193; ++_i197)
             {
-              xfer += iprot->readString(this->known[_i163]);
+              xfer += iprot->readString(this->known[_i197]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5262,14 +5907,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->summaries.clear();
-            uint32_t _size164;
-            ::apache::thrift::protocol::TType _etype167;
-            xfer += iprot->readListBegin(_etype167, _size164);
-            this->summaries.resize(_size164);
-            uint32_t _i168;
-            for (_i168 = 0; _i168 < _size164; ++_i168)
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _etype201;
+            xfer += iprot->readListBegin(_etype201, _size198);
+            this->summaries.resize(_size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
             {
-              xfer += this->summaries[_i168].read(iprot);
+              xfer += this->summaries[_i202].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5278,6 +5923,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crash_news.read(iprot);
+          this->__isset.crash_news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5330,10 +5983,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<TargetLoad> ::const_iterator _iter169;
-    for (_iter169 = this->loads.begin(); _iter169 != this->loads.end(); ++_iter169)
+    std::vector<TargetLoad> ::const_iterator _iter203;
+    for (_iter203 = this->loads.begin(); _iter203 != this->loads.end(); ++_iter203)
     {
-      xfer += (*_iter169).write(oprot);
+      xfer += (*_iter203).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5342,10 +5995,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter170;
-    for (_iter170 = this->known.begin(); _iter170 != this->known.end(); ++_iter170)
+    std::vector<std::string> ::const_iterator _iter204;
+    for (_iter204 = this->known.begin(); _iter204 != this->known.end(); ++_iter204)
     {
-      xfer += oprot->writeString((*_iter170));
+      xfer += oprot->writeString((*_iter204));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5399,15 +6052,20 @@
   xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
-    std::vector<RegionSummary> ::const_iterator _iter171;
-    for (_iter171 = this->summaries.begin(); _iter171 != this->summaries.end(); ++_iter171)
+    std::vector<RegionSummary> ::const_iterator _iter205;
+    for (_iter205 = this->summaries.begin(); _iter205 != this->summaries.end(); ++_iter205)
     {
-      xfer += (*_iter171).write(oprot);
+      xfer += (*_iter205).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.crash_news) {
+    xfer += oprot->writeFieldBegin("crash_news", ::apache::thrift::protocol::T_STRUCT, 23);
+    xfer += this->crash_news.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5437,109 +6095,114 @@
   swap(a.store_answers, b.store_answers);
   swap(a.digests_version, b.digests_version);
   swap(a.summaries, b.summaries);
+  swap(a.crash_news, b.crash_news);
   swap(a.__isset, b.__isset);
 }
 
-Beat::Beat(const Beat& other172) {
-  instance = other172.instance;
-  role = other172.role;
-  ip = other172.ip;
-  zone = other172.zone;
-  region = other172.region;
-  caller_address = other172.caller_address;
-  state = other172.state;
-  revision = other172.revision;
-  loads = other172.loads;
-  known = other172.known;
-  target_address = other172.target_address;
-  model = other172.model;
-  staged_version = other172.staged_version;
-  held_chunks = other172.held_chunks;
-  serving_version = other172.serving_version;
-  loading = other172.loading;
-  fetching = other172.fetching;
-  loads_in_ms = other172.loads_in_ms;
-  operator_revision = other172.operator_revision;
-  store_answers = other172.store_answers;
-  digests_version = other172.digests_version;
-  summaries = other172.summaries;
-  __isset = other172.__isset;
-}
-Beat::Beat(Beat&& other173) noexcept {
-  instance = other173.instance;
-  role = other173.role;
-  ip = std::move(other173.ip);
-  zone = std::move(other173.zone);
-  region = std::move(other173.region);
-  caller_address = std::move(other173.caller_address);
-  state = other173.state;
-  revision = other173.revision;
-  loads = std::move(other173.loads);
-  known = std::move(other173.known);
-  target_address = std::move(other173.target_address);
-  model = std::move(other173.model);
-  staged_version = other173.staged_version;
-  held_chunks = std::move(other173.held_chunks);
-  serving_version = other173.serving_version;
-  loading = other173.loading;
-  fetching = std::move(other173.fetching);
-  loads_in_ms = other173.loads_in_ms;
-  operator_revision = other173.operator_revision;
-  store_answers = other173.store_answers;
-  digests_version = other173.digests_version;
-  summaries = std::move(other173.summaries);
-  __isset = other173.__isset;
-}
-Beat& Beat::operator=(const Beat& other174) {
-  instance = other174.instance;
-  role = other174.role;
-  ip = other174.ip;
-  zone = other174.zone;
-  region = other174.region;
-  caller_address = other174.caller_address;
-  state = other174.state;
-  revision = other174.revision;
-  loads = other174.loads;
-  known = other174.known;
-  target_address = other174.target_address;
-  model = other174.model;
-  staged_version = other174.staged_version;
-  held_chunks = other174.held_chunks;
-  serving_version = other174.serving_version;
-  loading = other174.loading;
-  fetching = other174.fetching;
-  loads_in_ms = other174.loads_in_ms;
-  operator_revision = other174.operator_revision;
-  store_answers = other174.store_answers;
-  digests_version = other174.digests_version;
-  summaries = other174.summaries;
-  __isset = other174.__isset;
+Beat::Beat(const Beat& other206) {
+  instance = other206.instance;
+  role = other206.role;
+  ip = other206.ip;
+  zone = other206.zone;
+  region = other206.region;
+  caller_address = other206.caller_address;
+  state = other206.state;
+  revision = other206.revision;
+  loads = other206.loads;
+  known = other206.known;
+  target_address = other206.target_address;
+  model = other206.model;
+  staged_version = other206.staged_version;
+  held_chunks = other206.held_chunks;
+  serving_version = other206.serving_version;
+  loading = other206.loading;
+  fetching = other206.fetching;
+  loads_in_ms = other206.loads_in_ms;
+  operator_revision = other206.operator_revision;
+  store_answers = other206.store_answers;
+  digests_version = other206.digests_version;
+  summaries = other206.summaries;
+  crash_news = other206.crash_news;
+  __isset = other206.__isset;
+}
+Beat::Beat(Beat&& other207) noexcept {
+  instance = other207.instance;
+  role = other207.role;
+  ip = std::move(other207.ip);
+  zone = std::move(other207.zone);
+  region = std::move(other207.region);
+  caller_address = std::move(other207.caller_address);
+  state = other207.state;
+  revision = other207.revision;
+  loads = std::move(other207.loads);
+  known = std::move(other207.known);
+  target_address = std::move(other207.target_address);
+  model = std::move(other207.model);
+  staged_version = other207.staged_version;
+  held_chunks = std::move(other207.held_chunks);
+  serving_version = other207.serving_version;
+  loading = other207.loading;
+  fetching = std::move(other207.fetching);
+  loads_in_ms = other207.loads_in_ms;
+  operator_revision = other207.operator_revision;
+  store_answers = other207.store_answers;
+  digests_version = other207.digests_version;
+  summaries = std::move(other207.summaries);
+  crash_news = std::move(other207.crash_news);
+  __isset = other207.__isset;
+}
+Beat& Beat::operator=(const Beat& other208) {
+  instance = other208.instance;
+  role = other208.role;
+  ip = other208.ip;
+  zone = other208.zone;
+  region = other208.region;
+  caller_address = other208.caller_address;
+  state = other208.state;
+  revision = other208.revision;
+  loads = other208.loads;
+  known = other208.known;
+  target_address = other208.target_address;
+  model = other208.model;
+  staged_version = other208.staged_version;
+  held_chunks = other208.held_chunks;
+  serving_version = other208.serving_version;
+  loading = other208.loading;
+  fetching = other208.fetching;
+  loads_in_ms = other208.loads_in_ms;
+  operator_revision = other208.operator_revision;
+  store_answers = other208.store_answers;
+  digests_version = other208.digests_version;
+  summaries = other208.summaries;
+  crash_news = other208.crash_news;
+  __isset = other208.__isset;
   return *this;
 }
-Beat& Beat::operator=(Beat&& other175) noexcept {
-  instance = other175.instance;
-  role = other175.role;
-  ip = std::move(other175.ip);
-  zone = std::move(other175.zone);
-  region = std::move(other175.region);
-  caller_address = std::move(other175.caller_address);
-  state = other175.state;
-  revision = other175.revision;
-  loads = std::move(other175.loads);
-  known = std::move(other175.known);
-  target_address = std::move(other175.target_address);
-  model = std::move(other175.model);
-  staged_version = other175.staged_version;
-  held_chunks = std::move(other175.held_chunks);
-  serving_version = other175.serving_version;
-  loading = other175.loading;
-  fetching = std::move(other175.fetching);
-  loads_in_ms = other175.loads_in_ms;
-  operator_revision = other175.operator_revision;
-  store_answers = other175.store_answers;
-  digests_version = other175.digests_version;
-  summaries = std::move(other175.summaries);
-  __isset = other175.__isset;
+Beat& Beat::operator=(Beat&& other209) noexcept {
+  instance = other209.instance;
+  role = other209.role;
+  ip = std::move(other209.ip);
+  zone = std::move(other209.zone);
+  region = std::move(other209.region);
+  caller_address = std::move(other209.caller_address);
+  state = other209.state;
+  revision = other209.revision;
+  loads = std::move(other209.loads);
+  known = std::move(other209.known);
+  target_address = std::move(other209.target_address);
+  model = std::move(other209.model);
+  staged_version = other209.staged_version;
+  held_chunks = std::move(other209.held_chunks);
+  serving_version = other209.serving_version;
+  loading = other209.loading;
+  fetching = std::move(other209.fetching);
+  loads_in_ms = other209.loads_in_ms;
+  operator_revision = other209.operator_revision;
+  store_answers = other209.store_answers;
+  digests_version = other209.digests_version;
+  summaries = std::move(other209.summaries);
+  crash_news = std::move(other209.crash_news);
+  __isset = other209.__isset;
   return *this;
 }
 void Beat::printTo(std::ostream& out) const {
@@ -5567,6 +6230,7 @@
   out << ", " << "store_answers=" << to_string(store_answers);
   out << ", " << "digests_version=" << to_string(digests_version);
   out << ", " << "summaries=" << to_string(summaries);
+  out << ", " << "crash_news="; (__isset.crash_news ? (out << to_string(crash_news)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -116,6 +116,14 @@
 
 class RegionSummary;
 
+class CrashAccusation;
+
+class PartSurvival;
+
+class PartQuarantine;
+
+class CrashNews;
+
 class Beat;
 
 typedef struct _Header__isset {
@@ -1941,8 +1949,241 @@
 
 std::ostream& operator<<(std::ostream& out, const RegionSummary& obj);
 
+typedef struct _CrashAccusation__isset {
+  _CrashAccusation__isset() : part(false), incarnation(false), age_ms(false) {}
+  bool part :1;
+  bool incarnation :1;
+  bool age_ms :1;
+} _CrashAccusation__isset;
+
+class CrashAccusation : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashAccusation(const CrashAccusation&) noexcept;
+  CrashAccusation(CrashAccusation&&) noexcept;
+  CrashAccusation& operator=(const CrashAccusation&) noexcept;
+  CrashAccusation& operator=(CrashAccusation&&) noexcept;
+  CrashAccusation() noexcept
+                  : part(0),
+                    incarnation(0),
+                    age_ms(0) {
+  }
+
+  virtual ~CrashAccusation() noexcept;
+  int64_t part;
+  int64_t incarnation;
+  int32_t age_ms;
+
+  _CrashAccusation__isset __isset;
+
+  void __set_part(const int64_t val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const CrashAccusation & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashAccusation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashAccusation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashAccusation &a, CrashAccusation &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashAccusation& obj);
+
+typedef struct _PartSurvival__isset {
+  _PartSurvival__isset() : part(false), age_ms(false) {}
+  bool part :1;
+  bool age_ms :1;
+} _PartSurvival__isset;
+
+class PartSurvival : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartSurvival(const PartSurvival&) noexcept;
+  PartSurvival(PartSurvival&&) noexcept;
+  PartSurvival& operator=(const PartSurvival&) noexcept;
+  PartSurvival& operator=(PartSurvival&&) noexcept;
+  PartSurvival() noexcept
+               : part(0),
+                 age_ms(0) {
+  }
+
+  virtual ~PartSurvival() noexcept;
+  int64_t part;
+  int32_t age_ms;
+
+  _PartSurvival__isset __isset;
+
+  void __set_part(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const PartSurvival & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const PartSurvival &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartSurvival & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartSurvival &a, PartSurvival &b);
+
+std::ostream& operator<<(std::ostream& out, const PartSurvival& obj);
+
+typedef struct _PartQuarantine__isset {
+  _PartQuarantine__isset() : part(false), round(false), lifted(false), left_ms(false) {}
+  bool part :1;
+  bool round :1;
+  bool lifted :1;
+  bool left_ms :1;
+} _PartQuarantine__isset;
+
+class PartQuarantine : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartQuarantine(const PartQuarantine&) noexcept;
+  PartQuarantine(PartQuarantine&&) noexcept;
+  PartQuarantine& operator=(const PartQuarantine&) noexcept;
+  PartQuarantine& operator=(PartQuarantine&&) noexcept;
+  PartQuarantine() noexcept
+                 : part(0),
+                   round(0),
+                   lifted(0),
+                   left_ms(0) {
+  }
+
+  virtual ~PartQuarantine() noexcept;
+  int64_t part;
+  int32_t round;
+  bool lifted;
+  int32_t left_ms;
+
+  _PartQuarantine__isset __isset;
+
+  void __set_part(const int64_t val);
+
+  void __set_round(const int32_t val);
+
+  void __set_lifted(const bool val);
+
+  void __set_left_ms(const int32_t val);
+
+  bool operator == (const PartQuarantine & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(round == rhs.round))
+      return false;
+    if (!(lifted == rhs.lifted))
+      return false;
+    if (!(left_ms == rhs.left_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const PartQuarantine &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartQuarantine & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartQuarantine &a, PartQuarantine &b);
+
+std::ostream& operator<<(std::ostream& out, const PartQuarantine& obj);
+
+typedef struct _CrashNews__isset {
+  _CrashNews__isset() : accusations(false), survivals(false), quarantines(false) {}
+  bool accusations :1;
+  bool survivals :1;
+  bool quarantines :1;
+} _CrashNews__isset;
+
+class CrashNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashNews(const CrashNews&);
+  CrashNews(CrashNews&&) noexcept;
+  CrashNews& operator=(const CrashNews&);
+  CrashNews& operator=(CrashNews&&) noexcept;
+  CrashNews() noexcept {
+  }
+
+  virtual ~CrashNews() noexcept;
+  std::vector<CrashAccusation>  accusations;
+  std::vector<PartSurvival>  survivals;
+  std::vector<PartQuarantine>  quarantines;
+
+  _CrashNews__isset __isset;
+
+  void __set_accusations(const std::vector<CrashAccusation> & val);
+
+  void __set_survivals(const std::vector<PartSurvival> & val);
+
+  void __set_quarantines(const std::vector<PartQuarantine> & val);
+
+  bool operator == (const CrashNews & rhs) const
+  {
+    if (!(accusations == rhs.accusations))
+      return false;
+    if (!(survivals == rhs.survivals))
+      return false;
+    if (!(quarantines == rhs.quarantines))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashNews &a, CrashNews &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashNews& obj);
+
 typedef struct _Beat__isset {
-  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false) {}
+  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false) {}
   bool instance :1;
   bool role :1;
   bool ip :1;
@@ -1965,6 +2206,7 @@
   bool store_answers :1;
   bool digests_version :1;
   bool summaries :1;
+  bool crash_news :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -2019,6 +2261,7 @@
   bool store_answers;
   int64_t digests_version;
   std::vector<RegionSummary>  summaries;
+  CrashNews crash_news;
 
   _Beat__isset __isset;
 
@@ -2066,6 +2309,8 @@
 
   void __set_summaries(const std::vector<RegionSummary> & val);
 
+  void __set_crash_news(const CrashNews& val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2114,6 +2359,10 @@
       return false;
     if (!(summaries == rhs.summaries))
       return false;
+    if (__isset.crash_news != rhs.__isset.crash_news)
+      return false;
+    else if (__isset.crash_news && !(crash_news == rhs.crash_news))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -267,6 +267,36 @@
   7: i64 operator_revision
 }
 
+// A request with a part of a prompt had not survived when its target crashed
+// (celerypost::CrashEvidence).
+struct CrashAccusation {
+  // Hash of the part's service and ID.
+  1: i64 part
+  // Hash of one start of the target.
+  2: i64 incarnation
+  3: i32 age_ms
+}
+
+struct PartSurvival {
+  1: i64 part
+  // Time since a request with the part last survived.
+  2: i32 age_ms
+}
+
+struct PartQuarantine {
+  1: i64 part
+  2: i32 round
+  3: bool lifted
+  // Time until a probe is due.
+  4: i32 left_ms
+}
+
+struct CrashNews {
+  1: list<CrashAccusation> accusations
+  2: list<PartSurvival> survivals
+  3: list<PartQuarantine> quarantines
+}
+
 // Sent as one datagram, without Header, between processes on the users'
 // platform.
 struct Beat {
@@ -307,4 +337,6 @@
   // Gateways: summaries of regions. To another region: that of the sender's; to
   // the sender's own region: those that arrived from others.
   22: list<RegionSummary> summaries
+  // Gateways: what they know of prompts that crash targets.
+  23: optional CrashNews crash_news
 }
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -71,6 +71,7 @@
   TargetTracker book{{}};
   std::unique_ptr<PlacementPolicy> policy = MakePredictivePolicy({}, random);
   TargetSelector selector{view, book, *policy, {}};
+  CrashGuard crashes{{}, "gateway", [](const QuarantineRecord&, size_t) {}};
   ServiceRetryBudgets budgets{{.max_attempts = 4}, random};
   int64_t revision = 0;
 
@@ -129,6 +130,7 @@
       this->view,
       this->book,
       this->selector,
+      this->crashes,
       this->codec,
       this->budgets,
       relay_metrics,
