Recognise all line ends in event streams

Cause: EventStream looked for "\n\n" only. A stream with \r\n or \r line ends was one event without an end: nothing of it was passed on until the target ended the answer, it made no progress, could not be resumed, and failed beyond the limit of an event.

Change: an event ends with a blank line; a line ends with \n, \r\n or \r, mixed too and across the borders of chunks. An event is passed on with the first byte of its blank line; a \n that follows a \r goes with the same event. The bytes that are passed on are the same. A blank line before an event is passed on at once, it used to wait for the event or a second one.

--- a/src/request/event_stream.cc
+++ b/src/request/event_stream.cc
@@ -1,5 +1,6 @@
 #include "src/request/event_stream.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -7,39 +8,47 @@
 
 namespace {
 
-constexpr std::string_view kBlankLine = "\n\n";
 constexpr std::string_view kIdField = "id:";
 
+bool IsLineEnd(char c) {
+  return c == '\n' || c == '\r';
+}
+
+// Removes the first line from `text` and returns it without its end. A line
+// ends with \n, \r\n or \r.
+std::string_view TakeLine(std::string_view& text) {
+  const size_t end = std::min(text.find_first_of("\r\n"), text.size());
+  const std::string_view line = text.substr(0, end);
+  text.remove_prefix(end);
+  text.remove_prefix(text.starts_with("\r\n") ? 2 : text.empty() ? 0 : 1);
+  return line;
+}
+
 // Returns the value of the event's id field, or nothing.
 std::optional<std::string> FindId(std::string_view event) {
-  size_t at = 0;
-  while (at < event.size()) {
-    const size_t end = std::min(event.find('\n', at), event.size());
-    std::string_view line = event.substr(at, end - at);
+  while (!event.empty()) {
+    std::string_view line = TakeLine(event);
     if (line.starts_with(kIdField)) {
       line.remove_prefix(kIdField.size());
       while (!line.empty() && line.front() == ' ') {
         line.remove_prefix(1);
       }
-      while (!line.empty() && (line.back() == '\r' || line.back() == ' ')) {
+      while (!line.empty() && line.back() == ' ') {
         line.remove_suffix(1);
       }
       return std::string(line);
     }
-    at = end + 1;
   }
   return std::nullopt;
 }
 
 // Whether every line of the event is a comment or blank.
 bool IsComment(std::string_view event) {
-  size_t at = 0;
-  while (at < event.size()) {
-    const char first = event[at];
-    if (first != ':' && first != '\n' && first != '\r') {
+  while (!event.empty()) {
+    const std::string_view line = TakeLine(event);
+    if (!line.empty() && line.front() != ':') {
       return false;
     }
-    at = std::min(event.find('\n', at), event.size() - 1) + 1;
   }
   return true;
 }
@@ -57,22 +66,47 @@
 }  // namespace
 
 std::string EventStream::Add(std::string_view bytes) {
+  size_t at = this->partial.size();
   this->partial.append(bytes);
   std::string complete;
-  size_t at = 0;
-  for (size_t end = this->partial.find(kBlankLine); end != std::string::npos;
-       end = this->partial.find(kBlankLine, at)) {
-    const size_t next = end + kBlankLine.size();
-    const std::string_view event(this->partial.data() + at, next - at);
-    if (this->Accept(event)) {
+  size_t begin = 0;
+  for (; at < this->partial.size(); ++at) {
+    const char c = this->partial[at];
+    const bool ends_crlf = this->after_cr && c == '\n';
+    this->after_cr = c == '\r';
+    if (ends_crlf) {
+      // If the blank line has ended its event, so that nothing of the next one
+      // is kept, this byte goes with that event.
+      if (at == begin) {
+        complete.append(this->last_accepted ? 1 : 0, c);
+        begin = at + 1;
+      }
+      continue;
+    }
+    if (!IsLineEnd(c)) {
+      this->line_empty = false;
+      continue;
+    }
+    if (!std::exchange(this->line_empty, true)) {
+      continue;
+    }
+    const std::string_view event(this->partial.data() + begin, at + 1 - begin);
+    this->last_accepted = this->Accept(event);
+    if (this->last_accepted) {
       complete.append(event);
     }
-    at = next;
+    begin = at + 1;
   }
-  this->partial.erase(0, at);
+  this->partial.erase(0, begin);
   return complete;
 }
 
+void EventStream::Restart() {
+  this->partial.clear();
+  this->line_empty = true;
+  this->after_cr = false;
+}
+
 bool EventStream::Accept(std::string_view event) {
   auto id = FindId(event);
   if (id && this->last_event_id) {
--- a/src/request/event_stream.h
+++ b/src/request/event_stream.h
@@ -12,13 +12,14 @@
 // that breaks off within an event can be resumed at another target.
 class EventStream {
  public:
-  // Adds bytes of the body and returns the events that are now complete. Drops
-  // events with a numeric id that is not greater than the last one, since a
-  // target that resumes a stream may repeat them.
+  // Adds bytes of the body and returns the events that are now complete, byte
+  // for byte. An event ends with a blank line; a line with \n, \r\n or \r.
+  // Drops events with a numeric id that is not greater than the last one, since
+  // a target that resumes a stream may repeat them.
   std::string Add(std::string_view bytes);
 
   // Drops the incomplete event; call before another target resumes the stream.
-  void Restart() { this->partial.clear(); }
+  void Restart();
 
   // Returns whether an event has been received in part.
   bool inside_event() const { return !this->partial.empty(); }
@@ -41,6 +42,12 @@
   bool Accept(std::string_view event);
 
   std::string partial;
+  // The last line of `partial` has no bytes so far.
+  bool line_empty = true;
+  // The last byte was \r, so a following \n belongs to the same line end.
+  bool after_cr = false;
+  // The last complete event has been passed on.
+  bool last_accepted = false;
   std::optional<std::string> last_event_id;
   uint64_t event_count = 0;
 };
--- a/tests/request/event_stream_test.cc
+++ b/tests/request/event_stream_test.cc
@@ -1,5 +1,7 @@
 #include "src/request/event_stream.h"
 
+#include <string>
+
 #include "CppUTest/TestHarness.h"
 
 namespace celerypost {
@@ -47,5 +49,66 @@
   CHECK_EQUAL(1u, stream.events());
 }
 
+// Guards against a stream with \r\n or \r line ends that is held back as one
+// event.
+TEST(EventStreamTest, RecognisesAllLineEnds) {
+  for (const std::string end : {"\n", "\r\n", "\r"}) {
+    for (const std::string blank : {"\n", "\r\n", "\r"}) {
+      if (end == "\r" && blank == "\n") {
+        continue;  // The two are one line end.
+      }
+      std::string first = "id: 1" + end + "data: a" + end;
+      first += blank;
+      const std::string bytes = first + "id: 2" + end + "data: b";
+      EventStream whole;
+      STRCMP_EQUAL(first.c_str(), whole.Add(bytes).c_str());
+      STRCMP_EQUAL("1", whole.last_id()->c_str());
+      CHECK_EQUAL(1u, whole.events());
+      for (size_t cut = 0; cut <= bytes.size(); ++cut) {
+        EventStream cut_stream;
+        std::string out = cut_stream.Add(bytes.substr(0, cut));
+        out += cut_stream.Add(bytes.substr(cut));
+        STRCMP_EQUAL(first.c_str(), out.c_str());
+        CHECK_EQUAL(1u, cut_stream.events());
+      }
+    }
+  }
+}
+
+// Guards against the two bytes of \r\n that are taken for a blank line.
+TEST(EventStreamTest, ACrLfIsOneLineEnd) {
+  STRCMP_EQUAL("", this->stream.Add("id: 1\r").c_str());
+  STRCMP_EQUAL("", this->stream.Add("\n").c_str());
+  STRCMP_EQUAL("", this->stream.Add("data: a\r\n").c_str());
+  CHECK_TRUE(this->stream.inside_event());
+}
+
+// Guards against an event that waits for the byte after its blank line.
+TEST(EventStreamTest, AnEventEndsWithTheFirstByteOfItsBlankLine) {
+  STRCMP_EQUAL("id: 1\r\n\r", this->stream.Add("id: 1\r\n\r").c_str());
+  CHECK_FALSE(this->stream.inside_event());
+  STRCMP_EQUAL("\nid: 2\r\r", this->stream.Add("\nid: 2\r\r").c_str());
+}
+
+// Guards against bytes of a repeated event that reach the caller.
+TEST(EventStreamTest, LeavesOutTheLineEndOfARepeatedEvent) {
+  this->stream.Add("id: 1\r\n\r\nid: 2\r\n\r\n");
+  this->stream.Restart();
+  std::string out = this->stream.Add("id: 2\r\n\r");
+  out += this->stream.Add("\nid: 3\r\n\r\n");
+  STRCMP_EQUAL("id: 3\r\n\r\n", out.c_str());
+  CHECK_EQUAL(3u, this->stream.events());
+}
+
+// Guards against a line end that is taken for the rest of the previous run's.
+TEST(EventStreamTest, ARestartForgetsTheLastByte) {
+  this->stream.Add("id: 1\r\n\r");
+  this->stream.Restart();
+  STRCMP_EQUAL("\n", this->stream.Add("\n").c_str());
+  STRCMP_EQUAL("", this->stream.Add("da").c_str());
+  this->stream.Restart();
+  STRCMP_EQUAL("\n", this->stream.Add("\n").c_str());
+}
+
 }  // namespace
 }  // namespace celerypost
