Resume a stream that ends inside an event

Cause: RelayTask::OnEnd took what was left of an event when the target ended its answer as the last event, passed it on and ended the caller's answer. A target that broke off within an event and closed its connection in order, or ended its chunks, reached the caller as a complete success with half an event.

Change: an event needs its blank line. A stream that ends inside an event counts as broken off, also if the answer is complete in terms of HTTP, and goes the way of OnFailure: resumed at another target within attempts and budget, else cut without the end mark, else 502. Blank lines and whole comment lines after the last event are no event and are passed on as before; an unfinished line is taken for broken off.

New tests on the code before, 10 of 16 of the group failed, among them:

AStreamThatEndsInsideAnEventIsResumed expected <...id: 3\ndata: c\n\nid: 4\ndata: d\n\n> but was <...id: 3\nda> ABrokenStreamWithoutAnotherAttemptDoesNotLookComplete expected <id: 1\ndata: a\n\nid: 2\ndata: b\n\n> but was <id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda> AStreamThatEndsInsideItsFirstEventIsNoSuccess expected <502> but was <200>

Those of plain answers without a length, of whole streams and of \r\n passed before, too.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -360,11 +360,13 @@
   }
   const bool failed = this->attempt->answer.status >= kServerError;
   if (this->IsStream() && this->attempt->answer.status < 300) {
-    const std::string rest = this->events.TakeIncompleteEvent();
-    if (!rest.empty()) {
-      this->NoteProgress();
+    // Also an answer that is complete in terms of HTTP.
+    if (this->events.inside_event()) {
+      this->OnFailure({Verdict::kMayHaveRun, ErrorCode::kUnavailable,
+                       "the stream ended inside an event"});
+      return;
     }
-    this->ForwardEvents(rest);
+    this->ForwardEvents(this->events.TakeTrailingComments());
     this->EndAttempt(AttemptOutcome::kAnswered);
     if (!this->head_sent) {
       this->SendTargetAnswer();
--- a/src/request/event_stream.cc
+++ b/src/request/event_stream.cc
@@ -123,7 +123,11 @@
   return true;
 }
 
-std::string EventStream::TakeIncompleteEvent() {
+bool EventStream::inside_event() const {
+  return !this->line_empty || !IsComment(this->partial);
+}
+
+std::string EventStream::TakeTrailingComments() {
   return std::exchange(this->partial, {});
 }
 
--- a/src/request/event_stream.h
+++ b/src/request/event_stream.h
@@ -21,13 +21,15 @@
   // Drops the incomplete event; call before another target resumes the stream.
   void Restart();
 
-  // Returns whether an event has been received in part.
-  bool inside_event() const { return !this->partial.empty(); }
+  // Returns whether a field or an unfinished line has been received after the
+  // last complete event. A stream that ends then was broken off: an event needs
+  // its blank line.
+  bool inside_event() const;
   // Bytes of the incomplete event.
   size_t incomplete_bytes() const { return this->partial.size(); }
-  // Removes and returns the bytes of the incomplete event; call when the target
-  // has ended the stream.
-  std::string TakeIncompleteEvent();
+  // Removes and returns the comments after the last complete event; call when
+  // the target has ended the stream and not inside an event.
+  std::string TakeTrailingComments();
 
   // Id of the last complete event that has one.
   const std::optional<std::string>& last_id() const {
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -4,9 +4,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cstdio>
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "tests/process/gateway/fake_decoder.h"
 
@@ -18,9 +21,56 @@
 using std::chrono::milliseconds;
 
 constexpr int kMaxIterations = 200;
-constexpr char kHead[] = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+constexpr size_t kLastBytes = 2;
+constexpr char kHead[] = "HTTP/1.1 200 OK\r\nConnection: close\r\n";
+// Two events and a part of the third, and what a target that resumes sends.
+constexpr char kBroken[] = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
+constexpr char kResumed[] = "id: 3\ndata: c\n\nid: 4\ndata: d\n\n";
+constexpr char kJoined[] =
+    "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+    "id: 3\ndata: c\n\nid: 4\ndata: d\n\n";
 
-// Forwards requests as they are; every request has the id "a".
+// What a target sends before it closes or resets its connection.
+struct TargetReply {
+  std::string bytes;
+  bool reset = false;
+  // Sends the last two bytes after a pause, in which the others reach the
+  // caller.
+  bool pauses = false;
+};
+
+// An answer without a length that ends with its connection.
+TargetReply Unframed(const std::string& body) {
+  return {std::string(kHead) + "\r\n" + body};
+}
+
+TargetReply UnframedThenReset(const std::string& body) {
+  return {std::string(kHead) + "\r\n" + body, /*reset=*/true};
+}
+
+TargetReply WithLength(const std::string& body) {
+  return {std::string(kHead) +
+          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
+}
+
+// An answer in one chunk with its end mark.
+TargetReply Chunked(const std::string& body) {
+  char size[16];
+  snprintf(size, sizeof(size), "%zx", body.size());
+  return {std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\n" + size +
+          "\r\n" + body + "\r\n0\r\n\r\n"};
+}
+
+// What the caller has received.
+struct CallerAnswer {
+  int status = 0;
+  std::string body;
+  // The answer has ended as its head says.
+  bool complete = false;
+  bool failed = false;
+};
+
+// Forwards requests with the last event ID; every request has the id "a".
 class FakeCodec : public RequestCodec {
  public:
   CallerRequestInfo ReadRequest(const HttpRequest&) const override {
@@ -29,8 +79,11 @@
     return info;
   }
   HttpRequest MakeTargetRequest(const HttpRequest& request,
-                                const TargetRequestInfo&) const override {
-    return request;
+                                const TargetRequestInfo& info) const override {
+    HttpRequest sent = request;
+    sent.headers.emplace_back("last-event-id",
+                              info.last_event_id.value_or("none"));
+    return sent;
   }
   TargetAnswer ReadAnswer(int status, const HttpHeaders&) const override {
     TargetAnswer answer;
@@ -74,89 +127,257 @@
   ServiceRetryBudgets budgets{{.max_attempts = 4}, random};
   int64_t revision = 0;
 
+  // The requests that the targets have received.
+  std::vector<std::string> received;
+
+  static Route StreamRoute() {
+    Route route;
+    route.host = "h";
+    route.prefix = "/";
+    route.kind = RouteKind::kStream;
+    route.resumable = true;
+    route.max_attempts = 2;
+    route.timeout = route.latency_goal = milliseconds(3000);
+    route.backends = {{ServiceName("s"), 1}};
+    return route;
+  }
+
+  static Route PlainRoute() {
+    Route route = StreamRoute();
+    route.kind = RouteKind::kIdempotent;
+    route.resumable = false;
+    return route;
+  }
+
   void Apply(const std::string& key, ClusterDocument document) {
     this->decoder.documents[key] = std::move(document);
     this->view.ApplyChanges({{key, "x", ++this->revision}}, this->loop.Now());
   }
-};
 
-// Guards against a stream that joins pieces of two runs: a target that broke
-// off within its first event left the part behind, and the first event of the
-// next target was appended to it (kilele-waivers-large, trouble-2).
-TEST(RelayTaskTest, APartOfTheFirstEventIsNotJoinedWithTheNextRun) {
-  uint16_t port = 0;
-  const int listener = ListenOnLoopback(port);
-  std::thread targets([listener] {
-    for (const char* const body : {"id: 1\ndata: fir", "id: 1\ndata: x\n\n"}) {
+  // Answers one connection after the other until the listener is shut down.
+  void ServeTargets(int listener, const std::vector<TargetReply>& replies) {
+    for (const TargetReply& reply : replies) {
       const int target = accept(listener, nullptr, nullptr);
+      if (target < 0) {
+        return;
+      }
       char request[4096];
-      CHECK_TRUE(read(target, request, sizeof(request)) > 0);
-      const std::string bytes = std::string(kHead) + body;
-      CHECK_TRUE(write(target, bytes.data(), bytes.size()) > 0);
-      if (bytes.ends_with("fir")) {
-        // Lets the bytes arrive before the reset.
+      const ssize_t size = read(target, request, sizeof(request));
+      this->received.emplace_back(request, std::max<ssize_t>(size, 0));
+      const size_t first = reply.bytes.size() - (reply.pauses ? kLastBytes : 0);
+      send(target, reply.bytes.data(), first, MSG_NOSIGNAL);
+      if (reply.pauses || reply.reset) {
+        // Lets the bytes arrive before the end or the reset.
         std::this_thread::sleep_for(milliseconds(100));
+      }
+      send(target, reply.bytes.data() + first, reply.bytes.size() - first,
+           MSG_NOSIGNAL);
+      if (reply.reset) {
         const linger reset{1, 0};
         setsockopt(target, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
       }
       close(target);
     }
-  });
-  auto config = std::make_shared<GatewayConfig>();
-  Route route;
-  route.host = "h";
-  route.prefix = "/";
-  route.kind = RouteKind::kStream;
-  route.resumable = true;
-  route.max_attempts = 2;
-  route.timeout = route.latency_goal = milliseconds(3000);
-  route.backends = {{ServiceName("s"), 1}};
-  config->routes["h"] = {route};
-  config->services[ServiceName("s")].name = ServiceName("s");
-  this->Apply("config", std::shared_ptr<const GatewayConfig>(config));
-  for (const char* const id : {"t1", "t2"}) {
-    TargetRegistration target;
-    target.id = id;
-    target.service = ServiceName("s");
-    target.address = {"127.0.0.1", port};
-    this->Apply(id, target);
   }
-  Http1Client client(this->loop, {"127.0.0.1", port}, {});
-  RelayMetrics relay_metrics(this->metrics);
-  RelayContext context{
-      this->loop,
-      this->log,
-      this->view,
-      this->book,
-      this->selector,
-      this->codec,
-      this->budgets,
-      relay_metrics,
-      {},
-      [&client](const SocketAddress&) -> Http1Client& { return client; }};
-  auto server = Http1Server::Make(
-      this->loop, "127.0.0.1", 0,
-      [&context](HttpRequest request, std::shared_ptr<HttpResponder> out) {
-        std::make_shared<RelayTask>(context, std::move(request), out)->Start();
-      });
-  CHECK_TRUE(server.has_value());
-  Http1Client caller(this->loop, {"127.0.0.1", (*server)->port()}, {});
-  std::string body;
-  bool done = false;
-  const auto call = caller.Fetch(
-      {"GET", "/", {{"host", "h"}}, ""}, milliseconds(4000),
-      [&](Result<HttpResponse> response) {
-        body = response ? response->body : response.error().message;
-        done = true;
-      });
-  for (int i = 0; i < kMaxIterations && !done; ++i) {
-    this->loop.RunFor(milliseconds(20));
+
+  // Relays one request on `route` to two targets. The n-th attempt gets the
+  // n-th reply.
+  CallerAnswer Relay(const Route& route,
+                     const std::vector<TargetReply>& replies) {
+    uint16_t port = 0;
+    const int listener = ListenOnLoopback(port);
+    std::thread targets([&] { this->ServeTargets(listener, replies); });
+    auto config = std::make_shared<GatewayConfig>();
+    config->routes["h"] = {route};
+    config->services[ServiceName("s")].name = ServiceName("s");
+    this->Apply("config", std::shared_ptr<const GatewayConfig>(config));
+    for (const char* const id : {"t1", "t2"}) {
+      TargetRegistration target;
+      target.id = id;
+      target.service = ServiceName("s");
+      target.address = {"127.0.0.1", port};
+      this->Apply(id, target);
+    }
+    Http1Client client(this->loop, {"127.0.0.1", port}, {});
+    RelayMetrics relay_metrics(this->metrics);
+    RelayContext context{
+        this->loop,
+        this->log,
+        this->view,
+        this->book,
+        this->selector,
+        this->codec,
+        this->budgets,
+        relay_metrics,
+        {},
+        [&client](const SocketAddress&) -> Http1Client& { return client; }};
+    auto server = Http1Server::Make(
+        this->loop, "127.0.0.1", 0,
+        [&context](HttpRequest request, std::shared_ptr<HttpResponder> out) {
+          std::make_shared<RelayTask>(context, std::move(request), out)
+              ->Start();
+        });
+    Http1Client caller(this->loop, {"127.0.0.1", (*server)->port()}, {});
+    CallerAnswer answer;
+    HttpResponseCallbacks callbacks;
+    callbacks.on_head = [&answer](const HttpResponseHead& head) {
+      answer.status = head.status;
+    };
+    callbacks.on_body = [&answer](std::string_view bytes) {
+      answer.body.append(bytes);
+    };
+    callbacks.on_end = [&answer] { answer.complete = true; };
+    callbacks.on_failure = [&answer](const Failure&) { answer.failed = true; };
+    const auto call = caller.Send({"GET", "/", {{"host", "h"}}, ""}, {},
+                                  std::move(callbacks));
+    for (int i = 0; i < kMaxIterations && !answer.complete && !answer.failed;
+         ++i) {
+      this->loop.RunFor(milliseconds(20));
+    }
+    shutdown(listener, SHUT_RDWR);
+    targets.join();
+    close(listener);
+    server->reset();
+    this->loop.RunFor(milliseconds(50));
+    return answer;
+  }
+
+  // The caller has received all events once and whole, from two runs.
+  void CheckJoined(const CallerAnswer& answer) {
+    STRCMP_EQUAL(kJoined, answer.body.c_str());
+    CHECK_TRUE(answer.complete);
+    CHECK_EQUAL(2u, this->received.size());
+    STRCMP_CONTAINS("last-event-id: 2\r\n", this->received.back().c_str());
+  }
+
+  // Without another attempt, the caller receives the whole events of `reply`
+  // and no end of the answer.
+  void CheckCut(TargetReply reply) {
+    Route route = StreamRoute();
+    route.max_attempts = 1;
+    reply.pauses = true;
+    const CallerAnswer answer = this->Relay(route, {reply, Unframed(kResumed)});
+    STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", answer.body.c_str());
+    CHECK_TRUE(answer.failed);
+    CHECK_FALSE(answer.complete);
+    CHECK_EQUAL(1u, this->received.size());
+  }
+};
+
+// Guards against a stream that joins pieces of two runs: a target that broke
+// off within its first event left the part behind, and the first event of the
+// next target was appended to it (kilele-waivers-large, trouble-2).
+TEST(RelayTaskTest, APartOfTheFirstEventIsNotJoinedWithTheNextRun) {
+  const CallerAnswer answer = this->Relay(
+      StreamRoute(),
+      {UnframedThenReset("id: 1\ndata: fir"), Unframed("id: 1\ndata: x\n\n")});
+  STRCMP_EQUAL("id: 1\ndata: x\n\n", answer.body.c_str());
+  CHECK_TRUE(answer.complete);
+}
+
+TEST(RelayTaskTest, AStreamThatEndsInsideAnEventIsResumed) {
+  this->CheckJoined(
+      this->Relay(StreamRoute(), {Unframed(kBroken), Unframed(kResumed)}));
+}
+
+TEST(RelayTaskTest, AStreamWithALengthThatEndsInsideAnEventIsResumed) {
+  this->CheckJoined(
+      this->Relay(StreamRoute(), {WithLength(kBroken), WithLength(kResumed)}));
+}
+
+TEST(RelayTaskTest, AChunkedStreamThatEndsInsideAnEventIsResumed) {
+  this->CheckJoined(
+      this->Relay(StreamRoute(), {Chunked(kBroken), Chunked(kResumed)}));
+}
+
+TEST(RelayTaskTest, AStreamThatEndsBeforeItsLastBlankLineIsResumed) {
+  this->CheckJoined(this->Relay(
+      StreamRoute(),
+      {Unframed("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: x\n"),
+       Unframed(kResumed)}));
+}
+
+TEST(RelayTaskTest, ABrokenStreamWithoutAnotherAttemptDoesNotLookComplete) {
+  this->CheckCut(Unframed(kBroken));
+}
+
+TEST(RelayTaskTest, ABrokenStreamWithALengthDoesNotLookComplete) {
+  this->CheckCut(WithLength(kBroken));
+}
+
+TEST(RelayTaskTest, ABrokenChunkedStreamDoesNotLookComplete) {
+  this->CheckCut(Chunked(kBroken));
+}
+
+TEST(RelayTaskTest, ABrokenStreamThatMayRunOnceIsNotSentAgain) {
+  Route route = StreamRoute();
+  route.resumable = false;
+  const CallerAnswer answer =
+      this->Relay(route, {Unframed(kBroken), Unframed(kResumed)});
+  CHECK_TRUE(answer.failed);
+  CHECK_EQUAL(1u, this->received.size());
+}
+
+TEST(RelayTaskTest, AStreamThatEndsInsideItsFirstEventIsSentAgain) {
+  const CallerAnswer answer = this->Relay(
+      StreamRoute(), {Unframed("id: 1\nda"), Unframed("id: 1\ndata: x\n\n")});
+  CHECK_EQUAL(200, answer.status);
+  STRCMP_EQUAL("id: 1\ndata: x\n\n", answer.body.c_str());
+  CHECK_TRUE(answer.complete);
+}
+
+TEST(RelayTaskTest, AStreamThatEndsInsideItsFirstEventIsNoSuccess) {
+  Route route = StreamRoute();
+  route.max_attempts = 1;
+  const CallerAnswer answer = this->Relay(route, {Unframed("id: 1\nda")});
+  CHECK_EQUAL(502, answer.status);
+  CHECK_EQUAL(1u, this->received.size());
+}
+
+// Guards against a whole stream that is taken for broken off: blank lines and
+// comments after the last event are no event.
+TEST(RelayTaskTest, AStreamThatEndsAtAnEventBorderIsComplete) {
+  for (const std::string rest : {"", "\n", "\r\n", "\n\n", ": bye\n"}) {
+    const std::string body = kJoined + rest;
+    for (const TargetReply& reply :
+         {Unframed(body), WithLength(body), Chunked(body)}) {
+      this->received.clear();
+      const CallerAnswer answer = this->Relay(StreamRoute(), {reply});
+      STRCMP_EQUAL(body.c_str(), answer.body.c_str());
+      CHECK_TRUE(answer.complete);
+      CHECK_EQUAL(1u, this->received.size());
+    }
   }
-  targets.join();
-  close(listener);
-  STRCMP_EQUAL("id: 1\ndata: x\n\n", body.c_str());
-  server->reset();
-  this->loop.RunFor(milliseconds(50));
+}
+
+TEST(RelayTaskTest, AStreamWithCrLfLineEndsIsComplete) {
+  const std::string body = "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n";
+  const CallerAnswer answer = this->Relay(StreamRoute(), {Unframed(body)});
+  STRCMP_EQUAL(body.c_str(), answer.body.c_str());
+  CHECK_TRUE(answer.complete);
+}
+
+TEST(RelayTaskTest, AnUnframedAnswerIsComplete) {
+  const CallerAnswer answer = this->Relay(PlainRoute(), {Unframed("whole")});
+  CHECK_EQUAL(200, answer.status);
+  STRCMP_EQUAL("whole", answer.body.c_str());
+  CHECK_TRUE(answer.complete);
+}
+
+TEST(RelayTaskTest, AnUnframedAnswerThatIsResetIsSentAgain) {
+  const CallerAnswer answer =
+      this->Relay(PlainRoute(), {UnframedThenReset("wh"), Unframed("whole")});
+  CHECK_EQUAL(200, answer.status);
+  STRCMP_EQUAL("whole", answer.body.c_str());
+}
+
+TEST(RelayTaskTest, AnUnframedAnswerThatIsResetIsNoSuccess) {
+  Route route = PlainRoute();
+  route.kind = RouteKind::kNonIdempotent;
+  const CallerAnswer answer =
+      this->Relay(route, {UnframedThenReset("wh"), Unframed("whole")});
+  CHECK_EQUAL(502, answer.status);
+  CHECK_EQUAL(1u, this->received.size());
 }
 
 }  // namespace
--- a/tests/request/event_stream_test.cc
+++ b/tests/request/event_stream_test.cc
@@ -110,5 +110,27 @@
   STRCMP_EQUAL("\n", this->stream.Add("\n").c_str());
 }
 
+// Guards against a stream without the rest of an event that looks complete.
+TEST(EventStreamTest, AnEventWithoutItsBlankLineIsIncomplete) {
+  for (const std::string rest :
+       {"id: 2", "id: 2\n", "id: 2\r", "id: 2\r\n", ": c\nid: 2\n", ": c"}) {
+    EventStream stream;
+    stream.Add("id: 1\n\n" + rest);
+    CHECK_TRUE(stream.inside_event());
+  }
+}
+
+// Guards against a whole stream that is taken for broken off.
+TEST(EventStreamTest, BlankLinesAndCommentsAreNoEvent) {
+  for (const std::string rest :
+       {"", "\n", "\r", "\r\n", "\n\n\n", ": c\n", ": c\r\n: d\r\n"}) {
+    EventStream stream;
+    std::string out = stream.Add("id: 1\n\n" + rest);
+    CHECK_FALSE(stream.inside_event());
+    out += stream.TakeTrailingComments();
+    STRCMP_EQUAL(("id: 1\n\n" + rest).c_str(), out.c_str());
+  }
+}
+
 }  // namespace
 }  // namespace celerypost
