Tell the last chunk from the end of the connection

Cause: h2o reports a chunked body as ended when its connection ends between two chunks. HttpClient found that out by the state of the connection, and only for answers that keep it open: a chunked answer with "Connection: close" that broke off between two chunks looked complete, and a whole one whose target closed the connection right after the last chunk counted as broken off.

Change: the bytes that h2o has read in this turn tell the two cases apart: some when the last chunk ends the body, none when the connection does.

New tests on the code before:

LastConnectionThatClosesBetweenChunksFailsTheCall CHECK_FALSE(response.has_value()) failed ConnectionThatClosesAfterTheLastChunkEndsTheCall CHECK_TRUE(response.has_value()) failed

Now connection_tests: 36 tests, 36 ran, no failure.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 extern "C" {
@@ -30,9 +29,7 @@
   bool connected = false;
   bool done = false;
   bool method_is_head = false;
-  // The body is chunked and the connection should stay open after its last
-  // chunk.
-  bool chunked_keep_alive = false;
+  bool chunked = false;
   // Number of functions on the call stack that use this object.
   int use_count = 0;
   bool call_destroyed = false;
@@ -76,18 +73,12 @@
   }
 }
 
-// h2o reports a connection that closes between two chunks as the end of the
-// body. Returns whether the body may have been cut off that way.
+// h2o also reports the end of a chunked body when the connection ends between
+// two chunks. The last chunk ends the body while it is read; no bytes were read
+// when the end of the connection is reported.
 bool EndedWithoutLastChunk(const Exchange& exchange,
                            h2o_http1client_t* client) {
-  if (!exchange.chunked_keep_alive || client->sock == nullptr) {
-    return false;
-  }
-  tcp_info info{};
-  socklen_t length = sizeof(info);
-  return getsockopt(h2o_socket_get_fd(client->sock), IPPROTO_TCP, TCP_INFO,
-                    &info, &length) != 0 ||
-         info.tcpi_state != TCP_ESTABLISHED;
+  return exchange.chunked && client->sock->bytes_read == 0;
 }
 
 int OnBody(h2o_http1client_t* client, const char* error) {
@@ -146,9 +137,8 @@
         std::move(name),
         std::string(headers[i].value.base, headers[i].value.len));
   }
-  exchange->chunked_keep_alive =
-      FindHeader(head.headers, "transfer-encoding") == "chunked" &&
-      FindHeader(head.headers, "connection") != "close";
+  exchange->chunked =
+      FindHeader(head.headers, "transfer-encoding") == "chunked";
   if (exchange->callbacks.on_head) {
     exchange->callbacks.on_head(head);
   }
--- a/tests/connection/http_test.cc
+++ b/tests/connection/http_test.cc
@@ -18,6 +18,45 @@
 
 constexpr int kMaxIterations = 2000;
 
+// Answers a connection with fixed bytes.
+struct RawServer {
+  uv_tcp_t listener;
+  std::string answer;
+  void (*end)(uv_tcp_t*);
+};
+
+void CloseNow(uv_tcp_t* connection) {
+  uv_close(reinterpret_cast<uv_handle_t*>(connection), [](uv_handle_t* handle) {
+    delete reinterpret_cast<uv_tcp_t*>(handle);
+  });
+}
+
+// Calls `then` with the connection after a pause, in which the client reads
+// what was sent before.
+void AfterPause(uv_tcp_t* connection, uv_timer_cb then) {
+  auto* timer = new uv_timer_t;
+  uv_timer_init(connection->loop, timer);
+  timer->data = connection;
+  uv_timer_start(timer, then, 100, 0);
+}
+
+void DeleteTimer(uv_timer_t* timer) {
+  uv_close(reinterpret_cast<uv_handle_t*>(timer), [](uv_handle_t* handle) {
+    delete reinterpret_cast<uv_timer_t*>(handle);
+  });
+}
+
+// Ends the connection in order: the request is still unread, so that closing at
+// once would reset it.
+void ShutDown(uv_tcp_t* connection) {
+  static uv_shutdown_t request;
+  uv_shutdown(&request, reinterpret_cast<uv_stream_t*>(connection), nullptr);
+  AfterPause(connection, [](uv_timer_t* timer) {
+    CloseNow(static_cast<uv_tcp_t*>(timer->data));
+    DeleteTimer(timer);
+  });
+}
+
 TEST_GROUP(HttpTest) {
   // Never freed: h2o's timers refer to the loop until the process ends.
   Loop& loop = *new Loop;
@@ -48,6 +87,42 @@
     }
     return result;
   }
+
+  // Fetches from a server that sends "HTTP/1.1 200 OK" and `rest` on its first
+  // connection and then closes or resets it with `end`.
+  Result<HttpResponse> FetchRaw(const std::string& rest,
+                                void (*end)(uv_tcp_t*)) {
+    RawServer raw{{}, "HTTP/1.1 200 OK\r\n" + rest, end};
+    uv_tcp_init(this->loop.uv(), &raw.listener);
+    raw.listener.data = &raw;
+    sockaddr_in address{};
+    uv_ip4_addr("127.0.0.1", 0, &address);
+    uv_tcp_bind(&raw.listener, reinterpret_cast<const sockaddr*>(&address), 0);
+    uv_listen(reinterpret_cast<uv_stream_t*>(&raw.listener), 1,
+              [](uv_stream_t* stream, int) {
+                auto* server = static_cast<RawServer*>(stream->data);
+                auto* accepted = new uv_tcp_t;
+                uv_tcp_init(stream->loop, accepted);
+                auto* connection = reinterpret_cast<uv_stream_t*>(accepted);
+                uv_accept(stream, connection);
+                uv_buf_t buffer =
+                    uv_buf_init(server->answer.data(),
+                                static_cast<unsigned>(server->answer.size()));
+                uv_try_write(connection, &buffer, 1);
+                server->end(accepted);
+              });
+    int length = sizeof(address);
+    uv_tcp_getsockname(&raw.listener, reinterpret_cast<sockaddr*>(&address),
+                       &length);
+    this->client = std::make_unique<HttpClient>(
+        this->loop, SocketAddress{"127.0.0.1", ntohs(address.sin_port)},
+        HttpClientOptions{});
+    auto response = this->Fetch({});
+    uv_close(reinterpret_cast<uv_handle_t*>(&raw.listener), nullptr);
+    // Until the connection's timer has ended.
+    this->loop.RunFor(milliseconds(150));
+    return response;
+  }
 };
 
 // Guards against lost headers, bodies or paths between client and server.
@@ -95,38 +170,34 @@
 // Guards against a target that crashes between two chunks of its answer, which
 // h2o reports like the end of a complete answer.
 TEST(HttpTest, ConnectionThatClosesBetweenChunksFailsTheCall) {
-  uv_tcp_t listener;
-  uv_tcp_init(this->loop.uv(), &listener);
-  sockaddr_in address{};
-  uv_ip4_addr("127.0.0.1", 0, &address);
-  uv_tcp_bind(&listener, reinterpret_cast<const sockaddr*>(&address), 0);
-  uv_listen(reinterpret_cast<uv_stream_t*>(&listener), 1,
-            [](uv_stream_t* stream, int) {
-              auto* accepted = new uv_tcp_t;
-              uv_tcp_init(stream->loop, accepted);
-              uv_accept(stream, reinterpret_cast<uv_stream_t*>(accepted));
-              std::string text =
-                  "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
-                  "4\r\nhalf\r\n";
-              uv_buf_t buffer =
-                  uv_buf_init(text.data(), static_cast<unsigned>(text.size()));
-              uv_try_write(reinterpret_cast<uv_stream_t*>(accepted), &buffer,
-                           1);
-              uv_close(reinterpret_cast<uv_handle_t*>(accepted),
-                       [](uv_handle_t* handle) {
-                         delete reinterpret_cast<uv_tcp_t*>(handle);
-                       });
-            });
-  int length = sizeof(address);
-  uv_tcp_getsockname(&listener, reinterpret_cast<sockaddr*>(&address), &length);
-  this->client = std::make_unique<HttpClient>(
-      this->loop, SocketAddress{"127.0.0.1", ntohs(address.sin_port)},
-      HttpClientOptions{});
-  const auto response = this->Fetch({});
+  const auto response = this->FetchRaw(
+      "transfer-encoding: chunked\r\n\r\n"
+      "4\r\nhalf\r\n",
+      CloseNow);
   CHECK_FALSE(response.has_value());
   CHECK(response.error().verdict == Verdict::kMayHaveRun);
-  uv_close(reinterpret_cast<uv_handle_t*>(&listener), nullptr);
-  this->loop.RunFor(milliseconds(1));
+}
+
+TEST(HttpTest, LastConnectionThatClosesBetweenChunksFailsTheCall) {
+  const auto response = this->FetchRaw(
+      "connection: close\r\ntransfer-encoding: chunked\r\n\r\n"
+      "4\r\nhalf\r\n",
+      ShutDown);
+  CHECK_FALSE(response.has_value());
+}
+
+// Guards against a complete answer that is taken for broken off since its
+// target closed the connection right after it.
+TEST(HttpTest, ConnectionThatClosesAfterTheLastChunkEndsTheCall) {
+  for (const std::string header : {"", "connection: close\r\n"}) {
+    const auto response =
+        this->FetchRaw(header +
+                           "transfer-encoding: chunked\r\n\r\n"
+                           "5\r\nwhole\r\n0\r\n\r\n",
+                       ShutDown);
+    CHECK_TRUE(response.has_value());
+    STRCMP_EQUAL("whole", response->body.c_str());
+  }
 }
 
 // Guards against a refused connection that is reported as "may have run".
