Do not take a reset for the end of a body without a length

Cause: h2o reports the end of a body without a length for every end of its connection, a reset too. Half an answer whose target crashed or was cut off looked complete to the agent, which forwarded it as complete and stored it under the request's id.

Change: such a body is complete only if the connection has been closed in order (TCP_CLOSE_WAIT).

New test on the code before:

AnswerWithoutALengthThatIsResetFailsTheCall CHECK_FALSE(response.has_value()) failed

Now connection_tests: 38 tests, 38 ran, no failure, five times in a row.

--- a/src/connection/http1_client.h
+++ b/src/connection/http1_client.h
@@ -39,10 +39,9 @@
   uint32_t max_skipped_responses = 8;
 };
 
-// HTTP/1.1 client of one server, on libuv. Unlike HttpClient it distinguishes a
-// reset from the end of a response without a length, closes a connection that
-// has bytes after a response, and drops idle connections as soon as the server
-// closes them.
+// HTTP/1.1 client of one server, on libuv. Unlike HttpClient it closes a
+// connection that has bytes after a response, and drops idle connections as
+// soon as the server closes them.
 class Http1Client {
  public:
   Http1Client(Loop& loop, SocketAddress server, Http1ClientOptions options);
--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 extern "C" {
@@ -29,7 +30,10 @@
   bool connected = false;
   bool done = false;
   bool method_is_head = false;
+  // How the end of the body is marked; without either, by the end of the
+  // connection.
   bool chunked = false;
+  bool has_length = false;
   // Number of functions on the call stack that use this object.
   int use_count = 0;
   bool call_destroyed = false;
@@ -73,12 +77,23 @@
   }
 }
 
-// h2o also reports the end of a chunked body when the connection ends between
-// two chunks. The last chunk ends the body while it is read; no bytes were read
-// when the end of the connection is reported.
-bool EndedWithoutLastChunk(const Exchange& exchange,
-                           h2o_http1client_t* client) {
-  return exchange.chunked && client->sock->bytes_read == 0;
+// h2o also reports the end of a body when the connection ends between two
+// chunks, and when it is reset within a body without a length. Returns whether
+// the body may have been cut off that way.
+bool WasCutOff(const Exchange& exchange, h2o_http1client_t* client) {
+  if (exchange.chunked) {
+    // The last chunk ends the body while it is read; no bytes were read when
+    // the end of the connection is reported.
+    return client->sock->bytes_read == 0;
+  }
+  if (exchange.has_length) {
+    return false;
+  }
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  return getsockopt(h2o_socket_get_fd(client->sock), IPPROTO_TCP, TCP_INFO,
+                    &info, &length) != 0 ||
+         info.tcpi_state != TCP_CLOSE_WAIT;
 }
 
 int OnBody(h2o_http1client_t* client, const char* error) {
@@ -103,8 +118,8 @@
     return error == nullptr ? -1 : 0;
   }
   if (error == h2o_http1client_error_is_eos) {
-    if (EndedWithoutLastChunk(*exchange, client)) {
-      FailExchange(exchange, "the connection closed before the last chunk");
+    if (WasCutOff(*exchange, client)) {
+      FailExchange(exchange, "the connection ended within the body");
       return -1;
     }
     EndExchange(exchange);
@@ -139,6 +154,8 @@
   }
   exchange->chunked =
       FindHeader(head.headers, "transfer-encoding") == "chunked";
+  exchange->has_length =
+      !exchange->chunked && !FindHeader(head.headers, "content-length").empty();
   if (exchange->callbacks.on_head) {
     exchange->callbacks.on_head(head);
   }
--- a/tests/connection/http_test.cc
+++ b/tests/connection/http_test.cc
@@ -46,6 +46,16 @@
   });
 }
 
+void ResetAfterPause(uv_tcp_t* connection) {
+  AfterPause(connection, [](uv_timer_t* timer) {
+    uv_tcp_close_reset(static_cast<uv_tcp_t*>(timer->data),
+                       [](uv_handle_t* handle) {
+                         delete reinterpret_cast<uv_tcp_t*>(handle);
+                       });
+    DeleteTimer(timer);
+  });
+}
+
 // Ends the connection in order: the request is still unread, so that closing at
 // once would reset it.
 void ShutDown(uv_tcp_t* connection) {
@@ -200,6 +210,19 @@
   }
 }
 
+TEST(HttpTest, AnswerWithoutALengthEndsWithItsConnection) {
+  const auto response = this->FetchRaw("\r\nwhole", ShutDown);
+  CHECK_TRUE(response.has_value());
+  STRCMP_EQUAL("whole", response->body.c_str());
+}
+
+// Guards against half an answer without a length that looks complete.
+TEST(HttpTest, AnswerWithoutALengthThatIsResetFailsTheCall) {
+  const auto response = this->FetchRaw("\r\nhalf", ResetAfterPause);
+  CHECK_FALSE(response.has_value());
+  CHECK(response.error().verdict == Verdict::kMayHaveRun);
+}
+
 // Guards against a refused connection that is reported as "may have run".
 TEST(HttpTest, RefusedConnectionIsNotRun) {
   this->Serve([](HttpRequest, std::shared_ptr<HttpResponder>) {});
