Withdraw waiting requests when a part of their prompt is quarantined

Requests that waited at targets when the part was quarantined crashed one more target each. Change: a gateway ends such requests, unless they have survived, with 502: they may have run. Result: RelayTaskTest.ARequestThatWaitsAtATargetIsWithdrawnOnQuarantine answers 200 without the change (502 with it); the two other relay tests of the quarantine also fail with their mechanism off (200 instead of 503 and 502).

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -317,6 +317,9 @@
        {"crashes", crashes},
        {"round", record.round},
        {"probe_in_ms", record.left.count()}});
+  if (!record.lifted) {
+    WithdrawRequests(this->relay_context, record.part);
+  }
   this->quarantined_parts.Set(
       static_cast<double>(this->crashes.quarantines().parts().size()));
 }
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -95,6 +95,31 @@
       arrived(context.loop.Now()),
       deadline(arrived) {}
 
+void WithdrawRequests(const RelayContext& context, PartHash part) {
+  std::vector<std::shared_ptr<RelayTask>> tasks;
+  tasks.reserve(context.tasks.size());
+  for (RelayTask* const task : context.tasks) {
+    tasks.push_back(task->shared_from_this());
+  }
+  for (const auto& task : tasks) {
+    task->OnPartQuarantined(part);
+  }
+}
+
+void RelayTask::OnPartQuarantined(PartHash part) {
+  if (this->done || !this->attempt || this->attempt->ended ||
+      this->attempt->survived ||
+      std::find(this->parts.begin(), this->parts.end(), part) ==
+          this->parts.end()) {
+    return;
+  }
+  this->http_call.reset();
+  this->EndAttempt(AttemptOutcome::kAbandoned);
+  ++this->possible_runs;
+  this->verdict = Verdict::kMayHaveRun;
+  this->EndForQuarantine();
+}
+
 void RelayTask::Start() {
   this->call = this->context.codec.ReadRequest(this->request);
   if (!this->config) {
@@ -131,6 +156,7 @@
       self->OnCallerDisconnected();
     }
   });
+  this->context.tasks.insert(this);
   // The deadline timer keeps the task alive until it is done.
   this->deadline_timer = std::make_unique<Timer>(
       this->context.loop,
@@ -606,6 +632,7 @@
                        int status,
                        std::string_view reason) {
   this->done = true;
+  this->context.tasks.erase(this);
   const TimePoint now = this->context.loop.Now();
   const auto total = Since(this->arrived, now);
   this->context.metrics.total.Observe(now - this->arrived);
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,8 @@
   Histogram& total;
 };
 
+class RelayTask;
+
 // Objects shared by all relay tasks of a process.
 struct RelayContext {
   Loop& loop;
@@ -75,8 +78,14 @@
   RelayOptions options;
   // Returns the HTTP client for a target's address.
   std::function<Http1Client&(const SocketAddress&)> client;
+  // The requests in progress.
+  std::set<RelayTask*> tasks{};
 };
 
+// Takes back the requests with a part that was quarantined from targets that
+// may still crash on them.
+void WithdrawRequests(const RelayContext& context, PartHash part);
+
 // One send of a request to a target.
 struct RelayAttempt {
   // The target's ID.
@@ -100,6 +109,9 @@
             HttpRequest request,
             std::shared_ptr<HttpResponder> responder);
   void Start();
+  // Ends the request if `part` is a part of its prompt and its target may still
+  // crash on it.
+  void OnPartQuarantined(PartHash part);
 
  private:
   // Selects a target and sends the request to it. If none can be selected,
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -125,7 +125,14 @@
   TargetTracker book{{}};
   std::unique_ptr<PlacementPolicy> policy = MakePredictivePolicy({}, random);
   TargetSelector selector{view, book, *policy, {}};
-  CrashGuard crashes{{}, "gateway", [](const QuarantineRecord&, size_t) {}};
+  // Set while a request is relayed.
+  RelayContext* relay_context = nullptr;
+  CrashGuard crashes{
+      {}, "gateway", [this](const QuarantineRecord& record, size_t) {
+        if (this->relay_context != nullptr) {
+          WithdrawRequests(*this->relay_context, record.part);
+        }
+      }};
   ServiceRetryBudgets budgets{{.max_attempts = 4}, random};
   int64_t revision = 0;
 
@@ -214,6 +221,7 @@
         relay_metrics,
         {},
         [&client](const SocketAddress&) -> Http1Client& { return client; }};
+    this->relay_context = &context;
     auto server = Http1Server::Make(
         this->loop, "127.0.0.1", 0,
         [&context](HttpRequest request, std::shared_ptr<HttpResponder> out) {
@@ -242,6 +250,7 @@
     close(listener);
     server->reset();
     this->loop.RunFor(milliseconds(50));
+    this->relay_context = nullptr;
     return answer;
   }
 
@@ -395,6 +404,22 @@
   CHECK_TRUE(this->received.empty());
 }
 
+// Guards against targets that crash on requests which they held when the part
+// was quarantined.
+TEST(RelayTaskTest, ARequestThatWaitsAtATargetIsWithdrawnOnQuarantine) {
+  const PartHash part = HashPart(ServiceName("s"), "part");
+  Timer quarantine(this->loop, [&] {
+    this->crashes.OnNews({{}, {}, {{part, 1, false, milliseconds(30000)}}},
+                         NewsScope::kRegion, this->loop.Now());
+  });
+  quarantine.StartOnce(milliseconds(40));
+  TargetReply reply = Unframed("id: 1\ndata: x\n\n");
+  reply.pauses = true;
+  const CallerAnswer answer = this->Relay(StreamRoute(), {reply});
+  CHECK_EQUAL(502, answer.status);
+  CHECK_EQUAL(1u, this->received.size());
+}
+
 // Guards against a repeat that crashes a second target when the first crash has
 // already been seen elsewhere.
 TEST(RelayTaskTest, ABrokenRequestIsNotRepeatedWhenAnotherCrashAccusesItsPart) {
