Identify a part of a prompt by its model instead of its service

Cause: found in review. A configuration that moves or splits a route between services gave the same part another hash, so that its quarantine no longer held and evidence was divided. Change: the hash is of the request's model and the part's ID.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -141,7 +141,7 @@
   }
   this->service = ChooseBackend(*this->route, this->call.id);
   for (const std::string& part : this->call.shared_parts) {
-    this->parts.push_back(HashPart(this->service, part));
+    this->parts.push_back(HashPart(this->call.model, part));
   }
   this->context.budgets.For(this->service).Deposit();
   const milliseconds caller_timeout =
--- a/src/request/crash_evidence.cc
+++ b/src/request/crash_evidence.cc
@@ -21,9 +21,8 @@
 
 }  // namespace
 
-PartHash HashPart(const ServiceName& service, const std::string& part) {
-  return XXH64(part.data(), part.size(),
-               XXH64(service.value().data(), service.value().size(), 0));
+PartHash HashPart(const std::string& model, const std::string& part) {
+  return XXH64(part.data(), part.size(), XXH64(model.data(), model.size(), 0));
 }
 
 IncarnationHash HashIncarnation(const TargetRegistration& target) {
--- a/src/request/crash_evidence.h
+++ b/src/request/crash_evidence.h
@@ -15,10 +15,10 @@
 
 namespace celerypost {
 
-// Hash of a service and the ID of a part of a prompt that requests share. The
-// same in every process.
+// Hash of a model and the ID of a part of a prompt that requests share. The same
+// in every process and for all services: routes move between services.
 using PartHash = uint64_t;
-PartHash HashPart(const ServiceName& service, const std::string& part);
+PartHash HashPart(const std::string& model, const std::string& part);
 
 // Hash of one start of a target's process.
 using IncarnationHash = uint64_t;
--- a/src/request/request_codec.h
+++ b/src/request/request_codec.h
@@ -24,6 +24,8 @@
   // tokens of the answer.
   double prompt_tokens = 0;
   double answer_tokens = 0;
+  // The model that is to answer; empty for other requests.
+  std::string model;
   // IDs of the parts of the prompt that other requests may share, in order: all
   // parts but the last, which belongs to this request or its session.
   std::vector<std::string> shared_parts;
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -270,7 +270,7 @@
 // A request with a part of a prompt had not survived when its target crashed
 // (celerypost::CrashEvidence).
 struct CrashAccusation {
-  // Hash of the part's service and ID.
+  // Hash of the model and the part's ID.
   1: i64 part
   // Hash of one start of the target.
   2: i64 incarnation
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -86,9 +86,11 @@
                               info.last_event_id.value_or("none"));
     return sent;
   }
-  TargetAnswer ReadAnswer(int status, const HttpHeaders&) const override {
+  TargetAnswer ReadAnswer(int status,
+                          const HttpHeaders& headers) const override {
     TargetAnswer answer;
     answer.status = status;
+    answer.not_run = !FindHeader(headers, "x-not-run").empty();
     return answer;
   }
   HttpHeaders MakeCallerHeaders(const HttpHeaders&) const override {
@@ -395,7 +397,7 @@
 // Guards against requests that crash one target after the other: three targets
 // have crashed on the part, so the next request with it is not sent.
 TEST(RelayTaskTest, ARequestWithAQuarantinedPartIsRefusedAndNotSent) {
-  const PartHash part = HashPart(ServiceName("s"), "part");
+  const PartHash part = HashPart("", "part");
   this->crashes.OnNews({{}, {}, {{part, 1, false, milliseconds(30000)}}},
                        NewsScope::kRegion, this->loop.Now());
   const CallerAnswer answer =
@@ -407,7 +409,7 @@
 // Guards against targets that crash on requests which they held when the part
 // was quarantined.
 TEST(RelayTaskTest, ARequestThatWaitsAtATargetIsWithdrawnOnQuarantine) {
-  const PartHash part = HashPart(ServiceName("s"), "part");
+  const PartHash part = HashPart("", "part");
   Timer quarantine(this->loop, [&] {
     this->crashes.OnNews({{}, {}, {{part, 1, false, milliseconds(30000)}}},
                          NewsScope::kRegion, this->loop.Now());
@@ -423,7 +425,7 @@
 // Guards against a repeat that crashes a second target when the first crash has
 // already been seen elsewhere.
 TEST(RelayTaskTest, ABrokenRequestIsNotRepeatedWhenAnotherCrashAccusesItsPart) {
-  const PartHash part = HashPart(ServiceName("s"), "part");
+  const PartHash part = HashPart("", "part");
   this->crashes.OnNews({{{{part, 77}, milliseconds(10)}}, {}, {}},
                        NewsScope::kRegion, this->loop.Now());
   const CallerAnswer answer = this->Relay(
