Repeat requests that did no harm whatever accuses their parts

What callers saw: found in review. While crashes accuse the first part of their prompt, callers whose request a full target refused were turned away, although another target had room; the same for streams that broke off after they had survived. Cause: MayRetry asked CrashGuard for every verdict. Change: it asks only for attempts that may have harmed their target. Result: ARefusedRequestGoesToAnotherTargetWhateverAccusesItsPart: 503 before, 200 with the change. process_gateway 32 of 32.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -552,8 +552,13 @@
 }
 
 bool RelayTask::MayRetry(Verdict attempt_verdict) {
+  // An attempt that was not run, or that survived, has not harmed its target.
+  const bool may_have_harmed = attempt_verdict != Verdict::kNotRun &&
+                               this->attempt && !this->attempt->survived;
   if (this->sends >= this->context.options.max_sends ||
-      !this->context.crashes.MayRepeat(this->parts, this->context.loop.Now())) {
+      (may_have_harmed &&
+       !this->context.crashes.MayRepeat(this->parts,
+                                        this->context.loop.Now()))) {
     return false;
   }
   // Only attempts that may have run count against the route's limit.
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -406,6 +406,23 @@
   CHECK_TRUE(this->received.empty());
 }
 
+// Guards against turning a caller away because one target is full: a request
+// that was not run has done no harm.
+TEST(RelayTaskTest, ARefusedRequestGoesToAnotherTargetWhateverAccusesItsPart) {
+  const PartHash part = HashPart("", "part");
+  this->crashes.OnNews(
+      {{{{part, 77}, milliseconds(10)}, {{part, 78}, milliseconds(10)}},
+       {},
+       {}},
+      NewsScope::kRegion, this->loop.Now());
+  const CallerAnswer answer =
+      this->Relay(StreamRoute(), {{"HTTP/1.1 503 Full\r\nConnection: close\r\n"
+                                   "x-not-run: 1\r\nContent-Length: 0\r\n\r\n"},
+                                  Unframed("id: 1\ndata: x\n\n")});
+  CHECK_EQUAL(200, answer.status);
+  CHECK_EQUAL(2u, this->received.size());
+}
+
 // Guards against targets that crash on requests which they held when the part
 // was quarantined.
 TEST(RelayTaskTest, ARequestThatWaitsAtATargetIsWithdrawnOnQuarantine) {
