Take a stream that ends before its first event for broken off

What callers saw: found in review. An answer without a length that its target broke off before the first event reached the caller as an empty success; and such an answer, or one that ended right after an event, acquitted the parts of its prompt although its target may have crashed on it. Cause: RelayTask::OnEnd took the orderly end of a connection for the end of the answer. Change: a stream that ends before its first event takes the path of a broken one. An answer acquits its parts at its end only if it has a length or chunks and a status below 300; otherwise only by the time for which it sends events.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -410,6 +410,15 @@
   }
 }
 
+void RelayTask::NoteEndOfAnswer() {
+  const HttpHeaders& headers = this->attempt->headers;
+  const bool framed = !FindHeader(headers, "content-length").empty() ||
+                      !FindHeader(headers, "transfer-encoding").empty();
+  if (framed && this->attempt->answer.status < 300) {
+    this->NoteSurvival();
+  }
+}
+
 void RelayTask::ForwardEvents(const std::string& complete_events) {
   if (complete_events.empty()) {
     return;
@@ -436,10 +445,13 @@
                        "the stream ended inside an event"});
       return;
     }
-    this->ForwardEvents(this->events.TakeTrailingComments());
-    if (this->attempt->had_event) {
-      this->NoteSurvival();
+    if (!this->head_sent && !this->attempt->had_event) {
+      this->OnFailure({Verdict::kMayHaveRun, ErrorCode::kUnavailable,
+                       "the stream ended before its first event"});
+      return;
     }
+    this->ForwardEvents(this->events.TakeTrailingComments());
+    this->NoteEndOfAnswer();
     this->EndAttempt(AttemptOutcome::kAnswered);
     if (!this->head_sent) {
       this->SendTargetAnswer();
@@ -451,9 +463,7 @@
     this->Finish("answered", status, {});
     return;
   }
-  if (!failed) {
-    this->NoteSurvival();
-  }
+  this->NoteEndOfAnswer();
   this->EndAttempt(failed ? AttemptOutcome::kFailed
                           : AttemptOutcome::kAnswered);
   this->SendTargetAnswer();
@@ -556,9 +566,8 @@
   const bool may_have_harmed = attempt_verdict != Verdict::kNotRun &&
                                this->attempt && !this->attempt->survived;
   if (this->sends >= this->context.options.max_sends ||
-      (may_have_harmed &&
-       !this->context.crashes.MayRepeat(this->parts,
-                                        this->context.loop.Now()))) {
+      (may_have_harmed && !this->context.crashes.MayRepeat(
+                              this->parts, this->context.loop.Now()))) {
     return false;
   }
   // Only attempts that may have run count against the route's limit.
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -137,6 +137,9 @@
   // The attempt has produced an event.
   void NoteProgress();
   void NoteSurvival();
+  // The answer is complete. Without a length or chunks, a crash of the target
+  // looks the same.
+  void NoteEndOfAnswer();
   void ForwardEvents(const std::string& complete_events);
 
   // Returns whether the request may be sent to another target after an attempt
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -406,6 +406,31 @@
   CHECK_TRUE(this->received.empty());
 }
 
+// Guards against an empty success from a target that crashed before its first
+// event, when its answer ends with its connection.
+TEST(RelayTaskTest, AStreamThatEndsBeforeItsFirstEventIsSentToAnotherTarget) {
+  const CallerAnswer answer = this->Relay(
+      StreamRoute(), {Unframed(""), Unframed("id: 1\ndata: x\n\n")});
+  STRCMP_EQUAL("id: 1\ndata: x\n\n", answer.body.c_str());
+  CHECK_TRUE(answer.complete);
+  CHECK_EQUAL(2u, this->received.size());
+}
+
+// Guards against a part that is acquitted by an answer which its target may
+// have broken off.
+TEST(RelayTaskTest, OnlyAnAnswerWithAnEndOfItsOwnAcquitsAPartAtOnce) {
+  const PartHash part = HashPart("", "part");
+  this->crashes.OnNews(
+      {{{{part, 77}, milliseconds(10)}, {{part, 78}, milliseconds(10)}},
+       {},
+       {}},
+      NewsScope::kRegion, this->loop.Now());
+  this->Relay(StreamRoute(), {Unframed("id: 1\ndata: x\n\n")});
+  CHECK_FALSE(this->crashes.MayRepeat({part}, this->loop.Now()));
+  this->Relay(StreamRoute(), {Chunked("id: 1\ndata: x\n\n")});
+  CHECK_TRUE(this->crashes.MayRepeat({part}, this->loop.Now()));
+}
+
 // Guards against turning a caller away because one target is full: a request
 // that was not run has done no harm.
 TEST(RelayTaskTest, ARefusedRequestGoesToAnotherTargetWhateverAccusesItsPart) {
