Exchange news of crashing targets apart from beats

Cause: found in review. Evidence was judged and sent in beats, which come every 100 ms times a twelfth of the gateways of the region: with 300 gateways 2.5 s, so that an accusation and the answer to it took longer than the bound of the fourth second. Change: messages of their own, every 100 ms in small regions and at least every 500 ms, sent only when there is news.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -99,6 +99,7 @@
                       return this->core.ClientOf(address);
                     }},
       beat_timer(dependencies.loop, [this] { this->SendBeat(); }),
+      crash_timer(dependencies.loop, [this] { this->ExchangeCrashNews(); }),
       stop_timer(dependencies.loop, [this] { this->CheckStop(); }),
       beats(options.beats),
       stop_policy{.grace = dependencies.settings.stop_grace,
@@ -152,6 +153,7 @@
     return started;
   }
   this->SendBeat();
+  this->ExchangeCrashNews();
   return {};
 }
 
@@ -355,11 +357,6 @@
     return peer.heard && peer.role == NodeRole::kStager &&
            this->beats.ShouldSendTo(peer);
   });
-  this->crashes.Judge(now);
-  const CrashNews news = this->crashes.TakeNews(NewsScope::kRegion, now);
-  if (!news.empty()) {
-    beat.__set_crash_news(EncodeCrashNews(news));
-  }
   beat.loads = EncodeLoads(this->book.OwnLoads());
   for (const RegionSummary& summary : this->core.regions().TakeForwards()) {
     beat.summaries.push_back(EncodeSummary(summary));
@@ -369,7 +366,6 @@
            this->beats.ShouldSendTo(peer);
   });
   this->SendSummary();
-  this->SendCrashNews();
   this->UpdateShares();
   this->beat_timer.StartOnce(GatewayBeatPeriod(
       this->options.beats, this->options.beat_period,
@@ -503,7 +499,27 @@
   this->next_summary = now + SummaryPeriod(this->options.summaries, bytes);
 }
 
-void Gateway::SendCrashNews() {
+void Gateway::ExchangeCrashNews() {
+  const TimePoint now = this->dependencies.loop.Now();
+  this->crashes.Judge(now);
+  const CrashNews news = this->crashes.TakeNews(NewsScope::kRegion, now);
+  if (!news.empty()) {
+    wire::Beat beat = this->core.MakeBeat(this->state());
+    beat.loads = EncodeLoads(this->book.OwnLoads());
+    beat.__set_crash_news(EncodeCrashNews(news));
+    this->core.exchange().Send(beat, [](const BeatPeer& peer) {
+      return peer.near && peer.heard && peer.role == NodeRole::kGateway;
+    });
+  }
+  this->SendFarCrashNews();
+  this->crash_timer.StartOnce(
+      std::min(this->options.max_crash_news_period,
+               GatewayBeatPeriod(
+                   this->options.beats, this->options.beat_period,
+                   1 + this->core.exchange().CountNear(NodeRole::kGateway))));
+}
+
+void Gateway::SendFarCrashNews() {
   const TimePoint now = this->dependencies.loop.Now();
   if (now < this->next_far_crash_news || !this->SendsToOtherRegions()) {
     return;
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -21,6 +21,9 @@
   // How long the loads in the summary of another region are used.
   std::chrono::milliseconds summary_load_lifetime{2000};
   CrashGuardOptions crashes;
+  // Longest time between two messages to the region about parts of prompts that
+  // crash targets. Beats come less often in large regions.
+  std::chrono::milliseconds max_crash_news_period{500};
   // Shortest time between two messages to other regions about parts of prompts
   // that crash targets.
   std::chrono::milliseconds far_crash_news_period{250};
@@ -66,9 +69,10 @@
   void SendSummary();
   // Whether this gateway is one of those that send to other regions.
   bool SendsToOtherRegions() const;
-  // Tells one gateway of each other region what is new about parts of prompts
-  // that crash targets.
-  void SendCrashNews();
+  // Judges the parts of prompts that crash targets and tells the gateways of
+  // this region, and one of each other region, what is new about them.
+  void ExchangeCrashNews();
+  void SendFarCrashNews();
   RegionSummary MakeSummary() const;
   void OnSummary(const RegionSummary& summary);
   // Returns the addresses of one live gateway of each other region, or of a
@@ -101,6 +105,7 @@
   std::unique_ptr<Http1Server> ready_server;
   std::unique_ptr<Http1Server> directory_server;
   Timer beat_timer;
+  Timer crash_timer;
   Timer stop_timer;
   GatewayBeats beats;
   TimePoint next_summary{};
