Log what a stopping gateway cuts and leaves unsent

The "stopped" line gave the number of requests only, so the log could not tell an answer that was still buffered from a connection that was reset while it lingered, nor say what a cut request waited for. It now counts the connections by what they are at, and up to 20 lines "request_cut" name the requests that had not ended.

No change of behaviour.

--- a/src/connection/http1_server.cc
+++ b/src/connection/http1_server.cc
@@ -136,6 +136,23 @@
   bool idle() const { return !this->responder && !this->in_message; }
   bool lingering() const { return this->send_closed; }
 
+  // Returns the member of Http1ServerWork that counts this connection.
+  size_t Http1ServerWork::*WorkMember() const {
+    if (this->responder) {
+      return &Http1ServerWork::answering;
+    }
+    if (!this->output.empty() || this->queued_writes > 0) {
+      return &Http1ServerWork::unsent;
+    }
+    if (this->send_closed) {
+      return &Http1ServerWork::lingering;
+    }
+    if (this->in_message || !this->pipelined.empty()) {
+      return &Http1ServerWork::receiving;
+    }
+    return &Http1ServerWork::idle;
+  }
+
   void CheckTimeouts(TimePoint now) {
     const auto& limits = this->server->limits;
     const auto age = now - this->state_since;
@@ -566,6 +583,14 @@
   return this->impl->in_progress;
 }
 
+Http1ServerWork Http1Server::work() const {
+  Http1ServerWork work;
+  for (const Connection* connection : this->impl->connections) {
+    ++(work.*connection->WorkMember());
+  }
+  return work;
+}
+
 void Http1Server::SetLimits(const Http1Limits& limits) {
   this->impl->limits = limits;
 }
--- a/src/connection/http1_server.h
+++ b/src/connection/http1_server.h
@@ -13,6 +13,20 @@
 
 namespace celerypost {
 
+// What the open connections of a server are at. Each counts once, in the first
+// member that applies.
+struct Http1ServerWork {
+  // A request is with the handler, or its answer has not ended.
+  size_t answering = 0;
+  // Bytes of an answer have not been handed to the operating system.
+  size_t unsent = 0;
+  // The answer is sent; the caller has not closed the connection yet.
+  size_t lingering = 0;
+  // A part of a request has been read.
+  size_t receiving = 0;
+  size_t idle = 0;
+};
+
 // HTTP/1.1 server on libuv. Unlike HttpServer it keeps reading while a request
 // is being answered, so HttpResponder::OnClosed runs as soon as the caller
 // disconnects, and it can drain its connections before a planned stop.
@@ -33,6 +47,7 @@
   size_t connections() const;
   // Number of requests whose answer has not ended.
   size_t requests() const;
+  Http1ServerWork work() const;
   void SetLimits(const Http1Limits& limits);
   // From now on, an answer that starts is the last one of its connection. An
   // answer whose head was sent before does not close its connection.
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -14,6 +14,9 @@
 
 constexpr int kUnavailable = 503;
 constexpr milliseconds kStopCheckInterval{100};
+// Most requests that are logged one by one when the process exits before they
+// have ended.
+constexpr size_t kMaxLoggedCuts = 20;
 // Share of the fleet's retry budget that the gateways use. The rest allows for
 // gateways that do not know all others.
 constexpr double kRetryBudgetShare = 0.85;
@@ -479,10 +482,23 @@
                   this->caller_server->connections())) {
     return;
   }
+  size_t logged = 0;
+  for (const RelayTask* const task : this->relay_context.active) {
+    if (logged++ == kMaxLoggedCuts) {
+      break;
+    }
+    task->LogCut();
+  }
+  const Http1ServerWork work = this->caller_server->work();
+  this->dependencies.log.Info("stopped", "graceful shutdown complete",
+                              {{"requests", work.answering},
+                               {"unsent", work.unsent},
+                               {"lingering", work.lingering},
+                               {"receiving", work.receiving},
+                               {"idle", work.idle},
+                               {"age_ms", this->TimeSinceStop().count()}});
   this->caller_server->StopListening();
   this->caller_server->CloseIdle();
-  this->dependencies.log.Info("stopped", "graceful shutdown complete",
-                              {{"requests", this->caller_server->requests()}});
   this->dependencies.loop.Stop();
 }
 
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -128,6 +128,7 @@
         }
       });
   this->deadline_timer->StartOnce(Since(this->arrived, this->deadline));
+  this->context.active.insert(this);
   this->SendToNextTarget();
 }
 
@@ -135,6 +136,31 @@
   return this->route->kind == RouteKind::kStream;
 }
 
+std::string_view RelayTask::WaitsFor() const {
+  if (!this->attempt || this->attempt->ended) {
+    return "target";
+  }
+  if (this->attempt->had_event || !this->attempt->body.empty()) {
+    return "rest_of_answer";
+  }
+  return this->head_sent ? "resumed_stream" : "answer";
+}
+
+void RelayTask::LogCut() const {
+  const TimePoint now = this->context.loop.Now();
+  this->context.log.Warn(
+      "request_cut", "the process exits before the request has ended",
+      {{"waits_for", this->WaitsFor()},
+       {"route", this->route->name},
+       {"target", this->attempt ? std::string_view(this->attempt->target)
+                                : std::string_view()},
+       {"attempts", this->sends},
+       {"events", this->events.events()},
+       {"age_ms", Since(this->arrived, now).count()},
+       {"deadline_in_ms", Since(now, this->deadline).count()}},
+      this->call.id);
+}
+
 void RelayTask::SendToNextTarget() {
   const TimePoint now = this->context.loop.Now();
   PlacementRequest& placement = this->selection_request.placement;
@@ -546,6 +572,7 @@
                        int status,
                        std::string_view reason) {
   this->done = true;
+  this->context.active.erase(this);
   const TimePoint now = this->context.loop.Now();
   const auto total = Since(this->arrived, now);
   this->context.metrics.total.Observe(now - this->arrived);
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -6,6 +6,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <unordered_set>
 
 #include "src/connection/http1_client.h"
 #include "src/connection/http1_server.h"
@@ -55,6 +57,8 @@
   Histogram& total;
 };
 
+class RelayTask;
+
 // Objects shared by all relay tasks of a process.
 struct RelayContext {
   Loop& loop;
@@ -68,6 +72,8 @@
   RelayOptions options;
   // Returns the HTTP client for a target's address.
   std::function<Http1Client&(const SocketAddress&)> client;
+  // The tasks that have started and not ended.
+  std::unordered_set<RelayTask*> active{};
 };
 
 // One send of a request to a target.
@@ -89,6 +95,9 @@
             HttpRequest request,
             std::shared_ptr<HttpResponder> responder);
   void Start();
+  // Logs that the process exits before this request has ended, and what the
+  // request waits for.
+  void LogCut() const;
 
  private:
   // Selects a target and sends the request to it. If none can be selected,
@@ -125,6 +134,8 @@
   void SendTargetAnswer();
   void Finish(std::string_view outcome, int status, std::string_view reason);
   bool IsStream() const;
+  // What the request waits for, as a word for logs.
+  std::string_view WaitsFor() const;
   // Returns whether the attempt has not started to run by the time at which the
   // target's weights become too old for it.
   bool MustLeaveTarget() const;
