Exit only when every answer of a stopping gateway has been sent

A request left the count of requests when its answer was handed to the output buffer, which is written before the loop waits.

Http1Server now says what each connection is at, and a gateway is done when none is busy. CloseIdle closes idle connections only. A buffered request keeps its connection open and is answered. The decision is NextStopStep in stop_policy.

--- a/src/connection/http1_server.cc
+++ b/src/connection/http1_server.cc
@@ -133,9 +133,6 @@
     });
   }
 
-  bool idle() const { return !this->responder && !this->in_message; }
-  bool lingering() const { return this->send_closed; }
-
   // Returns the member of Http1ServerWork that counts this connection.
   size_t Http1ServerWork::*WorkMember() const {
     if (this->responder) {
@@ -171,6 +168,16 @@
     }
   }
 
+  // Whether the server has read bytes of a request that follows the current
+  // one.
+  bool has_next_request() const { return !this->pipelined.empty(); }
+
+  void RefusePartialRequest() {
+    if (this->in_message && !this->close_when_flushed) {
+      this->Reject(503);
+    }
+  }
+
   // Queues bytes; the output of one loop iteration is sent in one write.
   void Output(std::string_view bytes) {
     if (this->closing || this->send_closed) {
@@ -272,9 +279,6 @@
     this->head_request = this->request.method == "HEAD";
     this->responder = std::make_shared<Responder>(this);
     ++this->server->in_progress;
-    if (this->server->close_after_answers) {
-      this->responder->CloseConnectionAfter();
-    }
     const auto held = this->responder;
     this->server->handler(std::move(this->request), held);
     this->request = {};
@@ -460,7 +464,8 @@
     head.append(name).append(": ").append(value).append("\r\n");
   }
   const bool close = this->close_after || !this->connection->keep_alive ||
-                     this->connection->server->close_after_answers;
+                     (this->connection->server->close_after_answers &&
+                      !this->connection->has_next_request());
   this->close_after = close;
   if (close) {
     head += "Connection: close\r\n";
@@ -599,11 +604,19 @@
   this->impl->close_after_answers = true;
 }
 
+void Http1Server::RefusePartialRequests() {
+  for (Connection* connection : this->impl->connections) {
+    if (connection->WorkMember() == &Http1ServerWork::receiving) {
+      connection->RefusePartialRequest();
+    }
+  }
+}
+
 void Http1Server::CloseIdle() {
   const std::vector<Connection*> all(this->impl->connections.begin(),
                                      this->impl->connections.end());
   for (Connection* connection : all) {
-    if (connection->idle() && !connection->lingering()) {
+    if (connection->WorkMember() == &Http1ServerWork::idle) {
       connection->Close();
     }
   }
--- a/src/connection/http1_server.h
+++ b/src/connection/http1_server.h
@@ -49,10 +49,13 @@
   size_t requests() const;
   Http1ServerWork work() const;
   void SetLimits(const Http1Limits& limits);
-  // From now on, an answer that starts is the last one of its connection. An
-  // answer whose head was sent before does not close its connection.
+  // From now on, an answer that starts is the last one of its connection unless
+  // a part of the next request has been read. An answer whose head was sent
+  // before does not close its connection.
   void CloseAfterAnswers();
-  // Closes connections on which no request is in progress.
+  // Answers requests of which only a part has been read with 503.
+  void RefusePartialRequests();
+  // Closes connections that count as idle in work().
   void CloseIdle();
   // Closes the listening socket; connections stay open.
   void StopListening();
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -14,7 +14,7 @@
 
 constexpr int kUnavailable = 503;
 constexpr milliseconds kStopCheckInterval{100};
-// Most requests that are logged one by one when the process exits before they
+// Most requests that are logged one by one when the process stops before they
 // have ended.
 constexpr size_t kMaxLoggedCuts = 20;
 // Share of the fleet's retry budget that the gateways use. The rest allows for
@@ -477,29 +477,42 @@
 }
 
 void Gateway::CheckStop() {
-  if (!ShouldExit(this->stop_policy, this->TimeSinceStop(),
-                  this->caller_server->requests(),
-                  this->caller_server->connections())) {
-    return;
+  const Http1ServerWork work = this->caller_server->work();
+  const StopWork left{
+      work.answering + work.unsent + work.lingering + work.receiving,
+      work.idle};
+  switch (NextStopStep(this->stop_policy, this->TimeSinceStop(), left)) {
+    case StopStep::kContinue:
+      return;
+    case StopStep::kEndRequests:
+      this->EndRequests();
+      return;
+    case StopStep::kExit:
+      this->dependencies.log.Info("stopped", "graceful shutdown complete",
+                                  {{"requests", work.answering},
+                                   {"unsent", work.unsent},
+                                   {"lingering", work.lingering},
+                                   {"receiving", work.receiving},
+                                   {"idle", work.idle},
+                                   {"age_ms", this->TimeSinceStop().count()}});
+      this->caller_server->StopListening();
+      this->caller_server->CloseIdle();
+      this->dependencies.loop.Stop();
+      return;
   }
+}
+
+void Gateway::EndRequests() {
+  const std::vector<RelayTask*> tasks(this->relay_context.active.begin(),
+                                      this->relay_context.active.end());
   size_t logged = 0;
-  for (const RelayTask* const task : this->relay_context.active) {
-    if (logged++ == kMaxLoggedCuts) {
-      break;
+  for (RelayTask* const task : tasks) {
+    if (logged++ < kMaxLoggedCuts) {
+      task->LogCut();
     }
-    task->LogCut();
+    task->EndForStop();
   }
-  const Http1ServerWork work = this->caller_server->work();
-  this->dependencies.log.Info("stopped", "graceful shutdown complete",
-                              {{"requests", work.answering},
-                               {"unsent", work.unsent},
-                               {"lingering", work.lingering},
-                               {"receiving", work.receiving},
-                               {"idle", work.idle},
-                               {"age_ms", this->TimeSinceStop().count()}});
-  this->caller_server->StopListening();
-  this->caller_server->CloseIdle();
-  this->dependencies.loop.Stop();
+  this->caller_server->RefusePartialRequests();
 }
 
 }  // namespace celerypost
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -67,8 +67,10 @@
   // and those registered.
   std::vector<GatewayMember> KnownGateways() const;
   void UpdateShares();
-  // Stops the loop once ShouldExit allows it.
+  // Takes the step of a graceful shutdown that NextStopStep returns.
   void CheckStop();
+  // Ends all requests because the process is about to exit.
+  void EndRequests();
   std::chrono::milliseconds TimeSinceStop() const;
   NodeState state() const;
   bool Ready() const;
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -149,7 +149,7 @@
 void RelayTask::LogCut() const {
   const TimePoint now = this->context.loop.Now();
   this->context.log.Warn(
-      "request_cut", "the process exits before the request has ended",
+      "request_cut", "the process stops before the request has ended",
       {{"waits_for", this->WaitsFor()},
        {"route", this->route->name},
        {"target", this->attempt ? std::string_view(this->attempt->target)
@@ -481,6 +481,16 @@
   }
 }
 
+void RelayTask::EndForStop() {
+  if (this->done) {
+    return;
+  }
+  const auto keep_alive = this->shared_from_this();
+  this->http_call.reset();
+  this->EndAttempt(AttemptOutcome::kAbandoned);
+  this->FailWith(kBadGateway, "stopping");
+}
+
 void RelayTask::OnCallerDisconnected() {
   if (this->done) {
     return;
--- a/src/process/gateway/stop_policy.cc
+++ b/src/process/gateway/stop_policy.cc
@@ -20,21 +20,29 @@
     return true;
   }
   return time_since_stop + max_duration <
-         ShareOf(options.grace, options.exit_after_share);
+         ShareOf(options.grace, options.end_requests_after_share);
 }
 
-bool ShouldExit(const StopPolicyOptions& options,
-                std::chrono::milliseconds time_since_stop,
-                size_t requests,
-                size_t connections) {
+StopStep NextStopStep(const StopPolicyOptions& options,
+                      std::chrono::milliseconds time_since_stop,
+                      const StopWork& work) {
   if (time_since_stop > ShareOf(options.grace, options.exit_after_share)) {
-    return true;
+    return StopStep::kExit;
+  }
+  const bool ends_requests =
+      time_since_stop >
+      ShareOf(options.grace, options.end_requests_after_share);
+  if (work.busy > 0) {
+    return ends_requests ? StopStep::kEndRequests : StopStep::kContinue;
   }
   // Callers with a cached directory response may connect until it expires.
-  return time_since_stop > options.directory_ttl && requests == 0 &&
-         (connections == 0 ||
-          time_since_stop >
-              ShareOf(options.grace, options.refuse_long_after_share));
+  const bool may_be_called =
+      time_since_stop <= options.directory_ttl ||
+      (work.idle > 0 &&
+       time_since_stop <=
+           ShareOf(options.grace, options.refuse_long_after_share));
+  return may_be_called && !ends_requests ? StopStep::kContinue
+                                         : StopStep::kExit;
 }
 
 }  // namespace celerypost
--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -379,6 +379,21 @@
     return received;
   }
 
+  // Receives until the server closes its sending side.
+  std::string ReceiveAll(int descriptor) {
+    std::string received;
+    this->RunUntil([&] {
+      std::vector<char> bytes(65536);
+      ssize_t count = 0;
+      while ((count = recv(descriptor, bytes.data(), bytes.size(),
+                           MSG_DONTWAIT)) > 0) {
+        received.append(bytes.data(), static_cast<size_t>(count));
+      }
+      return count == 0 || errno != EAGAIN;
+    });
+    return received;
+  }
+
   void teardown() override {
     this->server.reset();
   }
@@ -487,5 +502,94 @@
   this->responder.reset();
 }
 
+// Guards against a planned stop that drops the end of an answer: the answer has
+// ended, but its bytes wait for the end of the loop iteration.
+TEST(Http1ServerTest, StopDoesNotDropAnAnswerThatIsStillBuffered) {
+  this->Serve();
+  const int caller = this->Connect();
+  Send(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  this->RunUntil([this] { return this->requests.size() == 1; });
+  this->server->CloseAfterAnswers();
+  this->responder->Send(200, {}, "whole");
+  this->server->CloseIdle();
+  STRCMP_CONTAINS("whole", this->ReceiveAll(caller).c_str());
+  close(caller);
+  this->responder.reset();
+}
+
+// Guards against a planned stop that cuts an answer whose caller reads slowly:
+// the bytes that the socket does not accept yet are not done.
+TEST(Http1ServerTest, StopDoesNotCutAnAnswerThatItsCallerReadsSlowly) {
+  this->Serve();
+  const int caller = this->Connect();
+  Send(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  this->RunUntil([this] { return this->requests.size() == 1; });
+  this->server->CloseAfterAnswers();
+  constexpr size_t kBytes = 16u << 20;
+  this->responder->Send(200, {}, std::string(kBytes, 'x'));
+  this->loop.RunFor(milliseconds(20));
+  CHECK_EQUAL(1u, this->server->work().unsent);
+  this->server->CloseIdle();
+  CHECK_TRUE(this->ReceiveAll(caller).size() > kBytes);
+  close(caller);
+  this->RunUntil([this] { return this->server->connections() == 0; });
+  this->responder.reset();
+}
+
+// Guards against a server that takes a connection for done before its caller
+// has closed it: an exit could then reset the connection and drop the answer.
+TEST(Http1ServerTest, AnsweredConnectionLingersUntilItsCallerCloses) {
+  this->Serve();
+  const int caller = this->Connect();
+  Send(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  this->RunUntil([this] { return this->requests.size() == 1; });
+  CHECK_EQUAL(1u, this->server->work().answering);
+  this->server->CloseAfterAnswers();
+  this->responder->Send(200, {}, "whole");
+  CHECK_EQUAL(1u, this->server->work().unsent);
+  STRCMP_CONTAINS("whole", this->ReceiveAll(caller).c_str());
+  CHECK_EQUAL(1u, this->server->work().lingering);
+  close(caller);
+  this->RunUntil([this] { return this->server->connections() == 0; });
+  this->responder.reset();
+}
+
+// Guards against a planned stop that cuts a request whose body is still on its
+// way, without an answer.
+TEST(Http1ServerTest, StopAnswersAPartlyReadRequest) {
+  this->Serve();
+  const int caller = this->Connect();
+  Send(caller, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc");
+  this->RunUntil([this] { return this->server->work().receiving == 1; });
+  this->server->CloseAfterAnswers();
+  this->server->CloseIdle();
+  CHECK_EQUAL(1u, this->server->connections());
+  this->server->RefusePartialRequests();
+  STRNCMP_EQUAL("HTTP/1.1 503", this->ReceiveAll(caller).c_str(), 12);
+  CHECK_EQUAL(0u, this->requests.size());
+  close(caller);
+}
+
+// Guards against a planned stop that drops a request which was read while the
+// one before it was being answered.
+TEST(Http1ServerTest, StopAnswersARequestThatIsAlreadyBuffered) {
+  this->Serve();
+  const int caller = this->Connect();
+  Send(caller,
+       "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  this->RunUntil([this] { return this->requests.size() == 1; });
+  this->server->CloseAfterAnswers();
+  this->responder->Send(200, {}, "one");
+  this->loop.RunFor(milliseconds(0));
+  this->server->CloseIdle();
+  this->RunUntil([this] { return this->requests.size() == 2; });
+  this->responder->Send(200, {}, "two");
+  const std::string received = this->ReceiveAll(caller);
+  STRCMP_CONTAINS("one", received.c_str());
+  STRCMP_CONTAINS("two", received.c_str());
+  close(caller);
+  this->responder.reset();
+}
+
 }  // namespace
 }  // namespace celerypost
