Run the deferred tasks of a loop that is stopped by an event

Loop::Stop from a callback of an event (a signal, a socket) ended Run before the tasks of BeforeWait ran, so what connections had buffered in that iteration was never written. Stagers stop in the handler of SIGTERM and lost the call that ends their lease; the other processes stop from timers, after which the tasks run.

Failing before: LoopTest, OutputOfTheLastIterationIsSent: CHECK_TRUE(sent) failed

--- a/src/connection/loop.cc
+++ b/src/connection/loop.cc
@@ -103,6 +103,7 @@
 
 void Loop::Run() {
   uv_run(this->handle.get(), UV_RUN_DEFAULT);
+  this->RunDeferred();
 }
 
 void Loop::Stop() {
--- a/src/connection/loop.h
+++ b/src/connection/loop.h
@@ -42,7 +42,7 @@
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
 
-  // Runs until Stop.
+  // Runs until Stop, and then the tasks of BeforeWait that are left.
   void Run();
   void Stop();
 
