Don't let the idle timeout cut an answer that is being sent

The idle timeout of a connection ran from the end of the answer, which is when its last byte was buffered. A caller that took longer than the timeout to read the answer got a part of it. The timeout now runs while the caller takes no bytes at all, and from the last byte on.

Failing before: Http1ServerTest, SlowlyReadAnswerIsNotCutByTheIdleTimeout: CHECK_TRUE(received > kBytes) failed

--- a/src/connection/http1_server.cc
+++ b/src/connection/http1_server.cc
@@ -153,7 +153,16 @@
   void CheckTimeouts(TimePoint now) {
     const auto& limits = this->server->limits;
     const auto age = now - this->state_since;
-    if (this->send_closed) {
+    if (this->WorkMember() == &Http1ServerWork::unsent) {
+      const size_t left =
+          this->output.size() + uv_stream_get_write_queue_size(this->stream());
+      if (left != this->unsent_bytes) {
+        this->unsent_bytes = left;
+        this->state_since = now;
+      } else if (age > limits.idle_timeout) {
+        this->Close();
+      }
+    } else if (this->send_closed) {
       if (age > kLingerTimeout) {
         this->Close();
       }
@@ -440,6 +449,8 @@
   std::string pipelined;
   std::string output;
   TimePoint state_since;
+  // Bytes of a complete answer that were unsent at the last check of timeouts.
+  size_t unsent_bytes = 0;
   size_t header_bytes = 0;
   int reject_status = 0;
   int queued_writes = 0;
--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -591,5 +591,52 @@
   this->responder.reset();
 }
 
+// Guards against an idle timeout that runs while the answer is being sent: a
+// caller with a slow link got a part of it only.
+TEST(Http1ServerTest, SlowlyReadAnswerIsNotCutByTheIdleTimeout) {
+  this->Serve();
+  Http1Limits limits;
+  limits.idle_timeout = milliseconds(700);
+  this->server->SetLimits(limits);
+  const int caller = this->Connect();
+  Send(caller, "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  this->RunUntil([this] { return this->requests.size() == 1; });
+  constexpr size_t kBytes = 24u << 20;
+  this->responder->Send(200, {}, std::string(kBytes, 'x'));
+  size_t received = 0;
+  std::vector<char> bytes(512u << 10);
+  // Reads for four idle timeouts.
+  for (int i = 0; i < 28; ++i) {
+    const ssize_t count =
+        recv(caller, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    received += count > 0 ? static_cast<size_t>(count) : 0;
+    const TimePoint next = this->loop.Now() + milliseconds(100);
+    while (this->loop.Now() < next) {
+      this->loop.RunFor(milliseconds(20));
+    }
+  }
+  CHECK_TRUE(received < kBytes);
+  received += this->ReceiveAll(caller).size();
+  CHECK_TRUE(received > kBytes);
+  close(caller);
+  this->responder.reset();
+}
+
+// Guards against a connection that stays open forever since its caller does not
+// read the answer.
+TEST(Http1ServerTest, ClosesAConnectionWhoseCallerDoesNotReadTheAnswer) {
+  this->Serve();
+  Http1Limits limits;
+  limits.idle_timeout = milliseconds(700);
+  this->server->SetLimits(limits);
+  const int caller = this->Connect();
+  Send(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  this->RunUntil([this] { return this->requests.size() == 1; });
+  this->responder->Send(200, {}, std::string(24u << 20, 'x'));
+  this->RunUntil([this] { return this->server->connections() == 0; });
+  close(caller);
+  this->responder.reset();
+}
+
 }  // namespace
 }  // namespace celerypost
