Keep an entry running until its answers have been sent

An entry stopped its loop when no forwarded request was left. The rest of an answer that h2o was still writing to a slow caller was dropped, and so were answers that are not forwarded (entry lists, operators' requests).

The new tests use calls that did not exist before; that the entry dropped the rest was found by reading, not seen in a run.

--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -31,6 +31,7 @@
 struct RequestHandler {
   h2o_handler_t super;
   HttpHandler* handler;
+  size_t* requests;
 };
 
 std::string ToString(const h2o_iovec_t& bytes) {
@@ -47,7 +48,11 @@
 // h2o allows one send at a time; bytes written meanwhile wait in `waiting`.
 class H2oResponder : public HttpResponder {
  public:
-  explicit H2oResponder(h2o_req_t* request) : request(request) {}
+  // `requests` counts the requests that h2o has not disposed of.
+  H2oResponder(h2o_req_t* request, size_t& requests)
+      : request(request), requests(requests) {
+    ++this->requests;
+  }
 
   void Start(int status, const HttpHeaders& headers) override {
     if (this->closed() || this->started) {
@@ -108,6 +113,7 @@
   void OnDispose() {
     this->request = nullptr;
     this->generator = nullptr;
+    --this->requests;
     auto callback = std::move(this->on_closed);
     this->on_closed = nullptr;
     if (callback && !this->final_sent) {
@@ -155,6 +161,7 @@
   }
 
   h2o_req_t* request;
+  size_t& requests;
   ResponseGenerator* generator = nullptr;
   std::function<void()> on_closed;
   std::string waiting;
@@ -174,8 +181,9 @@
   responder->OnDispose();
 }
 
-std::shared_ptr<H2oResponder> MakeResponder(h2o_req_t* request) {
-  auto responder = std::make_shared<H2oResponder>(request);
+std::shared_ptr<H2oResponder> MakeResponder(h2o_req_t* request,
+                                            size_t& requests) {
+  auto responder = std::make_shared<H2oResponder>(request, requests);
   auto* generator = static_cast<ResponseGenerator*>(h2o_mem_alloc_shared(
       &request->pool, sizeof(ResponseGenerator), DisposeGenerator));
   generator->super.proceed = [](h2o_generator_t* self, h2o_req_t*) {
@@ -199,9 +207,9 @@
   if (request->entity.base != nullptr) {
     message.body = ToString(request->entity);
   }
-  auto responder = MakeResponder(request);
-  (*reinterpret_cast<RequestHandler*>(self)->handler)(std::move(message),
-                                                      responder);
+  const auto* const registered = reinterpret_cast<RequestHandler*>(self);
+  auto responder = MakeResponder(request, *registered->requests);
+  (*registered->handler)(std::move(message), responder);
   return 0;
 }
 
@@ -238,6 +246,7 @@
         h2o_create_handler(path, sizeof(RequestHandler)));
     request_handler->super.on_req = OnRequest;
     request_handler->handler = &this->handler;
+    request_handler->requests = &this->requests;
     h2o_context_init(&this->context, this->loop.uv(), &this->config);
     this->accept.ctx = &this->context;
     this->accept.hosts = this->config.hosts;
@@ -305,6 +314,7 @@
   uv_tcp_t listener{};
   bool listening = false;
   uint16_t bound_port = 0;
+  size_t requests = 0;
 };
 
 Result<std::unique_ptr<HttpServer>> HttpServer::Make(Loop& loop,
@@ -345,6 +355,10 @@
   return this->impl->bound_port;
 }
 
+size_t HttpServer::requests() const {
+  return this->impl->requests;
+}
+
 void HttpServer::StopListening() {
   this->impl->StopListening();
 }
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -73,6 +73,9 @@
 
   uint16_t port() const;
 
+  // Number of requests whose answer has not been sent completely.
+  size_t requests() const;
+
   // Closes the listening socket; requests in progress are still answered.
   void StopListening();
 
--- a/src/process/entry_process.cc
+++ b/src/process/entry_process.cc
@@ -294,7 +294,11 @@
       return;
     }
     this->caller_server->StopListening();
-    if (this->forwarder->in_flight() == 0) {
+    const bool has_unsent_output = this->caller_server->requests() > 0 ||
+                                   this->operator_server->requests() > 0;
+    if (this->drain_policy.ShouldExit(this->forwarder->in_flight(),
+                                      has_unsent_output,
+                                      this->runtime->loop.Now())) {
       this->runtime->loop.Stop();
     }
   });
--- a/src/process/entry_process.h
+++ b/src/process/entry_process.h
@@ -7,6 +7,7 @@
 
 #include "src/connection/http_server.h"
 #include "src/process/commit_task.h"
+#include "src/process/drain_policy.h"
 #include "src/process/etcd_client.h"
 #include "src/process/operator_api.h"
 #include "src/process/request_signature.h"
@@ -64,6 +65,7 @@
   std::unique_ptr<Timer> tick;
   std::unique_ptr<Timer> drain_timer;
   bool leaving = false;
+  DrainPolicy drain_policy;
   TimePoint leave_not_before;
 };
 
--- a/tests/connection/http_test.cc
+++ b/tests/connection/http_test.cc
@@ -1,4 +1,6 @@
 #include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <memory>
@@ -195,5 +197,43 @@
   CHECK_TRUE(closed);
 }
 
+// Guards against a planned stop that drops the rest of an answer whose caller
+// reads slowly: the request must count until the last byte is sent.
+TEST(HttpTest, RequestCountsUntilItsAnswerIsSent) {
+  constexpr size_t kBytes = 24u << 20;
+  bool ended = false;
+  this->Serve([&ended](HttpRequest, std::shared_ptr<HttpResponder> out) {
+    out->Send(200, {}, std::string(kBytes, 'x'));
+    ended = true;
+  });
+  CHECK_EQUAL(0u, this->server->requests());
+  const int caller = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(this->server->port());
+  CHECK_EQUAL(0, connect(caller, reinterpret_cast<sockaddr*>(&address),
+                         sizeof(address)));
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  CHECK_EQUAL(static_cast<ssize_t>(request.size()),
+              write(caller, request.data(), request.size()));
+  for (int i = 0; i < 200 && !ended; ++i) {
+    this->loop.RunFor(milliseconds(20));
+  }
+  CHECK_EQUAL(1u, this->server->requests());
+  size_t received = 0;
+  std::vector<char> bytes(1u << 20);
+  for (int i = 0; i < kMaxIterations && received < kBytes; ++i) {
+    const ssize_t count =
+        recv(caller, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    received += count > 0 ? static_cast<size_t>(count) : 0;
+    this->loop.RunFor(milliseconds(5));
+  }
+  CHECK_TRUE(received >= kBytes);
+  this->loop.RunFor(milliseconds(20));
+  CHECK_EQUAL(0u, this->server->requests());
+  close(caller);
+}
+
 }  // namespace
 }  // namespace celerypost
