Keep an agent running until its peers have taken its results

An agent stopped its loop when no request was left; bytes that a slow peer had not taken were dropped with its connection. PeerMesh also keeps a connection that is no longer wanted open while frames are queued on it.

Failing before: PeerMeshTest, UnwantedConnectionStaysOpenUntilItsFramesAreSent: CHECK_FALSE(this->closed) failed. CountsTheBytesThatAPeerHasNotTaken uses a new call; that agents dropped results at a stop was found by reading, not seen in a run.

--- a/src/process/agent_process.cc
+++ b/src/process/agent_process.cc
@@ -409,8 +409,12 @@
     this->UpdateWeightMetrics();
   }
   this->UpdateMember();
-  if (this->leaving && this->work->in_flight() == 0 &&
-      this->runtime->loop.Now() - this->leaving_since > kMinLeaveTime) {
+  const TimePoint now = this->runtime->loop.Now();
+  const bool has_unsent_output = this->runtime->mesh->queued_bytes() > 0 ||
+                                 this->http_server->requests() > 0;
+  if (this->leaving && now - this->leaving_since > kMinLeaveTime &&
+      this->drain_policy.ShouldExit(this->work->in_flight(), has_unsent_output,
+                                    now)) {
     this->runtime->loop.Stop();
   }
 }
--- a/src/process/agent_process.h
+++ b/src/process/agent_process.h
@@ -9,6 +9,7 @@
 #include "src/connection/http_client.h"
 #include "src/connection/http_server.h"
 #include "src/connection/sentinel.h"
+#include "src/process/drain_policy.h"
 #include "src/process/engine_client.h"
 #include "src/process/origin_client.h"
 #include "src/process/runtime.h"
@@ -87,6 +88,7 @@
   // Whether the manifest places the service in this agent's zone.
   bool placed = false;
   bool leaving = false;
+  DrainPolicy drain_policy;
   TimePoint leaving_since;
 };
 
--- a/src/process/peer_mesh.cc
+++ b/src/process/peer_mesh.cc
@@ -143,7 +143,8 @@
     const bool unwanted = now - peer.wanted_at > this->options.linger;
     // `outbound` and `open` hold one reference each; any further reference
     // belongs to a task that still uses the connection.
-    const bool in_use = !closed && peer.connection.use_count() > 2;
+    const bool in_use = !closed && (peer.connection.use_count() > 2 ||
+                                    peer.connection->queued_bytes() > 0);
     const bool failed_probe = peer.probe && closed;
     if (failed_probe || (unwanted && !in_use)) {
       const auto connection = it->second.connection;
@@ -210,6 +211,14 @@
   }
 }
 
+size_t PeerMesh::queued_bytes() const {
+  size_t total = 0;
+  for (const auto& [instance, connection] : this->open) {
+    total += connection->queued_bytes();
+  }
+  return total;
+}
+
 uint64_t PeerMesh::bytes_sent() const {
   uint64_t total = this->closed_bytes_sent;
   for (const auto& [instance, connection] : this->open) {
--- a/src/process/peer_mesh.h
+++ b/src/process/peer_mesh.h
@@ -65,6 +65,8 @@
       const std::function<void(const std::shared_ptr<PeerConnection>&)>& visit)
       const;
 
+  // Bytes that the peers have not taken yet.
+  size_t queued_bytes() const;
   uint64_t bytes_sent() const;
   uint64_t bytes_received() const;
 
