--- a/src/connection/http1_limits.h
+++ b/src/connection/http1_limits.h
@@ -12,8 +12,8 @@
   size_t max_body_bytes = 4u << 20;
   // Longest time from the first byte of a request to the end of its headers.
   std::chrono::milliseconds header_timeout{3000};
-  // Longest time that a connection stays open between two requests, or while its
-  // caller takes no bytes of a complete answer.
+  // Longest time that a connection stays open between two requests, or while
+  // its caller takes no bytes of a complete answer.
   std::chrono::milliseconds idle_timeout{15000};
 };
 
