Stop a stager only when its lease has ended and its chunks are sent

A stager stopped its loop in the handler of SIGTERM. The call that ends its lease was lost unless a connection to the key-value service was idle, so other processes took it for a peer until the lease ran out, and chunks that peers were receiving were cut. It now waits for the answer to that call and for the answers of its internal server, 2 s at most (DrainPolicy), and orders no load meanwhile.

Failing before: StagerStopTest, EndsItsLeaseBeforeTheExit: CHECK_TRUE(this->store.revoked) failed

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -466,7 +466,8 @@
       {{"connections", this->caller_server->connections()},
        {"requests", this->caller_server->requests()}});
   this->caller_server->CloseAfterAnswers();
-  this->core.Leave();
+  // The gateway lives on for longer than this call takes.
+  this->core.Leave([] {});
   this->SendBeat();
   this->stop_timer.StartRepeating(kStopCheckInterval);
 }
--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -176,8 +176,8 @@
   return {};
 }
 
-void NodeCore::Leave() {
-  this->registry.Leave();
+void NodeCore::Leave(std::function<void()> done) {
+  this->registry.Leave(std::move(done));
 }
 
 void NodeCore::FindPeers() {
--- a/src/process/node_core.h
+++ b/src/process/node_core.h
@@ -64,8 +64,13 @@
   // Returns a beat with this process's identity, `state`, the revisions that it
   // has and whether the key-value service answers it.
   wire::Beat MakeBeat(NodeState state) const;
-  // Removes this process's registration.
-  void Leave();
+  // Removes this process's registration. `done` runs when the key-value service
+  // has answered or there is nothing to remove.
+  void Leave(std::function<void()> done);
+  // What the connections of the internal HTTP server are at.
+  Http1ServerWork internal_work() const {
+    return this->internal_server->work();
+  }
 
   const ClusterView& view() const { return this->cluster_view; }
   PeerExchange& exchange() { return this->peer_exchange; }
--- a/src/process/node_registry.cc
+++ b/src/process/node_registry.cc
@@ -166,14 +166,19 @@
   });
 }
 
-void NodeRegistry::Leave() {
+void NodeRegistry::Leave(std::function<void()> done) {
   this->leaving = true;
   this->timer.Stop();
-  if (this->lease_id != 0) {
-    this->leases.Revoke(this->lease_id, [](const Result<void>&) {
-      // If this call fails, the lease ends when it is not renewed.
-    });
+  if (this->lease_id == 0) {
+    done();
+    return;
   }
+  this->leases.Revoke(this->lease_id,
+                      [done = std::move(done)](const Result<void>&) {
+                        // If this call fails, the lease ends when it is not
+                        // renewed.
+                        done();
+                      });
 }
 
 }  // namespace celerypost
--- a/src/process/node_registry.h
+++ b/src/process/node_registry.h
@@ -54,8 +54,10 @@
                NodeRegistryOptions options);
 
   void Start() { this->Register(); }
-  // Removes the registration by ending the lease.
-  void Leave();
+  // Removes the registration by ending the lease. `done` runs when the
+  // key-value service has answered or there is nothing to remove; it may run
+  // before Leave returns.
+  void Leave(std::function<void()> done);
   // Prefix of the keys of all registrations.
   static std::string_view Prefix();
   // The prefix of the keys of the registrations of one role in one region.
--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -20,6 +20,7 @@
 // Timeout of a chunk request to a peer, over a shared link of several Mbit/s.
 constexpr milliseconds kChunkTimeout{3000};
 constexpr milliseconds kDigestsTimeout{1500};
+constexpr milliseconds kStopCheckInterval{20};
 constexpr int kUnavailable = 503;
 // Version of the weights that targets hold before operators have named one.
 constexpr int64_t kFirstVersion = 1;
@@ -93,6 +94,7 @@
                  }),
       upload_timer(dependencies.loop, [this] { this->OnUploadTimer(); }),
       order_timer(dependencies.loop, [this] { this->MaybeOrderLoad(); }),
+      stop_timer(dependencies.loop, [this] { this->CheckStop(); }),
       chunks_from_peers(
           dependencies.metrics.AddCounter("celerypost_chunks_total",
                                           "Chunks fetched by source",
@@ -122,9 +124,28 @@
 }
 
 void Stager::Stop() {
-  this->core.Leave();
-  this->dependencies.log.Info("stopped", "SIGTERM received",
+  if (this->stopping) {
+    return;
+  }
+  this->stopping = true;
+  this->dependencies.log.Info("stopping", "SIGTERM received",
                               {{"serving_version", this->serving_version}});
+  this->core.Leave([this] { this->lease_ended = true; });
+  this->stop_timer.StartRepeating(kStopCheckInterval);
+}
+
+void Stager::CheckStop() {
+  const Http1ServerWork work = this->core.internal_work();
+  const bool has_unsent_output =
+      !this->lease_ended || work.answering > 0 || work.unsent > 0;
+  if (!this->drain_policy.ShouldExit(0, has_unsent_output,
+                                     this->dependencies.loop.Now())) {
+    return;
+  }
+  this->dependencies.log.Info("stopped", "graceful shutdown complete",
+                              {{"lease_ended", this->lease_ended},
+                               {"requests", work.answering},
+                               {"unsent", work.unsent}});
   this->dependencies.loop.Stop();
 }
 
@@ -768,6 +789,9 @@
 }
 
 void Stager::MaybeOrderLoad() {
+  if (this->stopping) {
+    return;
+  }
   const TimePoint now = this->dependencies.loop.Now();
   if (!this->goal || !this->chunk_planner.complete() || this->checking ||
       this->order_in_flight || !this->target_report ||
--- a/src/process/stager/stager.h
+++ b/src/process/stager/stager.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "src/process/drain_policy.h"
 #include "src/process/node_core.h"
 #include "src/process/stager/model_target.h"
 #include "src/version/chunk_planner.h"
@@ -69,6 +70,8 @@
 
   // Binds the internal ports. Fails with kUnavailable.
   Result<void> Start();
+  // Starts a graceful shutdown; the loop stops when the lease has ended and the
+  // chunks that peers are receiving have been sent.
   void Stop();
 
  private:
@@ -130,6 +133,8 @@
   void UploadNext();
   void SendChunk(const Upload& upload, const Result<std::string>& bytes);
   void OnUploadTimer();
+  // Stops the loop when nothing is left to send.
+  void CheckStop();
   void DropChunk(size_t number);
   int64_t StagedVersion() const;
   // Whether the current goal is completed before a newer version is staged.
@@ -205,6 +210,11 @@
   Timer upload_timer;
   // Runs MaybeOrderLoad at the planned time.
   Timer order_timer;
+  Timer stop_timer;
+  DrainPolicy drain_policy;
+  bool stopping = false;
+  // The call that ends the lease has been answered.
+  bool lease_ended = false;
   // Stagers of other regions that the chunk planner knows.
   std::map<std::string, InstanceId> far_stagers;
   TimePoint last_beat{};
