--- a/src/connection/http1_server.cc
+++ b/src/connection/http1_server.cc
@@ -133,13 +133,36 @@
     });
   }
 
-  bool idle() const { return !this->responder && !this->in_message; }
-  bool lingering() const { return this->send_closed; }
+  // Returns the member of Http1ServerWork that counts this connection.
+  size_t Http1ServerWork::*WorkMember() const {
+    if (this->responder) {
+      return &Http1ServerWork::answering;
+    }
+    if (!this->output.empty() || this->queued_writes > 0) {
+      return &Http1ServerWork::unsent;
+    }
+    if (this->send_closed) {
+      return &Http1ServerWork::lingering;
+    }
+    if (this->in_message || !this->pipelined.empty()) {
+      return &Http1ServerWork::receiving;
+    }
+    return &Http1ServerWork::idle;
+  }
 
   void CheckTimeouts(TimePoint now) {
     const auto& limits = this->server->limits;
     const auto age = now - this->state_since;
-    if (this->send_closed) {
+    if (this->WorkMember() == &Http1ServerWork::unsent) {
+      const size_t left =
+          this->output.size() + uv_stream_get_write_queue_size(this->stream());
+      if (left != this->unsent_bytes) {
+        this->unsent_bytes = left;
+        this->state_since = now;
+      } else if (age > limits.idle_timeout) {
+        this->Close();
+      }
+    } else if (this->send_closed) {
       if (age > kLingerTimeout) {
         this->Close();
       }
@@ -154,6 +177,16 @@
     }
   }
 
+  // Whether the server has read bytes of a request that follows the current
+  // one.
+  bool has_next_request() const { return !this->pipelined.empty(); }
+
+  void RefusePartialRequest() {
+    if (this->in_message && !this->close_when_flushed) {
+      this->Reject(503);
+    }
+  }
+
   // Queues bytes; the output of one loop iteration is sent in one write.
   void Output(std::string_view bytes) {
     if (this->closing || this->send_closed) {
@@ -255,9 +288,6 @@
     this->head_request = this->request.method == "HEAD";
     this->responder = std::make_shared<Responder>(this);
     ++this->server->in_progress;
-    if (this->server->close_after_answers) {
-      this->responder->CloseConnectionAfter();
-    }
     const auto held = this->responder;
     this->server->handler(std::move(this->request), held);
     this->request = {};
@@ -419,6 +449,8 @@
   std::string pipelined;
   std::string output;
   TimePoint state_since;
+  // Bytes of a complete answer that were unsent at the last check of timeouts.
+  size_t unsent_bytes = 0;
   size_t header_bytes = 0;
   int reject_status = 0;
   int queued_writes = 0;
@@ -443,7 +475,8 @@
     head.append(name).append(": ").append(value).append("\r\n");
   }
   const bool close = this->close_after || !this->connection->keep_alive ||
-                     this->connection->server->close_after_answers;
+                     (this->connection->server->close_after_answers &&
+                      !this->connection->has_next_request());
   this->close_after = close;
   if (close) {
     head += "Connection: close\r\n";
@@ -566,6 +599,14 @@
   return this->impl->in_progress;
 }
 
+Http1ServerWork Http1Server::work() const {
+  Http1ServerWork work;
+  for (const Connection* connection : this->impl->connections) {
+    ++(work.*connection->WorkMember());
+  }
+  return work;
+}
+
 void Http1Server::SetLimits(const Http1Limits& limits) {
   this->impl->limits = limits;
 }
@@ -574,11 +615,19 @@
   this->impl->close_after_answers = true;
 }
 
+void Http1Server::RefusePartialRequests() {
+  for (Connection* connection : this->impl->connections) {
+    if (connection->WorkMember() == &Http1ServerWork::receiving) {
+      connection->RefusePartialRequest();
+    }
+  }
+}
+
 void Http1Server::CloseIdle() {
   const std::vector<Connection*> all(this->impl->connections.begin(),
                                      this->impl->connections.end());
   for (Connection* connection : all) {
-    if (connection->idle() && !connection->lingering()) {
+    if (connection->WorkMember() == &Http1ServerWork::idle) {
       connection->Close();
     }
   }
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -17,6 +17,9 @@
 
 constexpr int kUnavailable = 503;
 constexpr milliseconds kStopCheckInterval{100};
+// Most requests that are logged one by one when the process stops before they
+// have ended.
+constexpr size_t kMaxLoggedCuts = 20;
 // Share of the fleet's retry budget that the gateways use. The rest allows for
 // gateways that do not know all others.
 constexpr double kRetryBudgetShare = 0.85;
@@ -544,7 +547,8 @@
       {{"connections", this->caller_server->connections()},
        {"requests", this->caller_server->requests()}});
   this->caller_server->CloseAfterAnswers();
-  this->core.Leave();
+  // The gateway lives on for longer than this call takes.
+  this->core.Leave([] {});
   this->SendBeat();
   this->stop_timer.StartRepeating(kStopCheckInterval);
 }
@@ -555,16 +559,42 @@
 }
 
 void Gateway::CheckStop() {
-  if (!ShouldExit(this->stop_policy, this->TimeSinceStop(),
-                  this->caller_server->requests(),
-                  this->caller_server->connections())) {
-    return;
+  const Http1ServerWork work = this->caller_server->work();
+  const StopWork left{
+      work.answering + work.unsent + work.lingering + work.receiving,
+      work.idle};
+  switch (NextStopStep(this->stop_policy, this->TimeSinceStop(), left)) {
+    case StopStep::kContinue:
+      return;
+    case StopStep::kEndRequests:
+      this->EndRequests();
+      return;
+    case StopStep::kExit:
+      this->dependencies.log.Info("stopped", "graceful shutdown complete",
+                                  {{"requests", work.answering},
+                                   {"unsent", work.unsent},
+                                   {"lingering", work.lingering},
+                                   {"receiving", work.receiving},
+                                   {"idle", work.idle},
+                                   {"age_ms", this->TimeSinceStop().count()}});
+      this->caller_server->StopListening();
+      this->caller_server->CloseIdle();
+      this->dependencies.loop.Stop();
+      return;
+  }
+}
+
+void Gateway::EndRequests() {
+  const std::vector<RelayTask*> tasks(this->relay_context.active.begin(),
+                                      this->relay_context.active.end());
+  size_t logged = 0;
+  for (RelayTask* const task : tasks) {
+    if (logged++ < kMaxLoggedCuts) {
+      task->LogCut();
+    }
+    task->EndForStop();
   }
-  this->caller_server->StopListening();
-  this->caller_server->CloseIdle();
-  this->dependencies.log.Info("stopped", "graceful shutdown complete",
-                              {{"requests", this->caller_server->requests()}});
-  this->dependencies.loop.Stop();
+  this->caller_server->RefusePartialRequests();
 }
 
 }  // namespace celerypost
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -97,8 +97,8 @@
 
 void WithdrawRequests(const RelayContext& context, PartHash part) {
   std::vector<std::shared_ptr<RelayTask>> tasks;
-  tasks.reserve(context.tasks.size());
-  for (RelayTask* const task : context.tasks) {
+  tasks.reserve(context.active.size());
+  for (RelayTask* const task : context.active) {
     tasks.push_back(task->shared_from_this());
   }
   for (const auto& task : tasks) {
@@ -156,7 +156,6 @@
       self->OnCallerDisconnected();
     }
   });
-  this->context.tasks.insert(this);
   // The deadline timer keeps the task alive until it is done.
   this->deadline_timer = std::make_unique<Timer>(
       this->context.loop,
@@ -168,6 +167,7 @@
         }
       });
   this->deadline_timer->StartOnce(Since(this->arrived, this->deadline));
+  this->context.active.insert(this);
   this->SendToNextTarget();
 }
 
@@ -175,6 +175,31 @@
   return this->route->kind == RouteKind::kStream;
 }
 
+std::string_view RelayTask::WaitsFor() const {
+  if (!this->attempt || this->attempt->ended) {
+    return "target";
+  }
+  if (this->attempt->had_event || !this->attempt->body.empty()) {
+    return "rest_of_answer";
+  }
+  return this->head_sent ? "resumed_stream" : "answer";
+}
+
+void RelayTask::LogCut() const {
+  const TimePoint now = this->context.loop.Now();
+  this->context.log.Warn(
+      "request_cut", "the process stops before the request has ended",
+      {{"waits_for", this->WaitsFor()},
+       {"route", this->route->name},
+       {"target", this->attempt ? std::string_view(this->attempt->target)
+                                : std::string_view()},
+       {"attempts", this->sends},
+       {"events", this->events.events()},
+       {"age_ms", Since(this->arrived, now).count()},
+       {"deadline_in_ms", Since(now, this->deadline).count()}},
+      this->call.id);
+}
+
 void RelayTask::SendToNextTarget() {
   const TimePoint now = this->context.loop.Now();
   PlacementRequest& placement = this->selection_request.placement;
@@ -550,6 +575,16 @@
   }
 }
 
+void RelayTask::EndForStop() {
+  if (this->done) {
+    return;
+  }
+  const auto keep_alive = this->shared_from_this();
+  this->http_call.reset();
+  this->EndAttempt(AttemptOutcome::kAbandoned);
+  this->FailWith(kBadGateway, "stopping");
+}
+
 void RelayTask::OnCallerDisconnected() {
   if (this->done) {
     return;
@@ -646,7 +681,7 @@
                        int status,
                        std::string_view reason) {
   this->done = true;
-  this->context.tasks.erase(this);
+  this->context.active.erase(this);
   const TimePoint now = this->context.loop.Now();
   const auto total = Since(this->arrived, now);
   this->context.metrics.total.Observe(now - this->arrived);
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -5,8 +5,9 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
+#include <string_view>
+#include <unordered_set>
 #include <vector>
 
 #include "src/connection/http1_client.h"
@@ -78,8 +79,8 @@
   RelayOptions options;
   // Returns the HTTP client for a target's address.
   std::function<Http1Client&(const SocketAddress&)> client;
-  // The requests in progress.
-  std::set<RelayTask*> tasks{};
+  // The tasks that have started and not ended.
+  std::unordered_set<RelayTask*> active{};
 };
 
 // Takes back the requests with a part that was quarantined from targets that
@@ -112,6 +113,12 @@
   // Ends the request if `part` is a part of its prompt and its target may still
   // crash on it.
   void OnPartQuarantined(PartHash part);
+  // Logs that the process exits before this request has ended, and what the
+  // request waits for.
+  void LogCut() const;
+  // Ends the request because the process exits: with 502 if no answer has
+  // started, otherwise by closing the connection without the end of the answer.
+  void EndForStop();
 
  private:
   // Selects a target and sends the request to it. If none can be selected,
@@ -154,6 +161,8 @@
   void SendTargetAnswer();
   void Finish(std::string_view outcome, int status, std::string_view reason);
   bool IsStream() const;
+  // What the request waits for, as a word for logs.
+  std::string_view WaitsFor() const;
   // Returns whether the attempt has not started to run by the time at which the
   // target's weights become too old for it.
   bool MustLeaveTarget() const;
