Move an entry's retry decision into RetryPlan

Change: RetryPlan holds the attempts and the excluded targets of one request and decides about the next attempt. ForwardTask asks it.

--- a/src/request/task/forward_task.cc
+++ b/src/request/task/forward_task.cc
@@ -12,13 +12,6 @@
 
 namespace {
 
-// Delay before a slot's holder is looked up again while it is unknown, not
-// connected or has an older slot table. Gossip spreads a new slot table within
-// tens of milliseconds.
-constexpr std::chrono::milliseconds kSlotRetryDelay{25};
-// Most attempts while the slot's holder is looked up. They do not use the retry
-// budget, because their refusals put no load on a target.
-constexpr uint32_t kMaxSlotAttempts = 200;
 constexpr int kMaxIdDraws = 16;
 
 int HttpStatusFor(Verdict verdict, ErrorCode code) {
@@ -44,6 +37,18 @@
   return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+AttemptFault FaultOf(wire::Refusal::type refusal) {
+  switch (refusal) {
+    case wire::Refusal::BEHIND:
+    case wire::Refusal::MOVED:
+      return AttemptFault::kHolderUnknown;
+    case wire::Refusal::STOPPED:
+      return AttemptFault::kStopped;
+    default:
+      return AttemptFault::kFailed;
+  }
+}
+
 LoadReport FromWire(const wire::LoadReport& report) {
   LoadReport result;
   result.in_flight = static_cast<uint32_t>(std::max(report.in_flight, 0));
@@ -100,6 +105,8 @@
     return;
   }
   this->idempotent = this->request.IsIdempotent(view->service.kind);
+  this->retry_plan.emplace(RetryPlanOptions{}, this->context.budget,
+                           this->idempotent, this->deadline);
   this->responder->OnClosed([this] { this->Cancel("the caller has left"); });
   this->deadline_call = this->context.scheduler.After(
       this->request.deadline, [this] { this->OnDeadline(); });
@@ -108,7 +115,7 @@
 
 void ForwardTask::SendAttempt() {
   this->retry_call.reset();
-  ++this->entry_attempt;
+  this->entry_attempt = this->retry_plan->BeginAttempt();
   if (this->idempotent) {
     this->SendToTarget();
   } else {
@@ -123,27 +130,18 @@
                  "the service was removed");
     return;
   }
-  RouteRequest route;
-  route.prefix_hash = this->request.prefix_hash;
-  route.exclude = this->failed_targets;
-  auto picked = view->router->Pick(route, this->context.scheduler.Now());
-  if (!picked && !this->failed_targets.empty()) {
-    // Every target has failed this request once, so all are eligible again.
-    this->failed_targets.clear();
-    route.exclude = {};
-    picked = view->router->Pick(route, this->context.scheduler.Now());
-  }
+  const auto picked = this->retry_plan->PickTarget(
+      *view->router, this->request.prefix_hash, this->context.scheduler.Now());
   if (!picked) {
-    this->OnAttemptFailed(Verdict::kNotRun, picked.error().code,
-                          picked.error().message, wire::Refusal::STOPPED);
+    this->OnAttemptFailed({Verdict::kNotRun, AttemptFault::kStopped},
+                          picked.error().code, picked.error().message);
     return;
   }
   auto to = this->context.mesh.Find(*picked);
   if (!to) {
-    this->failed_targets.push_back(*picked);
-    this->OnAttemptFailed(Verdict::kNotRun, ErrorCode::kUnavailable,
-                          "the target's agent is not connected",
-                          wire::Refusal::STOPPED);
+    this->OnAttemptFailed(
+        {Verdict::kNotRun, AttemptFault::kUnconnected, *picked},
+        ErrorCode::kUnavailable, "the target's agent is not connected");
     return;
   }
   view->router->OnSent(*picked);
@@ -175,10 +173,10 @@
       !this->request.id ||
       (this->id_generated_here && this->frames_unanswered == 0);
   if (may_generate_id && !this->GenerateReachableId()) {
-    this->OnAttemptFailed(Verdict::kNotRun, ErrorCode::kUnavailable,
+    this->OnAttemptFailed({Verdict::kNotRun, AttemptFault::kHolderUnknown},
+                          ErrorCode::kUnavailable,
                           "no agent of the service holds a slot and is "
-                          "connected",
-                          wire::Refusal::BEHIND);
+                          "connected");
     return;
   }
   const ServiceView* view = this->context.services.Find(this->request.service);
@@ -197,10 +195,10 @@
   auto to = this->context.mesh.Find(holder);
   if (!to) {
     this->moved_to = {};
-    this->OnAttemptFailed(Verdict::kNotRun, ErrorCode::kUnavailable,
+    this->OnAttemptFailed({Verdict::kNotRun, AttemptFault::kHolderUnknown},
+                          ErrorCode::kUnavailable,
                           "the agent that holds the request's slot is not "
-                          "connected",
-                          wire::Refusal::BEHIND);
+                          "connected");
     return;
   }
   this->SendWork(std::move(to), holder);
@@ -300,7 +298,7 @@
     view->router->OnFinished(this->target, FromWire(end.load),
                              this->context.scheduler.Now());
   }
-  this->target = {};
+  const InstanceId refusing = std::exchange(this->target, InstanceId{});
   this->connection.reset();
   if (end.error < 0) {
     this->context.counters.answered.Add();
@@ -311,16 +309,16 @@
     this->Finish();
     return;
   }
-  if (end.refusal == wire::Refusal::MOVED ||
-      end.refusal == wire::Refusal::BEHIND) {
+  const AttemptFault fault = FaultOf(end.refusal);
+  if (fault == AttemptFault::kHolderUnknown) {
     ++this->frames_redirected;
   }
   if (end.refusal == wire::Refusal::MOVED) {
     this->moved_to = InstanceId{static_cast<uint64_t>(end.moved_to)};
   }
-  this->OnAttemptFailed(static_cast<Verdict>(std::clamp(end.verdict, 0, 2)),
-                        static_cast<ErrorCode>(end.error), end.message,
-                        end.refusal);
+  this->OnAttemptFailed(
+      {static_cast<Verdict>(std::clamp(end.verdict, 0, 2)), fault, refusing},
+      static_cast<ErrorCode>(end.error), end.message);
 }
 
 void ForwardTask::OnConnectionClosed(const PeerConnection& closed) {
@@ -329,10 +327,9 @@
   }
   const InstanceId lost = this->target;
   this->EndAttempt();
-  this->failed_targets.push_back(lost);
-  this->OnAttemptFailed(Verdict::kMayHaveRun, ErrorCode::kUnavailable,
-                        "the connection to the target's agent was lost",
-                        wire::Refusal::NONE);
+  this->OnAttemptFailed({Verdict::kMayHaveRun, AttemptFault::kLost, lost},
+                        ErrorCode::kUnavailable,
+                        "the connection to the target's agent was lost");
 }
 
 void ForwardTask::EndAttempt() {
@@ -347,34 +344,28 @@
   this->target = {};
 }
 
-void ForwardTask::OnAttemptFailed(Verdict verdict,
+void ForwardTask::OnAttemptFailed(const AttemptFailure& failure,
                                   ErrorCode code,
-                                  std::string message,
-                                  wire::Refusal::type refusal) {
-  this->any_may_have_run |= verdict != Verdict::kNotRun;
+                                  std::string_view message) {
+  this->any_may_have_run |= failure.verdict != Verdict::kNotRun;
   if (this->head_sent) {
-    this->AbortStream(verdict, message);
+    this->AbortStream(failure.verdict, message);
     return;
   }
-  const TimePoint now = this->context.scheduler.Now();
-  const bool slot_lookup =
-      !this->idempotent &&
-      (refusal == wire::Refusal::BEHIND || refusal == wire::Refusal::MOVED);
-  if (slot_lookup && verdict == Verdict::kNotRun) {
-    if (this->entry_attempt < kMaxSlotAttempts) {
-      // MOVED needs the delay as well: the new holder may not have received the
-      // slot's records yet.
-      this->ScheduleRetry(kSlotRetryDelay);
-      return;
+  ServiceView* view = this->context.services.Find(this->request.service);
+  Router* router = view != nullptr && (this->idempotent || !this->request.id ||
+                                       this->id_generated_here)
+                       ? view->router.get()
+                       : nullptr;
+  if (const auto delay = this->retry_plan->OnFailed(
+          failure, router, this->context.scheduler.Now())) {
+    if (failure.fault != AttemptFault::kHolderUnknown) {
+      this->context.counters.retries.Add();
     }
-  } else if (const auto delay = this->context.budget.MayRetry(
-                 verdict, this->idempotent, this->entry_attempt, this->deadline,
-                 now)) {
-    this->context.counters.retries.Add();
     this->ScheduleRetry(*delay);
     return;
   }
-  this->Refuse(this->FinalVerdict(verdict), code, message);
+  this->Refuse(this->FinalVerdict(failure.verdict), code, message);
 }
 
 void ForwardTask::ScheduleRetry(std::chrono::milliseconds delay) {
--- a/src/request/task/forward_task.h
+++ b/src/request/task/forward_task.h
@@ -5,8 +5,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
-#include <vector>
+#include <string_view>
 
 #include "celerypost/random.h"
 #include "celerypost/types.h"
@@ -19,6 +20,7 @@
 #include "src/process/service_directory.h"
 #include "src/request/attempt.h"
 #include "src/request/retry_budget.h"
+#include "src/request/retry_plan.h"
 #include "src/request/task/caller_request.h"
 
 namespace celerypost {
@@ -81,10 +83,10 @@
   void SendWork(std::shared_ptr<PeerConnection> agent, InstanceId target);
   void OnHead(const wire::WorkHead& head);
   void OnEnd(const wire::WorkEnd& end);
-  void OnAttemptFailed(Verdict verdict,
+  // `code` and `message` go to the caller if there is no further attempt.
+  void OnAttemptFailed(const AttemptFailure& failure,
                        ErrorCode code,
-                       std::string message,
-                       wire::Refusal::type refusal);
+                       std::string_view message);
   void ScheduleRetry(std::chrono::milliseconds delay);
   void OnDeadline();
   // Asks the agent to cancel the current attempt.
@@ -121,7 +123,8 @@
   // Slot holder that the last MOVED refusal named; zero selects the owner in
   // the slot table.
   InstanceId moved_to;
-  std::vector<InstanceId> failed_targets;
+  // Set once the service is known.
+  std::optional<RetryPlan> retry_plan;
   bool head_sent = false;
   bool event_stream = false;
   bool done = false;
