Send a request that a leaving agent refused to another agent at once

Cause: an agent that leaves refuses new work up to about 100 ms before all entries have removed it from their routing. The refusal is "not run", but the entry treated it like a failure: it did not leave the agent out, drew a delay below 10 ms, and stopped after three attempts. An idle agent that refuses reports no load, so that the next attempts often went to it again, and the caller got "the agent is leaving". The same happened at the entries of a zone that was taken out, whose nearest targets all refuse. Lookups of a slot's holder counted towards the three attempts too.

Change: after a refusal because no new work is accepted, and when an agent is not connected, RetryPlan leaves the target out for this request and sends the request to another target at once, without using the budget or its attempts, while there is one that was not refused. The router avoids the refusing target for 100 ms, so that other requests do not try it either; with no other left it is tried within the budget as before. An id that the entry generated is drawn again for another agent. Lookups of a slot's holder are counted apart.

--- a/src/request/retry_plan.h
+++ b/src/request/retry_plan.h
@@ -18,9 +18,9 @@
   // connected or has an older slot table. Gossip spreads a new slot table
   // within tens of milliseconds.
   std::chrono::milliseconds slot_lookup_delay{25};
-  // Most attempts while the slot's holder is looked up. They do not use the
-  // retry budget, because their refusals put no load on a target.
-  uint32_t max_slot_attempts = 200;
+  // Most lookups of the slot's holder. They do not use the retry budget,
+  // because their refusals put no load on a target.
+  uint32_t max_slot_lookups = 200;
 };
 
 enum class AttemptFault : uint8_t {
@@ -31,7 +31,8 @@
   kLost,
   // The target's agent is not connected, so that nothing was sent.
   kUnconnected,
-  // The target's agent accepts no new work, or there is no target.
+  // The target's agent accepts no new work and has refused the request without
+  // running it, or there is no target.
   kStopped,
   // The holder of the request's slot is unknown, not connected or has changed.
   kHolderUnknown,
@@ -65,6 +66,11 @@
   // Returns the delay before the next attempt; nothing when the request has
   // failed for good. `router` holds the targets that could take the next
   // attempt; null when the request is bound to the holder of its slot.
+  //
+  // After kStopped and kUnconnected the request goes to another target at once
+  // while there is one. Nothing has run, and each target is left out after its
+  // refusal, so this uses neither the retry budget nor the attempts that the
+  // budget allows.
   std::optional<std::chrono::milliseconds>
   OnFailed(const AttemptFailure& failure, Router* router, TimePoint now);
 
@@ -72,11 +78,17 @@
   const std::vector<InstanceId>& excluded() const { return this->failed; }
 
  private:
+  // Returns false if `target` was excluded before.
+  bool Exclude(InstanceId target);
+
   const RetryPlanOptions options;
   RetryBudget& budget;
   const bool idempotent;
   const TimePoint deadline;
   uint32_t attempts = 0;
+  uint32_t slot_lookups = 0;
+  // Attempts that the retry budget limits.
+  uint32_t budgeted_attempts = 0;
   std::vector<InstanceId> failed;
 };
 
--- a/src/request/router.cc
+++ b/src/request/router.cc
@@ -11,7 +11,8 @@
 Router::Router(RouterOptions options,
                Random& random,
                std::unique_ptr<RoutingStrategy> strategy)
-    : random(random),
+    : stopped_backoff(options.stopped_backoff),
+      random(random),
       strategy(std::move(strategy)),
       targets(std::move(options.zone), std::move(options.region)) {}
 
@@ -24,14 +25,35 @@
 }
 
 Result<InstanceId> Router::Pick(const RouteRequest& request, TimePoint now) {
-  const auto index =
+  auto index =
       this->strategy->Choose(this->targets, request, now, this->random);
+  if (!index) {
+    RouteRequest any = request;
+    any.allow_avoided = true;
+    index = this->strategy->Choose(this->targets, any, now, this->random);
+  }
   if (!index) {
     return NotRun(ErrorCode::kUnavailable, "no target accepts work");
   }
   return this->targets.at(*index).instance;
 }
 
+bool Router::HasTarget(std::span<const InstanceId> exclude,
+                       TimePoint now) const {
+  for (size_t distance = 0; distance < kDistanceCount; ++distance) {
+    for (const uint32_t index :
+         this->targets.Group(static_cast<Distance>(distance))) {
+      const Target& target = this->targets.at(index);
+      if (now >= target.avoided_until &&
+          std::find(exclude.begin(), exclude.end(), target.instance) ==
+              exclude.end()) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 void Router::OnSent(InstanceId instance) {
   if (const auto index = this->targets.Find(instance)) {
     ++this->targets.at(*index).own_in_flight;
@@ -54,6 +76,12 @@
   }
 }
 
+void Router::OnStopped(InstanceId instance, TimePoint now) {
+  if (const auto index = this->targets.Find(instance)) {
+    this->targets.at(*index).avoided_until = now + this->stopped_backoff;
+  }
+}
+
 void Router::OnLoadReport(InstanceId instance,
                           const LoadReport& report,
                           TimePoint now) {
--- a/src/request/routing_strategy.cc
+++ b/src/request/routing_strategy.cc
@@ -14,23 +14,27 @@
 constexpr std::array<Distance, kDistanceCount> kNearestFirst = {
     Distance::kZone, Distance::kRegion, Distance::kRemote};
 
-bool IsExcluded(const RouteRequest& request, InstanceId instance) {
-  return std::find(request.exclude.begin(), request.exclude.end(), instance) !=
-         request.exclude.end();
+bool IsExcluded(const RouteRequest& request,
+                const Target& target,
+                TimePoint now) {
+  return (now < target.avoided_until && !request.allow_avoided) ||
+         std::find(request.exclude.begin(), request.exclude.end(),
+                   target.instance) != request.exclude.end();
 }
 
 std::optional<uint32_t> DrawTarget(const TargetTable& targets,
                                    std::span<const uint32_t> group,
                                    const RouteRequest& request,
+                                   TimePoint now,
                                    Random& random) {
   for (int draw = 0; draw < kMaxRandomDraws; ++draw) {
     const uint32_t index = group[random.Below(group.size())];
-    if (!IsExcluded(request, targets.at(index).instance)) {
+    if (!IsExcluded(request, targets.at(index), now)) {
       return index;
     }
   }
   for (const uint32_t index : group) {
-    if (!IsExcluded(request, targets.at(index).instance)) {
+    if (!IsExcluded(request, targets.at(index), now)) {
       return index;
     }
   }
@@ -65,7 +69,7 @@
       }
       const double extra = this->distance_costs[static_cast<size_t>(distance)];
       for (int choice = 0; choice < 2; ++choice) {
-        const auto index = DrawTarget(targets, group, request, random);
+        const auto index = DrawTarget(targets, group, request, now, random);
         if (!index) {
           break;
         }
@@ -111,7 +115,7 @@
       const double utilisation = this->Utilisation(target, now);
       const double bound = std::max(this->options.affinity_bound * this->mean,
                                     this->options.affinity_free_utilisation);
-      if (utilisation <= bound && !IsExcluded(request, target.instance)) {
+      if (utilisation <= bound && !IsExcluded(request, target, now)) {
         best->Offer(index, utilisation + extra - this->options.affinity_gain +
                                (target.cold ? cold_cost : 0.0));
         return;
@@ -160,14 +164,14 @@
  public:
   std::optional<uint32_t> Choose(const TargetTable& targets,
                                  const RouteRequest& request,
-                                 TimePoint,
+                                 TimePoint now,
                                  Random&) override {
     return ChooseFromNearest(
         targets,
         [&](std::span<const uint32_t> group) -> std::optional<uint32_t> {
           for (size_t tried = 0; tried < group.size(); ++tried) {
             const uint32_t index = group[this->next++ % group.size()];
-            if (!IsExcluded(request, targets.at(index).instance)) {
+            if (!IsExcluded(request, targets.at(index), now)) {
               return index;
             }
           }
@@ -183,7 +187,7 @@
  public:
   std::optional<uint32_t> Choose(const TargetTable& targets,
                                  const RouteRequest& request,
-                                 TimePoint,
+                                 TimePoint now,
                                  Random& random) override {
     return ChooseFromNearest(
         targets,
@@ -194,7 +198,7 @@
           for (size_t offset = 0; offset < group.size(); ++offset) {
             const uint32_t index = group[(start + offset) % group.size()];
             const Target& target = targets.at(index);
-            if (IsExcluded(request, target.instance)) {
+            if (IsExcluded(request, target, now)) {
               continue;
             }
             if (!best ||
@@ -211,13 +215,13 @@
  public:
   std::optional<uint32_t> Choose(const TargetTable& targets,
                                  const RouteRequest& request,
-                                 TimePoint,
+                                 TimePoint now,
                                  Random& random) override {
     return ChooseFromNearest(
         targets,
         [&](std::span<const uint32_t> group) -> std::optional<uint32_t> {
-          const auto first = DrawTarget(targets, group, request, random);
-          const auto second = DrawTarget(targets, group, request, random);
+          const auto first = DrawTarget(targets, group, request, now, random);
+          const auto second = DrawTarget(targets, group, request, now, random);
           if (!first || !second) {
             return first;
           }
--- a/src/request/routing_strategy.h
+++ b/src/request/routing_strategy.h
@@ -19,6 +19,8 @@
   uint64_t prefix_hash = 0;
   // Targets that failed an earlier attempt.
   std::span<const InstanceId> exclude{};
+  // Whether targets that are avoided at present may be chosen.
+  bool allow_avoided = false;
 };
 
 struct AffinityOptions {
@@ -53,7 +55,7 @@
  public:
   virtual ~RoutingStrategy() = default;
   // Returns an index into `targets`, or nothing when no target that accepts
-  // requests is left.
+  // requests and that `request` allows is left.
   virtual std::optional<uint32_t> Choose(const TargetTable& targets,
                                          const RouteRequest& request,
                                          TimePoint now,
--- a/src/request/target_table.h
+++ b/src/request/target_table.h
@@ -47,6 +47,8 @@
   // report.
   uint32_t others_in_flight = 0;
   TimePoint reported_at{};
+  // Until then the target is selected only if no other is left.
+  TimePoint avoided_until{};
   // Index in the members of its group; valid only while accepting.
   uint32_t group_position = 0;
 };
--- a/src/request/task/forward_task.cc
+++ b/src/request/task/forward_task.cc
@@ -154,25 +154,36 @@
     return false;
   }
   const auto issued_at = this->context.scheduler.UnixTime();
+  const auto& excluded = this->retry_plan->excluded();
+  std::optional<RequestId> reachable;
   for (int i = 0; i < kMaxIdDraws; ++i) {
     RequestId id =
         RequestId::Make(view->slots->version, issued_at, this->context.random);
     const InstanceId owner = view->slots->slots[id.Slot()].owner;
-    if (view->targets.contains(owner) && this->context.mesh.Find(owner)) {
-      this->request.id = std::move(id);
-      this->id_generated_here = true;
-      this->moved_to = {};
-      return true;
+    if (!view->targets.contains(owner) || !this->context.mesh.Find(owner)) {
+      continue;
     }
+    reachable = std::move(id);
+    if (std::find(excluded.begin(), excluded.end(), owner) == excluded.end()) {
+      break;
+    }
+  }
+  if (!reachable) {
+    return false;
   }
-  return false;
+  this->request.id = std::move(reachable);
+  this->id_generated_here = true;
+  this->moved_to = {};
+  return true;
+}
+
+bool ForwardTask::MayGenerateId() const {
+  return !this->request.id ||
+         (this->id_generated_here && this->frames_unanswered == 0);
 }
 
 void ForwardTask::SendToSlotHolder() {
-  const bool may_generate_id =
-      !this->request.id ||
-      (this->id_generated_here && this->frames_unanswered == 0);
-  if (may_generate_id && !this->GenerateReachableId()) {
+  if (this->MayGenerateId() && !this->GenerateReachableId()) {
     this->OnAttemptFailed({Verdict::kNotRun, AttemptFault::kHolderUnknown},
                           ErrorCode::kUnavailable,
                           "no agent of the service holds a slot and is "
@@ -353,10 +364,10 @@
     return;
   }
   ServiceView* view = this->context.services.Find(this->request.service);
-  Router* router = view != nullptr && (this->idempotent || !this->request.id ||
-                                       this->id_generated_here)
-                       ? view->router.get()
-                       : nullptr;
+  // A request with another id is bound to the holder of the id's slot.
+  const bool any_target = this->idempotent || this->MayGenerateId();
+  Router* const router =
+      view != nullptr && any_target ? view->router.get() : nullptr;
   if (const auto delay = this->retry_plan->OnFailed(
           failure, router, this->context.scheduler.Now())) {
     if (failure.fault != AttemptFault::kHolderUnknown) {
--- a/src/request/task/forward_task.h
+++ b/src/request/task/forward_task.h
@@ -78,8 +78,11 @@
   void SendAttempt();
   void SendToTarget();
   void SendToSlotHolder();
-  // Generates a request id whose slot belongs to a connected agent.
+  // Generates a request id whose slot belongs to a connected agent; to one that
+  // has not refused this request, if a few draws find it.
   bool GenerateReachableId();
+  // Whether the next attempt may have another id than the last one.
+  bool MayGenerateId() const;
   void SendWork(std::shared_ptr<PeerConnection> agent, InstanceId target);
   void OnHead(const wire::WorkHead& head);
   void OnEnd(const wire::WorkEnd& end);
