Hand off slots that the newest table has already given to another agent

Cause: an agent that stops (it leaves, or its zone is out) handed off the slots that the newest slot table assigns to it. An entry writes the next table as soon as it hears of the change, and gossip may bring that table to the agent before the change itself. The agent then owns no slot, so it handed nothing off, but it still was the only one that may run ids of the former table version, and refused them as it accepts no new work. Entries went on sending these ids to it, as the next owner has no right to run them: "an attempt of this number was refused before" for every attempt, until the callers' id prefix had expired.

Change: SlotDrain decides what is handed off: every slot of which the ledger still holds the right to run ids of any version, whoever owns it in the newest table, to the owner that the table or ReassignSlots names. It also hands off again what a table grants after the confirmation, and chooses another receiver if the first has gone before anything was sent. SlotHandOff keeps the messages.

--- a/src/request/request_ledger.cc
+++ b/src/request/request_ledger.cc
@@ -312,6 +312,10 @@
   return slot < kSlotCount && this->slots[slot].held.Contains(version);
 }
 
+bool RequestLedger::HoldsAny(size_t slot) const {
+  return slot < kSlotCount && !this->slots[slot].held.empty();
+}
+
 std::vector<size_t> RequestLedger::OwnedSlots() const {
   std::vector<size_t> owned;
   for (size_t index = 0; index < kSlotCount; ++index) {
--- a/src/request/request_ledger.h
+++ b/src/request/request_ledger.h
@@ -156,6 +156,9 @@
   // Returns whether this instance may run a new id of this slot and table
   // version.
   bool Holds(size_t slot, uint64_t version) const;
+  // Returns whether this instance may run new ids of this slot and any table
+  // version.
+  bool HoldsAny(size_t slot) const;
   uint64_t table_version() const { return this->table.version; }
   const SlotTable& newest_table() const { return this->table; }
   // Slots that this instance owns in the newest table.
--- a/src/request/task/slot_hand_off.cc
+++ b/src/request/task/slot_hand_off.cc
@@ -70,7 +70,8 @@
       self(self),
       ledger(ledger),
       mesh(mesh),
-      log(log) {}
+      log(log),
+      drain(ledger, self) {}
 
 void SlotHandOff::Drain(const std::vector<InstanceId>& candidates) {
   std::vector<InstanceId> receivers;
@@ -78,33 +79,18 @@
                std::back_inserter(receivers), [this](InstanceId id) {
                  return id != this->self && this->mesh.Find(id);
                });
-  if (receivers.empty()) {
-    return;
-  }
-  const SlotTable next = ReassignSlots(this->ledger.newest_table(), receivers);
-  for (const size_t slot : this->ledger.OwnedSlots()) {
-    Transfer& transfer =
-        this->transfers
-            .try_emplace(slot, Transfer{next.slots[slot].owner, false})
-            .first->second;
-    const auto connection = this->mesh.Find(transfer.receiver);
-    if (transfer.acknowledged || !connection) {
-      continue;
+  for (const SlotTransfer& transfer : this->drain.Pending(receivers)) {
+    if (const auto connection = this->mesh.Find(transfer.receiver)) {
+      connection->Send(
+          wire::Kind::HAND_OFF, 0, 1,
+          ToWire(this->service,
+                 this->ledger.HandOff(transfer.slot, transfer.receiver)));
     }
-    connection->Send(
-        wire::Kind::HAND_OFF, 0, 1,
-        ToWire(this->service, this->ledger.HandOff(slot, transfer.receiver)));
   }
 }
 
 void SlotHandOff::Reset() {
-  this->transfers.clear();
-}
-
-size_t SlotHandOff::unacknowledged() const {
-  return static_cast<size_t>(std::count_if(
-      this->transfers.begin(), this->transfers.end(),
-      [](const auto& item) { return !item.second.acknowledged; }));
+  this->drain.Reset();
 }
 
 void SlotHandOff::OnFrame(PeerConnection& from,
@@ -118,11 +104,8 @@
   if (!done || done->slot < 0) {
     return;
   }
-  const auto it = this->transfers.find(static_cast<size_t>(done->slot));
-  if (it != this->transfers.end() &&
-      it->second.receiver == from.peer().instance) {
-    it->second.acknowledged = true;
-  }
+  this->drain.OnConfirmed(static_cast<size_t>(done->slot),
+                          from.peer().instance);
 }
 
 void SlotHandOff::OnHandOff(PeerConnection& from,
--- a/src/request/task/slot_hand_off.h
+++ b/src/request/task/slot_hand_off.h
@@ -1,7 +1,6 @@
 #ifndef SRC_REQUEST_TASK_SLOT_HAND_OFF_H_
 #define SRC_REQUEST_TASK_SLOT_HAND_OFF_H_
 
-#include <map>
 #include <string>
 #include <vector>
 
@@ -9,13 +8,13 @@
 #include "src/process/log.h"
 #include "src/process/peer_mesh.h"
 #include "src/request/request_ledger.h"
+#include "src/request/slot_drain.h"
 
 namespace celerypost {
 
 // Hands off the slots of an agent that accepts no new work to other agents of
-// its service, and accepts slots that they hand off (design 4.2). The receivers
-// are chosen by ReassignSlots, so that the hand-off and the next slot table
-// name the same owners.
+// its service, and accepts slots that they hand off (design 4.2). SlotDrain
+// decides what is handed off.
 class SlotHandOff {
  public:
   SlotHandOff(ServiceName service,
@@ -24,7 +23,7 @@
               PeerMesh& mesh,
               Log& log);
 
-  // Hands off all owned slots to agents of `candidates`, the live agents of the
+  // Hands off all slots to agents of `candidates`, the live agents of the
   // service that accept work. Call repeatedly: each call sends the slots
   // again that are not acknowledged yet.
   void Drain(const std::vector<InstanceId>& candidates);
@@ -36,14 +35,9 @@
   void OnFrame(PeerConnection& from, const Frame& frame, TimePoint now);
 
   // Number of slots that were sent and not acknowledged yet.
-  size_t unacknowledged() const;
+  size_t unacknowledged() const { return this->drain.unconfirmed(); }
 
  private:
-  struct Transfer {
-    InstanceId receiver;
-    bool acknowledged = false;
-  };
-
   void OnHandOff(PeerConnection& from, const Frame& frame, TimePoint now);
 
   const ServiceName service;
@@ -51,7 +45,7 @@
   RequestLedger& ledger;
   PeerMesh& mesh;
   Log& log;
-  std::map<size_t, Transfer> transfers;
+  SlotDrain drain;
 };
 
 }  // namespace celerypost
