Log lost connections, failed requests and changes of a target's limit

Change: entries log request_refused and stream_broken with the request's id, the last target, the attempts and the elapsed time; entries and agents log peer_disconnected with its reason, agents log limit_changed with the state of the first-token baseline. The stand-in keeps the first 40 arrivals over its bound with the bound and the times of the cold start; a scenario prints them when a check of over_bound fails.

--- a/src/process/entry_process.cc
+++ b/src/process/entry_process.cc
@@ -101,9 +101,10 @@
                                "Time to the head of the answer."),
       run.metrics.AddHistogram("celerypost_entry_request_seconds",
                                "Time to the end of the answer.")});
-  this->context = std::unique_ptr<ForwardContext>(new ForwardContext{
-      run.scheduler, *run.mesh, *this->services, *run.gossip, run.random,
-      *this->retry_budget, *this->counters, [this] { return this->leaving; }});
+  this->context = std::unique_ptr<ForwardContext>(
+      new ForwardContext{run.scheduler, *run.mesh, *this->services, *run.gossip,
+                         run.random, *this->retry_budget, *this->counters,
+                         run.log, [this] { return this->leaving; }});
   this->forwarder =
       std::make_unique<Forwarder>(ForwarderOptions{}, run.loop, *this->context);
   EntryListOptions list_options;
--- a/src/process/peer_mesh.cc
+++ b/src/process/peer_mesh.cc
@@ -70,8 +70,9 @@
   result.on_frame = [this](PeerConnection& connection, Frame frame) {
     this->handlers.on_frame(connection, std::move(frame));
   };
-  result.on_closed = [this](PeerConnection& connection, const Failure&) {
-    this->OnClosed(connection);
+  result.on_closed = [this](PeerConnection& connection,
+                            const Failure& failure) {
+    this->OnClosed(connection, failure.message);
   };
   return result;
 }
@@ -150,7 +151,7 @@
       it = this->outbound.erase(it);
       if (connection && !connection->closed()) {
         connection->Close();
-        this->OnClosed(*connection);
+        this->OnClosed(*connection, "no component uses the connection");
       }
     } else {
       ++it;
@@ -170,7 +171,7 @@
   this->handlers.on_open(connection);
 }
 
-void PeerMesh::OnClosed(PeerConnection& connection) {
+void PeerMesh::OnClosed(PeerConnection& connection, std::string_view reason) {
   const auto keep_alive = connection.shared_from_this();
   this->closed_bytes_sent += connection.bytes_sent();
   this->closed_bytes_received += connection.bytes_received();
@@ -185,7 +186,8 @@
     }
   }
   if (was_open) {
-    this->handlers.on_closed(connection, !this->open.contains(instance));
+    this->handlers.on_closed(connection, !this->open.contains(instance),
+                             reason);
   }
 }
 
--- a/src/process/peer_mesh.h
+++ b/src/process/peer_mesh.h
@@ -28,8 +28,10 @@
 struct PeerMeshHandlers {
   std::function<void(PeerConnection&)> on_open;
   std::function<void(PeerConnection&, Frame)> on_frame;
-  // `last` is true when no other connection to that instance is open.
-  std::function<void(PeerConnection&, bool last)> on_closed;
+  // `last` is true when no other connection to that instance is open. `reason`
+  // is human-readable.
+  std::function<void(PeerConnection&, bool last, std::string_view reason)>
+      on_closed;
 };
 
 // The connections of one process to its peers. Keeps a connection open to every
@@ -91,7 +93,7 @@
   void Connect(const std::string& address, OutboundPeer* peer);
   void Maintain();
   void OnOpen(PeerConnection& connection);
-  void OnClosed(PeerConnection& connection);
+  void OnClosed(PeerConnection& connection, std::string_view reason);
 
   Loop& loop;
   const PeerIdentity self;
--- a/src/process/runtime.cc
+++ b/src/process/runtime.cc
@@ -102,8 +102,9 @@
   mesh_handlers.on_frame = [this](PeerConnection& from, Frame frame) {
     this->OnFrame(from, std::move(frame));
   };
-  mesh_handlers.on_closed = [this](PeerConnection& connection, bool last) {
-    this->OnClosed(connection, last);
+  mesh_handlers.on_closed = [this](PeerConnection& connection, bool last,
+                                   std::string_view reason) {
+    this->OnClosed(connection, last, reason);
   };
   auto new_mesh = PeerMesh::Make(this->loop, this->identity, this->peer_key,
                                  this->settings.peer_address, PeerMeshOptions{},
@@ -175,7 +176,13 @@
   this->handlers.on_open(connection);
 }
 
-void Runtime::OnClosed(PeerConnection& connection, bool last) {
+void Runtime::OnClosed(PeerConnection& connection,
+                       bool last,
+                       std::string_view reason) {
+  this->log.Info("peer_disconnected", reason,
+                 {{"peer", FormatInstance(connection.peer().instance)},
+                  {"address", connection.peer().address},
+                  {"last", last}});
   this->handlers.on_closed(connection);
   if (last && this->gossip) {
     this->gossip->OnPeerDisconnected(connection.peer().instance);
--- a/src/process/runtime.h
+++ b/src/process/runtime.h
@@ -59,7 +59,7 @@
 
   void OnFrame(PeerConnection& from, Frame frame);
   void OnOpen(PeerConnection& connection);
-  void OnClosed(PeerConnection& connection, bool last);
+  void OnClosed(PeerConnection& connection, bool last, std::string_view reason);
   void OnDocument(const VersionedDocument& document);
   void OnPlatformList(std::vector<PlatformMember> list);
   void UpdateMetrics();
--- a/src/request/cold_start.h
+++ b/src/request/cold_start.h
@@ -51,6 +51,11 @@
   // Largest number of requests that may run at once.
   uint32_t Limit(TimePoint now) const;
   ColdState state() const;
+  // First tokens of a warm target that were counted for the baseline, until it
+  // is established.
+  uint32_t baseline_samples() const { return this->baseline_count; }
+  // Mean first-token time of the warm target; zero without samples.
+  Duration baseline_time() const { return this->baseline; }
   // Incremented each time the target becomes cold. The results of requests that
   // were dispatched in an earlier epoch must not be passed to OnFinished.
   uint64_t epoch() const { return this->epoch_number; }
--- a/src/request/task/forward_task.cc
+++ b/src/request/task/forward_task.cc
@@ -240,6 +240,7 @@
   this->attempt_number = MakeAttempt(caller_attempt, this->entry_attempt);
   this->connection = std::move(agent);
   this->target = chosen;
+  this->last_target = chosen;
   ++this->frames_unanswered;
   this->connection->Send(wire::Kind::WORK, this->request_number,
                          static_cast<int32_t>(this->attempt_number), work);
@@ -433,6 +434,21 @@
   this->Finish();
 }
 
+void ForwardTask::LogFailure(std::string_view event,
+                             Verdict verdict,
+                             std::string_view message) {
+  const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->context.scheduler.Now() - this->started);
+  this->context.log.Info(
+      event, message,
+      {{"service", this->request.service.value()},
+       {"verdict", VerdictName(verdict)},
+       {"attempts", this->entry_attempt},
+       {"target", FormatInstance(this->last_target)},
+       {"elapsed_ms", elapsed.count()}},
+      this->request.id ? this->request.id->ToString() : std::string());
+}
+
 void ForwardTask::Refuse(Verdict verdict,
                          ErrorCode code,
                          std::string_view message) {
@@ -441,6 +457,7 @@
   } else {
     this->context.counters.failed_may_have_run.Add();
   }
+  this->LogFailure("request_refused", verdict, message);
   SendError(*this->responder, HttpStatusFor(verdict, code), verdict, code,
             message, this->ResponseHeaders());
   this->Finish();
@@ -448,6 +465,7 @@
 
 void ForwardTask::AbortStream(Verdict verdict, std::string_view message) {
   this->context.counters.broken_streams.Add();
+  this->LogFailure("stream_broken", verdict, message);
   if (this->event_stream) {
     this->responder->Write(
         "event: error\ndata: " +
--- a/src/request/task/forward_task.h
+++ b/src/request/task/forward_task.h
@@ -14,6 +14,7 @@
 #include "celerypost/verdict.h"
 #include "src/connection/http_server.h"
 #include "src/connection/peer_connection.h"
+#include "src/process/log.h"
 #include "src/process/metrics.h"
 #include "src/process/peer_mesh.h"
 #include "src/process/scheduler.h"
@@ -45,6 +46,7 @@
   Random& random;
   RetryBudget& budget;
   ForwardCounters& counters;
+  Log& log;
   // Whether this entry is shutting down. Responses then carry the header
   // `Celerypost-Refresh`, which tells callers to fetch the list of entries
   // again.
@@ -97,6 +99,10 @@
   void Cancel(std::string_view reason);
   void Refuse(Verdict verdict, ErrorCode code, std::string_view message);
   void AbortStream(Verdict verdict, std::string_view message);
+  // Logs why the caller gets no complete answer.
+  void LogFailure(std::string_view event,
+                  Verdict verdict,
+                  std::string_view message);
   Verdict FinalVerdict(Verdict attempt_verdict) const;
   HttpHeaders ResponseHeaders() const;
   void EndAttempt();
@@ -122,6 +128,8 @@
   // State of the current attempt. `connection` is null between attempts.
   std::shared_ptr<PeerConnection> connection;
   InstanceId target;
+  // Target of the last attempt that was sent; for the log.
+  InstanceId last_target;
   AttemptNumber attempt_number = 0;
   // Slot holder that the last MOVED refusal named; zero selects the owner in
   // the slot table.
--- a/src/request/task/work_service.cc
+++ b/src/request/task/work_service.cc
@@ -152,7 +152,24 @@
   this->request_ledger.OnTick(now);
   this->ReplaceLimiterWhenIdle();
   this->Apply(this->limiter->admission.OnTick(now));
-  this->limit_gauge.Set(this->limiter->cold_start.Limit(now));
+  this->ReportLimit();
+}
+
+void WorkService::ReportLimit() {
+  const ColdStart& cold_start = this->limiter->cold_start;
+  const uint32_t limit = cold_start.Limit(this->loop.Now());
+  this->limit_gauge.Set(limit);
+  if (std::exchange(this->reported_limit, limit) == limit) {
+    return;
+  }
+  const auto baseline = std::chrono::duration_cast<std::chrono::milliseconds>(
+      cold_start.baseline_time());
+  this->log.Info("limit_changed",
+                 "another number of requests may run at the target",
+                 {{"limit", limit},
+                  {"cold_starts", cold_start.epoch()},
+                  {"baseline_ms", baseline.count()},
+                  {"baseline_samples", cold_start.baseline_samples()}});
 }
 
 wire::LoadReport WorkService::Load() const {
--- a/src/request/task/work_service.h
+++ b/src/request/task/work_service.h
@@ -135,6 +135,8 @@
   void RecordOutcome(const WorkTask& task, const WorkResult& result);
   void AnswerDuplicates(const RequestId& id);
   void ReplaceLimiterWhenIdle();
+  // Sets the metric of the limit and logs its changes.
+  void ReportLimit();
   wire::LoadReport Load() const;
 
   const WorkServiceOptions options;
@@ -157,6 +159,7 @@
   // Last time that the target became cold or its limit delayed or refused a
   // request.
   TimePoint limited_at{};
+  uint32_t reported_limit = 0;
   TaskKey next_key = 1;
   std::unordered_map<TaskKey, std::shared_ptr<WorkTask>> tasks;
   // Attempts that wait for the outcome of an earlier attempt, by the text form
--- a/tests/scenarios/scenario.cc
+++ b/tests/scenarios/scenario.cc
@@ -131,6 +131,9 @@
     ++this->checks_failed;
     std::printf("FAILED %s: %s\n", line.c_str(), error.c_str());
     this->PrintProblems();
+    if (line.find("over_bound") != std::string::npos) {
+      this->PrintColdStarts();
+    }
   } else {
     this->checks_passed += is_check ? 1 : 0;
     if (this->verbose) {
@@ -150,6 +153,18 @@
   }
 }
 
+void Scenario::PrintColdStarts() {
+  for (const std::string& target : this->fleet.Targets("targets")) {
+    const Json report = this->fleet.Report(target);
+    const Json arrivals = report.value("arrivals_over_bound", Json::array());
+    if (!arrivals.empty()) {
+      std::printf("       %s: over_bound %s, arrivals %s\n", target.c_str(),
+                  report.value("over_bound", Json()).dump().c_str(),
+                  arrivals.dump().c_str());
+    }
+  }
+}
+
 void Scenario::RunLoopFor(milliseconds duration) {
   const TimePoint end = Clock::now() + duration;
   while (Clock::now() < end) {
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -63,6 +63,8 @@
   bool Compare(const Tokens& condition, double* value, std::string* shown);
   void RunLoopFor(std::chrono::milliseconds duration);
   void PrintProblems();
+  // Prints the arrivals over the bounds of cold targets.
+  void PrintColdStarts();
 
   Loop& loop;
   const FleetOptions options;
--- a/tests/standins/cold_start_model.cc
+++ b/tests/standins/cold_start_model.cc
@@ -10,6 +10,7 @@
 // Time in which a slow answer reaches the callers. Requests that they sent
 // before do not count as sent with knowledge of the cold start.
 constexpr int64_t kAnswerTravelMs = 20;
+constexpr size_t kMaxArrivalsKept = 40;
 
 }  // namespace
 
@@ -67,6 +68,14 @@
     const bool visible =
         this->visible_from_ms >= 0 && now_ms >= this->visible_from_ms;
     ++(visible ? this->over_bound : this->over_bound_unseen);
+    if (this->arrivals_over_bound.size() < kMaxArrivalsKept) {
+      this->arrivals_over_bound.push_back(
+          {{"at_ms", now_ms},
+           {"in_flight", in_flight},
+           {"bound", this->Bound(now_ms)},
+           {"cold_since_ms", this->cold_since_ms},
+           {"visible_from_ms", this->visible_from_ms}});
+    }
   }
 }
 
@@ -75,6 +84,7 @@
   figures["over_bound_unseen"] = this->over_bound_unseen;
   figures["cold_arrivals"] = this->cold_arrivals;
   figures["highest_in_flight_cold"] = this->highest_in_flight_cold;
+  figures["arrivals_over_bound"] = this->arrivals_over_bound;
   figures["cold"] = this->IsCold(now_ms) ? 1 : 0;
 }
 
--- a/tests/standins/cold_start_model.h
+++ b/tests/standins/cold_start_model.h
@@ -43,6 +43,8 @@
   int64_t over_bound_unseen = 0;
   int64_t cold_arrivals = 0;
   int64_t highest_in_flight_cold = 0;
+  // The first arrivals over the bound, for the logs of failed tests.
+  nlohmann::json arrivals_over_bound = nlohmann::json::array();
 };
 
 }  // namespace celerypost::standins
