Notice a target that turns cold before its baseline is established

Cause: a target that turns cold without a restart shows it by a slow first token only. ColdStart compared first tokens with a baseline that exists after 16 requests at the full limit, and kept the limit of a target that was warming up.

Change: until the baseline is established, and while the target warms up, first tokens are compared with recent ones of the same cold start. A slow one lowers the limit to cold_limit until the first token of a request that was dispatched afterwards: if that is slow too, the target is cold, otherwise the former limit applies again, so that one long prompt does not cost the warm-up. Slow tokens are no longer added to the baseline.

--- a/src/request/cold_start.cc
+++ b/src/request/cold_start.cc
@@ -9,6 +9,10 @@
 
 // Divisor that weights a new first-token time in the baseline.
 constexpr int kBaselineSmoothing = 32;
+// Divisors of the difference by which the recent first-token time falls and
+// rises with a new one.
+constexpr int kRecentFall = 2;
+constexpr int kRecentRise = 8;
 
 uint32_t CountDoublings(uint32_t cold_limit, uint32_t full_limit) {
   uint32_t steps = 0;
@@ -46,18 +50,40 @@
 }
 
 void ColdStart::OnFirstToken(Duration latency, TimePoint now) {
-  if (this->IsSlow(latency)) {
-    if (this->limit >= this->options.full_limit) {
-      this->BecomeCold(now);
-    } else {
-      this->RestartStep(now);
-    }
+  if (this->suspected_at && now - latency < *this->suspected_at) {
+    // Dispatched before the suspicion, so it tells nothing new.
     return;
   }
+  if (!this->IsSlow(latency)) {
+    this->suspected_at.reset();
+    this->AddSample(latency);
+    return;
+  }
+  const bool warm = this->limit >= this->options.full_limit;
+  if (this->suspected_at || (warm && this->IsEstablished())) {
+    this->BecomeCold(now);
+    return;
+  }
+  this->RestartStep(now);
+  if (this->limit > this->options.cold_limit) {
+    this->suspected_at = now;
+  }
+}
+
+void ColdStart::AddSample(Duration latency) {
+  // Falls fast, because the first tokens of a target that warms up become
+  // faster.
+  if (this->recent == Duration::zero()) {
+    this->recent = latency;
+  } else {
+    const Duration difference = latency - this->recent;
+    this->recent += difference /
+                    (difference < Duration::zero() ? kRecentFall : kRecentRise);
+  }
   if (this->limit < this->options.full_limit) {
     return;
   }
-  if (this->baseline_count < this->options.baseline_samples) {
+  if (!this->IsEstablished()) {
     ++this->baseline_count;
     this->baseline += (latency - this->baseline) / this->baseline_count;
   } else {
@@ -66,7 +92,7 @@
 }
 
 void ColdStart::OnFinished(bool ok, TimePoint now) {
-  if (this->limit >= this->options.full_limit) {
+  if (this->suspected_at || this->limit >= this->options.full_limit) {
     return;
   }
   if (!this->step_begun || !ok) {
@@ -85,10 +111,13 @@
 }
 
 uint32_t ColdStart::Limit(TimePoint) const {
-  return this->limit;
+  return this->suspected_at ? this->options.cold_limit : this->limit;
 }
 
 ColdState ColdStart::state() const {
+  if (this->suspected_at) {
+    return ColdState::kCold;
+  }
   if (this->limit >= this->options.full_limit) {
     return ColdState::kWarm;
   }
@@ -98,6 +127,8 @@
 
 void ColdStart::BecomeCold(TimePoint now) {
   this->limit = this->options.cold_limit;
+  this->recent = Duration::zero();
+  this->suspected_at.reset();
   ++this->epoch_number;
   this->RestartStep(now);
 }
@@ -109,11 +140,10 @@
 }
 
 bool ColdStart::IsSlow(Duration latency) const {
-  return this->baseline_count >= this->options.baseline_samples &&
-         latency > this->options.slow_floor &&
+  const Duration usual = this->IsEstablished() ? this->baseline : this->recent;
+  return usual > Duration::zero() && latency > this->options.slow_floor &&
          static_cast<double>(latency.count()) >
-             static_cast<double>(this->baseline.count()) *
-                 this->options.slow_factor;
+             static_cast<double>(usual.count()) * this->options.slow_factor;
 }
 
 }  // namespace celerypost
--- a/src/request/cold_start.h
+++ b/src/request/cold_start.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 #include "celerypost/types.h"
 
@@ -32,6 +33,13 @@
 // A step ends when as many requests as the limit have finished and the step has
 // lasted its share of `warm_up`; a slow or failed request restarts the step. A
 // new object is cold.
+//
+// A slow first token shows that the target turned cold without a restart. While
+// the baseline is established, it makes a warm target cold. Before, and while
+// the target warms up, first tokens are compared with recent ones, which is
+// less reliable: the limit then falls to `cold_limit` until the first token of
+// a request that was dispatched afterwards. If that is slow as well, the target
+// is cold, otherwise the former limit applies again.
 class ColdStart {
  public:
   explicit ColdStart(ColdStartOptions options);
@@ -63,7 +71,11 @@
  private:
   void BecomeCold(TimePoint now);
   void RestartStep(TimePoint now);
+  bool IsEstablished() const {
+    return this->baseline_count >= this->options.baseline_samples;
+  }
   bool IsSlow(Duration latency) const;
+  void AddSample(Duration latency);
 
   const ColdStartOptions options;
   // Shortest duration of a step.
@@ -79,6 +91,11 @@
   // cold.
   Duration baseline{0};
   uint32_t baseline_count = 0;
+  // First-token time of recent requests since the target became cold; zero
+  // before the first one.
+  Duration recent{0};
+  // When a slow first token was found without an established baseline.
+  std::optional<TimePoint> suspected_at;
 };
 
 }  // namespace celerypost
--- a/tests/request/cold_start_test.cc
+++ b/tests/request/cold_start_test.cc
@@ -93,6 +93,43 @@
   expect_cold();
 }
 
+// Guards against a target that turns cold unnoticed before the baseline is
+// established or while it warms up (issue 20).
+TEST(ColdStartTest, SlowTokensBeforeTheBaselineLowerTheLimit) {
+  cold.OnTargetStarted({1}, now);
+  now += milliseconds(1000);
+  cold.OnFirstToken(milliseconds(30), now);
+  Finish(2);
+  LONGS_EQUAL(4, cold.Limit(now));
+  const uint64_t epoch = cold.epoch();
+  cold.OnFirstToken(milliseconds(180), now);
+  LONGS_EQUAL(2, cold.Limit(now));
+  CHECK(cold.state() == ColdState::kCold);
+  now += milliseconds(1000);
+  // Dispatched before the first slow token.
+  cold.OnFirstToken(milliseconds(1001), now);
+  Finish(4);
+  LONGS_EQUAL(2, cold.Limit(now));
+  LONGS_EQUAL(epoch, cold.epoch());
+  cold.OnFirstToken(milliseconds(180), now);
+  LONGS_EQUAL(2, cold.Limit(now));
+  CHECK(epoch != cold.epoch());
+}
+
+// Guards against one slow prompt that makes a target warm up anew.
+TEST(ColdStartTest, AFastTokenAfterwardsRestoresTheLimit) {
+  cold.OnTargetStarted({1}, now);
+  now += milliseconds(1000);
+  cold.OnFirstToken(milliseconds(30), now);
+  Finish(2);
+  const uint64_t epoch = cold.epoch();
+  cold.OnFirstToken(milliseconds(180), now);
+  now += milliseconds(100);
+  cold.OnFirstToken(milliseconds(30), now);
+  LONGS_EQUAL(4, cold.Limit(now));
+  LONGS_EQUAL(epoch, cold.epoch());
+}
+
 // Guards against noise of a few milliseconds making a fast target cold.
 TEST(ColdStartTest, IgnoresNoiseOnAFastTarget) {
   WarmUp();
