--- a/src/process/runtime.cc
+++ b/src/process/runtime.cc
@@ -1,5 +1,6 @@
 #include "src/process/runtime.h"
 
+#include <ctime>
 #include <random>
 #include <utility>
 
@@ -9,6 +10,11 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds kUpdatePeriod{1000};
+// Pauses of this length are logged. Peers take a process for silent after three
+// times as long.
+constexpr std::chrono::milliseconds kLongPause{500};
+
 InstanceId MakeRandomInstance() {
   std::random_device device;
   const uint64_t high = device();
@@ -142,7 +148,7 @@
   this->membership_client->Start();
   this->metrics_timer =
       std::make_unique<Timer>(this->loop, [this] { this->UpdateMetrics(); });
-  this->metrics_timer->StartRepeating(std::chrono::seconds(1));
+  this->metrics_timer->StartRepeating(kUpdatePeriod);
   return {};
 }
 
@@ -205,7 +211,24 @@
   this->handlers.on_document(document);
 }
 
+void Runtime::CheckForPause() {
+  const TimePoint now = this->loop.Now();
+  const std::chrono::milliseconds used(std::clock() * 1000 / CLOCKS_PER_SEC);
+  const auto gap = this->last_update
+                       ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                             now - *this->last_update)
+                       : std::chrono::milliseconds(0);
+  if (gap >= kUpdatePeriod + kLongPause) {
+    this->log.Warn("process_paused", "the event loop did not run in time",
+                   {{"late_ms", (gap - kUpdatePeriod).count()},
+                    {"processor_ms", (used - this->processor_time).count()}});
+  }
+  this->last_update = now;
+  this->processor_time = used;
+}
+
 void Runtime::UpdateMetrics() {
+  this->CheckForPause();
   const GossipCounters& counts = this->gossip->counters();
   const auto set = [this](std::string_view name, std::string_view help,
                           double value) {
--- a/src/process/runtime.h
+++ b/src/process/runtime.h
@@ -1,8 +1,11 @@
 #ifndef SRC_PROCESS_RUNTIME_H_
 #define SRC_PROCESS_RUNTIME_H_
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "celerypost/random.h"
 #include "src/connection/loop.h"
@@ -63,12 +66,18 @@
   void OnDocument(const VersionedDocument& document);
   void OnPlatformList(std::vector<PlatformMember> list);
   void UpdateMetrics();
+  // Logs that the event loop did not run for a while, with the processor time
+  // that this process used meanwhile: little of it shows that the process was
+  // not scheduled or waited in a system call.
+  void CheckForPause();
 
   const CommonSettings settings;
   SharedPeerKey peer_key;
   Handlers handlers;
   std::unique_ptr<MembershipClient> membership_client;
   std::unique_ptr<Timer> metrics_timer;
+  std::optional<TimePoint> last_update;
+  std::chrono::milliseconds processor_time{0};
   bool membership_unavailable = false;
 };
 
