Send requests that wait at a stopping agent to the next holder of their slot

Cause: an agent that leaves, or whose zone is out, refused the requests in its queue as "not run", which closes their attempt for good, before it handed its slots off. The record goes to the next holder with the slot, so the entry's next attempts were refused there as well: "an attempt of this number was refused before". As the agent had redirected them meanwhile, callers that number their attempts were told that the request may have run.

Change: when the slots are about to go to another agent, waiting requests with an id are withdrawn from the ledger and sent back with BEHIND, after which the entry asks for the holder again, and the same attempt runs there. Attempts that were closed before stay closed, and so does an attempt with an id that the entry generated. Without a receiver they are refused as before.

Result: SlotDrainTest, WaitingRequestsRunAtTheNextHolder tests it on the ledgers; it uses RequestLedger::Withdraw, so it does not build without the change.

--- a/src/process/agent_process.cc
+++ b/src/process/agent_process.cc
@@ -392,12 +392,17 @@
 void AgentProcess::OnTick() {
   const std::string reason = this->FindStopReason();
   const bool was_stopped = this->work->stopped();
-  this->work->SetStopReason(reason);
   const bool must_release_slots =
       this->leaving ||
       !this->runtime->gossip->config().Current().ZoneIsIn(this->settings.zone);
+  const std::vector<InstanceId> candidates = must_release_slots
+                                                 ? this->HandOffCandidates()
+                                                 : std::vector<InstanceId>();
+  // Before the hand-off, which sends the records of waiting requests as "may
+  // have run".
+  this->work->SetStopReason(reason, this->hand_off->HasReceiver(candidates));
   if (must_release_slots) {
-    this->hand_off->Drain(this->HandOffCandidates());
+    this->hand_off->Drain(candidates);
   } else if (was_stopped && reason.empty()) {
     this->hand_off->Reset();
   }
--- a/src/request/request_ledger.cc
+++ b/src/request/request_ledger.cc
@@ -77,7 +77,10 @@
     }
     return outcome;
   }
+  const auto closed =
+      record != nullptr ? std::optional(record->attempt) : std::nullopt;
   Record& running = this->Insert(id, RecordState::kRunning, now);
+  running.closed = closed;
   running.attempt = std::max(running.attempt, attempt);
   return {.result = BeginResult::kRun};
 }
@@ -157,6 +160,22 @@
   this->Insert(id, RecordState::kNotRun, record->updated_at);
 }
 
+void RequestLedger::Withdraw(const RequestId& id) {
+  const Record* const record =
+      this->FindRunning(id, "P5: a refusal that says \"not run\" is true");
+  const auto closed = IsGeneratedAttempt(record->attempt)
+                          ? std::optional(record->attempt)
+                          : record->closed;
+  if (closed) {
+    this->Insert(id, RecordState::kNotRun, record->updated_at).attempt =
+        *closed;
+    return;
+  }
+  --this->running_count;
+  --this->record_total;
+  this->slots[id.Slot()].records.erase(id.ToString());
+}
+
 void RequestLedger::StoreAnswer(const RequestId& id,
                                 Record* record,
                                 StoredAnswer answer) {
--- a/src/request/request_ledger.h
+++ b/src/request/request_ledger.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -138,6 +139,13 @@
   // runs after the refusal as "not run".
   void ReleaseNotRun(const RequestId& id);
 
+  // Undoes the Begin of a request that returned kRun, if the request has not
+  // reached its target, so that the same attempt can run at the next holder of
+  // the slot. Closes no attempt of a caller, so such a request must not be
+  // refused as "not run". An attempt whose id the entry generated is closed,
+  // since the entry takes another id.
+  void Withdraw(const RequestId& id);
+
   // Gives up the right to run the slot's newest version range and returns the
   // message that transfers it to `to`. Requests that run here continue; their
   // records are sent as kMayHaveRun. Another call for the same `to` returns the
@@ -171,6 +179,8 @@
   struct Record {
     RecordState state = RecordState::kRunning;
     AttemptNumber attempt = 0;
+    // With kRunning: the highest closed attempt, if there is one.
+    std::optional<AttemptNumber> closed;
     bool has_answer = false;
     StoredAnswer answer;
     TimePoint updated_at;
--- a/src/request/task/slot_hand_off.cc
+++ b/src/request/task/slot_hand_off.cc
@@ -73,13 +73,23 @@
       log(log),
       drain(ledger, self) {}
 
-void SlotHandOff::Drain(const std::vector<InstanceId>& candidates) {
+std::vector<InstanceId> SlotHandOff::Receivers(
+    const std::vector<InstanceId>& candidates) const {
   std::vector<InstanceId> receivers;
   std::copy_if(candidates.begin(), candidates.end(),
                std::back_inserter(receivers), [this](InstanceId id) {
                  return id != this->self && this->mesh.Find(id);
                });
-  for (const SlotTransfer& transfer : this->drain.Pending(receivers)) {
+  return receivers;
+}
+
+bool SlotHandOff::HasReceiver(const std::vector<InstanceId>& candidates) const {
+  return !this->Receivers(candidates).empty();
+}
+
+void SlotHandOff::Drain(const std::vector<InstanceId>& candidates) {
+  for (const SlotTransfer& transfer :
+       this->drain.Pending(this->Receivers(candidates))) {
     if (const auto connection = this->mesh.Find(transfer.receiver)) {
       connection->Send(
           wire::Kind::HAND_OFF, 0, 1,
--- a/src/request/task/slot_hand_off.h
+++ b/src/request/task/slot_hand_off.h
@@ -28,6 +28,9 @@
   // again that are not acknowledged yet.
   void Drain(const std::vector<InstanceId>& candidates);
 
+  // Returns whether an agent of `candidates` can receive slots now.
+  bool HasReceiver(const std::vector<InstanceId>& candidates) const;
+
   // Forgets which slots were sent. Call when the agent accepts work again.
   void Reset();
 
@@ -38,6 +41,9 @@
   size_t unacknowledged() const { return this->drain.unconfirmed(); }
 
  private:
+  // The agents of `candidates` that are connected, without this one.
+  std::vector<InstanceId> Receivers(
+      const std::vector<InstanceId>& candidates) const;
   void OnHandOff(PeerConnection& from, const Frame& frame, TimePoint now);
 
   const ServiceName service;
--- a/src/request/task/work_service.cc
+++ b/src/request/task/work_service.cc
@@ -104,12 +104,13 @@
   return this->limiter->admission.in_flight();
 }
 
-void WorkService::SetStopReason(std::string reason) {
+void WorkService::SetStopReason(std::string reason, bool hands_off) {
   if (reason != this->stop_reason) {
     this->log.Info(reason.empty() ? "work_resumed" : "work_stopped",
                    reason.empty() ? "accepts new work" : reason);
   }
   this->stop_reason = std::move(reason);
+  this->hands_off_slots = hands_off;
   if (!this->stopped()) {
     return;
   }
@@ -123,9 +124,10 @@
     }
   }
   for (const TaskKey key : waiting) {
+    const auto task = this->tasks.at(key);
     this->limiter->admission.Cancel(key);
-    this->RefuseWaiting(key, ErrorCode::kUnavailable, this->stop_reason,
-                        wire::Refusal::STOPPED);
+    this->tasks.erase(key);
+    this->RefuseStopped(*task);
   }
 }
 
@@ -280,8 +282,7 @@
 
 void WorkService::Offer(const std::shared_ptr<WorkTask>& task) {
   if (this->stopped()) {
-    this->ReleaseAndRefuse(*task, ErrorCode::kUnavailable, this->stop_reason,
-                           wire::Refusal::STOPPED);
+    this->RefuseStopped(*task);
     return;
   }
   const TimePoint now = this->loop.Now();
@@ -373,6 +374,19 @@
   this->ReleaseAndRefuse(*task, code, std::move(message), refusal);
 }
 
+void WorkService::RefuseStopped(WorkTask& task) {
+  if (!task.id() || !this->hands_off_slots) {
+    this->ReleaseAndRefuse(task, ErrorCode::kUnavailable, this->stop_reason,
+                           wire::Refusal::STOPPED);
+    return;
+  }
+  // A release would close the attempt at the next holder of the slot too.
+  this->request_ledger.Withdraw(*task.id());
+  this->Refuse(task, ErrorCode::kUnavailable, this->stop_reason,
+               wire::Refusal::BEHIND);
+  this->AnswerDuplicates(*task.id());
+}
+
 void WorkService::ReleaseAndRefuse(WorkTask& task,
                                    ErrorCode code,
                                    std::string message,
--- a/src/request/task/work_service.h
+++ b/src/request/task/work_service.h
@@ -67,8 +67,10 @@
   void OnConnectionClosed(const PeerConnection& entry);
 
   // Stops accepting new work and refuses waiting requests with `reason`, which
-  // entries receive. An empty reason resumes.
-  void SetStopReason(std::string reason);
+  // entries receive. An empty reason resumes. `hands_off_slots` says that the
+  // slots go to other agents next; waiting requests with an id are then sent
+  // back to their entries, which find the next holder, and are not refused.
+  void SetStopReason(std::string reason, bool hands_off_slots);
   bool stopped() const { return !this->stop_reason.empty(); }
 
   void OnTargetStarted(InstanceId start_id);
@@ -121,6 +123,9 @@
                      ErrorCode code,
                      std::string message,
                      wire::Refusal::type refusal);
+  // Refuses a request that has not been dispatched, as this agent accepts no
+  // new work.
+  void RefuseStopped(WorkTask& task);
   // Refuses a request that the ledger let run, releases it there as not run,
   // and decides about its waiting duplicates.
   void ReleaseAndRefuse(WorkTask& task,
@@ -156,6 +161,7 @@
   bool limits_changed = false;
   InstanceId start_id;
   std::string stop_reason = "the agent is starting";
+  bool hands_off_slots = false;
   // Last time that the target became cold or its limit delayed or refused a
   // request.
   TimePoint limited_at{};
--- a/tests/request/slot_drain_test.cc
+++ b/tests/request/slot_drain_test.cc
@@ -83,6 +83,25 @@
   CHECK(drain.unconfirmed() == 0);
 }
 
+// Guards against a refusal of a request that waits at a stopping agent: it has
+// to run at the next holder with the same attempt number (issue 20).
+TEST(SlotDrainTest, WaitingRequestsRunAtTheNextHolder) {
+  const RequestId waiting{1, milliseconds(1000), "u1"};
+  const RequestId refused{1, milliseconds(1000), "u2"};
+  CHECK(leaving.Begin(waiting, 1, now).result == BeginResult::kRun);
+  CHECK(leaving.Begin(refused, 1, now).result == BeginResult::kRun);
+  leaving.ReleaseNotRun(refused);
+  CHECK(leaving.Begin(refused, 2, now).result == BeginResult::kRun);
+  leaving.Withdraw(waiting);
+  leaving.Withdraw(refused);
+  CHECK(leaving.running() == 0);
+  CHECK(HandOff() == kSlotCount);
+  CHECK(next.Begin(waiting, 1, now).result == BeginResult::kRun);
+  // The attempt that was refused as "not run" stays closed.
+  CHECK(next.Begin(refused, 1, now).result == BeginResult::kNotRun);
+  CHECK(next.Begin(refused, 2, now).result == BeginResult::kRun);
+}
+
 // Guards against slots that stay with the agent because their receiver ended
 // before they were sent.
 TEST(SlotDrainTest, ChoosesAnotherReceiverBeforeTheTransfer) {
