Withdraw waiting requests in the simulation of at-most-once

Cause: the simulation did not cover RequestLedger::Withdraw, on which "run at most once" and a true "not run" depend when an agent leaves.

Change: a leaving agent of the simulation withdraws its waiting requests before it hands its slots off; the test requires that this happens. design.md says what is handed off and what becomes of waiting requests.

--- a/tests/request/at_most_once_test.cc
+++ b/tests/request/at_most_once_test.cc
@@ -13,12 +13,12 @@
       "\n%s, seed %llu: %d requests, %d repeats, %d runs, %d run twice, "
       "%d false \"not run\"; answers %d, not run %d, may have run %d; "
       "messages lost %d, late %d, duplicated %d; crashes %d, pauses %d, "
-      "reassignments %d, slots handed off %d\n",
+      "reassignments %d, slots handed off %d, withdrawn %d\n",
       name, static_cast<unsigned long long>(options.seed), counts.requests,
       counts.repeats, counts.runs, counts.run_twice, counts.false_not_run,
       counts.answered, counts.not_run, counts.may_have_run, counts.lost,
       counts.late, counts.duplicated, counts.crashes, counts.pauses,
-      counts.reassignments, counts.slots_handed_off);
+      counts.reassignments, counts.slots_handed_off, counts.withdrawn);
   return counts;
 }
 
@@ -38,6 +38,7 @@
   CHECK(counts.repeats > 10000 && counts.crashes > 20 && counts.pauses > 50);
   CHECK(counts.late > 1000 && counts.duplicated > 1000 && counts.lost > 1000);
   CHECK(counts.reassignments > 50 && counts.slots_handed_off > 100);
+  CHECK(counts.withdrawn > 0);
 }
 
 // As above, with entries that refuse requests without asking an agent. For an
--- a/tests/request/serving_simulation.h
+++ b/tests/request/serving_simulation.h
@@ -131,6 +131,7 @@
       return;
     }
     agent.leaving = true;
+    this->WithdrawWaiting(agent);
     this->StartAgent();
     const SlotTable planned = ReassignSlots(this->stored, this->FitAgents());
     for (const size_t slot : agent.ledger->OwnedSlots()) {
@@ -147,6 +148,21 @@
              [this, self = agent.self] { this->agents.erase(self.value); });
   }
 
+  // Sends waiting requests back to their entries without closing an attempt.
+  void WithdrawWaiting(Agent& agent) {
+    std::vector<uint64_t> waiting;
+    for (const auto& [local, job] : agent.jobs) {
+      if (agent.admission.Cancel(local)) {
+        waiting.push_back(local);
+      }
+    }
+    for (const uint64_t local : waiting) {
+      ++this->counts.withdrawn;
+      agent.ledger->Withdraw(agent.jobs.at(local).ledger_id);
+      this->EndJob(agent, local, Reply::kBehind);
+    }
+  }
+
   void HandOff(InstanceId self, size_t slot, InstanceId to) {
     this->OnAgent(self, [this, slot, to](Agent& agent) {
       const auto before = std::make_unique<RequestLedger>(*agent.ledger);
--- a/tests/request/serving_simulation_state.h
+++ b/tests/request/serving_simulation_state.h
@@ -51,6 +51,7 @@
   int pauses = 0;
   int reassignments = 0;
   int slots_handed_off = 0;
+  int withdrawn = 0;
 };
 
 namespace simulation {
