--- a/src/process/runtime.cc
+++ b/src/process/runtime.cc
@@ -1,5 +1,6 @@
 #include "src/process/runtime.h"
 
+#include <ctime>
 #include <random>
 #include <utility>
 
@@ -9,6 +10,11 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds kUpdatePeriod{1000};
+// Pauses of this length are logged. Peers take a process for silent after three
+// times as long.
+constexpr std::chrono::milliseconds kLongPause{500};
+
 InstanceId MakeRandomInstance() {
   std::random_device device;
   const uint64_t high = device();
@@ -102,8 +108,9 @@
   mesh_handlers.on_frame = [this](PeerConnection& from, Frame frame) {
     this->OnFrame(from, std::move(frame));
   };
-  mesh_handlers.on_closed = [this](PeerConnection& connection, bool last) {
-    this->OnClosed(connection, last);
+  mesh_handlers.on_closed = [this](PeerConnection& connection, bool last,
+                                   std::string_view reason) {
+    this->OnClosed(connection, last, reason);
   };
   auto new_mesh = PeerMesh::Make(this->loop, this->identity, this->peer_key,
                                  this->settings.peer_address, PeerMeshOptions{},
@@ -141,7 +148,7 @@
   this->membership_client->Start();
   this->metrics_timer =
       std::make_unique<Timer>(this->loop, [this] { this->UpdateMetrics(); });
-  this->metrics_timer->StartRepeating(std::chrono::seconds(1));
+  this->metrics_timer->StartRepeating(kUpdatePeriod);
   return {};
 }
 
@@ -175,7 +182,13 @@
   this->handlers.on_open(connection);
 }
 
-void Runtime::OnClosed(PeerConnection& connection, bool last) {
+void Runtime::OnClosed(PeerConnection& connection,
+                       bool last,
+                       std::string_view reason) {
+  this->log.Info("peer_disconnected", reason,
+                 {{"peer", FormatInstance(connection.peer().instance)},
+                  {"address", connection.peer().address},
+                  {"last", last}});
   this->handlers.on_closed(connection);
   if (last && this->gossip) {
     this->gossip->OnPeerDisconnected(connection.peer().instance);
@@ -198,7 +211,24 @@
   this->handlers.on_document(document);
 }
 
+void Runtime::CheckForPause() {
+  const TimePoint now = this->loop.Now();
+  const std::chrono::milliseconds used(std::clock() * 1000 / CLOCKS_PER_SEC);
+  const auto gap = this->last_update
+                       ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                             now - *this->last_update)
+                       : std::chrono::milliseconds(0);
+  if (gap >= kUpdatePeriod + kLongPause) {
+    this->log.Warn("process_paused", "the event loop did not run in time",
+                   {{"late_ms", (gap - kUpdatePeriod).count()},
+                    {"processor_ms", (used - this->processor_time).count()}});
+  }
+  this->last_update = now;
+  this->processor_time = used;
+}
+
 void Runtime::UpdateMetrics() {
+  this->CheckForPause();
   const GossipCounters& counts = this->gossip->counters();
   const auto set = [this](std::string_view name, std::string_view help,
                           double value) {
--- a/src/request/task/forward_task.h
+++ b/src/request/task/forward_task.h
@@ -5,20 +5,23 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
-#include <vector>
+#include <string_view>
 
 #include "celerypost/random.h"
 #include "celerypost/types.h"
 #include "celerypost/verdict.h"
 #include "src/connection/http_server.h"
 #include "src/connection/peer_connection.h"
+#include "src/process/log.h"
 #include "src/process/metrics.h"
 #include "src/process/peer_mesh.h"
 #include "src/process/scheduler.h"
 #include "src/process/service_directory.h"
 #include "src/request/attempt.h"
 #include "src/request/retry_budget.h"
+#include "src/request/retry_plan.h"
 #include "src/request/task/caller_request.h"
 
 namespace celerypost {
@@ -43,6 +46,7 @@
   Random& random;
   RetryBudget& budget;
   ForwardCounters& counters;
+  Log& log;
   // Whether this entry is shutting down. Responses then carry the header
   // `Celerypost-Refresh`, which tells callers to fetch the list of entries
   // again.
@@ -76,15 +80,18 @@
   void SendAttempt();
   void SendToTarget();
   void SendToSlotHolder();
-  // Generates a request id whose slot belongs to a connected agent.
+  // Generates a request id whose slot belongs to a connected agent; to one that
+  // has not refused this request, if a few draws find it.
   bool GenerateReachableId();
+  // Whether the next attempt may have another id than the last one.
+  bool MayGenerateId() const;
   void SendWork(std::shared_ptr<PeerConnection> agent, InstanceId target);
   void OnHead(const wire::WorkHead& head);
   void OnEnd(const wire::WorkEnd& end);
-  void OnAttemptFailed(Verdict verdict,
+  // `code` and `message` go to the caller if there is no further attempt.
+  void OnAttemptFailed(const AttemptFailure& failure,
                        ErrorCode code,
-                       std::string message,
-                       wire::Refusal::type refusal);
+                       std::string_view message);
   void ScheduleRetry(std::chrono::milliseconds delay);
   void OnDeadline();
   // Asks the agent to cancel the current attempt.
@@ -92,6 +99,10 @@
   void Cancel(std::string_view reason);
   void Refuse(Verdict verdict, ErrorCode code, std::string_view message);
   void AbortStream(Verdict verdict, std::string_view message);
+  // Logs why the caller gets no complete answer.
+  void LogFailure(std::string_view event,
+                  Verdict verdict,
+                  std::string_view message);
   Verdict FinalVerdict(Verdict attempt_verdict) const;
   HttpHeaders ResponseHeaders() const;
   void EndAttempt();
@@ -117,11 +128,14 @@
   // State of the current attempt. `connection` is null between attempts.
   std::shared_ptr<PeerConnection> connection;
   InstanceId target;
+  // Target of the last attempt that was sent; for the log.
+  InstanceId last_target;
   AttemptNumber attempt_number = 0;
   // Slot holder that the last MOVED refusal named; zero selects the owner in
   // the slot table.
   InstanceId moved_to;
-  std::vector<InstanceId> failed_targets;
+  // Set once the service is known.
+  std::optional<RetryPlan> retry_plan;
   bool head_sent = false;
   bool event_stream = false;
   bool done = false;
--- a/src/request/task/work_service.cc
+++ b/src/request/task/work_service.cc
@@ -104,12 +104,13 @@
   return this->limiter->admission.in_flight();
 }
 
-void WorkService::SetStopReason(std::string reason) {
+void WorkService::SetStopReason(std::string reason, bool hands_off) {
   if (reason != this->stop_reason) {
     this->log.Info(reason.empty() ? "work_resumed" : "work_stopped",
                    reason.empty() ? "accepts new work" : reason);
   }
   this->stop_reason = std::move(reason);
+  this->hands_off_slots = hands_off;
   if (!this->stopped()) {
     return;
   }
@@ -123,9 +124,10 @@
     }
   }
   for (const TaskKey key : waiting) {
+    const auto task = this->tasks.at(key);
     this->limiter->admission.Cancel(key);
-    this->RefuseWaiting(key, ErrorCode::kUnavailable, this->stop_reason,
-                        wire::Refusal::STOPPED);
+    this->tasks.erase(key);
+    this->RefuseStopped(*task);
   }
 }
 
@@ -152,7 +154,24 @@
   this->request_ledger.OnTick(now);
   this->ReplaceLimiterWhenIdle();
   this->Apply(this->limiter->admission.OnTick(now));
-  this->limit_gauge.Set(this->limiter->cold_start.Limit(now));
+  this->ReportLimit();
+}
+
+void WorkService::ReportLimit() {
+  const ColdStart& cold_start = this->limiter->cold_start;
+  const uint32_t limit = cold_start.Limit(this->loop.Now());
+  this->limit_gauge.Set(limit);
+  if (std::exchange(this->reported_limit, limit) == limit) {
+    return;
+  }
+  const auto baseline = std::chrono::duration_cast<std::chrono::milliseconds>(
+      cold_start.baseline_time());
+  this->log.Info("limit_changed",
+                 "another number of requests may run at the target",
+                 {{"limit", limit},
+                  {"cold_starts", cold_start.epoch()},
+                  {"baseline_ms", baseline.count()},
+                  {"baseline_samples", cold_start.baseline_samples()}});
 }
 
 wire::LoadReport WorkService::Load() const {
@@ -263,8 +282,7 @@
 
 void WorkService::Offer(const std::shared_ptr<WorkTask>& task) {
   if (this->stopped()) {
-    this->ReleaseAndRefuse(*task, ErrorCode::kUnavailable, this->stop_reason,
-                           wire::Refusal::STOPPED);
+    this->RefuseStopped(*task);
     return;
   }
   const TimePoint now = this->loop.Now();
@@ -356,6 +374,19 @@
   this->ReleaseAndRefuse(*task, code, std::move(message), refusal);
 }
 
+void WorkService::RefuseStopped(WorkTask& task) {
+  if (!task.id() || !this->hands_off_slots) {
+    this->ReleaseAndRefuse(task, ErrorCode::kUnavailable, this->stop_reason,
+                           wire::Refusal::STOPPED);
+    return;
+  }
+  // A release would close the attempt at the next holder of the slot too.
+  this->request_ledger.Withdraw(*task.id());
+  this->Refuse(task, ErrorCode::kUnavailable, this->stop_reason,
+               wire::Refusal::BEHIND);
+  this->AnswerDuplicates(*task.id());
+}
+
 void WorkService::ReleaseAndRefuse(WorkTask& task,
                                    ErrorCode code,
                                    std::string message,
--- a/tests/process/peer_mesh_test.cc
+++ b/tests/process/peer_mesh_test.cc
@@ -58,7 +58,7 @@
     PeerMeshHandlers mesh_handlers;
     mesh_handlers.on_open = [](PeerConnection&) {};
     mesh_handlers.on_frame = [](PeerConnection&, const Frame&) {};
-    mesh_handlers.on_closed = [this](PeerConnection&, bool) {
+    mesh_handlers.on_closed = [this](PeerConnection&, bool, std::string_view) {
       this->closed = true;
     };
     identity.instance = InstanceId{1};
