Limit the time in which a stopping gateway accepts long requests

Change: at most 2.5 s, whatever the grace. A process that was paused past the step that ends requests ends them right before it exits; it exits at 0.96 of the grace instead of 0.97, so that a late check and a late signal stay before SIGKILL. Result: TakesLongRequestsForALimitedTimeOnly fails without the limit (2600 ms accepted); process_gateway tests pass.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -570,6 +570,11 @@
       this->EndRequests();
       return;
     case StopStep::kExit:
+      // After a pause of the process, the step that ends requests may not have
+      // come.
+      if (left.busy > 0) {
+        this->EndRequests();
+      }
       this->dependencies.log.Info("stopped", "graceful shutdown complete",
                                   {{"requests", work.answering},
                                    {"unsent", work.unsent},
--- a/src/process/gateway/stop_policy.cc
+++ b/src/process/gateway/stop_policy.cc
@@ -1,5 +1,7 @@
 #include "src/process/gateway/stop_policy.h"
 
+#include <algorithm>
+
 namespace celerypost {
 
 namespace {
@@ -16,7 +18,8 @@
                     std::chrono::milliseconds time_since_stop,
                     std::chrono::milliseconds max_duration) {
   if (time_since_stop <=
-      ShareOf(options.grace, options.refuse_long_after_share)) {
+      std::min(options.max_accept_long,
+               ShareOf(options.grace, options.refuse_long_after_share))) {
     return true;
   }
   return time_since_stop + max_duration <
--- a/src/process/gateway/stop_policy.h
+++ b/src/process/gateway/stop_policy.h
@@ -15,10 +15,14 @@
   // Shares of `grace`. After the first, requests that might not complete in
   // time are refused; after the second, requests that have not completed are
   // ended; after the third, the process exits in any case. The time between the
-  // last two is for sending the final answers.
+  // last two is for sending the final answers, the rest for a signal that is
+  // handled late.
   double refuse_long_after_share = 0.35;
   double end_requests_after_share = 0.93;
-  double exit_after_share = 0.97;
+  double exit_after_share = 0.96;
+  // Upper bound of the first, however long the grace is. The platform accepts
+  // that a request is cut only if it was sent up to 3 s after the signal.
+  std::chrono::milliseconds max_accept_long{2500};
 };
 
 // What a stopping gateway still has to do.
--- a/tests/process/gateway/stop_policy_test.cc
+++ b/tests/process/gateway/stop_policy_test.cc
@@ -28,6 +28,16 @@
   CHECK_FALSE(AcceptsRequest(this->options, milliseconds(7000), kShort));
 }
 
+// Guards against accepting a request that the exit will cut when it was sent
+// more than 3 s after the signal, which may also have been handled late.
+TEST(StopPolicyTest, TakesLongRequestsForALimitedTimeOnly) {
+  for (const milliseconds grace : {milliseconds(8000), milliseconds(30000)}) {
+    this->options.grace = grace;
+    CHECK_TRUE(AcceptsRequest(this->options, milliseconds(2400), 2 * grace));
+    CHECK_FALSE(AcceptsRequest(this->options, milliseconds(2600), 2 * grace));
+  }
+}
+
 // Guards against an exit with requests in progress or answers that have not
 // been sent, and against one while callers may still connect.
 TEST(StopPolicyTest, ExitsWhenNothingIsLeftOrTheGraceEnds) {
