Keep the time of a survival while gateways pass it on

Cause: each gateway passed on the time at which a part's requests last survived as the age plus its own time of arrival, to every scope it had not come from, and answered accusations with times that it had from others. Each hop adds the delay of the network, so the time moved forward for as long as the news went round, and acquitted the part of crashes that came after the last survival. Change: a gateway announces only survivals of its own requests; a survival that has crossed regions is marked as relayed and not passed on to others again.

--- a/src/process/gateway/crash_news_wire.cc
+++ b/src/process/gateway/crash_news_wire.cc
@@ -29,10 +29,11 @@
     entry.age_ms = EncodeTime(age);
     message.accusations.push_back(entry);
   }
-  for (const auto& [part, age] : news.survivals) {
+  for (const auto& [part, age, relayed] : news.survivals) {
     wire::PartSurvival entry;
     entry.part = static_cast<int64_t>(part);
     entry.age_ms = EncodeTime(age);
+    entry.relayed = relayed;
     message.survivals.push_back(entry);
   }
   for (const QuarantineRecord& record : news.quarantines) {
@@ -55,8 +56,8 @@
          DecodeTime(entry.age_ms)});
   }
   for (const wire::PartSurvival& entry : message.survivals) {
-    news.survivals.push_back(
-        {static_cast<PartHash>(entry.part), DecodeTime(entry.age_ms)});
+    news.survivals.push_back({static_cast<PartHash>(entry.part),
+                              DecodeTime(entry.age_ms), entry.relayed});
   }
   for (const wire::PartQuarantine& entry : message.quarantines) {
     news.quarantines.push_back({static_cast<PartHash>(entry.part),
--- a/src/request/crash_evidence.cc
+++ b/src/request/crash_evidence.cc
@@ -60,6 +60,7 @@
   this->first_survival = std::min(this->first_survival, now);
   for (const PartHash part : parts) {
     this->AddSurvival(part, now);
+    this->survivals[part].own_at = now;
   }
 }
 
@@ -100,22 +101,22 @@
 }
 
 bool CrashEvidence::AddSurvival(PartHash part, TimePoint at) {
-  const auto [known, added] = this->survivals.try_emplace(part, at);
+  const auto [known, added] = this->survivals.try_emplace(part, Survival{at});
   if (!added) {
-    if (known->second >= at) {
+    if (known->second.at >= at) {
       return false;
     }
-    known->second = at;
+    known->second.at = at;
   } else if (this->survivals.size() > this->options.max_known_parts) {
     std::vector<TimePoint> times;
-    for (const auto& [other, time] : this->survivals) {
-      times.push_back(time);
+    for (const auto& [other, survival] : this->survivals) {
+      times.push_back(survival.at);
     }
     const auto middle =
         times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
     std::nth_element(times.begin(), middle, times.end());
     std::erase_if(this->survivals, [&](const auto& entry) {
-      return entry.second < *middle && entry.first != part;
+      return entry.second.at < *middle && entry.first != part;
     });
   }
   const auto suspect = this->suspects.find(part);
@@ -136,7 +137,12 @@
 
 TimePoint CrashEvidence::LastSurvival(PartHash part) const {
   const auto found = this->survivals.find(part);
-  return found == this->survivals.end() ? TimePoint{} : found->second;
+  return found == this->survivals.end() ? TimePoint{} : found->second.at;
+}
+
+TimePoint CrashEvidence::LastOwnSurvival(PartHash part) const {
+  const auto found = this->survivals.find(part);
+  return found == this->survivals.end() ? TimePoint{} : found->second.own_at;
 }
 
 bool CrashEvidence::IsNew(PartHash part, TimePoint now) const {
--- a/src/request/crash_evidence.h
+++ b/src/request/crash_evidence.h
@@ -97,6 +97,8 @@
   // When a request with the part last survived; the start of time if none is
   // known to have.
   TimePoint LastSurvival(PartHash part) const;
+  // The same for requests of this gateway.
+  TimePoint LastOwnSurvival(PartHash part) const;
   // Drops what accuses a part, after a quarantine of it was lifted.
   void Forget(PartHash part) { this->suspects.erase(part); }
 
@@ -111,6 +113,11 @@
   struct Suspect {
     std::map<IncarnationHash, Accusation> crashes;
   };
+  struct Survival {
+    TimePoint at{};
+    // Of a request of this gateway.
+    TimePoint own_at{};
+  };
   // Requests of this gateway in one second.
   struct Outcomes {
     uint32_t survived = 0;
@@ -142,7 +149,7 @@
 
   CrashEvidenceOptions options;
   std::map<PartHash, Suspect> suspects;
-  std::unordered_map<PartHash, TimePoint> survivals;
+  std::unordered_map<PartHash, Survival> survivals;
   // Requests of this gateway that have survived since the start.
   uint64_t total_survived = 0;
   // By second since the clock's epoch.
--- a/src/request/crash_guard.cc
+++ b/src/request/crash_guard.cc
@@ -91,12 +91,16 @@
 }
 
 void CrashGuard::OnSurvived(const std::vector<PartHash>& parts, TimePoint now) {
+  std::vector<PartHash> acquitted;
   for (const PartHash part : parts) {
     if (this->evidence.Crashes(part) > 0) {
-      this->AnnounceSurvival(part, nullptr, now);
+      acquitted.push_back(part);
     }
   }
   this->evidence.OnSurvived(parts, now);
+  for (const PartHash part : acquitted) {
+    this->AnnounceOwnSurvival(part, now);
+  }
   for (const PartHash part : parts) {
     this->LiftIfSurvived(part, now);
   }
@@ -138,10 +142,25 @@
   }
 }
 
-void CrashGuard::AnnounceSurvival(PartHash part,
+void CrashGuard::AnnounceOwnSurvival(PartHash part, TimePoint now) {
+  const TimePoint at = this->evidence.LastOwnSurvival(part);
+  if (at != TimePoint{}) {
+    this->AnnounceSurvival({part, at, /*relayed=*/false}, nullptr, now);
+  }
+}
+
+void CrashGuard::RelaySurvival(PartHash part,
+                               TimePoint at,
+                               NewsScope from,
+                               TimePoint now) {
+  this->AnnounceSurvival({part, at, /*relayed=*/true}, &from, now);
+}
+
+void CrashGuard::AnnounceSurvival(const TimedSurvival& survival,
                                   const NewsScope* from,
                                   TimePoint now) {
-  const auto [last, added] = this->last_survival_news.try_emplace(part, now);
+  const auto [last, added] = this->last_survival_news.try_emplace(
+      std::pair(survival.part, survival.relayed), now);
   if (!added && now - last->second < this->options.survival_news_period) {
     return;
   }
@@ -151,7 +170,7 @@
       return now - entry.second >= this->options.survival_news_period;
     });
   }
-  this->survivals.push_back({part, now, this->CopiesFor(from)});
+  this->survivals.push_back({survival, now, this->CopiesFor(from)});
   Trim(this->survivals);
 }
 
@@ -170,8 +189,12 @@
 
 void CrashGuard::OnNews(const CrashNews& news, NewsScope scope, TimePoint now) {
   for (const CrashNews::Survival& survival : news.survivals) {
-    if (this->evidence.AddSurvival(survival.part, now - survival.age)) {
-      this->AnnounceSurvival(survival.part, &scope, now);
+    const TimePoint at = now - survival.age;
+    if (this->evidence.AddSurvival(survival.part, at)) {
+      // Of the own region, the gateways that send to other regions pass it on.
+      if (!survival.relayed || scope == NewsScope::kOtherRegions) {
+        this->RelaySurvival(survival.part, at, scope, now);
+      }
       this->LiftIfSurvived(survival.part, now);
     }
   }
@@ -184,9 +207,7 @@
     }
     // Also when the requests survived before the crash: the part is then not a
     // new one.
-    if (this->evidence.LastSurvival(part) != TimePoint{}) {
-      this->AnnounceSurvival(part, nullptr, now);
-    }
+    this->AnnounceOwnSurvival(part, now);
   }
   Trim(this->accusations);
   for (const QuarantineRecord& record : news.quarantines) {
@@ -223,12 +244,13 @@
     news.accusations.push_back({item.accusation, AgeOf(item.at, now)});
     return true;
   });
-  take(this->survivals, [&](PartHash part) {
-    const TimePoint at = this->evidence.LastSurvival(part);
-    if (at != TimePoint{}) {
-      news.survivals.push_back({part, AgeOf(at, now)});
-    }
-    return at != TimePoint{};
+  take(this->survivals, [&](const TimedSurvival& item) {
+    const TimePoint at =
+        item.relayed
+            ? item.at
+            : std::max(item.at, this->evidence.LastOwnSurvival(item.part));
+    news.survivals.push_back({item.part, AgeOf(at, now), item.relayed});
+    return true;
   });
   if (now >= this->next_quarantine_news[index]) {
     news.quarantines = this->quarantine.Records(now);
--- a/src/request/crash_guard.h
+++ b/src/request/crash_guard.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "celerypost/types.h"
@@ -26,6 +27,9 @@
     PartHash part = 0;
     // Time since the last request with the part survived.
     std::chrono::milliseconds age{0};
+    // Passed on between regions. Not passed on again: each hop adds its delay
+    // to the time of the survival.
+    bool relayed = false;
   };
 
   std::vector<Accusation> accusations;
@@ -132,6 +136,11 @@
     CrashAccusation accusation;
     TimePoint at{};
   };
+  struct TimedSurvival {
+    PartHash part = 0;
+    TimePoint at{};
+    bool relayed = false;
+  };
 
   // News from this gateway go to both scopes, news from one go to the other:
   // its own gateways have them from the sender.
@@ -139,7 +148,15 @@
   bool MayProbe(PartHash part) const;
   // Lifts the quarantine of a part if a request with it has survived since.
   void LiftIfSurvived(PartHash part, TimePoint now);
-  void AnnounceSurvival(PartHash part, const NewsScope* from, TimePoint now);
+  // Passes on when a request with the part survived at this gateway.
+  void AnnounceOwnSurvival(PartHash part, TimePoint now);
+  void RelaySurvival(PartHash part,
+                     TimePoint at,
+                     NewsScope from,
+                     TimePoint now);
+  void AnnounceSurvival(const TimedSurvival& survival,
+                        const NewsScope* from,
+                        TimePoint now);
   void AnnounceQuarantine(PartHash part, const NewsScope* from, TimePoint now);
 
   CrashGuardOptions options;
@@ -149,9 +166,10 @@
   CrashEvidence evidence;
   PartQuarantine quarantine;
   std::deque<Pending<TimedAccusation>> accusations;
-  std::deque<Pending<PartHash>> survivals;
+  std::deque<Pending<TimedSurvival>> survivals;
   std::deque<Pending<PartHash>> changed_quarantines;
-  std::map<PartHash, TimePoint> last_survival_news;
+  // By part and whether the news was passed on between regions.
+  std::map<std::pair<PartHash, bool>, TimePoint> last_survival_news;
   TimePoint next_quarantine_news[2]{};
 };
 
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -5102,6 +5102,10 @@
 void PartSurvival::__set_age_ms(const int32_t val) {
   this->age_ms = val;
 }
+
+void PartSurvival::__set_relayed(const bool val) {
+  this->relayed = val;
+}
 std::ostream& operator<<(std::ostream& out, const PartSurvival& obj)
 {
   obj.printTo(out);
@@ -5146,6 +5150,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->relayed);
+          this->__isset.relayed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5171,6 +5183,10 @@
   xfer += oprot->writeI32(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("relayed", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->relayed);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5180,28 +5196,33 @@
   using ::std::swap;
   swap(a.part, b.part);
   swap(a.age_ms, b.age_ms);
+  swap(a.relayed, b.relayed);
   swap(a.__isset, b.__isset);
 }
 
 PartSurvival::PartSurvival(const PartSurvival& other158) noexcept {
   part = other158.part;
   age_ms = other158.age_ms;
+  relayed = other158.relayed;
   __isset = other158.__isset;
 }
 PartSurvival::PartSurvival(PartSurvival&& other159) noexcept {
   part = other159.part;
   age_ms = other159.age_ms;
+  relayed = other159.relayed;
   __isset = other159.__isset;
 }
 PartSurvival& PartSurvival::operator=(const PartSurvival& other160) noexcept {
   part = other160.part;
   age_ms = other160.age_ms;
+  relayed = other160.relayed;
   __isset = other160.__isset;
   return *this;
 }
 PartSurvival& PartSurvival::operator=(PartSurvival&& other161) noexcept {
   part = other161.part;
   age_ms = other161.age_ms;
+  relayed = other161.relayed;
   __isset = other161.__isset;
   return *this;
 }
@@ -5210,6 +5231,7 @@
   out << "PartSurvival(";
   out << "part=" << to_string(part);
   out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "relayed=" << to_string(relayed);
   out << ")";
 }
 
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -2009,9 +2009,10 @@
 std::ostream& operator<<(std::ostream& out, const CrashAccusation& obj);
 
 typedef struct _PartSurvival__isset {
-  _PartSurvival__isset() : part(false), age_ms(false) {}
+  _PartSurvival__isset() : part(false), age_ms(false), relayed(false) {}
   bool part :1;
   bool age_ms :1;
+  bool relayed :1;
 } _PartSurvival__isset;
 
 class PartSurvival : public virtual ::apache::thrift::TBase {
@@ -2023,12 +2024,14 @@
   PartSurvival& operator=(PartSurvival&&) noexcept;
   PartSurvival() noexcept
                : part(0),
-                 age_ms(0) {
+                 age_ms(0),
+                 relayed(0) {
   }
 
   virtual ~PartSurvival() noexcept;
   int64_t part;
   int32_t age_ms;
+  bool relayed;
 
   _PartSurvival__isset __isset;
 
@@ -2036,12 +2039,16 @@
 
   void __set_age_ms(const int32_t val);
 
+  void __set_relayed(const bool val);
+
   bool operator == (const PartSurvival & rhs) const
   {
     if (!(part == rhs.part))
       return false;
     if (!(age_ms == rhs.age_ms))
       return false;
+    if (!(relayed == rhs.relayed))
+      return false;
     return true;
   }
   bool operator != (const PartSurvival &rhs) const {
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -281,6 +281,8 @@
   1: i64 part
   // Time since a request with the part last survived.
   2: i32 age_ms
+  // Passed on between regions; not to be passed on again.
+  3: bool relayed
 }
 
 struct PartQuarantine {
