Keep the earliest time that is reported for a crash

Cause: news of a crash is sent several times by each gateway that saw it. The time of a known crash was set to the latest one, the age plus the time of arrival; a copy that took long moved it, so that targets that crashed at once looked like several events. Change: a copy within max_news_delay keeps the earlier time.

--- a/src/request/crash_evidence.cc
+++ b/src/request/crash_evidence.cc
@@ -95,13 +95,19 @@
   if (added) {
     found->second.survived_before = this->total_survived;
   }
-  found->second.at = std::max(found->second.at, at);
   found->second.own = found->second.own || own;
   return added;
 }
 
 bool CrashEvidence::AddSurvival(PartHash part, TimePoint at) {
   const auto [known, added] = this->survivals.try_emplace(part, Survival{at});
+    found->second.at = at;
+  } else if (at > found->second.at + this->options.max_news_delay) {
+    // The same process broke another request.
+    found->second.at = at;
+  } else {
+    // A copy that took longer looks newer.
+    found->second.at = std::min(found->second.at, at);
   if (!added) {
     if (known->second.at >= at) {
       return false;
--- a/src/request/crash_evidence.h
+++ b/src/request/crash_evidence.h
@@ -56,6 +56,8 @@
   // Bounds of what is kept: accused parts, crashes of each, and parts whose
   // requests have survived.
   size_t max_suspects = 512;
+  // Reports of one crash may differ by this much.
+  std::chrono::milliseconds max_news_delay{1000};
   size_t max_crashes_per_part = 64;
   size_t max_known_parts = 4096;
 };
