Blame none of several parts that came together before one can be acquitted

Cause: of parts with equally many crashes all were quarantined after the delay for new parts, although one of them also came alone and its survival was under way. Change: parts with equal evidence wait for the delay of known parts.

--- a/src/request/crash_evidence.cc
+++ b/src/request/crash_evidence.cc
@@ -282,3 +282,11 @@
 }
 
 }  // namespace celerypost
+    // Of parts that always came together, one may still be acquitted.
+    if (best.size() > 1 &&
+        std::any_of(best.begin(), best.end(), [&](PartHash part) {
+          return now - this->Unexplained(this->suspects[part]).front().at <
+                 this->options.known_part_delay;
+        })) {
+      return responsible;
+    }
