Hand over probes of a quarantined part; list quarantines sooner to other regions

Probes: a gateway that just started, or whose view differed for a moment, took itself for the one that probes, so several probes ran. It now waits probe_handover after it became the one. The period in a region now grows with the fleet and is spread; other regions get the list each time.

--- a/src/request/crash_guard.cc
+++ b/src/request/crash_guard.cc
@@ -54,7 +54,40 @@
   return copies;
 }
 
-bool CrashGuard::MayProbe(PartHash part) const {
+bool CrashGuard::MayProbe(PartHash part, TimePoint now) const {
+  const auto since = this->prober_since.find(part);
+  return since != this->prober_since.end() &&
+         now - since->second >= this->options.probe_handover &&
+         this->IsProber(part);
+}
+
+void CrashGuard::UpdateProber(TimePoint now) {
+  std::erase_if(this->prober_since, [this](const auto& entry) {
+    return !this->quarantine.parts().contains(entry.first);
+  });
+  for (const PartHash part : this->quarantine.parts()) {
+    if (this->IsProber(part)) {
+      this->prober_since.try_emplace(part, now);
+    } else {
+      this->prober_since.erase(part);
+    }
+  }
+}
+
+milliseconds CrashGuard::NextQuarantineNews(TimePoint now) const {
+  const size_t groups = std::max<size_t>(
+      1, this->gateways.size() /
+             this->options.gateways_per_quarantine_news_period);
+  const milliseconds longest =
+      this->options.quarantine_news_period * static_cast<int64_t>(groups);
+  // Gateways that started together send at different times.
+  const milliseconds half = longest / 2;
+  return half + milliseconds(XXH64(this->self.data(), this->self.size(),
+                                   now.time_since_epoch().count()) %
+                             (half.count() + 1));
+}
+
+bool CrashGuard::IsProber(PartHash part) const {
   const std::string key = std::to_string(part);
   const auto weight = [&](const std::string& gateway) {
     return std::pair(
@@ -73,7 +106,7 @@
   }
   std::map<PartHash, bool> may_probe;
   for (const PartHash part : parts) {
-    may_probe[part] = this->MayProbe(part);
+    may_probe[part] = this->MayProbe(part, now);
   }
   return this->quarantine.Admit(parts, may_probe, now) !=
          PartQuarantine::Admission::kQuarantined;
@@ -132,6 +165,7 @@
 
 void CrashGuard::Judge(TimePoint now) {
   this->quarantine.DropExpired(now);
+  this->UpdateProber(now);
   if (this->evidence.empty()) {
     return;
   }
@@ -252,10 +286,11 @@
     news.survivals.push_back({item.part, AgeOf(at, now), item.relayed});
     return true;
   });
-  if (now >= this->next_quarantine_news[index]) {
+  if (scope == NewsScope::kOtherRegions || now >= this->next_quarantine_news) {
     news.quarantines = this->quarantine.Records(now);
-    this->next_quarantine_news[index] =
-        now + this->options.quarantine_news_period;
+    if (scope == NewsScope::kRegion) {
+      this->next_quarantine_news = now + this->NextQuarantineNews(now);
+    }
     take(this->changed_quarantines, [](PartHash) { return true; });
   } else {
     take(this->changed_quarantines, [&](PartHash part) {
--- a/src/request/crash_guard.h
+++ b/src/request/crash_guard.h
@@ -57,9 +57,14 @@
   std::chrono::milliseconds known_part_news_delay{400};
   // Shortest time between two reports that requests with a part survive.
   std::chrono::milliseconds survival_news_period{500};
-  // Time between two messages that list all quarantines, for gateways that have
-  // just started.
+  // Longest time between two messages that list all quarantines to the own
+  // region, for gateways that have just started. It holds for this many
+  // gateways and grows with their number.
   std::chrono::milliseconds quarantine_news_period{1000};
+  size_t gateways_per_quarantine_news_period = 36;
+  // A gateway probes only after it has been the one to do so for this long, as
+  // another may not know yet that it no longer is.
+  std::chrono::milliseconds probe_handover{3000};
   // A request that broke at a target is not repeated when one of its parts is
   // accused by this many crashes.
   size_t max_crashes_to_repeat = 1;
@@ -145,7 +150,10 @@
   // News from this gateway go to both scopes, news from one go to the other:
   // its own gateways have them from the sender.
   Copies CopiesFor(const NewsScope* from) const;
-  bool MayProbe(PartHash part) const;
+  bool IsProber(PartHash part) const;
+  bool MayProbe(PartHash part, TimePoint now) const;
+  void UpdateProber(TimePoint now);
+  std::chrono::milliseconds NextQuarantineNews(TimePoint now) const;
   // Lifts the quarantine of a part if a request with it has survived since.
   void LiftIfSurvived(PartHash part, TimePoint now);
   // Passes on when a request with the part survived at this gateway.
@@ -170,7 +178,9 @@
   std::deque<Pending<PartHash>> changed_quarantines;
   // By part and whether the news was passed on between regions.
   std::map<std::pair<PartHash, bool>, TimePoint> last_survival_news;
-  TimePoint next_quarantine_news[2]{};
+  // Quarantined parts that this gateway probes, and since when.
+  std::map<PartHash, TimePoint> prober_since;
+  TimePoint next_quarantine_news{};
 };
 
 }  // namespace celerypost
