Ask for more evidence against a part while requests break for other reasons

Cause: three crashes sufficed whatever else broke. With hundreds of parts and gateways some part is always accused three times by chance, by resets, grey or flapping targets. The share of broken requests came from three seconds of one gateway's few requests. In large fleets gateways that had not seen a part blamed it before the others' news that it survives arrived. Only 64 crashes of a part were kept, so a part with more of them did not explain the rest; and after a quarantine was lifted it explained none. Change: the chance is multiplied with the number of recent accusations that come from crashes which the part does not explain, and has to be 0.001 at most; the share of broken requests is the larger one of the last second and the last ten; the delay for new parts grows with the number of gateways; 512 crashes are kept; crashes stay explained when the part that explained them is acquitted.

--- a/src/request/crash_evidence.cc
+++ b/src/request/crash_evidence.cc
@@ -19,6 +19,10 @@
 // requests proves little.
 constexpr double kPriorCount = 1;
 
+// Times before a crash over which the share of broken requests is taken.
+constexpr std::chrono::seconds kShortTime{1};
+constexpr std::chrono::seconds kLongTime{10};
+
 }  // namespace
 
 PartHash HashPart(const ServiceName& service, const std::string& part) {
@@ -74,6 +78,10 @@
                            IncarnationHash incarnation,
                            TimePoint at,
                            bool own) {
+  if (this->recent_count < this->options.max_recent &&
+      this->recent[incarnation].try_emplace(part, at).second) {
+    ++this->recent_count;
+  }
   if (this->LastSurvival(part) >= at) {
     return false;
   }
@@ -94,13 +102,6 @@
   const auto [found, added] = crashes.try_emplace(incarnation);
   if (added) {
     found->second.survived_before = this->total_survived;
-  }
-  found->second.own = found->second.own || own;
-  return added;
-}
-
-bool CrashEvidence::AddSurvival(PartHash part, TimePoint at) {
-  const auto [known, added] = this->survivals.try_emplace(part, Survival{at});
     found->second.at = at;
   } else if (at > found->second.at + this->options.max_news_delay) {
     // The same process broke another request.
@@ -108,6 +109,13 @@
   } else {
     // A copy that took longer looks newer.
     found->second.at = std::min(found->second.at, at);
+  }
+  found->second.own = found->second.own || own;
+  return added;
+}
+
+bool CrashEvidence::AddSurvival(PartHash part, TimePoint at) {
+  const auto [known, added] = this->survivals.try_emplace(part, Survival{at});
   if (!added) {
     if (known->second.at >= at) {
       return false;
@@ -158,11 +166,10 @@
 }
 
 std::vector<CrashEvidence::Accusation> CrashEvidence::Unexplained(
-    const Suspect& suspect,
-    const std::set<IncarnationHash>& explained) {
+    const Suspect& suspect) const {
   std::vector<Accusation> accusations;
   for (const auto& [incarnation, accusation] : suspect.crashes) {
-    if (!explained.contains(incarnation)) {
+    if (!this->explained.contains(incarnation)) {
       accusations.push_back(accusation);
     }
   }
@@ -175,17 +182,27 @@
 double CrashEvidence::BrokenShare(
     TimePoint time,
     const std::vector<Accusation>& accusations) const {
+  // The longer time has enough requests, the shorter one tells a short outage.
+  return std::max(this->BrokenShareSince(kShortTime, time, accusations),
+                  this->BrokenShareSince(kLongTime, time, accusations));
+}
+
+double CrashEvidence::BrokenShareSince(
+    std::chrono::seconds before,
+    TimePoint time,
+    const std::vector<Accusation>& accusations) const {
   const int64_t second = SecondOf(time);
+  const int64_t begin = second - before.count();
   double survived = kPriorCount;
   double broken = kPriorCount;
-  for (auto it = this->outcomes.lower_bound(second - 1);
+  for (auto it = this->outcomes.lower_bound(begin);
        it != this->outcomes.end() && it->first <= second + 1; ++it) {
     survived += it->second.survived;
     broken += it->second.broken;
   }
   for (const Accusation& accusation : accusations) {
     const int64_t accused = SecondOf(accusation.at);
-    if (accusation.own && accused >= second - 1 && accused <= second + 1) {
+    if (accusation.own && accused >= begin && accused <= second + 1) {
       broken -= 1;
     }
   }
@@ -193,6 +210,29 @@
   return broken / (survived + broken);
 }
 
+std::chrono::milliseconds CrashEvidence::NewPartDelay() const {
+  const size_t groups = std::max<size_t>(
+      1, this->gateways / this->options.gateways_per_new_part_delay);
+  return std::min(this->options.new_part_delay * static_cast<int64_t>(groups),
+                  this->options.known_part_delay);
+}
+
+size_t CrashEvidence::CountOthers(PartHash part) const {
+  size_t others = this->recent_count;
+  for (const auto& [incarnation, crash] : this->suspects.at(part).crashes) {
+    const auto found = this->recent.find(incarnation);
+    if (found == this->recent.end()) {
+      continue;
+    }
+    others -= std::count_if(found->second.begin(), found->second.end(),
+                            [&, at = crash.at](const auto& accusation) {
+                              return std::chrono::abs(accusation.second - at) <=
+                                     this->options.same_event;
+                            });
+  }
+  return others;
+}
+
 bool CrashEvidence::Suffices(PartHash part,
                              const std::vector<Accusation>& accusations,
                              TimePoint now) const {
@@ -208,7 +248,7 @@
           ->survived_before;
   if (this->total_survived - survived_before <
           this->options.min_other_survivals ||
-      now - first < (this->IsNew(part, now) ? this->options.new_part_delay
+      now - first < (this->IsNew(part, now) ? this->NewPartDelay()
                                             : this->options.known_part_delay)) {
     return false;
   }
@@ -223,10 +263,26 @@
     }
   }
   return events >= this->options.min_events &&
-         chance <= this->options.max_chance;
+         chance <= this->options.max_chance &&
+         chance * static_cast<double>(1 + this->CountOthers(part)) <=
+             this->options.max_chance;
 }
 
 void CrashEvidence::DropExpired(TimePoint now) {
+  if (now >= this->next_cleaning) {
+    this->next_cleaning = now + kShortTime;
+    this->recent_count = 0;
+    for (auto it = this->recent.begin(); it != this->recent.end();) {
+      std::erase_if(it->second, [&](const auto& accusation) {
+        return now - accusation.second > kLongTime;
+      });
+      this->recent_count += it->second.size();
+      it = it->second.empty() ? this->recent.erase(it) : std::next(it);
+    }
+    std::erase_if(this->explained, [&](const auto& entry) {
+      return now - entry.second > this->options.lifetime;
+    });
+  }
   for (auto it = this->suspects.begin(); it != this->suspects.end();) {
     std::erase_if(it->second.crashes, [&](const auto& crash) {
       return now - crash.second.at > this->options.lifetime;
@@ -239,10 +295,9 @@
     const std::set<PartHash>& quarantined,
     TimePoint now) {
   this->DropExpired(now);
-  std::set<IncarnationHash> explained;
   const auto explain = [&](const Suspect& suspect) {
     for (const auto& [incarnation, accusation] : suspect.crashes) {
-      explained.insert(incarnation);
+      this->explained.insert_or_assign(incarnation, accusation.at);
     }
   };
   for (const PartHash part : quarantined) {
@@ -258,7 +313,10 @@
     std::vector<PartHash> best;
     std::pair<size_t, bool> best_rank{0, false};
     for (const auto& [part, suspect] : this->suspects) {
-      const auto accusations = Unexplained(suspect, explained);
+      if (suspect.crashes.size() < this->options.min_events) {
+        continue;
+      }
+      const auto accusations = this->Unexplained(suspect);
       const std::pair<size_t, bool> rank{accusations.size(),
                                          this->IsNew(part, now)};
       if (rank < best_rank || quarantined.contains(part) ||
@@ -274,14 +332,6 @@
     if (best.empty()) {
       return responsible;
     }
-    for (const PartHash part : best) {
-      responsible.push_back(part);
-      explain(this->suspects[part]);
-    }
-  }
-}
-
-}  // namespace celerypost
     // Of parts that always came together, one may still be acquitted.
     if (best.size() > 1 &&
         std::any_of(best.begin(), best.end(), [&](PartHash part) {
@@ -290,3 +340,11 @@
         })) {
       return responsible;
     }
+    for (const PartHash part : best) {
+      responsible.push_back(part);
+      explain(this->suspects[part]);
+    }
+  }
+}
+
+}  // namespace celerypost
--- a/src/request/crash_evidence.h
+++ b/src/request/crash_evidence.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "celerypost/types.h"
@@ -39,27 +40,32 @@
   // Other requests of this gateway that must have survived since the first
   // accusation: while none does, the parts are not the cause.
   uint64_t min_other_survivals = 5;
-  // Largest probability that the part's requests all broke by chance, given the
-  // share of other requests that broke at the same times.
-  double max_chance = 0.01;
+  // Largest expected number of parts whose requests all broke by chance, given
+  // the share of other requests that broke at the same times and the number of
+  // recent accusations that the part does not explain.
+  double max_chance = 0.001;
   // Time from the first accusation in which other gateways can report that
   // requests with the part survive, for a part that is new to this gateway, and
   // for one whose requests have survived before: those are in progress at other
   // targets.
   std::chrono::milliseconds new_part_delay{500};
   std::chrono::milliseconds known_part_delay{2000};
+  // The first delay holds for so many gateways and grows with their number, as
+  // the time that news take does; it does not exceed the second one.
+  size_t gateways_per_new_part_delay = 36;
   // A part that was never seen counts as new only after this gateway has seen
   // requests survive for so long.
   std::chrono::milliseconds min_history{2000};
+  // Reports of one crash may differ by this much.
+  std::chrono::milliseconds max_news_delay{1000};
   // Accusations are kept for this long, so that rare crashes add up.
   std::chrono::milliseconds lifetime{600000};
   // Bounds of what is kept: accused parts, crashes of each, and parts whose
   // requests have survived.
   size_t max_suspects = 512;
-  // Reports of one crash may differ by this much.
-  std::chrono::milliseconds max_news_delay{1000};
-  size_t max_crashes_per_part = 64;
+  size_t max_crashes_per_part = 512;
   size_t max_known_parts = 4096;
+  size_t max_recent = 4096;
 };
 
 // Finds the part of a prompt that crashes the targets which begin to answer it.
@@ -75,6 +81,9 @@
  public:
   explicit CrashEvidence(CrashEvidenceOptions options);
 
+  // Sets the number of gateways that are running.
+  void SetGateways(size_t count) { this->gateways = count; }
+
   // A request of this gateway, with any parts, broke before it survived, or
   // survived. Both count towards the share of requests that break.
   void OnBroken(const std::vector<PartHash>& parts,
@@ -130,11 +139,9 @@
               IncarnationHash incarnation,
               TimePoint at,
               bool own);
-  // Returns the crashes of `suspect` that `explained` does not hold, in the
-  // order of time.
-  static std::vector<Accusation> Unexplained(
-      const Suspect& suspect,
-      const std::set<IncarnationHash>& explained);
+  // Returns the crashes of `suspect` that no other part explains, in the order
+  // of time.
+  std::vector<Accusation> Unexplained(const Suspect& suspect) const;
   // Returns whether the accusations suffice to hold the part responsible.
   bool Suffices(PartHash part,
                 const std::vector<Accusation>& accusations,
@@ -143,6 +150,13 @@
   // `accusations` counts.
   double BrokenShare(TimePoint time,
                      const std::vector<Accusation>& accusations) const;
+  double BrokenShareSince(std::chrono::seconds before,
+                          TimePoint time,
+                          const std::vector<Accusation>& accusations) const;
+  std::chrono::milliseconds NewPartDelay() const;
+  // Returns the number of recent accusations, of any part, that come from other
+  // crashes than those of `part`.
+  size_t CountOthers(PartHash part) const;
   // Whether the part was never seen although this gateway has run for long
   // enough.
   bool IsNew(PartHash part, TimePoint now) const;
@@ -154,6 +168,14 @@
   std::unordered_map<PartHash, Survival> survivals;
   // Requests of this gateway that have survived since the start.
   uint64_t total_survived = 0;
+  size_t gateways = 1;
+  // Times of recent accusations, also of parts that were acquitted.
+  std::unordered_map<IncarnationHash, std::map<PartHash, TimePoint>> recent;
+  size_t recent_count = 0;
+  // Crashes for which a part was held responsible. They accuse no other part,
+  // also after the part was acquitted.
+  std::unordered_map<IncarnationHash, TimePoint> explained;
+  TimePoint next_cleaning{};
   // By second since the clock's epoch.
   std::map<int64_t, Outcomes> outcomes;
   // When a request of this gateway first survived.
--- a/src/request/crash_guard.h
+++ b/src/request/crash_guard.h
@@ -117,6 +117,7 @@
   // one of them sends the probes.
   void SetGateways(std::vector<std::string> gateways) {
     this->gateways = std::move(gateways);
+    this->evidence.SetGateways(this->gateways.size());
   }
 
   // Takes over news from a gateway; `scope` is where the sender is.
