Don't count breaks that a part explains as breaks for other reasons

Cause: in a small fleet each crash on a deadly part breaks a third of all requests; the share of broken requests counted them and asked for more crashes. Change: requests that broke at a target within a second of a crash that accuses the part are left out of the share.

--- a/src/request/crash_evidence.cc
+++ b/src/request/crash_evidence.cc
@@ -1,6 +1,7 @@
 #include "src/request/crash_evidence.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include <xxhash.h>
@@ -51,7 +52,7 @@
 void CrashEvidence::OnBroken(const std::vector<PartHash>& parts,
                              IncarnationHash incarnation,
                              TimePoint now) {
-  ++this->OutcomesAt(now).broken;
+  ++this->OutcomesAt(now).broken[incarnation];
   for (const PartHash part : parts) {
     this->Accuse(part, incarnation, now, /*own=*/true);
   }
@@ -171,6 +172,7 @@
   for (const auto& [incarnation, accusation] : suspect.crashes) {
     if (!this->explained.contains(incarnation)) {
       accusations.push_back(accusation);
+      accusations.back().incarnation = incarnation;
     }
   }
   std::sort(
@@ -198,15 +200,16 @@
   for (auto it = this->outcomes.lower_bound(begin);
        it != this->outcomes.end() && it->first <= second + 1; ++it) {
     survived += it->second.survived;
-    broken += it->second.broken;
-  }
-  for (const Accusation& accusation : accusations) {
-    const int64_t accused = SecondOf(accusation.at);
-    if (accusation.own && accused >= begin && accused <= second + 1) {
-      broken -= 1;
+    for (const auto& [incarnation, count] : it->second.broken) {
+      const bool accuses = std::any_of(
+          accusations.begin(), accusations.end(),
+          [&, accused = incarnation](const Accusation& accusation) {
+            return accusation.incarnation == accused &&
+                   std::abs(SecondOf(accusation.at) - it->first) <= 1;
+          });
+      broken += accuses ? 0 : count;
     }
   }
-  broken = std::max(broken, kPriorCount);
   return broken / (survived + broken);
 }
 
--- a/src/request/crash_evidence.h
+++ b/src/request/crash_evidence.h
@@ -120,6 +120,7 @@
     uint64_t survived_before = 0;
     // A request of this gateway broke, which the shares count.
     bool own = false;
+    IncarnationHash incarnation = 0;
   };
   struct Suspect {
     std::map<IncarnationHash, Accusation> crashes;
@@ -132,7 +133,7 @@
   // Requests of this gateway in one second.
   struct Outcomes {
     uint32_t survived = 0;
-    uint32_t broken = 0;
+    std::map<IncarnationHash, uint32_t> broken;
   };
 
   bool Accuse(PartHash part,
