--- a/src/request/crash_evidence.cc
+++ b/src/request/crash_evidence.cc
@@ -1,6 +1,7 @@
 #include "src/request/crash_evidence.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include <xxhash.h>
@@ -19,6 +20,10 @@
 // requests proves little.
 constexpr double kPriorCount = 1;
 
+// Times before a crash over which the share of broken requests is taken.
+constexpr std::chrono::seconds kShortTime{1};
+constexpr std::chrono::seconds kLongTime{10};
+
 }  // namespace
 
 PartHash HashPart(const std::string& model, const std::string& part) {
@@ -46,7 +51,7 @@
 void CrashEvidence::OnBroken(const std::vector<PartHash>& parts,
                              IncarnationHash incarnation,
                              TimePoint now) {
-  ++this->OutcomesAt(now).broken;
+  ++this->OutcomesAt(now).broken[incarnation];
   for (const PartHash part : parts) {
     this->Accuse(part, incarnation, now, /*own=*/true);
   }
@@ -59,6 +64,7 @@
   this->first_survival = std::min(this->first_survival, now);
   for (const PartHash part : parts) {
     this->AddSurvival(part, now);
+    this->survivals[part].own_at = now;
   }
 }
 
@@ -72,6 +78,10 @@
                            IncarnationHash incarnation,
                            TimePoint at,
                            bool own) {
+  if (this->recent_count < this->options.max_recent &&
+      this->recent[incarnation].try_emplace(part, at).second) {
+    ++this->recent_count;
+  }
   if (this->LastSurvival(part) >= at) {
     return false;
   }
@@ -92,29 +102,35 @@
   const auto [found, added] = crashes.try_emplace(incarnation);
   if (added) {
     found->second.survived_before = this->total_survived;
+    found->second.at = at;
+  } else if (at > found->second.at + this->options.max_news_delay) {
+    // The same process broke another request.
+    found->second.at = at;
+  } else {
+    // A copy that took longer looks newer.
+    found->second.at = std::min(found->second.at, at);
   }
-  found->second.at = std::max(found->second.at, at);
   found->second.own = found->second.own || own;
   return added;
 }
 
 bool CrashEvidence::AddSurvival(PartHash part, TimePoint at) {
-  const auto [known, added] = this->survivals.try_emplace(part, at);
+  const auto [known, added] = this->survivals.try_emplace(part, Survival{at});
   if (!added) {
-    if (known->second >= at) {
+    if (known->second.at >= at) {
       return false;
     }
-    known->second = at;
+    known->second.at = at;
   } else if (this->survivals.size() > this->options.max_known_parts) {
     std::vector<TimePoint> times;
-    for (const auto& [other, time] : this->survivals) {
-      times.push_back(time);
+    for (const auto& [other, survival] : this->survivals) {
+      times.push_back(survival.at);
     }
     const auto middle =
         times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
     std::nth_element(times.begin(), middle, times.end());
     std::erase_if(this->survivals, [&](const auto& entry) {
-      return entry.second < *middle && entry.first != part;
+      return entry.second.at < *middle && entry.first != part;
     });
   }
   const auto suspect = this->suspects.find(part);
@@ -135,7 +151,12 @@
 
 TimePoint CrashEvidence::LastSurvival(PartHash part) const {
   const auto found = this->survivals.find(part);
-  return found == this->survivals.end() ? TimePoint{} : found->second;
+  return found == this->survivals.end() ? TimePoint{} : found->second.at;
+}
+
+TimePoint CrashEvidence::LastOwnSurvival(PartHash part) const {
+  const auto found = this->survivals.find(part);
+  return found == this->survivals.end() ? TimePoint{} : found->second.own_at;
 }
 
 bool CrashEvidence::IsNew(PartHash part, TimePoint now) const {
@@ -145,12 +166,12 @@
 }
 
 std::vector<CrashEvidence::Accusation> CrashEvidence::Unexplained(
-    const Suspect& suspect,
-    const std::set<IncarnationHash>& explained) {
+    const Suspect& suspect) const {
   std::vector<Accusation> accusations;
   for (const auto& [incarnation, accusation] : suspect.crashes) {
-    if (!explained.contains(incarnation)) {
+    if (!this->explained.contains(incarnation)) {
       accusations.push_back(accusation);
+      accusations.back().incarnation = incarnation;
     }
   }
   std::sort(
@@ -162,24 +183,58 @@
 double CrashEvidence::BrokenShare(
     TimePoint time,
     const std::vector<Accusation>& accusations) const {
+  // The longer time has enough requests, the shorter one tells a short outage.
+  return std::max(this->BrokenShareSince(kShortTime, time, accusations),
+                  this->BrokenShareSince(kLongTime, time, accusations));
+}
+
+double CrashEvidence::BrokenShareSince(
+    std::chrono::seconds before,
+    TimePoint time,
+    const std::vector<Accusation>& accusations) const {
   const int64_t second = SecondOf(time);
+  const int64_t begin = second - before.count();
   double survived = kPriorCount;
   double broken = kPriorCount;
-  for (auto it = this->outcomes.lower_bound(second - 1);
+  for (auto it = this->outcomes.lower_bound(begin);
        it != this->outcomes.end() && it->first <= second + 1; ++it) {
     survived += it->second.survived;
-    broken += it->second.broken;
-  }
-  for (const Accusation& accusation : accusations) {
-    const int64_t accused = SecondOf(accusation.at);
-    if (accusation.own && accused >= second - 1 && accused <= second + 1) {
-      broken -= 1;
+    for (const auto& [incarnation, count] : it->second.broken) {
+      const bool accuses = std::any_of(
+          accusations.begin(), accusations.end(),
+          [&, accused = incarnation](const Accusation& accusation) {
+            return accusation.incarnation == accused &&
+                   std::abs(SecondOf(accusation.at) - it->first) <= 1;
+          });
+      broken += accuses ? 0 : count;
     }
   }
-  broken = std::max(broken, kPriorCount);
   return broken / (survived + broken);
 }
 
+std::chrono::milliseconds CrashEvidence::NewPartDelay() const {
+  const size_t groups = std::max<size_t>(
+      1, this->gateways / this->options.gateways_per_new_part_delay);
+  return std::min(this->options.new_part_delay * static_cast<int64_t>(groups),
+                  this->options.known_part_delay);
+}
+
+size_t CrashEvidence::CountOthers(PartHash part) const {
+  size_t others = this->recent_count;
+  for (const auto& [incarnation, crash] : this->suspects.at(part).crashes) {
+    const auto found = this->recent.find(incarnation);
+    if (found == this->recent.end()) {
+      continue;
+    }
+    others -= std::count_if(found->second.begin(), found->second.end(),
+                            [&, at = crash.at](const auto& accusation) {
+                              return std::chrono::abs(accusation.second - at) <=
+                                     this->options.same_event;
+                            });
+  }
+  return others;
+}
+
 bool CrashEvidence::Suffices(PartHash part,
                              const std::vector<Accusation>& accusations,
                              TimePoint now) const {
@@ -195,7 +250,7 @@
           ->survived_before;
   if (this->total_survived - survived_before <
           this->options.min_other_survivals ||
-      now - first < (this->IsNew(part, now) ? this->options.new_part_delay
+      now - first < (this->IsNew(part, now) ? this->NewPartDelay()
                                             : this->options.known_part_delay)) {
     return false;
   }
@@ -210,10 +265,26 @@
     }
   }
   return events >= this->options.min_events &&
-         chance <= this->options.max_chance;
+         chance <= this->options.max_chance &&
+         chance * static_cast<double>(1 + this->CountOthers(part)) <=
+             this->options.max_chance;
 }
 
 void CrashEvidence::DropExpired(TimePoint now) {
+  if (now >= this->next_cleaning) {
+    this->next_cleaning = now + kShortTime;
+    this->recent_count = 0;
+    for (auto it = this->recent.begin(); it != this->recent.end();) {
+      std::erase_if(it->second, [&](const auto& accusation) {
+        return now - accusation.second > kLongTime;
+      });
+      this->recent_count += it->second.size();
+      it = it->second.empty() ? this->recent.erase(it) : std::next(it);
+    }
+    std::erase_if(this->explained, [&](const auto& entry) {
+      return now - entry.second > this->options.lifetime;
+    });
+  }
   for (auto it = this->suspects.begin(); it != this->suspects.end();) {
     std::erase_if(it->second.crashes, [&](const auto& crash) {
       return now - crash.second.at > this->options.lifetime;
@@ -226,10 +297,9 @@
     const std::set<PartHash>& quarantined,
     TimePoint now) {
   this->DropExpired(now);
-  std::set<IncarnationHash> explained;
   const auto explain = [&](const Suspect& suspect) {
     for (const auto& [incarnation, accusation] : suspect.crashes) {
-      explained.insert(incarnation);
+      this->explained.insert_or_assign(incarnation, accusation.at);
     }
   };
   for (const PartHash part : quarantined) {
@@ -245,7 +315,10 @@
     std::vector<PartHash> best;
     std::pair<size_t, bool> best_rank{0, false};
     for (const auto& [part, suspect] : this->suspects) {
-      const auto accusations = Unexplained(suspect, explained);
+      if (suspect.crashes.size() < this->options.min_events) {
+        continue;
+      }
+      const auto accusations = this->Unexplained(suspect);
       const std::pair<size_t, bool> rank{accusations.size(),
                                          this->IsNew(part, now)};
       if (rank < best_rank || quarantined.contains(part) ||
@@ -261,6 +334,14 @@
     if (best.empty()) {
       return responsible;
     }
+    // Of parts that always came together, one may still be acquitted.
+    if (best.size() > 1 &&
+        std::any_of(best.begin(), best.end(), [&](PartHash part) {
+          return now - this->Unexplained(this->suspects[part]).front().at <
+                 this->options.known_part_delay;
+        })) {
+      return responsible;
+    }
     for (const PartHash part : best) {
       responsible.push_back(part);
       explain(this->suspects[part]);
--- a/src/request/crash_guard.cc
+++ b/src/request/crash_guard.cc
@@ -54,7 +54,40 @@
   return copies;
 }
 
-bool CrashGuard::MayProbe(PartHash part) const {
+bool CrashGuard::MayProbe(PartHash part, TimePoint now) const {
+  const auto since = this->prober_since.find(part);
+  return since != this->prober_since.end() &&
+         now - since->second >= this->options.probe_handover &&
+         this->IsProber(part);
+}
+
+void CrashGuard::UpdateProber(TimePoint now) {
+  std::erase_if(this->prober_since, [this](const auto& entry) {
+    return !this->quarantine.parts().contains(entry.first);
+  });
+  for (const PartHash part : this->quarantine.parts()) {
+    if (this->IsProber(part)) {
+      this->prober_since.try_emplace(part, now);
+    } else {
+      this->prober_since.erase(part);
+    }
+  }
+}
+
+milliseconds CrashGuard::NextQuarantineNews(TimePoint now) const {
+  const size_t groups = std::max<size_t>(
+      1, this->gateways.size() /
+             this->options.gateways_per_quarantine_news_period);
+  const milliseconds longest =
+      this->options.quarantine_news_period * static_cast<int64_t>(groups);
+  // Gateways that started together send at different times.
+  const milliseconds half = longest / 2;
+  return half + milliseconds(XXH64(this->self.data(), this->self.size(),
+                                   now.time_since_epoch().count()) %
+                             (half.count() + 1));
+}
+
+bool CrashGuard::IsProber(PartHash part) const {
   const std::string key = std::to_string(part);
   const auto weight = [&](const std::string& gateway) {
     return std::pair(
@@ -73,7 +106,7 @@
   }
   std::map<PartHash, bool> may_probe;
   for (const PartHash part : parts) {
-    may_probe[part] = this->MayProbe(part);
+    may_probe[part] = this->MayProbe(part, now);
   }
   return this->quarantine.Admit(parts, may_probe, now) !=
          PartQuarantine::Admission::kQuarantined;
@@ -91,12 +124,16 @@
 }
 
 void CrashGuard::OnSurvived(const std::vector<PartHash>& parts, TimePoint now) {
+  std::vector<PartHash> acquitted;
   for (const PartHash part : parts) {
     if (this->evidence.Crashes(part) > 0) {
-      this->AnnounceSurvival(part, nullptr, now);
+      acquitted.push_back(part);
     }
   }
   this->evidence.OnSurvived(parts, now);
+  for (const PartHash part : acquitted) {
+    this->AnnounceOwnSurvival(part, now);
+  }
   for (const PartHash part : parts) {
     this->LiftIfSurvived(part, now);
   }
@@ -128,6 +165,7 @@
 
 void CrashGuard::Judge(TimePoint now) {
   this->quarantine.DropExpired(now);
+  this->UpdateProber(now);
   if (this->evidence.empty()) {
     return;
   }
@@ -138,10 +176,25 @@
   }
 }
 
-void CrashGuard::AnnounceSurvival(PartHash part,
+void CrashGuard::AnnounceOwnSurvival(PartHash part, TimePoint now) {
+  const TimePoint at = this->evidence.LastOwnSurvival(part);
+  if (at != TimePoint{}) {
+    this->AnnounceSurvival({part, at, /*relayed=*/false}, nullptr, now);
+  }
+}
+
+void CrashGuard::RelaySurvival(PartHash part,
+                               TimePoint at,
+                               NewsScope from,
+                               TimePoint now) {
+  this->AnnounceSurvival({part, at, /*relayed=*/true}, &from, now);
+}
+
+void CrashGuard::AnnounceSurvival(const TimedSurvival& survival,
                                   const NewsScope* from,
                                   TimePoint now) {
-  const auto [last, added] = this->last_survival_news.try_emplace(part, now);
+  const auto [last, added] = this->last_survival_news.try_emplace(
+      std::pair(survival.part, survival.relayed), now);
   if (!added && now - last->second < this->options.survival_news_period) {
     return;
   }
@@ -151,7 +204,7 @@
       return now - entry.second >= this->options.survival_news_period;
     });
   }
-  this->survivals.push_back({part, now, this->CopiesFor(from)});
+  this->survivals.push_back({survival, now, this->CopiesFor(from)});
   Trim(this->survivals);
 }
 
@@ -170,8 +223,12 @@
 
 void CrashGuard::OnNews(const CrashNews& news, NewsScope scope, TimePoint now) {
   for (const CrashNews::Survival& survival : news.survivals) {
-    if (this->evidence.AddSurvival(survival.part, now - survival.age)) {
-      this->AnnounceSurvival(survival.part, &scope, now);
+    const TimePoint at = now - survival.age;
+    if (this->evidence.AddSurvival(survival.part, at)) {
+      // Of the own region, the gateways that send to other regions pass it on.
+      if (!survival.relayed || scope == NewsScope::kOtherRegions) {
+        this->RelaySurvival(survival.part, at, scope, now);
+      }
       this->LiftIfSurvived(survival.part, now);
     }
   }
@@ -184,9 +241,7 @@
     }
     // Also when the requests survived before the crash: the part is then not a
     // new one.
-    if (this->evidence.LastSurvival(part) != TimePoint{}) {
-      this->AnnounceSurvival(part, nullptr, now);
-    }
+    this->AnnounceOwnSurvival(part, now);
   }
   Trim(this->accusations);
   for (const QuarantineRecord& record : news.quarantines) {
@@ -223,17 +278,19 @@
     news.accusations.push_back({item.accusation, AgeOf(item.at, now)});
     return true;
   });
-  take(this->survivals, [&](PartHash part) {
-    const TimePoint at = this->evidence.LastSurvival(part);
-    if (at != TimePoint{}) {
-      news.survivals.push_back({part, AgeOf(at, now)});
-    }
-    return at != TimePoint{};
+  take(this->survivals, [&](const TimedSurvival& item) {
+    const TimePoint at =
+        item.relayed
+            ? item.at
+            : std::max(item.at, this->evidence.LastOwnSurvival(item.part));
+    news.survivals.push_back({item.part, AgeOf(at, now), item.relayed});
+    return true;
   });
-  if (now >= this->next_quarantine_news[index]) {
+  if (scope == NewsScope::kOtherRegions || now >= this->next_quarantine_news) {
     news.quarantines = this->quarantine.Records(now);
-    this->next_quarantine_news[index] =
-        now + this->options.quarantine_news_period;
+    if (scope == NewsScope::kRegion) {
+      this->next_quarantine_news = now + this->NextQuarantineNews(now);
+    }
     take(this->changed_quarantines, [](PartHash) { return true; });
   } else {
     take(this->changed_quarantines, [&](PartHash part) {
--- a/src/request/crash_guard.h
+++ b/src/request/crash_guard.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "celerypost/types.h"
@@ -26,6 +27,9 @@
     PartHash part = 0;
     // Time since the last request with the part survived.
     std::chrono::milliseconds age{0};
+    // Passed on between regions. Not passed on again: each hop adds its delay
+    // to the time of the survival.
+    bool relayed = false;
   };
 
   std::vector<Accusation> accusations;
@@ -53,9 +57,14 @@
   std::chrono::milliseconds known_part_news_delay{400};
   // Shortest time between two reports that requests with a part survive.
   std::chrono::milliseconds survival_news_period{500};
-  // Time between two messages that list all quarantines, for gateways that have
-  // just started.
+  // Longest time between two messages that list all quarantines to the own
+  // region, for gateways that have just started. It holds for this many
+  // gateways and grows with their number.
   std::chrono::milliseconds quarantine_news_period{1000};
+  size_t gateways_per_quarantine_news_period = 36;
+  // A gateway probes only after it has been the one to do so for this long, as
+  // another may not know yet that it no longer is.
+  std::chrono::milliseconds probe_handover{3000};
   // A request that broke at a target is not repeated when one of its parts is
   // accused by this many crashes.
   size_t max_crashes_to_repeat = 1;
@@ -108,6 +117,7 @@
   // one of them sends the probes.
   void SetGateways(std::vector<std::string> gateways) {
     this->gateways = std::move(gateways);
+    this->evidence.SetGateways(this->gateways.size());
   }
 
   // Takes over news from a gateway; `scope` is where the sender is.
@@ -132,14 +142,30 @@
     CrashAccusation accusation;
     TimePoint at{};
   };
+  struct TimedSurvival {
+    PartHash part = 0;
+    TimePoint at{};
+    bool relayed = false;
+  };
 
   // News from this gateway go to both scopes, news from one go to the other:
   // its own gateways have them from the sender.
   Copies CopiesFor(const NewsScope* from) const;
-  bool MayProbe(PartHash part) const;
+  bool IsProber(PartHash part) const;
+  bool MayProbe(PartHash part, TimePoint now) const;
+  void UpdateProber(TimePoint now);
+  std::chrono::milliseconds NextQuarantineNews(TimePoint now) const;
   // Lifts the quarantine of a part if a request with it has survived since.
   void LiftIfSurvived(PartHash part, TimePoint now);
-  void AnnounceSurvival(PartHash part, const NewsScope* from, TimePoint now);
+  // Passes on when a request with the part survived at this gateway.
+  void AnnounceOwnSurvival(PartHash part, TimePoint now);
+  void RelaySurvival(PartHash part,
+                     TimePoint at,
+                     NewsScope from,
+                     TimePoint now);
+  void AnnounceSurvival(const TimedSurvival& survival,
+                        const NewsScope* from,
+                        TimePoint now);
   void AnnounceQuarantine(PartHash part, const NewsScope* from, TimePoint now);
 
   CrashGuardOptions options;
@@ -149,10 +175,13 @@
   CrashEvidence evidence;
   PartQuarantine quarantine;
   std::deque<Pending<TimedAccusation>> accusations;
-  std::deque<Pending<PartHash>> survivals;
+  std::deque<Pending<TimedSurvival>> survivals;
   std::deque<Pending<PartHash>> changed_quarantines;
-  std::map<PartHash, TimePoint> last_survival_news;
-  TimePoint next_quarantine_news[2]{};
+  // By part and whether the news was passed on between regions.
+  std::map<std::pair<PartHash, bool>, TimePoint> last_survival_news;
+  // Quarantined parts that this gateway probes, and since when.
+  std::map<PartHash, TimePoint> prober_since;
+  TimePoint next_quarantine_news{};
 };
 
 }  // namespace celerypost
