Begin the next round of a quarantine when its probe is sent

A probe prolonged the quarantine only when its gateway learned that it broke. A gateway that was killed before, or a target that fell silent, left the probe due, and another gateway sent a second one. Change: each probe begins the next round and is announced at once; a surviving request lifts it. The log line and the withdrawal of waiting requests follow only when a quarantine begins or ends. OneGatewayProbes... lets the surviving request survive after the probe was sent, not at the same instant.

--- a/src/request/crash_guard.cc
+++ b/src/request/crash_guard.cc
@@ -108,8 +108,20 @@
   for (const PartHash part : parts) {
     may_probe[part] = this->MayProbe(part, now);
   }
-  return this->quarantine.Admit(parts, may_probe, now) !=
-         PartQuarantine::Admission::kQuarantined;
+  switch (this->quarantine.Admit(parts, may_probe, now)) {
+    case PartQuarantine::Admission::kFree:
+      return true;
+    case PartQuarantine::Admission::kQuarantined:
+      return false;
+    case PartQuarantine::Admission::kProbe:
+      break;
+  }
+  for (const PartHash part : parts) {
+    if (this->quarantine.Contains({part})) {
+      this->AnnounceQuarantine(part, nullptr, now);
+    }
+  }
+  return true;
 }
 
 bool CrashGuard::MayRepeat(const std::vector<PartHash>& parts,
@@ -156,15 +168,15 @@
         {{{part, incarnation}, now},
          known ? now + this->options.known_part_news_delay : now,
          this->CopiesFor(nullptr)});
-    if (this->quarantine.OnBroken(part, now)) {
-      this->AnnounceQuarantine(part, nullptr, now);
-    }
   }
   Trim(this->accusations);
 }
 
 void CrashGuard::Judge(TimePoint now) {
   this->quarantine.DropExpired(now);
+  std::erase_if(this->reported, [this](PartHash part) {
+    return !this->quarantine.parts().contains(part);
+  });
   this->UpdateProber(now);
   if (this->evidence.empty()) {
     return;
@@ -213,10 +225,16 @@
                                     TimePoint now) {
   this->changed_quarantines.push_back({part, now, this->CopiesFor(from)});
   Trim(this->changed_quarantines);
-  if (const auto record = this->quarantine.RecordOf(part, now)) {
-    if (record->lifted) {
-      this->evidence.Forget(part);
-    }
+  const auto record = this->quarantine.RecordOf(part, now);
+  if (!record) {
+    return;
+  }
+  if (record->lifted) {
+    this->evidence.Forget(part);
+  }
+  const bool changed = record->lifted ? this->reported.erase(part) > 0
+                                      : this->reported.insert(part).second;
+  if (changed) {
     this->on_change(*record, this->evidence.Crashes(part));
   }
 }
--- a/src/request/crash_guard.h
+++ b/src/request/crash_guard.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -177,6 +178,8 @@
   std::deque<Pending<TimedAccusation>> accusations;
   std::deque<Pending<TimedSurvival>> survivals;
   std::deque<Pending<PartHash>> changed_quarantines;
+  // Parts for which `on_change` was last called with a quarantine.
+  std::set<PartHash> reported;
   // By part and whether the news was passed on between regions.
   std::map<std::pair<PartHash, bool>, TimePoint> last_survival_news;
   // Quarantined parts that this gateway probes, and since when.
--- a/src/request/part_quarantine.cc
+++ b/src/request/part_quarantine.cc
@@ -24,8 +24,7 @@
 }
 
 void PartQuarantine::Begin(State& state, uint32_t round, TimePoint now) {
-  state = {round, /*lifted=*/false, now, now + this->Period(round),
-           now,   std::nullopt};
+  state = {round, /*lifted=*/false, now, now + this->Period(round), now};
 }
 
 void PartQuarantine::Add(PartHash part, TimePoint now) {
@@ -48,7 +47,7 @@
   const TimePoint probe_at =
       now + std::clamp(record.left, milliseconds(0), this->options.max_period);
   state = {record.round, record.lifted, probe_at - this->Period(record.round),
-           probe_at,     now,           std::nullopt};
+           probe_at, now};
   this->UpdateActive(record.part, state);
   return true;
 }
@@ -65,16 +64,14 @@
     State& state = this->states[part];
     state.used_at = now;
     const auto permission = may_probe.find(part);
-    const bool probing = state.probing_since && now - *state.probing_since <
-                                                    this->options.probe_timeout;
-    if (now < state.probe_at || probing || permission == may_probe.end() ||
+    if (now < state.probe_at || permission == may_probe.end() ||
         !permission->second) {
       return Admission::kQuarantined;
     }
     due.push_back(&state);
   }
   for (State* const state : due) {
-    state->probing_since = now;
+    this->Begin(*state, state->round + 1, now);
   }
   return due.empty() ? Admission::kFree : Admission::kProbe;
 }
@@ -108,23 +105,10 @@
   }
   state.lifted = true;
   state.used_at = now;
-  state.probing_since.reset();
   this->UpdateActive(part, state);
   return true;
 }
 
-bool PartQuarantine::OnBroken(PartHash part, TimePoint now) {
-  if (!this->active.contains(part)) {
-    return false;
-  }
-  State& state = this->states[part];
-  if (!state.probing_since) {
-    return false;
-  }
-  this->Begin(state, state.round + 1, now);
-  return true;
-}
-
 QuarantineRecord PartQuarantine::ToRecord(PartHash part,
                                           const State& state,
                                           TimePoint now) const {
--- a/src/request/part_quarantine.h
+++ b/src/request/part_quarantine.h
@@ -29,12 +29,10 @@
 
 struct QuarantineOptions {
   // Time until a probe, in the first round; doubles with each further one up to
-  // `max_period`. A failed probe costs a target.
+  // `max_period`. A failed probe costs a target, so each probe begins a round:
+  // one without a result counts as failed.
   std::chrono::milliseconds first_period{30000};
   std::chrono::milliseconds max_period{600000};
-  // A probe whose request has neither survived nor broken after this long may
-  // be repeated.
-  std::chrono::milliseconds probe_timeout{10000};
   // A record is dropped when no request has needed it for so long.
   std::chrono::milliseconds lifetime{1800000};
   size_t max_parts = 64;
@@ -69,9 +67,6 @@
   // A request with the part survived at `at`. Returns whether that lifted a
   // quarantine, which began before.
   bool OnSurvived(PartHash part, TimePoint at, TimePoint now);
-  // A request with the part broke. Returns whether it was a probe, which
-  // prolongs the quarantine.
-  bool OnBroken(PartHash part, TimePoint now);
 
   // Returns the quarantined parts.
   const std::set<PartHash>& parts() const { return this->active; }
@@ -88,7 +83,6 @@
     TimePoint probe_at{};
     // Last use of the record.
     TimePoint used_at{};
-    std::optional<TimePoint> probing_since;
   };
 
   std::chrono::milliseconds Period(uint32_t round) const;
--- a/tests/request/crash_guard_test.cc
+++ b/tests/request/crash_guard_test.cc
@@ -127,6 +127,7 @@
   CHECK_EQUAL(0u, this->CountSenders({kDeadly}));
   this->now += QuarantineOptions{}.first_period;
   CHECK_EQUAL(1u, this->CountSenders({kDeadly}));
+  this->Run(milliseconds(300));
   this->guards[2]->OnSurvived({kDeadly}, this->now);
   this->Run(milliseconds(300));
   CHECK_EQUAL(kGateways, this->CountSenders({kDeadly}));
