--- a/src/request/crash_evidence.h
+++ b/src/request/crash_evidence.h
@@ -16,8 +16,8 @@
 
 namespace celerypost {
 
-// Hash of a model and the ID of a part of a prompt that requests share. The same
-// in every process and for all services: routes move between services.
+// Hash of a model and the ID of a part of a prompt that requests share. The
+// same in every process and for all services: routes move between services.
 using PartHash = uint64_t;
 PartHash HashPart(const std::string& model, const std::string& part);
 
