Withdraw accusations when the target answers a later request

Cause: found in review. Connections break for other reasons than crashes: a target closes an idle one while a request is sent, resets one beyond its limit, or breaks off single answers. Each break accused the parts of the request for as long as no request with them survived. Change: when a target begins to answer a request that was sent after a break, what broke there before accuses nothing at this gateway.

--- a/src/process/gateway/crash_news_wire.cc
+++ b/src/process/gateway/crash_news_wire.cc
@@ -25,7 +25,7 @@
   for (const auto& [accusation, age] : news.accusations) {
     wire::CrashAccusation entry;
     entry.part = static_cast<int64_t>(accusation.part);
-    entry.incarnation = static_cast<int64_t>(accusation.incarnation);
+    entry.target_start = static_cast<int64_t>(accusation.target_start);
     entry.age_ms = EncodeTime(age);
     message.accusations.push_back(entry);
   }
@@ -52,7 +52,7 @@
   for (const wire::CrashAccusation& entry : message.accusations) {
     news.accusations.push_back(
         {{static_cast<PartHash>(entry.part),
-          static_cast<IncarnationHash>(entry.incarnation)},
+          static_cast<TargetStartHash>(entry.target_start)},
          DecodeTime(entry.age_ms)});
   }
   for (const wire::PartSurvival& entry : message.survivals) {
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -282,7 +282,8 @@
   this->attempt.emplace();
   this->attempt->target = selection.target->id;
   this->attempt->prompt_tokens = this->call.prompt_tokens;
-  this->attempt->incarnation = HashIncarnation(*selection.target);
+  this->attempt->target_start = HashTargetStart(*selection.target);
+  this->attempt->sent_at = now;
   this->selection_request.tried.insert(selection.target->id);
   ++this->sends;
   this->context.metrics.attempts.Add();
@@ -351,6 +352,11 @@
       this->context.codec.ReadAnswer(head.status, head.headers);
   this->attempt->headers = head.headers;
   const TargetAnswer& answer = this->attempt->answer;
+  if (answer.other_target.empty() ||
+      answer.other_target == this->attempt->target) {
+    this->context.crashes.OnAnswerBegan(this->attempt->target_start,
+                                        this->attempt->sent_at);
+  }
   if (answer.encoded) {
     this->EndAttempt(AttemptOutcome::kBroken);
     this->RetryOrEnd(Verdict::kMayHaveRun, kBadGateway,
@@ -520,7 +526,7 @@
   // Any other failure has a cause that is known and not the request.
   if (failure.verdict == Verdict::kMayHaveRun &&
       failure.code == ErrorCode::kUnavailable && !this->attempt->survived) {
-    this->context.crashes.OnBroken(this->parts, this->attempt->incarnation,
+    this->context.crashes.OnBroken(this->parts, this->attempt->target_start,
                                    this->context.loop.Now());
   }
   this->EndAttempt(AttemptOutcome::kBroken);
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -92,7 +92,8 @@
   // The target's ID.
   std::string target;
   double prompt_tokens = 0;
-  IncarnationHash incarnation = 0;
+  TargetStartHash target_start = 0;
+  TimePoint sent_at{};
   bool had_event = false;
   TimePoint first_event_at{};
   // The target did not crash on the request (RelayOptions::survival_time).
--- a/src/request/crash_evidence.cc
+++ b/src/request/crash_evidence.cc
@@ -30,7 +30,7 @@
   return XXH64(part.data(), part.size(), XXH64(model.data(), model.size(), 0));
 }
 
-IncarnationHash HashIncarnation(const TargetRegistration& target) {
+TargetStartHash HashTargetStart(const TargetRegistration& target) {
   return XXH64(target.id.data(), target.id.size(),
                static_cast<uint64_t>(target.started_at.count()));
 }
@@ -49,11 +49,26 @@
 }
 
 void CrashEvidence::OnBroken(const std::vector<PartHash>& parts,
-                             IncarnationHash incarnation,
+                             TargetStartHash target_start,
                              TimePoint now) {
-  ++this->OutcomesAt(now).broken[incarnation];
+  ++this->OutcomesAt(now).broken[target_start];
   for (const PartHash part : parts) {
-    this->Accuse(part, incarnation, now, /*own=*/true);
+    this->Accuse(part, target_start, now, /*own=*/true);
+  }
+}
+
+void CrashEvidence::OnAnswerBegan(TargetStartHash target_start,
+                                  TimePoint sent_at) {
+  if (!this->recent.contains(target_start)) {
+    return;
+  }
+  for (auto it = this->suspects.begin(); it != this->suspects.end();) {
+    auto& crashes = it->second.crashes;
+    const auto found = crashes.find(target_start);
+    if (found != crashes.end() && found->second.at < sent_at) {
+      crashes.erase(found);
+    }
+    it = crashes.empty() ? this->suspects.erase(it) : std::next(it);
   }
 }
 
@@ -70,16 +85,16 @@
 
 bool CrashEvidence::AddAccusation(const CrashAccusation& accusation,
                                   TimePoint at) {
-  return this->Accuse(accusation.part, accusation.incarnation, at,
+  return this->Accuse(accusation.part, accusation.target_start, at,
                       /*own=*/false);
 }
 
 bool CrashEvidence::Accuse(PartHash part,
-                           IncarnationHash incarnation,
+                           TargetStartHash target_start,
                            TimePoint at,
                            bool own) {
   if (this->recent_count < this->options.max_recent &&
-      this->recent[incarnation].try_emplace(part, at).second) {
+      this->recent[target_start].try_emplace(part, at).second) {
     ++this->recent_count;
   }
   if (this->LastSurvival(part) >= at) {
@@ -96,10 +111,10 @@
   }
   auto& crashes = this->suspects[part].crashes;
   if (crashes.size() >= this->options.max_crashes_per_part &&
-      !crashes.contains(incarnation)) {
+      !crashes.contains(target_start)) {
     return false;
   }
-  const auto [found, added] = crashes.try_emplace(incarnation);
+  const auto [found, added] = crashes.try_emplace(target_start);
   if (added) {
     found->second.survived_before = this->total_survived;
     found->second.at = at;
@@ -168,10 +183,10 @@
 std::vector<CrashEvidence::Accusation> CrashEvidence::Unexplained(
     const Suspect& suspect) const {
   std::vector<Accusation> accusations;
-  for (const auto& [incarnation, accusation] : suspect.crashes) {
-    if (!this->explained.contains(incarnation)) {
+  for (const auto& [target_start, accusation] : suspect.crashes) {
+    if (!this->explained.contains(target_start)) {
       accusations.push_back(accusation);
-      accusations.back().incarnation = incarnation;
+      accusations.back().target_start = target_start;
     }
   }
   std::sort(
@@ -199,11 +214,11 @@
   for (auto it = this->outcomes.lower_bound(begin);
        it != this->outcomes.end() && it->first <= second + 1; ++it) {
     survived += it->second.survived;
-    for (const auto& [incarnation, count] : it->second.broken) {
+    for (const auto& [target_start, count] : it->second.broken) {
       const bool accuses = std::any_of(
           accusations.begin(), accusations.end(),
-          [&, accused = incarnation](const Accusation& accusation) {
-            return accusation.incarnation == accused &&
+          [&, accused = target_start](const Accusation& accusation) {
+            return accusation.target_start == accused &&
                    std::abs(SecondOf(accusation.at) - it->first) <= 1;
           });
       broken += accuses ? 0 : count;
@@ -221,8 +236,8 @@
 
 size_t CrashEvidence::CountOthers(PartHash part) const {
   size_t others = this->recent_count;
-  for (const auto& [incarnation, crash] : this->suspects.at(part).crashes) {
-    const auto found = this->recent.find(incarnation);
+  for (const auto& [target_start, crash] : this->suspects.at(part).crashes) {
+    const auto found = this->recent.find(target_start);
     if (found == this->recent.end()) {
       continue;
     }
@@ -298,8 +313,8 @@
     TimePoint now) {
   this->DropExpired(now);
   const auto explain = [&](const Suspect& suspect) {
-    for (const auto& [incarnation, accusation] : suspect.crashes) {
-      this->explained.insert_or_assign(incarnation, accusation.at);
+    for (const auto& [target_start, accusation] : suspect.crashes) {
+      this->explained.insert_or_assign(target_start, accusation.at);
     }
   };
   for (const PartHash part : quarantined) {
--- a/src/request/crash_evidence.h
+++ b/src/request/crash_evidence.h
@@ -22,13 +22,13 @@
 PartHash HashPart(const std::string& model, const std::string& part);
 
 // Hash of one start of a target's process.
-using IncarnationHash = uint64_t;
-IncarnationHash HashIncarnation(const TargetRegistration& target);
+using TargetStartHash = uint64_t;
+TargetStartHash HashTargetStart(const TargetRegistration& target);
 
 // A request with the part had not survived when its target crashed.
 struct CrashAccusation {
   PartHash part = 0;
-  IncarnationHash incarnation = 0;
+  TargetStartHash target_start = 0;
 };
 
 struct CrashEvidenceOptions {
@@ -87,9 +87,12 @@
   // A request of this gateway, with any parts, broke before it survived, or
   // survived. Both count towards the share of requests that break.
   void OnBroken(const std::vector<PartHash>& parts,
-                IncarnationHash incarnation,
+                TargetStartHash target_start,
                 TimePoint now);
   void OnSurvived(const std::vector<PartHash>& parts, TimePoint now);
+  // A target has begun to answer a request that was sent to it at `sent_at`, so
+  // it had not crashed until then: earlier breaks there accuse nothing.
+  void OnAnswerBegan(TargetStartHash target_start, TimePoint sent_at);
 
   // The same from another gateway, for one part. Return whether it was new.
   bool AddAccusation(const CrashAccusation& accusation, TimePoint at);
@@ -120,10 +123,10 @@
     uint64_t survived_before = 0;
     // A request of this gateway broke, which the shares count.
     bool own = false;
-    IncarnationHash incarnation = 0;
+    TargetStartHash target_start = 0;
   };
   struct Suspect {
-    std::map<IncarnationHash, Accusation> crashes;
+    std::map<TargetStartHash, Accusation> crashes;
   };
   struct Survival {
     TimePoint at{};
@@ -133,11 +136,11 @@
   // Requests of this gateway in one second.
   struct Outcomes {
     uint32_t survived = 0;
-    std::map<IncarnationHash, uint32_t> broken;
+    std::map<TargetStartHash, uint32_t> broken;
   };
 
   bool Accuse(PartHash part,
-              IncarnationHash incarnation,
+              TargetStartHash target_start,
               TimePoint at,
               bool own);
   // Returns the crashes of `suspect` that no other part explains, in the order
@@ -171,11 +174,11 @@
   uint64_t total_survived = 0;
   size_t gateways = 1;
   // Times of recent accusations, also of parts that were acquitted.
-  std::unordered_map<IncarnationHash, std::map<PartHash, TimePoint>> recent;
+  std::unordered_map<TargetStartHash, std::map<PartHash, TimePoint>> recent;
   size_t recent_count = 0;
   // Crashes for which a part was held responsible. They accuse no other part,
   // also after the part was acquitted.
-  std::unordered_map<IncarnationHash, TimePoint> explained;
+  std::unordered_map<TargetStartHash, TimePoint> explained;
   TimePoint next_cleaning{};
   // By second since the clock's epoch.
   std::map<int64_t, Outcomes> outcomes;
--- a/src/request/crash_guard.cc
+++ b/src/request/crash_guard.cc
@@ -159,13 +159,13 @@
 }
 
 void CrashGuard::OnBroken(const std::vector<PartHash>& parts,
-                          IncarnationHash incarnation,
+                          TargetStartHash target_start,
                           TimePoint now) {
-  this->evidence.OnBroken(parts, incarnation, now);
+  this->evidence.OnBroken(parts, target_start, now);
   for (const PartHash part : parts) {
     const bool known = this->evidence.LastSurvival(part) != TimePoint{};
     this->accusations.push_back(
-        {{{part, incarnation}, now},
+        {{{part, target_start}, now},
          known ? now + this->options.known_part_news_delay : now,
          this->CopiesFor(nullptr)});
   }
--- a/src/request/crash_guard.h
+++ b/src/request/crash_guard.h
@@ -107,9 +107,13 @@
   // A request survived: its target did not crash on it. Without shared parts it
   // only counts towards the share of requests that survive.
   void OnSurvived(const std::vector<PartHash>& parts, TimePoint now);
+  // A target has begun to answer a request that was sent to it at `sent_at`.
+  void OnAnswerBegan(TargetStartHash target_start, TimePoint sent_at) {
+    this->evidence.OnAnswerBegan(target_start, sent_at);
+  }
   // The connection to the target ended before the request survived.
   void OnBroken(const std::vector<PartHash>& parts,
-                IncarnationHash incarnation,
+                TargetStartHash target_start,
                 TimePoint now);
   // Quarantines the parts for which the evidence suffices. Call at intervals.
   void Judge(TimePoint now);
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -4954,8 +4954,8 @@
   this->part = val;
 }
 
-void CrashAccusation::__set_incarnation(const int64_t val) {
-  this->incarnation = val;
+void CrashAccusation::__set_target_start(const int64_t val) {
+  this->target_start = val;
 }
 
 void CrashAccusation::__set_age_ms(const int32_t val) {
@@ -4999,8 +4999,8 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->incarnation);
-          this->__isset.incarnation = true;
+          xfer += iprot->readI64(this->target_start);
+          this->__isset.target_start = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5034,8 +5034,8 @@
   xfer += oprot->writeI64(this->part);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldBegin("target_start", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->target_start);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
@@ -5050,33 +5050,33 @@
 void swap(CrashAccusation &a, CrashAccusation &b) {
   using ::std::swap;
   swap(a.part, b.part);
-  swap(a.incarnation, b.incarnation);
+  swap(a.target_start, b.target_start);
   swap(a.age_ms, b.age_ms);
   swap(a.__isset, b.__isset);
 }
 
 CrashAccusation::CrashAccusation(const CrashAccusation& other154) noexcept {
   part = other154.part;
-  incarnation = other154.incarnation;
+  target_start = other154.target_start;
   age_ms = other154.age_ms;
   __isset = other154.__isset;
 }
 CrashAccusation::CrashAccusation(CrashAccusation&& other155) noexcept {
   part = other155.part;
-  incarnation = other155.incarnation;
+  target_start = other155.target_start;
   age_ms = other155.age_ms;
   __isset = other155.__isset;
 }
 CrashAccusation& CrashAccusation::operator=(const CrashAccusation& other156) noexcept {
   part = other156.part;
-  incarnation = other156.incarnation;
+  target_start = other156.target_start;
   age_ms = other156.age_ms;
   __isset = other156.__isset;
   return *this;
 }
 CrashAccusation& CrashAccusation::operator=(CrashAccusation&& other157) noexcept {
   part = other157.part;
-  incarnation = other157.incarnation;
+  target_start = other157.target_start;
   age_ms = other157.age_ms;
   __isset = other157.__isset;
   return *this;
@@ -5085,7 +5085,7 @@
   using ::apache::thrift::to_string;
   out << "CrashAccusation(";
   out << "part=" << to_string(part);
-  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "target_start=" << to_string(target_start);
   out << ", " << "age_ms=" << to_string(age_ms);
   out << ")";
 }
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -1950,9 +1950,9 @@
 std::ostream& operator<<(std::ostream& out, const RegionSummary& obj);
 
 typedef struct _CrashAccusation__isset {
-  _CrashAccusation__isset() : part(false), incarnation(false), age_ms(false) {}
+  _CrashAccusation__isset() : part(false), target_start(false), age_ms(false) {}
   bool part :1;
-  bool incarnation :1;
+  bool target_start :1;
   bool age_ms :1;
 } _CrashAccusation__isset;
 
@@ -1965,20 +1965,20 @@
   CrashAccusation& operator=(CrashAccusation&&) noexcept;
   CrashAccusation() noexcept
                   : part(0),
-                    incarnation(0),
+                    target_start(0),
                     age_ms(0) {
   }
 
   virtual ~CrashAccusation() noexcept;
   int64_t part;
-  int64_t incarnation;
+  int64_t target_start;
   int32_t age_ms;
 
   _CrashAccusation__isset __isset;
 
   void __set_part(const int64_t val);
 
-  void __set_incarnation(const int64_t val);
+  void __set_target_start(const int64_t val);
 
   void __set_age_ms(const int32_t val);
 
@@ -1986,7 +1986,7 @@
   {
     if (!(part == rhs.part))
       return false;
-    if (!(incarnation == rhs.incarnation))
+    if (!(target_start == rhs.target_start))
       return false;
     if (!(age_ms == rhs.age_ms))
       return false;
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -273,7 +273,7 @@
   // Hash of the model and the part's ID.
   1: i64 part
   // Hash of one start of the target.
-  2: i64 incarnation
+  2: i64 target_start
   3: i32 age_ms
 }
 
--- a/tests/request/crash_evidence_test.cc
+++ b/tests/request/crash_evidence_test.cc
@@ -33,7 +33,7 @@
 // Guards against targets that crash one after the other on one part of prompts.
 TEST(CrashEvidenceTest, HoldsAPartResponsibleAfterThreeCrashes) {
   this->Run(milliseconds(5000));
-  for (IncarnationHash target = 1; target <= 3; ++target) {
+  for (TargetStartHash target = 1; target <= 3; ++target) {
     CHECK_TRUE(this->Judge().empty());
     this->evidence.OnBroken({kShared, kDeadly}, target, this->now);
     this->Run(milliseconds(300));
@@ -50,7 +50,7 @@
 TEST(CrashEvidenceTest, BlamesANewPartBeforeOneWhoseRequestsSurvived) {
   this->Run(milliseconds(5000));
   this->evidence.OnSurvived({kShared}, this->now);
-  for (IncarnationHash target = 1; target <= 4; ++target) {
+  for (TargetStartHash target = 1; target <= 4; ++target) {
     this->Run(milliseconds(200));
     this->evidence.OnBroken({kShared, kDeadly}, target, this->now);
   }
@@ -64,7 +64,7 @@
 // Guards against parts that are blamed for the failure of a zone.
 TEST(CrashEvidenceTest, BlamesNoPartWhenMostRequestsBreak) {
   this->Run(milliseconds(5000));
-  for (IncarnationHash target = 1; target <= 20; ++target) {
+  for (TargetStartHash target = 1; target <= 20; ++target) {
     this->now += milliseconds(20);
     this->evidence.OnBroken({kShared}, target, this->now);
     this->evidence.OnBroken({100 + target}, target, this->now);
@@ -77,7 +77,7 @@
 // request survives, whatever its parts.
 TEST(CrashEvidenceTest, BlamesNoPartWhileNoOtherRequestSurvives) {
   this->Run(milliseconds(5000));
-  for (IncarnationHash target = 1; target <= 20; ++target) {
+  for (TargetStartHash target = 1; target <= 20; ++target) {
     this->now += milliseconds(2000);
     this->evidence.OnBroken({kShared}, target, this->now);
   }
@@ -91,7 +91,7 @@
   this->evidence.OnSurvived({kDeadly}, this->now);
   this->Run(milliseconds(20000));
   this->evidence.OnSurvived({kDeadly}, this->now);
-  for (IncarnationHash target = 1; target <= 3; ++target) {
+  for (TargetStartHash target = 1; target <= 3; ++target) {
     this->Run(milliseconds(300));
     this->evidence.OnBroken({kDeadly}, target, this->now);
   }
@@ -112,6 +112,22 @@
   CHECK_TRUE(this->Judge().empty());
 }
 
+// Guards against parts that are blamed for broken connections to targets which
+// have not crashed, such as those that a target closes while they are idle.
+TEST(CrashEvidenceTest, ATargetThatAnswersALaterRequestHasNotCrashed) {
+  this->Run(milliseconds(5000));
+  for (TargetStartHash target = 1; target <= 4; ++target) {
+    this->evidence.OnBroken({kDeadly}, target, this->now);
+    this->evidence.OnAnswerBegan(target, this->now);
+    CHECK_EQUAL(1u, this->evidence.Crashes(kDeadly));
+    this->Run(milliseconds(300));
+    this->evidence.OnAnswerBegan(target, this->now);
+    CHECK_EQUAL(0u, this->evidence.Crashes(kDeadly));
+  }
+  this->Run(milliseconds(3000));
+  CHECK_TRUE(this->Judge().empty());
+}
+
 // Guards against evidence of other gateways that is taken for newer than it is.
 TEST(CrashEvidenceTest, ASurvivalAcquitsOfEarlierCrashesOnly) {
   this->evidence.AddAccusation({kShared, 1}, this->now);
@@ -129,7 +145,7 @@
   options.max_known_parts = 16;
   options.max_crashes_per_part = 4;
   CrashEvidence bounded(options);
-  for (IncarnationHash target = 1; target <= 6; ++target) {
+  for (TargetStartHash target = 1; target <= 6; ++target) {
     bounded.AddAccusation({kDeadly, target}, this->now);
   }
   for (PartHash part = 100; part < 1100; ++part) {
--- a/tests/request/crash_fleet.cc
+++ b/tests/request/crash_fleet.cc
@@ -26,7 +26,7 @@
     this->popularity.push_back(total);
   }
   for (Target& target : this->targets) {
-    target.incarnation = this->next_incarnation++;
+    target.target_start = this->next_target_start++;
   }
   this->gateways.resize(size.gateways);
   for (size_t i = 0; i < size.gateways; ++i) {
@@ -157,7 +157,7 @@
     return;
   }
   Target& target = this->targets[attempt->target];
-  attempt->incarnation = target.incarnation;
+  attempt->target_start = target.target_start;
   target.waiting.push_back(attempt);
   for (const PartHash part : attempt->parts) {
     if (this->deadly.contains(part) &&
@@ -255,7 +255,7 @@
           this->answered += broken ? 0 : 1;
           if (!attempt->survived) {
             if (broken) {
-              guard.OnBroken(attempt->parts, attempt->incarnation, this->now);
+              guard.OnBroken(attempt->parts, attempt->target_start, this->now);
             } else {
               guard.OnSurvived(attempt->parts, this->now);
             }
@@ -290,7 +290,7 @@
   }
   this->At(down, [this, index] {
     this->targets[index].up = true;
-    this->targets[index].incarnation = this->next_incarnation++;
+    this->targets[index].target_start = this->next_target_start++;
   });
 }
 
--- a/tests/request/crash_fleet.h
+++ b/tests/request/crash_fleet.h
@@ -42,7 +42,7 @@
   };
   struct Target {
     bool up = true;
-    IncarnationHash incarnation = 0;
+    TargetStartHash target_start = 0;
     std::vector<std::shared_ptr<struct CrashFleetAttempt>> running;
     std::deque<std::shared_ptr<struct CrashFleetAttempt>> waiting;
   };
@@ -165,7 +165,7 @@
   std::priority_queue<Event> events;
   uint64_t sequence = 0;
   uint64_t sessions = 0;
-  IncarnationHash next_incarnation = 1;
+  TargetStartHash next_target_start = 1;
 };
 
 struct CrashFleetAttempt {
@@ -175,7 +175,7 @@
   size_t number = 1;
   bool resumable = false;
   size_t target = 0;
-  IncarnationHash incarnation = 0;
+  TargetStartHash target_start = 0;
   // At the target.
   bool left = false;
   // At the gateway.
