--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -394,8 +394,8 @@
   CHECK_EQUAL(1u, this->received.size());
 }
 
-// Guards against requests that crash one target after the other: three targets
-// have crashed on the part, so the next request with it is not sent.
+// Guards against requests that crash one target after the other although
+// another gateway has quarantined a part of their prompt.
 TEST(RelayTaskTest, ARequestWithAQuarantinedPartIsRefusedAndNotSent) {
   const PartHash part = HashPart("", "part");
   this->crashes.OnNews({{}, {}, {{part, 1, false, milliseconds(30000)}}},
