Log which call found the key-value service away, and for how long it was silent

Change: store_lost carries call, call_open_ms and silent_ms, store_connected away_ms. Result: StoreSyncTest.LogsTheCallThatFoundTheServiceAway (fails before).

--- a/src/process/store_sync.cc
+++ b/src/process/store_sync.cc
@@ -53,6 +53,7 @@
 
 void StoreSync::Read() {
   this->snapshot = {};
+  this->call_began = this->loop.Now();
   this->read_pending = true;
   this->ReadPrefix(++this->read_number, 0);
 }
@@ -94,6 +95,7 @@
 }
 
 void StoreSync::BeginWatch() {
+  this->call_began = this->loop.Now();
   KeyRange keys;
   keys.first = this->options.watch_prefix;
   this->watch = this->store.Watch(
@@ -119,14 +121,23 @@
   }
   this->is_connected = true;
   this->log.Info("store_connected", "the key-value service answers",
-                 {{"revision", this->next_revision}});
+                 {{"revision", this->next_revision},
+                  {"away_ms", this->ever_connected ? this->Since(this->lost_at)
+                                                   : int64_t{0}}});
   if (this->ever_connected) {
     this->callbacks.on_regained();
   }
   this->ever_connected = true;
 }
 
+int64_t StoreSync::Since(TimePoint time) const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             this->loop.Now() - time)
+      .count();
+}
+
 void StoreSync::OnFailure(const Failure& failure) {
+  const bool watched = this->watch != nullptr;
   this->watch.reset();
   this->read_pending = false;
   // Retries by a read, which fails or succeeds at once: a watch that is opened
@@ -136,8 +147,12 @@
   this->is_failing = failure.code != ErrorCode::kConflict;
   if (this->is_connected && this->is_failing) {
     this->is_connected = false;
+    this->lost_at = this->loop.Now();
     this->log.Warn("store_lost", failure.message,
                    {{"code", ErrorCodeName(failure.code)},
+                    {"call", watched ? "watch" : "read"},
+                    {"call_open_ms", this->Since(this->call_began)},
+                    {"silent_ms", this->Since(this->last_answered)},
                     {"revision", this->next_revision}});
   }
   const auto range_ms = static_cast<uint64_t>(
--- a/src/process/store_sync.h
+++ b/src/process/store_sync.h
@@ -70,6 +70,8 @@
   void BeginWatch();
   void OnFailure(const Failure& failure);
   void OnAnswer();
+  // Returns the time since `time` in milliseconds, for the log.
+  int64_t Since(TimePoint time) const;
 
   Loop& loop;
   KeyValueClient& store;
@@ -89,6 +91,9 @@
   bool is_connected = false;
   bool ever_connected = false;
   TimePoint last_answered{};
+  // When the current read or watch began, and when the service was lost last.
+  TimePoint call_began{};
+  TimePoint lost_at{};
 };
 
 }  // namespace celerypost
--- a/tests/process/store_sync_test.cc
+++ b/tests/process/store_sync_test.cc
@@ -51,7 +51,9 @@
   Loop loop;
   FakeStore store;
   SplitMixRandom random{1};
-  Log log{LogOptions{}, [](LogLevel, std::string_view) {},
+  std::string logged;
+  Log log{LogOptions{},
+          [this](LogLevel, std::string_view line) { this->logged += line; },
           [] { return std::chrono::system_clock::time_point(); }};
   int snapshots = 0;
   int after_outages = 0;
@@ -122,6 +124,15 @@
   CHECK_EQUAL(61, this->store.from);
 }
 
+// Guards against an outage of which the log doesn't say which call was silent.
+TEST(StoreSyncTest, LogsTheCallThatFoundTheServiceAway) {
+  this->Answer(41);
+  this->store.end(
+      Failure{Verdict::kMayHaveRun, ErrorCode::kDeadlineExceeded, "no answer"});
+  CHECK(this->logged.find(R"("call":"watch")") != std::string::npos);
+  CHECK(this->logged.find("silent_ms") != std::string::npos);
+}
+
 // Guards against taking lost history, from which a watch cannot continue, for
 // an outage.
 TEST(StoreSyncTest, LostHistoryIsReadAgainWithoutAnOutage) {
