Close idle connections when a request times out

Cause: connections can go silent together, without a reset. After a call had timed out, the client sent the next one on another idle connection, so a process with several idle connections to the key-value service or to a peer needed one timeout for each. Change: a timeout closes the connections that have been idle since before the request.

--- a/src/connection/http1_client.cc
+++ b/src/connection/http1_client.cc
@@ -119,6 +119,18 @@
 
   TimePoint idle_since{};
 
+  // Closes the connection since its request was not answered in time. What
+  // silenced it may have silenced the connections that have been idle since
+  // before the request.
+  void CloseSilent() {
+    const auto pool = this->client;
+    while (!pool->idle.empty() &&
+           pool->idle.front()->idle_since <= this->attached_at) {
+      pool->idle.front()->Close();
+    }
+    this->Close();
+  }
+
   void Close() {
     if (this->closing) {
       return;
@@ -145,6 +157,7 @@
   void Attach(std::shared_ptr<Exchange> next) {
     this->exchange = std::move(next);
     this->exchange->channel = this;
+    this->attached_at = this->client->loop.Now();
     this->exchange_open = true;
     this->skipped_responses = 0;
     this->body_bytes = 0;
@@ -470,6 +483,8 @@
   std::unique_ptr<Timer> timer;
   std::shared_ptr<Exchange> exchange;
   HttpResponseHead head;
+  // When the current request was attached.
+  TimePoint attached_at{};
   bool last_was_value = true;
   bool connecting = false;
   bool reused = false;
@@ -543,7 +558,7 @@
           }
           Channel* const channel = expired->channel;
           if (channel != nullptr) {
-            channel->Close();
+            channel->CloseSilent();
           }
           FailExchange(expired, Verdict::kMayHaveRun,
                        ErrorCode::kDeadlineExceeded,
--- a/src/connection/http1_client.h
+++ b/src/connection/http1_client.h
@@ -41,7 +41,7 @@
 
 // HTTP/1.1 client of one server, on libuv. Unlike HttpClient it closes a
 // connection that has bytes after a response, and drops idle connections as
-// soon as the server closes them.
+// soon as the server closes them or when a request has timed out.
 class Http1Client {
  public:
   Http1Client(Loop& loop, SocketAddress server, Http1ClientOptions options);
--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -121,6 +121,50 @@
   milliseconds pause_after_send{0};
 };
 
+// Guards against calls that fail one after the other on idle connections that
+// have all gone silent.
+TEST(Http1Test, ClosesIdleConnectionsWhenARequestTimesOut) {
+  std::vector<std::shared_ptr<HttpResponder>> waiting;
+  auto made = Http1Server::Make(
+      this->loop, "127.0.0.1", 0,
+      [&waiting](const HttpRequest&,
+                 const std::shared_ptr<HttpResponder>& responder) {
+        waiting.push_back(responder);
+      });
+  CHECK_TRUE(made.has_value());
+  Http1Client client(this->loop, {"127.0.0.1", (*made)->port()}, {});
+  std::vector<Result<HttpResponse>> results;
+  std::vector<std::unique_ptr<HttpCall>> calls;
+  const auto fetch = [&](milliseconds timeout) {
+    calls.push_back(client.Fetch(
+        {"GET", "/", {}, ""}, timeout,
+        [&results](const Result<HttpResponse>& r) { results.push_back(r); }));
+  };
+  const auto run_until = [&](const std::function<bool()>& done) {
+    for (int i = 0; i < kMaxIterations && !done(); ++i) {
+      this->loop.RunFor(milliseconds(20));
+    }
+    CHECK_TRUE(done());
+  };
+  fetch(milliseconds(1000));
+  fetch(milliseconds(1000));
+  run_until([&] { return waiting.size() == 2; });
+  for (const auto& responder : waiting) {
+    responder->Send(200, {}, "");
+  }
+  run_until([&] { return results.size() == 2; });
+  CHECK_EQUAL(2u, client.connections_opened());
+  fetch(milliseconds(50));
+  run_until([&] { return results.size() == 3; });
+  CHECK_FALSE(results.back().has_value());
+  fetch(milliseconds(1000));
+  run_until([&] { return waiting.size() == 4; });
+  CHECK_EQUAL(3u, client.connections_opened());
+  waiting.back()->Send(200, {}, "");
+  run_until([&] { return results.size() == 4; });
+  CHECK_TRUE(results.back().has_value());
+}
+
 // Guards against treating a response without a length as complete although its
 // server crashed. libuv hides the reset when it arrives with the last bytes.
 TEST(Http1Test, TellsResetFromEndOfResponseWithoutLength) {
