Read again when other calls show that the key-value service is back

Cause: a process renews its lease every 500 ms while it watches the service, and so notices an outage and its end, but the watch was not told. A watch that was silenced by the outage went on to wait. Change: NodeRegistry passes on when the first unanswered call was sent; StoreSync reads again unless the watch was answered since. Result: StoreSyncTest.SilentWatchIsReplacedWhenTheServiceAnswersOtherCalls (new interface; without the call in NodeCore nothing restarts the watch) and AnsweredWatchGoesOnWhenTheServiceAnswersOtherCalls.

--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -167,8 +167,9 @@
     }
     this->metrics_server = std::move(*metrics);
   }
-  this->registry.OnRegained([this] {
+  this->registry.OnRegained([this](TimePoint lost_at) {
     this->cluster_view.OnServiceRegained(this->dependencies.loop.Now());
+    this->sync.OnServiceRegained(lost_at);
   });
   this->FindPeers();
   this->registry.Start();
--- a/src/process/node_registry.cc
+++ b/src/process/node_registry.cc
@@ -19,7 +19,8 @@
                            LeaseClient& leases,
                            Log& log,
                            NodeRegistryOptions options)
-    : store(store),
+    : loop(loop),
+      store(store),
       leases(leases),
       log(log),
       options(std::move(options)),
@@ -91,13 +92,16 @@
                       : this->options.renew_period;
 }
 
-void NodeRegistry::RecordAnswer(bool answered) {
+void NodeRegistry::RecordAnswer(bool answered, TimePoint sent_at) {
+  if (!answered && this->last_call_answered) {
+    this->lost_at = sent_at;
+  }
   const bool regained =
       answered && !this->last_call_answered && this->ever_answered;
   this->last_call_answered = answered;
   this->ever_answered = this->ever_answered || answered;
   if (regained && this->on_regained) {
-    this->on_regained();
+    this->on_regained(this->lost_at);
   }
 }
 
@@ -106,8 +110,9 @@
     return;
   }
   this->leases.Grant(
-      this->options.lease_duration, [this](const Result<int64_t>& lease) {
-        this->RecordAnswer(lease.has_value());
+      this->options.lease_duration,
+      [this, sent_at = this->loop.Now()](const Result<int64_t>& lease) {
+        this->RecordAnswer(lease.has_value(), sent_at);
         if (!lease) {
           this->log.Debug("registration_failed", lease.error().message);
           this->timer.StartOnce(this->options.retry_period);
@@ -148,10 +153,12 @@
     return;
   }
   this->renewing = true;
-  this->leases.Renew(this->lease_id, [this](const Result<void>& renewed) {
+  this->leases.Renew(this->lease_id, [this, sent_at = this->loop.Now()](
+                                         const Result<void>& renewed) {
     this->renewing = false;
-    this->RecordAnswer(renewed.has_value() ||
-                       renewed.error().code == ErrorCode::kNotFound);
+    this->RecordAnswer(
+        renewed.has_value() || renewed.error().code == ErrorCode::kNotFound,
+        sent_at);
     if (!renewed && renewed.error().code == ErrorCode::kNotFound) {
       this->log.Info(
           "registration_lapsed",
--- a/src/process/node_registry.h
+++ b/src/process/node_registry.h
@@ -71,17 +71,19 @@
   // Whether the key-value service answered the last lease call.
   bool answers() const { return this->last_call_answered; }
   // Sets the callback that runs when lease calls are answered again after a
-  // failure.
-  void OnRegained(std::function<void()> callback) {
+  // failure, with the time at which the first call that failed was sent.
+  void OnRegained(std::function<void(TimePoint lost_at)> callback) {
     this->on_regained = std::move(callback);
   }
 
  private:
   void Register();
   void Renew();
-  void RecordAnswer(bool answered);
+  // Records whether the call that was sent at `sent_at` was answered.
+  void RecordAnswer(bool answered, TimePoint sent_at);
   std::chrono::milliseconds RenewPeriod() const;
 
+  Loop& loop;
   KeyValueClient& store;
   LeaseClient& leases;
   Log& log;
@@ -94,7 +96,8 @@
   bool renewing = false;
   bool last_call_answered = false;
   bool ever_answered = false;
-  std::function<void()> on_regained;
+  TimePoint lost_at{};
+  std::function<void(TimePoint)> on_regained;
 };
 
 }  // namespace celerypost
--- a/src/process/store_sync.cc
+++ b/src/process/store_sync.cc
@@ -51,7 +51,14 @@
   this->Read();
 }
 
+void StoreSync::OnServiceRegained(TimePoint lost_at) {
+  if (this->watching && !this->read_pending && this->last_answered < lost_at) {
+    this->Restart();
+  }
+}
+
 void StoreSync::Read() {
+  this->retry.Stop();
   this->snapshot = {};
   this->call_began = this->loop.Now();
   this->read_pending = true;
--- a/src/process/store_sync.h
+++ b/src/process/store_sync.h
@@ -58,6 +58,10 @@
   // Ends the current watch and reads again on a new connection. For a watch
   // that has gone silent although a peer knows a newer revision.
   void Restart();
+  // Another call to the service was answered, after one that was sent at
+  // `lost_at` or later was not. Reads again if the current watch may have been
+  // silenced by the same outage.
+  void OnServiceRegained(TimePoint lost_at);
   bool connected() const { return this->is_connected; }
   // Whether the last call failed for a reason other than lost history.
   bool failing() const { return this->is_failing; }
--- a/tests/process/store_sync_test.cc
+++ b/tests/process/store_sync_test.cc
@@ -124,6 +124,27 @@
   CHECK_EQUAL(61, this->store.from);
 }
 
+// Guards against a watch that stays silent after the outage in which it was
+// opened, although other calls of the process show that the service answers.
+TEST(StoreSyncTest, SilentWatchIsReplacedWhenTheServiceAnswersOtherCalls) {
+  this->Answer(41);
+  this->loop.RunFor(milliseconds(20));
+  const TimePoint lost_at = this->loop.Now() + milliseconds(1);
+  this->sync->OnServiceRegained(lost_at);
+  CHECK_EQUAL(2, this->store.reads);
+  this->Answer(60);
+  CHECK_EQUAL(61, this->store.from);
+}
+
+// Guards against a read of all documents by processes whose watch was answered
+// in the meantime.
+TEST(StoreSyncTest, AnsweredWatchGoesOnWhenTheServiceAnswersOtherCalls) {
+  const TimePoint lost_at = this->loop.Now();
+  this->Answer(41);
+  this->sync->OnServiceRegained(lost_at);
+  CHECK_EQUAL(1, this->store.reads);
+}
+
 // Guards against an outage of which the log doesn't say which call was silent.
 TEST(StoreSyncTest, LogsTheCallThatFoundTheServiceAway) {
   this->Answer(41);
