--- a/src/process/delta_codec.cc
+++ b/src/process/delta_codec.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <utility>
 
@@ -22,6 +23,12 @@
 // Number of bytes of the decoded size that precede the compressed bytes.
 constexpr size_t kSizeBytes = 4;
 
+// Ages are sent as 32 bits; older ones than these hold are cut.
+int32_t ToWireAge(std::chrono::milliseconds age) {
+  return static_cast<int32_t>(
+      std::clamp<int64_t>(age.count(), 0, std::numeric_limits<int32_t>::max()));
+}
+
 Failure Corrupt(std::string message) {
   return {Verdict::kNotRun, ErrorCode::kCorrupt, std::move(message)};
 }
@@ -85,6 +92,16 @@
   if (delta.regained_ago) {
     message.__set_regained_ms_ago(delta.regained_ago->count());
   }
+  for (const ReportedNaming& naming : delta.namings) {
+    wire::WeightNaming entry;
+    entry.model = naming.model;
+    entry.version = naming.version;
+    entry.named_ms_ago = ToWireAge(naming.named_ago);
+    message.namings.push_back(std::move(entry));
+  }
+  if (delta.current_ago) {
+    message.__set_current_ms_ago(ToWireAge(*delta.current_ago));
+  }
   auto buffer = std::make_shared<TMemoryBuffer>();
   TCompactProtocolT<TMemoryBuffer> protocol(buffer);
   message.write(&protocol);
@@ -115,6 +132,15 @@
   if (message.__isset.regained_ms_ago) {
     delta.regained_ago = std::chrono::milliseconds(message.regained_ms_ago);
   }
+  for (wire::WeightNaming& naming : message.namings) {
+    delta.namings.push_back(
+        {std::move(naming.model), naming.version,
+         std::chrono::milliseconds(std::max(0, naming.named_ms_ago))});
+  }
+  if (message.__isset.current_ms_ago) {
+    delta.current_ago =
+        std::chrono::milliseconds(std::max(0, message.current_ms_ago));
+  }
   for (wire::DocumentItem& item : message.items) {
     delta.items.push_back(
         {std::move(item.key), std::move(item.value), item.revision});
--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -37,6 +37,11 @@
 // Shortest time between two pulls, so that changes in quick succession are
 // pulled together.
 constexpr milliseconds kMinPullInterval{100};
+// How long an encoded answer is sent again. The ages in it are too low by up to
+// this time.
+constexpr milliseconds kDeltaCacheTime{100};
+// Largest age that a beat reports.
+constexpr milliseconds kMaxReportedAge{1000000};
 // Number of other regions that are heard from which on one gateway of this
 // region watches the key-value service instead of two.
 constexpr size_t kRegionsThatReplaceAReader = 2;
@@ -114,6 +119,9 @@
                                   "read");
             },
             [this](const std::vector<KeyValue>& changes) {
+              // A change arrives as soon as it is made, unless this process
+              // was paused.
+              this->cluster_view.NoteCurrent(this->last_tick);
               this->ReportChanges(this->cluster_view.ApplyChanges(
                                       changes, this->dependencies.loop.Now()),
                                   "watch");
@@ -121,7 +129,8 @@
             [this] {
               this->cluster_view.OnServiceRegained(
                   this->dependencies.loop.Now());
-            }}),
+            },
+            [this](TimePoint time) { this->cluster_view.NoteCurrent(time); }}),
       registry(dependencies.loop,
                dependencies.store,
                dependencies.leases,
@@ -233,12 +242,21 @@
   this->peer_exchange.OnBeat(
       [this, callback = std::move(callback)](const Peer& peer) {
         callback(peer);
+        this->NoteCurrentPeer(peer);
         if (!this->reads_store && this->HasNewerDocuments(peer)) {
           this->CatchUp();
         }
       });
 }
 
+void NodeCore::NoteCurrentPeer(const Peer& peer) {
+  if (peer.beat.__isset.current_ms_ago && !this->HasNewerDocuments(peer)) {
+    this->cluster_view.NoteCurrent(
+        this->dependencies.loop.Now() -
+        milliseconds(std::max(0, peer.beat.current_ms_ago)));
+  }
+}
+
 bool NodeCore::StoreAnswers() const {
   return this->registry.answers() &&
          !(this->reads_store && this->sync.failing());
@@ -304,6 +322,12 @@
   beat.revision = this->cluster_view.revision();
   beat.operator_revision = this->cluster_view.operator_revision();
   beat.store_answers = this->StoreAnswers();
+  if (const auto& current_at = this->cluster_view.current_at()) {
+    const auto age = std::chrono::ceil<milliseconds>(
+        this->dependencies.loop.Now() - *current_at);
+    beat.__set_current_ms_ago(static_cast<int32_t>(
+        std::clamp<int64_t>(age.count(), 0, kMaxReportedAge.count())));
+  }
   return beat;
 }
 
@@ -392,14 +416,15 @@
 }
 
 const std::string& NodeCore::EncodedDelta(const DocumentQuery& query) {
-  const DocumentDelta delta =
-      this->cluster_view.MakeDelta(query, this->dependencies.loop.Now());
+  const TimePoint now = this->dependencies.loop.Now();
+  const DocumentDelta delta = this->cluster_view.MakeDelta(query, now);
   const bool cached = !delta.regained_ago &&
                       this->last_delta.revision == delta.revision &&
+                      now - this->last_delta.made_at < kDeltaCacheTime &&
                       this->last_delta.query.since == query.since &&
                       this->last_delta.query.for_stager == query.for_stager;
   if (!cached) {
-    this->last_delta = {query, delta.regained_ago ? 0 : delta.revision,
+    this->last_delta = {query, delta.regained_ago ? 0 : delta.revision, now,
                         EncodeDelta(delta)};
   }
   return this->last_delta.bytes;
@@ -418,6 +443,7 @@
   }
   this->UpdateStoreReading();
   this->CatchUp();
+  this->last_tick = now;
 }
 
 void NodeCore::CatchUp() {
--- a/src/process/node_core.h
+++ b/src/process/node_core.h
@@ -115,6 +115,8 @@
   // relying on gateways of its region.
   bool ShouldReadStore() const;
   void UpdateStoreReading();
+  // All that `peer` knows is known, so this process is as current as the peer.
+  void NoteCurrentPeer(const Peer& peer);
   // Fetches documents from a peer or restarts the watch if a live peer has had
   // newer ones for too long.
   void CatchUp();
@@ -143,6 +145,8 @@
   StoreSync sync;
   NodeRegistry registry;
   Timer tick;
+  // When `tick` last fired; long ago after a pause of the process.
+  TimePoint last_tick{};
   std::unique_ptr<Http1Server> internal_server;
   std::unique_ptr<Http1Server> metrics_server;
   std::function<void()> on_view_changed;
@@ -152,6 +156,7 @@
     DocumentQuery query;
     // Revision of the documents; 0 for an answer that must not be used again.
     int64_t revision = 0;
+    TimePoint made_at{};
     std::string bytes;
   };
   CachedDelta last_delta;
--- a/src/process/state/cluster_view.cc
+++ b/src/process/state/cluster_view.cc
@@ -122,11 +122,15 @@
   } else if (const auto* named = std::get_if<NamedWeights>(&*decoded)) {
     KnownWeights& held = this->weights[named->model];
     if (held.namings.empty() || named->version > held.version()) {
-      held.namings.push_back(
-          {named->version,
-           observed ? now : now - this->options.assumed_naming_age});
+      held.namings.push_back(this->MakeNaming(named->version, observed, now));
     }
-    result.detail = named->model + " version " + std::to_string(named->version);
+    result.detail =
+        named->model + " version " + std::to_string(named->version) +
+        " named up to " +
+        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           now - held.namings.back().named_at)
+                           .count()) +
+        " ms ago";
   } else if (const auto* zone = std::get_if<ZoneOut>(&*decoded)) {
     this->zones_out[change.key] = zone->zone;
     result.detail = "zone " + zone->zone.value() + " out";
@@ -168,6 +172,42 @@
   return result;
 }
 
+void ClusterView::NoteCurrent(TimePoint time) {
+  this->known_current_at =
+      std::max(this->known_current_at.value_or(time), time);
+}
+
+WeightNaming ClusterView::MakeNaming(int64_t version,
+                                     bool observed,
+                                     TimePoint now) const {
+  if (!observed) {
+    return {version, now - this->options.assumed_naming_age, /*assumed=*/true};
+  }
+  return {version, std::min(this->known_current_at.value_or(now), now),
+          /*assumed=*/false};
+}
+
+void ClusterView::ApplyNaming(const ReportedNaming& reported, TimePoint now) {
+  const auto found = this->weights.find(reported.model);
+  if (found == this->weights.end() ||
+      reported.version > found->second.version()) {
+    return;
+  }
+  const TimePoint named_at = now - reported.named_ago;
+  std::vector<WeightNaming>& namings = found->second.namings;
+  const auto at =
+      std::lower_bound(namings.begin(), namings.end(), reported.version,
+                       [](const WeightNaming& naming, int64_t version) {
+                         return naming.version < version;
+                       });
+  if (at->version != reported.version) {
+    namings.insert(at, {reported.version, named_at, /*assumed=*/false});
+    return;
+  }
+  at->named_at = at->assumed ? named_at : std::max(at->named_at, named_at);
+  at->assumed = false;
+}
+
 void ClusterView::NoteRevision(const std::string& key, int64_t revision) {
   if (key.starts_with(this->decoder.OperatorPrefix())) {
     this->newest_operator_revision =
@@ -218,6 +258,19 @@
     delta.regained_ago = std::chrono::duration_cast<std::chrono::milliseconds>(
         now - *this->regained_at);
   }
+  const auto age = [now](TimePoint time) {
+    return std::chrono::ceil<std::chrono::milliseconds>(now - time);
+  };
+  for (const auto& [model, known] : this->weights) {
+    for (const WeightNaming& naming : known.namings) {
+      if (!naming.assumed) {
+        delta.namings.push_back({model, naming.version, age(naming.named_at)});
+      }
+    }
+  }
+  if (this->known_current_at) {
+    delta.current_ago = age(*this->known_current_at);
+  }
   const auto wanted = [&](const std::string& key, int64_t changed) {
     return (!delta.partial || changed > query.since) &&
            (!query.for_stager || this->ConcernsStagers(key));
@@ -245,12 +298,20 @@
     this->regained_at =
         std::max(this->regained_at.value_or(regained), regained);
   }
-  if (!delta.partial) {
-    return this->ApplySnapshot(delta.items, delta.revision,
-                               /*after_outage=*/false, now);
+  std::vector<ViewChange> applied;
+  if (delta.partial) {
+    applied = this->ApplyChanges(delta.items, now);
+    this->AdvanceRevision(delta.revision);
+  } else {
+    applied = this->ApplySnapshot(delta.items, delta.revision,
+                                  /*after_outage=*/false, now);
+  }
+  for (const ReportedNaming& naming : delta.namings) {
+    this->ApplyNaming(naming, now);
+  }
+  if (delta.current_ago) {
+    this->NoteCurrent(now - *delta.current_ago);
   }
-  auto applied = this->ApplyChanges(delta.items, now);
-  this->AdvanceRevision(delta.revision);
   return applied;
 }
 
--- a/src/process/state/cluster_view.h
+++ b/src/process/state/cluster_view.h
@@ -28,7 +28,8 @@
   // two seconds.
   std::chrono::milliseconds outage_grace{2200};
   // Assumed age of the naming of a weight version that this process found in
-  // its first snapshot, so that it did not see when operators named it.
+  // its first snapshot, so that it did not see when operators named it, unless
+  // a peer did.
   std::chrono::milliseconds assumed_naming_age{3000};
   // Prefix of the keys under which this project's processes register. Stagers
   // get them with the operators' documents. None when empty.
@@ -46,9 +47,18 @@
 // A weight version that operators named as the one to serve.
 struct WeightNaming {
   int64_t version = 0;
-  // When this process learned of the version, or the assumed time (see
-  // ClusterViewOptions::assumed_naming_age).
+  // A time at which the version was not named yet, as late as is known: the
+  // bound counts from the naming, which a process may learn of late.
   TimePoint named_at{};
+  // `named_at` is assumed (ClusterViewOptions::assumed_naming_age).
+  bool assumed = false;
+};
+
+// A naming as one process tells it another.
+struct ReportedNaming {
+  std::string model;
+  int64_t version = 0;
+  std::chrono::milliseconds named_ago{0};
 };
 
 // The versions that have been named for a model, in ascending order. Once the
@@ -77,6 +87,10 @@
   // Time since the key-value service came back after an outage, while outage
   // grace still applies to the registrations that lapsed during it.
   std::optional<std::chrono::milliseconds> regained_ago;
+  // The namings whose time is not assumed.
+  std::vector<ReportedNaming> namings;
+  // Time since the sender knew of all changes (ClusterView::current_at).
+  std::optional<std::chrono::milliseconds> current_ago;
 };
 
 // A request for documents to another process.
@@ -117,6 +131,13 @@
                                         TimePoint now);
   // The key-value service answers again after an outage.
   void OnServiceRegained(TimePoint now);
+  // All changes that were made before `time` are known, apart from those that
+  // are applied next.
+  void NoteCurrent(TimePoint time);
+  // The latest time given to NoteCurrent.
+  const std::optional<TimePoint>& current_at() const {
+    return this->known_current_at;
+  }
 
   // Null until a configuration is known.
   const std::shared_ptr<const GatewayConfig>& config() const {
@@ -155,6 +176,11 @@
                     TimePoint now);
 
   void NoteRevision(const std::string& key, int64_t revision);
+  // Returns the naming of `version` that this process learns of at `now`.
+  WeightNaming MakeNaming(int64_t version, bool observed, TimePoint now) const;
+  // Takes over the time of a naming from a process that may have seen it
+  // earlier.
+  void ApplyNaming(const ReportedNaming& reported, TimePoint now);
   // Whether stagers get the document with this key.
   bool ConcernsStagers(const std::string& key) const;
   // Returns `document` as stagers get it.
@@ -179,6 +205,7 @@
   int64_t removals_known_since = 0;
   int64_t newest_operator_revision = 0;
   std::optional<TimePoint> regained_at;
+  std::optional<TimePoint> known_current_at;
 };
 
 }  // namespace celerypost
--- a/src/process/store_sync.cc
+++ b/src/process/store_sync.cc
@@ -95,6 +95,7 @@
         this->next_revision = this->snapshot.revision + 1;
         this->callbacks.on_snapshot(this->snapshot.items,
                                     this->snapshot.revision, after_outage);
+        this->callbacks.on_current(this->call_began);
         if (this->watching) {
           this->BeginWatch();
         }
@@ -116,6 +117,7 @@
         if (!changes.empty()) {
           this->callbacks.on_changes(changes);
         }
+        this->callbacks.on_current(this->loop.Now());
       },
       [this](const Failure& failure) { this->OnFailure(failure); });
 }
@@ -145,6 +147,11 @@
 
 void StoreSync::OnFailure(const Failure& failure) {
   const bool watched = this->watch != nullptr;
+  if (!watched) {
+    // Reads use connections that were not silent before, so the service was
+    // away. A watch may have lost its connection alone.
+    this->callbacks.on_current(this->call_began);
+  }
   this->watch.reset();
   this->read_pending = false;
   // Retries by a read, which fails or succeeds at once: a watch that is opened
--- a/src/process/store_sync.h
+++ b/src/process/store_sync.h
@@ -41,6 +41,9 @@
     std::function<void(const std::vector<KeyValue>&)> on_changes;
     // The service answers again after an outage.
     std::function<void()> on_regained;
+    // All changes before `time` have been reported, or the service could not be
+    // reached then.
+    std::function<void(TimePoint time)> on_current;
   };
 
   StoreSync(Loop& loop,
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -4150,6 +4150,151 @@
 }
 
 
+WeightNaming::~WeightNaming() noexcept {
+}
+
+
+void WeightNaming::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void WeightNaming::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void WeightNaming::__set_named_ms_ago(const int32_t val) {
+  this->named_ms_ago = val;
+}
+std::ostream& operator<<(std::ostream& out, const WeightNaming& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WeightNaming::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->named_ms_ago);
+          this->__isset.named_ms_ago = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WeightNaming::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WeightNaming");
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("named_ms_ago", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->named_ms_ago);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WeightNaming &a, WeightNaming &b) {
+  using ::std::swap;
+  swap(a.model, b.model);
+  swap(a.version, b.version);
+  swap(a.named_ms_ago, b.named_ms_ago);
+  swap(a.__isset, b.__isset);
+}
+
+WeightNaming::WeightNaming(const WeightNaming& other114) {
+  model = other114.model;
+  version = other114.version;
+  named_ms_ago = other114.named_ms_ago;
+  __isset = other114.__isset;
+}
+WeightNaming::WeightNaming(WeightNaming&& other115) noexcept {
+  model = std::move(other115.model);
+  version = other115.version;
+  named_ms_ago = other115.named_ms_ago;
+  __isset = other115.__isset;
+}
+WeightNaming& WeightNaming::operator=(const WeightNaming& other116) {
+  model = other116.model;
+  version = other116.version;
+  named_ms_ago = other116.named_ms_ago;
+  __isset = other116.__isset;
+  return *this;
+}
+WeightNaming& WeightNaming::operator=(WeightNaming&& other117) noexcept {
+  model = std::move(other117.model);
+  version = other117.version;
+  named_ms_ago = other117.named_ms_ago;
+  __isset = other117.__isset;
+  return *this;
+}
+void WeightNaming::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WeightNaming(";
+  out << "model=" << to_string(model);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "named_ms_ago=" << to_string(named_ms_ago);
+  out << ")";
+}
+
+
 DocumentDelta::~DocumentDelta() noexcept {
 }
 
@@ -4170,6 +4315,15 @@
   this->regained_ms_ago = val;
 __isset.regained_ms_ago = true;
 }
+
+void DocumentDelta::__set_namings(const std::vector<WeightNaming> & val) {
+  this->namings = val;
+}
+
+void DocumentDelta::__set_current_ms_ago(const int32_t val) {
+  this->current_ms_ago = val;
+__isset.current_ms_ago = true;
+}
 std::ostream& operator<<(std::ostream& out, const DocumentDelta& obj)
 {
   obj.printTo(out);
@@ -4218,14 +4372,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->items.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->items.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->items[_i118].read(iprot);
+              xfer += this->items[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4242,6 +4396,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->namings.clear();
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->namings.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
+            {
+              xfer += this->namings[_i127].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.namings = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->current_ms_ago);
+          this->__isset.current_ms_ago = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4270,10 +4452,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<DocumentItem> ::const_iterator _iter119;
-    for (_iter119 = this->items.begin(); _iter119 != this->items.end(); ++_iter119)
+    std::vector<DocumentItem> ::const_iterator _iter128;
+    for (_iter128 = this->items.begin(); _iter128 != this->items.end(); ++_iter128)
     {
-      xfer += (*_iter119).write(oprot);
+      xfer += (*_iter128).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4284,6 +4466,23 @@
     xfer += oprot->writeI64(this->regained_ms_ago);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("namings", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->namings.size()));
+    std::vector<WeightNaming> ::const_iterator _iter129;
+    for (_iter129 = this->namings.begin(); _iter129 != this->namings.end(); ++_iter129)
+    {
+      xfer += (*_iter129).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.current_ms_ago) {
+    xfer += oprot->writeFieldBegin("current_ms_ago", ::apache::thrift::protocol::T_I32, 11);
+    xfer += oprot->writeI32(this->current_ms_ago);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4295,37 +4494,47 @@
   swap(a.revision, b.revision);
   swap(a.items, b.items);
   swap(a.regained_ms_ago, b.regained_ms_ago);
+  swap(a.namings, b.namings);
+  swap(a.current_ms_ago, b.current_ms_ago);
   swap(a.__isset, b.__isset);
 }
 
-DocumentDelta::DocumentDelta(const DocumentDelta& other120) {
-  partial = other120.partial;
-  revision = other120.revision;
-  items = other120.items;
-  regained_ms_ago = other120.regained_ms_ago;
-  __isset = other120.__isset;
-}
-DocumentDelta::DocumentDelta(DocumentDelta&& other121) noexcept {
-  partial = other121.partial;
-  revision = other121.revision;
-  items = std::move(other121.items);
-  regained_ms_ago = other121.regained_ms_ago;
-  __isset = other121.__isset;
-}
-DocumentDelta& DocumentDelta::operator=(const DocumentDelta& other122) {
-  partial = other122.partial;
-  revision = other122.revision;
-  items = other122.items;
-  regained_ms_ago = other122.regained_ms_ago;
-  __isset = other122.__isset;
+DocumentDelta::DocumentDelta(const DocumentDelta& other130) {
+  partial = other130.partial;
+  revision = other130.revision;
+  items = other130.items;
+  regained_ms_ago = other130.regained_ms_ago;
+  namings = other130.namings;
+  current_ms_ago = other130.current_ms_ago;
+  __isset = other130.__isset;
+}
+DocumentDelta::DocumentDelta(DocumentDelta&& other131) noexcept {
+  partial = other131.partial;
+  revision = other131.revision;
+  items = std::move(other131.items);
+  regained_ms_ago = other131.regained_ms_ago;
+  namings = std::move(other131.namings);
+  current_ms_ago = other131.current_ms_ago;
+  __isset = other131.__isset;
+}
+DocumentDelta& DocumentDelta::operator=(const DocumentDelta& other132) {
+  partial = other132.partial;
+  revision = other132.revision;
+  items = other132.items;
+  regained_ms_ago = other132.regained_ms_ago;
+  namings = other132.namings;
+  current_ms_ago = other132.current_ms_ago;
+  __isset = other132.__isset;
   return *this;
 }
-DocumentDelta& DocumentDelta::operator=(DocumentDelta&& other123) noexcept {
-  partial = other123.partial;
-  revision = other123.revision;
-  items = std::move(other123.items);
-  regained_ms_ago = other123.regained_ms_ago;
-  __isset = other123.__isset;
+DocumentDelta& DocumentDelta::operator=(DocumentDelta&& other133) noexcept {
+  partial = other133.partial;
+  revision = other133.revision;
+  items = std::move(other133.items);
+  regained_ms_ago = other133.regained_ms_ago;
+  namings = std::move(other133.namings);
+  current_ms_ago = other133.current_ms_ago;
+  __isset = other133.__isset;
   return *this;
 }
 void DocumentDelta::printTo(std::ostream& out) const {
@@ -4335,6 +4544,8 @@
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "items=" << to_string(items);
   out << ", " << "regained_ms_ago="; (__isset.regained_ms_ago ? (out << to_string(regained_ms_ago)) : (out << "<null>"));
+  out << ", " << "namings=" << to_string(namings);
+  out << ", " << "current_ms_ago="; (__isset.current_ms_ago ? (out << to_string(current_ms_ago)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4448,30 +4659,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RegionGateway::RegionGateway(const RegionGateway& other124) {
-  ip = other124.ip;
-  caller_address = other124.caller_address;
-  state = other124.state;
-  __isset = other124.__isset;
+RegionGateway::RegionGateway(const RegionGateway& other134) {
+  ip = other134.ip;
+  caller_address = other134.caller_address;
+  state = other134.state;
+  __isset = other134.__isset;
 }
-RegionGateway::RegionGateway(RegionGateway&& other125) noexcept {
-  ip = std::move(other125.ip);
-  caller_address = std::move(other125.caller_address);
-  state = other125.state;
-  __isset = other125.__isset;
+RegionGateway::RegionGateway(RegionGateway&& other135) noexcept {
+  ip = std::move(other135.ip);
+  caller_address = std::move(other135.caller_address);
+  state = other135.state;
+  __isset = other135.__isset;
 }
-RegionGateway& RegionGateway::operator=(const RegionGateway& other126) {
-  ip = other126.ip;
-  caller_address = other126.caller_address;
-  state = other126.state;
-  __isset = other126.__isset;
+RegionGateway& RegionGateway::operator=(const RegionGateway& other136) {
+  ip = other136.ip;
+  caller_address = other136.caller_address;
+  state = other136.state;
+  __isset = other136.__isset;
   return *this;
 }
-RegionGateway& RegionGateway::operator=(RegionGateway&& other127) noexcept {
-  ip = std::move(other127.ip);
-  caller_address = std::move(other127.caller_address);
-  state = other127.state;
-  __isset = other127.__isset;
+RegionGateway& RegionGateway::operator=(RegionGateway&& other137) noexcept {
+  ip = std::move(other137.ip);
+  caller_address = std::move(other137.caller_address);
+  state = other137.state;
+  __isset = other137.__isset;
   return *this;
 }
 void RegionGateway::printTo(std::ostream& out) const {
@@ -4612,34 +4823,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RegionTarget::RegionTarget(const RegionTarget& other128) {
-  address = other128.address;
-  serving_version = other128.serving_version;
-  loading = other128.loading;
-  loads_in_ms = other128.loads_in_ms;
-  __isset = other128.__isset;
-}
-RegionTarget::RegionTarget(RegionTarget&& other129) noexcept {
-  address = std::move(other129.address);
-  serving_version = other129.serving_version;
-  loading = other129.loading;
-  loads_in_ms = other129.loads_in_ms;
-  __isset = other129.__isset;
-}
-RegionTarget& RegionTarget::operator=(const RegionTarget& other130) {
-  address = other130.address;
-  serving_version = other130.serving_version;
-  loading = other130.loading;
-  loads_in_ms = other130.loads_in_ms;
-  __isset = other130.__isset;
+RegionTarget::RegionTarget(const RegionTarget& other138) {
+  address = other138.address;
+  serving_version = other138.serving_version;
+  loading = other138.loading;
+  loads_in_ms = other138.loads_in_ms;
+  __isset = other138.__isset;
+}
+RegionTarget::RegionTarget(RegionTarget&& other139) noexcept {
+  address = std::move(other139.address);
+  serving_version = other139.serving_version;
+  loading = other139.loading;
+  loads_in_ms = other139.loads_in_ms;
+  __isset = other139.__isset;
+}
+RegionTarget& RegionTarget::operator=(const RegionTarget& other140) {
+  address = other140.address;
+  serving_version = other140.serving_version;
+  loading = other140.loading;
+  loads_in_ms = other140.loads_in_ms;
+  __isset = other140.__isset;
   return *this;
 }
-RegionTarget& RegionTarget::operator=(RegionTarget&& other131) noexcept {
-  address = std::move(other131.address);
-  serving_version = other131.serving_version;
-  loading = other131.loading;
-  loads_in_ms = other131.loads_in_ms;
-  __isset = other131.__isset;
+RegionTarget& RegionTarget::operator=(RegionTarget&& other141) noexcept {
+  address = std::move(other141.address);
+  serving_version = other141.serving_version;
+  loading = other141.loading;
+  loads_in_ms = other141.loads_in_ms;
+  __isset = other141.__isset;
   return *this;
 }
 void RegionTarget::printTo(std::ostream& out) const {
@@ -4732,14 +4943,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gateways.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->gateways.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->gateways.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
             {
-              xfer += this->gateways[_i136].read(iprot);
+              xfer += this->gateways[_i146].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4752,14 +4963,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size137;
-            ::apache::thrift::protocol::TType _etype140;
-            xfer += iprot->readListBegin(_etype140, _size137);
-            this->targets.resize(_size137);
-            uint32_t _i141;
-            for (_i141 = 0; _i141 < _size137; ++_i141)
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _etype150;
+            xfer += iprot->readListBegin(_etype150, _size147);
+            this->targets.resize(_size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
             {
-              xfer += this->targets[_i141].read(iprot);
+              xfer += this->targets[_i151].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4772,14 +4983,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size142;
-            ::apache::thrift::protocol::TType _etype145;
-            xfer += iprot->readListBegin(_etype145, _size142);
-            this->loads.resize(_size142);
-            uint32_t _i146;
-            for (_i146 = 0; _i146 < _size142; ++_i146)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->loads.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += this->loads[_i146].read(iprot);
+              xfer += this->loads[_i156].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4832,10 +5043,10 @@
   xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gateways.size()));
-    std::vector<RegionGateway> ::const_iterator _iter147;
-    for (_iter147 = this->gateways.begin(); _iter147 != this->gateways.end(); ++_iter147)
+    std::vector<RegionGateway> ::const_iterator _iter157;
+    for (_iter157 = this->gateways.begin(); _iter157 != this->gateways.end(); ++_iter157)
     {
-      xfer += (*_iter147).write(oprot);
+      xfer += (*_iter157).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4844,10 +5055,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<RegionTarget> ::const_iterator _iter148;
-    for (_iter148 = this->targets.begin(); _iter148 != this->targets.end(); ++_iter148)
+    std::vector<RegionTarget> ::const_iterator _iter158;
+    for (_iter158 = this->targets.begin(); _iter158 != this->targets.end(); ++_iter158)
     {
-      xfer += (*_iter148).write(oprot);
+      xfer += (*_iter158).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4856,10 +5067,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<TargetLoad> ::const_iterator _iter149;
-    for (_iter149 = this->loads.begin(); _iter149 != this->loads.end(); ++_iter149)
+    std::vector<TargetLoad> ::const_iterator _iter159;
+    for (_iter159 = this->loads.begin(); _iter159 != this->loads.end(); ++_iter159)
     {
-      xfer += (*_iter149).write(oprot);
+      xfer += (*_iter159).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4890,46 +5101,46 @@
   swap(a.__isset, b.__isset);
 }
 
-RegionSummary::RegionSummary(const RegionSummary& other150) {
-  region = other150.region;
-  ip = other150.ip;
-  gateways = other150.gateways;
-  targets = other150.targets;
-  loads = other150.loads;
-  revision = other150.revision;
-  operator_revision = other150.operator_revision;
-  __isset = other150.__isset;
-}
-RegionSummary::RegionSummary(RegionSummary&& other151) noexcept {
-  region = std::move(other151.region);
-  ip = std::move(other151.ip);
-  gateways = std::move(other151.gateways);
-  targets = std::move(other151.targets);
-  loads = std::move(other151.loads);
-  revision = other151.revision;
-  operator_revision = other151.operator_revision;
-  __isset = other151.__isset;
-}
-RegionSummary& RegionSummary::operator=(const RegionSummary& other152) {
-  region = other152.region;
-  ip = other152.ip;
-  gateways = other152.gateways;
-  targets = other152.targets;
-  loads = other152.loads;
-  revision = other152.revision;
-  operator_revision = other152.operator_revision;
-  __isset = other152.__isset;
+RegionSummary::RegionSummary(const RegionSummary& other160) {
+  region = other160.region;
+  ip = other160.ip;
+  gateways = other160.gateways;
+  targets = other160.targets;
+  loads = other160.loads;
+  revision = other160.revision;
+  operator_revision = other160.operator_revision;
+  __isset = other160.__isset;
+}
+RegionSummary::RegionSummary(RegionSummary&& other161) noexcept {
+  region = std::move(other161.region);
+  ip = std::move(other161.ip);
+  gateways = std::move(other161.gateways);
+  targets = std::move(other161.targets);
+  loads = std::move(other161.loads);
+  revision = other161.revision;
+  operator_revision = other161.operator_revision;
+  __isset = other161.__isset;
+}
+RegionSummary& RegionSummary::operator=(const RegionSummary& other162) {
+  region = other162.region;
+  ip = other162.ip;
+  gateways = other162.gateways;
+  targets = other162.targets;
+  loads = other162.loads;
+  revision = other162.revision;
+  operator_revision = other162.operator_revision;
+  __isset = other162.__isset;
   return *this;
 }
-RegionSummary& RegionSummary::operator=(RegionSummary&& other153) noexcept {
-  region = std::move(other153.region);
-  ip = std::move(other153.ip);
-  gateways = std::move(other153.gateways);
-  targets = std::move(other153.targets);
-  loads = std::move(other153.loads);
-  revision = other153.revision;
-  operator_revision = other153.operator_revision;
-  __isset = other153.__isset;
+RegionSummary& RegionSummary::operator=(RegionSummary&& other163) noexcept {
+  region = std::move(other163.region);
+  ip = std::move(other163.ip);
+  gateways = std::move(other163.gateways);
+  targets = std::move(other163.targets);
+  loads = std::move(other163.loads);
+  revision = other163.revision;
+  operator_revision = other163.operator_revision;
+  __isset = other163.__isset;
   return *this;
 }
 void RegionSummary::printTo(std::ostream& out) const {
@@ -5055,30 +5266,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashAccusation::CrashAccusation(const CrashAccusation& other154) noexcept {
-  part = other154.part;
-  target_start = other154.target_start;
-  age_ms = other154.age_ms;
-  __isset = other154.__isset;
+CrashAccusation::CrashAccusation(const CrashAccusation& other164) noexcept {
+  part = other164.part;
+  target_start = other164.target_start;
+  age_ms = other164.age_ms;
+  __isset = other164.__isset;
 }
-CrashAccusation::CrashAccusation(CrashAccusation&& other155) noexcept {
-  part = other155.part;
-  target_start = other155.target_start;
-  age_ms = other155.age_ms;
-  __isset = other155.__isset;
+CrashAccusation::CrashAccusation(CrashAccusation&& other165) noexcept {
+  part = other165.part;
+  target_start = other165.target_start;
+  age_ms = other165.age_ms;
+  __isset = other165.__isset;
 }
-CrashAccusation& CrashAccusation::operator=(const CrashAccusation& other156) noexcept {
-  part = other156.part;
-  target_start = other156.target_start;
-  age_ms = other156.age_ms;
-  __isset = other156.__isset;
+CrashAccusation& CrashAccusation::operator=(const CrashAccusation& other166) noexcept {
+  part = other166.part;
+  target_start = other166.target_start;
+  age_ms = other166.age_ms;
+  __isset = other166.__isset;
   return *this;
 }
-CrashAccusation& CrashAccusation::operator=(CrashAccusation&& other157) noexcept {
-  part = other157.part;
-  target_start = other157.target_start;
-  age_ms = other157.age_ms;
-  __isset = other157.__isset;
+CrashAccusation& CrashAccusation::operator=(CrashAccusation&& other167) noexcept {
+  part = other167.part;
+  target_start = other167.target_start;
+  age_ms = other167.age_ms;
+  __isset = other167.__isset;
   return *this;
 }
 void CrashAccusation::printTo(std::ostream& out) const {
@@ -5200,30 +5411,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PartSurvival::PartSurvival(const PartSurvival& other158) noexcept {
-  part = other158.part;
-  age_ms = other158.age_ms;
-  relayed = other158.relayed;
-  __isset = other158.__isset;
+PartSurvival::PartSurvival(const PartSurvival& other168) noexcept {
+  part = other168.part;
+  age_ms = other168.age_ms;
+  relayed = other168.relayed;
+  __isset = other168.__isset;
 }
-PartSurvival::PartSurvival(PartSurvival&& other159) noexcept {
-  part = other159.part;
-  age_ms = other159.age_ms;
-  relayed = other159.relayed;
-  __isset = other159.__isset;
+PartSurvival::PartSurvival(PartSurvival&& other169) noexcept {
+  part = other169.part;
+  age_ms = other169.age_ms;
+  relayed = other169.relayed;
+  __isset = other169.__isset;
 }
-PartSurvival& PartSurvival::operator=(const PartSurvival& other160) noexcept {
-  part = other160.part;
-  age_ms = other160.age_ms;
-  relayed = other160.relayed;
-  __isset = other160.__isset;
+PartSurvival& PartSurvival::operator=(const PartSurvival& other170) noexcept {
+  part = other170.part;
+  age_ms = other170.age_ms;
+  relayed = other170.relayed;
+  __isset = other170.__isset;
   return *this;
 }
-PartSurvival& PartSurvival::operator=(PartSurvival&& other161) noexcept {
-  part = other161.part;
-  age_ms = other161.age_ms;
-  relayed = other161.relayed;
-  __isset = other161.__isset;
+PartSurvival& PartSurvival::operator=(PartSurvival&& other171) noexcept {
+  part = other171.part;
+  age_ms = other171.age_ms;
+  relayed = other171.relayed;
+  __isset = other171.__isset;
   return *this;
 }
 void PartSurvival::printTo(std::ostream& out) const {
@@ -5362,34 +5573,34 @@
   swap(a.__isset, b.__isset);
 }
 
-PartQuarantine::PartQuarantine(const PartQuarantine& other162) noexcept {
-  part = other162.part;
-  round = other162.round;
-  lifted = other162.lifted;
-  left_ms = other162.left_ms;
-  __isset = other162.__isset;
-}
-PartQuarantine::PartQuarantine(PartQuarantine&& other163) noexcept {
-  part = other163.part;
-  round = other163.round;
-  lifted = other163.lifted;
-  left_ms = other163.left_ms;
-  __isset = other163.__isset;
-}
-PartQuarantine& PartQuarantine::operator=(const PartQuarantine& other164) noexcept {
-  part = other164.part;
-  round = other164.round;
-  lifted = other164.lifted;
-  left_ms = other164.left_ms;
-  __isset = other164.__isset;
+PartQuarantine::PartQuarantine(const PartQuarantine& other172) noexcept {
+  part = other172.part;
+  round = other172.round;
+  lifted = other172.lifted;
+  left_ms = other172.left_ms;
+  __isset = other172.__isset;
+}
+PartQuarantine::PartQuarantine(PartQuarantine&& other173) noexcept {
+  part = other173.part;
+  round = other173.round;
+  lifted = other173.lifted;
+  left_ms = other173.left_ms;
+  __isset = other173.__isset;
+}
+PartQuarantine& PartQuarantine::operator=(const PartQuarantine& other174) noexcept {
+  part = other174.part;
+  round = other174.round;
+  lifted = other174.lifted;
+  left_ms = other174.left_ms;
+  __isset = other174.__isset;
   return *this;
 }
-PartQuarantine& PartQuarantine::operator=(PartQuarantine&& other165) noexcept {
-  part = other165.part;
-  round = other165.round;
-  lifted = other165.lifted;
-  left_ms = other165.left_ms;
-  __isset = other165.__isset;
+PartQuarantine& PartQuarantine::operator=(PartQuarantine&& other175) noexcept {
+  part = other175.part;
+  round = other175.round;
+  lifted = other175.lifted;
+  left_ms = other175.left_ms;
+  __isset = other175.__isset;
   return *this;
 }
 void PartQuarantine::printTo(std::ostream& out) const {
@@ -5450,14 +5661,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accusations.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->accusations.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->accusations.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += this->accusations[_i170].read(iprot);
+              xfer += this->accusations[_i180].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5470,14 +5681,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->survivals.clear();
-            uint32_t _size171;
-            ::apache::thrift::protocol::TType _etype174;
-            xfer += iprot->readListBegin(_etype174, _size171);
-            this->survivals.resize(_size171);
-            uint32_t _i175;
-            for (_i175 = 0; _i175 < _size171; ++_i175)
+            uint32_t _size181;
+            ::apache::thrift::protocol::TType _etype184;
+            xfer += iprot->readListBegin(_etype184, _size181);
+            this->survivals.resize(_size181);
+            uint32_t _i185;
+            for (_i185 = 0; _i185 < _size181; ++_i185)
             {
-              xfer += this->survivals[_i175].read(iprot);
+              xfer += this->survivals[_i185].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5490,14 +5701,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->quarantines.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->quarantines.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
             {
-              xfer += this->quarantines[_i180].read(iprot);
+              xfer += this->quarantines[_i190].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5526,10 +5737,10 @@
   xfer += oprot->writeFieldBegin("accusations", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accusations.size()));
-    std::vector<CrashAccusation> ::const_iterator _iter181;
-    for (_iter181 = this->accusations.begin(); _iter181 != this->accusations.end(); ++_iter181)
+    std::vector<CrashAccusation> ::const_iterator _iter191;
+    for (_iter191 = this->accusations.begin(); _iter191 != this->accusations.end(); ++_iter191)
     {
-      xfer += (*_iter181).write(oprot);
+      xfer += (*_iter191).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5538,10 +5749,10 @@
   xfer += oprot->writeFieldBegin("survivals", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->survivals.size()));
-    std::vector<PartSurvival> ::const_iterator _iter182;
-    for (_iter182 = this->survivals.begin(); _iter182 != this->survivals.end(); ++_iter182)
+    std::vector<PartSurvival> ::const_iterator _iter192;
+    for (_iter192 = this->survivals.begin(); _iter192 != this->survivals.end(); ++_iter192)
     {
-      xfer += (*_iter182).write(oprot);
+      xfer += (*_iter192).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5550,10 +5761,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<PartQuarantine> ::const_iterator _iter183;
-    for (_iter183 = this->quarantines.begin(); _iter183 != this->quarantines.end(); ++_iter183)
+    std::vector<PartQuarantine> ::const_iterator _iter193;
+    for (_iter193 = this->quarantines.begin(); _iter193 != this->quarantines.end(); ++_iter193)
     {
-      xfer += (*_iter183).write(oprot);
+      xfer += (*_iter193).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5572,30 +5783,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNews::CrashNews(const CrashNews& other184) {
-  accusations = other184.accusations;
-  survivals = other184.survivals;
-  quarantines = other184.quarantines;
-  __isset = other184.__isset;
+CrashNews::CrashNews(const CrashNews& other194) {
+  accusations = other194.accusations;
+  survivals = other194.survivals;
+  quarantines = other194.quarantines;
+  __isset = other194.__isset;
 }
-CrashNews::CrashNews(CrashNews&& other185) noexcept {
-  accusations = std::move(other185.accusations);
-  survivals = std::move(other185.survivals);
-  quarantines = std::move(other185.quarantines);
-  __isset = other185.__isset;
+CrashNews::CrashNews(CrashNews&& other195) noexcept {
+  accusations = std::move(other195.accusations);
+  survivals = std::move(other195.survivals);
+  quarantines = std::move(other195.quarantines);
+  __isset = other195.__isset;
 }
-CrashNews& CrashNews::operator=(const CrashNews& other186) {
-  accusations = other186.accusations;
-  survivals = other186.survivals;
-  quarantines = other186.quarantines;
-  __isset = other186.__isset;
+CrashNews& CrashNews::operator=(const CrashNews& other196) {
+  accusations = other196.accusations;
+  survivals = other196.survivals;
+  quarantines = other196.quarantines;
+  __isset = other196.__isset;
   return *this;
 }
-CrashNews& CrashNews::operator=(CrashNews&& other187) noexcept {
-  accusations = std::move(other187.accusations);
-  survivals = std::move(other187.survivals);
-  quarantines = std::move(other187.quarantines);
-  __isset = other187.__isset;
+CrashNews& CrashNews::operator=(CrashNews&& other197) noexcept {
+  accusations = std::move(other197.accusations);
+  survivals = std::move(other197.survivals);
+  quarantines = std::move(other197.quarantines);
+  __isset = other197.__isset;
   return *this;
 }
 void CrashNews::printTo(std::ostream& out) const {
@@ -5705,6 +5916,11 @@
   this->crash_news = val;
 __isset.crash_news = true;
 }
+
+void Beat::__set_current_ms_ago(const int32_t val) {
+  this->current_ms_ago = val;
+__isset.current_ms_ago = true;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -5801,14 +6017,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->loads.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _etype201;
+            xfer += iprot->readListBegin(_etype201, _size198);
+            this->loads.resize(_size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
             {
-              xfer += this->loads[_i192].read(iprot);
+              xfer += this->loads[_i202].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5821,14 +6037,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size193;
-            ::apache::thrift::protocol::TType _etype196;
-            xfer += iprot->readListBegin(_etype196, _size193);
-            this->known.resize(_size193);
-            uint32_t _i197;
-            for (_i197 = 0; _i197 < _size193; ++_i197)
+            uint32_t _size203;
+            ::apache::thrift::protocol::TType _etype206;
+            xfer += iprot->readListBegin(_etype206, _size203);
+            this->known.resize(_size203);
+            uint32_t _i207;
+            for (_i207 = 0; _i207 < _size203; ++_i207)
             {
-              xfer += iprot->readString(this->known[_i197]);
+              xfer += iprot->readString(this->known[_i207]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5929,14 +6145,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->summaries.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->summaries.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->summaries.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
             {
-              xfer += this->summaries[_i202].read(iprot);
+              xfer += this->summaries[_i212].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5953,6 +6169,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 40:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->current_ms_ago);
+          this->__isset.current_ms_ago = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6005,10 +6229,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<TargetLoad> ::const_iterator _iter203;
-    for (_iter203 = this->loads.begin(); _iter203 != this->loads.end(); ++_iter203)
+    std::vector<TargetLoad> ::const_iterator _iter213;
+    for (_iter213 = this->loads.begin(); _iter213 != this->loads.end(); ++_iter213)
     {
-      xfer += (*_iter203).write(oprot);
+      xfer += (*_iter213).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6017,10 +6241,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter204;
-    for (_iter204 = this->known.begin(); _iter204 != this->known.end(); ++_iter204)
+    std::vector<std::string> ::const_iterator _iter214;
+    for (_iter214 = this->known.begin(); _iter214 != this->known.end(); ++_iter214)
     {
-      xfer += oprot->writeString((*_iter204));
+      xfer += oprot->writeString((*_iter214));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6074,10 +6298,10 @@
   xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
-    std::vector<RegionSummary> ::const_iterator _iter205;
-    for (_iter205 = this->summaries.begin(); _iter205 != this->summaries.end(); ++_iter205)
+    std::vector<RegionSummary> ::const_iterator _iter215;
+    for (_iter215 = this->summaries.begin(); _iter215 != this->summaries.end(); ++_iter215)
     {
-      xfer += (*_iter205).write(oprot);
+      xfer += (*_iter215).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6088,6 +6312,11 @@
     xfer += this->crash_news.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.current_ms_ago) {
+    xfer += oprot->writeFieldBegin("current_ms_ago", ::apache::thrift::protocol::T_I32, 40);
+    xfer += oprot->writeI32(this->current_ms_ago);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6118,113 +6347,118 @@
   swap(a.digests_version, b.digests_version);
   swap(a.summaries, b.summaries);
   swap(a.crash_news, b.crash_news);
+  swap(a.current_ms_ago, b.current_ms_ago);
   swap(a.__isset, b.__isset);
 }
 
-Beat::Beat(const Beat& other206) {
-  instance = other206.instance;
-  role = other206.role;
-  ip = other206.ip;
-  zone = other206.zone;
-  region = other206.region;
-  caller_address = other206.caller_address;
-  state = other206.state;
-  revision = other206.revision;
-  loads = other206.loads;
-  known = other206.known;
-  target_address = other206.target_address;
-  model = other206.model;
-  staged_version = other206.staged_version;
-  held_chunks = other206.held_chunks;
-  serving_version = other206.serving_version;
-  loading = other206.loading;
-  fetching = other206.fetching;
-  loads_in_ms = other206.loads_in_ms;
-  operator_revision = other206.operator_revision;
-  store_answers = other206.store_answers;
-  digests_version = other206.digests_version;
-  summaries = other206.summaries;
-  crash_news = other206.crash_news;
-  __isset = other206.__isset;
-}
-Beat::Beat(Beat&& other207) noexcept {
-  instance = other207.instance;
-  role = other207.role;
-  ip = std::move(other207.ip);
-  zone = std::move(other207.zone);
-  region = std::move(other207.region);
-  caller_address = std::move(other207.caller_address);
-  state = other207.state;
-  revision = other207.revision;
-  loads = std::move(other207.loads);
-  known = std::move(other207.known);
-  target_address = std::move(other207.target_address);
-  model = std::move(other207.model);
-  staged_version = other207.staged_version;
-  held_chunks = std::move(other207.held_chunks);
-  serving_version = other207.serving_version;
-  loading = other207.loading;
-  fetching = std::move(other207.fetching);
-  loads_in_ms = other207.loads_in_ms;
-  operator_revision = other207.operator_revision;
-  store_answers = other207.store_answers;
-  digests_version = other207.digests_version;
-  summaries = std::move(other207.summaries);
-  crash_news = std::move(other207.crash_news);
-  __isset = other207.__isset;
-}
-Beat& Beat::operator=(const Beat& other208) {
-  instance = other208.instance;
-  role = other208.role;
-  ip = other208.ip;
-  zone = other208.zone;
-  region = other208.region;
-  caller_address = other208.caller_address;
-  state = other208.state;
-  revision = other208.revision;
-  loads = other208.loads;
-  known = other208.known;
-  target_address = other208.target_address;
-  model = other208.model;
-  staged_version = other208.staged_version;
-  held_chunks = other208.held_chunks;
-  serving_version = other208.serving_version;
-  loading = other208.loading;
-  fetching = other208.fetching;
-  loads_in_ms = other208.loads_in_ms;
-  operator_revision = other208.operator_revision;
-  store_answers = other208.store_answers;
-  digests_version = other208.digests_version;
-  summaries = other208.summaries;
-  crash_news = other208.crash_news;
-  __isset = other208.__isset;
+Beat::Beat(const Beat& other216) {
+  instance = other216.instance;
+  role = other216.role;
+  ip = other216.ip;
+  zone = other216.zone;
+  region = other216.region;
+  caller_address = other216.caller_address;
+  state = other216.state;
+  revision = other216.revision;
+  loads = other216.loads;
+  known = other216.known;
+  target_address = other216.target_address;
+  model = other216.model;
+  staged_version = other216.staged_version;
+  held_chunks = other216.held_chunks;
+  serving_version = other216.serving_version;
+  loading = other216.loading;
+  fetching = other216.fetching;
+  loads_in_ms = other216.loads_in_ms;
+  operator_revision = other216.operator_revision;
+  store_answers = other216.store_answers;
+  digests_version = other216.digests_version;
+  summaries = other216.summaries;
+  crash_news = other216.crash_news;
+  current_ms_ago = other216.current_ms_ago;
+  __isset = other216.__isset;
+}
+Beat::Beat(Beat&& other217) noexcept {
+  instance = other217.instance;
+  role = other217.role;
+  ip = std::move(other217.ip);
+  zone = std::move(other217.zone);
+  region = std::move(other217.region);
+  caller_address = std::move(other217.caller_address);
+  state = other217.state;
+  revision = other217.revision;
+  loads = std::move(other217.loads);
+  known = std::move(other217.known);
+  target_address = std::move(other217.target_address);
+  model = std::move(other217.model);
+  staged_version = other217.staged_version;
+  held_chunks = std::move(other217.held_chunks);
+  serving_version = other217.serving_version;
+  loading = other217.loading;
+  fetching = std::move(other217.fetching);
+  loads_in_ms = other217.loads_in_ms;
+  operator_revision = other217.operator_revision;
+  store_answers = other217.store_answers;
+  digests_version = other217.digests_version;
+  summaries = std::move(other217.summaries);
+  crash_news = std::move(other217.crash_news);
+  current_ms_ago = other217.current_ms_ago;
+  __isset = other217.__isset;
+}
+Beat& Beat::operator=(const Beat& other218) {
+  instance = other218.instance;
+  role = other218.role;
+  ip = other218.ip;
+  zone = other218.zone;
+  region = other218.region;
+  caller_address = other218.caller_address;
+  state = other218.state;
+  revision = other218.revision;
+  loads = other218.loads;
+  known = other218.known;
+  target_address = other218.target_address;
+  model = other218.model;
+  staged_version = other218.staged_version;
+  held_chunks = other218.held_chunks;
+  serving_version = other218.serving_version;
+  loading = other218.loading;
+  fetching = other218.fetching;
+  loads_in_ms = other218.loads_in_ms;
+  operator_revision = other218.operator_revision;
+  store_answers = other218.store_answers;
+  digests_version = other218.digests_version;
+  summaries = other218.summaries;
+  crash_news = other218.crash_news;
+  current_ms_ago = other218.current_ms_ago;
+  __isset = other218.__isset;
   return *this;
 }
-Beat& Beat::operator=(Beat&& other209) noexcept {
-  instance = other209.instance;
-  role = other209.role;
-  ip = std::move(other209.ip);
-  zone = std::move(other209.zone);
-  region = std::move(other209.region);
-  caller_address = std::move(other209.caller_address);
-  state = other209.state;
-  revision = other209.revision;
-  loads = std::move(other209.loads);
-  known = std::move(other209.known);
-  target_address = std::move(other209.target_address);
-  model = std::move(other209.model);
-  staged_version = other209.staged_version;
-  held_chunks = std::move(other209.held_chunks);
-  serving_version = other209.serving_version;
-  loading = other209.loading;
-  fetching = std::move(other209.fetching);
-  loads_in_ms = other209.loads_in_ms;
-  operator_revision = other209.operator_revision;
-  store_answers = other209.store_answers;
-  digests_version = other209.digests_version;
-  summaries = std::move(other209.summaries);
-  crash_news = std::move(other209.crash_news);
-  __isset = other209.__isset;
+Beat& Beat::operator=(Beat&& other219) noexcept {
+  instance = other219.instance;
+  role = other219.role;
+  ip = std::move(other219.ip);
+  zone = std::move(other219.zone);
+  region = std::move(other219.region);
+  caller_address = std::move(other219.caller_address);
+  state = other219.state;
+  revision = other219.revision;
+  loads = std::move(other219.loads);
+  known = std::move(other219.known);
+  target_address = std::move(other219.target_address);
+  model = std::move(other219.model);
+  staged_version = other219.staged_version;
+  held_chunks = std::move(other219.held_chunks);
+  serving_version = other219.serving_version;
+  loading = other219.loading;
+  fetching = std::move(other219.fetching);
+  loads_in_ms = other219.loads_in_ms;
+  operator_revision = other219.operator_revision;
+  store_answers = other219.store_answers;
+  digests_version = other219.digests_version;
+  summaries = std::move(other219.summaries);
+  crash_news = std::move(other219.crash_news);
+  current_ms_ago = other219.current_ms_ago;
+  __isset = other219.__isset;
   return *this;
 }
 void Beat::printTo(std::ostream& out) const {
@@ -6253,6 +6487,7 @@
   out << ", " << "digests_version=" << to_string(digests_version);
   out << ", " << "summaries=" << to_string(summaries);
   out << ", " << "crash_news="; (__isset.crash_news ? (out << to_string(crash_news)) : (out << "<null>"));
+  out << ", " << "current_ms_ago="; (__isset.current_ms_ago ? (out << to_string(current_ms_ago)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -108,6 +108,8 @@
 
 class DocumentItem;
 
+class WeightNaming;
+
 class DocumentDelta;
 
 class RegionGateway;
@@ -1671,12 +1673,73 @@
 
 std::ostream& operator<<(std::ostream& out, const DocumentItem& obj);
 
+typedef struct _WeightNaming__isset {
+  _WeightNaming__isset() : model(false), version(false), named_ms_ago(false) {}
+  bool model :1;
+  bool version :1;
+  bool named_ms_ago :1;
+} _WeightNaming__isset;
+
+class WeightNaming : public virtual ::apache::thrift::TBase {
+ public:
+
+  WeightNaming(const WeightNaming&);
+  WeightNaming(WeightNaming&&) noexcept;
+  WeightNaming& operator=(const WeightNaming&);
+  WeightNaming& operator=(WeightNaming&&) noexcept;
+  WeightNaming() noexcept
+               : model(),
+                 version(0),
+                 named_ms_ago(0) {
+  }
+
+  virtual ~WeightNaming() noexcept;
+  std::string model;
+  int64_t version;
+  int32_t named_ms_ago;
+
+  _WeightNaming__isset __isset;
+
+  void __set_model(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_named_ms_ago(const int32_t val);
+
+  bool operator == (const WeightNaming & rhs) const
+  {
+    if (!(model == rhs.model))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(named_ms_ago == rhs.named_ms_ago))
+      return false;
+    return true;
+  }
+  bool operator != (const WeightNaming &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WeightNaming & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WeightNaming &a, WeightNaming &b);
+
+std::ostream& operator<<(std::ostream& out, const WeightNaming& obj);
+
 typedef struct _DocumentDelta__isset {
-  _DocumentDelta__isset() : partial(false), revision(false), items(false), regained_ms_ago(false) {}
+  _DocumentDelta__isset() : partial(false), revision(false), items(false), regained_ms_ago(false), namings(false), current_ms_ago(false) {}
   bool partial :1;
   bool revision :1;
   bool items :1;
   bool regained_ms_ago :1;
+  bool namings :1;
+  bool current_ms_ago :1;
 } _DocumentDelta__isset;
 
 class DocumentDelta : public virtual ::apache::thrift::TBase {
@@ -1689,7 +1752,8 @@
   DocumentDelta() noexcept
                 : partial(0),
                   revision(0),
-                  regained_ms_ago(0) {
+                  regained_ms_ago(0),
+                  current_ms_ago(0) {
   }
 
   virtual ~DocumentDelta() noexcept;
@@ -1697,6 +1761,8 @@
   int64_t revision;
   std::vector<DocumentItem>  items;
   int64_t regained_ms_ago;
+  std::vector<WeightNaming>  namings;
+  int32_t current_ms_ago;
 
   _DocumentDelta__isset __isset;
 
@@ -1708,6 +1774,10 @@
 
   void __set_regained_ms_ago(const int64_t val);
 
+  void __set_namings(const std::vector<WeightNaming> & val);
+
+  void __set_current_ms_ago(const int32_t val);
+
   bool operator == (const DocumentDelta & rhs) const
   {
     if (!(partial == rhs.partial))
@@ -1720,6 +1790,12 @@
       return false;
     else if (__isset.regained_ms_ago && !(regained_ms_ago == rhs.regained_ms_ago))
       return false;
+    if (!(namings == rhs.namings))
+      return false;
+    if (__isset.current_ms_ago != rhs.__isset.current_ms_ago)
+      return false;
+    else if (__isset.current_ms_ago && !(current_ms_ago == rhs.current_ms_ago))
+      return false;
     return true;
   }
   bool operator != (const DocumentDelta &rhs) const {
@@ -2190,7 +2266,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashNews& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false) {}
+  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), current_ms_ago(false) {}
   bool instance :1;
   bool role :1;
   bool ip :1;
@@ -2214,6 +2290,7 @@
   bool digests_version :1;
   bool summaries :1;
   bool crash_news :1;
+  bool current_ms_ago :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -2242,7 +2319,8 @@
          loads_in_ms(0),
          operator_revision(0),
          store_answers(0),
-         digests_version(0) {
+         digests_version(0),
+         current_ms_ago(0) {
   }
 
   virtual ~Beat() noexcept;
@@ -2269,6 +2347,7 @@
   int64_t digests_version;
   std::vector<RegionSummary>  summaries;
   CrashNews crash_news;
+  int32_t current_ms_ago;
 
   _Beat__isset __isset;
 
@@ -2318,6 +2397,8 @@
 
   void __set_crash_news(const CrashNews& val);
 
+  void __set_current_ms_ago(const int32_t val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2370,6 +2451,10 @@
       return false;
     else if (__isset.crash_news && !(crash_news == rhs.crash_news))
       return false;
+    if (__isset.current_ms_ago != rhs.__isset.current_ms_ago)
+      return false;
+    else if (__isset.current_ms_ago && !(current_ms_ago == rhs.current_ms_ago))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -226,6 +226,13 @@
   3: i64 revision
 }
 
+// A version of weights that operators named (celerypost::WeightNaming).
+struct WeightNaming {
+  1: string model
+  2: i64 version
+  3: i32 named_ms_ago
+}
+
 // Documents for a process that does not read the key-value service; sent
 // compressed (DeltaCodec).
 struct DocumentDelta {
@@ -234,6 +241,9 @@
   3: list<DocumentItem> items
   // Milliseconds since the service came back after an outage.
   4: optional i64 regained_ms_ago
+  10: list<WeightNaming> namings
+  // Time since the sender knew of all changes; absent if it never did.
+  11: optional i32 current_ms_ago
 }
 
 // A gateway as other regions know it.
@@ -341,4 +351,7 @@
   22: list<RegionSummary> summaries
   // Gateways: what they know of prompts that crash targets.
   23: optional CrashNews crash_news
+  // Time since the sender knew of all changes of documents; absent if it never
+  // did.
+  40: optional i32 current_ms_ago
 }
--- a/tests/process/delta_codec_test.cc
+++ b/tests/process/delta_codec_test.cc
@@ -34,11 +34,18 @@
   DocumentDelta delta = BigConfig();
   delta.items.push_back({"binary", std::string("\0\xff\n", 3), 3});
   delta.regained_ago = milliseconds(1500);
+  delta.current_ago = milliseconds(40);
+  delta.namings.push_back({"m", 3, milliseconds(70)});
   const auto decoded = DecodeDelta(EncodeDelta(delta));
   CHECK_TRUE(decoded.has_value());
   CHECK_TRUE(decoded->partial);
   CHECK_EQUAL(71, decoded->revision);
   CHECK_TRUE(decoded->regained_ago == delta.regained_ago);
+  CHECK_TRUE(decoded->current_ago == delta.current_ago);
+  CHECK_EQUAL(1u, decoded->namings.size());
+  CHECK_EQUAL(3, decoded->namings.front().version);
+  CHECK_TRUE(decoded->namings.front().named_ago ==
+             std::chrono::milliseconds(70));
   CHECK_EQUAL(delta.items.size(), decoded->items.size());
   for (size_t i = 0; i < delta.items.size(); ++i) {
     STRCMP_EQUAL(delta.items[i].key.c_str(), decoded->items[i].key.c_str());
--- a/tests/process/state/cluster_view_test.cc
+++ b/tests/process/state/cluster_view_test.cc
@@ -91,6 +91,51 @@
                                                         milliseconds(3000)));
 }
 
+// Guards against work on superseded weights by processes that learn late of a
+// naming, each of which counted the bound from its own learning.
+TEST(ClusterViewTest, NamingThatIsLearnedLateFromAPeerIsNotYounger) {
+  ClusterView late{this->decoder, {}};
+  this->Change("o/config", "config 1", 1);
+  late.ApplyDelta(this->view.MakeDelta({}, this->now), this->now);
+  this->view.NoteCurrent(this->now);
+  const TimePoint named_at = this->now;
+  this->Change("o/w", "weights 2", 2);
+  this->now += milliseconds(500);
+  this->Change("o/w", "weights 3", 3);
+  this->now += milliseconds(1000);
+  late.ApplyDelta(this->view.MakeDelta({1, false}, this->now), this->now);
+  CHECK_EQUAL(3, late.Weights("m")->version());
+  CHECK_EQUAL(2, late.Weights("m")->NewestNamedAt(named_at));
+  CHECK_TRUE(late.Weights("m")->FirstNamedAbove(1) == named_at);
+}
+
+// Guards against a naming that is dated after the silence, or the pause of the
+// process, in which it was made.
+TEST(ClusterViewTest, NamingAfterASilenceCountsFromItsBegin) {
+  this->Change("o/config", "config 1", 1);
+  this->view.NoteCurrent(this->now);
+  const TimePoint current_at = this->now;
+  this->now += milliseconds(2400);
+  this->view.ApplySnapshot(
+      {{"o/config", "config 1", 1}, {"o/w", "weights 2", 2}}, 2, false,
+      this->now);
+  CHECK_TRUE(this->view.Weights("m")->FirstNamedAbove(1) == current_at);
+}
+
+// Guards against an assumed time that replaces the one that a peer has seen, or
+// that spreads to peers.
+TEST(ClusterViewTest, AssumedTimeOfANamingGivesWayToAnObservedOne) {
+  ClusterView restarted{this->decoder, {}};
+  this->Change("o/config", "config 1", 1);
+  this->Change("o/w", "weights 2", 2);
+  const TimePoint named_at = this->now;
+  this->now += milliseconds(700);
+  restarted.ApplySnapshot({{"o/w", "weights 2", 2}}, 2, false, this->now);
+  CHECK_EQUAL(0u, restarted.MakeDelta({}, this->now).namings.size());
+  restarted.ApplyDelta(this->view.MakeDelta({2, false}, this->now), this->now);
+  CHECK_TRUE(restarted.Weights("m")->FirstNamedAbove(1) == named_at);
+}
+
 // Guards against requests to a target after its registration was removed and
 // the grace period has passed.
 TEST(ClusterViewTest, RemovedTargetIsUsedForTheGraceOnly) {
--- a/tests/process/store_sync_test.cc
+++ b/tests/process/store_sync_test.cc
@@ -58,6 +58,7 @@
   int snapshots = 0;
   int after_outages = 0;
   int regained = 0;
+  TimePoint current_at{};
   std::vector<KeyValue> changes;
   std::unique_ptr<StoreSync> sync;
 
@@ -72,6 +73,7 @@
       this->changes.insert(this->changes.end(), changed.begin(), changed.end());
     };
     callbacks.on_regained = [this] { ++this->regained; };
+    callbacks.on_current = [this](TimePoint time) { this->current_at = time; };
     this->sync = std::make_unique<StoreSync>(this->loop, this->store, this->log,
                                              this->random, StoreSyncOptions{},
                                              std::move(callbacks));
@@ -145,6 +147,19 @@
   CHECK_EQUAL(1, this->store.reads);
 }
 
+// Guards against a change that is dated after the silence in which it was made.
+TEST(StoreSyncTest, SilentWatchDoesNotCountAsCurrent) {
+  this->Answer(41);
+  const TimePoint answered = this->current_at;
+  this->loop.RunFor(milliseconds(30));
+  this->store.end(
+      Failure{Verdict::kMayHaveRun, ErrorCode::kDeadlineExceeded, "no answer"});
+  CHECK_TRUE(this->current_at == answered);
+  this->RunUntil([this] { return this->store.reads == 2; });
+  this->store.read(NotRun(ErrorCode::kUnavailable, "away"));
+  CHECK_TRUE(this->current_at > answered);
+}
+
 // Guards against an outage of which the log doesn't say which call was silent.
 TEST(StoreSyncTest, LogsTheCallThatFoundTheServiceAway) {
   this->Answer(41);
