Count the time in which the VM is suspended

Cause: suspected, from reading DEPLOY.md and the code: the steady clock stands still while a VM is suspended, and every bound, age and schedule counted by it. A gateway that was suspended for 4 s between the naming of a version and its bound would use the superseded weights 4 s too long, and would take what it knew of peers and targets for young. Change: Loop::Now reads CLOCK_BOOTTIME. The one comparison with another clock (WorkTask) uses the loop's time.

--- a/src/connection/loop.cc
+++ b/src/connection/loop.cc
@@ -1,6 +1,7 @@
 #include "src/connection/loop.h"
 
 #include <csignal>
+#include <ctime>
 #include <utility>
 
 #include "celerypost/assert.h"
@@ -119,7 +120,12 @@
 }
 
 TimePoint Loop::Now() const {
-  return Clock::now();
+  timespec time{};
+  CELERYPOST_ASSERT(clock_gettime(CLOCK_BOOTTIME, &time) == 0,
+                    "the kernel has a clock that counts suspensions");
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 void Loop::Post(std::function<void()> task) {
--- a/src/connection/loop.h
+++ b/src/connection/loop.h
@@ -49,7 +49,8 @@
   // Handles pending events and returns; waits at most `limit` for the first.
   void RunFor(std::chrono::milliseconds limit);
 
-  // Monotonic time.
+  // Monotonic time, which also counts while the VM is suspended. Timers don't:
+  // after a suspension they fire late.
   TimePoint Now() const;
 
   // Runs `task` in the next iteration of the loop.
--- a/src/request/task/work_service.cc
+++ b/src/request/task/work_service.cc
@@ -337,10 +337,12 @@
       this->handlers.on_start_id(id);
     }
   };
-  task_handlers.on_first_body = [this, epoch](Duration latency) {
+  task_handlers.on_first_body = [this, epoch](TimePoint dispatched_at) {
+    const TimePoint now = this->loop.Now();
+    const Duration latency = now - dispatched_at;
     this->first_token.Observe(latency);
     if (epoch == this->limiter->cold_start.epoch()) {
-      this->limiter->cold_start.OnFirstToken(latency, this->loop.Now());
+      this->limiter->cold_start.OnFirstToken(latency, now);
     }
   };
   task_handlers.on_done = [this, key](WorkResult result) {
--- a/src/request/task/work_task.cc
+++ b/src/request/task/work_task.cc
@@ -64,7 +64,7 @@
 
 void WorkTask::OnBody(std::string_view bytes) {
   if (!std::exchange(this->first_body_seen, true)) {
-    this->handlers.on_first_body(Clock::now() - this->dispatched_at);
+    this->handlers.on_first_body(this->dispatched_at);
   }
   if (this->request_id && this->answer_fits) {
     this->answer_fits = this->answer.body.size() + bytes.size() <=
--- a/src/request/task/work_task.h
+++ b/src/request/task/work_task.h
@@ -27,7 +27,7 @@
 // Callbacks, which run on the loop.
 struct WorkTaskHandlers {
   std::function<void(const HttpHeaders& headers)> on_head;
-  std::function<void(Duration since_dispatch)> on_first_body;
+  std::function<void(TimePoint dispatched_at)> on_first_body;
   // Called once, as the last callback; it may destroy the task.
   std::function<void(WorkResult)> on_done;
   // Returns the load report to send with the head and the end of the response.
