--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -140,6 +140,9 @@
                                    .region = dependencies.settings.region,
                                    .instance = dependencies.instance,
                                    .role = role}),
+      documents_age(dependencies.metrics.AddGauge(
+          "celerypost_documents_age_seconds",
+          "Time since this process knew of all changes of documents")),
       tick(dependencies.loop, [this] { this->Tick(); }),
       start_timer(dependencies.loop, [this] {
         if (this->cluster_view.config() == nullptr) {
@@ -444,6 +447,10 @@
   this->UpdateStoreReading();
   this->CatchUp();
   this->last_tick = now;
+  if (const auto& current_at = this->cluster_view.current_at()) {
+    this->documents_age.Set(
+        std::chrono::duration<double>(now - *current_at).count());
+  }
 }
 
 void NodeCore::CatchUp() {
--- a/src/process/node_core.h
+++ b/src/process/node_core.h
@@ -144,6 +144,7 @@
   PeerExchange peer_exchange;
   StoreSync sync;
   NodeRegistry registry;
+  Gauge& documents_age;
   Timer tick;
   // When `tick` last fired; long ago after a pause of the process.
   TimePoint last_tick{};
--- a/src/process/node_registry.cc
+++ b/src/process/node_registry.cc
@@ -95,11 +95,22 @@
 void NodeRegistry::RecordAnswer(bool answered, TimePoint sent_at) {
   if (!answered && this->last_call_answered) {
     this->lost_at = sent_at;
+    this->log.Warn("lease_unanswered",
+                   "the key-value service does not answer a lease call",
+                   {{"lease", this->lease_id}});
   }
   const bool regained =
       answered && !this->last_call_answered && this->ever_answered;
   this->last_call_answered = answered;
   this->ever_answered = this->ever_answered || answered;
+  if (regained) {
+    this->log.Info(
+        "lease_answered", "the key-value service answers lease calls again",
+        {{"lease", this->lease_id},
+         {"away_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                         this->loop.Now() - this->lost_at)
+                         .count()}});
+  }
   if (regained && this->on_regained) {
     this->on_regained(this->lost_at);
   }
