Never take a copy of an earlier answer for a request's own

Callers of other systems were told "not run" for requests that ran, since a target wrote an earlier refusal once more on a kept connection. Three ways were left:

- A request without an ID took any answer without one for its own, on a used connection too.
It gets a connection of its own.
- A caller that uses an ID again could get the answer to its first request from a kept connection.
A connection remembers the IDs of its last 32 requests and carries none of them twice.
- On a new connection, an answer without an ID was taken even if an answer to another request had come before.
Such a connection counts as used.

--- a/src/connection/http1_client.cc
+++ b/src/connection/http1_client.cc
@@ -119,6 +119,13 @@
 
   TimePoint idle_since{};
 
+  // Whether a request with this ID was sent on the connection.
+  bool HasCarried(const std::string& id) const {
+    return !id.empty() &&
+           std::find(this->carried_ids.begin(), this->carried_ids.end(), id) !=
+               this->carried_ids.end();
+  }
+
   void Close() {
     if (this->closing) {
       return;
@@ -146,6 +153,12 @@
     this->exchange = std::move(next);
     this->exchange->channel = this;
     this->exchange_open = true;
+    if (!this->exchange->options.id.empty()) {
+      this->carried_ids.push_back(this->exchange->options.id);
+      if (this->carried_ids.size() > this->client->options.max_remembered_ids) {
+        this->carried_ids.pop_front();
+      }
+    }
     this->skipped_responses = 0;
     this->body_bytes = 0;
     this->head = {};
@@ -311,6 +324,7 @@
                        "too many responses before the one to the request");
             return;
           }
+          this->reused = this->reused || !informational;
           this->body_bytes = 0;
           http_parser_init(&this->parser, HTTP_RESPONSE);
           this->parser.data = this;
@@ -469,9 +483,12 @@
   http_parser parser{};
   std::unique_ptr<Timer> timer;
   std::shared_ptr<Exchange> exchange;
+  // Of the latest requests, oldest first.
+  std::deque<std::string> carried_ids;
   HttpResponseHead head;
   bool last_was_value = true;
   bool connecting = false;
+  // HttpResponseHead::reused_connection.
   bool reused = false;
   bool write_pending = false;
   bool response_started = false;
@@ -553,10 +570,14 @@
   }
   Impl& pool = *this->impl;
   const TimePoint now = pool.loop.Now();
-  if (!pool.idle.empty() &&
-      now - pool.idle.back()->idle_since <= exchange->options.max_idle) {
-    Channel* const channel = pool.idle.back();
-    pool.idle.pop_back();
+  const auto usable = std::find_if(
+      pool.idle.rbegin(), pool.idle.rend(), [&](const Channel* channel) {
+        return now - channel->idle_since <= exchange->options.max_idle &&
+               !channel->HasCarried(exchange->options.id);
+      });
+  if (!exchange->options.new_connection && usable != pool.idle.rend()) {
+    Channel* const channel = *usable;
+    pool.idle.erase(std::next(usable).base());
     channel->Use(exchange);
     return call;
   }
--- a/src/connection/http1_client.h
+++ b/src/connection/http1_client.h
@@ -19,12 +19,20 @@
   // Longest time that an idle connection is kept. A server may shorten it with
   // its Keep-Alive header.
   std::chrono::milliseconds idle_timeout{4000};
+  // Number of the latest request IDs that a connection remembers.
+  size_t max_remembered_ids = 32;
 };
 
 struct Http1SendOptions {
+  // Identifies the request in its response. A connection that has carried a
+  // request with this ID is not used for it again: a late copy of the first
+  // response would be taken for the second. No ID when empty.
+  std::string id;
   // An idle connection is reused only if it has been idle for at most this
   // long.
   std::chrono::milliseconds max_idle{4000};
+  // Opens a connection of its own for the request.
+  bool new_connection = false;
   // Returns false for a response that belongs to another request; it is skipped
   // and the next one on the connection is read. Every response is accepted when
   // empty.
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -18,9 +18,9 @@
 struct HttpResponseHead {
   int status = 0;
   HttpHeaders headers;
-  // Whether an earlier request was sent on the same connection (Http1Client
-  // only). A late copy of its response may then precede the one to this
-  // request.
+  // Whether an earlier request was sent on the same connection, or a response
+  // to another one was received on it (Http1Client only). A late copy of an
+  // earlier response may then precede the one to this request.
   bool reused_connection = false;
 };
 
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -293,17 +293,15 @@
   if (!this->route->repeatable()) {
     options.max_idle = this->context.options.non_repeatable_max_idle;
   }
+  // The answer will have no ID either.
+  options.new_connection = this->call.id.empty();
   // The answer to a stream is passed on as it arrives; its events are limited
   // instead (OnBody).
   options.max_body_bytes =
       this->IsStream() ? 0 : this->context.options.max_answer_bytes;
+  options.id = this->call.id;
   options.accepts = [this](const HttpResponseHead& head) {
-    const TargetAnswer answer =
-        this->context.codec.ReadAnswer(head.status, head.headers);
-    // Without an id, an answer can be told from a late copy of an earlier one
-    // only on a new connection.
-    return answer.id == this->call.id ||
-           (answer.id.empty() && !head.reused_connection);
+    return this->IsOwnAnswer(head);
   };
   HttpResponseCallbacks callbacks;
   callbacks.on_head = [this](const HttpResponseHead& head) {
@@ -321,6 +319,14 @@
   this->StartAttemptTimer();
 }
 
+bool RelayTask::IsOwnAnswer(const HttpResponseHead& head) const {
+  const std::string id =
+      this->context.codec.ReadAnswer(head.status, head.headers).id;
+  // Without an ID, an answer can be told from a late copy of an earlier one
+  // only on a new connection.
+  return id.empty() ? !head.reused_connection : id == this->call.id;
+}
+
 void RelayTask::StartAttemptTimer() {
   const bool awaiting_first_event = !this->attempt->had_event;
   std::optional<milliseconds> timeout;
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -132,6 +132,8 @@
   void EndForLackOfTime();
   // Ends the request since a part of its prompt is quarantined.
   void EndForQuarantine();
+  // Returns whether a response is the one to the current attempt.
+  bool IsOwnAnswer(const HttpResponseHead& head) const;
   void OnHead(const HttpResponseHead& head);
   void OnBody(std::string_view bytes);
   void OnEnd();
--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -285,6 +285,45 @@
   CHECK_TRUE(reused[1]);
 }
 
+// Guards against a late copy of the first response that is taken for the second
+// one, since both requests have the same ID.
+TEST(Http1Test, SendsARepeatedIdOnAnotherConnection) {
+  RawServer server([](int descriptor) {
+    char request[4096];
+    do {
+      Send(descriptor, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+    } while (read(descriptor, request, sizeof(request)) > 0);
+  });
+  Http1Client client(this->loop, server.address(), {});
+  Http1SendOptions options;
+  for (const char* const id : {"a", "b"}) {
+    options.id = id;
+    CHECK_TRUE(this->Fetch(client, options).has_value());
+  }
+  CHECK_EQUAL(1u, client.connections_opened());
+  options.id = "a";
+  const auto call = client.Send({"GET", "/", {}, ""}, options, {});
+  CHECK_EQUAL(2u, client.connections_opened());
+}
+
+// Guards against an answer without an ID that is taken for a request's own
+// after an answer to another request has come on the new connection.
+TEST(Http1Test, AConnectionWithAForeignResponseIsNotNew) {
+  RawServer server([](int descriptor) {
+    Send(descriptor,
+         "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n"
+         "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+  });
+  Http1Client client(this->loop, server.address(), {});
+  Http1SendOptions options;
+  options.accepts = [](const HttpResponseHead& head) {
+    return FindHeader(head.headers, "x-id").empty() && !head.reused_connection;
+  };
+  const auto response = this->Fetch(client, options);
+  CHECK_FALSE(response.has_value());
+  CHECK_TRUE(response.error().verdict == Verdict::kMayHaveRun);
+}
+
 // Guards against a request that reaches its server after its caller has left: a
 // cancelled request that still lies in the send buffer must be dropped.
 TEST(Http1Test, CancelledRequestIsNotDeliveredLater) {
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -37,6 +38,10 @@
   // Sends the last two bytes after a pause, in which the others reach the
   // caller.
   bool pauses = false;
+  // Sent on the connection of the reply before.
+  bool same_connection = false;
+  // The connection is kept until the end of the test.
+  bool keeps_connection = false;
 };
 
 // An answer without a length that ends with its connection.
@@ -70,13 +75,29 @@
   bool failed = false;
 };
 
-// Forwards requests with the last event ID; every request has the id "a".
+// An answer on a connection that stays open; `head` holds further headers.
+std::string Kept(const std::string& head, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\n" + head +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string Refusal(const std::string& head) {
+  return "HTTP/1.1 503 Full\r\nx-not-run: 1\r\n" + head +
+         "Content-Length: 0\r\n\r\n";
+}
+
+// Forwards requests with the last event ID; a request without x-id has the ID
+// "a", one with "none" has no ID.
 class FakeCodec : public RequestCodec {
  public:
-  CallerRequestInfo ReadRequest(const HttpRequest&) const override {
+  // The shared part of all prompts.
+  std::string part = "part";
+
+  CallerRequestInfo ReadRequest(const HttpRequest& request) const override {
     CallerRequestInfo info;
-    info.id = "a";
-    info.shared_parts = {"part"};
+    const std::string id(FindHeader(request.headers, "x-id"));
+    info.id = id.empty() ? "a" : id == "none" ? "" : id;
+    info.shared_parts = {this->part};
     return info;
   }
   HttpRequest MakeTargetRequest(const HttpRequest& request,
@@ -90,6 +111,7 @@
                           const HttpHeaders& headers) const override {
     TargetAnswer answer;
     answer.status = status;
+    answer.id = FindHeader(headers, "x-id");
     answer.not_run = !FindHeader(headers, "x-not-run").empty();
     return answer;
   }
@@ -165,12 +187,16 @@
     this->view.ApplyChanges({{key, "x", ++this->revision}}, this->loop.Now());
   }
 
-  // Answers one connection after the other until the listener is shut down.
+  // Answers one request after the other until the listener is shut down.
   void ServeTargets(int listener, const std::vector<TargetReply>& replies) {
+    std::set<int> kept;
+    int target = -1;
     for (const TargetReply& reply : replies) {
-      const int target = accept(listener, nullptr, nullptr);
+      if (!reply.same_connection) {
+        target = accept(listener, nullptr, nullptr);
+      }
       if (target < 0) {
-        return;
+        break;
       }
       char request[4096];
       const ssize_t size = read(target, request, sizeof(request));
@@ -183,18 +209,42 @@
       }
       send(target, reply.bytes.data() + first, reply.bytes.size() - first,
            MSG_NOSIGNAL);
+      if (reply.keeps_connection) {
+        kept.insert(target);
+        continue;
+      }
       if (reply.reset) {
         const linger reset{1, 0};
         setsockopt(target, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
       }
+      kept.erase(target);
       close(target);
     }
+    // Until the end of the test.
+    accept(listener, nullptr, nullptr);
+    for (const int descriptor : kept) {
+      close(descriptor);
+    }
+  }
+
+  // Forgets the requests and the failures of the targets.
+  void BeginCase() {
+    this->received.clear();
+    this->book.Forget({});
+    this->codec.part += "+";
   }
 
   // Relays one request on `route` to two targets. The n-th attempt gets the
   // n-th reply.
   CallerAnswer Relay(const Route& route,
                      const std::vector<TargetReply>& replies) {
+    return this->RelayEach(route, replies, {"a"}).front();
+  }
+
+  // Relays a request for each ID, one after the other.
+  std::vector<CallerAnswer> RelayEach(const Route& route,
+                                      const std::vector<TargetReply>& replies,
+                                      const std::vector<std::string>& ids) {
     uint16_t port = 0;
     const int listener = ListenOnLoopback(port);
     std::thread targets([&] { this->ServeTargets(listener, replies); });
@@ -230,7 +280,33 @@
           std::make_shared<RelayTask>(context, std::move(request), out)
               ->Start();
         });
-    Http1Client caller(this->loop, {"127.0.0.1", (*server)->port()}, {});
+    std::vector<CallerAnswer> answers;
+    for (const std::string& id : ids) {
+      answers.push_back(this->Ask((*server)->port(), id));
+      if (ids.size() > 1) {
+        this->WaitForRefusalBackoff();
+      }
+    }
+    shutdown(listener, SHUT_RDWR);
+    targets.join();
+    close(listener);
+    server->reset();
+    this->loop.RunFor(milliseconds(50));
+    this->relay_context = nullptr;
+    return answers;
+  }
+
+  void WaitForRefusalBackoff() {
+    const TimePoint end =
+        this->loop.Now() + TargetTrackerOptions{}.refusal_backoff;
+    while (this->loop.Now() < end) {
+      this->loop.RunFor(milliseconds(20));
+    }
+  }
+
+  // Sends a request with the ID as a caller and waits for its answer.
+  CallerAnswer Ask(uint16_t port, const std::string& id) {
+    Http1Client caller(this->loop, {"127.0.0.1", port}, {});
     CallerAnswer answer;
     HttpResponseCallbacks callbacks;
     callbacks.on_head = [&answer](const HttpResponseHead& head) {
@@ -241,18 +317,13 @@
     };
     callbacks.on_end = [&answer] { answer.complete = true; };
     callbacks.on_failure = [&answer](const Failure&) { answer.failed = true; };
-    const auto call = caller.Send({"GET", "/", {{"host", "h"}}, ""}, {},
-                                  std::move(callbacks));
+    const auto call =
+        caller.Send({"GET", "/", {{"host", "h"}, {"x-id", id}}, ""}, {},
+                    std::move(callbacks));
     for (int i = 0; i < kMaxIterations && !answer.complete && !answer.failed;
          ++i) {
       this->loop.RunFor(milliseconds(20));
     }
-    shutdown(listener, SHUT_RDWR);
-    targets.join();
-    close(listener);
-    server->reset();
-    this->loop.RunFor(milliseconds(50));
-    this->relay_context = nullptr;
     return answer;
   }
 
@@ -464,6 +535,51 @@
   CHECK_EQUAL(1u, this->received.size());
 }
 
+// Guards against a late copy of an earlier refusal that is taken for the answer
+// to the next request on its connection.
+TEST(RelayTaskTest, ARefusalOfAnEarlierRequestIsSkipped) {
+  for (const std::string id : {"x-id: a\r\n", ""}) {
+    Route route = PlainRoute();
+    route.kind = RouteKind::kNonIdempotent;
+    this->received.clear();
+    const auto answers = this->RelayEach(
+        route,
+        {{.bytes = Kept("x-id: a\r\n", "first"), .keeps_connection = true},
+         {.bytes = Refusal(id) + Kept("x-id: b\r\n", "second"),
+          .same_connection = true}},
+        {"a", "b"});
+    STRCMP_EQUAL("second", answers.back().body.c_str());
+    CHECK_EQUAL(2u, this->received.size());
+  }
+}
+
+// Guards against a request without an ID that takes any answer on a kept
+// connection for its own.
+TEST(RelayTaskTest, ARequestWithoutAnIdGetsAConnectionOfItsOwn) {
+  Route route = PlainRoute();
+  route.kind = RouteKind::kNonIdempotent;
+  const auto answers = this->RelayEach(
+      route,
+      {{.bytes = Kept("x-id: a\r\n", "first"), .keeps_connection = true},
+       Unframed("second")},
+      {"a", "none"});
+  CHECK_EQUAL(200, answers.back().status);
+  STRCMP_EQUAL("second", answers.back().body.c_str());
+}
+
+// Guards against the refusal of a caller's first request that is taken for the
+// answer to its second one with the same ID.
+TEST(RelayTaskTest, ARepeatedIdGetsAnotherConnection) {
+  Route route = PlainRoute();
+  route.kind = RouteKind::kNonIdempotent;
+  const auto answers = this->RelayEach(
+      route,
+      {{.bytes = Kept("x-id: a\r\n", "first"), .keeps_connection = true},
+       Unframed("second")},
+      {"a", "a"});
+  STRCMP_EQUAL("second", answers.back().body.c_str());
+}
+
 // Guards against a repeat that crashes a second target when the first crash has
 // already been seen elsewhere.
 TEST(RelayTaskTest, ABrokenRequestIsNotRepeatedWhenAnotherCrashAccusesItsPart) {
