Promise "not run" only on the target's own word

A target's 408, 429 or 503 without its statement that the request has not run went to the caller unchanged, and callers take these for that promise. A target that fails with 503 after it has run a request that must run once thus made the gateway promise something false.

With the change taken out, RelayTaskTest AnUnconfirmedRefusalIsNoRefusalToTheCaller fails (503 instead of 502); with it, it passes.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -503,6 +503,11 @@
   this->NoteEndOfAnswer();
   this->EndAttempt(failed ? AttemptOutcome::kFailed
                           : AttemptOutcome::kAnswered);
+  if (this->attempt->answer.unconfirmed_refusal) {
+    this->FailWith(kBadGateway,
+                   "the target does not say whether the request has run");
+    return;
+  }
   this->SendTargetAnswer();
 }
 
--- a/src/request/request_codec.h
+++ b/src/request/request_codec.h
@@ -54,6 +54,8 @@
   std::string id;
   // The target has not run the request and will not.
   bool not_run = false;
+  // The status means "not run" to callers, but the target does not say so.
+  bool unconfirmed_refusal = false;
   // Identity of the target process that answered, if it is not the one that the
   // request was meant for.
   std::string other_target;
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -113,6 +113,18 @@
   CHECK_FALSE(this->codec.ReadAnswer(500, {}).not_run);
 }
 
+// Guards against a promise to the caller that the target has not made.
+TEST(PlatformRequestCodecTest, TellsRefusalsThatTheTargetDoesNotConfirm) {
+  for (const int status : {408, 429, 503}) {
+    CHECK_TRUE(this->codec.ReadAnswer(status, {}).unconfirmed_refusal);
+    CHECK_FALSE(this->codec.ReadAnswer(status, {{"x-not-executed", "1"}})
+                    .unconfirmed_refusal);
+  }
+  for (const int status : {200, 404, 421, 500, 502, 504}) {
+    CHECK_FALSE(this->codec.ReadAnswer(status, {}).unconfirmed_refusal);
+  }
+}
+
 // Guards against a Retry-After value that is truncated to whole seconds.
 TEST(PlatformRequestCodecTest, WritesFractionsOfASecond) {
   const HttpHeaders own = this->codec.MakeOwnHeaders("id1", milliseconds(450));
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -113,6 +113,7 @@
     answer.status = status;
     answer.id = FindHeader(headers, "x-id");
     answer.not_run = !FindHeader(headers, "x-not-run").empty();
+    answer.unconfirmed_refusal = status == 503 && !answer.not_run;
     return answer;
   }
   HttpHeaders MakeCallerHeaders(const HttpHeaders&) const override {
@@ -567,6 +568,17 @@
   STRCMP_EQUAL("second", answers.back().body.c_str());
 }
 
+// Guards against "not run" to the caller of a request that its target may have
+// run: only the target's own word counts, not the status.
+TEST(RelayTaskTest, AnUnconfirmedRefusalIsNoRefusalToTheCaller) {
+  Route route = PlainRoute();
+  route.kind = RouteKind::kNonIdempotent;
+  const CallerAnswer answer = this->Relay(
+      route, {{"HTTP/1.1 503 Down\r\nContent-Length: 3\r\n\r\nran"}});
+  CHECK_EQUAL(502, answer.status);
+  CHECK_EQUAL(1u, this->received.size());
+}
+
 // Guards against the refusal of a caller's first request that is taken for the
 // answer to its second one with the same ID.
 TEST(RelayTaskTest, ARepeatedIdGetsAnotherConnection) {
