Resume streams only with event streams

Callers of other systems found the text of an error in the middle of a stream, or the stream ended as if it were complete, when the target that should go on with it answered with an error. Here an answer with an error status already broke the stream off. But any answer below 300 was taken for the rest: its text was passed on up to a blank line, and an answer without events ended the stream as complete.

The rest of a stream must now be a 200 with the type of an event stream (or no type), its first event needs an ID if earlier ones had one, and an answer without events is the end only if it has an end of its own (a length or chunks). A status line of HTTP at the start of a line is no event: in an answer without a length it is the head of another response. The stream goes on at a third target or is cut.

With the change taken out, these fail: OnlyAnEventStreamResumesAStream, AResponseInsideAnUnframedStreamIsNoEvent (RelayTaskTest), AnEventWithoutAnIdResumesNoStreamWithIds, AStatusLineIsNoEvent (EventStreamTest). With it, they pass.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -11,6 +11,9 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::string_view kEventStreamType = "text/event-stream";
+
+constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kBadGateway = 502;
@@ -386,13 +389,26 @@
     this->SendToNextTarget();
     return;
   }
-  if (this->head_sent && answer.status >= 300) {
+  if (this->head_sent && !this->ResumesStream()) {
     this->EndAttempt(AttemptOutcome::kFailed);
     this->RetryOrEnd(Verdict::kMayHaveRun, kBadGateway,
                      "the target does not go on with the stream");
   }
 }
 
+bool RelayTask::ResumesStream() const {
+  std::string type;
+  AppendLowerCase(type, FindHeader(this->attempt->headers, "content-type"));
+  return this->attempt->answer.status == kOk &&
+         (type.empty() || type.starts_with(kEventStreamType));
+}
+
+bool RelayTask::HasFramedAnswer() const {
+  const HttpHeaders& headers = this->attempt->headers;
+  return !FindHeader(headers, "content-length").empty() ||
+         !FindHeader(headers, "transfer-encoding").empty();
+}
+
 void RelayTask::OnBody(std::string_view bytes) {
   const auto keep_alive = this->shared_from_this();
   if (!this->attempt || this->attempt->ended) {
@@ -414,6 +430,11 @@
     this->NoteProgress();
   }
   this->ForwardEvents(complete);
+  if (this->events.corrupt()) {
+    this->OnFailure({Verdict::kMayHaveRun, ErrorCode::kCorrupt,
+                     "bytes that are no event of the stream"});
+    return;
+  }
   if (this->events.incomplete_bytes() > this->context.options.max_event_bytes) {
     this->OnFailure({Verdict::kMayHaveRun, ErrorCode::kCorrupt,
                      "an event of the stream exceeds the limit"});
@@ -448,10 +469,7 @@
 }
 
 void RelayTask::NoteEndOfAnswer() {
-  const HttpHeaders& headers = this->attempt->headers;
-  const bool framed = !FindHeader(headers, "content-length").empty() ||
-                      !FindHeader(headers, "transfer-encoding").empty();
-  if (framed && this->attempt->answer.status < 300) {
+  if (this->HasFramedAnswer() && this->attempt->answer.status < 300) {
     this->NoteSurvival();
   }
 }
@@ -482,7 +500,10 @@
                        "the stream ended inside an event"});
       return;
     }
-    if (!this->head_sent && !this->attempt->had_event) {
+    // A target that resumes a stream may have no event left, which only an
+    // answer with an end of its own tells from a crash.
+    if (!this->attempt->had_event &&
+        (!this->head_sent || !this->HasFramedAnswer())) {
       this->OnFailure({Verdict::kMayHaveRun, ErrorCode::kUnavailable,
                        "the stream ended before its first event"});
       return;
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -135,6 +135,12 @@
   // Returns whether a response is the one to the current attempt.
   bool IsOwnAnswer(const HttpResponseHead& head) const;
   void OnHead(const HttpResponseHead& head);
+  // Returns whether the answer can be the rest of the stream that the caller
+  // has received a part of.
+  bool ResumesStream() const;
+  // Returns whether the answer's end is told by a length or chunks, not by the
+  // end of its connection.
+  bool HasFramedAnswer() const;
   void OnBody(std::string_view bytes);
   void OnEnd();
   void OnFailure(const Failure& failure);
--- a/src/request/event_stream.cc
+++ b/src/request/event_stream.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kHttpVersion = "HTTP/1.";
 
 bool IsLineEnd(char c) {
   return c == '\n' || c == '\r';
@@ -42,6 +43,16 @@
   return std::nullopt;
 }
 
+// Whether a line of the event is the status line of an HTTP response.
+bool HasStatusLine(std::string_view event) {
+  while (!event.empty()) {
+    if (TakeLine(event).starts_with(kHttpVersion)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 // Whether every line of the event is a comment or blank.
 bool IsComment(std::string_view event) {
   while (!event.empty()) {
@@ -66,6 +77,9 @@
 }  // namespace
 
 std::string EventStream::Add(std::string_view bytes) {
+  if (this->is_corrupt) {
+    return {};
+  }
   size_t at = this->partial.size();
   this->partial.append(bytes);
   std::string complete;
@@ -92,6 +106,9 @@
     }
     const std::string_view event(this->partial.data() + begin, at + 1 - begin);
     this->last_accepted = this->Accept(event);
+    if (this->is_corrupt) {
+      break;
+    }
     if (this->last_accepted) {
       complete.append(event);
     }
@@ -105,10 +122,18 @@
   this->partial.clear();
   this->line_empty = true;
   this->after_cr = false;
+  this->is_corrupt = false;
+  this->awaits_id = this->last_event_id.has_value();
 }
 
 bool EventStream::Accept(std::string_view event) {
   auto id = FindId(event);
+  const bool comment = IsComment(event);
+  if (HasStatusLine(event) || (this->awaits_id && !id && !comment)) {
+    this->is_corrupt = true;
+    return false;
+  }
+  this->awaits_id = this->awaits_id && !id;
   if (id && this->last_event_id) {
     const auto number = ToNumber(*id);
     const auto previous = ToNumber(*this->last_event_id);
@@ -119,7 +144,7 @@
   if (id) {
     this->last_event_id = std::move(id);
   }
-  this->event_count += IsComment(event) ? 0 : 1;
+  this->event_count += comment ? 0 : 1;
   return true;
 }
 
--- a/src/request/event_stream.h
+++ b/src/request/event_stream.h
@@ -21,6 +21,11 @@
   // Drops the incomplete event; call before another target resumes the stream.
   void Restart();
 
+  // Returns whether the current run has sent something that cannot be passed
+  // on: the head of another response, or, resuming a stream with ids, a first
+  // event without one. Add returns nothing from there on.
+  bool corrupt() const { return this->is_corrupt; }
+
   // Returns whether a field or an unfinished line has been received after the
   // last complete event. A stream that ends then was broken off: an event needs
   // its blank line.
@@ -48,6 +53,9 @@
   bool line_empty = true;
   // The last byte was \r, so a following \n belongs to the same line end.
   bool after_cr = false;
+  bool is_corrupt = false;
+  // No event with an id has come since the restart of a stream with ids.
+  bool awaits_id = false;
   // The last complete event has been passed on.
   bool last_accepted = false;
   std::optional<std::string> last_event_id;
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -404,6 +404,55 @@
   CHECK_EQUAL(1u, this->received.size());
 }
 
+// Guards against an error that reaches the caller as a part of its stream, or
+// ends the stream as if it were complete.
+TEST(RelayTaskTest, OnlyAnEventStreamResumesAStream) {
+  constexpr char kError[] = "oops\n\n";
+  const std::string json =
+      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+  const std::string error = "HTTP/1.1 500 Oops\r\n";
+  const std::string length = "Content-Length: 6\r\n\r\n";
+  const std::string close = "Connection: close\r\n\r\n";
+  for (const TargetReply& reply :
+       {TargetReply{error + length + kError},
+        TargetReply{error + close + kError},
+        TargetReply{json + length + kError}, TargetReply{json + close + kError},
+        TargetReply{"HTTP/1.1 204 None\r\n" + close}, WithLength(kError),
+        Chunked(kError), Unframed(kError), Unframed(""), Unframed(": bye\n\n"),
+        Unframed(error + length + kError)}) {
+    this->BeginCase();
+    const CallerAnswer answer =
+        this->Relay(StreamRoute(), {Unframed(kBroken), reply});
+    STRNCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", answer.body.c_str(),
+                  sizeof("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") - 1);
+    CHECK_TRUE(answer.body.find("oops") == std::string::npos);
+    CHECK_TRUE(answer.failed);
+    CHECK_EQUAL(2u, this->received.size());
+  }
+}
+
+// Guards against a whole stream that is taken for broken off: no event was left
+// for the target that resumes it.
+TEST(RelayTaskTest, AnEmptyEventStreamWithAnEndResumesAStream) {
+  for (const TargetReply& reply : {WithLength(""), Chunked(": bye\n\n")}) {
+    this->BeginCase();
+    const CallerAnswer answer =
+        this->Relay(StreamRoute(), {Unframed(kBroken), reply});
+    CHECK_TRUE(answer.complete);
+    CHECK_EQUAL(2u, this->received.size());
+  }
+}
+
+// Guards against the head of another response that reaches the caller as an
+// event of an answer without a length.
+TEST(RelayTaskTest, AResponseInsideAnUnframedStreamIsNoEvent) {
+  this->CheckJoined(this->Relay(
+      StreamRoute(),
+      {Unframed("id: 1\ndata: a\n\nid: 2\ndata: b\n\nHTTP/1.1 500 Oops\r\n"
+                "Content-Length: 6\r\n\r\noops\n\n"),
+       Unframed(kResumed)}));
+}
+
 TEST(RelayTaskTest, AStreamThatEndsInsideItsFirstEventIsSentAgain) {
   const CallerAnswer answer = this->Relay(
       StreamRoute(), {Unframed("id: 1\nda"), Unframed("id: 1\ndata: x\n\n")});
--- a/tests/request/event_stream_test.cc
+++ b/tests/request/event_stream_test.cc
@@ -110,6 +110,29 @@
   STRCMP_EQUAL("\n", this->stream.Add("\n").c_str());
 }
 
+// Guards against the text of an error that is taken for the rest of a stream.
+TEST(EventStreamTest, AnEventWithoutAnIdResumesNoStreamWithIds) {
+  this->stream.Add("id: 1\ndata: a\n\n");
+  this->stream.Restart();
+  STRCMP_EQUAL(": c\n\n", this->stream.Add(": c\n\noops\n\n").c_str());
+  CHECK_TRUE(this->stream.corrupt());
+  STRCMP_EQUAL("", this->stream.Add("id: 2\ndata: b\n\n").c_str());
+  this->stream.Restart();
+  STRCMP_EQUAL("id: 2\n\ndata: x\n\n",
+               this->stream.Add("id: 2\n\ndata: x\n\n").c_str());
+  CHECK_FALSE(this->stream.corrupt());
+}
+
+// Guards against the head of another response that is taken for an event.
+TEST(EventStreamTest, AStatusLineIsNoEvent) {
+  STRCMP_EQUAL("id: 1\ndata: HTTP/1.1 200 OK\n\n",
+               this->stream
+                   .Add("id: 1\ndata: HTTP/1.1 200 OK\n\n"
+                        "HTTP/1.1 500 Oops\r\nX-A: b\r\n\r\noops\n\n")
+                   .c_str());
+  CHECK_TRUE(this->stream.corrupt());
+}
+
 // Guards against a stream without the rest of an event that looks complete.
 TEST(EventStreamTest, AnEventWithoutItsBlankLineIsIncomplete) {
   for (const std::string rest :
