Take an unframed answer without a body for cut

Callers of other systems got an empty 200 when a target stopped in the middle of its answer's head. Neither HTTP client does that: cut anywhere before its end, a response with a length or in chunks fails with "may have run", on a new connection, after 100 Continue and after a skipped response, and so does broken or contradictory framing (Http1Test FailsAResponseThatIsCutAnywhere and FailsAResponseWithBrokenFraming, HttpTest AnswerThatIsCutWithinItsHeadFailsTheCall; the last two pass without this change).

One cut could not be told: right after the head of an answer without a length, which looked like a complete empty body. Servers give an empty body a length, so both clients now take it for cut.

With the change taken out, these fail: FailsAResponseThatIsCutAnywhere (cut after the head without a length), HttpTest AnswerWithoutALengthThatEndsAfterItsHeadFailsTheCall, RelayTaskTest AnAnswerThatIsCutAtItsHeadIsNoSuccess. With it, they pass.

--- a/src/connection/http1_client.cc
+++ b/src/connection/http1_client.cc
@@ -273,7 +273,9 @@
       if (this->closing) {
         return;
       }
-      if (this->complete && !this->skipping) {
+      // An empty body without a length looks the same as a response that was
+      // cut off after its head.
+      if (this->complete && !this->skipping && this->body_bytes > 0) {
         this->Finish(/*reuse=*/false);
         return;
       }
--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -34,6 +34,7 @@
   // connection.
   bool chunked = false;
   bool has_length = false;
+  size_t body_bytes = 0;
   // Number of functions on the call stack that use this object.
   int use_count = 0;
   bool call_destroyed = false;
@@ -89,6 +90,10 @@
   if (exchange.has_length) {
     return false;
   }
+  if (exchange.body_bytes == 0) {
+    // Without a body, the connection may as well have ended after the head.
+    return true;
+  }
   tcp_info info{};
   socklen_t length = sizeof(info);
   return getsockopt(h2o_socket_get_fd(client->sock), IPPROTO_TCP, TCP_INFO,
@@ -106,6 +111,7 @@
   h2o_buffer_t* input = client->sock->input;
   if (input->size > 0) {
     const std::string bytes(input->bytes, input->size);
+    exchange->body_bytes += bytes.size();
     h2o_buffer_consume(&client->sock->input, input->size);
     if (exchange->callbacks.on_body) {
       exchange->callbacks.on_body(bytes);
--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -162,6 +162,65 @@
   CHECK_FALSE(this->Fetch(client).has_value());
 }
 
+// Guards against a success with an empty or short body from a response that was
+// cut anywhere, also after other responses on its connection.
+TEST(Http1Test, FailsAResponseThatIsCutAnywhere) {
+  const std::vector<std::string> responses = {
+      "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 10\r\n\r\n0123456789",
+      "HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "a\r\n0123456789\r\n0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\n"};
+  for (const std::string before :
+       {"", "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nok"}) {
+    for (const std::string& response : responses) {
+      const bool framed = response != responses.back();
+      const size_t cuts = response.size() + (framed ? 0 : 1);
+      const size_t step = before.empty() ? 3 : 11;
+      for (size_t cut = 0; cut<cuts; cut += cuts - cut> 6 ? step : 1) {
+        RawServer server([&](int descriptor) {
+          Send(descriptor, before + response.substr(0, cut));
+        });
+        Http1Client client(this->loop, server.address(), {});
+        Http1SendOptions options;
+        options.accepts = [](const HttpResponseHead& head) {
+          return FindHeader(head.headers, "x-id") == "mine";
+        };
+        const auto result = this->Fetch(client, options);
+        CHECK_FALSE_TEXT(result.has_value(), response.substr(0, cut).c_str());
+        CHECK_TRUE(result.error().verdict == Verdict::kMayHaveRun);
+      }
+    }
+  }
+}
+
+// Guards against a response whose framing is broken or contradicts itself.
+TEST(Http1Test, FailsAResponseWithBrokenFraming) {
+  for (const std::string framing :
+       {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "5\r\nwhole\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n"
+        "5\r\nwhole\r\n0\r\n\r\n",
+        "Content-Length: 5\r\nContent-Length: 4\r\n\r\nwhole",
+        "Content-Length: -5\r\n\r\nwhole", "Content-Length: 5x\r\n\r\nwhole",
+        "Content-Length: 99999999999999999999999\r\n\r\nwhole",
+        "Transfer-Encoding: chunked\r\n\r\nz\r\nwhole\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n"
+        "5\r\nwholeHTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n"
+        "5\r\nwhole\r\nHTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n"
+        "fffffffffffffffff\r\nwhole\r\n0\r\n\r\n"}) {
+    RawServer server([&](int descriptor) {
+      Send(descriptor, "HTTP/1.1 200 OK\r\n" + framing);
+    });
+    Http1Client client(this->loop, server.address(), {});
+    const auto result = this->Fetch(client);
+    CHECK_FALSE_TEXT(result.has_value(), framing.c_str());
+    CHECK_TRUE(result.error().verdict == Verdict::kMayHaveRun);
+  }
+}
+
 // Guards against delivering a late response of another request to this one.
 TEST(Http1Test, SkipsResponseThatBelongsToAnotherRequest) {
   RawServer server([](int descriptor) {
--- a/tests/connection/http_test.cc
+++ b/tests/connection/http_test.cc
@@ -225,6 +225,22 @@
   CHECK(response.error().verdict == Verdict::kMayHaveRun);
 }
 
+// Guards against a success with an empty or short body from a target that stops
+// within its answer's head.
+TEST(HttpTest, AnswerThatIsCutWithinItsHeadFailsTheCall) {
+  const std::string rest = "content-type: a\r\ncontent-length: 5\r\n\r\nwhol";
+  for (size_t cut = 0; cut <= rest.size(); cut += 3) {
+    const auto response = this->FetchRaw(rest.substr(0, cut), ShutDown);
+    CHECK_FALSE(response.has_value());
+    CHECK(response.error().verdict == Verdict::kMayHaveRun);
+  }
+}
+
+TEST(HttpTest, AnswerWithoutALengthThatEndsAfterItsHeadFailsTheCall) {
+  const auto response = this->FetchRaw("content-type: a\r\n\r\n", ShutDown);
+  CHECK_FALSE(response.has_value());
+}
+
 // Guards against a refused connection that is reported as "may have run".
 TEST(HttpTest, RefusedConnectionIsNotRun) {
   this->Serve([](HttpRequest, std::shared_ptr<HttpResponder>) {});
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -499,6 +499,21 @@
   CHECK_TRUE(answer.complete);
 }
 
+// Guards against an empty success from a target that stopped within the head of
+// its answer or right after it.
+TEST(RelayTaskTest, AnAnswerThatIsCutAtItsHeadIsNoSuccess) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nContent-Type: a\r\nConnection: close\r\n\r\n";
+  Route route = PlainRoute();
+  route.kind = RouteKind::kNonIdempotent;
+  for (const size_t left_out : {0, 1, 2, 3, 4, 10, 40}) {
+    this->BeginCase();
+    const CallerAnswer answer =
+        this->Relay(route, {{head.substr(0, head.size() - left_out)}});
+    CHECK_EQUAL(502, answer.status);
+  }
+}
+
 TEST(RelayTaskTest, AnUnframedAnswerThatIsResetIsSentAgain) {
   const CallerAnswer answer =
       this->Relay(PlainRoute(), {UnframedThenReset("wh"), Unframed("whole")});
