Don't join the text of an error to an incomplete event

An entry ends a broken event stream with an event that tells the error. When the target broke off within an event, that text followed the incomplete event's bytes, and a reader took both for one event. The error is now sent only between two events; within one, only the missing end of the answer tells the caller.

With the change taken out, EventStreamTest ABoundaryIsReachedOnlyAfterABlankLine fails; with it, it passes. ForwardTask's use of it is covered by no test of its own.

--- a/src/request/event_stream.cc
+++ b/src/request/event_stream.cc
@@ -10,6 +10,8 @@
 
 constexpr std::string_view kIdField = "id:";
 constexpr std::string_view kHttpVersion = "HTTP/1.";
+// Most bytes of two line ends.
+constexpr size_t kTwoLineEnds = 4;
 
 bool IsLineEnd(char c) {
   return c == '\n' || c == '\r';
@@ -156,4 +158,24 @@
   return std::exchange(this->partial, {});
 }
 
+void EventBoundary::Add(std::string_view bytes) {
+  this->tail.append(
+      bytes.substr(bytes.size() - std::min(bytes.size(), kTwoLineEnds)));
+  if (this->tail.size() > kTwoLineEnds) {
+    this->tail.erase(0, this->tail.size() - kTwoLineEnds);
+  }
+}
+
+bool EventBoundary::reached() const {
+  if (this->tail.empty()) {
+    return true;
+  }
+  std::string_view line = this->tail;
+  if (!IsLineEnd(line.back())) {
+    return false;
+  }
+  line.remove_suffix(line.ends_with("\r\n") ? 2 : 1);
+  return line.empty() || IsLineEnd(line.back());
+}
+
 }  // namespace celerypost
--- a/src/request/event_stream.h
+++ b/src/request/event_stream.h
@@ -62,6 +62,20 @@
   uint64_t event_count = 0;
 };
 
+// Follows the bytes of an event stream that are passed on as they arrive. After
+// the bytes of an incomplete event nothing may be added to the stream: a reader
+// would take it for a part of that event.
+class EventBoundary {
+ public:
+  void Add(std::string_view bytes);
+  // Returns whether the stream is empty or ends with a blank line.
+  bool reached() const;
+
+ private:
+  // The last bytes, enough for two line ends.
+  std::string tail;
+};
+
 }  // namespace celerypost
 
 #endif  // SRC_REQUEST_EVENT_STREAM_H_
--- a/src/request/task/forward_task.cc
+++ b/src/request/task/forward_task.cc
@@ -261,6 +261,7 @@
     case wire::Kind::WORK_BODY:
       if (const auto body = DecodeMessage<wire::WorkBody>(frame);
           body && this->head_sent) {
+        this->event_boundary.Add(body->bytes);
         this->responder->Write(body->bytes);
       }
       return;
@@ -466,7 +467,8 @@
 void ForwardTask::AbortStream(Verdict verdict, std::string_view message) {
   this->context.counters.broken_streams.Add();
   this->LogFailure("stream_broken", verdict, message);
-  if (this->event_stream) {
+  // Within an event, only the missing end of the answer tells the caller.
+  if (this->event_stream && this->event_boundary.reached()) {
     this->responder->Write(
         "event: error\ndata: " +
         ErrorJson(verdict, ErrorCode::kUnavailable, message) + "\n\n");
--- a/src/request/task/forward_task.h
+++ b/src/request/task/forward_task.h
@@ -20,6 +20,7 @@
 #include "src/process/scheduler.h"
 #include "src/process/service_directory.h"
 #include "src/request/attempt.h"
+#include "src/request/event_stream.h"
 #include "src/request/retry_budget.h"
 #include "src/request/retry_plan.h"
 #include "src/request/task/caller_request.h"
@@ -138,6 +139,7 @@
   std::optional<RetryPlan> retry_plan;
   bool head_sent = false;
   bool event_stream = false;
+  EventBoundary event_boundary;
   bool done = false;
   std::unique_ptr<ScheduledCall> deadline_call;
   std::unique_ptr<ScheduledCall> retry_call;
--- a/tests/request/event_stream_test.cc
+++ b/tests/request/event_stream_test.cc
@@ -155,5 +155,23 @@
   }
 }
 
+// Guards against the text of an error that is joined to an incomplete event.
+TEST(EventStreamTest, ABoundaryIsReachedOnlyAfterABlankLine) {
+  for (const std::string whole :
+       {"", "id: 1\n\n", "id: 1\r\n\r\n", "id: 1\r\r", "id: 1\n\r\n", "\n",
+        "\r\n", "id: 1\n\n: c\n\n"}) {
+    for (const std::string part : {"", "i", "id: 2", "id: 2\n", "id: 2\r\n"}) {
+      EventBoundary at_once;
+      at_once.Add(whole + part);
+      EventBoundary by_bytes;
+      for (const char c : whole + part) {
+        by_bytes.Add({&c, 1});
+      }
+      CHECK_EQUAL(part.empty(), at_once.reached());
+      CHECK_EQUAL(part.empty(), by_bytes.reached());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace celerypost
