Don't pass on an answer that names another request

An agent takes the next response on a kept connection for the answer to its request, so that a copy of an earlier one would reach the wrong caller. If a target returns Celerypost-Request-Id, an answer with another ID now counts as "may have run" and is not passed on. Targets need not return it; without it a copy that arrives after the next request was sent cannot be told (open).

With the change taken out, HttpTest AnswerToAnotherRequestFailsTheCall fails; with it, it passes.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -59,14 +59,15 @@
   Exchange* exchange;
 };
 
-void FailExchange(Exchange* exchange, const char* error) {
+void FailExchange(Exchange* exchange,
+                  const char* error,
+                  ErrorCode code = ErrorCode::kUnavailable) {
   exchange->done = true;
   exchange->client = nullptr;
   const auto verdict =
       exchange->connected ? Verdict::kMayHaveRun : Verdict::kNotRun;
   if (exchange->callbacks.on_failure) {
-    exchange->callbacks.on_failure(
-        Failure{verdict, ErrorCode::kUnavailable, error});
+    exchange->callbacks.on_failure(Failure{verdict, code, error});
   }
 }
 
@@ -162,6 +163,11 @@
       FindHeader(head.headers, "transfer-encoding") == "chunked";
   exchange->has_length =
       !exchange->chunked && !FindHeader(head.headers, "content-length").empty();
+  if (exchange->callbacks.accepts && !exchange->callbacks.accepts(head)) {
+    FailExchange(exchange, "the response belongs to another request",
+                 ErrorCode::kCorrupt);
+    return nullptr;
+  }
   if (exchange->callbacks.on_head) {
     exchange->callbacks.on_head(head);
   }
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -32,6 +32,10 @@
   std::function<void(std::string_view)> on_body;
   std::function<void()> on_end;
   std::function<void(Failure)> on_failure;
+  // Returns false for a response that belongs to another request; the call then
+  // fails with kCorrupt (HttpClient only; see Http1SendOptions::accepts). Every
+  // response is accepted when empty.
+  std::function<bool(const HttpResponseHead&)> accepts{};
 };
 
 // Destroying the call cancels it: the connection is closed and no callback
--- a/src/request/task/work_task.cc
+++ b/src/request/task/work_task.cc
@@ -4,6 +4,12 @@
 
 namespace celerypost {
 
+namespace {
+
+constexpr char kRequestId[] = "celerypost-request-id";
+
+}  // namespace
+
 WorkTask::WorkTask(std::shared_ptr<PeerConnection> entry,
                    int64_t request_number,
                    int32_t attempt_number,
@@ -32,10 +38,14 @@
                                  this->work_message.content_type);
   }
   if (!this->work_message.request_id.empty()) {
-    request.headers.emplace_back("celerypost-request-id",
-                                 this->work_message.request_id);
+    request.headers.emplace_back(kRequestId, this->work_message.request_id);
   }
   HttpResponseCallbacks callbacks;
+  // A target need not return the ID.
+  callbacks.accepts = [this](const HttpResponseHead& head) {
+    const auto answered = FindHeader(head.headers, kRequestId);
+    return answered.empty() || answered == this->work_message.request_id;
+  };
   callbacks.on_head = [this](const HttpResponseHead& head) {
     this->OnHead(head);
   };
--- a/tests/connection/http_test.cc
+++ b/tests/connection/http_test.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -241,6 +242,30 @@
   CHECK_FALSE(response.has_value());
 }
 
+// Guards against a late copy of an earlier answer that is taken for the answer
+// to the next request on its connection.
+TEST(HttpTest, AnswerToAnotherRequestFailsTheCall) {
+  this->Serve([](HttpRequest, std::shared_ptr<HttpResponder> out) {
+    out->Send(503, {{"x-id", "other"}}, "not run");
+  });
+  HttpResponseCallbacks callbacks;
+  callbacks.accepts = [](const HttpResponseHead& head) {
+    return FindHeader(head.headers, "x-id") == "mine";
+  };
+  bool delivered = false;
+  callbacks.on_head = [&](const HttpResponseHead&) { delivered = true; };
+  std::optional<Failure> failed;
+  callbacks.on_failure = [&](Failure failure) { failed = std::move(failure); };
+  const auto call = this->client->Send({}, std::move(callbacks));
+  for (int i = 0; i < kMaxIterations && !failed; ++i) {
+    this->loop.RunFor(milliseconds(20));
+  }
+  CHECK_FALSE(delivered);
+  CHECK_TRUE(failed.has_value());
+  CHECK(failed->code == ErrorCode::kCorrupt);
+  CHECK(failed->verdict == Verdict::kMayHaveRun);
+}
+
 // Guards against a refused connection that is reported as "may have run".
 TEST(HttpTest, RefusedConnectionIsNotRun) {
   this->Serve([](HttpRequest, std::shared_ptr<HttpResponder>) {});
