--- /dev/null
+++ b/tests/platform/target_client_test.cc
@@ -0,0 +1,59 @@
+#include "platform/target_client.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "src/connection/http1_server.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace celerypost::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kMaxIterations = 200;
+
+TEST_GROUP(WeightOriginClientTest) {
+  Loop loop;
+
+  // Asks an origin that answers with `manifest` for version 2 of model m.
+  Result<ChunkDigests> GetDigests(const std::string& manifest) {
+    auto origin = Http1Server::Make(
+        this->loop, "127.0.0.1", 0,
+        [&](const HttpRequest&, const std::shared_ptr<HttpResponder>& out) {
+          out->SendJson(200, manifest);
+        });
+    WeightOriginClient client(this->loop, {"127.0.0.1", (*origin)->port()}, {});
+    std::optional<Result<ChunkDigests>> result;
+    client.GetDigests("m", 2, [&](Result<ChunkDigests> digests) {
+      result = std::move(digests);
+    });
+    for (int i = 0; i < kMaxIterations && !result; ++i) {
+      this->loop.RunFor(milliseconds(20));
+    }
+    CHECK_TRUE(result.has_value());
+    return *result;
+  }
+};
+
+// Guards against weights that are checked against the digests of another
+// version, from an earlier answer that the origin sent once more.
+TEST(WeightOriginClientTest, RefusesTheManifestOfAnotherVersion) {
+  const auto digests =
+      this->GetDigests(R"({"model":"m","version":2,"hashes":[]})");
+  CHECK_TRUE(digests.has_value());
+  CHECK_EQUAL(2, digests->version);
+  for (const char* const other :
+       {R"({"model":"m","version":1,"hashes":[]})",
+        R"({"model":"n","version":2,"hashes":[]})",
+        R"({"model":"m","version":"2","hashes":[]})"}) {
+    const auto refused = this->GetDigests(other);
+    CHECK_FALSE_TEXT(refused.has_value(), other);
+    CHECK_TRUE(refused.error().code == ErrorCode::kCorrupt);
+  }
+}
+
+}  // namespace
+}  // namespace celerypost::platform
