--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -1,5 +1,7 @@
 #include "platform/request_codec.h"
 
+#include <cmath>
+
 #include "CppUTest/TestHarness.h"
 
 namespace celerypost::platform {
@@ -102,6 +104,23 @@
   DOUBLES_EQUAL(0, malformed.prompt_tokens, 1e-9);
 }
 
+// Guards against undefined arithmetic with times that no caller can mean.
+TEST(PlatformRequestCodecTest, ReadsNoNumbersThatAreNotFinite) {
+  const auto deadline = [this](const char* value) {
+    HttpRequest request;
+    request.headers = {{"x-deadline-ms", value}, {"x-token-counts", value}};
+    const CallerRequestInfo call = this->codec.ReadRequest(request);
+    CHECK_TRUE(std::isfinite(call.prompt_tokens));
+    return call.deadline;
+  };
+  for (const char* const value : {"inf", "nan", "-inf", "1e999", ""}) {
+    CHECK_FALSE(deadline(value).has_value());
+  }
+  CHECK_TRUE(deadline("1e300")->count() > 0);
+  CHECK_TRUE(*deadline("1e300") + std::chrono::hours(100) >
+             std::chrono::hours(100));
+}
+
 // Guards against treating a request that the target refused as run, and one
 // that may have run as refused.
 TEST(PlatformRequestCodecTest, TellsWhatHasNotRun) {
