Read what targets say about themselves in their answers

Server-Leaving: 1 and, in a 503, Retry-After are read in the codec, in the core's words: the target leaves, and for how long it declines requests. Of repeated headers the one that asks for more holds. A value that cannot be read (empty, negative, not a number, an exponent, a date, over the range of a double) says nothing and is named for the log.

--- a/src/request/request_codec.h
+++ b/src/request/request_codec.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "celerypost/types.h"
@@ -59,6 +60,13 @@
   // Identity of the target process that answered, if it is not the one that the
   // request was meant for.
   std::string other_target;
+  // The target leaves: it takes no new requests for long.
+  bool leaving = false;
+  // The target, which has refused the request, wants none from this process for
+  // this long.
+  std::optional<std::chrono::milliseconds> declines_for;
+  // Name of a header that could not be read; empty if there is none.
+  std::string_view malformed_header;
   // The body has a content encoding, so it is not the body that the target
   // produced.
   bool encoded = false;
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -144,6 +144,58 @@
   }
 }
 
+// Guards against a target that leaves and is not believed, in whatever answer
+// it says so, and against a value that means nothing.
+TEST(PlatformRequestCodecTest, ReadsThatATargetLeaves) {
+  for (const int status : {200, 206, 404, 421, 500, 503}) {
+    CHECK_TRUE(
+        this->codec.ReadAnswer(status, {{"server-leaving", "1"}}).leaving);
+    CHECK_FALSE(this->codec.ReadAnswer(status, {}).leaving);
+  }
+  CHECK_TRUE(
+      this->codec
+          .ReadAnswer(200, {{"server-leaving", " 1 "}, {"server-leaving", "0"}})
+          .leaving);
+  CHECK_FALSE(this->codec.ReadAnswer(200, {{"server-leaving", "0"}}).leaving);
+  for (const char* const value : {"", "yes", "11", "-1", "1, 1", "nan"}) {
+    const auto answer =
+        this->codec.ReadAnswer(200, {{"server-leaving", value}});
+    CHECK_FALSE(answer.leaving);
+    CHECK(answer.malformed_header == "server-leaving");
+  }
+}
+
+// Guards against undefined arithmetic with a time that cannot be read, and
+// against the time of an answer that turns nothing away.
+TEST(PlatformRequestCodecTest, ReadsForHowLongATargetDeclines) {
+  const auto declines = [this](const char* value) {
+    const auto answer = this->codec.ReadAnswer(503, {{"retry-after", value}});
+    CHECK_EQUAL(!answer.declines_for, !answer.malformed_header.empty());
+    return answer.declines_for;
+  };
+  CHECK_EQUAL(2000, declines("2")->count());
+  CHECK_EQUAL(250, declines("0.25")->count());
+  CHECK_EQUAL(1, declines("0.0001")->count());
+  CHECK_EQUAL(0, declines("0")->count());
+  CHECK_EQUAL(3600000, declines(" 3600.0 ")->count());
+  const std::string enormous(300, '9');
+  CHECK_TRUE(declines(enormous.c_str())->count() > 0);
+  for (const char* const value :
+       {"", " ", "-1", "+1", "inf", "nan", "1e3", "1.2.3", "2s", ".", "1, 2",
+        "0x10", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    CHECK_FALSE_TEXT(declines(value).has_value(), value);
+  }
+  const std::string over(400, '9');
+  CHECK_FALSE(declines(over.c_str()).has_value());
+  CHECK_EQUAL(3000, this->codec
+                        .ReadAnswer(503, {{"retry-after", "3"},
+                                          {"retry-after", "x"},
+                                          {"retry-after", "1"}})
+                        .declines_for->count());
+  CHECK_FALSE(this->codec.ReadAnswer(500, {{"retry-after", "3"}})
+                  .declines_for.has_value());
+}
+
 // Guards against a Retry-After value that is truncated to whole seconds.
 TEST(PlatformRequestCodecTest, WritesFractionsOfASecond) {
   const HttpHeaders own = this->codec.MakeOwnHeaders("id1", milliseconds(450));
