Send nothing to a target that has said it leaves

A target that leaves says so in all its answers. Gateways ignored that and sent requests until its registration said "draining" or was gone, which a gateway without the key-value service does not learn.

The gateway now takes it from the head of every answer that is a request's own, also of one that is cut afterwards, and keeps it for that start of the target (ID and start time), whatever documents say later. The next start with the same ID or address is not affected. Retries and resumed streams go elsewhere, too; work under way ends at the target. A header that cannot be read is logged with the 1st, 2nd, 4th, 8th … such header.

With the change taken out, these fail: TargetSelectorTest ATargetThatSaidItLeavesGetsNothing, RelayTaskTest EveryAnswerOfATargetTellsThatItLeaves. With it, they pass.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -70,9 +70,11 @@
       options(options),
       core(dependencies, NodeRole::kGateway),
       book({}),
+      notices({}),
       policy(MakePredictivePolicy({}, dependencies.random)),
       selector(core.view(),
                book,
+               notices,
                *policy,
                SelectorOptions(dependencies.settings)),
       quarantined_parts(dependencies.metrics.AddGauge(
@@ -94,6 +96,7 @@
                     book,
                     selector,
                     crashes,
+                    notices,
                     request_codec,
                     budgets,
                     relay_metrics,
@@ -259,6 +262,7 @@
     known_targets[id] = true;
   }
   this->book.Forget(known_targets);
+  this->notices.Forget(this->dependencies.loop.Now());
   if (this->Ready() && !this->was_ready) {
     this->was_ready = true;
     this->dependencies.log.Info("ready",
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -95,6 +95,7 @@
   GatewayOptions options;
   NodeCore core;
   TargetTracker book;
+  TargetNotices notices;
   std::unique_ptr<PlacementPolicy> policy;
   TargetSelector selector;
   Gauge& quarantined_parts;
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -1,6 +1,7 @@
 #include "src/process/gateway/relay_task.h"
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 #include <xxhash.h>
@@ -83,6 +84,12 @@
       quarantined(metrics.AddCounter(
           "celerypost_quarantined_requests_total",
           "Requests not sent since a part of their prompt crashes targets")),
+      leaving_targets(metrics.AddCounter("celerypost_leaving_targets_total",
+                                         "Targets that said they leave",
+                                         {{"source", "answer"}})),
+      malformed_headers(
+          metrics.AddCounter("celerypost_malformed_answer_headers_total",
+                             "Headers of answers that could not be read")),
       first_event(metrics.AddHistogram("celerypost_first_event_seconds",
                                        "Time to the first event")),
       total(metrics.AddHistogram("celerypost_request_seconds",
@@ -361,6 +368,7 @@
       this->context.codec.ReadAnswer(head.status, head.headers);
   this->attempt->headers = head.headers;
   const TargetAnswer& answer = this->attempt->answer;
+  this->ReadNotices();
   if (answer.other_target.empty() ||
       answer.other_target == this->attempt->target) {
     this->context.crashes.OnAnswerBegan(this->attempt->target_start,
@@ -396,6 +404,41 @@
   }
 }
 
+void RelayTask::ReadNotices() {
+  const TargetAnswer& answer = this->attempt->answer;
+  if (!answer.malformed_header.empty()) {
+    Counter& malformed = this->context.metrics.malformed_headers;
+    malformed.Add();
+    if (std::has_single_bit(malformed.value())) {
+      this->context.log.Warn("header_unreadable",
+                             "ignored a header of a target's answer",
+                             {{"header", answer.malformed_header},
+                              {"target", this->attempt->target},
+                              {"total", malformed.value()}},
+                             this->call.id);
+    }
+  }
+  std::string id = this->attempt->target;
+  TargetStartHash start = this->attempt->target_start;
+  if (!answer.other_target.empty() && answer.other_target != id) {
+    const auto& targets = this->context.view.targets();
+    const auto found = targets.find(answer.other_target);
+    if (found == targets.end()) {
+      return;
+    }
+    id = found->first;
+    start = HashTargetStart(found->second.entry);
+  }
+  if (answer.leaving &&
+      this->context.notices.OnLeaving(start, this->context.loop.Now())) {
+    this->context.metrics.leaving_targets.Add();
+    this->context.log.Info(
+        "target_leaves", "the target gets no more requests",
+        {{"target", id}, {"source", "answer"}, {"status", answer.status}},
+        this->call.id);
+  }
+}
+
 bool RelayTask::ResumesStream() const {
   std::string type;
   AppendLowerCase(type, FindHeader(this->attempt->headers, "content-type"));
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -59,6 +59,8 @@
   Counter& retries;
   Counter& resumes;
   Counter& quarantined;
+  Counter& leaving_targets;
+  Counter& malformed_headers;
   Histogram& first_event;
   Histogram& total;
 };
@@ -73,6 +75,7 @@
   TargetTracker& book;
   TargetSelector& selector;
   CrashGuard& crashes;
+  TargetNotices& notices;
   const RequestCodec& codec;
   ServiceRetryBudgets& budgets;
   RelayMetrics& metrics;
@@ -135,6 +138,8 @@
   // Returns whether a response is the one to the current attempt.
   bool IsOwnAnswer(const HttpResponseHead& head) const;
   void OnHead(const HttpResponseHead& head);
+  // Takes up what the target says about itself in the answer's head.
+  void ReadNotices();
   // Returns whether the answer can be the rest of the stream that the caller
   // has received a part of.
   bool ResumesStream() const;
--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -18,10 +18,12 @@
 
 TargetSelector::TargetSelector(const ClusterView& view,
                                const TargetTracker& book,
+                               const TargetNotices& notices,
                                PlacementPolicy& policy,
                                TargetSelectorOptions options)
     : view(view),
       book(book),
+      notices(notices),
       policy(policy),
       options(std::move(options)),
       cold_shares({}, this->options.self_ip) {
@@ -109,6 +111,9 @@
   if (entry.draining || (target.usable_until && now >= *target.usable_until)) {
     return "leaving";
   }
+  if (this->notices.Leaves(HashTargetStart(entry))) {
+    return "leaving by its own word";
+  }
   if (this->view.ZoneIsOut(entry.zone)) {
     return "zone out";
   }
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -16,6 +16,7 @@
 #include "src/process/state/cluster_view.h"
 #include "src/request/cold_share.h"
 #include "src/request/placement.h"
+#include "src/request/target_notices.h"
 #include "src/request/target_tracker.h"
 
 namespace celerypost {
@@ -91,13 +92,14 @@
 };
 
 // Chooses the target of one attempt among the eligible ones: registered, not
-// draining, in an allowed region and a zone that operators have not taken out,
-// with complete weights of a valid version, and under this gateway's share of
-// the rate limit of cold targets.
+// draining or leaving by its own word, in an allowed region and a zone that
+// operators have not taken out, with complete weights of a valid version, and
+// under this gateway's share of the rate limit of cold targets.
 class TargetSelector {
  public:
   TargetSelector(const ClusterView& view,
                  const TargetTracker& book,
+                 const TargetNotices& notices,
                  PlacementPolicy& policy,
                  TargetSelectorOptions options);
 
@@ -138,6 +140,7 @@
 
   const ClusterView& view;
   const TargetTracker& book;
+  const TargetNotices& notices;
   PlacementPolicy& policy;
   TargetSelectorOptions options;
   // By target address, as "ip:port".
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -112,6 +112,8 @@
     TargetAnswer answer;
     answer.status = status;
     answer.id = FindHeader(headers, "x-id");
+    answer.leaving = !FindHeader(headers, "x-leaving").empty();
+    answer.other_target = FindHeader(headers, "x-other");
     answer.not_run = !FindHeader(headers, "x-not-run").empty();
     answer.unconfirmed_refusal = status == 503 && !answer.not_run;
     return answer;
@@ -149,7 +151,8 @@
   ClusterView view{decoder, {}};
   TargetTracker book{{}};
   std::unique_ptr<PlacementPolicy> policy = MakePredictivePolicy({}, random);
-  TargetSelector selector{view, book, *policy, {}};
+  TargetNotices notices{{}};
+  TargetSelector selector{view, book, notices, *policy, {}};
   // Set while a request is relayed.
   RelayContext* relay_context = nullptr;
   CrashGuard crashes{
@@ -269,6 +272,7 @@
         this->book,
         this->selector,
         this->crashes,
+        this->notices,
         this->codec,
         this->budgets,
         relay_metrics,
@@ -656,6 +660,50 @@
   STRCMP_EQUAL("second", answers.back().body.c_str());
 }
 
+// Guards against requests to a target that has said it leaves, in whatever
+// answer and however that answer ends.
+TEST(RelayTaskTest, EveryAnswerOfATargetTellsThatItLeaves) {
+  const std::string leaving = "x-leaving: 1\r\n";
+  for (const std::string& bytes :
+       {Kept(leaving, "x"), "HTTP/1.1 500 Oops\r\n" + leaving + "\r\nx",
+        Refusal(leaving),
+        "HTTP/1.1 200 OK\r\n" + leaving + "Content-Length: 90\r\n\r\ncut"}) {
+    this->BeginCase();
+    const TargetNotices before = this->notices;
+    const auto answers = this->RelayEach(
+        PlainRoute(), {{bytes}, Unframed("first"), Unframed("second")},
+        {"a", "b"});
+    size_t left = 0;
+    for (const auto& [id, target] : this->view.targets()) {
+      left += this->notices.Leaves(HashTargetStart(target.entry)) ? 1 : 0;
+    }
+    CHECK_EQUAL_TEXT(1u, left, bytes.c_str());
+    CHECK_EQUAL_TEXT(200, answers.back().status, bytes.c_str());
+    this->notices = before;
+  }
+}
+
+// Guards against a target that gets nothing since the answer of another request
+// or another target says that it leaves.
+TEST(RelayTaskTest, OnlyItsOwnAnswerTellsThatATargetLeaves) {
+  const std::string leaving = "x-leaving: 1\r\n";
+  this->RelayEach(
+      PlainRoute(),
+      {{.bytes = Kept("x-id: a\r\n", "first"), .keeps_connection = true},
+       {.bytes = Kept("x-id: a\r\n" + leaving, "copy") +
+                 Kept("x-id: b\r\n", "second"),
+        .same_connection = true,
+        .keeps_connection = true},
+       {.bytes = Refusal(leaving + "x-id: c\r\nx-other: t3\r\n"),
+        .same_connection = true},
+       Unframed("third")},
+      {"a", "b", "c"});
+  CHECK_EQUAL(4u, this->received.size());
+  for (const auto& [id, target] : this->view.targets()) {
+    CHECK_FALSE(this->notices.Leaves(HashTargetStart(target.entry)));
+  }
+}
+
 // Guards against a repeat that crashes a second target when the first crash has
 // already been seen elsewhere.
 TEST(RelayTaskTest, ABrokenRequestIsNotRepeatedWhenAnotherCrashAccusesItsPart) {
--- a/tests/process/gateway/target_selector_test.cc
+++ b/tests/process/gateway/target_selector_test.cc
@@ -16,6 +16,7 @@
   FakeDecoder decoder;
   ClusterView view{decoder, {}};
   TargetTracker book{{}};
+  TargetNotices notices{{}};
   SplitMixRandom random{1};
   std::unique_ptr<PlacementPolicy> policy = MakePredictivePolicy({}, random);
   std::unique_ptr<TargetSelector> selector;
@@ -30,8 +31,8 @@
     options.region = RegionName("north");
     options.regions_of_zones = {{ZoneName("north-a"), RegionName("north")},
                                 {ZoneName("south-a"), RegionName("south")}};
-    this->selector = std::make_unique<TargetSelector>(this->view, this->book,
-                                                      *this->policy, options);
+    this->selector = std::make_unique<TargetSelector>(
+        this->view, this->book, this->notices, *this->policy, options);
     auto config = std::make_shared<GatewayConfig>();
     config->version = 1;
     ServiceConfig service;
@@ -88,6 +89,46 @@
   STRCMP_EQUAL("tried", this->Choose().c_str());
 }
 
+// Guards against requests to a target that has said it leaves, while the
+// key-value service is silent, restored or older documents call it ready.
+TEST(TargetSelectorTest, ATargetThatSaidItLeavesGetsNothing) {
+  TargetRegistration target = this->Target("t1", "north-a");
+  target.started_at = milliseconds(5000);
+  this->Apply("t1", target);
+  STRCMP_EQUAL("t1", this->Choose().c_str());
+  this->notices.OnLeaving(HashTargetStart(target), this->now);
+  for (int i = 0; i < 100; ++i) {
+    this->now += std::chrono::seconds(10);
+    STRCMP_EQUAL("leaving by its own word", this->Choose().c_str());
+    this->notices.Forget(this->now);
+  }
+  // The registration is removed and comes back from an older copy.
+  this->view.ApplyChanges({{"t1", "", ++this->revision}}, this->now);
+  this->now += std::chrono::seconds(10);
+  this->view.DropExpired(this->now);
+  STRCMP_EQUAL("no target registered", this->Choose().c_str());
+  this->Apply("t1", target);
+  STRCMP_EQUAL("leaving by its own word", this->Choose().c_str());
+}
+
+// Guards against a target that gets nothing since an earlier one with its ID or
+// its address has left.
+TEST(TargetSelectorTest, TheNextStartWithTheSameIdOrAddressIsNotLeaving) {
+  TargetRegistration left = this->Target("t1", "north-a");
+  left.started_at = milliseconds(5000);
+  this->notices.OnLeaving(HashTargetStart(left), this->now);
+  TargetRegistration again = left;
+  again.started_at = milliseconds(9000);
+  this->Apply("t1", again);
+  STRCMP_EQUAL("t1", this->Choose().c_str());
+  TargetRegistration other = left;
+  other.id = "t2";
+  this->view.ApplyChanges({{"t1", "", ++this->revision}}, this->now);
+  this->now += std::chrono::seconds(10);
+  this->Apply("t2", other);
+  STRCMP_EQUAL("t2", this->Choose().c_str());
+}
+
 // Guards against sending a request outside the regions that its route and
 // workspace allow.
 TEST(TargetSelectorTest, KeepsToAllowedRegions) {
