Send nothing to a target for as long as it declines requests

A target that refuses a request with 503 may say for how long it wants none. Gateways avoided it for 100 ms and sent again.

The time runs from the arrival of the answer, for that start of the target and this gateway alone; the latest end of all answers counts, at most an hour from each. When no target is left the request is refused at once, to return when the first one takes requests again, or up to a quarter later (at least 200 ms), drawn for each caller.

With the change taken out, these fail: TargetSelectorTest ATargetThatDeclinesGetsNothingUntilItsTimeIsOver and CallersReturnWhenTheFirstTargetTakesRequestsAgain, RelayTaskTest ATargetThatDeclinesGetsNoFurtherRequest. With it, they pass.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -76,6 +76,7 @@
                book,
                notices,
                *policy,
+               dependencies.random,
                SelectorOptions(dependencies.settings)),
       quarantined_parts(dependencies.metrics.AddGauge(
           "celerypost_quarantined_parts",
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -87,6 +87,9 @@
       leaving_targets(metrics.AddCounter("celerypost_leaving_targets_total",
                                          "Targets that said they leave",
                                          {{"source", "answer"}})),
+      declining_targets(
+          metrics.AddCounter("celerypost_declining_targets_total",
+                             "Times that targets began to decline requests")),
       malformed_headers(
           metrics.AddCounter("celerypost_malformed_answer_headers_total",
                              "Headers of answers that could not be read")),
@@ -369,6 +372,7 @@
   this->attempt->headers = head.headers;
   const TargetAnswer& answer = this->attempt->answer;
   this->ReadNotices();
+  this->ReadDecline();
   if (answer.other_target.empty() ||
       answer.other_target == this->attempt->target) {
     this->context.crashes.OnAnswerBegan(this->attempt->target_start,
@@ -439,6 +443,22 @@
   }
 }
 
+void RelayTask::ReadDecline() {
+  const TargetAnswer& answer = this->attempt->answer;
+  if (answer.declines_for && *answer.declines_for > milliseconds(0) &&
+      this->context.notices.OnDeclines(this->attempt->target_start,
+                                       *answer.declines_for,
+                                       this->context.loop.Now())) {
+    this->context.metrics.declining_targets.Add();
+    this->context.log.Info("target_declines",
+                           "the target gets no requests for a while",
+                           {{"target", this->attempt->target},
+                            {"source", "answer"},
+                            {"for_ms", answer.declines_for->count()}},
+                           this->call.id);
+  }
+}
+
 bool RelayTask::ResumesStream() const {
   std::string type;
   AppendLowerCase(type, FindHeader(this->attempt->headers, "content-type"));
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -60,6 +60,7 @@
   Counter& resumes;
   Counter& quarantined;
   Counter& leaving_targets;
+  Counter& declining_targets;
   Counter& malformed_headers;
   Histogram& first_event;
   Histogram& total;
@@ -140,6 +141,7 @@
   void OnHead(const HttpResponseHead& head);
   // Takes up what the target says about itself in the answer's head.
   void ReadNotices();
+  void ReadDecline();
   // Returns whether the answer can be the rest of the stream that the caller
   // has received a part of.
   bool ResumesStream() const;
--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -14,17 +14,32 @@
 // target registers or has loaded new weights.
 constexpr milliseconds kNoTargetRetryAfter{1000};
 
+constexpr std::string_view kLeaving = "leaving";
+constexpr std::string_view kSaidItLeaves = "leaving by its own word";
+constexpr std::string_view kZoneOut = "zone out";
+constexpr std::string_view kRegionNotAllowed = "region not allowed";
+constexpr std::string_view kDeclines = "declines requests";
+
+// Whether a target that is excluded for this reason will hardly take the caller
+// when it comes back.
+bool IsLasting(std::string_view reason) {
+  return reason == kLeaving || reason == kSaidItLeaves || reason == kZoneOut ||
+         reason == kRegionNotAllowed;
+}
+
 }  // namespace
 
 TargetSelector::TargetSelector(const ClusterView& view,
                                const TargetTracker& book,
                                const TargetNotices& notices,
                                PlacementPolicy& policy,
+                               Random& random,
                                TargetSelectorOptions options)
     : view(view),
       book(book),
       notices(notices),
       policy(policy),
+      random(random),
       options(std::move(options)),
       cold_shares({}, this->options.self_ip) {
   this->cold_shares.SetGateways(
@@ -109,16 +124,19 @@
     TimePoint now) {
   const TargetRegistration& entry = target.entry;
   if (entry.draining || (target.usable_until && now >= *target.usable_until)) {
-    return "leaving";
+    return kLeaving;
   }
   if (this->notices.Leaves(HashTargetStart(entry))) {
-    return "leaving by its own word";
+    return kSaidItLeaves;
   }
   if (this->view.ZoneIsOut(entry.zone)) {
-    return "zone out";
+    return kZoneOut;
   }
   if (!this->RegionAllowed(this->RegionOf(entry.zone), request)) {
-    return "region not allowed";
+    return kRegionNotAllowed;
+  }
+  if (this->notices.DeclinesUntil(HashTargetStart(entry), now)) {
+    return kDeclines;
   }
   if (request.tried.contains(entry.id)) {
     return "tried";
@@ -152,6 +170,15 @@
   return {};
 }
 
+milliseconds TargetSelector::RetryAfter(TimePoint until, TimePoint now) {
+  const auto left = std::chrono::ceil<milliseconds>(until - now);
+  const auto spread = std::max(this->options.min_return_spread,
+                               std::chrono::duration_cast<milliseconds>(
+                                   left * this->options.return_spread));
+  return left + milliseconds(this->random.Below(
+                    static_cast<uint64_t>(spread.count()) + 1));
+}
+
 Selection TargetSelector::Select(const SelectionRequest& request,
                                  TimePoint now) {
   Selection selection;
@@ -170,6 +197,8 @@
   std::vector<PlacementCandidate> candidates;
   std::vector<const KnownTarget*> candidate_targets;
   selection.reason = "no target registered";
+  std::optional<TimePoint> first_return;
+  bool all_decline = true;
   for (const auto& [id, target] : this->view.targets()) {
     if (target.entry.service != request.service) {
       continue;
@@ -178,6 +207,13 @@
         target, request, service->second, version_floor, now);
     if (!exclusion_reason.empty()) {
       selection.reason = exclusion_reason;
+      if (exclusion_reason == kDeclines) {
+        const auto until =
+            this->notices.DeclinesUntil(HashTargetStart(target.entry), now);
+        first_return = std::min(first_return.value_or(*until), *until);
+      } else {
+        all_decline = all_decline && IsLasting(exclusion_reason);
+      }
       continue;
     }
     PlacementCandidate candidate;
@@ -199,6 +235,12 @@
   selection.candidates = candidates.size();
   if (candidates.empty()) {
     selection.retry_after = kNoTargetRetryAfter;
+    if (first_return) {
+      const milliseconds return_in = this->RetryAfter(*first_return, now);
+      selection.reason = kDeclines;
+      selection.retry_after =
+          all_decline ? return_in : std::min(return_in, kNoTargetRetryAfter);
+    }
     return selection;
   }
   const Placement placement =
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "celerypost/random.h"
 #include "celerypost/types.h"
 #include "src/process/node_settings.h"
 #include "src/process/state/cluster_view.h"
@@ -85,6 +86,11 @@
   // A stager's report takes precedence over the target's registration for this
   // long: three beats of 1 s and a margin.
   std::chrono::milliseconds report_lifetime{3500};
+  // When all targets decline, callers are told to come back when the first one
+  // takes requests again or later by up to this share of the time, or this
+  // time if it is longer.
+  double return_spread = 0.25;
+  std::chrono::milliseconds min_return_spread{200};
   // A cold target's limit in requests per second is its rate times this factor
   // plus the slack.
   double cold_factor = 1.5;
@@ -101,6 +107,7 @@
                  const TargetTracker& book,
                  const TargetNotices& notices,
                  PlacementPolicy& policy,
+                 Random& random,
                  TargetSelectorOptions options);
 
   // Chooses a target for the next attempt, or gives the reason for a refusal.
@@ -120,6 +127,9 @@
                                    const ServiceConfig& service,
                                    std::optional<int64_t> version_floor,
                                    TimePoint now);
+  // Returns when callers should come back if a target takes requests again at
+  // `until`.
+  std::chrono::milliseconds RetryAfter(TimePoint until, TimePoint now);
   // Lowest weights version that may be used; nothing when any may.
   std::optional<int64_t> VersionFloor(const ServiceConfig& service,
                                       TimePoint now) const;
@@ -142,6 +152,7 @@
   const TargetTracker& book;
   const TargetNotices& notices;
   PlacementPolicy& policy;
+  Random& random;
   TargetSelectorOptions options;
   // By target address, as "ip:port".
   std::map<std::string, StagerReport> stager_reports;
--- a/src/request/target_notices.cc
+++ b/src/request/target_notices.cc
@@ -15,6 +15,23 @@
   return this->leaving.contains(start);
 }
 
+bool TargetNotices::OnDeclines(TargetStartHash start,
+                               std::chrono::milliseconds time,
+                               TimePoint now) {
+  TimePoint& until = this->declining[start];
+  const bool news = until <= now;
+  until = std::max(until, now + std::min(time, this->options.max_decline));
+  return news && until > now;
+}
+
+std::optional<TimePoint> TargetNotices::DeclinesUntil(TargetStartHash start,
+                                                      TimePoint now) const {
+  const auto found = this->declining.find(start);
+  return found != this->declining.end() && now < found->second
+             ? std::optional(found->second)
+             : std::nullopt;
+}
+
 std::vector<TargetStartHash> TargetNotices::RecentlyLeaving(
     TimePoint now) const {
   std::vector<std::pair<TimePoint, TargetStartHash>> recent;
@@ -38,6 +55,8 @@
   std::erase_if(this->leaving, [&](const auto& item) {
     return now - item.second >= this->options.leaving_lifetime;
   });
+  std::erase_if(this->declining,
+                [&](const auto& item) { return now >= item.second; });
 }
 
 }  // namespace celerypost
--- a/src/request/target_notices.h
+++ b/src/request/target_notices.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -20,6 +21,8 @@
   // other gateways.
   std::chrono::milliseconds share_time{5000};
   size_t max_shared = 64;
+  // Longest time for which a target gets no requests on its own word.
+  std::chrono::milliseconds max_decline{3600000};
 };
 
 // What targets have said of themselves in their answers. It holds for one start
@@ -35,6 +38,15 @@
   bool OnLeaving(TargetStartHash start, TimePoint now);
   // Returns whether the target leaves.
   bool Leaves(TargetStartHash start) const;
+  // A target has refused a request and wants none from this gateway for `time`.
+  // Shorter times of later answers end none of before. Not told to other
+  // gateways. Returns whether the target was not declining before.
+  bool OnDeclines(TargetStartHash start,
+                  std::chrono::milliseconds time,
+                  TimePoint now);
+  // Returns until when the target wants no requests; nothing if it takes them.
+  std::optional<TimePoint> DeclinesUntil(TargetStartHash start,
+                                         TimePoint now) const;
   // Returns the targets that were learned to leave within the share time, the
   // latest `max_shared` of them.
   std::vector<TargetStartHash> RecentlyLeaving(TimePoint now) const;
@@ -45,6 +57,8 @@
   TargetNoticesOptions options;
   // When each was learned.
   std::unordered_map<TargetStartHash, TimePoint> leaving;
+  // Until when each declines.
+  std::unordered_map<TargetStartHash, TimePoint> declining;
 };
 
 }  // namespace celerypost
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -114,6 +114,9 @@
     answer.id = FindHeader(headers, "x-id");
     answer.leaving = !FindHeader(headers, "x-leaving").empty();
     answer.other_target = FindHeader(headers, "x-other");
+    if (!FindHeader(headers, "x-declines").empty()) {
+      answer.declines_for = milliseconds(60000);
+    }
     answer.not_run = !FindHeader(headers, "x-not-run").empty();
     answer.unconfirmed_refusal = status == 503 && !answer.not_run;
     return answer;
@@ -152,7 +155,7 @@
   TargetTracker book{{}};
   std::unique_ptr<PlacementPolicy> policy = MakePredictivePolicy({}, random);
   TargetNotices notices{{}};
-  TargetSelector selector{view, book, notices, *policy, {}};
+  TargetSelector selector{view, book, notices, *policy, random, {}};
   // Set while a request is relayed.
   RelayContext* relay_context = nullptr;
   CrashGuard crashes{
@@ -704,6 +707,22 @@
   }
 }
 
+// Guards against requests that are sent to a target although it declines them,
+// and that wait although all targets do.
+TEST(RelayTaskTest, ATargetThatDeclinesGetsNoFurtherRequest) {
+  const auto answers = this->RelayEach(PlainRoute(),
+                                       {{Refusal("x-declines: 1\r\n")},
+                                        Unframed("first"),
+                                        Unframed("second"),
+                                        {Refusal("x-declines: 1\r\n")}},
+                                       {"a", "b", "c", "d"});
+  CHECK_EQUAL(200, answers[0].status);
+  CHECK_EQUAL(200, answers[1].status);
+  CHECK_EQUAL(503, answers[2].status);
+  CHECK_EQUAL(503, answers[3].status);
+  CHECK_EQUAL(4u, this->received.size());
+}
+
 // Guards against a repeat that crashes a second target when the first crash has
 // already been seen elsewhere.
 TEST(RelayTaskTest, ABrokenRequestIsNotRepeatedWhenAnotherCrashAccusesItsPart) {
--- a/tests/process/gateway/target_selector_test.cc
+++ b/tests/process/gateway/target_selector_test.cc
@@ -1,6 +1,8 @@
 #include "src/process/gateway/target_selector.h"
 
+#include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "tests/process/gateway/fake_decoder.h"
@@ -31,8 +33,9 @@
     options.region = RegionName("north");
     options.regions_of_zones = {{ZoneName("north-a"), RegionName("north")},
                                 {ZoneName("south-a"), RegionName("south")}};
-    this->selector = std::make_unique<TargetSelector>(
-        this->view, this->book, this->notices, *this->policy, options);
+    this->selector =
+        std::make_unique<TargetSelector>(this->view, this->book, this->notices,
+                                         *this->policy, this->random, options);
     auto config = std::make_shared<GatewayConfig>();
     config->version = 1;
     ServiceConfig service;
@@ -129,6 +132,55 @@
   STRCMP_EQUAL("t2", this->Choose().c_str());
 }
 
+// Guards against requests to a target that wants none, also after a later and
+// shorter wish, and against a target that is lost for good.
+TEST(TargetSelectorTest, ATargetThatDeclinesGetsNothingUntilItsTimeIsOver) {
+  const TargetRegistration target = this->Target("t1", "north-a");
+  this->Apply("t1", target);
+  const TargetStartHash start = HashTargetStart(target);
+  CHECK_TRUE(this->notices.OnDeclines(start, milliseconds(5000), this->now));
+  CHECK_FALSE(this->notices.OnDeclines(start, milliseconds(100), this->now));
+  STRCMP_EQUAL("declines requests", this->Choose().c_str());
+  this->now += milliseconds(4999);
+  STRCMP_EQUAL("declines requests", this->Choose().c_str());
+  this->now += milliseconds(1);
+  STRCMP_EQUAL("t1", this->Choose().c_str());
+  this->notices.OnDeclines(start, milliseconds(INT64_MAX / 2000000), this->now);
+  STRCMP_EQUAL("declines requests", this->Choose().c_str());
+  TargetRegistration again = target;
+  again.started_at = milliseconds(77);
+  this->Apply("t1", again);
+  STRCMP_EQUAL("t1", this->Choose().c_str());
+  this->Apply("t1", target);
+  this->now += TargetNoticesOptions{}.max_decline;
+  STRCMP_EQUAL("t1", this->Choose().c_str());
+}
+
+// Guards against a false Retry-After when all targets decline, and against
+// callers that come back together.
+TEST(TargetSelectorTest, CallersReturnWhenTheFirstTargetTakesRequestsAgain) {
+  for (const char* const id : {"t1", "t2", "t3"}) {
+    const TargetRegistration target = this->Target(id, "north-a");
+    this->Apply(id, target);
+    this->notices.OnDeclines(HashTargetStart(target),
+                             milliseconds(1000) * (id[1] - '0' + 3), this->now);
+  }
+  std::set<int64_t> times;
+  for (int i = 0; i < 50; ++i) {
+    const Selection refused = this->selector->Select(this->request, this->now);
+    CHECK_FALSE(refused.target.has_value());
+    CHECK_TRUE(refused.retry_after >= milliseconds(4000));
+    CHECK_TRUE(refused.retry_after <= milliseconds(5000));
+    times.insert(refused.retry_after.count());
+  }
+  CHECK_TRUE(times.size() > 20);
+  // A target that may take requests sooner.
+  this->request.tried.insert("t4");
+  this->Apply("t4", this->Target("t4", "north-a"));
+  CHECK_TRUE(this->selector->Select(this->request, this->now).retry_after <=
+             milliseconds(1000));
+}
+
 // Guards against sending a request outside the regions that its route and
 // workspace allow.
 TEST(TargetSelectorTest, KeepsToAllowedRegions) {
