Tell other gateways of targets that leave

Only the gateway that got the answer knew that a target leaves. No message is added. What targets decline is not told to others.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -91,6 +91,10 @@
       live_gateways(
           dependencies.metrics.AddGauge("celerypost_live_gateways",
                                         "Gateways heard, this one included")),
+      leaving_targets_of_peers(
+          dependencies.metrics.AddCounter("celerypost_leaving_targets_total",
+                                          "Targets that said they leave",
+                                          {{"source", "peer"}})),
       relay_context{dependencies.loop,
                     dependencies.log,
                     core.view(),
@@ -296,6 +300,7 @@
                          near ? NewsScope::kRegion : NewsScope::kOtherRegions,
                          now);
   }
+  this->OnLeavingTargets(DecodeStarts(beat.leaving_targets), peer.ip);
   if (near) {
     this->book.OnReport(
         InstanceId{static_cast<uint64_t>(beat.instance)},
@@ -314,6 +319,26 @@
   }
 }
 
+void Gateway::OnLeavingTargets(const std::vector<TargetStartHash>& starts,
+                               const std::string& peer) {
+  for (const TargetStartHash start : starts) {
+    if (!this->notices.OnLeaving(start, this->dependencies.loop.Now())) {
+      continue;
+    }
+    this->leaving_targets_of_peers.Add();
+    const auto& targets = this->core.view().targets();
+    const auto known =
+        std::find_if(targets.begin(), targets.end(), [&](const auto& item) {
+          return HashTargetStart(item.second.entry) == start;
+        });
+    if (known != targets.end()) {
+      this->dependencies.log.Info(
+          "target_leaves", "the target gets no more requests",
+          {{"target", known->first}, {"source", "peer"}, {"peer", peer}});
+    }
+  }
+}
+
 void Gateway::OnQuarantine(const QuarantineRecord& record, size_t crashes) {
   std::array<char, 20> part{};
   std::snprintf(part.data(), part.size(), "%016llx",
@@ -336,6 +361,7 @@
 
 void Gateway::OnSummary(const RegionSummary& summary) {
   const TimePoint now = this->dependencies.loop.Now();
+  this->OnLeavingTargets(summary.leaving_targets, summary.ip);
   this->book.OnRegionReport(summary.region, summary.loads,
                             this->options.summary_load_lifetime, now);
   for (const RegionTarget& target : summary.targets) {
@@ -366,6 +392,7 @@
            this->beats.ShouldSendTo(peer);
   });
   beat.loads = EncodeLoads(this->book.OwnLoads());
+  beat.leaving_targets = EncodeStarts(this->notices.RecentlyLeaving(now));
   for (const RegionSummary& summary : this->core.regions().TakeForwards()) {
     beat.summaries.push_back(EncodeSummary(summary));
   }
@@ -453,6 +480,7 @@
     summary.targets.push_back(std::move(target));
   }
   summary.loads = this->book.CombinedLoads(now);
+  summary.leaving_targets = this->notices.RecentlyLeaving(now);
   return summary;
 }
 
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -75,6 +75,9 @@
   void SendFarCrashNews();
   RegionSummary MakeSummary() const;
   void OnSummary(const RegionSummary& summary);
+  // Takes up that targets have told other gateways that they leave.
+  void OnLeavingTargets(const std::vector<TargetStartHash>& starts,
+                        const std::string& peer);
   // Returns the addresses of one live gateway of each other region, or of a
   // registered one when no summary of the region has arrived.
   std::vector<std::string> ChooseSummaryReceivers();
@@ -103,6 +106,7 @@
   ServiceRetryBudgets budgets;
   RelayMetrics relay_metrics;
   Gauge& live_gateways;
+  Counter& leaving_targets_of_peers;
   RelayContext relay_context;
   std::unique_ptr<Http1Server> caller_server;
   std::unique_ptr<Http1Server> ready_server;
--- a/src/process/gateway/summary_wire.cc
+++ b/src/process/gateway/summary_wire.cc
@@ -32,6 +32,14 @@
   return decoded;
 }
 
+std::vector<int64_t> EncodeStarts(const std::vector<TargetStartHash>& starts) {
+  return {starts.begin(), starts.end()};
+}
+
+std::vector<TargetStartHash> DecodeStarts(const std::vector<int64_t>& starts) {
+  return {starts.begin(), starts.end()};
+}
+
 wire::RegionSummary EncodeSummary(const RegionSummary& summary) {
   wire::RegionSummary message;
   message.region = summary.region.value();
@@ -56,6 +64,7 @@
     message.targets.push_back(std::move(entry));
   }
   message.loads = EncodeLoads(summary.loads);
+  message.leaving_targets = EncodeStarts(summary.leaving_targets);
   return message;
 }
 
@@ -77,6 +86,7 @@
              : std::nullopt});
   }
   decoded.loads = DecodeLoads(summary.loads);
+  decoded.leaving_targets = DecodeStarts(summary.leaving_targets);
   return decoded;
 }
 
--- a/src/process/gateway/summary_wire.h
+++ b/src/process/gateway/summary_wire.h
@@ -1,6 +1,7 @@
 #ifndef SRC_PROCESS_GATEWAY_SUMMARY_WIRE_H_
 #define SRC_PROCESS_GATEWAY_SUMMARY_WIRE_H_
 
+#include <cstdint>
 #include <vector>
 
 #include "messages_types.h"
@@ -8,11 +9,14 @@
 
 namespace celerypost {
 
-// Conversions between loads and region summaries and their messages.
+// Conversions between loads, starts of targets and region summaries and their
+// messages.
 std::vector<wire::TargetLoad> EncodeLoads(
     const std::vector<ReportedLoad>& loads);
 std::vector<ReportedLoad> DecodeLoads(
     const std::vector<wire::TargetLoad>& loads);
+std::vector<int64_t> EncodeStarts(const std::vector<TargetStartHash>& starts);
+std::vector<TargetStartHash> DecodeStarts(const std::vector<int64_t>& starts);
 wire::RegionSummary EncodeSummary(const RegionSummary& summary);
 RegionSummary DecodeSummary(const wire::RegionSummary& summary);
 
--- a/src/process/state/region_directory.h
+++ b/src/process/state/region_directory.h
@@ -11,6 +11,7 @@
 
 #include "celerypost/types.h"
 #include "src/process/state/node_role.h"
+#include "src/request/crash_evidence.h"
 #include "src/request/target_tracker.h"
 
 namespace celerypost {
@@ -44,6 +45,8 @@
   std::vector<RegionTarget> targets;
   // Requests of all gateways of the region, by target.
   std::vector<ReportedLoad> loads;
+  // Targets of any region that have lately said that they leave.
+  std::vector<TargetStartHash> leaving_targets;
   // The newest revisions that the gateway knows (see ClusterView).
   int64_t revision = 0;
   int64_t operator_revision = 0;
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -4684,6 +4684,10 @@
 void RegionSummary::__set_operator_revision(const int64_t val) {
   this->operator_revision = val;
 }
+
+void RegionSummary::__set_leaving_targets(const std::vector<int64_t> & val) {
+  this->leaving_targets = val;
+}
 std::ostream& operator<<(std::ostream& out, const RegionSummary& obj)
 {
   obj.printTo(out);
@@ -4804,6 +4808,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving_targets.clear();
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _etype150;
+            xfer += iprot->readListBegin(_etype150, _size147);
+            this->leaving_targets.resize(_size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
+            {
+              xfer += iprot->readI64(this->leaving_targets[_i151]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving_targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4832,10 +4856,10 @@
   xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gateways.size()));
-    std::vector<RegionGateway> ::const_iterator _iter147;
-    for (_iter147 = this->gateways.begin(); _iter147 != this->gateways.end(); ++_iter147)
+    std::vector<RegionGateway> ::const_iterator _iter152;
+    for (_iter152 = this->gateways.begin(); _iter152 != this->gateways.end(); ++_iter152)
     {
-      xfer += (*_iter147).write(oprot);
+      xfer += (*_iter152).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4844,10 +4868,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<RegionTarget> ::const_iterator _iter148;
-    for (_iter148 = this->targets.begin(); _iter148 != this->targets.end(); ++_iter148)
+    std::vector<RegionTarget> ::const_iterator _iter153;
+    for (_iter153 = this->targets.begin(); _iter153 != this->targets.end(); ++_iter153)
     {
-      xfer += (*_iter148).write(oprot);
+      xfer += (*_iter153).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4856,10 +4880,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<TargetLoad> ::const_iterator _iter149;
-    for (_iter149 = this->loads.begin(); _iter149 != this->loads.end(); ++_iter149)
+    std::vector<TargetLoad> ::const_iterator _iter154;
+    for (_iter154 = this->loads.begin(); _iter154 != this->loads.end(); ++_iter154)
     {
-      xfer += (*_iter149).write(oprot);
+      xfer += (*_iter154).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4873,6 +4897,18 @@
   xfer += oprot->writeI64(this->operator_revision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 30);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_targets.size()));
+    std::vector<int64_t> ::const_iterator _iter155;
+    for (_iter155 = this->leaving_targets.begin(); _iter155 != this->leaving_targets.end(); ++_iter155)
+    {
+      xfer += oprot->writeI64((*_iter155));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4887,49 +4923,54 @@
   swap(a.loads, b.loads);
   swap(a.revision, b.revision);
   swap(a.operator_revision, b.operator_revision);
+  swap(a.leaving_targets, b.leaving_targets);
   swap(a.__isset, b.__isset);
 }
 
-RegionSummary::RegionSummary(const RegionSummary& other150) {
-  region = other150.region;
-  ip = other150.ip;
-  gateways = other150.gateways;
-  targets = other150.targets;
-  loads = other150.loads;
-  revision = other150.revision;
-  operator_revision = other150.operator_revision;
-  __isset = other150.__isset;
-}
-RegionSummary::RegionSummary(RegionSummary&& other151) noexcept {
-  region = std::move(other151.region);
-  ip = std::move(other151.ip);
-  gateways = std::move(other151.gateways);
-  targets = std::move(other151.targets);
-  loads = std::move(other151.loads);
-  revision = other151.revision;
-  operator_revision = other151.operator_revision;
-  __isset = other151.__isset;
-}
-RegionSummary& RegionSummary::operator=(const RegionSummary& other152) {
-  region = other152.region;
-  ip = other152.ip;
-  gateways = other152.gateways;
-  targets = other152.targets;
-  loads = other152.loads;
-  revision = other152.revision;
-  operator_revision = other152.operator_revision;
-  __isset = other152.__isset;
+RegionSummary::RegionSummary(const RegionSummary& other156) {
+  region = other156.region;
+  ip = other156.ip;
+  gateways = other156.gateways;
+  targets = other156.targets;
+  loads = other156.loads;
+  revision = other156.revision;
+  operator_revision = other156.operator_revision;
+  leaving_targets = other156.leaving_targets;
+  __isset = other156.__isset;
+}
+RegionSummary::RegionSummary(RegionSummary&& other157) noexcept {
+  region = std::move(other157.region);
+  ip = std::move(other157.ip);
+  gateways = std::move(other157.gateways);
+  targets = std::move(other157.targets);
+  loads = std::move(other157.loads);
+  revision = other157.revision;
+  operator_revision = other157.operator_revision;
+  leaving_targets = std::move(other157.leaving_targets);
+  __isset = other157.__isset;
+}
+RegionSummary& RegionSummary::operator=(const RegionSummary& other158) {
+  region = other158.region;
+  ip = other158.ip;
+  gateways = other158.gateways;
+  targets = other158.targets;
+  loads = other158.loads;
+  revision = other158.revision;
+  operator_revision = other158.operator_revision;
+  leaving_targets = other158.leaving_targets;
+  __isset = other158.__isset;
   return *this;
 }
-RegionSummary& RegionSummary::operator=(RegionSummary&& other153) noexcept {
-  region = std::move(other153.region);
-  ip = std::move(other153.ip);
-  gateways = std::move(other153.gateways);
-  targets = std::move(other153.targets);
-  loads = std::move(other153.loads);
-  revision = other153.revision;
-  operator_revision = other153.operator_revision;
-  __isset = other153.__isset;
+RegionSummary& RegionSummary::operator=(RegionSummary&& other159) noexcept {
+  region = std::move(other159.region);
+  ip = std::move(other159.ip);
+  gateways = std::move(other159.gateways);
+  targets = std::move(other159.targets);
+  loads = std::move(other159.loads);
+  revision = other159.revision;
+  operator_revision = other159.operator_revision;
+  leaving_targets = std::move(other159.leaving_targets);
+  __isset = other159.__isset;
   return *this;
 }
 void RegionSummary::printTo(std::ostream& out) const {
@@ -4942,6 +4983,7 @@
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "operator_revision=" << to_string(operator_revision);
+  out << ", " << "leaving_targets=" << to_string(leaving_targets);
   out << ")";
 }
 
@@ -5055,30 +5097,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashAccusation::CrashAccusation(const CrashAccusation& other154) noexcept {
-  part = other154.part;
-  target_start = other154.target_start;
-  age_ms = other154.age_ms;
-  __isset = other154.__isset;
+CrashAccusation::CrashAccusation(const CrashAccusation& other160) noexcept {
+  part = other160.part;
+  target_start = other160.target_start;
+  age_ms = other160.age_ms;
+  __isset = other160.__isset;
 }
-CrashAccusation::CrashAccusation(CrashAccusation&& other155) noexcept {
-  part = other155.part;
-  target_start = other155.target_start;
-  age_ms = other155.age_ms;
-  __isset = other155.__isset;
+CrashAccusation::CrashAccusation(CrashAccusation&& other161) noexcept {
+  part = other161.part;
+  target_start = other161.target_start;
+  age_ms = other161.age_ms;
+  __isset = other161.__isset;
 }
-CrashAccusation& CrashAccusation::operator=(const CrashAccusation& other156) noexcept {
-  part = other156.part;
-  target_start = other156.target_start;
-  age_ms = other156.age_ms;
-  __isset = other156.__isset;
+CrashAccusation& CrashAccusation::operator=(const CrashAccusation& other162) noexcept {
+  part = other162.part;
+  target_start = other162.target_start;
+  age_ms = other162.age_ms;
+  __isset = other162.__isset;
   return *this;
 }
-CrashAccusation& CrashAccusation::operator=(CrashAccusation&& other157) noexcept {
-  part = other157.part;
-  target_start = other157.target_start;
-  age_ms = other157.age_ms;
-  __isset = other157.__isset;
+CrashAccusation& CrashAccusation::operator=(CrashAccusation&& other163) noexcept {
+  part = other163.part;
+  target_start = other163.target_start;
+  age_ms = other163.age_ms;
+  __isset = other163.__isset;
   return *this;
 }
 void CrashAccusation::printTo(std::ostream& out) const {
@@ -5200,30 +5242,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PartSurvival::PartSurvival(const PartSurvival& other158) noexcept {
-  part = other158.part;
-  age_ms = other158.age_ms;
-  relayed = other158.relayed;
-  __isset = other158.__isset;
+PartSurvival::PartSurvival(const PartSurvival& other164) noexcept {
+  part = other164.part;
+  age_ms = other164.age_ms;
+  relayed = other164.relayed;
+  __isset = other164.__isset;
 }
-PartSurvival::PartSurvival(PartSurvival&& other159) noexcept {
-  part = other159.part;
-  age_ms = other159.age_ms;
-  relayed = other159.relayed;
-  __isset = other159.__isset;
+PartSurvival::PartSurvival(PartSurvival&& other165) noexcept {
+  part = other165.part;
+  age_ms = other165.age_ms;
+  relayed = other165.relayed;
+  __isset = other165.__isset;
 }
-PartSurvival& PartSurvival::operator=(const PartSurvival& other160) noexcept {
-  part = other160.part;
-  age_ms = other160.age_ms;
-  relayed = other160.relayed;
-  __isset = other160.__isset;
+PartSurvival& PartSurvival::operator=(const PartSurvival& other166) noexcept {
+  part = other166.part;
+  age_ms = other166.age_ms;
+  relayed = other166.relayed;
+  __isset = other166.__isset;
   return *this;
 }
-PartSurvival& PartSurvival::operator=(PartSurvival&& other161) noexcept {
-  part = other161.part;
-  age_ms = other161.age_ms;
-  relayed = other161.relayed;
-  __isset = other161.__isset;
+PartSurvival& PartSurvival::operator=(PartSurvival&& other167) noexcept {
+  part = other167.part;
+  age_ms = other167.age_ms;
+  relayed = other167.relayed;
+  __isset = other167.__isset;
   return *this;
 }
 void PartSurvival::printTo(std::ostream& out) const {
@@ -5362,34 +5404,34 @@
   swap(a.__isset, b.__isset);
 }
 
-PartQuarantine::PartQuarantine(const PartQuarantine& other162) noexcept {
-  part = other162.part;
-  round = other162.round;
-  lifted = other162.lifted;
-  left_ms = other162.left_ms;
-  __isset = other162.__isset;
-}
-PartQuarantine::PartQuarantine(PartQuarantine&& other163) noexcept {
-  part = other163.part;
-  round = other163.round;
-  lifted = other163.lifted;
-  left_ms = other163.left_ms;
-  __isset = other163.__isset;
-}
-PartQuarantine& PartQuarantine::operator=(const PartQuarantine& other164) noexcept {
-  part = other164.part;
-  round = other164.round;
-  lifted = other164.lifted;
-  left_ms = other164.left_ms;
-  __isset = other164.__isset;
+PartQuarantine::PartQuarantine(const PartQuarantine& other168) noexcept {
+  part = other168.part;
+  round = other168.round;
+  lifted = other168.lifted;
+  left_ms = other168.left_ms;
+  __isset = other168.__isset;
+}
+PartQuarantine::PartQuarantine(PartQuarantine&& other169) noexcept {
+  part = other169.part;
+  round = other169.round;
+  lifted = other169.lifted;
+  left_ms = other169.left_ms;
+  __isset = other169.__isset;
+}
+PartQuarantine& PartQuarantine::operator=(const PartQuarantine& other170) noexcept {
+  part = other170.part;
+  round = other170.round;
+  lifted = other170.lifted;
+  left_ms = other170.left_ms;
+  __isset = other170.__isset;
   return *this;
 }
-PartQuarantine& PartQuarantine::operator=(PartQuarantine&& other165) noexcept {
-  part = other165.part;
-  round = other165.round;
-  lifted = other165.lifted;
-  left_ms = other165.left_ms;
-  __isset = other165.__isset;
+PartQuarantine& PartQuarantine::operator=(PartQuarantine&& other171) noexcept {
+  part = other171.part;
+  round = other171.round;
+  lifted = other171.lifted;
+  left_ms = other171.left_ms;
+  __isset = other171.__isset;
   return *this;
 }
 void PartQuarantine::printTo(std::ostream& out) const {
@@ -5450,14 +5492,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accusations.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->accusations.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
+            uint32_t _size172;
+            ::apache::thrift::protocol::TType _etype175;
+            xfer += iprot->readListBegin(_etype175, _size172);
+            this->accusations.resize(_size172);
+            uint32_t _i176;
+            for (_i176 = 0; _i176 < _size172; ++_i176)
             {
-              xfer += this->accusations[_i170].read(iprot);
+              xfer += this->accusations[_i176].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5470,14 +5512,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->survivals.clear();
-            uint32_t _size171;
-            ::apache::thrift::protocol::TType _etype174;
-            xfer += iprot->readListBegin(_etype174, _size171);
-            this->survivals.resize(_size171);
-            uint32_t _i175;
-            for (_i175 = 0; _i175 < _size171; ++_i175)
+            uint32_t _size177;
+            ::apache::thrift::protocol::TType _etype180;
+            xfer += iprot->readListBegin(_etype180, _size177);
+            this->survivals.resize(_size177);
+            uint32_t _i181;
+            for (_i181 = 0; _i181 < _size177; ++_i181)
             {
-              xfer += this->survivals[_i175].read(iprot);
+              xfer += this->survivals[_i181].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5490,14 +5532,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->quarantines.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _etype185;
+            xfer += iprot->readListBegin(_etype185, _size182);
+            this->quarantines.resize(_size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
             {
-              xfer += this->quarantines[_i180].read(iprot);
+              xfer += this->quarantines[_i186].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5526,10 +5568,10 @@
   xfer += oprot->writeFieldBegin("accusations", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accusations.size()));
-    std::vector<CrashAccusation> ::const_iterator _iter181;
-    for (_iter181 = this->accusations.begin(); _iter181 != this->accusations.end(); ++_iter181)
+    std::vector<CrashAccusation> ::const_iterator _iter187;
+    for (_iter187 = this->accusations.begin(); _iter187 != this->accusations.end(); ++_iter187)
     {
-      xfer += (*_iter181).write(oprot);
+      xfer += (*_iter187).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5538,10 +5580,10 @@
   xfer += oprot->writeFieldBegin("survivals", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->survivals.size()));
-    std::vector<PartSurvival> ::const_iterator _iter182;
-    for (_iter182 = this->survivals.begin(); _iter182 != this->survivals.end(); ++_iter182)
+    std::vector<PartSurvival> ::const_iterator _iter188;
+    for (_iter188 = this->survivals.begin(); _iter188 != this->survivals.end(); ++_iter188)
     {
-      xfer += (*_iter182).write(oprot);
+      xfer += (*_iter188).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5550,10 +5592,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<PartQuarantine> ::const_iterator _iter183;
-    for (_iter183 = this->quarantines.begin(); _iter183 != this->quarantines.end(); ++_iter183)
+    std::vector<PartQuarantine> ::const_iterator _iter189;
+    for (_iter189 = this->quarantines.begin(); _iter189 != this->quarantines.end(); ++_iter189)
     {
-      xfer += (*_iter183).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5572,30 +5614,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNews::CrashNews(const CrashNews& other184) {
-  accusations = other184.accusations;
-  survivals = other184.survivals;
-  quarantines = other184.quarantines;
-  __isset = other184.__isset;
+CrashNews::CrashNews(const CrashNews& other190) {
+  accusations = other190.accusations;
+  survivals = other190.survivals;
+  quarantines = other190.quarantines;
+  __isset = other190.__isset;
 }
-CrashNews::CrashNews(CrashNews&& other185) noexcept {
-  accusations = std::move(other185.accusations);
-  survivals = std::move(other185.survivals);
-  quarantines = std::move(other185.quarantines);
-  __isset = other185.__isset;
+CrashNews::CrashNews(CrashNews&& other191) noexcept {
+  accusations = std::move(other191.accusations);
+  survivals = std::move(other191.survivals);
+  quarantines = std::move(other191.quarantines);
+  __isset = other191.__isset;
 }
-CrashNews& CrashNews::operator=(const CrashNews& other186) {
-  accusations = other186.accusations;
-  survivals = other186.survivals;
-  quarantines = other186.quarantines;
-  __isset = other186.__isset;
+CrashNews& CrashNews::operator=(const CrashNews& other192) {
+  accusations = other192.accusations;
+  survivals = other192.survivals;
+  quarantines = other192.quarantines;
+  __isset = other192.__isset;
   return *this;
 }
-CrashNews& CrashNews::operator=(CrashNews&& other187) noexcept {
-  accusations = std::move(other187.accusations);
-  survivals = std::move(other187.survivals);
-  quarantines = std::move(other187.quarantines);
-  __isset = other187.__isset;
+CrashNews& CrashNews::operator=(CrashNews&& other193) noexcept {
+  accusations = std::move(other193.accusations);
+  survivals = std::move(other193.survivals);
+  quarantines = std::move(other193.quarantines);
+  __isset = other193.__isset;
   return *this;
 }
 void CrashNews::printTo(std::ostream& out) const {
@@ -5705,6 +5747,10 @@
   this->crash_news = val;
 __isset.crash_news = true;
 }
+
+void Beat::__set_leaving_targets(const std::vector<int64_t> & val) {
+  this->leaving_targets = val;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -5801,14 +5847,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->loads.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->loads.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += this->loads[_i192].read(iprot);
+              xfer += this->loads[_i198].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5821,14 +5867,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size193;
-            ::apache::thrift::protocol::TType _etype196;
-            xfer += iprot->readListBegin(_etype196, _size193);
-            this->known.resize(_size193);
-            uint32_t _i197;
-            for (_i197 = 0; _i197 < _size193; ++_i197)
+            uint32_t _size199;
+            ::apache::thrift::protocol::TType _etype202;
+            xfer += iprot->readListBegin(_etype202, _size199);
+            this->known.resize(_size199);
+            uint32_t _i203;
+            for (_i203 = 0; _i203 < _size199; ++_i203)
             {
-              xfer += iprot->readString(this->known[_i197]);
+              xfer += iprot->readString(this->known[_i203]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5929,14 +5975,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->summaries.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->summaries.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->summaries.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += this->summaries[_i202].read(iprot);
+              xfer += this->summaries[_i208].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5953,6 +5999,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving_targets.clear();
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->leaving_targets.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
+            {
+              xfer += iprot->readI64(this->leaving_targets[_i213]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving_targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6005,10 +6071,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<TargetLoad> ::const_iterator _iter203;
-    for (_iter203 = this->loads.begin(); _iter203 != this->loads.end(); ++_iter203)
+    std::vector<TargetLoad> ::const_iterator _iter214;
+    for (_iter214 = this->loads.begin(); _iter214 != this->loads.end(); ++_iter214)
     {
-      xfer += (*_iter203).write(oprot);
+      xfer += (*_iter214).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6017,10 +6083,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter204;
-    for (_iter204 = this->known.begin(); _iter204 != this->known.end(); ++_iter204)
+    std::vector<std::string> ::const_iterator _iter215;
+    for (_iter215 = this->known.begin(); _iter215 != this->known.end(); ++_iter215)
     {
-      xfer += oprot->writeString((*_iter204));
+      xfer += oprot->writeString((*_iter215));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6074,10 +6140,10 @@
   xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
-    std::vector<RegionSummary> ::const_iterator _iter205;
-    for (_iter205 = this->summaries.begin(); _iter205 != this->summaries.end(); ++_iter205)
+    std::vector<RegionSummary> ::const_iterator _iter216;
+    for (_iter216 = this->summaries.begin(); _iter216 != this->summaries.end(); ++_iter216)
     {
-      xfer += (*_iter205).write(oprot);
+      xfer += (*_iter216).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6088,6 +6154,18 @@
     xfer += this->crash_news.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 30);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_targets.size()));
+    std::vector<int64_t> ::const_iterator _iter217;
+    for (_iter217 = this->leaving_targets.begin(); _iter217 != this->leaving_targets.end(); ++_iter217)
+    {
+      xfer += oprot->writeI64((*_iter217));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6118,113 +6196,118 @@
   swap(a.digests_version, b.digests_version);
   swap(a.summaries, b.summaries);
   swap(a.crash_news, b.crash_news);
+  swap(a.leaving_targets, b.leaving_targets);
   swap(a.__isset, b.__isset);
 }
 
-Beat::Beat(const Beat& other206) {
-  instance = other206.instance;
-  role = other206.role;
-  ip = other206.ip;
-  zone = other206.zone;
-  region = other206.region;
-  caller_address = other206.caller_address;
-  state = other206.state;
-  revision = other206.revision;
-  loads = other206.loads;
-  known = other206.known;
-  target_address = other206.target_address;
-  model = other206.model;
-  staged_version = other206.staged_version;
-  held_chunks = other206.held_chunks;
-  serving_version = other206.serving_version;
-  loading = other206.loading;
-  fetching = other206.fetching;
-  loads_in_ms = other206.loads_in_ms;
-  operator_revision = other206.operator_revision;
-  store_answers = other206.store_answers;
-  digests_version = other206.digests_version;
-  summaries = other206.summaries;
-  crash_news = other206.crash_news;
-  __isset = other206.__isset;
-}
-Beat::Beat(Beat&& other207) noexcept {
-  instance = other207.instance;
-  role = other207.role;
-  ip = std::move(other207.ip);
-  zone = std::move(other207.zone);
-  region = std::move(other207.region);
-  caller_address = std::move(other207.caller_address);
-  state = other207.state;
-  revision = other207.revision;
-  loads = std::move(other207.loads);
-  known = std::move(other207.known);
-  target_address = std::move(other207.target_address);
-  model = std::move(other207.model);
-  staged_version = other207.staged_version;
-  held_chunks = std::move(other207.held_chunks);
-  serving_version = other207.serving_version;
-  loading = other207.loading;
-  fetching = std::move(other207.fetching);
-  loads_in_ms = other207.loads_in_ms;
-  operator_revision = other207.operator_revision;
-  store_answers = other207.store_answers;
-  digests_version = other207.digests_version;
-  summaries = std::move(other207.summaries);
-  crash_news = std::move(other207.crash_news);
-  __isset = other207.__isset;
-}
-Beat& Beat::operator=(const Beat& other208) {
-  instance = other208.instance;
-  role = other208.role;
-  ip = other208.ip;
-  zone = other208.zone;
-  region = other208.region;
-  caller_address = other208.caller_address;
-  state = other208.state;
-  revision = other208.revision;
-  loads = other208.loads;
-  known = other208.known;
-  target_address = other208.target_address;
-  model = other208.model;
-  staged_version = other208.staged_version;
-  held_chunks = other208.held_chunks;
-  serving_version = other208.serving_version;
-  loading = other208.loading;
-  fetching = other208.fetching;
-  loads_in_ms = other208.loads_in_ms;
-  operator_revision = other208.operator_revision;
-  store_answers = other208.store_answers;
-  digests_version = other208.digests_version;
-  summaries = other208.summaries;
-  crash_news = other208.crash_news;
-  __isset = other208.__isset;
+Beat::Beat(const Beat& other218) {
+  instance = other218.instance;
+  role = other218.role;
+  ip = other218.ip;
+  zone = other218.zone;
+  region = other218.region;
+  caller_address = other218.caller_address;
+  state = other218.state;
+  revision = other218.revision;
+  loads = other218.loads;
+  known = other218.known;
+  target_address = other218.target_address;
+  model = other218.model;
+  staged_version = other218.staged_version;
+  held_chunks = other218.held_chunks;
+  serving_version = other218.serving_version;
+  loading = other218.loading;
+  fetching = other218.fetching;
+  loads_in_ms = other218.loads_in_ms;
+  operator_revision = other218.operator_revision;
+  store_answers = other218.store_answers;
+  digests_version = other218.digests_version;
+  summaries = other218.summaries;
+  crash_news = other218.crash_news;
+  leaving_targets = other218.leaving_targets;
+  __isset = other218.__isset;
+}
+Beat::Beat(Beat&& other219) noexcept {
+  instance = other219.instance;
+  role = other219.role;
+  ip = std::move(other219.ip);
+  zone = std::move(other219.zone);
+  region = std::move(other219.region);
+  caller_address = std::move(other219.caller_address);
+  state = other219.state;
+  revision = other219.revision;
+  loads = std::move(other219.loads);
+  known = std::move(other219.known);
+  target_address = std::move(other219.target_address);
+  model = std::move(other219.model);
+  staged_version = other219.staged_version;
+  held_chunks = std::move(other219.held_chunks);
+  serving_version = other219.serving_version;
+  loading = other219.loading;
+  fetching = std::move(other219.fetching);
+  loads_in_ms = other219.loads_in_ms;
+  operator_revision = other219.operator_revision;
+  store_answers = other219.store_answers;
+  digests_version = other219.digests_version;
+  summaries = std::move(other219.summaries);
+  crash_news = std::move(other219.crash_news);
+  leaving_targets = std::move(other219.leaving_targets);
+  __isset = other219.__isset;
+}
+Beat& Beat::operator=(const Beat& other220) {
+  instance = other220.instance;
+  role = other220.role;
+  ip = other220.ip;
+  zone = other220.zone;
+  region = other220.region;
+  caller_address = other220.caller_address;
+  state = other220.state;
+  revision = other220.revision;
+  loads = other220.loads;
+  known = other220.known;
+  target_address = other220.target_address;
+  model = other220.model;
+  staged_version = other220.staged_version;
+  held_chunks = other220.held_chunks;
+  serving_version = other220.serving_version;
+  loading = other220.loading;
+  fetching = other220.fetching;
+  loads_in_ms = other220.loads_in_ms;
+  operator_revision = other220.operator_revision;
+  store_answers = other220.store_answers;
+  digests_version = other220.digests_version;
+  summaries = other220.summaries;
+  crash_news = other220.crash_news;
+  leaving_targets = other220.leaving_targets;
+  __isset = other220.__isset;
   return *this;
 }
-Beat& Beat::operator=(Beat&& other209) noexcept {
-  instance = other209.instance;
-  role = other209.role;
-  ip = std::move(other209.ip);
-  zone = std::move(other209.zone);
-  region = std::move(other209.region);
-  caller_address = std::move(other209.caller_address);
-  state = other209.state;
-  revision = other209.revision;
-  loads = std::move(other209.loads);
-  known = std::move(other209.known);
-  target_address = std::move(other209.target_address);
-  model = std::move(other209.model);
-  staged_version = other209.staged_version;
-  held_chunks = std::move(other209.held_chunks);
-  serving_version = other209.serving_version;
-  loading = other209.loading;
-  fetching = std::move(other209.fetching);
-  loads_in_ms = other209.loads_in_ms;
-  operator_revision = other209.operator_revision;
-  store_answers = other209.store_answers;
-  digests_version = other209.digests_version;
-  summaries = std::move(other209.summaries);
-  crash_news = std::move(other209.crash_news);
-  __isset = other209.__isset;
+Beat& Beat::operator=(Beat&& other221) noexcept {
+  instance = other221.instance;
+  role = other221.role;
+  ip = std::move(other221.ip);
+  zone = std::move(other221.zone);
+  region = std::move(other221.region);
+  caller_address = std::move(other221.caller_address);
+  state = other221.state;
+  revision = other221.revision;
+  loads = std::move(other221.loads);
+  known = std::move(other221.known);
+  target_address = std::move(other221.target_address);
+  model = std::move(other221.model);
+  staged_version = other221.staged_version;
+  held_chunks = std::move(other221.held_chunks);
+  serving_version = other221.serving_version;
+  loading = other221.loading;
+  fetching = std::move(other221.fetching);
+  loads_in_ms = other221.loads_in_ms;
+  operator_revision = other221.operator_revision;
+  store_answers = other221.store_answers;
+  digests_version = other221.digests_version;
+  summaries = std::move(other221.summaries);
+  crash_news = std::move(other221.crash_news);
+  leaving_targets = std::move(other221.leaving_targets);
+  __isset = other221.__isset;
   return *this;
 }
 void Beat::printTo(std::ostream& out) const {
@@ -6253,6 +6336,7 @@
   out << ", " << "digests_version=" << to_string(digests_version);
   out << ", " << "summaries=" << to_string(summaries);
   out << ", " << "crash_news="; (__isset.crash_news ? (out << to_string(crash_news)) : (out << "<null>"));
+  out << ", " << "leaving_targets=" << to_string(leaving_targets);
   out << ")";
 }
 
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -1866,7 +1866,7 @@
 std::ostream& operator<<(std::ostream& out, const RegionTarget& obj);
 
 typedef struct _RegionSummary__isset {
-  _RegionSummary__isset() : region(false), ip(false), gateways(false), targets(false), loads(false), revision(false), operator_revision(false) {}
+  _RegionSummary__isset() : region(false), ip(false), gateways(false), targets(false), loads(false), revision(false), operator_revision(false), leaving_targets(false) {}
   bool region :1;
   bool ip :1;
   bool gateways :1;
@@ -1874,6 +1874,7 @@
   bool loads :1;
   bool revision :1;
   bool operator_revision :1;
+  bool leaving_targets :1;
 } _RegionSummary__isset;
 
 class RegionSummary : public virtual ::apache::thrift::TBase {
@@ -1898,6 +1899,7 @@
   std::vector<TargetLoad>  loads;
   int64_t revision;
   int64_t operator_revision;
+  std::vector<int64_t>  leaving_targets;
 
   _RegionSummary__isset __isset;
 
@@ -1915,6 +1917,8 @@
 
   void __set_operator_revision(const int64_t val);
 
+  void __set_leaving_targets(const std::vector<int64_t> & val);
+
   bool operator == (const RegionSummary & rhs) const
   {
     if (!(region == rhs.region))
@@ -1931,6 +1935,8 @@
       return false;
     if (!(operator_revision == rhs.operator_revision))
       return false;
+    if (!(leaving_targets == rhs.leaving_targets))
+      return false;
     return true;
   }
   bool operator != (const RegionSummary &rhs) const {
@@ -2190,7 +2196,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashNews& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false) {}
+  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), leaving_targets(false) {}
   bool instance :1;
   bool role :1;
   bool ip :1;
@@ -2214,6 +2220,7 @@
   bool digests_version :1;
   bool summaries :1;
   bool crash_news :1;
+  bool leaving_targets :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -2269,6 +2276,7 @@
   int64_t digests_version;
   std::vector<RegionSummary>  summaries;
   CrashNews crash_news;
+  std::vector<int64_t>  leaving_targets;
 
   _Beat__isset __isset;
 
@@ -2318,6 +2326,8 @@
 
   void __set_crash_news(const CrashNews& val);
 
+  void __set_leaving_targets(const std::vector<int64_t> & val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2370,6 +2380,8 @@
       return false;
     else if (__isset.crash_news && !(crash_news == rhs.crash_news))
       return false;
+    if (!(leaving_targets == rhs.leaving_targets))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -265,6 +265,8 @@
   5: list<TargetLoad> loads
   6: i64 revision
   7: i64 operator_revision
+  // Hashes of the starts of targets that have lately said that they leave.
+  30: list<i64> leaving_targets
 }
 
 // A request with a part of a prompt had not survived when its target crashed
@@ -341,4 +343,7 @@
   22: list<RegionSummary> summaries
   // Gateways: what they know of prompts that crash targets.
   23: optional CrashNews crash_news
+  // Gateways: hashes of the starts of targets that have lately said that they
+  // leave.
+  30: list<i64> leaving_targets
 }
