Take from the stager's report that its target leaves

A stager asks its target for reports and learns from their headers that the target leaves. It tells the gateways in its beat, other regions in the summary. Unlike a gateway's own answer it holds only as long as the latest report says so, since the stager's reports name an address and not a start of the target.

With the change taken out, TargetSelectorTest AStagersReportTellsThatItsTargetLeaves fails; with it, it passes.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -291,7 +291,7 @@
                      beat.__isset.loads_in_ms
                          ? std::optional(now + milliseconds(beat.loads_in_ms))
                          : std::nullopt,
-                     now});
+                     now, beat.target_leaving});
     return;
   }
   const bool near = this->core.exchange().Near(peer);
@@ -370,7 +370,7 @@
         StagerReport{target.serving_version, target.loading,
                      target.loads_in ? std::optional(now + *target.loads_in)
                                      : std::nullopt,
-                     now});
+                     now, target.leaving});
   }
 }
 
@@ -471,7 +471,7 @@
       continue;
     }
     RegionTarget target{beat.target_address, beat.serving_version, beat.loading,
-                        std::nullopt};
+                        std::nullopt, beat.target_leaving};
     if (beat.__isset.loads_in_ms) {
       target.loads_in =
           milliseconds(beat.loads_in_ms) -
--- a/src/process/gateway/summary_wire.cc
+++ b/src/process/gateway/summary_wire.cc
@@ -58,6 +58,7 @@
     entry.address = target.address;
     entry.serving_version = target.serving_version;
     entry.loading = target.loading;
+    entry.leaving = target.leaving;
     if (target.loads_in) {
       entry.__set_loads_in_ms(static_cast<int32_t>(target.loads_in->count()));
     }
@@ -83,7 +84,8 @@
         {target.address, target.serving_version, target.loading,
          target.__isset.loads_in_ms
              ? std::optional(milliseconds(target.loads_in_ms))
-             : std::nullopt});
+             : std::nullopt,
+         target.leaving});
   }
   decoded.loads = DecodeLoads(summary.loads);
   decoded.leaving_targets = DecodeStarts(summary.leaving_targets);
--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -126,7 +126,9 @@
   if (entry.draining || (target.usable_until && now >= *target.usable_until)) {
     return kLeaving;
   }
-  if (this->notices.Leaves(HashTargetStart(entry))) {
+  const StagerReport* const report = this->FreshReport(entry, now);
+  if (this->notices.Leaves(HashTargetStart(entry)) ||
+      (report != nullptr && report->leaving)) {
     return kSaidItLeaves;
   }
   if (this->view.ZoneIsOut(entry.zone)) {
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -32,6 +32,8 @@
   // staged.
   std::optional<TimePoint> loads_at;
   TimePoint received_at{};
+  // The target has told its stager that it leaves.
+  bool leaving = false;
 };
 
 struct SelectionRequest {
--- a/src/process/stager/model_target.h
+++ b/src/process/stager/model_target.h
@@ -27,6 +27,8 @@
   bool busy = false;
   // Number of orders that the target has started to carry out.
   int64_t sequence = 0;
+  // The target leaves.
+  bool leaving = false;
 };
 
 // The model target on this VM. Each callback runs once, on the loop.
--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -225,6 +225,7 @@
 void Stager::OnReport(const Result<TargetReport>& report) {
   const int64_t before = this->serving_version;
   const bool was_loading = this->loading;
+  const bool was_leaving = this->target_report && this->target_report->leaving;
   if (!report) {
     if (this->target_report) {
       this->dependencies.log.Warn("target_lost", report.error().message,
@@ -251,6 +252,12 @@
     }
     this->loading = report->busy;
   }
+  if (report && report->leaving && !was_leaving) {
+    this->dependencies.log.Info("target_leaves",
+                                "the target gets no more requests",
+                                {{"source", "report"}});
+    this->ScheduleBeat(/*to_all=*/true);
+  }
   this->switch_planner.OnSelfServing(this->serving_version > 0);
   if (this->serving_version != before || this->loading != was_loading) {
     this->dependencies.log.Info("target_weights",
@@ -897,6 +904,7 @@
         static_cast<int32_t>(std::max<int64_t>(0, left.count())));
   }
   beat.loading = this->loading;
+  beat.target_leaving = this->target_report && this->target_report->leaving;
   this->beats.Begin(to_all, this->goal.has_value(), this->last_beat);
   this->core.exchange().Send(beat, [this](const BeatPeer& peer) {
     return this->beats.ShouldSendTo(peer);
--- a/src/process/state/region_directory.h
+++ b/src/process/state/region_directory.h
@@ -32,6 +32,8 @@
   int64_t serving_version = 0;
   bool loading = false;
   std::optional<std::chrono::milliseconds> loads_in;
+  // The target has told its stager that it leaves.
+  bool leaving = false;
 };
 
 // What a gateway knows of its own region. Gateways of other regions get it in
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -4504,6 +4504,10 @@
   this->loads_in_ms = val;
 __isset.loads_in_ms = true;
 }
+
+void RegionTarget::__set_leaving(const bool val) {
+  this->leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const RegionTarget& obj)
 {
   obj.printTo(out);
@@ -4564,6 +4568,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4598,6 +4610,10 @@
     xfer += oprot->writeI32(this->loads_in_ms);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 30);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4609,6 +4625,7 @@
   swap(a.serving_version, b.serving_version);
   swap(a.loading, b.loading);
   swap(a.loads_in_ms, b.loads_in_ms);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
@@ -4617,6 +4634,7 @@
   serving_version = other128.serving_version;
   loading = other128.loading;
   loads_in_ms = other128.loads_in_ms;
+  leaving = other128.leaving;
   __isset = other128.__isset;
 }
 RegionTarget::RegionTarget(RegionTarget&& other129) noexcept {
@@ -4624,6 +4642,7 @@
   serving_version = other129.serving_version;
   loading = other129.loading;
   loads_in_ms = other129.loads_in_ms;
+  leaving = other129.leaving;
   __isset = other129.__isset;
 }
 RegionTarget& RegionTarget::operator=(const RegionTarget& other130) {
@@ -4631,6 +4650,7 @@
   serving_version = other130.serving_version;
   loading = other130.loading;
   loads_in_ms = other130.loads_in_ms;
+  leaving = other130.leaving;
   __isset = other130.__isset;
   return *this;
 }
@@ -4639,6 +4659,7 @@
   serving_version = other131.serving_version;
   loading = other131.loading;
   loads_in_ms = other131.loads_in_ms;
+  leaving = other131.leaving;
   __isset = other131.__isset;
   return *this;
 }
@@ -4649,6 +4670,7 @@
   out << ", " << "serving_version=" << to_string(serving_version);
   out << ", " << "loading=" << to_string(loading);
   out << ", " << "loads_in_ms="; (__isset.loads_in_ms ? (out << to_string(loads_in_ms)) : (out << "<null>"));
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
@@ -5751,6 +5773,10 @@
 void Beat::__set_leaving_targets(const std::vector<int64_t> & val) {
   this->leaving_targets = val;
 }
+
+void Beat::__set_target_leaving(const bool val) {
+  this->target_leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -6019,6 +6045,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->target_leaving);
+          this->__isset.target_leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6166,6 +6200,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("target_leaving", ::apache::thrift::protocol::T_BOOL, 31);
+  xfer += oprot->writeBool(this->target_leaving);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6197,6 +6235,7 @@
   swap(a.summaries, b.summaries);
   swap(a.crash_news, b.crash_news);
   swap(a.leaving_targets, b.leaving_targets);
+  swap(a.target_leaving, b.target_leaving);
   swap(a.__isset, b.__isset);
 }
 
@@ -6225,6 +6264,7 @@
   summaries = other218.summaries;
   crash_news = other218.crash_news;
   leaving_targets = other218.leaving_targets;
+  target_leaving = other218.target_leaving;
   __isset = other218.__isset;
 }
 Beat::Beat(Beat&& other219) noexcept {
@@ -6252,6 +6292,7 @@
   summaries = std::move(other219.summaries);
   crash_news = std::move(other219.crash_news);
   leaving_targets = std::move(other219.leaving_targets);
+  target_leaving = other219.target_leaving;
   __isset = other219.__isset;
 }
 Beat& Beat::operator=(const Beat& other220) {
@@ -6279,6 +6320,7 @@
   summaries = other220.summaries;
   crash_news = other220.crash_news;
   leaving_targets = other220.leaving_targets;
+  target_leaving = other220.target_leaving;
   __isset = other220.__isset;
   return *this;
 }
@@ -6307,6 +6349,7 @@
   summaries = std::move(other221.summaries);
   crash_news = std::move(other221.crash_news);
   leaving_targets = std::move(other221.leaving_targets);
+  target_leaving = other221.target_leaving;
   __isset = other221.__isset;
   return *this;
 }
@@ -6337,6 +6380,7 @@
   out << ", " << "summaries=" << to_string(summaries);
   out << ", " << "crash_news="; (__isset.crash_news ? (out << to_string(crash_news)) : (out << "<null>"));
   out << ", " << "leaving_targets=" << to_string(leaving_targets);
+  out << ", " << "target_leaving=" << to_string(target_leaving);
   out << ")";
 }
 
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -1798,11 +1798,12 @@
 std::ostream& operator<<(std::ostream& out, const RegionGateway& obj);
 
 typedef struct _RegionTarget__isset {
-  _RegionTarget__isset() : address(false), serving_version(false), loading(false), loads_in_ms(false) {}
+  _RegionTarget__isset() : address(false), serving_version(false), loading(false), loads_in_ms(false), leaving(false) {}
   bool address :1;
   bool serving_version :1;
   bool loading :1;
   bool loads_in_ms :1;
+  bool leaving :1;
 } _RegionTarget__isset;
 
 class RegionTarget : public virtual ::apache::thrift::TBase {
@@ -1816,7 +1817,8 @@
                : address(),
                  serving_version(0),
                  loading(0),
-                 loads_in_ms(0) {
+                 loads_in_ms(0),
+                 leaving(0) {
   }
 
   virtual ~RegionTarget() noexcept;
@@ -1824,6 +1826,7 @@
   int64_t serving_version;
   bool loading;
   int32_t loads_in_ms;
+  bool leaving;
 
   _RegionTarget__isset __isset;
 
@@ -1835,6 +1838,8 @@
 
   void __set_loads_in_ms(const int32_t val);
 
+  void __set_leaving(const bool val);
+
   bool operator == (const RegionTarget & rhs) const
   {
     if (!(address == rhs.address))
@@ -1847,6 +1852,8 @@
       return false;
     else if (__isset.loads_in_ms && !(loads_in_ms == rhs.loads_in_ms))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const RegionTarget &rhs) const {
@@ -2196,7 +2203,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashNews& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), leaving_targets(false) {}
+  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), leaving_targets(false), target_leaving(false) {}
   bool instance :1;
   bool role :1;
   bool ip :1;
@@ -2221,6 +2228,7 @@
   bool summaries :1;
   bool crash_news :1;
   bool leaving_targets :1;
+  bool target_leaving :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -2249,7 +2257,8 @@
          loads_in_ms(0),
          operator_revision(0),
          store_answers(0),
-         digests_version(0) {
+         digests_version(0),
+         target_leaving(0) {
   }
 
   virtual ~Beat() noexcept;
@@ -2277,6 +2286,7 @@
   std::vector<RegionSummary>  summaries;
   CrashNews crash_news;
   std::vector<int64_t>  leaving_targets;
+  bool target_leaving;
 
   _Beat__isset __isset;
 
@@ -2328,6 +2338,8 @@
 
   void __set_leaving_targets(const std::vector<int64_t> & val);
 
+  void __set_target_leaving(const bool val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2382,6 +2394,8 @@
       return false;
     if (!(leaving_targets == rhs.leaving_targets))
       return false;
+    if (!(target_leaving == rhs.target_leaving))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -252,6 +252,8 @@
   3: bool loading
   // Time until the target is to be ordered to load; absent when it is not.
   4: optional i32 loads_in_ms
+  // The target has told its stager that it leaves.
+  30: bool leaving
 }
 
 // What one gateway knows of its region, for the gateways of other regions.
@@ -346,4 +348,6 @@
   // Gateways: hashes of the starts of targets that have lately said that they
   // leave.
   30: list<i64> leaving_targets
+  // Stagers: the target has said that it leaves.
+  31: bool target_leaving
 }
--- a/tests/process/gateway/target_selector_test.cc
+++ b/tests/process/gateway/target_selector_test.cc
@@ -114,6 +114,19 @@
   STRCMP_EQUAL("leaving by its own word", this->Choose().c_str());
 }
 
+// Guards against requests to a target that has told only its stager that it
+// leaves, and against one that gets nothing since its predecessor has left.
+TEST(TargetSelectorTest, AStagersReportTellsThatItsTargetLeaves) {
+  const TargetRegistration target = this->Target("t1", "north-a");
+  this->Apply("t1", target);
+  StagerReport report{1, false, std::nullopt, this->now, true};
+  this->selector->OnStagerReport(target.address.ToString(), report);
+  STRCMP_EQUAL("leaving by its own word", this->Choose().c_str());
+  report.leaving = false;
+  this->selector->OnStagerReport(target.address.ToString(), report);
+  STRCMP_EQUAL("t1", this->Choose().c_str());
+}
+
 // Guards against a target that gets nothing since an earlier one with its ID or
 // its address has left.
 TEST(TargetSelectorTest, TheNextStartWithTheSameIdOrAddressIsNotLeaving) {
