--- a/src/process/gateway/summary_wire.cc
+++ b/src/process/gateway/summary_wire.cc
@@ -32,6 +32,14 @@
   return decoded;
 }
 
+std::vector<int64_t> EncodeStarts(const std::vector<TargetStartHash>& starts) {
+  return {starts.begin(), starts.end()};
+}
+
+std::vector<TargetStartHash> DecodeStarts(const std::vector<int64_t>& starts) {
+  return {starts.begin(), starts.end()};
+}
+
 wire::RegionSummary EncodeSummary(const RegionSummary& summary) {
   wire::RegionSummary message;
   message.region = summary.region.value();
@@ -50,12 +58,14 @@
     entry.address = target.address;
     entry.serving_version = target.serving_version;
     entry.loading = target.loading;
+    entry.leaving = target.leaving;
     if (target.loads_in) {
       entry.__set_loads_in_ms(static_cast<int32_t>(target.loads_in->count()));
     }
     message.targets.push_back(std::move(entry));
   }
   message.loads = EncodeLoads(summary.loads);
+  message.leaving_targets = EncodeStarts(summary.leaving_targets);
   return message;
 }
 
@@ -74,9 +84,11 @@
         {target.address, target.serving_version, target.loading,
          target.__isset.loads_in_ms
              ? std::optional(milliseconds(target.loads_in_ms))
-             : std::nullopt});
+             : std::nullopt,
+         target.leaving});
   }
   decoded.loads = DecodeLoads(summary.loads);
+  decoded.leaving_targets = DecodeStarts(summary.leaving_targets);
   return decoded;
 }
 
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -11,11 +11,13 @@
 #include <utility>
 #include <vector>
 
+#include "celerypost/random.h"
 #include "celerypost/types.h"
 #include "src/process/node_settings.h"
 #include "src/process/state/cluster_view.h"
 #include "src/request/cold_share.h"
 #include "src/request/placement.h"
+#include "src/request/target_notices.h"
 #include "src/request/target_tracker.h"
 
 namespace celerypost {
@@ -30,6 +32,8 @@
   // staged.
   std::optional<TimePoint> loads_at;
   TimePoint received_at{};
+  // The target has told its stager that it leaves.
+  bool leaving = false;
 };
 
 struct SelectionRequest {
@@ -84,6 +88,11 @@
   // A stager's report takes precedence over the target's registration for this
   // long: three beats of 1 s and a margin.
   std::chrono::milliseconds report_lifetime{3500};
+  // When all targets decline, callers are told to come back when the first one
+  // takes requests again or later by up to this share of the time, or this
+  // time if it is longer.
+  double return_spread = 0.25;
+  std::chrono::milliseconds min_return_spread{200};
   // A cold target's limit in requests per second is its rate times this factor
   // plus the slack.
   double cold_factor = 1.5;
@@ -91,14 +100,16 @@
 };
 
 // Chooses the target of one attempt among the eligible ones: registered, not
-// draining, in an allowed region and a zone that operators have not taken out,
-// with complete weights of a valid version, and under this gateway's share of
-// the rate limit of cold targets.
+// draining or leaving by its own word, in an allowed region and a zone that
+// operators have not taken out, with complete weights of a valid version, and
+// under this gateway's share of the rate limit of cold targets.
 class TargetSelector {
  public:
   TargetSelector(const ClusterView& view,
                  const TargetTracker& book,
+                 const TargetNotices& notices,
                  PlacementPolicy& policy,
+                 Random& random,
                  TargetSelectorOptions options);
 
   // Chooses a target for the next attempt, or gives the reason for a refusal.
@@ -118,6 +129,9 @@
                                    const ServiceConfig& service,
                                    std::optional<int64_t> version_floor,
                                    TimePoint now);
+  // Returns when callers should come back if a target takes requests again at
+  // `until`.
+  std::chrono::milliseconds RetryAfter(TimePoint until, TimePoint now);
   // Lowest weights version that may be used; nothing when any may.
   std::optional<int64_t> VersionFloor(const ServiceConfig& service,
                                       TimePoint now) const;
@@ -138,7 +152,9 @@
 
   const ClusterView& view;
   const TargetTracker& book;
+  const TargetNotices& notices;
   PlacementPolicy& policy;
+  Random& random;
   TargetSelectorOptions options;
   // By target address, as "ip:port".
   std::map<std::string, StagerReport> stager_reports;
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -4715,6 +4715,10 @@
   this->loads_in_ms = val;
 __isset.loads_in_ms = true;
 }
+
+void RegionTarget::__set_leaving(const bool val) {
+  this->leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const RegionTarget& obj)
 {
   obj.printTo(out);
@@ -4775,6 +4779,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4809,6 +4821,10 @@
     xfer += oprot->writeI32(this->loads_in_ms);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 30);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4820,6 +4836,7 @@
   swap(a.serving_version, b.serving_version);
   swap(a.loading, b.loading);
   swap(a.loads_in_ms, b.loads_in_ms);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
@@ -4828,6 +4845,7 @@
   serving_version = other138.serving_version;
   loading = other138.loading;
   loads_in_ms = other138.loads_in_ms;
+  leaving = other138.leaving;
   __isset = other138.__isset;
 }
 RegionTarget::RegionTarget(RegionTarget&& other139) noexcept {
@@ -4835,6 +4853,7 @@
   serving_version = other139.serving_version;
   loading = other139.loading;
   loads_in_ms = other139.loads_in_ms;
+  leaving = other139.leaving;
   __isset = other139.__isset;
 }
 RegionTarget& RegionTarget::operator=(const RegionTarget& other140) {
@@ -4842,6 +4861,7 @@
   serving_version = other140.serving_version;
   loading = other140.loading;
   loads_in_ms = other140.loads_in_ms;
+  leaving = other140.leaving;
   __isset = other140.__isset;
   return *this;
 }
@@ -4850,6 +4870,7 @@
   serving_version = other141.serving_version;
   loading = other141.loading;
   loads_in_ms = other141.loads_in_ms;
+  leaving = other141.leaving;
   __isset = other141.__isset;
   return *this;
 }
@@ -4860,6 +4881,7 @@
   out << ", " << "serving_version=" << to_string(serving_version);
   out << ", " << "loading=" << to_string(loading);
   out << ", " << "loads_in_ms="; (__isset.loads_in_ms ? (out << to_string(loads_in_ms)) : (out << "<null>"));
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
@@ -4895,6 +4917,10 @@
 void RegionSummary::__set_operator_revision(const int64_t val) {
   this->operator_revision = val;
 }
+
+void RegionSummary::__set_leaving_targets(const std::vector<int64_t> & val) {
+  this->leaving_targets = val;
+}
 std::ostream& operator<<(std::ostream& out, const RegionSummary& obj)
 {
   obj.printTo(out);
@@ -5015,6 +5041,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving_targets.clear();
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _etype160;
+            xfer += iprot->readListBegin(_etype160, _size157);
+            this->leaving_targets.resize(_size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
+            {
+              xfer += iprot->readI64(this->leaving_targets[_i161]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving_targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5043,10 +5089,10 @@
   xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gateways.size()));
-    std::vector<RegionGateway> ::const_iterator _iter157;
-    for (_iter157 = this->gateways.begin(); _iter157 != this->gateways.end(); ++_iter157)
+    std::vector<RegionGateway> ::const_iterator _iter162;
+    for (_iter162 = this->gateways.begin(); _iter162 != this->gateways.end(); ++_iter162)
     {
-      xfer += (*_iter157).write(oprot);
+      xfer += (*_iter162).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5055,10 +5101,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<RegionTarget> ::const_iterator _iter158;
-    for (_iter158 = this->targets.begin(); _iter158 != this->targets.end(); ++_iter158)
+    std::vector<RegionTarget> ::const_iterator _iter163;
+    for (_iter163 = this->targets.begin(); _iter163 != this->targets.end(); ++_iter163)
     {
-      xfer += (*_iter158).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5067,10 +5113,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<TargetLoad> ::const_iterator _iter159;
-    for (_iter159 = this->loads.begin(); _iter159 != this->loads.end(); ++_iter159)
+    std::vector<TargetLoad> ::const_iterator _iter164;
+    for (_iter164 = this->loads.begin(); _iter164 != this->loads.end(); ++_iter164)
     {
-      xfer += (*_iter159).write(oprot);
+      xfer += (*_iter164).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5084,6 +5130,18 @@
   xfer += oprot->writeI64(this->operator_revision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 30);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_targets.size()));
+    std::vector<int64_t> ::const_iterator _iter165;
+    for (_iter165 = this->leaving_targets.begin(); _iter165 != this->leaving_targets.end(); ++_iter165)
+    {
+      xfer += oprot->writeI64((*_iter165));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5098,49 +5156,54 @@
   swap(a.loads, b.loads);
   swap(a.revision, b.revision);
   swap(a.operator_revision, b.operator_revision);
+  swap(a.leaving_targets, b.leaving_targets);
   swap(a.__isset, b.__isset);
 }
 
-RegionSummary::RegionSummary(const RegionSummary& other160) {
-  region = other160.region;
-  ip = other160.ip;
-  gateways = other160.gateways;
-  targets = other160.targets;
-  loads = other160.loads;
-  revision = other160.revision;
-  operator_revision = other160.operator_revision;
-  __isset = other160.__isset;
-}
-RegionSummary::RegionSummary(RegionSummary&& other161) noexcept {
-  region = std::move(other161.region);
-  ip = std::move(other161.ip);
-  gateways = std::move(other161.gateways);
-  targets = std::move(other161.targets);
-  loads = std::move(other161.loads);
-  revision = other161.revision;
-  operator_revision = other161.operator_revision;
-  __isset = other161.__isset;
-}
-RegionSummary& RegionSummary::operator=(const RegionSummary& other162) {
-  region = other162.region;
-  ip = other162.ip;
-  gateways = other162.gateways;
-  targets = other162.targets;
-  loads = other162.loads;
-  revision = other162.revision;
-  operator_revision = other162.operator_revision;
-  __isset = other162.__isset;
+RegionSummary::RegionSummary(const RegionSummary& other166) {
+  region = other166.region;
+  ip = other166.ip;
+  gateways = other166.gateways;
+  targets = other166.targets;
+  loads = other166.loads;
+  revision = other166.revision;
+  operator_revision = other166.operator_revision;
+  leaving_targets = other166.leaving_targets;
+  __isset = other166.__isset;
+}
+RegionSummary::RegionSummary(RegionSummary&& other167) noexcept {
+  region = std::move(other167.region);
+  ip = std::move(other167.ip);
+  gateways = std::move(other167.gateways);
+  targets = std::move(other167.targets);
+  loads = std::move(other167.loads);
+  revision = other167.revision;
+  operator_revision = other167.operator_revision;
+  leaving_targets = std::move(other167.leaving_targets);
+  __isset = other167.__isset;
+}
+RegionSummary& RegionSummary::operator=(const RegionSummary& other168) {
+  region = other168.region;
+  ip = other168.ip;
+  gateways = other168.gateways;
+  targets = other168.targets;
+  loads = other168.loads;
+  revision = other168.revision;
+  operator_revision = other168.operator_revision;
+  leaving_targets = other168.leaving_targets;
+  __isset = other168.__isset;
   return *this;
 }
-RegionSummary& RegionSummary::operator=(RegionSummary&& other163) noexcept {
-  region = std::move(other163.region);
-  ip = std::move(other163.ip);
-  gateways = std::move(other163.gateways);
-  targets = std::move(other163.targets);
-  loads = std::move(other163.loads);
-  revision = other163.revision;
-  operator_revision = other163.operator_revision;
-  __isset = other163.__isset;
+RegionSummary& RegionSummary::operator=(RegionSummary&& other169) noexcept {
+  region = std::move(other169.region);
+  ip = std::move(other169.ip);
+  gateways = std::move(other169.gateways);
+  targets = std::move(other169.targets);
+  loads = std::move(other169.loads);
+  revision = other169.revision;
+  operator_revision = other169.operator_revision;
+  leaving_targets = std::move(other169.leaving_targets);
+  __isset = other169.__isset;
   return *this;
 }
 void RegionSummary::printTo(std::ostream& out) const {
@@ -5153,6 +5216,7 @@
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "operator_revision=" << to_string(operator_revision);
+  out << ", " << "leaving_targets=" << to_string(leaving_targets);
   out << ")";
 }
 
@@ -5266,30 +5330,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashAccusation::CrashAccusation(const CrashAccusation& other164) noexcept {
-  part = other164.part;
-  target_start = other164.target_start;
-  age_ms = other164.age_ms;
-  __isset = other164.__isset;
+CrashAccusation::CrashAccusation(const CrashAccusation& other170) noexcept {
+  part = other170.part;
+  target_start = other170.target_start;
+  age_ms = other170.age_ms;
+  __isset = other170.__isset;
 }
-CrashAccusation::CrashAccusation(CrashAccusation&& other165) noexcept {
-  part = other165.part;
-  target_start = other165.target_start;
-  age_ms = other165.age_ms;
-  __isset = other165.__isset;
+CrashAccusation::CrashAccusation(CrashAccusation&& other171) noexcept {
+  part = other171.part;
+  target_start = other171.target_start;
+  age_ms = other171.age_ms;
+  __isset = other171.__isset;
 }
-CrashAccusation& CrashAccusation::operator=(const CrashAccusation& other166) noexcept {
-  part = other166.part;
-  target_start = other166.target_start;
-  age_ms = other166.age_ms;
-  __isset = other166.__isset;
+CrashAccusation& CrashAccusation::operator=(const CrashAccusation& other172) noexcept {
+  part = other172.part;
+  target_start = other172.target_start;
+  age_ms = other172.age_ms;
+  __isset = other172.__isset;
   return *this;
 }
-CrashAccusation& CrashAccusation::operator=(CrashAccusation&& other167) noexcept {
-  part = other167.part;
-  target_start = other167.target_start;
-  age_ms = other167.age_ms;
-  __isset = other167.__isset;
+CrashAccusation& CrashAccusation::operator=(CrashAccusation&& other173) noexcept {
+  part = other173.part;
+  target_start = other173.target_start;
+  age_ms = other173.age_ms;
+  __isset = other173.__isset;
   return *this;
 }
 void CrashAccusation::printTo(std::ostream& out) const {
@@ -5411,30 +5475,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PartSurvival::PartSurvival(const PartSurvival& other168) noexcept {
-  part = other168.part;
-  age_ms = other168.age_ms;
-  relayed = other168.relayed;
-  __isset = other168.__isset;
+PartSurvival::PartSurvival(const PartSurvival& other174) noexcept {
+  part = other174.part;
+  age_ms = other174.age_ms;
+  relayed = other174.relayed;
+  __isset = other174.__isset;
 }
-PartSurvival::PartSurvival(PartSurvival&& other169) noexcept {
-  part = other169.part;
-  age_ms = other169.age_ms;
-  relayed = other169.relayed;
-  __isset = other169.__isset;
+PartSurvival::PartSurvival(PartSurvival&& other175) noexcept {
+  part = other175.part;
+  age_ms = other175.age_ms;
+  relayed = other175.relayed;
+  __isset = other175.__isset;
 }
-PartSurvival& PartSurvival::operator=(const PartSurvival& other170) noexcept {
-  part = other170.part;
-  age_ms = other170.age_ms;
-  relayed = other170.relayed;
-  __isset = other170.__isset;
+PartSurvival& PartSurvival::operator=(const PartSurvival& other176) noexcept {
+  part = other176.part;
+  age_ms = other176.age_ms;
+  relayed = other176.relayed;
+  __isset = other176.__isset;
   return *this;
 }
-PartSurvival& PartSurvival::operator=(PartSurvival&& other171) noexcept {
-  part = other171.part;
-  age_ms = other171.age_ms;
-  relayed = other171.relayed;
-  __isset = other171.__isset;
+PartSurvival& PartSurvival::operator=(PartSurvival&& other177) noexcept {
+  part = other177.part;
+  age_ms = other177.age_ms;
+  relayed = other177.relayed;
+  __isset = other177.__isset;
   return *this;
 }
 void PartSurvival::printTo(std::ostream& out) const {
@@ -5573,34 +5637,34 @@
   swap(a.__isset, b.__isset);
 }
 
-PartQuarantine::PartQuarantine(const PartQuarantine& other172) noexcept {
-  part = other172.part;
-  round = other172.round;
-  lifted = other172.lifted;
-  left_ms = other172.left_ms;
-  __isset = other172.__isset;
-}
-PartQuarantine::PartQuarantine(PartQuarantine&& other173) noexcept {
-  part = other173.part;
-  round = other173.round;
-  lifted = other173.lifted;
-  left_ms = other173.left_ms;
-  __isset = other173.__isset;
-}
-PartQuarantine& PartQuarantine::operator=(const PartQuarantine& other174) noexcept {
-  part = other174.part;
-  round = other174.round;
-  lifted = other174.lifted;
-  left_ms = other174.left_ms;
-  __isset = other174.__isset;
+PartQuarantine::PartQuarantine(const PartQuarantine& other178) noexcept {
+  part = other178.part;
+  round = other178.round;
+  lifted = other178.lifted;
+  left_ms = other178.left_ms;
+  __isset = other178.__isset;
+}
+PartQuarantine::PartQuarantine(PartQuarantine&& other179) noexcept {
+  part = other179.part;
+  round = other179.round;
+  lifted = other179.lifted;
+  left_ms = other179.left_ms;
+  __isset = other179.__isset;
+}
+PartQuarantine& PartQuarantine::operator=(const PartQuarantine& other180) noexcept {
+  part = other180.part;
+  round = other180.round;
+  lifted = other180.lifted;
+  left_ms = other180.left_ms;
+  __isset = other180.__isset;
   return *this;
 }
-PartQuarantine& PartQuarantine::operator=(PartQuarantine&& other175) noexcept {
-  part = other175.part;
-  round = other175.round;
-  lifted = other175.lifted;
-  left_ms = other175.left_ms;
-  __isset = other175.__isset;
+PartQuarantine& PartQuarantine::operator=(PartQuarantine&& other181) noexcept {
+  part = other181.part;
+  round = other181.round;
+  lifted = other181.lifted;
+  left_ms = other181.left_ms;
+  __isset = other181.__isset;
   return *this;
 }
 void PartQuarantine::printTo(std::ostream& out) const {
@@ -5661,14 +5725,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accusations.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->accusations.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _etype185;
+            xfer += iprot->readListBegin(_etype185, _size182);
+            this->accusations.resize(_size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
             {
-              xfer += this->accusations[_i180].read(iprot);
+              xfer += this->accusations[_i186].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5681,14 +5745,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->survivals.clear();
-            uint32_t _size181;
-            ::apache::thrift::protocol::TType _etype184;
-            xfer += iprot->readListBegin(_etype184, _size181);
-            this->survivals.resize(_size181);
-            uint32_t _i185;
-            for (_i185 = 0; _i185 < _size181; ++_i185)
+            uint32_t _size187;
+            ::apache::thrift::protocol::TType _etype190;
+            xfer += iprot->readListBegin(_etype190, _size187);
+            this->survivals.resize(_size187);
+            uint32_t _i191;
+            for (_i191 = 0; _i191 < _size187; ++_i191)
             {
-              xfer += this->survivals[_i185].read(iprot);
+              xfer += this->survivals[_i191].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5701,14 +5765,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size186;
-            ::apache::thrift::protocol::TType _etype189;
-            xfer += iprot->readListBegin(_etype189, _size186);
-            this->quarantines.resize(_size186);
-            uint32_t _i190;
-            for (_i190 = 0; _i190 < _size186; ++_i190)
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->quarantines.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
             {
-              xfer += this->quarantines[_i190].read(iprot);
+              xfer += this->quarantines[_i196].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5737,10 +5801,10 @@
   xfer += oprot->writeFieldBegin("accusations", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accusations.size()));
-    std::vector<CrashAccusation> ::const_iterator _iter191;
-    for (_iter191 = this->accusations.begin(); _iter191 != this->accusations.end(); ++_iter191)
+    std::vector<CrashAccusation> ::const_iterator _iter197;
+    for (_iter197 = this->accusations.begin(); _iter197 != this->accusations.end(); ++_iter197)
     {
-      xfer += (*_iter191).write(oprot);
+      xfer += (*_iter197).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5749,10 +5813,10 @@
   xfer += oprot->writeFieldBegin("survivals", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->survivals.size()));
-    std::vector<PartSurvival> ::const_iterator _iter192;
-    for (_iter192 = this->survivals.begin(); _iter192 != this->survivals.end(); ++_iter192)
+    std::vector<PartSurvival> ::const_iterator _iter198;
+    for (_iter198 = this->survivals.begin(); _iter198 != this->survivals.end(); ++_iter198)
     {
-      xfer += (*_iter192).write(oprot);
+      xfer += (*_iter198).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5761,10 +5825,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<PartQuarantine> ::const_iterator _iter193;
-    for (_iter193 = this->quarantines.begin(); _iter193 != this->quarantines.end(); ++_iter193)
+    std::vector<PartQuarantine> ::const_iterator _iter199;
+    for (_iter199 = this->quarantines.begin(); _iter199 != this->quarantines.end(); ++_iter199)
     {
-      xfer += (*_iter193).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5783,30 +5847,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNews::CrashNews(const CrashNews& other194) {
-  accusations = other194.accusations;
-  survivals = other194.survivals;
-  quarantines = other194.quarantines;
-  __isset = other194.__isset;
+CrashNews::CrashNews(const CrashNews& other200) {
+  accusations = other200.accusations;
+  survivals = other200.survivals;
+  quarantines = other200.quarantines;
+  __isset = other200.__isset;
 }
-CrashNews::CrashNews(CrashNews&& other195) noexcept {
-  accusations = std::move(other195.accusations);
-  survivals = std::move(other195.survivals);
-  quarantines = std::move(other195.quarantines);
-  __isset = other195.__isset;
+CrashNews::CrashNews(CrashNews&& other201) noexcept {
+  accusations = std::move(other201.accusations);
+  survivals = std::move(other201.survivals);
+  quarantines = std::move(other201.quarantines);
+  __isset = other201.__isset;
 }
-CrashNews& CrashNews::operator=(const CrashNews& other196) {
-  accusations = other196.accusations;
-  survivals = other196.survivals;
-  quarantines = other196.quarantines;
-  __isset = other196.__isset;
+CrashNews& CrashNews::operator=(const CrashNews& other202) {
+  accusations = other202.accusations;
+  survivals = other202.survivals;
+  quarantines = other202.quarantines;
+  __isset = other202.__isset;
   return *this;
 }
-CrashNews& CrashNews::operator=(CrashNews&& other197) noexcept {
-  accusations = std::move(other197.accusations);
-  survivals = std::move(other197.survivals);
-  quarantines = std::move(other197.quarantines);
-  __isset = other197.__isset;
+CrashNews& CrashNews::operator=(CrashNews&& other203) noexcept {
+  accusations = std::move(other203.accusations);
+  survivals = std::move(other203.survivals);
+  quarantines = std::move(other203.quarantines);
+  __isset = other203.__isset;
   return *this;
 }
 void CrashNews::printTo(std::ostream& out) const {
@@ -5921,6 +5985,14 @@
   this->current_ms_ago = val;
 __isset.current_ms_ago = true;
 }
+
+void Beat::__set_leaving_targets(const std::vector<int64_t> & val) {
+  this->leaving_targets = val;
+}
+
+void Beat::__set_target_leaving(const bool val) {
+  this->target_leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -6017,14 +6089,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->loads.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->loads.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += this->loads[_i202].read(iprot);
+              xfer += this->loads[_i208].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6037,14 +6109,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size203;
-            ::apache::thrift::protocol::TType _etype206;
-            xfer += iprot->readListBegin(_etype206, _size203);
-            this->known.resize(_size203);
-            uint32_t _i207;
-            for (_i207 = 0; _i207 < _size203; ++_i207)
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->known.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
             {
-              xfer += iprot->readString(this->known[_i207]);
+              xfer += iprot->readString(this->known[_i213]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6145,14 +6217,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->summaries.clear();
-            uint32_t _size208;
-            ::apache::thrift::protocol::TType _etype211;
-            xfer += iprot->readListBegin(_etype211, _size208);
-            this->summaries.resize(_size208);
-            uint32_t _i212;
-            for (_i212 = 0; _i212 < _size208; ++_i212)
+            uint32_t _size214;
+            ::apache::thrift::protocol::TType _etype217;
+            xfer += iprot->readListBegin(_etype217, _size214);
+            this->summaries.resize(_size214);
+            uint32_t _i218;
+            for (_i218 = 0; _i218 < _size214; ++_i218)
             {
-              xfer += this->summaries[_i212].read(iprot);
+              xfer += this->summaries[_i218].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6177,6 +6249,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving_targets.clear();
+            uint32_t _size219;
+            ::apache::thrift::protocol::TType _etype222;
+            xfer += iprot->readListBegin(_etype222, _size219);
+            this->leaving_targets.resize(_size219);
+            uint32_t _i223;
+            for (_i223 = 0; _i223 < _size219; ++_i223)
+            {
+              xfer += iprot->readI64(this->leaving_targets[_i223]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving_targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->target_leaving);
+          this->__isset.target_leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6229,10 +6329,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<TargetLoad> ::const_iterator _iter213;
-    for (_iter213 = this->loads.begin(); _iter213 != this->loads.end(); ++_iter213)
+    std::vector<TargetLoad> ::const_iterator _iter224;
+    for (_iter224 = this->loads.begin(); _iter224 != this->loads.end(); ++_iter224)
     {
-      xfer += (*_iter213).write(oprot);
+      xfer += (*_iter224).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6241,10 +6341,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter214;
-    for (_iter214 = this->known.begin(); _iter214 != this->known.end(); ++_iter214)
+    std::vector<std::string> ::const_iterator _iter225;
+    for (_iter225 = this->known.begin(); _iter225 != this->known.end(); ++_iter225)
     {
-      xfer += oprot->writeString((*_iter214));
+      xfer += oprot->writeString((*_iter225));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6298,10 +6398,10 @@
   xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
-    std::vector<RegionSummary> ::const_iterator _iter215;
-    for (_iter215 = this->summaries.begin(); _iter215 != this->summaries.end(); ++_iter215)
+    std::vector<RegionSummary> ::const_iterator _iter226;
+    for (_iter226 = this->summaries.begin(); _iter226 != this->summaries.end(); ++_iter226)
     {
-      xfer += (*_iter215).write(oprot);
+      xfer += (*_iter226).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6312,6 +6412,22 @@
     xfer += this->crash_news.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 30);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_targets.size()));
+    std::vector<int64_t> ::const_iterator _iter227;
+    for (_iter227 = this->leaving_targets.begin(); _iter227 != this->leaving_targets.end(); ++_iter227)
+    {
+      xfer += oprot->writeI64((*_iter227));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target_leaving", ::apache::thrift::protocol::T_BOOL, 31);
+  xfer += oprot->writeBool(this->target_leaving);
+  xfer += oprot->writeFieldEnd();
+
   if (this->__isset.current_ms_ago) {
     xfer += oprot->writeFieldBegin("current_ms_ago", ::apache::thrift::protocol::T_I32, 40);
     xfer += oprot->writeI32(this->current_ms_ago);
@@ -6348,117 +6464,127 @@
   swap(a.summaries, b.summaries);
   swap(a.crash_news, b.crash_news);
   swap(a.current_ms_ago, b.current_ms_ago);
+  swap(a.leaving_targets, b.leaving_targets);
+  swap(a.target_leaving, b.target_leaving);
   swap(a.__isset, b.__isset);
 }
 
-Beat::Beat(const Beat& other216) {
-  instance = other216.instance;
-  role = other216.role;
-  ip = other216.ip;
-  zone = other216.zone;
-  region = other216.region;
-  caller_address = other216.caller_address;
-  state = other216.state;
-  revision = other216.revision;
-  loads = other216.loads;
-  known = other216.known;
-  target_address = other216.target_address;
-  model = other216.model;
-  staged_version = other216.staged_version;
-  held_chunks = other216.held_chunks;
-  serving_version = other216.serving_version;
-  loading = other216.loading;
-  fetching = other216.fetching;
-  loads_in_ms = other216.loads_in_ms;
-  operator_revision = other216.operator_revision;
-  store_answers = other216.store_answers;
-  digests_version = other216.digests_version;
-  summaries = other216.summaries;
-  crash_news = other216.crash_news;
-  current_ms_ago = other216.current_ms_ago;
-  __isset = other216.__isset;
-}
-Beat::Beat(Beat&& other217) noexcept {
-  instance = other217.instance;
-  role = other217.role;
-  ip = std::move(other217.ip);
-  zone = std::move(other217.zone);
-  region = std::move(other217.region);
-  caller_address = std::move(other217.caller_address);
-  state = other217.state;
-  revision = other217.revision;
-  loads = std::move(other217.loads);
-  known = std::move(other217.known);
-  target_address = std::move(other217.target_address);
-  model = std::move(other217.model);
-  staged_version = other217.staged_version;
-  held_chunks = std::move(other217.held_chunks);
-  serving_version = other217.serving_version;
-  loading = other217.loading;
-  fetching = std::move(other217.fetching);
-  loads_in_ms = other217.loads_in_ms;
-  operator_revision = other217.operator_revision;
-  store_answers = other217.store_answers;
-  digests_version = other217.digests_version;
-  summaries = std::move(other217.summaries);
-  crash_news = std::move(other217.crash_news);
-  current_ms_ago = other217.current_ms_ago;
-  __isset = other217.__isset;
-}
-Beat& Beat::operator=(const Beat& other218) {
-  instance = other218.instance;
-  role = other218.role;
-  ip = other218.ip;
-  zone = other218.zone;
-  region = other218.region;
-  caller_address = other218.caller_address;
-  state = other218.state;
-  revision = other218.revision;
-  loads = other218.loads;
-  known = other218.known;
-  target_address = other218.target_address;
-  model = other218.model;
-  staged_version = other218.staged_version;
-  held_chunks = other218.held_chunks;
-  serving_version = other218.serving_version;
-  loading = other218.loading;
-  fetching = other218.fetching;
-  loads_in_ms = other218.loads_in_ms;
-  operator_revision = other218.operator_revision;
-  store_answers = other218.store_answers;
-  digests_version = other218.digests_version;
-  summaries = other218.summaries;
-  crash_news = other218.crash_news;
-  current_ms_ago = other218.current_ms_ago;
-  __isset = other218.__isset;
+Beat::Beat(const Beat& other228) {
+  instance = other228.instance;
+  role = other228.role;
+  ip = other228.ip;
+  zone = other228.zone;
+  region = other228.region;
+  caller_address = other228.caller_address;
+  state = other228.state;
+  revision = other228.revision;
+  loads = other228.loads;
+  known = other228.known;
+  target_address = other228.target_address;
+  model = other228.model;
+  staged_version = other228.staged_version;
+  held_chunks = other228.held_chunks;
+  serving_version = other228.serving_version;
+  loading = other228.loading;
+  fetching = other228.fetching;
+  loads_in_ms = other228.loads_in_ms;
+  operator_revision = other228.operator_revision;
+  store_answers = other228.store_answers;
+  digests_version = other228.digests_version;
+  summaries = other228.summaries;
+  crash_news = other228.crash_news;
+  current_ms_ago = other228.current_ms_ago;
+  leaving_targets = other228.leaving_targets;
+  target_leaving = other228.target_leaving;
+  __isset = other228.__isset;
+}
+Beat::Beat(Beat&& other229) noexcept {
+  instance = other229.instance;
+  role = other229.role;
+  ip = std::move(other229.ip);
+  zone = std::move(other229.zone);
+  region = std::move(other229.region);
+  caller_address = std::move(other229.caller_address);
+  state = other229.state;
+  revision = other229.revision;
+  loads = std::move(other229.loads);
+  known = std::move(other229.known);
+  target_address = std::move(other229.target_address);
+  model = std::move(other229.model);
+  staged_version = other229.staged_version;
+  held_chunks = std::move(other229.held_chunks);
+  serving_version = other229.serving_version;
+  loading = other229.loading;
+  fetching = std::move(other229.fetching);
+  loads_in_ms = other229.loads_in_ms;
+  operator_revision = other229.operator_revision;
+  store_answers = other229.store_answers;
+  digests_version = other229.digests_version;
+  summaries = std::move(other229.summaries);
+  crash_news = std::move(other229.crash_news);
+  current_ms_ago = other229.current_ms_ago;
+  leaving_targets = std::move(other229.leaving_targets);
+  target_leaving = other229.target_leaving;
+  __isset = other229.__isset;
+}
+Beat& Beat::operator=(const Beat& other230) {
+  instance = other230.instance;
+  role = other230.role;
+  ip = other230.ip;
+  zone = other230.zone;
+  region = other230.region;
+  caller_address = other230.caller_address;
+  state = other230.state;
+  revision = other230.revision;
+  loads = other230.loads;
+  known = other230.known;
+  target_address = other230.target_address;
+  model = other230.model;
+  staged_version = other230.staged_version;
+  held_chunks = other230.held_chunks;
+  serving_version = other230.serving_version;
+  loading = other230.loading;
+  fetching = other230.fetching;
+  loads_in_ms = other230.loads_in_ms;
+  operator_revision = other230.operator_revision;
+  store_answers = other230.store_answers;
+  digests_version = other230.digests_version;
+  summaries = other230.summaries;
+  crash_news = other230.crash_news;
+  current_ms_ago = other230.current_ms_ago;
+  leaving_targets = other230.leaving_targets;
+  target_leaving = other230.target_leaving;
+  __isset = other230.__isset;
   return *this;
 }
-Beat& Beat::operator=(Beat&& other219) noexcept {
-  instance = other219.instance;
-  role = other219.role;
-  ip = std::move(other219.ip);
-  zone = std::move(other219.zone);
-  region = std::move(other219.region);
-  caller_address = std::move(other219.caller_address);
-  state = other219.state;
-  revision = other219.revision;
-  loads = std::move(other219.loads);
-  known = std::move(other219.known);
-  target_address = std::move(other219.target_address);
-  model = std::move(other219.model);
-  staged_version = other219.staged_version;
-  held_chunks = std::move(other219.held_chunks);
-  serving_version = other219.serving_version;
-  loading = other219.loading;
-  fetching = std::move(other219.fetching);
-  loads_in_ms = other219.loads_in_ms;
-  operator_revision = other219.operator_revision;
-  store_answers = other219.store_answers;
-  digests_version = other219.digests_version;
-  summaries = std::move(other219.summaries);
-  crash_news = std::move(other219.crash_news);
-  current_ms_ago = other219.current_ms_ago;
-  __isset = other219.__isset;
+Beat& Beat::operator=(Beat&& other231) noexcept {
+  instance = other231.instance;
+  role = other231.role;
+  ip = std::move(other231.ip);
+  zone = std::move(other231.zone);
+  region = std::move(other231.region);
+  caller_address = std::move(other231.caller_address);
+  state = other231.state;
+  revision = other231.revision;
+  loads = std::move(other231.loads);
+  known = std::move(other231.known);
+  target_address = std::move(other231.target_address);
+  model = std::move(other231.model);
+  staged_version = other231.staged_version;
+  held_chunks = std::move(other231.held_chunks);
+  serving_version = other231.serving_version;
+  loading = other231.loading;
+  fetching = std::move(other231.fetching);
+  loads_in_ms = other231.loads_in_ms;
+  operator_revision = other231.operator_revision;
+  store_answers = other231.store_answers;
+  digests_version = other231.digests_version;
+  summaries = std::move(other231.summaries);
+  crash_news = std::move(other231.crash_news);
+  current_ms_ago = other231.current_ms_ago;
+  leaving_targets = std::move(other231.leaving_targets);
+  target_leaving = other231.target_leaving;
+  __isset = other231.__isset;
   return *this;
 }
 void Beat::printTo(std::ostream& out) const {
@@ -6488,6 +6614,8 @@
   out << ", " << "summaries=" << to_string(summaries);
   out << ", " << "crash_news="; (__isset.crash_news ? (out << to_string(crash_news)) : (out << "<null>"));
   out << ", " << "current_ms_ago="; (__isset.current_ms_ago ? (out << to_string(current_ms_ago)) : (out << "<null>"));
+  out << ", " << "leaving_targets=" << to_string(leaving_targets);
+  out << ", " << "target_leaving=" << to_string(target_leaving);
   out << ")";
 }
 
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -1874,11 +1874,12 @@
 std::ostream& operator<<(std::ostream& out, const RegionGateway& obj);
 
 typedef struct _RegionTarget__isset {
-  _RegionTarget__isset() : address(false), serving_version(false), loading(false), loads_in_ms(false) {}
+  _RegionTarget__isset() : address(false), serving_version(false), loading(false), loads_in_ms(false), leaving(false) {}
   bool address :1;
   bool serving_version :1;
   bool loading :1;
   bool loads_in_ms :1;
+  bool leaving :1;
 } _RegionTarget__isset;
 
 class RegionTarget : public virtual ::apache::thrift::TBase {
@@ -1892,7 +1893,8 @@
                : address(),
                  serving_version(0),
                  loading(0),
-                 loads_in_ms(0) {
+                 loads_in_ms(0),
+                 leaving(0) {
   }
 
   virtual ~RegionTarget() noexcept;
@@ -1900,6 +1902,7 @@
   int64_t serving_version;
   bool loading;
   int32_t loads_in_ms;
+  bool leaving;
 
   _RegionTarget__isset __isset;
 
@@ -1911,6 +1914,8 @@
 
   void __set_loads_in_ms(const int32_t val);
 
+  void __set_leaving(const bool val);
+
   bool operator == (const RegionTarget & rhs) const
   {
     if (!(address == rhs.address))
@@ -1923,6 +1928,8 @@
       return false;
     else if (__isset.loads_in_ms && !(loads_in_ms == rhs.loads_in_ms))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const RegionTarget &rhs) const {
@@ -1942,7 +1949,7 @@
 std::ostream& operator<<(std::ostream& out, const RegionTarget& obj);
 
 typedef struct _RegionSummary__isset {
-  _RegionSummary__isset() : region(false), ip(false), gateways(false), targets(false), loads(false), revision(false), operator_revision(false) {}
+  _RegionSummary__isset() : region(false), ip(false), gateways(false), targets(false), loads(false), revision(false), operator_revision(false), leaving_targets(false) {}
   bool region :1;
   bool ip :1;
   bool gateways :1;
@@ -1950,6 +1957,7 @@
   bool loads :1;
   bool revision :1;
   bool operator_revision :1;
+  bool leaving_targets :1;
 } _RegionSummary__isset;
 
 class RegionSummary : public virtual ::apache::thrift::TBase {
@@ -1974,6 +1982,7 @@
   std::vector<TargetLoad>  loads;
   int64_t revision;
   int64_t operator_revision;
+  std::vector<int64_t>  leaving_targets;
 
   _RegionSummary__isset __isset;
 
@@ -1991,6 +2000,8 @@
 
   void __set_operator_revision(const int64_t val);
 
+  void __set_leaving_targets(const std::vector<int64_t> & val);
+
   bool operator == (const RegionSummary & rhs) const
   {
     if (!(region == rhs.region))
@@ -2007,6 +2018,8 @@
       return false;
     if (!(operator_revision == rhs.operator_revision))
       return false;
+    if (!(leaving_targets == rhs.leaving_targets))
+      return false;
     return true;
   }
   bool operator != (const RegionSummary &rhs) const {
@@ -2266,7 +2279,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashNews& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), current_ms_ago(false) {}
+  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), current_ms_ago(false), leaving_targets(false), target_leaving(false) {}
   bool instance :1;
   bool role :1;
   bool ip :1;
@@ -2291,6 +2304,8 @@
   bool summaries :1;
   bool crash_news :1;
   bool current_ms_ago :1;
+  bool leaving_targets :1;
+  bool target_leaving :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -2320,7 +2335,8 @@
          operator_revision(0),
          store_answers(0),
          digests_version(0),
-         current_ms_ago(0) {
+         current_ms_ago(0),
+         target_leaving(0) {
   }
 
   virtual ~Beat() noexcept;
@@ -2348,6 +2364,8 @@
   std::vector<RegionSummary>  summaries;
   CrashNews crash_news;
   int32_t current_ms_ago;
+  std::vector<int64_t>  leaving_targets;
+  bool target_leaving;
 
   _Beat__isset __isset;
 
@@ -2399,6 +2417,10 @@
 
   void __set_current_ms_ago(const int32_t val);
 
+  void __set_leaving_targets(const std::vector<int64_t> & val);
+
+  void __set_target_leaving(const bool val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2455,6 +2477,10 @@
       return false;
     else if (__isset.current_ms_ago && !(current_ms_ago == rhs.current_ms_ago))
       return false;
+    if (!(leaving_targets == rhs.leaving_targets))
+      return false;
+    if (!(target_leaving == rhs.target_leaving))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -262,6 +262,8 @@
   3: bool loading
   // Time until the target is to be ordered to load; absent when it is not.
   4: optional i32 loads_in_ms
+  // The target has told its stager that it leaves.
+  30: bool leaving
 }
 
 // What one gateway knows of its region, for the gateways of other regions.
@@ -275,6 +277,8 @@
   5: list<TargetLoad> loads
   6: i64 revision
   7: i64 operator_revision
+  // Hashes of the starts of targets that have lately said that they leave.
+  30: list<i64> leaving_targets
 }
 
 // A request with a part of a prompt had not survived when its target crashed
@@ -354,4 +358,9 @@
   // Time since the sender knew of all changes of documents; absent if it never
   // did.
   40: optional i32 current_ms_ago
+  // Gateways: hashes of the starts of targets that have lately said that they
+  // leave.
+  30: list<i64> leaving_targets
+  // Stagers: the target has said that it leaves.
+  31: bool target_leaving
 }
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -1,5 +1,7 @@
 #include "platform/request_codec.h"
 
+#include <cmath>
+
 #include "CppUTest/TestHarness.h"
 
 namespace celerypost::platform {
@@ -102,6 +104,23 @@
   DOUBLES_EQUAL(0, malformed.prompt_tokens, 1e-9);
 }
 
+// Guards against undefined arithmetic with times that no caller can mean.
+TEST(PlatformRequestCodecTest, ReadsNoNumbersThatAreNotFinite) {
+  const auto deadline = [this](const char* value) {
+    HttpRequest request;
+    request.headers = {{"x-deadline-ms", value}, {"x-token-counts", value}};
+    const CallerRequestInfo call = this->codec.ReadRequest(request);
+    CHECK_TRUE(std::isfinite(call.prompt_tokens));
+    return call.deadline;
+  };
+  for (const char* const value : {"inf", "nan", "-inf", "1e999", ""}) {
+    CHECK_FALSE(deadline(value).has_value());
+  }
+  CHECK_TRUE(deadline("1e300")->count() > 0);
+  CHECK_TRUE(*deadline("1e300") + std::chrono::hours(100) >
+             std::chrono::hours(100));
+}
+
 // Guards against treating a request that the target refused as run, and one
 // that may have run as refused.
 TEST(PlatformRequestCodecTest, TellsWhatHasNotRun) {
@@ -113,6 +132,70 @@
   CHECK_FALSE(this->codec.ReadAnswer(500, {}).not_run);
 }
 
+// Guards against a promise to the caller that the target has not made.
+TEST(PlatformRequestCodecTest, TellsRefusalsThatTheTargetDoesNotConfirm) {
+  for (const int status : {408, 429, 503}) {
+    CHECK_TRUE(this->codec.ReadAnswer(status, {}).unconfirmed_refusal);
+    CHECK_FALSE(this->codec.ReadAnswer(status, {{"x-not-executed", "1"}})
+                    .unconfirmed_refusal);
+  }
+  for (const int status : {200, 404, 421, 500, 502, 504}) {
+    CHECK_FALSE(this->codec.ReadAnswer(status, {}).unconfirmed_refusal);
+  }
+}
+
+// Guards against a target that leaves and is not believed, in whatever answer
+// it says so, and against a value that means nothing.
+TEST(PlatformRequestCodecTest, ReadsThatATargetLeaves) {
+  for (const int status : {200, 206, 404, 421, 500, 503}) {
+    CHECK_TRUE(
+        this->codec.ReadAnswer(status, {{"server-leaving", "1"}}).leaving);
+    CHECK_FALSE(this->codec.ReadAnswer(status, {}).leaving);
+  }
+  CHECK_TRUE(
+      this->codec
+          .ReadAnswer(200, {{"server-leaving", " 1 "}, {"server-leaving", "0"}})
+          .leaving);
+  CHECK_FALSE(this->codec.ReadAnswer(200, {{"server-leaving", "0"}}).leaving);
+  for (const char* const value : {"", "yes", "11", "-1", "1, 1", "nan"}) {
+    const auto answer =
+        this->codec.ReadAnswer(200, {{"server-leaving", value}});
+    CHECK_FALSE(answer.leaving);
+    CHECK(answer.malformed_header == "server-leaving");
+  }
+}
+
+// Guards against undefined arithmetic with a time that cannot be read, and
+// against the time of an answer that turns nothing away.
+TEST(PlatformRequestCodecTest, ReadsForHowLongATargetDeclines) {
+  const auto declines = [this](const char* value) {
+    const auto answer = this->codec.ReadAnswer(503, {{"retry-after", value}});
+    CHECK_EQUAL(!answer.declines_for, !answer.malformed_header.empty());
+    return answer.declines_for;
+  };
+  CHECK_EQUAL(2000, declines("2")->count());
+  CHECK_EQUAL(250, declines("0.25")->count());
+  CHECK_EQUAL(1, declines("0.0001")->count());
+  CHECK_EQUAL(0, declines("0")->count());
+  CHECK_EQUAL(3600000, declines(" 3600.0 ")->count());
+  const std::string enormous(300, '9');
+  CHECK_TRUE(declines(enormous.c_str())->count() > 0);
+  for (const char* const value :
+       {"", " ", "-1", "+1", "inf", "nan", "1e3", "1.2.3", "2s", ".", "1, 2",
+        "0x10", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    CHECK_FALSE_TEXT(declines(value).has_value(), value);
+  }
+  const std::string over(400, '9');
+  CHECK_FALSE(declines(over.c_str()).has_value());
+  CHECK_EQUAL(3000, this->codec
+                        .ReadAnswer(503, {{"retry-after", "3"},
+                                          {"retry-after", "x"},
+                                          {"retry-after", "1"}})
+                        .declines_for->count());
+  CHECK_FALSE(this->codec.ReadAnswer(500, {{"retry-after", "3"}})
+                  .declines_for.has_value());
+}
+
 // Guards against a Retry-After value that is truncated to whole seconds.
 TEST(PlatformRequestCodecTest, WritesFractionsOfASecond) {
   const HttpHeaders own = this->codec.MakeOwnHeaders("id1", milliseconds(450));
