--- a/src/process/delta_codec.cc
+++ b/src/process/delta_codec.cc
@@ -75,11 +75,13 @@
   wire::DocumentDelta message;
   message.partial = delta.partial;
   message.revision = delta.revision;
+  message.era = delta.era;
   for (const KeyValue& item : delta.items) {
     wire::DocumentItem entry;
     entry.key = item.key;
     entry.value = item.value;
     entry.revision = item.mod_revision;
+    entry.era = item.era;
     message.items.push_back(std::move(entry));
   }
   if (delta.regained_ago) {
@@ -112,12 +114,13 @@
   DocumentDelta delta;
   delta.partial = message.partial;
   delta.revision = message.revision;
+  delta.era = message.era;
   if (message.__isset.regained_ms_ago) {
     delta.regained_ago = std::chrono::milliseconds(message.regained_ms_ago);
   }
   for (wire::DocumentItem& item : message.items) {
     delta.items.push_back(
-        {std::move(item.key), std::move(item.value), item.revision});
+        {std::move(item.key), std::move(item.value), item.revision, item.era});
   }
   return delta;
 }
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -266,8 +266,8 @@
                                 {{"config_version", config->version},
                                  {"targets", known_targets.size()}});
   }
-  if (this->core.view().operator_revision() !=
-      this->announced_operator_revision) {
+  if (this->core.view().progress().operator_position !=
+      this->announced_operator_position) {
     this->SendBeat();
   }
 }
@@ -346,9 +346,10 @@
 void Gateway::SendBeat() {
   const TimePoint now = this->dependencies.loop.Now();
   wire::Beat beat = this->core.MakeBeat(this->state());
+  const StorePosition operator_position{beat.era, beat.operator_revision};
   const bool new_document =
-      beat.operator_revision != this->announced_operator_revision;
-  this->announced_operator_revision = beat.operator_revision;
+      operator_position != this->announced_operator_position;
+  this->announced_operator_position = operator_position;
   this->beats.Begin(new_document, now);
   if (this->beats.lists_addresses()) {
     beat.known = this->core.exchange().SampleNearAddresses(
@@ -422,8 +423,7 @@
   RegionSummary summary;
   summary.region = this->dependencies.settings.region;
   summary.ip = this->dependencies.settings.ip;
-  summary.revision = this->core.view().revision();
-  summary.operator_revision = this->core.view().operator_revision();
+  summary.documents = this->core.view().progress();
   summary.gateways.push_back(
       {this->dependencies.settings.ip,
        this->dependencies.settings.caller_address->ToString(), this->state()});
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -112,8 +112,8 @@
   GatewayBeats beats;
   TimePoint next_summary{};
   TimePoint next_far_crash_news{};
-  // Newest operator revision that a beat has carried.
-  int64_t announced_operator_revision = 0;
+  // Newest change of an operators' document that a beat has carried.
+  StorePosition announced_operator_position;
   StopPolicyOptions stop_policy;
   std::optional<TimePoint> stopping_since;
   bool was_ready = false;
--- a/src/process/gateway/summary_wire.cc
+++ b/src/process/gateway/summary_wire.cc
@@ -36,8 +36,10 @@
   wire::RegionSummary message;
   message.region = summary.region.value();
   message.ip = summary.ip;
-  message.revision = summary.revision;
-  message.operator_revision = summary.operator_revision;
+  message.era = summary.documents.position.era;
+  message.revision = summary.documents.position.revision;
+  message.operator_revision = summary.documents.operator_position.revision;
+  message.config_version = summary.documents.config_version;
   for (const RegionGateway& gateway : summary.gateways) {
     wire::RegionGateway entry;
     entry.ip = gateway.ip;
@@ -63,8 +65,9 @@
   RegionSummary decoded;
   decoded.region = RegionName(summary.region);
   decoded.ip = summary.ip;
-  decoded.revision = summary.revision;
-  decoded.operator_revision = summary.operator_revision;
+  decoded.documents = {{summary.era, summary.revision},
+                       {summary.era, summary.operator_revision},
+                       summary.config_version};
   for (const wire::RegionGateway& gateway : summary.gateways) {
     decoded.gateways.push_back({gateway.ip, gateway.caller_address,
                                 static_cast<NodeState>(gateway.state)});
--- a/src/process/key_value_client.h
+++ b/src/process/key_value_client.h
@@ -2,6 +2,7 @@
 #define SRC_PROCESS_KEY_VALUE_CLIENT_H_
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -14,6 +15,17 @@
 
 namespace celerypost {
 
+// A point in the history of the service. Revisions order changes only within
+// one era: a service that was restored from an older copy begins a new era, in
+// which it hands out revisions again.
+struct StorePosition {
+  // 0 for a service that names no eras.
+  int64_t era = 0;
+  int64_t revision = 0;
+
+  friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+};
+
 // A key of the service with its value.
 struct KeyValue {
   std::string key;
@@ -21,6 +33,10 @@
   std::string value;
   // Revision of the last change of this key.
   int64_t mod_revision = 0;
+  // Era in which the key was read; 0 if unknown.
+  int64_t era = 0;
+
+  StorePosition position() const { return {this->era, this->mod_revision}; }
 };
 
 // Keys from `first` up to, but not including, `end`. The client for the users'
@@ -35,6 +51,8 @@
   std::vector<KeyValue> items;
   // Revision of the whole service at the time of the read.
   int64_t revision = 0;
+  // The era of all items.
+  int64_t era = 0;
 };
 
 // Puts `value` at `key` and all `extra_puts`, or nothing at all, iff the last
@@ -55,6 +73,7 @@
   // Whether the comparison held and the puts took effect.
   bool succeeded = false;
   int64_t revision = 0;
+  int64_t era = 0;
 };
 
 // An open watch. Destroying it ends the watch; no callback runs afterwards.
@@ -118,6 +137,12 @@
       std::function<void(Failure)> on_end) = 0;
 
   virtual KeyValueCalls Calls() const = 0;
+
+  // The newest era that a response has named; 0 if none has. Responses of older
+  // eras fail with kConflict, and so does a watch that was opened in one.
+  virtual int64_t Era() const { return 0; }
+  // Sets the callback that runs after a response has named a newer era.
+  virtual void OnEra(std::function<void(int64_t)> /*callback*/) {}
 };
 
 }  // namespace celerypost
--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -37,6 +37,8 @@
 // Shortest time between two pulls, so that changes in quick succession are
 // pulled together.
 constexpr milliseconds kMinPullInterval{100};
+// Shortest time between two pulls for a newer configuration alone.
+constexpr milliseconds kConfigPullInterval{1000};
 // Number of other regions that are heard from which on one gateway of this
 // region watches the key-value service instead of two.
 constexpr size_t kRegionsThatReplaceAReader = 2;
@@ -64,7 +66,8 @@
 
 DocumentQuery ParseQuestion(const std::string& path) {
   DocumentQuery question;
-  question.since = ParseRevision(FindQueryParameter(path, "since"));
+  question.since = {ParseRevision(FindQueryParameter(path, "era")),
+                    ParseRevision(FindQueryParameter(path, "since"))};
   question.for_stager = FindQueryParameter(path, "for") == "stager";
   return question;
 }
@@ -81,6 +84,16 @@
   return options;
 }
 
+DocumentProgress ProgressOf(const wire::Beat& beat) {
+  return {{beat.era, beat.revision},
+          {beat.era, beat.operator_revision},
+          beat.config_version};
+}
+
+bool IsGateway(const wire::Beat& beat) {
+  return beat.role == static_cast<int32_t>(NodeRole::kGateway);
+}
+
 }  // namespace
 
 NodeCore::NodeCore(NodeDependencies dependencies, NodeRole role)
@@ -106,10 +119,10 @@
            dependencies.random,
            SyncOptions(role, dependencies.decoder),
            {[this](const std::vector<KeyValue>& items,
-                   int64_t revision,
+                   StorePosition position,
                    bool after_outage) {
               this->ReportChanges(this->cluster_view.ApplySnapshot(
-                                      items, revision, after_outage,
+                                      items, position, after_outage,
                                       this->dependencies.loop.Now()),
                                   "read");
             },
@@ -170,6 +183,7 @@
   this->registry.OnRegained([this] {
     this->cluster_view.OnServiceRegained(this->dependencies.loop.Now());
   });
+  this->dependencies.store.OnEra([this](int64_t era) { this->OnEra(era); });
   this->FindPeers();
   this->registry.Start();
   this->tick.StartRepeating(kTickPeriod);
@@ -180,6 +194,10 @@
   this->registry.Leave(std::move(done));
 }
 
+void NodeCore::OnEra(int64_t era) {
+  this->sync.OnEra(era);
+}
+
 void NodeCore::FindPeers() {
   KeyRange keys;
   keys.first = NodeRegistry::GroupPrefix(this->dependencies.settings.region,
@@ -232,6 +250,9 @@
   this->peer_exchange.OnBeat(
       [this, callback = std::move(callback)](const Peer& peer) {
         callback(peer);
+        if (peer.beat.era > this->cluster_view.position().era) {
+          this->OnEra(peer.beat.era);
+        }
         if (!this->reads_store && this->HasNewerDocuments(peer)) {
           this->CatchUp();
         }
@@ -279,12 +300,14 @@
         "store_reader",
         should_read ? "this process watches the key-value service"
                     : "gateways of the region watch the key-value service",
-        {{"revision", this->cluster_view.revision()},
+        {{"revision", this->cluster_view.position().revision},
+         {"era", this->cluster_view.position().era},
          {"store_answers", this->registry.answers()}});
   }
-  this->sync.SetWatching(
-      should_read || this->cluster_view.config() == nullptr,
-      this->role == NodeRole::kGateway ? this->cluster_view.revision() : 0);
+  this->sync.SetWatching(should_read || this->cluster_view.config() == nullptr,
+                         this->role == NodeRole::kGateway
+                             ? this->cluster_view.position()
+                             : StorePosition());
   this->registry.SetReader(should_read && this->role == NodeRole::kGateway);
 }
 
@@ -300,8 +323,11 @@
     beat.caller_address = settings.caller_address->ToString();
   }
   beat.state = static_cast<int32_t>(state);
-  beat.revision = this->cluster_view.revision();
-  beat.operator_revision = this->cluster_view.operator_revision();
+  const DocumentProgress progress = this->cluster_view.progress();
+  beat.era = progress.position.era;
+  beat.revision = progress.position.revision;
+  beat.operator_revision = progress.operator_position.revision;
+  beat.config_version = progress.config_version;
   beat.store_answers = this->StoreAnswers();
   return beat;
 }
@@ -323,7 +349,7 @@
 void NodeCore::UpdateRegisteredNodes() {
   const auto& stored = this->cluster_view.stored();
   const std::string prefix(NodeRegistry::Prefix());
-  std::erase_if(this->node_revisions, [&](const auto& item) {
+  std::erase_if(this->node_positions, [&](const auto& item) {
     const bool gone = !stored.contains(item.first);
     if (gone) {
       this->nodes.erase(NodeRegistry::AddressOf(item.first).value_or(""));
@@ -332,11 +358,11 @@
   });
   for (auto it = stored.lower_bound(prefix);
        it != stored.end() && it->first.starts_with(prefix); ++it) {
-    int64_t& revision = this->node_revisions[it->first];
-    if (revision == it->second.mod_revision) {
+    StorePosition& position = this->node_positions[it->first];
+    if (position == it->second.position()) {
       continue;
     }
-    revision = it->second.mod_revision;
+    position = it->second.position();
     const auto node = NodeRegistry::Parse(it->second);
     if (!node) {
       this->dependencies.log.Warn("registration_unreadable",
@@ -353,17 +379,42 @@
 
 void NodeCore::ReportChanges(const std::vector<ViewChange>& changes,
                              std::string_view source) {
-  bool changed = false;
+  const StorePosition position = this->cluster_view.position();
+  // The peers are told of a new era even if no document is newer.
+  bool changed =
+      position.era > this->reported.era && this->reported.revision > 0;
   bool nodes_changed = false;
+  if (changed) {
+    const auto older = std::count_if(
+        changes.begin(), changes.end(),
+        [](const ViewChange& change) { return change.outcome == "older"; });
+    this->dependencies.log.Warn(
+        "store_era",
+        "the key-value service has begun a new era; it may lack changes",
+        {{"source", source},
+         {"era", position.era},
+         {"revision", position.revision},
+         {"old_era", this->reported.era},
+         {"old_revision", this->reported.revision},
+         {"applied", changes.size() - static_cast<size_t>(older)},
+         {"older", older},
+         {"missing", this->cluster_view.CountOlderEras()}});
+  }
+  this->reported = position;
   for (const ViewChange& change : changes) {
     if (NodeRegistry::AddressOf(change.key)) {
       nodes_changed = true;
       continue;
     }
+    if (change.outcome == "older" &&
+        !change.key.starts_with(this->dependencies.decoder.OperatorPrefix())) {
+      continue;
+    }
     changed = changed || change.outcome != "older";
     this->dependencies.log.Info("document", change.outcome,
                                 {{"key", change.key},
-                                 {"revision", change.revision},
+                                 {"revision", change.position.revision},
+                                 {"era", change.position.era},
                                  {"source", source},
                                  {"detail", change.detail}});
   }
@@ -393,12 +444,17 @@
 const std::string& NodeCore::EncodedDelta(const DocumentQuery& query) {
   const DocumentDelta delta =
       this->cluster_view.MakeDelta(query, this->dependencies.loop.Now());
-  const bool cached = !delta.regained_ago &&
-                      this->last_delta.revision == delta.revision &&
-                      this->last_delta.query.since == query.since &&
-                      this->last_delta.query.for_stager == query.for_stager;
+  const DocumentProgress documents = this->cluster_view.progress();
+  // Documents of older eras come and go without a new revision.
+  const bool cacheable =
+      !delta.regained_ago && this->cluster_view.CountOlderEras() == 0;
+  const bool cached =
+      cacheable && this->last_delta.documents.position == documents.position &&
+      this->last_delta.documents.config_version == documents.config_version &&
+      this->last_delta.query.since == query.since &&
+      this->last_delta.query.for_stager == query.for_stager;
   if (!cached) {
-    this->last_delta = {query, delta.regained_ago ? 0 : delta.revision,
+    this->last_delta = {query, cacheable ? documents : DocumentProgress(),
                         EncodeDelta(delta)};
   }
   return this->last_delta.bytes;
@@ -409,6 +465,7 @@
   if (this->cluster_view.DropExpired(now) && this->on_view_changed) {
     this->on_view_changed();
   }
+  this->ReportChanges(this->cluster_view.Settle(now), "restore grace");
   // Registered processes stay peers while they are silent.
   for (const auto& [ip, node] : this->nodes) {
     if (node.region == this->dependencies.settings.region) {
@@ -427,15 +484,20 @@
             (this->peer_exchange.Live(peer) && this->HasNewerDocuments(peer));
   }
   for (const RegionSummary* summary : this->region_directory.Fresh(now)) {
-    newer = newer || this->HasNewerDocuments(*summary);
+    newer = newer ||
+            this->HasNewerDocuments(summary->documents, /*is_gateway=*/true);
+    if (summary->documents.position.era > this->cluster_view.position().era) {
+      this->OnEra(summary->documents.position.era);
+    }
   }
   if (!newer) {
     this->behind = false;
+    this->PullDocuments();
     return;
   }
-  if (!this->behind || this->behind_revision != this->cluster_view.revision()) {
+  if (!this->behind || this->behind_position != this->cluster_view.position()) {
     this->behind = true;
-    this->behind_revision = this->cluster_view.revision();
+    this->behind_position = this->cluster_view.position();
     this->behind_since = now;
   }
   const bool relies_on_peers = !this->reads_store || this->sync.failing();
@@ -450,7 +512,8 @@
     this->dependencies.log.Info(
         "store_silent",
         "peers know a newer revision; reading the key-value service again",
-        {{"revision", this->cluster_view.revision()}});
+        {{"revision", this->cluster_view.position().revision},
+         {"era", this->cluster_view.position().era}});
     this->behind_since = now;
     this->sync.Restart();
     this->PullDocuments();
@@ -472,36 +535,41 @@
          kLagPerRank * static_cast<int>(std::min(rank, kMaxLagRank));
 }
 
+bool NodeCore::HasNewerDocuments(const DocumentProgress& progress,
+                                 bool is_gateway) const {
+  return LacksDocuments(this->cluster_view.progress(), progress,
+                        this->role == NodeRole::kGateway && is_gateway);
+}
+
 bool NodeCore::HasNewerDocuments(const Peer& peer) const {
-  if (peer.beat.operator_revision > this->cluster_view.operator_revision()) {
-    return true;
-  }
-  return this->role == NodeRole::kGateway &&
-         peer.beat.role == static_cast<int32_t>(NodeRole::kGateway) &&
-         peer.beat.revision > this->cluster_view.revision();
+  return this->HasNewerDocuments(ProgressOf(peer.beat), IsGateway(peer.beat));
 }
 
-bool NodeCore::HasNewerDocuments(const RegionSummary& summary) const {
-  return summary.operator_revision > this->cluster_view.operator_revision() ||
-         (this->role == NodeRole::kGateway &&
-          summary.revision > this->cluster_view.revision());
+bool NodeCore::HasNewerConfig(const DocumentProgress& progress) const {
+  return progress.config_version >
+             this->cluster_view.progress().config_version &&
+         this->dependencies.loop.Now() - this->last_config_pull >=
+             kConfigPullInterval;
 }
 
 std::string NodeCore::ChooseDocumentSource() const {
   // Only gateways are asked: they hold all documents, stagers only the
   // operators'.
   const TimePoint now = this->dependencies.loop.Now();
+  const auto wanted = [this](const DocumentProgress& progress) {
+    return this->behind ? this->HasNewerDocuments(progress, /*is_gateway=*/true)
+                        : this->HasNewerConfig(progress);
+  };
   std::vector<std::string> same_region;
   std::vector<std::string> other_regions;
   for (const auto& [ip, peer] : this->peer_exchange.peers()) {
     if (this->peer_exchange.Live(peer) && this->peer_exchange.Near(peer) &&
-        peer.beat.role == static_cast<int32_t>(NodeRole::kGateway) &&
-        this->HasNewerDocuments(peer)) {
+        IsGateway(peer.beat) && wanted(ProgressOf(peer.beat))) {
       same_region.push_back(ip);
     }
   }
   for (const RegionSummary* summary : this->region_directory.Fresh(now)) {
-    if (this->HasNewerDocuments(*summary)) {
+    if (wanted(summary->documents)) {
       other_regions.push_back(summary->ip);
     }
   }
@@ -523,9 +591,13 @@
     return;
   }
   this->last_pull = now;
+  if (!this->behind) {
+    this->last_config_pull = now;
+  }
   HttpRequest request;
-  request.path = std::string(kDocumentsPath) +
-                 "?since=" + std::to_string(this->cluster_view.revision());
+  request.path = std::string(kDocumentsPath) + "?since=" +
+                 std::to_string(this->cluster_view.position().revision) +
+                 "&era=" + std::to_string(this->cluster_view.position().era);
   if (this->role == NodeRole::kStager) {
     request.path += "&for=stager";
   }
--- a/src/process/node_core.h
+++ b/src/process/node_core.h
@@ -120,11 +120,17 @@
   void CatchUp();
   // How long this process waits for its peers when it relies on them.
   std::chrono::milliseconds MaxLagOverPeers() const;
-  // Whether `peer` has seen a change that concerns this process and that this
-  // process has not seen.
+  // Whether a process with `progress` has seen a change that concerns this
+  // process and that this process has not seen. `is_gateway`: it holds all
+  // documents.
+  bool HasNewerDocuments(const DocumentProgress& progress,
+                         bool is_gateway) const;
   bool HasNewerDocuments(const Peer& peer) const;
-  // The same for the gateways of another region.
-  bool HasNewerDocuments(const RegionSummary& summary) const;
+  // Whether a gateway has a newer configuration, which the key-value service
+  // may lack after a restore, and may be asked for it.
+  bool HasNewerConfig(const DocumentProgress& progress) const;
+  // A response of the service or a peer has named `era`.
+  void OnEra(int64_t era);
   // Chooses a gateway to ask for newer documents: one of this region, or after
   // a delay one of another region. Returns its IP address, empty when there is
   // none to ask yet.
@@ -136,9 +142,9 @@
   NodeRole role;
   ClusterView cluster_view;
   RegionDirectory region_directory;
-  // By IP address, and the revisions of the registrations, by key.
+  // By IP address, and the positions of the registrations, by key.
   std::map<std::string, RegisteredNode> nodes;
-  std::map<std::string, int64_t> node_revisions;
+  std::map<std::string, StorePosition> node_positions;
   PeerExchange peer_exchange;
   StoreSync sync;
   NodeRegistry registry;
@@ -150,8 +156,9 @@
   std::map<SocketAddress, std::unique_ptr<Http1Client>> clients;
   struct CachedDelta {
     DocumentQuery query;
-    // Revision of the documents; 0 for an answer that must not be used again.
-    int64_t revision = 0;
+    // The documents in the answer; those of one that must not be used again
+    // have position 0.
+    DocumentProgress documents;
     std::string bytes;
   };
   CachedDelta last_delta;
@@ -164,8 +171,12 @@
   // the own revision changes or CatchUp restarts the read.
   TimePoint behind_since{};
   bool behind = false;
-  // The own revision at `behind_since`.
-  int64_t behind_revision = 0;
+  // The own position at `behind_since`.
+  StorePosition behind_position;
+  // When documents were last pulled for a newer configuration alone.
+  TimePoint last_config_pull{};
+  // The position at the last report of changes.
+  StorePosition reported;
 };
 
 }  // namespace celerypost
--- a/src/process/state/cluster_view.cc
+++ b/src/process/state/cluster_view.cc
@@ -5,6 +5,12 @@
 
 namespace celerypost {
 
+namespace {
+
+constexpr std::string_view kSameStatement = "same statement";
+
+}  // namespace
+
 int64_t KnownWeights::NewestNamedAt(TimePoint time) const {
   int64_t newest = 0;
   for (const WeightNaming& naming : this->namings) {
@@ -33,99 +39,331 @@
     TimePoint now) {
   std::vector<ViewChange> applied;
   for (const KeyValue& change : changes) {
+    const auto known = this->documents.find(change.key);
+    if (known != this->documents.end() && !change.value.empty() &&
+        known->second.position() == change.position()) {
+      continue;
+    }
     applied.push_back(change.value.empty()
-                          ? this->Remove(change.key, change.mod_revision,
+                          ? this->Remove(change.key, change.position(),
                                          /*lapsed=*/false, now)
                           : this->Apply(change, /*observed=*/true, now));
-    this->AdvanceRevision(change.mod_revision);
+    this->Advance(change.position());
   }
   return applied;
 }
 
 std::vector<ViewChange> ClusterView::ApplySnapshot(
     const std::vector<KeyValue>& items,
-    int64_t revision,
+    StorePosition position,
     bool after_outage,
     TimePoint now) {
   std::vector<ViewChange> applied;
+  const bool first = this->newest == StorePosition();
+  const bool begins = first || position.era > this->newest.era;
+  if (begins) {
+    this->BeginEra(position, first, now);
+  }
   std::set<std::string> listed;
-  const bool first = this->newest_revision == 0;
   for (const KeyValue& item : items) {
-    listed.insert(item.key);
+    // A peer also lists documents that the era lacks.
+    if (item.era == position.era || !this->GraceOf(item.key)) {
+      listed.insert(item.key);
+    }
     const auto known = this->documents.find(item.key);
     if (known != this->documents.end() &&
-        known->second.mod_revision == item.mod_revision) {
+        known->second.position() == item.position()) {
       continue;
     }
     applied.push_back(this->Apply(item, !first, now));
   }
+  if (position.era < this->newest.era) {
+    return applied;
+  }
+  const auto is_missing = [&](const auto& document) {
+    return !listed.contains(document.first) &&
+           document.second.era == position.era &&
+           document.second.position() <= position;
+  };
   std::vector<std::string> missing;
-  for (const auto& [key, document] : this->documents) {
-    if (!listed.contains(key) && document.mod_revision <= revision) {
-      missing.push_back(key);
+  for (const auto& document : this->documents) {
+    if (is_missing(document)) {
+      missing.push_back(document.first);
     }
   }
+  std::erase_if(this->held_back, is_missing);
   for (const std::string& key : missing) {
-    applied.push_back(this->Remove(key, revision, after_outage, now));
+    applied.push_back(this->Remove(key, position, after_outage, now));
   }
-  if (first) {
-    this->removals_known_since = revision;
+  this->LapseTargetsOfOlderEras(now);
+  if (begins) {
+    this->removals_known_since = position.revision;
   }
-  this->AdvanceRevision(revision);
+  this->Advance(position);
   return applied;
 }
 
+void ClusterView::BeginEra(StorePosition position, bool first, TimePoint now) {
+  this->newest = {position.era, 0};
+  this->newest_operator_revision = 0;
+  this->removals_known_since = 0;
+  this->held_back.clear();
+  this->era_began = now;
+  this->settled = false;
+  if (!first) {
+    this->regained_at = now;
+  }
+}
+
+void ClusterView::LapseTargetsOfOlderEras(TimePoint now) {
+  for (const auto& [key, id] : this->target_of_key) {
+    const auto document = this->documents.find(key);
+    const auto target = this->known_targets.find(id);
+    if (document != this->documents.end() &&
+        document->second.era < this->newest.era &&
+        target != this->known_targets.end() && !target->second.usable_until) {
+      target->second.usable_until =
+          this->regained_at.value_or(now) + this->options.outage_grace;
+    }
+  }
+}
+
 void ClusterView::OnServiceRegained(TimePoint now) {
   this->regained_at = now;
 }
 
+std::optional<StorePosition> ClusterView::SeenAt(const std::string& key) const {
+  const auto known = this->documents.find(key);
+  if (known != this->documents.end()) {
+    return known->second.position();
+  }
+  const auto gone = this->removed.find(key);
+  return gone == this->removed.end() ? std::nullopt
+                                     : std::optional(gone->second.at);
+}
+
+std::optional<ClusterView::Statement> ClusterView::LastStatement(
+    const std::string& key) const {
+  const auto known = this->documents.find(key);
+  if (known != this->documents.end() && this->target_of_key.contains(key)) {
+    const auto decoded = this->decoder.Decode(key, known->second.value);
+    if (decoded && std::holds_alternative<TargetRegistration>(*decoded)) {
+      const auto& target = std::get<TargetRegistration>(*decoded);
+      return Statement{target.started_at, target.sequence};
+    }
+  }
+  const auto gone = this->removed.find(key);
+  return gone == this->removed.end() ? std::nullopt : gone->second.statement;
+}
+
+ClusterView::Comparison ClusterView::Compare(const KeyValue& change,
+                                             const ClusterDocument& document,
+                                             TimePoint now) const {
+  const auto by_version = [](int64_t version, int64_t in_force) {
+    return version > in_force   ? Comparison{Order::kNewer, {}}
+           : version < in_force ? Comparison{Order::kOlder, "version"}
+                                : Comparison{Order::kSame, "same version"};
+  };
+  if (const auto* config =
+          std::get_if<std::shared_ptr<const GatewayConfig>>(&document)) {
+    return this->current_config
+               ? by_version((*config)->version, this->current_config->version)
+               : Comparison{};
+  }
+  if (const auto* named = std::get_if<NamedWeights>(&document)) {
+    const KnownWeights* const held = this->Weights(named->model);
+    return held == nullptr ? Comparison{}
+                           : by_version(named->version, held->version());
+  }
+  if (const auto* target = std::get_if<TargetRegistration>(&document)) {
+    return this->CompareTarget(change, *target, now);
+  }
+  return this->CompareEras(change, now);
+}
+
+ClusterView::Comparison ClusterView::CompareTarget(
+    const KeyValue& change,
+    const TargetRegistration& target,
+    TimePoint now) const {
+  const auto seen = this->SeenAt(change.key);
+  const auto last = this->LastStatement(change.key);
+  if (!seen || !last) {
+    return this->CompareEras(change, now);
+  }
+  if (seen->era == change.era) {
+    return {};
+  }
+  const bool starts_known =
+      target.started_at.count() != 0 && last->started_at.count() != 0;
+  if (starts_known && target.started_at != last->started_at) {
+    return target.started_at > last->started_at
+               ? Comparison{}
+               : Comparison{Order::kOlder, "earlier start"};
+  }
+  if (target.sequence > last->sequence) {
+    return {};
+  }
+  if (target.sequence < last->sequence ||
+      !this->documents.contains(change.key)) {
+    return {Order::kOlder, "earlier statement"};
+  }
+  return this->known_targets.contains(target.id)
+             ? Comparison{Order::kSame, kSameStatement}
+             : Comparison{};
+}
+
+ClusterView::Comparison ClusterView::CompareEras(const KeyValue& change,
+                                                 TimePoint now) const {
+  const auto seen = this->SeenAt(change.key);
+  const auto grace =
+      this->GraceOf(change.key).value_or(this->options.restore_grace);
+  const bool in_grace = now - this->era_began < grace;
+  if (change.era < this->newest.era && (seen || !in_grace)) {
+    return {Order::kOlder, "older era"};
+  }
+  const auto gone = this->removed.find(change.key);
+  // A copy has the revision with which the removed document was written.
+  if (seen && in_grace && gone != this->removed.end() &&
+      gone->second.at.era < change.era &&
+      gone->second.put_revision == change.mod_revision) {
+    return {Order::kOlder, "removed before the new era"};
+  }
+  return {};
+}
+
+std::optional<std::chrono::milliseconds> ClusterView::GraceOf(
+    const std::string& key) const {
+  if (!this->options.registration_prefix.empty() &&
+      key.starts_with(this->options.registration_prefix)) {
+    return this->options.registration_grace;
+  }
+  const bool by_version = key.starts_with(this->decoder.OperatorPrefix()) &&
+                          !this->zones_out.contains(key) &&
+                          !this->target_of_key.contains(key);
+  return by_version ? std::nullopt : std::optional(this->options.restore_grace);
+}
+
+void ClusterView::KeepKnown(const KeyValue& change,
+                            const ClusterDocument& document,
+                            Order order) {
+  const auto known = this->documents.find(change.key);
+  const bool is_target = std::holds_alternative<TargetRegistration>(document);
+  if (known == this->documents.end()) {
+    if (order == Order::kSame) {
+      this->removed.erase(change.key);
+      this->documents[change.key] = change;
+    } else if (!is_target && change.era == this->newest.era &&
+               this->removed.contains(change.key)) {
+      this->held_back[change.key] = change;
+    }
+    return;
+  }
+  if (change.position() <= known->second.position()) {
+    return;
+  }
+  // The era has the key, so that the known document holds there, too.
+  if (order == Order::kSame) {
+    known->second = change;
+  } else if (is_target) {
+    known->second.mod_revision = change.mod_revision;
+    known->second.era = change.era;
+  }
+  if (is_target && change.era == this->newest.era) {
+    const auto target =
+        this->known_targets.find(std::get<TargetRegistration>(document).id);
+    if (target != this->known_targets.end()) {
+      target->second.usable_until.reset();
+    }
+  }
+}
+
+ViewChange ClusterView::ApplyUnreadable(const KeyValue& change,
+                                        std::string message,
+                                        TimePoint now) {
+  ViewChange result{change.key, change.position(), "unreadable",
+                    std::move(message)};
+  const auto seen = this->SeenAt(change.key);
+  const bool known = this->documents.contains(change.key);
+  const bool by_version = known && !this->GraceOf(change.key);
+  if (by_version || (seen && seen->era != change.era) ||
+      this->CompareEras(change, now).order == Order::kOlder) {
+    // What was known stays in force.
+    return result;
+  }
+  this->removed.erase(change.key);
+  this->documents[change.key] = change;
+  // An unreadable registration removes the target that the key held before.
+  const auto target = this->target_of_key.find(change.key);
+  if (target != this->target_of_key.end()) {
+    this->known_targets.erase(target->second);
+    this->target_of_key.erase(target);
+  }
+  return result;
+}
+
 ViewChange ClusterView::Apply(const KeyValue& change,
                               bool observed,
                               TimePoint now) {
-  ViewChange result{change.key, change.mod_revision, "applied", {}};
-  const auto known = this->documents.find(change.key);
-  const auto gone = this->removed.find(change.key);
-  if ((known != this->documents.end() &&
-       known->second.mod_revision >= change.mod_revision) ||
-      (gone != this->removed.end() && gone->second >= change.mod_revision)) {
+  ViewChange result{change.key, change.position(), "applied", {}};
+  const auto seen = this->SeenAt(change.key);
+  if (seen && seen->era == change.era &&
+      seen->revision >= change.mod_revision) {
     result.outcome = "older";
+    result.detail = "revision";
     return result;
   }
-  this->removed.erase(change.key);
-  this->documents[change.key] = change;
-  this->NoteRevision(change.key, change.mod_revision);
+  // A snapshot of this era did not list it any more.
+  if ((!seen || seen->era < change.era) && change.era == this->newest.era &&
+      change.mod_revision <= this->removals_known_since &&
+      !this->held_back.contains(change.key)) {
+    result.outcome = "older";
+    result.detail = "snapshot";
+    return result;
+  }
+  this->NoteRevision(change.key, change.position());
   const auto decoded = this->decoder.Decode(change.key, change.value);
   if (!decoded) {
-    result.outcome = "unreadable";
-    result.detail = decoded.error().message;
-    // An unreadable registration removes the target that the key held before.
-    const auto target = this->target_of_key.find(change.key);
-    if (target != this->target_of_key.end()) {
-      this->known_targets.erase(target->second);
-      this->target_of_key.erase(target);
-    }
+    return this->ApplyUnreadable(change, decoded.error().message, now);
+  }
+  const Comparison comparison = this->Compare(change, *decoded, now);
+  if (comparison.order != Order::kNewer) {
+    this->KeepKnown(change, *decoded, comparison.order);
+    result.outcome = "older";
+    result.detail = comparison.reason;
     return result;
   }
+  this->removed.erase(change.key);
+  this->held_back.erase(change.key);
+  KeyValue& stored = this->documents[change.key];
+  // The current era has the target, but with an earlier statement.
+  const bool confirmed = std::holds_alternative<TargetRegistration>(*decoded) &&
+                         stored.key == change.key && stored.era > change.era &&
+                         stored.era == this->newest.era;
+  if (confirmed) {
+    stored.value = change.value;
+  } else {
+    stored = change;
+  }
+  if (this->reduced_config.key == change.key) {
+    this->reduced_config = {};
+  }
   if (const auto* config =
           std::get_if<std::shared_ptr<const GatewayConfig>>(&*decoded)) {
-    if (this->current_config &&
-        (*config)->version <= this->current_config->version) {
-      result.outcome = "older";
-      return result;
-    }
     this->current_config = *config;
     result.detail = "version " + std::to_string((*config)->version);
   } else if (const auto* target = std::get_if<TargetRegistration>(&*decoded)) {
-    this->known_targets[target->id] = KnownTarget{*target, now, std::nullopt};
+    KnownTarget& known = this->known_targets[target->id];
+    known = KnownTarget{*target, now, std::nullopt};
+    if (!confirmed && change.era < this->newest.era) {
+      known.usable_until =
+          this->regained_at.value_or(now) + this->options.outage_grace;
+    }
     this->target_of_key[change.key] = target->id;
     result.detail = target->draining ? "draining" : "ready";
   } else if (const auto* named = std::get_if<NamedWeights>(&*decoded)) {
-    KnownWeights& held = this->weights[named->model];
-    if (held.namings.empty() || named->version > held.version()) {
-      held.namings.push_back(
-          {named->version,
-           observed ? now : now - this->options.assumed_naming_age});
-    }
+    this->weights[named->model].namings.push_back(
+        {named->version,
+         observed ? now : now - this->options.assumed_naming_age});
     result.detail = named->model + " version " + std::to_string(named->version);
   } else if (const auto* zone = std::get_if<ZoneOut>(&*decoded)) {
     this->zones_out[change.key] = zone->zone;
@@ -135,20 +373,29 @@
 }
 
 ViewChange ClusterView::Remove(const std::string& key,
-                               int64_t revision,
+                               StorePosition position,
                                bool lapsed,
                                TimePoint now) {
-  ViewChange result{key, revision, "removed", {}};
+  ViewChange result{key, position, "removed", {}};
   const auto known = this->documents.find(key);
-  if (known != this->documents.end() && known->second.mod_revision > revision) {
+  const bool is_known = known != this->documents.end();
+  if (is_known ? known->second.position() > position
+               : position.era < this->newest.era) {
     result.outcome = "older";
+    result.detail = "revision";
     return result;
   }
-  if (known != this->documents.end()) {
-    this->NoteRevision(key, revision);
+  const auto statement = this->LastStatement(key);
+  Removal& removal = this->removed[key];
+  removal.at = std::max(removal.at, position);
+  removal.statement = statement;
+  if (is_known) {
+    this->NoteRevision(key, position);
+    removal.put_revision = known->second.mod_revision;
+    this->documents.erase(known);
   }
-  this->documents.erase(key);
-  this->removed[key] = std::max(this->removed[key], revision);
+  this->ForgetOldRemovals();
+  this->held_back.erase(key);
   this->zones_out.erase(key);
   const auto target = this->target_of_key.find(key);
   if (target != this->target_of_key.end()) {
@@ -168,10 +415,75 @@
   return result;
 }
 
-void ClusterView::NoteRevision(const std::string& key, int64_t revision) {
-  if (key.starts_with(this->decoder.OperatorPrefix())) {
+void ClusterView::ForgetOldRemovals() {
+  if (this->removed.size() <= this->options.max_removals) {
+    return;
+  }
+  // Forgets the older half, so that the cost of sorting is spread.
+  std::vector<StorePosition> positions;
+  positions.reserve(this->removed.size());
+  for (const auto& [key, removal] : this->removed) {
+    positions.push_back(removal.at);
+  }
+  const auto middle =
+      positions.begin() + static_cast<std::ptrdiff_t>(positions.size() / 2);
+  std::nth_element(positions.begin(), middle, positions.end());
+  const StorePosition newest_forgotten = *middle;
+  std::erase_if(this->removed, [&](const auto& item) {
+    return item.second.at <= newest_forgotten;
+  });
+  if (newest_forgotten.era == this->newest.era) {
+    this->removals_known_since =
+        std::max(this->removals_known_since, newest_forgotten.revision);
+  }
+}
+
+std::vector<ViewChange> ClusterView::Settle(TimePoint now) {
+  std::vector<ViewChange> changes;
+  if (this->settled) {
+    return changes;
+  }
+  const Duration since = now - this->era_began;
+  std::vector<std::string> missing;
+  for (const auto& [key, document] : this->documents) {
+    const auto grace = this->GraceOf(key);
+    if (document.era < this->newest.era && grace && since >= *grace) {
+      missing.push_back(key);
+    }
+  }
+  for (const std::string& key : missing) {
+    changes.push_back(this->Remove(key, this->newest, /*lapsed=*/true, now));
+  }
+  if (since >= this->options.restore_grace) {
+    // Apply takes them out.
+    const auto held = this->held_back;
+    for (const auto& [key, document] : held) {
+      changes.push_back(this->Apply(document, /*observed=*/true, now));
+    }
+    this->held_back.clear();
+  }
+  this->settled = since >= std::max(this->options.restore_grace,
+                                    this->options.registration_grace);
+  return changes;
+}
+
+size_t ClusterView::CountOlderEras() const {
+  return static_cast<size_t>(std::count_if(
+      this->documents.begin(), this->documents.end(),
+      [&](const auto& item) { return item.second.era < this->newest.era; }));
+}
+
+DocumentProgress ClusterView::progress() const {
+  return {this->newest,
+          {this->newest.era, this->newest_operator_revision},
+          this->current_config ? this->current_config->version : 0};
+}
+
+void ClusterView::NoteRevision(const std::string& key, StorePosition position) {
+  if (position.era == this->newest.era &&
+      key.starts_with(this->decoder.OperatorPrefix())) {
     this->newest_operator_revision =
-        std::max(this->newest_operator_revision, revision);
+        std::max(this->newest_operator_revision, position.revision);
   }
 }
 
@@ -191,13 +503,15 @@
   return found == this->weights.end() ? nullptr : &found->second;
 }
 
-void ClusterView::AdvanceRevision(int64_t revision) {
-  this->newest_revision = std::max(this->newest_revision, revision);
+void ClusterView::Advance(StorePosition position) {
+  if (position.era == this->newest.era) {
+    this->newest = std::max(this->newest, position);
+  }
 }
 
 KeyValue ClusterView::Reduced(const KeyValue& document) const {
   if (this->reduced_config.key == document.key &&
-      this->reduced_config.mod_revision == document.mod_revision) {
+      this->reduced_config.position() == document.position()) {
     return this->reduced_config;
   }
   KeyValue reduced = document;
@@ -211,27 +525,39 @@
 DocumentDelta ClusterView::MakeDelta(const DocumentQuery& query,
                                      TimePoint now) const {
   DocumentDelta delta;
-  delta.revision = this->newest_revision;
-  delta.partial = query.since >= this->removals_known_since && query.since > 0;
+  delta.revision = this->newest.revision;
+  delta.era = this->newest.era;
+  delta.partial = query.since.era == this->newest.era &&
+                  query.since.revision >= this->removals_known_since &&
+                  query.since.revision > 0;
   if (this->regained_at &&
       now - *this->regained_at < this->options.outage_grace) {
     delta.regained_ago = std::chrono::duration_cast<std::chrono::milliseconds>(
         now - *this->regained_at);
   }
-  const auto wanted = [&](const std::string& key, int64_t changed) {
-    return (!delta.partial || changed > query.since) &&
-           (!query.for_stager || this->ConcernsStagers(key));
+  const auto wanted = [&](const std::string& key) {
+    return !query.for_stager || this->ConcernsStagers(key);
   };
-  for (const auto& [key, document] : this->documents) {
-    if (wanted(key, document.mod_revision)) {
+  const auto add = [&](const KeyValue& document) {
+    // The era has no revision for documents of older ones.
+    const bool changed =
+        document.position() > query.since || document.era < this->newest.era;
+    if (wanted(document.key) && (!delta.partial || changed)) {
       delta.items.push_back(query.for_stager ? this->Reduced(document)
                                              : document);
     }
+  };
+  for (const auto& [key, document] : this->documents) {
+    add(document);
+  }
+  // The asking process decides for itself whether to hold them back.
+  for (const auto& [key, document] : this->held_back) {
+    add(document);
   }
   if (delta.partial) {
-    for (const auto& [key, at] : this->removed) {
-      if (wanted(key, at)) {
-        delta.items.push_back({key, "", at});
+    for (const auto& [key, removal] : this->removed) {
+      if (wanted(key) && removal.at > query.since) {
+        delta.items.push_back({key, "", removal.at.revision, removal.at.era});
       }
     }
   }
@@ -246,11 +572,12 @@
         std::max(this->regained_at.value_or(regained), regained);
   }
   if (!delta.partial) {
-    return this->ApplySnapshot(delta.items, delta.revision,
+    return this->ApplySnapshot(delta.items, {delta.era, delta.revision},
                                /*after_outage=*/false, now);
   }
   auto applied = this->ApplyChanges(delta.items, now);
-  this->AdvanceRevision(delta.revision);
+  this->LapseTargetsOfOlderEras(now);
+  this->Advance({delta.era, delta.revision});
   return applied;
 }
 
--- a/src/process/state/cluster_view.h
+++ b/src/process/state/cluster_view.h
@@ -14,6 +14,7 @@
 #include "celerypost/types.h"
 #include "src/process/key_value_client.h"
 #include "src/process/state/cluster_document.h"
+#include "src/process/state/document_progress.h"
 
 namespace celerypost {
 
@@ -27,6 +28,14 @@
   // came back after an outage. A target that still runs registers again within
   // two seconds.
   std::chrono::milliseconds outage_grace{2200};
+  // How long documents of an older era that the new era lacks stay in force.
+  // Meanwhile those who wrote them write them again.
+  std::chrono::milliseconds restore_grace{5000};
+  // The same for registrations of this project's processes, which may learn of
+  // the new era only by their next renewal.
+  std::chrono::milliseconds registration_grace{10000};
+  // Number of removals that are remembered.
+  size_t max_removals = 4096;
   // Assumed age of the naming of a weight version that this process found in
   // its first snapshot, so that it did not see when operators named it.
   std::chrono::milliseconds assumed_naming_age{3000};
@@ -72,6 +81,9 @@
   bool partial = false;
   // All changes up to this revision are included.
   int64_t revision = 0;
+  // Era of `revision`. Items of an older era are those that the new one lacks
+  // and that are still in force.
+  int64_t era = 0;
   // An empty value removes the key.
   std::vector<KeyValue> items;
   // Time since the key-value service came back after an outage, while outage
@@ -81,8 +93,8 @@
 
 // A request for documents to another process.
 struct DocumentQuery {
-  // The asking process knows all changes up to this revision.
-  int64_t since = 0;
+  // The asking process knows all changes up to this position.
+  StorePosition since;
   // The asking process is a stager: it gets only the operators' documents,
   // reduced by DocumentDecoder::ReduceForStagers, and the registrations of this
   // project's processes.
@@ -92,16 +104,23 @@
 // The outcome of applying one document, for the log.
 struct ViewChange {
   std::string key;
-  int64_t revision = 0;
+  StorePosition position;
   // "applied", "removed", "unreadable" or "older".
   std::string_view outcome;
+  // What was applied or removed, or why the document is older.
   std::string detail;
 };
 
 // The operators' documents and the targets that this process knows, from the
-// key-value service or from peers. A key is only replaced by a newer revision,
-// whichever source it comes from, and the configuration only by a newer
-// version.
+// key-value service or from peers. Within an era a key is only replaced by a
+// newer revision, whichever source it comes from.
+//
+// When the service begins a new era, its content is older than what was known.
+// Configurations and weights are then ordered by version, and statements of a
+// target by its start and sequence; none of them goes back. Other documents
+// have no order of their own: those that the new era lacks stay in force, and
+// those that were removed stay removed, until they are written again or the
+// grace of ClusterViewOptions has passed.
 class ClusterView {
  public:
   ClusterView(const DocumentDecoder& decoder, ClusterViewOptions options);
@@ -109,10 +128,11 @@
   // Applies single changes; an empty value removes the key.
   std::vector<ViewChange> ApplyChanges(const std::vector<KeyValue>& changes,
                                        TimePoint now);
-  // Applies the whole content at `revision`: known keys that are not listed and
-  // were last changed at or before it are removed.
+  // Applies the whole content at `position`: known keys of its era that are not
+  // listed and were last changed at or before it are removed. Content of an
+  // older era removes nothing.
   std::vector<ViewChange> ApplySnapshot(const std::vector<KeyValue>& items,
-                                        int64_t revision,
+                                        StorePosition position,
                                         bool after_outage,
                                         TimePoint now);
   // The key-value service answers again after an outage.
@@ -132,10 +152,11 @@
   }
   // Null when no version has been named: targets then hold version 1.
   const KnownWeights* Weights(const std::string& model) const;
-  int64_t revision() const { return this->newest_revision; }
-  // Newest revision of an operators' document.
-  int64_t operator_revision() const { return this->newest_operator_revision; }
-  void AdvanceRevision(int64_t revision);
+  // The newest position whose changes are known.
+  StorePosition position() const { return this->newest; }
+  DocumentProgress progress() const;
+  // Returns the number of documents in force that the current era lacks.
+  size_t CountOlderEras() const;
   // Returns the changes that the asking process lacks, or all documents for it
   // when this process does not know all removals since `query.since`.
   DocumentDelta MakeDelta(const DocumentQuery& query, TimePoint now) const;
@@ -144,17 +165,66 @@
   // Removes targets whose grace period has passed. Returns whether there were
   // any.
   bool DropExpired(TimePoint now);
+  // Once the grace after the begin of an era has passed, removes the documents
+  // that it lacks and applies those that were held back.
+  std::vector<ViewChange> Settle(TimePoint now);
 
  private:
+  // The order of the statements of one target.
+  struct Statement {
+    std::chrono::milliseconds started_at{0};
+    int64_t sequence = 0;
+  };
+  struct Removal {
+    StorePosition at;
+    // Revision of the document that was removed.
+    int64_t put_revision = 0;
+    // The last statement of a removed target.
+    std::optional<Statement> statement;
+  };
+  enum class Order { kOlder, kSame, kNewer };
+  struct Comparison {
+    Order order = Order::kNewer;
+    std::string_view reason;
+  };
+
   // `observed`: this process saw the change as it happened, rather than found
   // it in its first snapshot.
   ViewChange Apply(const KeyValue& change, bool observed, TimePoint now);
   ViewChange Remove(const std::string& key,
-                    int64_t revision,
+                    StorePosition position,
                     bool lapsed,
                     TimePoint now);
-
-  void NoteRevision(const std::string& key, int64_t revision);
+  ViewChange ApplyUnreadable(const KeyValue& change,
+                             std::string message,
+                             TimePoint now);
+  // Compares `change`, which is not older by its revision, with what is known
+  // of its key.
+  Comparison Compare(const KeyValue& change,
+                     const ClusterDocument& document,
+                     TimePoint now) const;
+  Comparison CompareTarget(const KeyValue& change,
+                           const TargetRegistration& target,
+                           TimePoint now) const;
+  // For documents without an order of their own.
+  Comparison CompareEras(const KeyValue& change, TimePoint now) const;
+  // Keeps a known document in place of `change`, which is not newer.
+  void KeepKnown(const KeyValue& change,
+                 const ClusterDocument& document,
+                 Order order);
+  void BeginEra(StorePosition position, bool first, TimePoint now);
+  // Limits the use of targets that the current era lacks.
+  void LapseTargetsOfOlderEras(TimePoint now);
+  // When the registration or removal of `key` was last changed.
+  std::optional<StorePosition> SeenAt(const std::string& key) const;
+  std::optional<Statement> LastStatement(const std::string& key) const;
+  // How long a document with this key stays in force if the era lacks it;
+  // nothing for documents that are ordered by version.
+  std::optional<std::chrono::milliseconds> GraceOf(
+      const std::string& key) const;
+  void ForgetOldRemovals();
+  void Advance(StorePosition position);
+  void NoteRevision(const std::string& key, StorePosition position);
   // Whether stagers get the document with this key.
   bool ConcernsStagers(const std::string& key) const;
   // Returns `document` as stagers get it.
@@ -163,9 +233,10 @@
   const DocumentDecoder& decoder;
   const ClusterViewOptions options;
   std::map<std::string, KeyValue> documents;
-  // Revision of the removal of each removed key, so that an older copy cannot
-  // restore it.
-  std::map<std::string, int64_t> removed;
+  // The removal of each removed key, so that an older copy cannot restore it.
+  std::map<std::string, Removal> removed;
+  // Documents that an older era removed and that the current one has again.
+  std::map<std::string, KeyValue> held_back;
   std::shared_ptr<const GatewayConfig> current_config;
   // Cache of the newest configuration as stagers get it, since reducing it
   // takes as long as decoding it.
@@ -174,10 +245,14 @@
   std::map<std::string, std::string> target_of_key;
   std::map<std::string, ZoneName> zones_out;
   std::map<std::string, KnownWeights> weights;
-  int64_t newest_revision = 0;
-  // All removals after this revision are in `removed`.
+  StorePosition newest;
+  // All removals of the current era after this revision are in `removed`.
   int64_t removals_known_since = 0;
+  // Newest revision of an operators' document in the current era.
   int64_t newest_operator_revision = 0;
+  TimePoint era_began{};
+  // Whether documents of older eras have been settled.
+  bool settled = true;
   std::optional<TimePoint> regained_at;
 };
 
--- a/src/process/state/region_directory.h
+++ b/src/process/state/region_directory.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "celerypost/types.h"
+#include "src/process/state/document_progress.h"
 #include "src/process/state/node_role.h"
 #include "src/request/target_tracker.h"
 
@@ -44,9 +45,7 @@
   std::vector<RegionTarget> targets;
   // Requests of all gateways of the region, by target.
   std::vector<ReportedLoad> loads;
-  // The newest revisions that the gateway knows (see ClusterView).
-  int64_t revision = 0;
-  int64_t operator_revision = 0;
+  DocumentProgress documents;
 };
 
 struct SummaryOptions {
--- a/src/process/store_sync.cc
+++ b/src/process/store_sync.cc
@@ -24,7 +24,7 @@
   this->Read();
 }
 
-void StoreSync::SetWatching(bool watches, int64_t revision) {
+void StoreSync::SetWatching(bool watches, StorePosition known) {
   if (watches == this->watching) {
     return;
   }
@@ -35,17 +35,37 @@
     this->retry.Stop();
     return;
   }
-  this->next_revision = std::max(this->next_revision, revision + 1);
+  if (known.era > this->era) {
+    this->era = known.era;
+    this->next_revision = 0;
+  }
+  const bool current = known.era == this->era && known.revision > 0;
+  if (current) {
+    this->next_revision = std::max(this->next_revision, known.revision + 1);
+  }
   if (this->read_pending) {
     return;
   }
-  if (revision > 0) {
+  if (current) {
     this->BeginWatch();
   } else {
     this->Read();
   }
 }
 
+void StoreSync::OnEra(int64_t era) {
+  if (era <= this->era) {
+    return;
+  }
+  const bool replaces = this->next_revision > 0 || this->era > 0;
+  this->era = era;
+  this->next_revision = 0;
+  if (this->watching && replaces) {
+    this->retry.Stop();
+    this->Restart();
+  }
+}
+
 void StoreSync::Restart() {
   this->watch.reset();
   this->Read();
@@ -70,10 +90,21 @@
           this->OnFailure(range.error());
           return;
         }
+        if (range->era < this->era) {
+          this->OnFailure(
+              Failure{Verdict::kNotRun, ErrorCode::kConflict,
+                      "the read was answered in an older era of the service"});
+          return;
+        }
+        this->era = range->era;
         // The prefixes are read one after the other; the watch starts after the
         // revision of the first read so that it misses no change.
         if (index == 0) {
           this->snapshot.revision = range->revision;
+          this->snapshot.era = range->era;
+        } else if (this->snapshot.era != range->era) {
+          this->Read();
+          return;
         }
         this->snapshot.items.insert(this->snapshot.items.end(),
                                     range->items.begin(), range->items.end());
@@ -85,8 +116,9 @@
         const bool after_outage = this->ever_connected && !this->is_connected;
         this->OnAnswer();
         this->next_revision = this->snapshot.revision + 1;
-        this->callbacks.on_snapshot(this->snapshot.items,
-                                    this->snapshot.revision, after_outage);
+        this->callbacks.on_snapshot(
+            this->snapshot.items, {this->snapshot.era, this->snapshot.revision},
+            after_outage);
         if (this->watching) {
           this->BeginWatch();
         }
@@ -119,7 +151,7 @@
   }
   this->is_connected = true;
   this->log.Info("store_connected", "the key-value service answers",
-                 {{"revision", this->next_revision}});
+                 {{"revision", this->next_revision}, {"era", this->era}});
   if (this->ever_connected) {
     this->callbacks.on_regained();
   }
--- a/src/process/store_sync.h
+++ b/src/process/store_sync.h
@@ -33,10 +33,11 @@
 class StoreSync {
  public:
   struct Callbacks {
-    // All keys as of `revision`. `after_outage` is set for the first read after
+    // All keys as of `position`. `after_outage` is set for the first read after
     // the service was lost.
-    std::function<
-        void(const std::vector<KeyValue>&, int64_t revision, bool after_outage)>
+    std::function<void(const std::vector<KeyValue>&,
+                       StorePosition position,
+                       bool after_outage)>
         on_snapshot;
     std::function<void(const std::vector<KeyValue>&)> on_changes;
     // The service answers again after an outage.
@@ -51,10 +52,13 @@
             Callbacks callbacks);
 
   void Start();
-  // Starts or stops watching. `revision` is the newest one whose changes are
-  // already known from elsewhere; the watch continues after it, and 0 makes a
-  // read precede the watch.
-  void SetWatching(bool watches, int64_t revision);
+  // Starts or stops watching. `known` is the newest position whose changes are
+  // already known from elsewhere; the watch continues after it. A read precedes
+  // the watch if its revision is 0 or its era is not the newest one.
+  void SetWatching(bool watches, StorePosition known);
+  // The service or a peer has named `era`. A read or watch of an older era is
+  // replaced by a read.
+  void OnEra(int64_t era);
   // Ends the current watch and reads again on a new connection. For a watch
   // that has gone silent although a peer knows a newer revision.
   void Restart();
@@ -84,6 +88,8 @@
   bool read_pending = false;
   // Number of the latest read; answers to earlier ones are ignored.
   uint64_t read_number = 0;
+  // The newest era that is known; next_revision belongs to it.
+  int64_t era = 0;
   int64_t next_revision = 0;
   KeyValueRange snapshot;
   bool is_connected = false;
--- a/src/request/target_registration.h
+++ b/src/request/target_registration.h
@@ -32,6 +32,8 @@
   ZoneName zone;
   uint32_t slots = 1;
   bool draining = false;
+  // Number of this statement among those of one start of the target.
+  int64_t sequence = 0;
   // Time that the target stays cold, counted from the registration.
   std::chrono::milliseconds cold_remaining{0};
   // When the process started, since the Unix epoch on the target's clock; tells
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -4020,6 +4020,10 @@
 void DocumentItem::__set_revision(const int64_t val) {
   this->revision = val;
 }
+
+void DocumentItem::__set_era(const int64_t val) {
+  this->era = val;
+}
 std::ostream& operator<<(std::ostream& out, const DocumentItem& obj)
 {
   obj.printTo(out);
@@ -4072,6 +4076,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4101,6 +4113,10 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4111,6 +4127,7 @@
   swap(a.key, b.key);
   swap(a.value, b.value);
   swap(a.revision, b.revision);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -4118,18 +4135,21 @@
   key = other110.key;
   value = other110.value;
   revision = other110.revision;
+  era = other110.era;
   __isset = other110.__isset;
 }
 DocumentItem::DocumentItem(DocumentItem&& other111) noexcept {
   key = std::move(other111.key);
   value = std::move(other111.value);
   revision = other111.revision;
+  era = other111.era;
   __isset = other111.__isset;
 }
 DocumentItem& DocumentItem::operator=(const DocumentItem& other112) {
   key = other112.key;
   value = other112.value;
   revision = other112.revision;
+  era = other112.era;
   __isset = other112.__isset;
   return *this;
 }
@@ -4137,6 +4157,7 @@
   key = std::move(other113.key);
   value = std::move(other113.value);
   revision = other113.revision;
+  era = other113.era;
   __isset = other113.__isset;
   return *this;
 }
@@ -4146,6 +4167,7 @@
   out << "key=" << to_string(key);
   out << ", " << "value=" << to_string(value);
   out << ", " << "revision=" << to_string(revision);
+  out << ", " << "era=" << to_string(era);
   out << ")";
 }
 
@@ -4170,6 +4192,10 @@
   this->regained_ms_ago = val;
 __isset.regained_ms_ago = true;
 }
+
+void DocumentDelta::__set_era(const int64_t val) {
+  this->era = val;
+}
 std::ostream& operator<<(std::ostream& out, const DocumentDelta& obj)
 {
   obj.printTo(out);
@@ -4242,6 +4268,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4284,6 +4318,10 @@
     xfer += oprot->writeI64(this->regained_ms_ago);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4295,6 +4333,7 @@
   swap(a.revision, b.revision);
   swap(a.items, b.items);
   swap(a.regained_ms_ago, b.regained_ms_ago);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -4303,6 +4342,7 @@
   revision = other120.revision;
   items = other120.items;
   regained_ms_ago = other120.regained_ms_ago;
+  era = other120.era;
   __isset = other120.__isset;
 }
 DocumentDelta::DocumentDelta(DocumentDelta&& other121) noexcept {
@@ -4310,6 +4350,7 @@
   revision = other121.revision;
   items = std::move(other121.items);
   regained_ms_ago = other121.regained_ms_ago;
+  era = other121.era;
   __isset = other121.__isset;
 }
 DocumentDelta& DocumentDelta::operator=(const DocumentDelta& other122) {
@@ -4317,6 +4358,7 @@
   revision = other122.revision;
   items = other122.items;
   regained_ms_ago = other122.regained_ms_ago;
+  era = other122.era;
   __isset = other122.__isset;
   return *this;
 }
@@ -4325,6 +4367,7 @@
   revision = other123.revision;
   items = std::move(other123.items);
   regained_ms_ago = other123.regained_ms_ago;
+  era = other123.era;
   __isset = other123.__isset;
   return *this;
 }
@@ -4335,6 +4378,7 @@
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "items=" << to_string(items);
   out << ", " << "regained_ms_ago="; (__isset.regained_ms_ago ? (out << to_string(regained_ms_ago)) : (out << "<null>"));
+  out << ", " << "era=" << to_string(era);
   out << ")";
 }
 
@@ -4684,6 +4728,14 @@
 void RegionSummary::__set_operator_revision(const int64_t val) {
   this->operator_revision = val;
 }
+
+void RegionSummary::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void RegionSummary::__set_config_version(const int64_t val) {
+  this->config_version = val;
+}
 std::ostream& operator<<(std::ostream& out, const RegionSummary& obj)
 {
   obj.printTo(out);
@@ -4804,6 +4856,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_version);
+          this->__isset.config_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4873,6 +4941,14 @@
   xfer += oprot->writeI64(this->operator_revision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4887,6 +4963,8 @@
   swap(a.loads, b.loads);
   swap(a.revision, b.revision);
   swap(a.operator_revision, b.operator_revision);
+  swap(a.era, b.era);
+  swap(a.config_version, b.config_version);
   swap(a.__isset, b.__isset);
 }
 
@@ -4898,6 +4976,8 @@
   loads = other150.loads;
   revision = other150.revision;
   operator_revision = other150.operator_revision;
+  era = other150.era;
+  config_version = other150.config_version;
   __isset = other150.__isset;
 }
 RegionSummary::RegionSummary(RegionSummary&& other151) noexcept {
@@ -4908,6 +4988,8 @@
   loads = std::move(other151.loads);
   revision = other151.revision;
   operator_revision = other151.operator_revision;
+  era = other151.era;
+  config_version = other151.config_version;
   __isset = other151.__isset;
 }
 RegionSummary& RegionSummary::operator=(const RegionSummary& other152) {
@@ -4918,6 +5000,8 @@
   loads = other152.loads;
   revision = other152.revision;
   operator_revision = other152.operator_revision;
+  era = other152.era;
+  config_version = other152.config_version;
   __isset = other152.__isset;
   return *this;
 }
@@ -4929,6 +5013,8 @@
   loads = std::move(other153.loads);
   revision = other153.revision;
   operator_revision = other153.operator_revision;
+  era = other153.era;
+  config_version = other153.config_version;
   __isset = other153.__isset;
   return *this;
 }
@@ -4942,6 +5028,8 @@
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "operator_revision=" << to_string(operator_revision);
+  out << ", " << "era=" << to_string(era);
+  out << ", " << "config_version=" << to_string(config_version);
   out << ")";
 }
 
@@ -5705,6 +5793,14 @@
   this->crash_news = val;
 __isset.crash_news = true;
 }
+
+void Beat::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void Beat::__set_config_version(const int64_t val) {
+  this->config_version = val;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -5953,6 +6049,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_version);
+          this->__isset.config_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6088,6 +6200,14 @@
     xfer += this->crash_news.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 24);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 25);
+  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6118,6 +6238,8 @@
   swap(a.digests_version, b.digests_version);
   swap(a.summaries, b.summaries);
   swap(a.crash_news, b.crash_news);
+  swap(a.era, b.era);
+  swap(a.config_version, b.config_version);
   swap(a.__isset, b.__isset);
 }
 
@@ -6145,6 +6267,8 @@
   digests_version = other206.digests_version;
   summaries = other206.summaries;
   crash_news = other206.crash_news;
+  era = other206.era;
+  config_version = other206.config_version;
   __isset = other206.__isset;
 }
 Beat::Beat(Beat&& other207) noexcept {
@@ -6171,6 +6295,8 @@
   digests_version = other207.digests_version;
   summaries = std::move(other207.summaries);
   crash_news = std::move(other207.crash_news);
+  era = other207.era;
+  config_version = other207.config_version;
   __isset = other207.__isset;
 }
 Beat& Beat::operator=(const Beat& other208) {
@@ -6197,6 +6323,8 @@
   digests_version = other208.digests_version;
   summaries = other208.summaries;
   crash_news = other208.crash_news;
+  era = other208.era;
+  config_version = other208.config_version;
   __isset = other208.__isset;
   return *this;
 }
@@ -6224,6 +6352,8 @@
   digests_version = other209.digests_version;
   summaries = std::move(other209.summaries);
   crash_news = std::move(other209.crash_news);
+  era = other209.era;
+  config_version = other209.config_version;
   __isset = other209.__isset;
   return *this;
 }
@@ -6253,6 +6383,8 @@
   out << ", " << "digests_version=" << to_string(digests_version);
   out << ", " << "summaries=" << to_string(summaries);
   out << ", " << "crash_news="; (__isset.crash_news ? (out << to_string(crash_news)) : (out << "<null>"));
+  out << ", " << "era=" << to_string(era);
+  out << ", " << "config_version=" << to_string(config_version);
   out << ")";
 }
 
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -1613,10 +1613,11 @@
 std::ostream& operator<<(std::ostream& out, const TargetLoad& obj);
 
 typedef struct _DocumentItem__isset {
-  _DocumentItem__isset() : key(false), value(false), revision(false) {}
+  _DocumentItem__isset() : key(false), value(false), revision(false), era(false) {}
   bool key :1;
   bool value :1;
   bool revision :1;
+  bool era :1;
 } _DocumentItem__isset;
 
 class DocumentItem : public virtual ::apache::thrift::TBase {
@@ -1629,13 +1630,15 @@
   DocumentItem() noexcept
                : key(),
                  value(),
-                 revision(0) {
+                 revision(0),
+                 era(0) {
   }
 
   virtual ~DocumentItem() noexcept;
   std::string key;
   std::string value;
   int64_t revision;
+  int64_t era;
 
   _DocumentItem__isset __isset;
 
@@ -1645,6 +1648,8 @@
 
   void __set_revision(const int64_t val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const DocumentItem & rhs) const
   {
     if (!(key == rhs.key))
@@ -1653,6 +1658,8 @@
       return false;
     if (!(revision == rhs.revision))
       return false;
+    if (!(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const DocumentItem &rhs) const {
@@ -1672,11 +1679,12 @@
 std::ostream& operator<<(std::ostream& out, const DocumentItem& obj);
 
 typedef struct _DocumentDelta__isset {
-  _DocumentDelta__isset() : partial(false), revision(false), items(false), regained_ms_ago(false) {}
+  _DocumentDelta__isset() : partial(false), revision(false), items(false), regained_ms_ago(false), era(false) {}
   bool partial :1;
   bool revision :1;
   bool items :1;
   bool regained_ms_ago :1;
+  bool era :1;
 } _DocumentDelta__isset;
 
 class DocumentDelta : public virtual ::apache::thrift::TBase {
@@ -1689,7 +1697,8 @@
   DocumentDelta() noexcept
                 : partial(0),
                   revision(0),
-                  regained_ms_ago(0) {
+                  regained_ms_ago(0),
+                  era(0) {
   }
 
   virtual ~DocumentDelta() noexcept;
@@ -1697,6 +1706,7 @@
   int64_t revision;
   std::vector<DocumentItem>  items;
   int64_t regained_ms_ago;
+  int64_t era;
 
   _DocumentDelta__isset __isset;
 
@@ -1708,6 +1718,8 @@
 
   void __set_regained_ms_ago(const int64_t val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const DocumentDelta & rhs) const
   {
     if (!(partial == rhs.partial))
@@ -1720,6 +1732,8 @@
       return false;
     else if (__isset.regained_ms_ago && !(regained_ms_ago == rhs.regained_ms_ago))
       return false;
+    if (!(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const DocumentDelta &rhs) const {
@@ -1866,7 +1880,7 @@
 std::ostream& operator<<(std::ostream& out, const RegionTarget& obj);
 
 typedef struct _RegionSummary__isset {
-  _RegionSummary__isset() : region(false), ip(false), gateways(false), targets(false), loads(false), revision(false), operator_revision(false) {}
+  _RegionSummary__isset() : region(false), ip(false), gateways(false), targets(false), loads(false), revision(false), operator_revision(false), era(false), config_version(false) {}
   bool region :1;
   bool ip :1;
   bool gateways :1;
@@ -1874,6 +1888,8 @@
   bool loads :1;
   bool revision :1;
   bool operator_revision :1;
+  bool era :1;
+  bool config_version :1;
 } _RegionSummary__isset;
 
 class RegionSummary : public virtual ::apache::thrift::TBase {
@@ -1887,7 +1903,9 @@
                 : region(),
                   ip(),
                   revision(0),
-                  operator_revision(0) {
+                  operator_revision(0),
+                  era(0),
+                  config_version(0) {
   }
 
   virtual ~RegionSummary() noexcept;
@@ -1898,6 +1916,8 @@
   std::vector<TargetLoad>  loads;
   int64_t revision;
   int64_t operator_revision;
+  int64_t era;
+  int64_t config_version;
 
   _RegionSummary__isset __isset;
 
@@ -1915,6 +1935,10 @@
 
   void __set_operator_revision(const int64_t val);
 
+  void __set_era(const int64_t val);
+
+  void __set_config_version(const int64_t val);
+
   bool operator == (const RegionSummary & rhs) const
   {
     if (!(region == rhs.region))
@@ -1931,6 +1955,10 @@
       return false;
     if (!(operator_revision == rhs.operator_revision))
       return false;
+    if (!(era == rhs.era))
+      return false;
+    if (!(config_version == rhs.config_version))
+      return false;
     return true;
   }
   bool operator != (const RegionSummary &rhs) const {
@@ -2190,7 +2218,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashNews& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false) {}
+  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), era(false), config_version(false) {}
   bool instance :1;
   bool role :1;
   bool ip :1;
@@ -2214,6 +2242,8 @@
   bool digests_version :1;
   bool summaries :1;
   bool crash_news :1;
+  bool era :1;
+  bool config_version :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -2242,7 +2272,9 @@
          loads_in_ms(0),
          operator_revision(0),
          store_answers(0),
-         digests_version(0) {
+         digests_version(0),
+         era(0),
+         config_version(0) {
   }
 
   virtual ~Beat() noexcept;
@@ -2269,6 +2301,8 @@
   int64_t digests_version;
   std::vector<RegionSummary>  summaries;
   CrashNews crash_news;
+  int64_t era;
+  int64_t config_version;
 
   _Beat__isset __isset;
 
@@ -2318,6 +2352,10 @@
 
   void __set_crash_news(const CrashNews& val);
 
+  void __set_era(const int64_t val);
+
+  void __set_config_version(const int64_t val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2370,6 +2408,10 @@
       return false;
     else if (__isset.crash_news && !(crash_news == rhs.crash_news))
       return false;
+    if (!(era == rhs.era))
+      return false;
+    if (!(config_version == rhs.config_version))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -224,6 +224,8 @@
   // Empty for a removed key.
   2: binary value
   3: i64 revision
+  // Era of the key-value service to which the revision belongs; 0 if unknown.
+  4: i64 era
 }
 
 // Documents for a process that does not read the key-value service; sent
@@ -234,6 +236,7 @@
   3: list<DocumentItem> items
   // Milliseconds since the service came back after an outage.
   4: optional i64 regained_ms_ago
+  5: i64 era
 }
 
 // A gateway as other regions know it.
@@ -265,6 +268,9 @@
   5: list<TargetLoad> loads
   6: i64 revision
   7: i64 operator_revision
+  // Era of both revisions.
+  8: i64 era
+  9: i64 config_version
 }
 
 // A request with a part of a prompt had not survived when its target crashed
@@ -341,4 +347,8 @@
   22: list<RegionSummary> summaries
   // Gateways: what they know of prompts that crash targets.
   23: optional CrashNews crash_news
+  // Era of the key-value service to which both revisions belong.
+  24: i64 era
+  // Version of the configuration in force, 0 for none.
+  25: i64 config_version
 }
--- a/tests/process/delta_codec_test.cc
+++ b/tests/process/delta_codec_test.cc
@@ -33,17 +33,20 @@
 TEST(DeltaCodecTest, ReturnsWhatWasEncoded) {
   DocumentDelta delta = BigConfig();
   delta.items.push_back({"binary", std::string("\0\xff\n", 3), 3});
+  delta.items.push_back({"op/evacuate/north", "{}", 90, 3});
+  delta.era = 4;
   delta.regained_ago = milliseconds(1500);
   const auto decoded = DecodeDelta(EncodeDelta(delta));
   CHECK_TRUE(decoded.has_value());
   CHECK_TRUE(decoded->partial);
   CHECK_EQUAL(71, decoded->revision);
+  CHECK_EQUAL(4, decoded->era);
   CHECK_TRUE(decoded->regained_ago == delta.regained_ago);
   CHECK_EQUAL(delta.items.size(), decoded->items.size());
   for (size_t i = 0; i < delta.items.size(); ++i) {
     STRCMP_EQUAL(delta.items[i].key.c_str(), decoded->items[i].key.c_str());
     CHECK_TRUE(delta.items[i].value == decoded->items[i].value);
-    CHECK_EQUAL(delta.items[i].mod_revision, decoded->items[i].mod_revision);
+    CHECK_TRUE(delta.items[i].position() == decoded->items[i].position());
   }
 }
 
--- a/tests/process/state/cluster_view_test.cc
+++ b/tests/process/state/cluster_view_test.cc
@@ -1,5 +1,7 @@
 #include "src/process/state/cluster_view.h"
 
+#include <sstream>
+
 #include "CppUTest/TestHarness.h"
 
 namespace celerypost {
@@ -7,8 +9,8 @@
 
 using std::chrono::milliseconds;
 
-// Reads values of the form "config 3", "target t1 ready", "weights m 2" and
-// "zone z".
+// Reads values of the form "config 3", "target ready", "target ready 900 4"
+// (with start and sequence), "weights 2" and "zone z".
 class FakeDecoder : public DocumentDecoder {
  public:
   std::string OperatorPrefix() const override { return "o/"; }
@@ -24,7 +26,12 @@
     if (text.starts_with("target ")) {
       TargetRegistration target;
       target.id = std::string(key.substr(2));
-      target.draining = text == "target draining";
+      std::istringstream words(text);
+      std::string word;
+      int64_t started_at = 0;
+      words >> word >> word >> started_at >> target.sequence;
+      target.draining = word == "draining";
+      target.started_at = milliseconds(started_at);
       return target;
     }
     if (text.starts_with("weights ")) {
@@ -49,9 +56,17 @@
   void Change(const std::string& key, const std::string& value, int64_t at) {
     this->view.ApplyChanges({{key, value, at}}, this->now);
   }
+  // Applies the whole content of `era`, in which all items were read.
+  void Read(int64_t era, int64_t revision, std::vector<KeyValue> items) {
+    for (KeyValue& item : items) {
+      item.era = era;
+    }
+    this->view.ApplySnapshot(items, {era, revision}, false, this->now);
+  }
   bool Usable(const std::string& target) const {
     const auto found = this->view.targets().find(target);
     return found != this->view.targets().end() &&
+           !found->second.entry.draining &&
            (!found->second.usable_until ||
             this->now < *found->second.usable_until);
   }
@@ -63,7 +78,8 @@
   this->Change("o/config", "config 7", 10);
   this->Change("o/config", "config 5", 11);
   CHECK_EQUAL(7, this->view.config()->version);
-  this->view.ApplySnapshot({{"o/config", "config 6", 9}}, 9, false, this->now);
+  this->view.ApplySnapshot({{"o/config", "config 6", 9}}, {0, 9}, false,
+                           this->now);
   CHECK_EQUAL(7, this->view.config()->version);
 }
 
@@ -86,7 +102,7 @@
 // Guards against a process that treats a version found in its first snapshot as
 // named just now.
 TEST(ClusterViewTest, NamingBeforeTheStartCountsAsOld) {
-  this->view.ApplySnapshot({{"o/w", "weights 2", 2}}, 5, false, this->now);
+  this->view.ApplySnapshot({{"o/w", "weights 2", 2}}, {0, 5}, false, this->now);
   CHECK_EQUAL(2, this->view.Weights("m")->NewestNamedAt(this->now -
                                                         milliseconds(3000)));
 }
@@ -121,7 +137,7 @@
   this->Change("t/a", "target ready", 1);
   this->Change("t/b", "target ready", 2);
   this->view.OnServiceRegained(this->now);
-  this->view.ApplySnapshot({}, 9, true, this->now);
+  this->view.ApplySnapshot({}, {0, 9}, true, this->now);
   this->now += milliseconds(1900);
   CHECK_TRUE(this->Usable("a"));
   this->Change("t/a", "target ready", 10);
@@ -163,21 +179,21 @@
 // filled the links between regions.
 TEST(ClusterViewTest, DeltaHoldsWhatChangedSince) {
   this->view.ApplySnapshot(
-      {{"o/config", "config 1", 3}, {"t/a", "target ready", 4}}, 5, false,
+      {{"o/config", "config 1", 3}, {"t/a", "target ready", 4}}, {0, 5}, false,
       this->now);
   this->Change("t/b", "target ready", 6);
   this->Change("t/a", "", 7);
-  const DocumentDelta delta = this->view.MakeDelta({5, false}, this->now);
+  const DocumentDelta delta = this->view.MakeDelta({{0, 5}, false}, this->now);
   CHECK_TRUE(delta.partial);
   CHECK_EQUAL(7, delta.revision);
   CHECK_EQUAL(2u, delta.items.size());
 
   ClusterView behind{this->decoder, {}};
   behind.ApplySnapshot(
-      {{"o/config", "config 1", 3}, {"t/a", "target ready", 4}}, 5, false,
+      {{"o/config", "config 1", 3}, {"t/a", "target ready", 4}}, {0, 5}, false,
       this->now);
   behind.ApplyDelta(delta, this->now);
-  CHECK_EQUAL(7, behind.revision());
+  CHECK_EQUAL(7, behind.position().revision);
   CHECK_TRUE(behind.targets().contains("b"));
   CHECK_TRUE(behind.targets().at("a").usable_until.has_value());
 }
@@ -185,13 +201,14 @@
 // Guards against a removed target that a process keeps because the peer that it
 // asked started after the removal and does not know of it.
 TEST(ClusterViewTest, DeltaIsWholeWhenRemovalsAreNotKnown) {
-  this->view.ApplySnapshot({{"o/config", "config 1", 3}}, 8, false, this->now);
-  const DocumentDelta delta = this->view.MakeDelta({5, false}, this->now);
+  this->view.ApplySnapshot({{"o/config", "config 1", 3}}, {0, 8}, false,
+                           this->now);
+  const DocumentDelta delta = this->view.MakeDelta({{0, 5}, false}, this->now);
   CHECK_FALSE(delta.partial);
 
   ClusterView behind{this->decoder, {}};
   behind.ApplySnapshot(
-      {{"o/config", "config 1", 3}, {"t/a", "target ready", 4}}, 5, false,
+      {{"o/config", "config 1", 3}, {"t/a", "target ready", 4}}, {0, 5}, false,
       this->now);
   behind.ApplyDelta(delta, this->now);
   CHECK_TRUE(behind.targets().at("a").usable_until.has_value());
@@ -200,9 +217,9 @@
 // Guards against registrations of all targets on the slow links of stagers.
 TEST(ClusterViewTest, DeltaForStagersHoldsOperatorsDocumentsOnly) {
   this->view.ApplySnapshot(
-      {{"o/config", "config 1", 3}, {"t/a", "target ready", 4}}, 5, false,
+      {{"o/config", "config 1", 3}, {"t/a", "target ready", 4}}, {0, 5}, false,
       this->now);
-  const DocumentDelta delta = this->view.MakeDelta({0, true}, this->now);
+  const DocumentDelta delta = this->view.MakeDelta({{0, 0}, true}, this->now);
   CHECK_EQUAL(1u, delta.items.size());
   STRCMP_EQUAL("o/config", delta.items.front().key.c_str());
 }
@@ -211,30 +228,309 @@
 // these fetch weights: 920 additional routes delayed new weights on 88 stagers
 // by two seconds.
 TEST(ClusterViewTest, StagersGetReducedDocuments) {
-  this->view.ApplySnapshot({{"o/config", "config 1", 3}}, 5, false, this->now);
+  this->view.ApplySnapshot({{"o/config", "config 1", 3}}, {0, 5}, false,
+                           this->now);
   this->Change("o/config", "config 2 many routes", 6);
-  const auto delta = this->view.MakeDelta({5, true}, this->now);
+  const auto delta = this->view.MakeDelta({{0, 5}, true}, this->now);
   CHECK_EQUAL(1u, delta.items.size());
   STRCMP_EQUAL("config 2", delta.items.front().value.c_str());
-  STRCMP_EQUAL(
-      "config 2 many routes",
-      this->view.MakeDelta({5, false}, this->now).items.front().value.c_str());
+  STRCMP_EQUAL("config 2 many routes",
+               this->view.MakeDelta({{0, 5}, false}, this->now)
+                   .items.front()
+                   .value.c_str());
 }
 
 // Guards against a process that drops all targets after an outage because it
 // learned from a peer, without the outage grace, that their registrations
 // lapsed.
 TEST(ClusterViewTest, DeltaTellsOfAnOutage) {
-  this->view.ApplySnapshot({{"t/a", "target ready", 4}}, 5, false, this->now);
+  this->view.ApplySnapshot({{"t/a", "target ready", 4}}, {0, 5}, false,
+                           this->now);
   ClusterView other{this->decoder, {}};
-  other.ApplyDelta(this->view.MakeDelta({0, false}, this->now), this->now);
+  other.ApplyDelta(this->view.MakeDelta({{0, 0}, false}, this->now), this->now);
   this->view.OnServiceRegained(this->now);
   this->now += milliseconds(300);
   this->Change("t/a", "", 8);
-  other.ApplyDelta(this->view.MakeDelta({5, false}, this->now), this->now);
+  other.ApplyDelta(this->view.MakeDelta({{0, 5}, false}, this->now), this->now);
   CHECK_TRUE(*other.targets().at("a").usable_until >
              this->now + milliseconds(1500));
 }
 
+// Guards against changes that are dropped as older after the key-value service
+// came back from a copy and hands out revisions again: added routes got 404.
+TEST(ClusterViewTest, ReusedRevisionOfANewEraIsNotOlder) {
+  this->Read(1, 44,
+             {{"o/config", "config 5", 44}, {"t/a", "target ready", 30}});
+  this->Read(2, 43,
+             {{"o/config", "config 5", 43}, {"t/a", "target ready", 30}});
+  this->view.ApplyChanges({{"o/config", "config 6", 44, 2}}, this->now);
+  CHECK_EQUAL(6, this->view.config()->version);
+  CHECK_TRUE(this->view.position() == (StorePosition{2, 44}));
+  CHECK_TRUE(this->view.progress().operator_position == (StorePosition{2, 44}));
+}
+
+// Guards against a configuration that comes back older from a copy, in this
+// process or in one that gets the documents from it.
+TEST(ClusterViewTest, CopyDoesNotBringBackAnOlderConfiguration) {
+  this->Read(1, 44, {{"o/config", "config 5", 44}, {"o/w", "weights 3", 40}});
+  this->Read(2, 41, {{"o/config", "config 2", 30}, {"o/w", "weights 2", 20}});
+  CHECK_EQUAL(5, this->view.config()->version);
+  CHECK_EQUAL(3, this->view.Weights("m")->version());
+  STRCMP_EQUAL("config 5", this->view.stored().at("o/config").value.c_str());
+
+  // Both for a process without documents and for one that has read the copy.
+  ClusterView started{this->decoder, {}};
+  started.ApplyDelta(this->view.MakeDelta({}, this->now), this->now);
+  CHECK_EQUAL(5, started.config()->version);
+  CHECK_EQUAL(3, started.Weights("m")->version());
+  ClusterView reader{this->decoder, {}};
+  reader.ApplySnapshot({{"o/config", "config 2", 30, 2}}, {2, 41}, false,
+                       this->now);
+  CHECK_EQUAL(2, reader.config()->version);
+  const DocumentDelta delta =
+      this->view.MakeDelta({reader.position(), false}, this->now);
+  CHECK_TRUE(delta.partial);
+  reader.ApplyDelta(delta, this->now);
+  CHECK_EQUAL(5, reader.config()->version);
+  STRCMP_EQUAL("config 5", reader.stored().at("o/config").value.c_str());
+}
+
+// Guards against the loss of the configuration when the copy has none.
+TEST(ClusterViewTest, CopyWithoutAConfigurationKeepsTheKnownOne) {
+  this->Read(1, 44, {{"o/config", "config 5", 44}});
+  this->Read(2, 3, {});
+  this->now += milliseconds(60000);
+  this->view.Settle(this->now);
+  CHECK_EQUAL(5, this->view.config()->version);
+  ClusterView started{this->decoder, {}};
+  started.ApplySnapshot({}, {2, 3}, false, this->now);
+  started.ApplyDelta(
+      this->view.MakeDelta({started.position(), false}, this->now), this->now);
+  CHECK_EQUAL(5, started.config()->version);
+}
+
+// Guards against an unreadable document that replaces a valid one.
+TEST(ClusterViewTest, UnreadableConfigurationReplacesNoValidOne) {
+  this->Read(1, 44, {{"o/config", "config 5", 44}});
+  this->Read(2, 41, {{"o/config", "???", 30}});
+  this->view.ApplyChanges({{"o/config", "???", 42, 2}}, this->now);
+  CHECK_EQUAL(5, this->view.config()->version);
+  STRCMP_EQUAL("config 5", this->view.stored().at("o/config").value.c_str());
+  this->view.ApplyChanges({{"o/config", "config 6", 43, 2}}, this->now);
+  CHECK_EQUAL(6, this->view.config()->version);
+}
+
+// Guards against a zone that is used again because the copy lacks the key that
+// takes it out.
+TEST(ClusterViewTest, ZoneThatTheCopyLacksStaysOutForTheGrace) {
+  this->Read(1, 44, {{"o/z", "zone north", 44}});
+  this->Read(2, 41, {});
+  this->Read(2, 41, {});
+  CHECK_TRUE(this->view.ZoneIsOut(ZoneName("north")));
+  this->now += milliseconds(4900);
+  CHECK_EQUAL(0u, this->view.Settle(this->now).size());
+  CHECK_TRUE(this->view.ZoneIsOut(ZoneName("north")));
+  this->now += milliseconds(100);
+  CHECK_EQUAL(1u, this->view.Settle(this->now).size());
+  CHECK_FALSE(this->view.ZoneIsOut(ZoneName("north")));
+}
+
+// Guards against the end of a zone's removal that operators have written again.
+TEST(ClusterViewTest, ZoneWrittenAgainStaysOutAfterTheGrace) {
+  this->Read(1, 44, {{"o/z", "zone north", 44}});
+  this->Read(2, 41, {});
+  this->view.ApplyChanges({{"o/z", "zone north", 42, 2}}, this->now);
+  this->now += milliseconds(60000);
+  this->view.Settle(this->now);
+  CHECK_TRUE(this->view.ZoneIsOut(ZoneName("north")));
+}
+
+// Guards against a zone that is out again because the copy has a key that
+// operators removed; afterwards the service's content holds.
+TEST(ClusterViewTest, RemovedZoneInTheCopyStaysInForTheGrace) {
+  this->Read(1, 40, {{"o/z", "zone north", 30}});
+  this->view.ApplyChanges({{"o/z", "", 44, 1}}, this->now);
+  this->Read(2, 41, {{"o/z", "zone north", 30}});
+  CHECK_FALSE(this->view.ZoneIsOut(ZoneName("north")));
+  this->now += milliseconds(5000);
+  this->view.Settle(this->now);
+  CHECK_TRUE(this->view.ZoneIsOut(ZoneName("north")));
+}
+
+// Guards against requests to a zone that operators took out anew in the new
+// era, before this process read it.
+TEST(ClusterViewTest, ZoneTakenOutAnewInTheNewEraIsOutAtOnce) {
+  this->Read(1, 40, {{"o/z", "zone north", 30}});
+  this->view.ApplyChanges({{"o/z", "", 44, 1}}, this->now);
+  this->Read(2, 42, {{"o/z", "zone north", 42}});
+  CHECK_TRUE(this->view.ZoneIsOut(ZoneName("north")));
+}
+
+// Guards against requests to a target that was draining or gone before the
+// restore and is listed as ready in the copy.
+TEST(ClusterViewTest, CopyDoesNotReviveADrainingOrGoneTarget) {
+  this->Read(
+      1, 40,
+      {{"t/a", "target ready 900 4", 30}, {"t/b", "target ready 900 4", 31}});
+  this->view.ApplyChanges(
+      {{"t/a", "target draining 900 9", 41, 1}, {"t/b", "", 42, 1}}, this->now);
+  this->now += milliseconds(1000);
+  this->Read(
+      2, 39,
+      {{"t/a", "target ready 900 4", 30}, {"t/b", "target ready 900 4", 31}});
+  CHECK_FALSE(this->Usable("a"));
+  CHECK_FALSE(this->Usable("b"));
+  this->now += milliseconds(6000);
+  this->view.Settle(this->now);
+  CHECK_FALSE(this->Usable("a"));
+  CHECK_FALSE(this->Usable("b"));
+  // A new start is another target.
+  this->view.ApplyChanges({{"t/b", "target ready 5000 1", 45, 2}}, this->now);
+  CHECK_TRUE(this->Usable("b"));
+}
+
+// Guards against the loss of targets that the copy lacks: those that run
+// register again within two seconds.
+TEST(ClusterViewTest, TargetThatTheCopyLacksIsUsableForTheOutageGrace) {
+  this->Read(
+      1, 40,
+      {{"t/a", "target ready 900 4", 39}, {"t/b", "target ready 900 4", 40}});
+  this->Read(2, 30, {});
+  this->now += milliseconds(2000);
+  CHECK_TRUE(this->Usable("a"));
+  this->view.ApplyChanges({{"t/a", "target ready 900 8", 31, 2}}, this->now);
+  this->now += milliseconds(300);
+  this->view.DropExpired(this->now);
+  CHECK_TRUE(this->Usable("a"));
+  CHECK_FALSE(this->Usable("b"));
+  this->now += milliseconds(10000);
+  this->view.Settle(this->now);
+  CHECK_TRUE(this->Usable("a"));
+  CHECK_EQUAL(0u, this->view.CountOlderEras());
+}
+
+// Guards against a target that stays limited because the copy lists it with an
+// earlier or the same statement.
+TEST(ClusterViewTest, TargetInTheCopyStaysInUse) {
+  this->Read(
+      1, 40,
+      {{"t/a", "target ready 900 9", 39}, {"t/b", "target ready 900 4", 20}});
+  this->Read(
+      2, 30,
+      {{"t/a", "target ready 900 4", 22}, {"t/b", "target ready 900 4", 20}});
+  this->now += milliseconds(12000);
+  this->view.Settle(this->now);
+  this->view.DropExpired(this->now);
+  CHECK_TRUE(this->Usable("a"));
+  CHECK_TRUE(this->Usable("b"));
+}
+
+// Guards against peers of an older era, such as a process that was paused, that
+// take the view back.
+TEST(ClusterViewTest, DeltaOfAnOlderEraAddsOnlyWhatIsNewer) {
+  this->Read(1, 40,
+             {{"o/config", "config 5", 30}, {"t/a", "target ready 900 4", 31}});
+  this->Read(2, 35,
+             {{"o/config", "config 5", 30}, {"t/a", "target ready 900 4", 31}});
+  this->now += milliseconds(60000);
+  this->view.Settle(this->now);
+
+  ClusterView paused{this->decoder, {}};
+  paused.ApplySnapshot({{"o/config", "config 7", 50, 1},
+                        {"o/z", "zone north", 48, 1},
+                        {"t/a", "target draining 900 7", 51, 1},
+                        {"t/b", "target ready 900 1", 49, 1}},
+                       {1, 60}, false, this->now);
+  const DocumentDelta delta =
+      paused.MakeDelta({this->view.position(), false}, this->now);
+  CHECK_FALSE(delta.partial);
+  this->view.ApplyDelta(delta, this->now);
+  CHECK_TRUE(this->view.position() == (StorePosition{2, 35}));
+  CHECK_EQUAL(7, this->view.config()->version);
+  CHECK_FALSE(this->Usable("a"));
+  CHECK_FALSE(this->Usable("b"));
+  CHECK_FALSE(this->view.ZoneIsOut(ZoneName("north")));
+
+  // The paused process takes the new era over, and keeps what has a version.
+  paused.ApplyDelta(this->view.MakeDelta({paused.position(), false}, this->now),
+                    this->now);
+  CHECK_TRUE(paused.position() == (StorePosition{2, 35}));
+  CHECK_EQUAL(7, paused.config()->version);
+}
+
+// Guards against a second restore that ends the grace of the first or loses
+// what the first one kept.
+TEST(ClusterViewTest, TwoRestoresInARowKeepTheConfiguration) {
+  this->Read(1, 44, {{"o/config", "config 5", 44}, {"o/z", "zone north", 43}});
+  this->Read(2, 20, {{"o/config", "config 2", 18}});
+  this->now += milliseconds(3000);
+  this->Read(3, 15, {{"o/config", "config 1", 11}});
+  this->now += milliseconds(3000);
+  this->view.Settle(this->now);
+  CHECK_TRUE(this->view.ZoneIsOut(ZoneName("north")));
+  CHECK_EQUAL(5, this->view.config()->version);
+  this->now += milliseconds(2000);
+  this->view.Settle(this->now);
+  CHECK_FALSE(this->view.ZoneIsOut(ZoneName("north")));
+  CHECK_EQUAL(5, this->view.config()->version);
+}
+
+// Guards against an answer to a read that was sent before the restore.
+TEST(ClusterViewTest, SnapshotOfAnOlderEraRemovesNothing) {
+  this->Read(1, 44, {{"o/config", "config 5", 44}});
+  this->Read(2, 46,
+             {{"o/config", "config 5", 42}, {"t/a", "target ready 900 4", 45}});
+  this->Read(1, 90, {{"o/config", "config 5", 44}});
+  CHECK_TRUE(this->Usable("a"));
+  CHECK_TRUE(this->view.position() == (StorePosition{2, 46}));
+}
+
+// Guards against a target that left in the new era before this process read it
+// and that an answer of a peer from before then lists.
+TEST(ClusterViewTest, EarlierSnapshotOfTheEraRevivesNothing) {
+  this->Read(1, 40, {{"t/a", "target ready 900 4", 19}});
+  this->Read(2, 28, {});
+  this->Read(2, 26, {{"t/a", "target ready 900 4", 19}});
+  this->now += milliseconds(2200);
+  CHECK_FALSE(this->Usable("a"));
+}
+
+// Guards against processes that are forgotten because the copy lacks their
+// registrations: the shares of a cold target's bound depend on their number.
+TEST(ClusterViewTest, RegistrationsThatTheCopyLacksStayKnownForTheirGrace) {
+  ClusterViewOptions options;
+  options.registration_prefix = "n/";
+  ClusterView gateway{this->decoder, options};
+  gateway.ApplySnapshot({{"n/10.0.0.1", "zone x", 3, 1}}, {1, 5}, false,
+                        this->now);
+  gateway.ApplySnapshot({}, {2, 2}, false, this->now);
+  this->now += milliseconds(9900);
+  gateway.Settle(this->now);
+  CHECK_TRUE(gateway.stored().contains("n/10.0.0.1"));
+  this->now += milliseconds(100);
+  gateway.Settle(this->now);
+  CHECK_FALSE(gateway.stored().contains("n/10.0.0.1"));
+}
+
+// Guards against memory that grows with every target that has ever left, and
+// against deltas that lack a removal that was forgotten.
+TEST(ClusterViewTest, ForgottenRemovalsMakeADeltaWhole) {
+  ClusterViewOptions options;
+  options.max_removals = 10;
+  ClusterView gateway{this->decoder, options};
+  gateway.ApplySnapshot({}, {1, 1}, false, this->now);
+  int64_t revision = 1;
+  for (int i = 0; i < 100; ++i) {
+    const std::string key = "t/" + std::to_string(i);
+    gateway.ApplyChanges({{key, "target ready 900 1", ++revision, 1}},
+                         this->now);
+    gateway.ApplyChanges({{key, "", ++revision, 1}}, this->now);
+  }
+  CHECK_FALSE(gateway.MakeDelta({{1, 100}, false}, this->now).partial);
+  const DocumentDelta recent = gateway.MakeDelta({{1, 199}, false}, this->now);
+  CHECK_TRUE(recent.partial);
+  CHECK_EQUAL(1u, recent.items.size());
+}
+
 }  // namespace
 }  // namespace celerypost
--- a/tests/process/state/region_directory_test.cc
+++ b/tests/process/state/region_directory_test.cc
@@ -14,7 +14,7 @@
   static RegionSummary Summary(const char* region, int64_t revision) {
     RegionSummary summary;
     summary.region = RegionName(region);
-    summary.revision = revision;
+    summary.documents.position.revision = revision;
     return summary;
   }
 };
--- a/tests/process/store_sync_test.cc
+++ b/tests/process/store_sync_test.cc
@@ -54,6 +54,7 @@
   Log log{LogOptions{}, [](LogLevel, std::string_view) {},
           [] { return std::chrono::system_clock::time_point(); }};
   int snapshots = 0;
+  StorePosition newest;
   int after_outages = 0;
   int regained = 0;
   std::vector<KeyValue> changes;
@@ -61,9 +62,10 @@
 
   void setup() override {
     StoreSync::Callbacks callbacks;
-    callbacks.on_snapshot = [this](const std::vector<KeyValue>&, int64_t,
-                                   bool after_outage) {
+    callbacks.on_snapshot = [this](const std::vector<KeyValue>&,
+                                   StorePosition position, bool after_outage) {
       ++this->snapshots;
+      this->newest = position;
       this->after_outages += after_outage ? 1 : 0;
     };
     callbacks.on_changes = [this](const std::vector<KeyValue>& changed) {
@@ -79,9 +81,10 @@
     this->sync.reset();
     this->loop.RunFor(milliseconds(20));
   }
-  void Answer(int64_t revision) {
+  void Answer(int64_t revision, int64_t era = 0) {
     KeyValueRange range;
     range.revision = revision;
+    range.era = era;
     this->store.read(std::move(range));
   }
   void RunUntil(const std::function<bool()>& done) {
@@ -122,6 +125,70 @@
   CHECK_EQUAL(61, this->store.from);
 }
 
+// Guards against a watch that waits for revisions of an older era and misses
+// the changes that reuse them.
+TEST(StoreSyncTest, NewEraIsReadAtOnceAndWatchedFromItsOwnRevision) {
+  this->Answer(60, 1);
+  CHECK_EQUAL(61, this->store.from);
+  this->sync->OnEra(1);
+  CHECK_EQUAL(1, this->store.reads);
+  this->sync->OnEra(2);
+  CHECK_EQUAL(2, this->store.reads);
+  this->Answer(44, 2);
+  CHECK_EQUAL(45, this->store.from);
+  CHECK_TRUE(this->newest == (StorePosition{2, 44}));
+}
+
+// Guards against a snapshot from an answer to a read that was sent before the
+// restore.
+TEST(StoreSyncTest, AnswerOfAnOlderEraIsNotASnapshot) {
+  this->Answer(60, 1);
+  this->sync->OnEra(2);
+  this->Answer(61, 1);
+  CHECK_EQUAL(1, this->snapshots);
+  this->RunUntil([this] { return this->store.reads == 3; });
+  this->Answer(44, 2);
+  CHECK_EQUAL(2, this->snapshots);
+  CHECK_EQUAL(45, this->store.from);
+}
+
+// Guards against a watch from a position of an older era that peers supplied.
+TEST(StoreSyncTest, PositionOfAnOlderEraIsReadBeforeItIsWatched) {
+  this->Answer(60, 1);
+  this->sync->SetWatching(false, {1, 60});
+  this->sync->OnEra(2);
+  CHECK_EQUAL(1, this->store.reads);
+  this->sync->SetWatching(true, {1, 64});
+  CHECK_EQUAL(2, this->store.reads);
+  this->Answer(44, 2);
+  this->sync->SetWatching(false, {2, 44});
+  this->sync->SetWatching(true, {2, 47});
+  CHECK_EQUAL(2, this->store.reads);
+  CHECK_EQUAL(48, this->store.from);
+}
+
+// Guards against a snapshot that joins prefixes of two eras.
+TEST(StoreSyncTest, PrefixesOfTwoErasMakeNoSnapshot) {
+  StoreSyncOptions options;
+  options.read_prefixes = {"op/", "nodes/"};
+  int joined = 0;
+  StoreSync::Callbacks callbacks;
+  callbacks.on_snapshot = [&joined](const std::vector<KeyValue>&, StorePosition,
+                                    bool) { ++joined; };
+  callbacks.on_regained = [] {};
+  StoreSync both(this->loop, this->store, this->log, this->random, options,
+                 std::move(callbacks));
+  both.Start();
+  this->Answer(60, 1);
+  this->Answer(44, 2);
+  CHECK_EQUAL(0, joined);
+  this->Answer(44, 2);
+  CHECK_EQUAL(0, joined);
+  this->Answer(45, 2);
+  CHECK_EQUAL(1, joined);
+  CHECK_EQUAL(45, this->store.from);
+}
+
 // Guards against taking lost history, from which a watch cannot continue, for
 // an outage.
 TEST(StoreSyncTest, LostHistoryIsReadAgainWithoutAnOutage) {
