Register again when the key-value service begins a new era

Cause: a restore loses leases and gives their ids out again. A process went on renewing the id that it had, whether or not the lease was still its own, so that its registration could be missing, or end with another process.

Change: a lease belongs to the era in which it was granted. A process that learns of a newer era from any response or from a peer registers again after a random delay that grows with the number of processes (300 ms to 5 s), ignores the answer to a renewal of the older lease, and does not end a lease of an older era, which may be another's. A Leave while a registration is in progress ends it.

--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -39,6 +39,11 @@
 constexpr milliseconds kMinPullInterval{100};
 // Shortest time between two pulls for a newer configuration alone.
 constexpr milliseconds kConfigPullInterval{1000};
+// After the key-value service has begun a new era all processes register again.
+// They do so within this time for each process, between the two limits.
+constexpr milliseconds kRegistrationSpreadPerNode{10};
+constexpr milliseconds kMinRegistrationSpread{300};
+constexpr milliseconds kMaxRegistrationSpread{5000};
 // Number of other regions that are heard from which on one gateway of this
 // region watches the key-value service instead of two.
 constexpr size_t kRegionsThatReplaceAReader = 2;
@@ -139,6 +144,7 @@
                dependencies.store,
                dependencies.leases,
                dependencies.log,
+               dependencies.random,
                NodeRegistryOptions{.ip = dependencies.settings.ip,
                                    .zone = dependencies.settings.zone,
                                    .region = dependencies.settings.region,
@@ -196,6 +202,10 @@
 
 void NodeCore::OnEra(int64_t era) {
   this->sync.OnEra(era);
+  this->registry.OnEra(
+      era, std::clamp(kRegistrationSpreadPerNode *
+                          static_cast<int64_t>(this->nodes.size()),
+                      kMinRegistrationSpread, kMaxRegistrationSpread));
 }
 
 void NodeCore::FindPeers() {
--- a/src/process/node_registry.cc
+++ b/src/process/node_registry.cc
@@ -1,5 +1,6 @@
 #include "src/process/node_registry.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -18,10 +19,12 @@
                            KeyValueClient& store,
                            LeaseClient& leases,
                            Log& log,
+                           Random& random,
                            NodeRegistryOptions options)
     : store(store),
       leases(leases),
       log(log),
+      random(random),
       options(std::move(options)),
       timer(loop, [this] {
         if (this->lease_id == 0) {
@@ -101,84 +104,130 @@
   }
 }
 
+void NodeRegistry::OnEra(int64_t era, std::chrono::milliseconds max_delay) {
+  if (this->leaving || this->lease_id == 0 || era <= this->lease_era) {
+    return;
+  }
+  this->log.Info("registration_lapsed",
+                 "the key-value service has begun a new era; registering again",
+                 {{"lease", this->lease_id}, {"era", era}});
+  this->lease_id = 0;
+  this->timer.StartOnce(std::chrono::milliseconds(this->random.Below(
+      static_cast<uint64_t>(std::max<int64_t>(1, max_delay.count())))));
+}
+
 void NodeRegistry::Register() {
   if (this->leaving) {
     return;
   }
+  this->registering = true;
   this->leases.Grant(
       this->options.lease_duration, [this](const Result<int64_t>& lease) {
         this->RecordAnswer(lease.has_value());
-        if (!lease) {
-          this->log.Debug("registration_failed", lease.error().message);
+        if (lease && !this->leaving) {
+          this->Put(*lease);
+          return;
+        }
+        this->registering = false;
+        if (this->leaving) {
+          this->EndLease(lease.value_or(0));
+          return;
+        }
+        this->log.Debug("registration_failed", lease.error().message);
+        this->timer.StartOnce(this->options.retry_period);
+      });
+}
+
+void NodeRegistry::Put(int64_t lease) {
+  KeyValueTransaction transaction;
+  transaction.key =
+      GroupPrefix(this->options.region, this->options.role) + this->options.ip;
+  transaction.value =
+      nlohmann::json{{"region", this->options.region.value()},
+                     {"zone", this->options.zone.value()},
+                     {"instance", this->options.instance.value},
+                     {"role", static_cast<int>(this->options.role)}}
+          .dump();
+  transaction.unconditional = true;
+  transaction.lease = lease;
+  this->store.Transact(
+      std::move(transaction),
+      [this, lease, granted_in = this->store.Era()](
+          const Result<KeyValueTransactionResult>& result) {
+        this->registering = false;
+        if (this->leaving) {
+          this->EndLease(lease);
+          return;
+        }
+        if (!result || this->store.Era() != granted_in) {
+          this->log.Debug("registration_failed",
+                          result ? "the key-value service has begun a new era"
+                                 : result.error().message);
           this->timer.StartOnce(this->options.retry_period);
           return;
         }
-        KeyValueTransaction transaction;
-        transaction.key =
-            GroupPrefix(this->options.region, this->options.role) +
-            this->options.ip;
-        transaction.value =
-            nlohmann::json{{"region", this->options.region.value()},
-                           {"zone", this->options.zone.value()},
-                           {"instance", this->options.instance.value},
-                           {"role", static_cast<int>(this->options.role)}}
-                .dump();
-        transaction.unconditional = true;
-        transaction.lease = *lease;
-        this->store.Transact(
-            std::move(transaction),
-            [this,
-             id = *lease](const Result<KeyValueTransactionResult>& result) {
-              if (!result) {
-                this->log.Debug("registration_failed", result.error().message);
-                this->timer.StartOnce(this->options.retry_period);
-                return;
-              }
-              this->lease_id = id;
-              this->log.Info("registered",
-                             "registered this process in the key-value service",
-                             {{"lease", id}, {"revision", result->revision}});
-              this->timer.StartOnce(this->RenewPeriod());
-            });
+        this->lease_id = lease;
+        this->lease_era = granted_in;
+        this->log.Info("registered",
+                       "registered this process in the key-value service",
+                       {{"lease", lease},
+                        {"revision", result->revision},
+                        {"era", granted_in}});
+        this->timer.StartOnce(this->RenewPeriod());
       });
 }
 
+void NodeRegistry::EndLease(int64_t lease) {
+  const auto done = std::exchange(this->on_left, nullptr);
+  if (lease == 0) {
+    if (done) {
+      done();
+    }
+    return;
+  }
+  // If this call fails, the lease ends when it is not renewed.
+  this->leases.Revoke(lease, [done](const Result<void>&) {
+    if (done) {
+      done();
+    }
+  });
+}
+
 void NodeRegistry::Renew() {
   if (this->leaving) {
     return;
   }
   this->renewing = true;
-  this->leases.Renew(this->lease_id, [this](const Result<void>& renewed) {
-    this->renewing = false;
-    this->RecordAnswer(renewed.has_value() ||
-                       renewed.error().code == ErrorCode::kNotFound);
-    if (!renewed && renewed.error().code == ErrorCode::kNotFound) {
-      this->log.Info(
-          "registration_lapsed",
-          "the lease of the registration has ended; registering again",
-          {{"lease", this->lease_id}});
-      this->lease_id = 0;
-      this->Register();
-      return;
-    }
-    this->timer.StartOnce(renewed ? this->RenewPeriod()
-                                  : this->options.retry_period);
-  });
+  this->leases.Renew(
+      this->lease_id, [this, id = this->lease_id](const Result<void>& renewed) {
+        this->renewing = false;
+        this->RecordAnswer(renewed.has_value() ||
+                           renewed.error().code == ErrorCode::kNotFound ||
+                           renewed.error().code == ErrorCode::kConflict);
+        if (id != this->lease_id) {
+          return;
+        }
+        if (!renewed && renewed.error().code == ErrorCode::kNotFound) {
+          this->log.Info(
+              "registration_lapsed",
+              "the lease of the registration has ended; registering again",
+              {{"lease", this->lease_id}});
+          this->lease_id = 0;
+          this->Register();
+          return;
+        }
+        this->timer.StartOnce(renewed ? this->RenewPeriod()
+                                      : this->options.retry_period);
+      });
 }
 
 void NodeRegistry::Leave(std::function<void()> done) {
   this->leaving = true;
   this->timer.Stop();
-  if (this->lease_id == 0) {
-    done();
-    return;
+  this->on_left = std::move(done);
+  if (!this->registering) {
+    this->EndLease(this->lease_id);
   }
-  this->leases.Revoke(this->lease_id,
-                      [done = std::move(done)](const Result<void>&) {
-                        // If this call fails, the lease ends when it is not
-                        // renewed.
-                        done();
-                      });
 }
 
 }  // namespace celerypost
--- a/src/process/node_registry.h
+++ b/src/process/node_registry.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "celerypost/random.h"
 #include "src/connection/loop.h"
 #include "src/process/key_value_client.h"
 #include "src/process/log.h"
@@ -51,6 +52,7 @@
                KeyValueClient& store,
                LeaseClient& leases,
                Log& log,
+               Random& random,
                NodeRegistryOptions options);
 
   void Start() { this->Register(); }
@@ -66,6 +68,10 @@
   static std::optional<std::string> AddressOf(std::string_view key);
   // Parses a registration; nothing when it is malformed.
   static std::optional<RegisteredNode> Parse(const KeyValue& item);
+  // A newer era of the key-value service has begun, in which the lease may have
+  // gone or belong to another process. Registers again after a random delay
+  // below `max_delay`, so that the processes do not write all at once.
+  void OnEra(int64_t era, std::chrono::milliseconds max_delay);
   // Renews with `reader_renew_period` if `is_reader`, else with `renew_period`.
   void SetReader(bool is_reader);
   // Whether the key-value service answered the last lease call.
@@ -78,18 +84,27 @@
 
  private:
   void Register();
+  void Put(int64_t lease);
   void Renew();
+  // Ends a registration that was completed while this process leaves.
+  void EndLease(int64_t lease);
   void RecordAnswer(bool answered);
   std::chrono::milliseconds RenewPeriod() const;
 
   KeyValueClient& store;
   LeaseClient& leases;
   Log& log;
+  Random& random;
   NodeRegistryOptions options;
   Timer timer;
   // 0 while this process is not registered.
   int64_t lease_id = 0;
+  // Era of the key-value service in which the lease was granted.
+  int64_t lease_era = 0;
+  bool registering = false;
   bool leaving = false;
+  // Set by a Leave that waits for a registration in progress.
+  std::function<void()> on_left;
   bool reader = false;
   bool renewing = false;
   bool last_call_answered = false;
