Send whole documents after a read that may have hidden removals

Cause: a process that reads everything learns no removal of a key that came and went since its last position, but still answered later queries from between the two with changes only.

Change: removals count as known only since the newest read of everything.

Test: ClusterViewTest.DeltaIsWholeWhenASnapshotHidesRemovals.

--- a/src/process/state/cluster_view.cc
+++ b/src/process/state/cluster_view.cc
@@ -60,8 +60,7 @@
     TimePoint now) {
   std::vector<ViewChange> applied;
   const bool first = this->newest == StorePosition();
-  const bool begins = first || position.era > this->newest.era;
-  if (begins) {
+  if (first || position.era > this->newest.era) {
     this->BeginEra(position, first, now);
   }
   std::set<std::string> listed;
@@ -96,7 +95,8 @@
     applied.push_back(this->Remove(key, position, after_outage, now));
   }
   this->LapseTargetsOfOlderEras(now);
-  if (begins) {
+  if (position > this->newest) {
+    // Keys may have come and gone between the two positions.
     this->removals_known_since = position.revision;
   }
   this->Advance(position);
--- a/tests/process/state/cluster_view_test.cc
+++ b/tests/process/state/cluster_view_test.cc
@@ -214,6 +214,22 @@
   CHECK_TRUE(behind.targets().at("a").usable_until.has_value());
 }
 
+// Guards against a target that a process keeps because the peer that it asked
+// read everything after the target had come and gone.
+TEST(ClusterViewTest, DeltaIsWholeWhenASnapshotHidesRemovals) {
+  this->view.ApplySnapshot({{"o/config", "config 1", 3}}, {0, 5}, false,
+                           this->now);
+  ClusterView behind{this->decoder, {}};
+  behind.ApplySnapshot(
+      {{"o/config", "config 1", 3}, {"t/a", "target ready", 6}}, {0, 6}, false,
+      this->now);
+  this->view.ApplySnapshot({{"o/config", "config 1", 3}}, {0, 8}, false,
+                           this->now);
+  behind.ApplyDelta(this->view.MakeDelta({behind.position(), false}, this->now),
+                    this->now);
+  CHECK_TRUE(behind.targets().at("a").usable_until.has_value());
+}
+
 // Guards against registrations of all targets on the slow links of stagers.
 TEST(ClusterViewTest, DeltaForStagersHoldsOperatorsDocumentsOnly) {
   this->view.ApplySnapshot(
