--- a/src/process/store_sync.cc
+++ b/src/process/store_sync.cc
@@ -114,8 +114,8 @@
         }
         this->read_pending = false;
         const bool after_outage = this->ever_connected && !this->is_connected;
-        this->OnAnswer();
         this->next_revision = this->snapshot.revision + 1;
+        this->OnAnswer();
         this->callbacks.on_snapshot(
             this->snapshot.items, {this->snapshot.era, this->snapshot.revision},
             after_outage);
