--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -34,6 +34,7 @@
   // connection.
   bool chunked = false;
   bool has_length = false;
+  size_t body_bytes = 0;
   // Number of functions on the call stack that use this object.
   int use_count = 0;
   bool call_destroyed = false;
@@ -58,14 +59,15 @@
   Exchange* exchange;
 };
 
-void FailExchange(Exchange* exchange, const char* error) {
+void FailExchange(Exchange* exchange,
+                  const char* error,
+                  ErrorCode code = ErrorCode::kUnavailable) {
   exchange->done = true;
   exchange->client = nullptr;
   const auto verdict =
       exchange->connected ? Verdict::kMayHaveRun : Verdict::kNotRun;
   if (exchange->callbacks.on_failure) {
-    exchange->callbacks.on_failure(
-        Failure{verdict, ErrorCode::kUnavailable, error});
+    exchange->callbacks.on_failure(Failure{verdict, code, error});
   }
 }
 
@@ -89,6 +91,10 @@
   if (exchange.has_length) {
     return false;
   }
+  if (exchange.body_bytes == 0) {
+    // Without a body, the connection may as well have ended after the head.
+    return true;
+  }
   tcp_info info{};
   socklen_t length = sizeof(info);
   return getsockopt(h2o_socket_get_fd(client->sock), IPPROTO_TCP, TCP_INFO,
@@ -106,6 +112,7 @@
   h2o_buffer_t* input = client->sock->input;
   if (input->size > 0) {
     const std::string bytes(input->bytes, input->size);
+    exchange->body_bytes += bytes.size();
     h2o_buffer_consume(&client->sock->input, input->size);
     if (exchange->callbacks.on_body) {
       exchange->callbacks.on_body(bytes);
@@ -156,6 +163,11 @@
       FindHeader(head.headers, "transfer-encoding") == "chunked";
   exchange->has_length =
       !exchange->chunked && !FindHeader(head.headers, "content-length").empty();
+  if (exchange->callbacks.accepts && !exchange->callbacks.accepts(head)) {
+    FailExchange(exchange, "the response belongs to another request",
+                 ErrorCode::kCorrupt);
+    return nullptr;
+  }
   if (exchange->callbacks.on_head) {
     exchange->callbacks.on_head(head);
   }
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -59,6 +59,9 @@
   Counter& retries;
   Counter& resumes;
   Counter& quarantined;
+  Counter& leaving_targets;
+  Counter& declining_targets;
+  Counter& malformed_headers;
   Histogram& first_event;
   Histogram& total;
 };
@@ -73,6 +76,7 @@
   TargetTracker& book;
   TargetSelector& selector;
   CrashGuard& crashes;
+  TargetNotices& notices;
   const RequestCodec& codec;
   ServiceRetryBudgets& budgets;
   RelayMetrics& metrics;
@@ -132,7 +136,18 @@
   void EndForLackOfTime();
   // Ends the request since a part of its prompt is quarantined.
   void EndForQuarantine();
+  // Returns whether a response is the one to the current attempt.
+  bool IsOwnAnswer(const HttpResponseHead& head) const;
   void OnHead(const HttpResponseHead& head);
+  // Takes up what the target says about itself in the answer's head.
+  void ReadNotices();
+  void ReadDecline();
+  // Returns whether the answer can be the rest of the stream that the caller
+  // has received a part of.
+  bool ResumesStream() const;
+  // Returns whether the answer's end is told by a length or chunks, not by the
+  // end of its connection.
+  bool HasFramedAnswer() const;
   void OnBody(std::string_view bytes);
   void OnEnd();
   void OnFailure(const Failure& failure);
--- a/src/process/gateway/summary_wire.cc
+++ b/src/process/gateway/summary_wire.cc
@@ -32,12 +32,22 @@
   return decoded;
 }
 
+std::vector<int64_t> EncodeStarts(const std::vector<TargetStartHash>& starts) {
+  return {starts.begin(), starts.end()};
+}
+
+std::vector<TargetStartHash> DecodeStarts(const std::vector<int64_t>& starts) {
+  return {starts.begin(), starts.end()};
+}
+
 wire::RegionSummary EncodeSummary(const RegionSummary& summary) {
   wire::RegionSummary message;
   message.region = summary.region.value();
   message.ip = summary.ip;
-  message.revision = summary.revision;
-  message.operator_revision = summary.operator_revision;
+  message.era = summary.documents.position.era;
+  message.revision = summary.documents.position.revision;
+  message.operator_revision = summary.documents.operator_position.revision;
+  message.config_version = summary.documents.config_version;
   for (const RegionGateway& gateway : summary.gateways) {
     wire::RegionGateway entry;
     entry.ip = gateway.ip;
@@ -50,12 +60,14 @@
     entry.address = target.address;
     entry.serving_version = target.serving_version;
     entry.loading = target.loading;
+    entry.leaving = target.leaving;
     if (target.loads_in) {
       entry.__set_loads_in_ms(static_cast<int32_t>(target.loads_in->count()));
     }
     message.targets.push_back(std::move(entry));
   }
   message.loads = EncodeLoads(summary.loads);
+  message.leaving_targets = EncodeStarts(summary.leaving_targets);
   return message;
 }
 
@@ -63,8 +75,9 @@
   RegionSummary decoded;
   decoded.region = RegionName(summary.region);
   decoded.ip = summary.ip;
-  decoded.revision = summary.revision;
-  decoded.operator_revision = summary.operator_revision;
+  decoded.documents = {{summary.era, summary.revision},
+                       {summary.era, summary.operator_revision},
+                       summary.config_version};
   for (const wire::RegionGateway& gateway : summary.gateways) {
     decoded.gateways.push_back({gateway.ip, gateway.caller_address,
                                 static_cast<NodeState>(gateway.state)});
@@ -74,9 +87,11 @@
         {target.address, target.serving_version, target.loading,
          target.__isset.loads_in_ms
              ? std::optional(milliseconds(target.loads_in_ms))
-             : std::nullopt});
+             : std::nullopt,
+         target.leaving});
   }
   decoded.loads = DecodeLoads(summary.loads);
+  decoded.leaving_targets = DecodeStarts(summary.leaving_targets);
   return decoded;
 }
 
--- a/src/process/state/region_directory.h
+++ b/src/process/state/region_directory.h
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "celerypost/types.h"
+#include "src/process/state/document_progress.h"
 #include "src/process/state/node_role.h"
+#include "src/request/crash_evidence.h"
 #include "src/request/target_tracker.h"
 
 namespace celerypost {
@@ -31,6 +33,8 @@
   int64_t serving_version = 0;
   bool loading = false;
   std::optional<std::chrono::milliseconds> loads_in;
+  // The target has told its stager that it leaves.
+  bool leaving = false;
 };
 
 // What a gateway knows of its own region. Gateways of other regions get it in
@@ -44,9 +48,9 @@
   std::vector<RegionTarget> targets;
   // Requests of all gateways of the region, by target.
   std::vector<ReportedLoad> loads;
-  // The newest revisions that the gateway knows (see ClusterView).
-  int64_t revision = 0;
-  int64_t operator_revision = 0;
+  // Targets of any region that have lately said that they leave.
+  std::vector<TargetStartHash> leaving_targets;
+  DocumentProgress documents;
 };
 
 struct SummaryOptions {
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -4020,6 +4020,10 @@
 void DocumentItem::__set_revision(const int64_t val) {
   this->revision = val;
 }
+
+void DocumentItem::__set_era(const int64_t val) {
+  this->era = val;
+}
 std::ostream& operator<<(std::ostream& out, const DocumentItem& obj)
 {
   obj.printTo(out);
@@ -4072,6 +4076,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4101,6 +4113,10 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4111,6 +4127,7 @@
   swap(a.key, b.key);
   swap(a.value, b.value);
   swap(a.revision, b.revision);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -4118,18 +4135,21 @@
   key = other110.key;
   value = other110.value;
   revision = other110.revision;
+  era = other110.era;
   __isset = other110.__isset;
 }
 DocumentItem::DocumentItem(DocumentItem&& other111) noexcept {
   key = std::move(other111.key);
   value = std::move(other111.value);
   revision = other111.revision;
+  era = other111.era;
   __isset = other111.__isset;
 }
 DocumentItem& DocumentItem::operator=(const DocumentItem& other112) {
   key = other112.key;
   value = other112.value;
   revision = other112.revision;
+  era = other112.era;
   __isset = other112.__isset;
   return *this;
 }
@@ -4137,6 +4157,7 @@
   key = std::move(other113.key);
   value = std::move(other113.value);
   revision = other113.revision;
+  era = other113.era;
   __isset = other113.__isset;
   return *this;
 }
@@ -4146,6 +4167,152 @@
   out << "key=" << to_string(key);
   out << ", " << "value=" << to_string(value);
   out << ", " << "revision=" << to_string(revision);
+  out << ", " << "era=" << to_string(era);
+  out << ")";
+}
+
+
+WeightNaming::~WeightNaming() noexcept {
+}
+
+
+void WeightNaming::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void WeightNaming::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void WeightNaming::__set_named_ms_ago(const int32_t val) {
+  this->named_ms_ago = val;
+}
+std::ostream& operator<<(std::ostream& out, const WeightNaming& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WeightNaming::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->named_ms_ago);
+          this->__isset.named_ms_ago = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WeightNaming::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WeightNaming");
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("named_ms_ago", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->named_ms_ago);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WeightNaming &a, WeightNaming &b) {
+  using ::std::swap;
+  swap(a.model, b.model);
+  swap(a.version, b.version);
+  swap(a.named_ms_ago, b.named_ms_ago);
+  swap(a.__isset, b.__isset);
+}
+
+WeightNaming::WeightNaming(const WeightNaming& other114) {
+  model = other114.model;
+  version = other114.version;
+  named_ms_ago = other114.named_ms_ago;
+  __isset = other114.__isset;
+}
+WeightNaming::WeightNaming(WeightNaming&& other115) noexcept {
+  model = std::move(other115.model);
+  version = other115.version;
+  named_ms_ago = other115.named_ms_ago;
+  __isset = other115.__isset;
+}
+WeightNaming& WeightNaming::operator=(const WeightNaming& other116) {
+  model = other116.model;
+  version = other116.version;
+  named_ms_ago = other116.named_ms_ago;
+  __isset = other116.__isset;
+  return *this;
+}
+WeightNaming& WeightNaming::operator=(WeightNaming&& other117) noexcept {
+  model = std::move(other117.model);
+  version = other117.version;
+  named_ms_ago = other117.named_ms_ago;
+  __isset = other117.__isset;
+  return *this;
+}
+void WeightNaming::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WeightNaming(";
+  out << "model=" << to_string(model);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "named_ms_ago=" << to_string(named_ms_ago);
   out << ")";
 }
 
@@ -4170,6 +4337,19 @@
   this->regained_ms_ago = val;
 __isset.regained_ms_ago = true;
 }
+
+void DocumentDelta::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void DocumentDelta::__set_namings(const std::vector<WeightNaming> & val) {
+  this->namings = val;
+}
+
+void DocumentDelta::__set_current_ms_ago(const int32_t val) {
+  this->current_ms_ago = val;
+__isset.current_ms_ago = true;
+}
 std::ostream& operator<<(std::ostream& out, const DocumentDelta& obj)
 {
   obj.printTo(out);
@@ -4218,14 +4398,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->items.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->items.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->items[_i118].read(iprot);
+              xfer += this->items[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4242,6 +4422,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->namings.clear();
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->namings.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
+            {
+              xfer += this->namings[_i127].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.namings = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->current_ms_ago);
+          this->__isset.current_ms_ago = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4270,10 +4486,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<DocumentItem> ::const_iterator _iter119;
-    for (_iter119 = this->items.begin(); _iter119 != this->items.end(); ++_iter119)
+    std::vector<DocumentItem> ::const_iterator _iter128;
+    for (_iter128 = this->items.begin(); _iter128 != this->items.end(); ++_iter128)
     {
-      xfer += (*_iter119).write(oprot);
+      xfer += (*_iter128).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4284,6 +4500,27 @@
     xfer += oprot->writeI64(this->regained_ms_ago);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("namings", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->namings.size()));
+    std::vector<WeightNaming> ::const_iterator _iter129;
+    for (_iter129 = this->namings.begin(); _iter129 != this->namings.end(); ++_iter129)
+    {
+      xfer += (*_iter129).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.current_ms_ago) {
+    xfer += oprot->writeFieldBegin("current_ms_ago", ::apache::thrift::protocol::T_I32, 11);
+    xfer += oprot->writeI32(this->current_ms_ago);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4295,37 +4532,52 @@
   swap(a.revision, b.revision);
   swap(a.items, b.items);
   swap(a.regained_ms_ago, b.regained_ms_ago);
+  swap(a.era, b.era);
+  swap(a.namings, b.namings);
+  swap(a.current_ms_ago, b.current_ms_ago);
   swap(a.__isset, b.__isset);
 }
 
-DocumentDelta::DocumentDelta(const DocumentDelta& other120) {
-  partial = other120.partial;
-  revision = other120.revision;
-  items = other120.items;
-  regained_ms_ago = other120.regained_ms_ago;
-  __isset = other120.__isset;
-}
-DocumentDelta::DocumentDelta(DocumentDelta&& other121) noexcept {
-  partial = other121.partial;
-  revision = other121.revision;
-  items = std::move(other121.items);
-  regained_ms_ago = other121.regained_ms_ago;
-  __isset = other121.__isset;
-}
-DocumentDelta& DocumentDelta::operator=(const DocumentDelta& other122) {
-  partial = other122.partial;
-  revision = other122.revision;
-  items = other122.items;
-  regained_ms_ago = other122.regained_ms_ago;
-  __isset = other122.__isset;
+DocumentDelta::DocumentDelta(const DocumentDelta& other130) {
+  partial = other130.partial;
+  revision = other130.revision;
+  items = other130.items;
+  regained_ms_ago = other130.regained_ms_ago;
+  era = other130.era;
+  namings = other130.namings;
+  current_ms_ago = other130.current_ms_ago;
+  __isset = other130.__isset;
+}
+DocumentDelta::DocumentDelta(DocumentDelta&& other131) noexcept {
+  partial = other131.partial;
+  revision = other131.revision;
+  items = std::move(other131.items);
+  regained_ms_ago = other131.regained_ms_ago;
+  era = other131.era;
+  namings = std::move(other131.namings);
+  current_ms_ago = other131.current_ms_ago;
+  __isset = other131.__isset;
+}
+DocumentDelta& DocumentDelta::operator=(const DocumentDelta& other132) {
+  partial = other132.partial;
+  revision = other132.revision;
+  items = other132.items;
+  regained_ms_ago = other132.regained_ms_ago;
+  era = other132.era;
+  namings = other132.namings;
+  current_ms_ago = other132.current_ms_ago;
+  __isset = other132.__isset;
   return *this;
 }
-DocumentDelta& DocumentDelta::operator=(DocumentDelta&& other123) noexcept {
-  partial = other123.partial;
-  revision = other123.revision;
-  items = std::move(other123.items);
-  regained_ms_ago = other123.regained_ms_ago;
-  __isset = other123.__isset;
+DocumentDelta& DocumentDelta::operator=(DocumentDelta&& other133) noexcept {
+  partial = other133.partial;
+  revision = other133.revision;
+  items = std::move(other133.items);
+  regained_ms_ago = other133.regained_ms_ago;
+  era = other133.era;
+  namings = std::move(other133.namings);
+  current_ms_ago = other133.current_ms_ago;
+  __isset = other133.__isset;
   return *this;
 }
 void DocumentDelta::printTo(std::ostream& out) const {
@@ -4335,6 +4587,9 @@
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "items=" << to_string(items);
   out << ", " << "regained_ms_ago="; (__isset.regained_ms_ago ? (out << to_string(regained_ms_ago)) : (out << "<null>"));
+  out << ", " << "era=" << to_string(era);
+  out << ", " << "namings=" << to_string(namings);
+  out << ", " << "current_ms_ago="; (__isset.current_ms_ago ? (out << to_string(current_ms_ago)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4448,30 +4703,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RegionGateway::RegionGateway(const RegionGateway& other124) {
-  ip = other124.ip;
-  caller_address = other124.caller_address;
-  state = other124.state;
-  __isset = other124.__isset;
+RegionGateway::RegionGateway(const RegionGateway& other134) {
+  ip = other134.ip;
+  caller_address = other134.caller_address;
+  state = other134.state;
+  __isset = other134.__isset;
 }
-RegionGateway::RegionGateway(RegionGateway&& other125) noexcept {
-  ip = std::move(other125.ip);
-  caller_address = std::move(other125.caller_address);
-  state = other125.state;
-  __isset = other125.__isset;
+RegionGateway::RegionGateway(RegionGateway&& other135) noexcept {
+  ip = std::move(other135.ip);
+  caller_address = std::move(other135.caller_address);
+  state = other135.state;
+  __isset = other135.__isset;
 }
-RegionGateway& RegionGateway::operator=(const RegionGateway& other126) {
-  ip = other126.ip;
-  caller_address = other126.caller_address;
-  state = other126.state;
-  __isset = other126.__isset;
+RegionGateway& RegionGateway::operator=(const RegionGateway& other136) {
+  ip = other136.ip;
+  caller_address = other136.caller_address;
+  state = other136.state;
+  __isset = other136.__isset;
   return *this;
 }
-RegionGateway& RegionGateway::operator=(RegionGateway&& other127) noexcept {
-  ip = std::move(other127.ip);
-  caller_address = std::move(other127.caller_address);
-  state = other127.state;
-  __isset = other127.__isset;
+RegionGateway& RegionGateway::operator=(RegionGateway&& other137) noexcept {
+  ip = std::move(other137.ip);
+  caller_address = std::move(other137.caller_address);
+  state = other137.state;
+  __isset = other137.__isset;
   return *this;
 }
 void RegionGateway::printTo(std::ostream& out) const {
@@ -4504,6 +4759,10 @@
   this->loads_in_ms = val;
 __isset.loads_in_ms = true;
 }
+
+void RegionTarget::__set_leaving(const bool val) {
+  this->leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const RegionTarget& obj)
 {
   obj.printTo(out);
@@ -4564,6 +4823,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4598,6 +4865,10 @@
     xfer += oprot->writeI32(this->loads_in_ms);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 30);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4609,37 +4880,42 @@
   swap(a.serving_version, b.serving_version);
   swap(a.loading, b.loading);
   swap(a.loads_in_ms, b.loads_in_ms);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
-RegionTarget::RegionTarget(const RegionTarget& other128) {
-  address = other128.address;
-  serving_version = other128.serving_version;
-  loading = other128.loading;
-  loads_in_ms = other128.loads_in_ms;
-  __isset = other128.__isset;
-}
-RegionTarget::RegionTarget(RegionTarget&& other129) noexcept {
-  address = std::move(other129.address);
-  serving_version = other129.serving_version;
-  loading = other129.loading;
-  loads_in_ms = other129.loads_in_ms;
-  __isset = other129.__isset;
-}
-RegionTarget& RegionTarget::operator=(const RegionTarget& other130) {
-  address = other130.address;
-  serving_version = other130.serving_version;
-  loading = other130.loading;
-  loads_in_ms = other130.loads_in_ms;
-  __isset = other130.__isset;
+RegionTarget::RegionTarget(const RegionTarget& other138) {
+  address = other138.address;
+  serving_version = other138.serving_version;
+  loading = other138.loading;
+  loads_in_ms = other138.loads_in_ms;
+  leaving = other138.leaving;
+  __isset = other138.__isset;
+}
+RegionTarget::RegionTarget(RegionTarget&& other139) noexcept {
+  address = std::move(other139.address);
+  serving_version = other139.serving_version;
+  loading = other139.loading;
+  loads_in_ms = other139.loads_in_ms;
+  leaving = other139.leaving;
+  __isset = other139.__isset;
+}
+RegionTarget& RegionTarget::operator=(const RegionTarget& other140) {
+  address = other140.address;
+  serving_version = other140.serving_version;
+  loading = other140.loading;
+  loads_in_ms = other140.loads_in_ms;
+  leaving = other140.leaving;
+  __isset = other140.__isset;
   return *this;
 }
-RegionTarget& RegionTarget::operator=(RegionTarget&& other131) noexcept {
-  address = std::move(other131.address);
-  serving_version = other131.serving_version;
-  loading = other131.loading;
-  loads_in_ms = other131.loads_in_ms;
-  __isset = other131.__isset;
+RegionTarget& RegionTarget::operator=(RegionTarget&& other141) noexcept {
+  address = std::move(other141.address);
+  serving_version = other141.serving_version;
+  loading = other141.loading;
+  loads_in_ms = other141.loads_in_ms;
+  leaving = other141.leaving;
+  __isset = other141.__isset;
   return *this;
 }
 void RegionTarget::printTo(std::ostream& out) const {
@@ -4649,6 +4925,7 @@
   out << ", " << "serving_version=" << to_string(serving_version);
   out << ", " << "loading=" << to_string(loading);
   out << ", " << "loads_in_ms="; (__isset.loads_in_ms ? (out << to_string(loads_in_ms)) : (out << "<null>"));
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
@@ -4684,6 +4961,18 @@
 void RegionSummary::__set_operator_revision(const int64_t val) {
   this->operator_revision = val;
 }
+
+void RegionSummary::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void RegionSummary::__set_config_version(const int64_t val) {
+  this->config_version = val;
+}
+
+void RegionSummary::__set_leaving_targets(const std::vector<int64_t> & val) {
+  this->leaving_targets = val;
+}
 std::ostream& operator<<(std::ostream& out, const RegionSummary& obj)
 {
   obj.printTo(out);
@@ -4732,14 +5021,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gateways.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->gateways.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->gateways.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
             {
-              xfer += this->gateways[_i136].read(iprot);
+              xfer += this->gateways[_i146].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4752,14 +5041,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size137;
-            ::apache::thrift::protocol::TType _etype140;
-            xfer += iprot->readListBegin(_etype140, _size137);
-            this->targets.resize(_size137);
-            uint32_t _i141;
-            for (_i141 = 0; _i141 < _size137; ++_i141)
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _etype150;
+            xfer += iprot->readListBegin(_etype150, _size147);
+            this->targets.resize(_size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
             {
-              xfer += this->targets[_i141].read(iprot);
+              xfer += this->targets[_i151].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4772,14 +5061,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size142;
-            ::apache::thrift::protocol::TType _etype145;
-            xfer += iprot->readListBegin(_etype145, _size142);
-            this->loads.resize(_size142);
-            uint32_t _i146;
-            for (_i146 = 0; _i146 < _size142; ++_i146)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->loads.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += this->loads[_i146].read(iprot);
+              xfer += this->loads[_i156].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4804,6 +5093,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_version);
+          this->__isset.config_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving_targets.clear();
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _etype160;
+            xfer += iprot->readListBegin(_etype160, _size157);
+            this->leaving_targets.resize(_size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
+            {
+              xfer += iprot->readI64(this->leaving_targets[_i161]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving_targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4832,10 +5157,10 @@
   xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gateways.size()));
-    std::vector<RegionGateway> ::const_iterator _iter147;
-    for (_iter147 = this->gateways.begin(); _iter147 != this->gateways.end(); ++_iter147)
+    std::vector<RegionGateway> ::const_iterator _iter162;
+    for (_iter162 = this->gateways.begin(); _iter162 != this->gateways.end(); ++_iter162)
     {
-      xfer += (*_iter147).write(oprot);
+      xfer += (*_iter162).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4844,10 +5169,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<RegionTarget> ::const_iterator _iter148;
-    for (_iter148 = this->targets.begin(); _iter148 != this->targets.end(); ++_iter148)
+    std::vector<RegionTarget> ::const_iterator _iter163;
+    for (_iter163 = this->targets.begin(); _iter163 != this->targets.end(); ++_iter163)
     {
-      xfer += (*_iter148).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4856,10 +5181,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<TargetLoad> ::const_iterator _iter149;
-    for (_iter149 = this->loads.begin(); _iter149 != this->loads.end(); ++_iter149)
+    std::vector<TargetLoad> ::const_iterator _iter164;
+    for (_iter164 = this->loads.begin(); _iter164 != this->loads.end(); ++_iter164)
     {
-      xfer += (*_iter149).write(oprot);
+      xfer += (*_iter164).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4873,6 +5198,26 @@
   xfer += oprot->writeI64(this->operator_revision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 30);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_targets.size()));
+    std::vector<int64_t> ::const_iterator _iter165;
+    for (_iter165 = this->leaving_targets.begin(); _iter165 != this->leaving_targets.end(); ++_iter165)
+    {
+      xfer += oprot->writeI64((*_iter165));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4887,49 +5232,64 @@
   swap(a.loads, b.loads);
   swap(a.revision, b.revision);
   swap(a.operator_revision, b.operator_revision);
+  swap(a.era, b.era);
+  swap(a.config_version, b.config_version);
+  swap(a.leaving_targets, b.leaving_targets);
   swap(a.__isset, b.__isset);
 }
 
-RegionSummary::RegionSummary(const RegionSummary& other150) {
-  region = other150.region;
-  ip = other150.ip;
-  gateways = other150.gateways;
-  targets = other150.targets;
-  loads = other150.loads;
-  revision = other150.revision;
-  operator_revision = other150.operator_revision;
-  __isset = other150.__isset;
-}
-RegionSummary::RegionSummary(RegionSummary&& other151) noexcept {
-  region = std::move(other151.region);
-  ip = std::move(other151.ip);
-  gateways = std::move(other151.gateways);
-  targets = std::move(other151.targets);
-  loads = std::move(other151.loads);
-  revision = other151.revision;
-  operator_revision = other151.operator_revision;
-  __isset = other151.__isset;
-}
-RegionSummary& RegionSummary::operator=(const RegionSummary& other152) {
-  region = other152.region;
-  ip = other152.ip;
-  gateways = other152.gateways;
-  targets = other152.targets;
-  loads = other152.loads;
-  revision = other152.revision;
-  operator_revision = other152.operator_revision;
-  __isset = other152.__isset;
+RegionSummary::RegionSummary(const RegionSummary& other166) {
+  region = other166.region;
+  ip = other166.ip;
+  gateways = other166.gateways;
+  targets = other166.targets;
+  loads = other166.loads;
+  revision = other166.revision;
+  operator_revision = other166.operator_revision;
+  era = other166.era;
+  config_version = other166.config_version;
+  leaving_targets = other166.leaving_targets;
+  __isset = other166.__isset;
+}
+RegionSummary::RegionSummary(RegionSummary&& other167) noexcept {
+  region = std::move(other167.region);
+  ip = std::move(other167.ip);
+  gateways = std::move(other167.gateways);
+  targets = std::move(other167.targets);
+  loads = std::move(other167.loads);
+  revision = other167.revision;
+  operator_revision = other167.operator_revision;
+  era = other167.era;
+  config_version = other167.config_version;
+  leaving_targets = std::move(other167.leaving_targets);
+  __isset = other167.__isset;
+}
+RegionSummary& RegionSummary::operator=(const RegionSummary& other168) {
+  region = other168.region;
+  ip = other168.ip;
+  gateways = other168.gateways;
+  targets = other168.targets;
+  loads = other168.loads;
+  revision = other168.revision;
+  operator_revision = other168.operator_revision;
+  era = other168.era;
+  config_version = other168.config_version;
+  leaving_targets = other168.leaving_targets;
+  __isset = other168.__isset;
   return *this;
 }
-RegionSummary& RegionSummary::operator=(RegionSummary&& other153) noexcept {
-  region = std::move(other153.region);
-  ip = std::move(other153.ip);
-  gateways = std::move(other153.gateways);
-  targets = std::move(other153.targets);
-  loads = std::move(other153.loads);
-  revision = other153.revision;
-  operator_revision = other153.operator_revision;
-  __isset = other153.__isset;
+RegionSummary& RegionSummary::operator=(RegionSummary&& other169) noexcept {
+  region = std::move(other169.region);
+  ip = std::move(other169.ip);
+  gateways = std::move(other169.gateways);
+  targets = std::move(other169.targets);
+  loads = std::move(other169.loads);
+  revision = other169.revision;
+  operator_revision = other169.operator_revision;
+  era = other169.era;
+  config_version = other169.config_version;
+  leaving_targets = std::move(other169.leaving_targets);
+  __isset = other169.__isset;
   return *this;
 }
 void RegionSummary::printTo(std::ostream& out) const {
@@ -4942,6 +5302,9 @@
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "operator_revision=" << to_string(operator_revision);
+  out << ", " << "era=" << to_string(era);
+  out << ", " << "config_version=" << to_string(config_version);
+  out << ", " << "leaving_targets=" << to_string(leaving_targets);
   out << ")";
 }
 
@@ -5055,30 +5418,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashAccusation::CrashAccusation(const CrashAccusation& other154) noexcept {
-  part = other154.part;
-  target_start = other154.target_start;
-  age_ms = other154.age_ms;
-  __isset = other154.__isset;
+CrashAccusation::CrashAccusation(const CrashAccusation& other170) noexcept {
+  part = other170.part;
+  target_start = other170.target_start;
+  age_ms = other170.age_ms;
+  __isset = other170.__isset;
 }
-CrashAccusation::CrashAccusation(CrashAccusation&& other155) noexcept {
-  part = other155.part;
-  target_start = other155.target_start;
-  age_ms = other155.age_ms;
-  __isset = other155.__isset;
+CrashAccusation::CrashAccusation(CrashAccusation&& other171) noexcept {
+  part = other171.part;
+  target_start = other171.target_start;
+  age_ms = other171.age_ms;
+  __isset = other171.__isset;
 }
-CrashAccusation& CrashAccusation::operator=(const CrashAccusation& other156) noexcept {
-  part = other156.part;
-  target_start = other156.target_start;
-  age_ms = other156.age_ms;
-  __isset = other156.__isset;
+CrashAccusation& CrashAccusation::operator=(const CrashAccusation& other172) noexcept {
+  part = other172.part;
+  target_start = other172.target_start;
+  age_ms = other172.age_ms;
+  __isset = other172.__isset;
   return *this;
 }
-CrashAccusation& CrashAccusation::operator=(CrashAccusation&& other157) noexcept {
-  part = other157.part;
-  target_start = other157.target_start;
-  age_ms = other157.age_ms;
-  __isset = other157.__isset;
+CrashAccusation& CrashAccusation::operator=(CrashAccusation&& other173) noexcept {
+  part = other173.part;
+  target_start = other173.target_start;
+  age_ms = other173.age_ms;
+  __isset = other173.__isset;
   return *this;
 }
 void CrashAccusation::printTo(std::ostream& out) const {
@@ -5200,30 +5563,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PartSurvival::PartSurvival(const PartSurvival& other158) noexcept {
-  part = other158.part;
-  age_ms = other158.age_ms;
-  relayed = other158.relayed;
-  __isset = other158.__isset;
+PartSurvival::PartSurvival(const PartSurvival& other174) noexcept {
+  part = other174.part;
+  age_ms = other174.age_ms;
+  relayed = other174.relayed;
+  __isset = other174.__isset;
 }
-PartSurvival::PartSurvival(PartSurvival&& other159) noexcept {
-  part = other159.part;
-  age_ms = other159.age_ms;
-  relayed = other159.relayed;
-  __isset = other159.__isset;
+PartSurvival::PartSurvival(PartSurvival&& other175) noexcept {
+  part = other175.part;
+  age_ms = other175.age_ms;
+  relayed = other175.relayed;
+  __isset = other175.__isset;
 }
-PartSurvival& PartSurvival::operator=(const PartSurvival& other160) noexcept {
-  part = other160.part;
-  age_ms = other160.age_ms;
-  relayed = other160.relayed;
-  __isset = other160.__isset;
+PartSurvival& PartSurvival::operator=(const PartSurvival& other176) noexcept {
+  part = other176.part;
+  age_ms = other176.age_ms;
+  relayed = other176.relayed;
+  __isset = other176.__isset;
   return *this;
 }
-PartSurvival& PartSurvival::operator=(PartSurvival&& other161) noexcept {
-  part = other161.part;
-  age_ms = other161.age_ms;
-  relayed = other161.relayed;
-  __isset = other161.__isset;
+PartSurvival& PartSurvival::operator=(PartSurvival&& other177) noexcept {
+  part = other177.part;
+  age_ms = other177.age_ms;
+  relayed = other177.relayed;
+  __isset = other177.__isset;
   return *this;
 }
 void PartSurvival::printTo(std::ostream& out) const {
@@ -5362,34 +5725,34 @@
   swap(a.__isset, b.__isset);
 }
 
-PartQuarantine::PartQuarantine(const PartQuarantine& other162) noexcept {
-  part = other162.part;
-  round = other162.round;
-  lifted = other162.lifted;
-  left_ms = other162.left_ms;
-  __isset = other162.__isset;
-}
-PartQuarantine::PartQuarantine(PartQuarantine&& other163) noexcept {
-  part = other163.part;
-  round = other163.round;
-  lifted = other163.lifted;
-  left_ms = other163.left_ms;
-  __isset = other163.__isset;
-}
-PartQuarantine& PartQuarantine::operator=(const PartQuarantine& other164) noexcept {
-  part = other164.part;
-  round = other164.round;
-  lifted = other164.lifted;
-  left_ms = other164.left_ms;
-  __isset = other164.__isset;
+PartQuarantine::PartQuarantine(const PartQuarantine& other178) noexcept {
+  part = other178.part;
+  round = other178.round;
+  lifted = other178.lifted;
+  left_ms = other178.left_ms;
+  __isset = other178.__isset;
+}
+PartQuarantine::PartQuarantine(PartQuarantine&& other179) noexcept {
+  part = other179.part;
+  round = other179.round;
+  lifted = other179.lifted;
+  left_ms = other179.left_ms;
+  __isset = other179.__isset;
+}
+PartQuarantine& PartQuarantine::operator=(const PartQuarantine& other180) noexcept {
+  part = other180.part;
+  round = other180.round;
+  lifted = other180.lifted;
+  left_ms = other180.left_ms;
+  __isset = other180.__isset;
   return *this;
 }
-PartQuarantine& PartQuarantine::operator=(PartQuarantine&& other165) noexcept {
-  part = other165.part;
-  round = other165.round;
-  lifted = other165.lifted;
-  left_ms = other165.left_ms;
-  __isset = other165.__isset;
+PartQuarantine& PartQuarantine::operator=(PartQuarantine&& other181) noexcept {
+  part = other181.part;
+  round = other181.round;
+  lifted = other181.lifted;
+  left_ms = other181.left_ms;
+  __isset = other181.__isset;
   return *this;
 }
 void PartQuarantine::printTo(std::ostream& out) const {
@@ -5450,14 +5813,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accusations.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->accusations.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _etype185;
+            xfer += iprot->readListBegin(_etype185, _size182);
+            this->accusations.resize(_size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
             {
-              xfer += this->accusations[_i170].read(iprot);
+              xfer += this->accusations[_i186].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5470,14 +5833,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->survivals.clear();
-            uint32_t _size171;
-            ::apache::thrift::protocol::TType _etype174;
-            xfer += iprot->readListBegin(_etype174, _size171);
-            this->survivals.resize(_size171);
-            uint32_t _i175;
-            for (_i175 = 0; _i175 < _size171; ++_i175)
+            uint32_t _size187;
+            ::apache::thrift::protocol::TType _etype190;
+            xfer += iprot->readListBegin(_etype190, _size187);
+            this->survivals.resize(_size187);
+            uint32_t _i191;
+            for (_i191 = 0; _i191 < _size187; ++_i191)
             {
-              xfer += this->survivals[_i175].read(iprot);
+              xfer += this->survivals[_i191].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5490,14 +5853,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->quarantines.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->quarantines.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
             {
-              xfer += this->quarantines[_i180].read(iprot);
+              xfer += this->quarantines[_i196].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5526,10 +5889,10 @@
   xfer += oprot->writeFieldBegin("accusations", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accusations.size()));
-    std::vector<CrashAccusation> ::const_iterator _iter181;
-    for (_iter181 = this->accusations.begin(); _iter181 != this->accusations.end(); ++_iter181)
+    std::vector<CrashAccusation> ::const_iterator _iter197;
+    for (_iter197 = this->accusations.begin(); _iter197 != this->accusations.end(); ++_iter197)
     {
-      xfer += (*_iter181).write(oprot);
+      xfer += (*_iter197).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5538,10 +5901,10 @@
   xfer += oprot->writeFieldBegin("survivals", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->survivals.size()));
-    std::vector<PartSurvival> ::const_iterator _iter182;
-    for (_iter182 = this->survivals.begin(); _iter182 != this->survivals.end(); ++_iter182)
+    std::vector<PartSurvival> ::const_iterator _iter198;
+    for (_iter198 = this->survivals.begin(); _iter198 != this->survivals.end(); ++_iter198)
     {
-      xfer += (*_iter182).write(oprot);
+      xfer += (*_iter198).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5550,10 +5913,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<PartQuarantine> ::const_iterator _iter183;
-    for (_iter183 = this->quarantines.begin(); _iter183 != this->quarantines.end(); ++_iter183)
+    std::vector<PartQuarantine> ::const_iterator _iter199;
+    for (_iter199 = this->quarantines.begin(); _iter199 != this->quarantines.end(); ++_iter199)
     {
-      xfer += (*_iter183).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5572,30 +5935,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNews::CrashNews(const CrashNews& other184) {
-  accusations = other184.accusations;
-  survivals = other184.survivals;
-  quarantines = other184.quarantines;
-  __isset = other184.__isset;
+CrashNews::CrashNews(const CrashNews& other200) {
+  accusations = other200.accusations;
+  survivals = other200.survivals;
+  quarantines = other200.quarantines;
+  __isset = other200.__isset;
 }
-CrashNews::CrashNews(CrashNews&& other185) noexcept {
-  accusations = std::move(other185.accusations);
-  survivals = std::move(other185.survivals);
-  quarantines = std::move(other185.quarantines);
-  __isset = other185.__isset;
+CrashNews::CrashNews(CrashNews&& other201) noexcept {
+  accusations = std::move(other201.accusations);
+  survivals = std::move(other201.survivals);
+  quarantines = std::move(other201.quarantines);
+  __isset = other201.__isset;
 }
-CrashNews& CrashNews::operator=(const CrashNews& other186) {
-  accusations = other186.accusations;
-  survivals = other186.survivals;
-  quarantines = other186.quarantines;
-  __isset = other186.__isset;
+CrashNews& CrashNews::operator=(const CrashNews& other202) {
+  accusations = other202.accusations;
+  survivals = other202.survivals;
+  quarantines = other202.quarantines;
+  __isset = other202.__isset;
   return *this;
 }
-CrashNews& CrashNews::operator=(CrashNews&& other187) noexcept {
-  accusations = std::move(other187.accusations);
-  survivals = std::move(other187.survivals);
-  quarantines = std::move(other187.quarantines);
-  __isset = other187.__isset;
+CrashNews& CrashNews::operator=(CrashNews&& other203) noexcept {
+  accusations = std::move(other203.accusations);
+  survivals = std::move(other203.survivals);
+  quarantines = std::move(other203.quarantines);
+  __isset = other203.__isset;
   return *this;
 }
 void CrashNews::printTo(std::ostream& out) const {
@@ -5705,6 +6068,27 @@
   this->crash_news = val;
 __isset.crash_news = true;
 }
+
+void Beat::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void Beat::__set_config_version(const int64_t val) {
+  this->config_version = val;
+}
+
+void Beat::__set_current_ms_ago(const int32_t val) {
+  this->current_ms_ago = val;
+__isset.current_ms_ago = true;
+}
+
+void Beat::__set_leaving_targets(const std::vector<int64_t> & val) {
+  this->leaving_targets = val;
+}
+
+void Beat::__set_target_leaving(const bool val) {
+  this->target_leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -5801,14 +6185,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->loads.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->loads.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += this->loads[_i192].read(iprot);
+              xfer += this->loads[_i208].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5821,14 +6205,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size193;
-            ::apache::thrift::protocol::TType _etype196;
-            xfer += iprot->readListBegin(_etype196, _size193);
-            this->known.resize(_size193);
-            uint32_t _i197;
-            for (_i197 = 0; _i197 < _size193; ++_i197)
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->known.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
             {
-              xfer += iprot->readString(this->known[_i197]);
+              xfer += iprot->readString(this->known[_i213]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5929,14 +6313,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->summaries.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->summaries.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size214;
+            ::apache::thrift::protocol::TType _etype217;
+            xfer += iprot->readListBegin(_etype217, _size214);
+            this->summaries.resize(_size214);
+            uint32_t _i218;
+            for (_i218 = 0; _i218 < _size214; ++_i218)
             {
-              xfer += this->summaries[_i202].read(iprot);
+              xfer += this->summaries[_i218].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5953,6 +6337,58 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_version);
+          this->__isset.config_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 40:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->current_ms_ago);
+          this->__isset.current_ms_ago = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving_targets.clear();
+            uint32_t _size219;
+            ::apache::thrift::protocol::TType _etype222;
+            xfer += iprot->readListBegin(_etype222, _size219);
+            this->leaving_targets.resize(_size219);
+            uint32_t _i223;
+            for (_i223 = 0; _i223 < _size219; ++_i223)
+            {
+              xfer += iprot->readI64(this->leaving_targets[_i223]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving_targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->target_leaving);
+          this->__isset.target_leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6005,10 +6441,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<TargetLoad> ::const_iterator _iter203;
-    for (_iter203 = this->loads.begin(); _iter203 != this->loads.end(); ++_iter203)
+    std::vector<TargetLoad> ::const_iterator _iter224;
+    for (_iter224 = this->loads.begin(); _iter224 != this->loads.end(); ++_iter224)
     {
-      xfer += (*_iter203).write(oprot);
+      xfer += (*_iter224).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6017,10 +6453,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter204;
-    for (_iter204 = this->known.begin(); _iter204 != this->known.end(); ++_iter204)
+    std::vector<std::string> ::const_iterator _iter225;
+    for (_iter225 = this->known.begin(); _iter225 != this->known.end(); ++_iter225)
     {
-      xfer += oprot->writeString((*_iter204));
+      xfer += oprot->writeString((*_iter225));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6074,10 +6510,10 @@
   xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
-    std::vector<RegionSummary> ::const_iterator _iter205;
-    for (_iter205 = this->summaries.begin(); _iter205 != this->summaries.end(); ++_iter205)
+    std::vector<RegionSummary> ::const_iterator _iter226;
+    for (_iter226 = this->summaries.begin(); _iter226 != this->summaries.end(); ++_iter226)
     {
-      xfer += (*_iter205).write(oprot);
+      xfer += (*_iter226).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6088,6 +6524,35 @@
     xfer += this->crash_news.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 24);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 25);
+  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 30);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_targets.size()));
+    std::vector<int64_t> ::const_iterator _iter227;
+    for (_iter227 = this->leaving_targets.begin(); _iter227 != this->leaving_targets.end(); ++_iter227)
+    {
+      xfer += oprot->writeI64((*_iter227));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target_leaving", ::apache::thrift::protocol::T_BOOL, 31);
+  xfer += oprot->writeBool(this->target_leaving);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.current_ms_ago) {
+    xfer += oprot->writeFieldBegin("current_ms_ago", ::apache::thrift::protocol::T_I32, 40);
+    xfer += oprot->writeI32(this->current_ms_ago);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6118,113 +6583,138 @@
   swap(a.digests_version, b.digests_version);
   swap(a.summaries, b.summaries);
   swap(a.crash_news, b.crash_news);
+  swap(a.era, b.era);
+  swap(a.config_version, b.config_version);
+  swap(a.current_ms_ago, b.current_ms_ago);
+  swap(a.leaving_targets, b.leaving_targets);
+  swap(a.target_leaving, b.target_leaving);
   swap(a.__isset, b.__isset);
 }
 
-Beat::Beat(const Beat& other206) {
-  instance = other206.instance;
-  role = other206.role;
-  ip = other206.ip;
-  zone = other206.zone;
-  region = other206.region;
-  caller_address = other206.caller_address;
-  state = other206.state;
-  revision = other206.revision;
-  loads = other206.loads;
-  known = other206.known;
-  target_address = other206.target_address;
-  model = other206.model;
-  staged_version = other206.staged_version;
-  held_chunks = other206.held_chunks;
-  serving_version = other206.serving_version;
-  loading = other206.loading;
-  fetching = other206.fetching;
-  loads_in_ms = other206.loads_in_ms;
-  operator_revision = other206.operator_revision;
-  store_answers = other206.store_answers;
-  digests_version = other206.digests_version;
-  summaries = other206.summaries;
-  crash_news = other206.crash_news;
-  __isset = other206.__isset;
-}
-Beat::Beat(Beat&& other207) noexcept {
-  instance = other207.instance;
-  role = other207.role;
-  ip = std::move(other207.ip);
-  zone = std::move(other207.zone);
-  region = std::move(other207.region);
-  caller_address = std::move(other207.caller_address);
-  state = other207.state;
-  revision = other207.revision;
-  loads = std::move(other207.loads);
-  known = std::move(other207.known);
-  target_address = std::move(other207.target_address);
-  model = std::move(other207.model);
-  staged_version = other207.staged_version;
-  held_chunks = std::move(other207.held_chunks);
-  serving_version = other207.serving_version;
-  loading = other207.loading;
-  fetching = std::move(other207.fetching);
-  loads_in_ms = other207.loads_in_ms;
-  operator_revision = other207.operator_revision;
-  store_answers = other207.store_answers;
-  digests_version = other207.digests_version;
-  summaries = std::move(other207.summaries);
-  crash_news = std::move(other207.crash_news);
-  __isset = other207.__isset;
-}
-Beat& Beat::operator=(const Beat& other208) {
-  instance = other208.instance;
-  role = other208.role;
-  ip = other208.ip;
-  zone = other208.zone;
-  region = other208.region;
-  caller_address = other208.caller_address;
-  state = other208.state;
-  revision = other208.revision;
-  loads = other208.loads;
-  known = other208.known;
-  target_address = other208.target_address;
-  model = other208.model;
-  staged_version = other208.staged_version;
-  held_chunks = other208.held_chunks;
-  serving_version = other208.serving_version;
-  loading = other208.loading;
-  fetching = other208.fetching;
-  loads_in_ms = other208.loads_in_ms;
-  operator_revision = other208.operator_revision;
-  store_answers = other208.store_answers;
-  digests_version = other208.digests_version;
-  summaries = other208.summaries;
-  crash_news = other208.crash_news;
-  __isset = other208.__isset;
+Beat::Beat(const Beat& other228) {
+  instance = other228.instance;
+  role = other228.role;
+  ip = other228.ip;
+  zone = other228.zone;
+  region = other228.region;
+  caller_address = other228.caller_address;
+  state = other228.state;
+  revision = other228.revision;
+  loads = other228.loads;
+  known = other228.known;
+  target_address = other228.target_address;
+  model = other228.model;
+  staged_version = other228.staged_version;
+  held_chunks = other228.held_chunks;
+  serving_version = other228.serving_version;
+  loading = other228.loading;
+  fetching = other228.fetching;
+  loads_in_ms = other228.loads_in_ms;
+  operator_revision = other228.operator_revision;
+  store_answers = other228.store_answers;
+  digests_version = other228.digests_version;
+  summaries = other228.summaries;
+  crash_news = other228.crash_news;
+  era = other228.era;
+  config_version = other228.config_version;
+  current_ms_ago = other228.current_ms_ago;
+  leaving_targets = other228.leaving_targets;
+  target_leaving = other228.target_leaving;
+  __isset = other228.__isset;
+}
+Beat::Beat(Beat&& other229) noexcept {
+  instance = other229.instance;
+  role = other229.role;
+  ip = std::move(other229.ip);
+  zone = std::move(other229.zone);
+  region = std::move(other229.region);
+  caller_address = std::move(other229.caller_address);
+  state = other229.state;
+  revision = other229.revision;
+  loads = std::move(other229.loads);
+  known = std::move(other229.known);
+  target_address = std::move(other229.target_address);
+  model = std::move(other229.model);
+  staged_version = other229.staged_version;
+  held_chunks = std::move(other229.held_chunks);
+  serving_version = other229.serving_version;
+  loading = other229.loading;
+  fetching = std::move(other229.fetching);
+  loads_in_ms = other229.loads_in_ms;
+  operator_revision = other229.operator_revision;
+  store_answers = other229.store_answers;
+  digests_version = other229.digests_version;
+  summaries = std::move(other229.summaries);
+  crash_news = std::move(other229.crash_news);
+  era = other229.era;
+  config_version = other229.config_version;
+  current_ms_ago = other229.current_ms_ago;
+  leaving_targets = std::move(other229.leaving_targets);
+  target_leaving = other229.target_leaving;
+  __isset = other229.__isset;
+}
+Beat& Beat::operator=(const Beat& other230) {
+  instance = other230.instance;
+  role = other230.role;
+  ip = other230.ip;
+  zone = other230.zone;
+  region = other230.region;
+  caller_address = other230.caller_address;
+  state = other230.state;
+  revision = other230.revision;
+  loads = other230.loads;
+  known = other230.known;
+  target_address = other230.target_address;
+  model = other230.model;
+  staged_version = other230.staged_version;
+  held_chunks = other230.held_chunks;
+  serving_version = other230.serving_version;
+  loading = other230.loading;
+  fetching = other230.fetching;
+  loads_in_ms = other230.loads_in_ms;
+  operator_revision = other230.operator_revision;
+  store_answers = other230.store_answers;
+  digests_version = other230.digests_version;
+  summaries = other230.summaries;
+  crash_news = other230.crash_news;
+  era = other230.era;
+  config_version = other230.config_version;
+  current_ms_ago = other230.current_ms_ago;
+  leaving_targets = other230.leaving_targets;
+  target_leaving = other230.target_leaving;
+  __isset = other230.__isset;
   return *this;
 }
-Beat& Beat::operator=(Beat&& other209) noexcept {
-  instance = other209.instance;
-  role = other209.role;
-  ip = std::move(other209.ip);
-  zone = std::move(other209.zone);
-  region = std::move(other209.region);
-  caller_address = std::move(other209.caller_address);
-  state = other209.state;
-  revision = other209.revision;
-  loads = std::move(other209.loads);
-  known = std::move(other209.known);
-  target_address = std::move(other209.target_address);
-  model = std::move(other209.model);
-  staged_version = other209.staged_version;
-  held_chunks = std::move(other209.held_chunks);
-  serving_version = other209.serving_version;
-  loading = other209.loading;
-  fetching = std::move(other209.fetching);
-  loads_in_ms = other209.loads_in_ms;
-  operator_revision = other209.operator_revision;
-  store_answers = other209.store_answers;
-  digests_version = other209.digests_version;
-  summaries = std::move(other209.summaries);
-  crash_news = std::move(other209.crash_news);
-  __isset = other209.__isset;
+Beat& Beat::operator=(Beat&& other231) noexcept {
+  instance = other231.instance;
+  role = other231.role;
+  ip = std::move(other231.ip);
+  zone = std::move(other231.zone);
+  region = std::move(other231.region);
+  caller_address = std::move(other231.caller_address);
+  state = other231.state;
+  revision = other231.revision;
+  loads = std::move(other231.loads);
+  known = std::move(other231.known);
+  target_address = std::move(other231.target_address);
+  model = std::move(other231.model);
+  staged_version = other231.staged_version;
+  held_chunks = std::move(other231.held_chunks);
+  serving_version = other231.serving_version;
+  loading = other231.loading;
+  fetching = std::move(other231.fetching);
+  loads_in_ms = other231.loads_in_ms;
+  operator_revision = other231.operator_revision;
+  store_answers = other231.store_answers;
+  digests_version = other231.digests_version;
+  summaries = std::move(other231.summaries);
+  crash_news = std::move(other231.crash_news);
+  era = other231.era;
+  config_version = other231.config_version;
+  current_ms_ago = other231.current_ms_ago;
+  leaving_targets = std::move(other231.leaving_targets);
+  target_leaving = other231.target_leaving;
+  __isset = other231.__isset;
   return *this;
 }
 void Beat::printTo(std::ostream& out) const {
@@ -6253,6 +6743,11 @@
   out << ", " << "digests_version=" << to_string(digests_version);
   out << ", " << "summaries=" << to_string(summaries);
   out << ", " << "crash_news="; (__isset.crash_news ? (out << to_string(crash_news)) : (out << "<null>"));
+  out << ", " << "era=" << to_string(era);
+  out << ", " << "config_version=" << to_string(config_version);
+  out << ", " << "current_ms_ago="; (__isset.current_ms_ago ? (out << to_string(current_ms_ago)) : (out << "<null>"));
+  out << ", " << "leaving_targets=" << to_string(leaving_targets);
+  out << ", " << "target_leaving=" << to_string(target_leaving);
   out << ")";
 }
 
--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -121,6 +121,50 @@
   milliseconds pause_after_send{0};
 };
 
+// Guards against calls that fail one after the other on idle connections that
+// have all gone silent.
+TEST(Http1Test, ClosesIdleConnectionsWhenARequestTimesOut) {
+  std::vector<std::shared_ptr<HttpResponder>> waiting;
+  auto made = Http1Server::Make(
+      this->loop, "127.0.0.1", 0,
+      [&waiting](const HttpRequest&,
+                 const std::shared_ptr<HttpResponder>& responder) {
+        waiting.push_back(responder);
+      });
+  CHECK_TRUE(made.has_value());
+  Http1Client client(this->loop, {"127.0.0.1", (*made)->port()}, {});
+  std::vector<Result<HttpResponse>> results;
+  std::vector<std::unique_ptr<HttpCall>> calls;
+  const auto fetch = [&](milliseconds timeout) {
+    calls.push_back(client.Fetch(
+        {"GET", "/", {}, ""}, timeout,
+        [&results](const Result<HttpResponse>& r) { results.push_back(r); }));
+  };
+  const auto run_until = [&](const std::function<bool()>& done) {
+    for (int i = 0; i < kMaxIterations && !done(); ++i) {
+      this->loop.RunFor(milliseconds(20));
+    }
+    CHECK_TRUE(done());
+  };
+  fetch(milliseconds(1000));
+  fetch(milliseconds(1000));
+  run_until([&] { return waiting.size() == 2; });
+  for (const auto& responder : waiting) {
+    responder->Send(200, {}, "");
+  }
+  run_until([&] { return results.size() == 2; });
+  CHECK_EQUAL(2u, client.connections_opened());
+  fetch(milliseconds(50));
+  run_until([&] { return results.size() == 3; });
+  CHECK_FALSE(results.back().has_value());
+  fetch(milliseconds(1000));
+  run_until([&] { return waiting.size() == 4; });
+  CHECK_EQUAL(3u, client.connections_opened());
+  waiting.back()->Send(200, {}, "");
+  run_until([&] { return results.size() == 4; });
+  CHECK_TRUE(results.back().has_value());
+}
+
 // Guards against treating a response without a length as complete although its
 // server crashed. libuv hides the reset when it arrives with the last bytes.
 TEST(Http1Test, TellsResetFromEndOfResponseWithoutLength) {
@@ -162,6 +206,65 @@
   CHECK_FALSE(this->Fetch(client).has_value());
 }
 
+// Guards against a success with an empty or short body from a response that was
+// cut anywhere, also after other responses on its connection.
+TEST(Http1Test, FailsAResponseThatIsCutAnywhere) {
+  const std::vector<std::string> responses = {
+      "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 10\r\n\r\n0123456789",
+      "HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "a\r\n0123456789\r\n0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\n"};
+  for (const std::string before :
+       {"", "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nok"}) {
+    for (const std::string& response : responses) {
+      const bool framed = response != responses.back();
+      const size_t cuts = response.size() + (framed ? 0 : 1);
+      const size_t step = before.empty() ? 3 : 11;
+      for (size_t cut = 0; cut<cuts; cut += cuts - cut> 6 ? step : 1) {
+        RawServer server([&](int descriptor) {
+          Send(descriptor, before + response.substr(0, cut));
+        });
+        Http1Client client(this->loop, server.address(), {});
+        Http1SendOptions options;
+        options.accepts = [](const HttpResponseHead& head) {
+          return FindHeader(head.headers, "x-id") == "mine";
+        };
+        const auto result = this->Fetch(client, options);
+        CHECK_FALSE_TEXT(result.has_value(), response.substr(0, cut).c_str());
+        CHECK_TRUE(result.error().verdict == Verdict::kMayHaveRun);
+      }
+    }
+  }
+}
+
+// Guards against a response whose framing is broken or contradicts itself.
+TEST(Http1Test, FailsAResponseWithBrokenFraming) {
+  for (const std::string framing :
+       {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "5\r\nwhole\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n"
+        "5\r\nwhole\r\n0\r\n\r\n",
+        "Content-Length: 5\r\nContent-Length: 4\r\n\r\nwhole",
+        "Content-Length: -5\r\n\r\nwhole", "Content-Length: 5x\r\n\r\nwhole",
+        "Content-Length: 99999999999999999999999\r\n\r\nwhole",
+        "Transfer-Encoding: chunked\r\n\r\nz\r\nwhole\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n"
+        "5\r\nwholeHTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n"
+        "5\r\nwhole\r\nHTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n"
+        "fffffffffffffffff\r\nwhole\r\n0\r\n\r\n"}) {
+    RawServer server([&](int descriptor) {
+      Send(descriptor, "HTTP/1.1 200 OK\r\n" + framing);
+    });
+    Http1Client client(this->loop, server.address(), {});
+    const auto result = this->Fetch(client);
+    CHECK_FALSE_TEXT(result.has_value(), framing.c_str());
+    CHECK_TRUE(result.error().verdict == Verdict::kMayHaveRun);
+  }
+}
+
 // Guards against delivering a late response of another request to this one.
 TEST(Http1Test, SkipsResponseThatBelongsToAnotherRequest) {
   RawServer server([](int descriptor) {
@@ -285,6 +388,45 @@
   CHECK_TRUE(reused[1]);
 }
 
+// Guards against a late copy of the first response that is taken for the second
+// one, since both requests have the same ID.
+TEST(Http1Test, SendsARepeatedIdOnAnotherConnection) {
+  RawServer server([](int descriptor) {
+    char request[4096];
+    do {
+      Send(descriptor, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+    } while (read(descriptor, request, sizeof(request)) > 0);
+  });
+  Http1Client client(this->loop, server.address(), {});
+  Http1SendOptions options;
+  for (const char* const id : {"a", "b"}) {
+    options.id = id;
+    CHECK_TRUE(this->Fetch(client, options).has_value());
+  }
+  CHECK_EQUAL(1u, client.connections_opened());
+  options.id = "a";
+  const auto call = client.Send({"GET", "/", {}, ""}, options, {});
+  CHECK_EQUAL(2u, client.connections_opened());
+}
+
+// Guards against an answer without an ID that is taken for a request's own
+// after an answer to another request has come on the new connection.
+TEST(Http1Test, AConnectionWithAForeignResponseIsNotNew) {
+  RawServer server([](int descriptor) {
+    Send(descriptor,
+         "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n"
+         "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+  });
+  Http1Client client(this->loop, server.address(), {});
+  Http1SendOptions options;
+  options.accepts = [](const HttpResponseHead& head) {
+    return FindHeader(head.headers, "x-id").empty() && !head.reused_connection;
+  };
+  const auto response = this->Fetch(client, options);
+  CHECK_FALSE(response.has_value());
+  CHECK_TRUE(response.error().verdict == Verdict::kMayHaveRun);
+}
+
 // Guards against a request that reaches its server after its caller has left: a
 // cancelled request that still lies in the send buffer must be dropped.
 TEST(Http1Test, CancelledRequestIsNotDeliveredLater) {
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -37,6 +38,10 @@
   // Sends the last two bytes after a pause, in which the others reach the
   // caller.
   bool pauses = false;
+  // Sent on the connection of the reply before.
+  bool same_connection = false;
+  // The connection is kept until the end of the test.
+  bool keeps_connection = false;
 };
 
 // An answer without a length that ends with its connection.
@@ -70,13 +75,29 @@
   bool failed = false;
 };
 
-// Forwards requests with the last event ID; every request has the id "a".
+// An answer on a connection that stays open; `head` holds further headers.
+std::string Kept(const std::string& head, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\n" + head +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string Refusal(const std::string& head) {
+  return "HTTP/1.1 503 Full\r\nx-not-run: 1\r\n" + head +
+         "Content-Length: 0\r\n\r\n";
+}
+
+// Forwards requests with the last event ID; a request without x-id has the ID
+// "a", one with "none" has no ID.
 class FakeCodec : public RequestCodec {
  public:
-  CallerRequestInfo ReadRequest(const HttpRequest&) const override {
+  // The shared part of all prompts.
+  std::string part = "part";
+
+  CallerRequestInfo ReadRequest(const HttpRequest& request) const override {
     CallerRequestInfo info;
-    info.id = "a";
-    info.shared_parts = {"part"};
+    const std::string id(FindHeader(request.headers, "x-id"));
+    info.id = id.empty() ? "a" : id == "none" ? "" : id;
+    info.shared_parts = {this->part};
     return info;
   }
   HttpRequest MakeTargetRequest(const HttpRequest& request,
@@ -90,7 +111,14 @@
                           const HttpHeaders& headers) const override {
     TargetAnswer answer;
     answer.status = status;
+    answer.id = FindHeader(headers, "x-id");
+    answer.leaving = !FindHeader(headers, "x-leaving").empty();
+    answer.other_target = FindHeader(headers, "x-other");
+    if (!FindHeader(headers, "x-declines").empty()) {
+      answer.declines_for = milliseconds(60000);
+    }
     answer.not_run = !FindHeader(headers, "x-not-run").empty();
+    answer.unconfirmed_refusal = status == 503 && !answer.not_run;
     return answer;
   }
   HttpHeaders MakeCallerHeaders(const HttpHeaders&) const override {
@@ -126,7 +154,8 @@
   ClusterView view{decoder, {}};
   TargetTracker book{{}};
   std::unique_ptr<PlacementPolicy> policy = MakePredictivePolicy({}, random);
-  TargetSelector selector{view, book, *policy, {}};
+  TargetNotices notices{{}};
+  TargetSelector selector{view, book, notices, *policy, random, {}};
   // Set while a request is relayed.
   RelayContext* relay_context = nullptr;
   CrashGuard crashes{
@@ -165,12 +194,16 @@
     this->view.ApplyChanges({{key, "x", ++this->revision}}, this->loop.Now());
   }
 
-  // Answers one connection after the other until the listener is shut down.
+  // Answers one request after the other until the listener is shut down.
   void ServeTargets(int listener, const std::vector<TargetReply>& replies) {
+    std::set<int> kept;
+    int target = -1;
     for (const TargetReply& reply : replies) {
-      const int target = accept(listener, nullptr, nullptr);
+      if (!reply.same_connection) {
+        target = accept(listener, nullptr, nullptr);
+      }
       if (target < 0) {
-        return;
+        break;
       }
       char request[4096];
       const ssize_t size = read(target, request, sizeof(request));
@@ -183,18 +216,42 @@
       }
       send(target, reply.bytes.data() + first, reply.bytes.size() - first,
            MSG_NOSIGNAL);
+      if (reply.keeps_connection) {
+        kept.insert(target);
+        continue;
+      }
       if (reply.reset) {
         const linger reset{1, 0};
         setsockopt(target, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
       }
+      kept.erase(target);
       close(target);
     }
+    // Until the end of the test.
+    accept(listener, nullptr, nullptr);
+    for (const int descriptor : kept) {
+      close(descriptor);
+    }
+  }
+
+  // Forgets the requests and the failures of the targets.
+  void BeginCase() {
+    this->received.clear();
+    this->book.Forget({});
+    this->codec.part += "+";
   }
 
   // Relays one request on `route` to two targets. The n-th attempt gets the
   // n-th reply.
   CallerAnswer Relay(const Route& route,
                      const std::vector<TargetReply>& replies) {
+    return this->RelayEach(route, replies, {"a"}).front();
+  }
+
+  // Relays a request for each ID, one after the other.
+  std::vector<CallerAnswer> RelayEach(const Route& route,
+                                      const std::vector<TargetReply>& replies,
+                                      const std::vector<std::string>& ids) {
     uint16_t port = 0;
     const int listener = ListenOnLoopback(port);
     std::thread targets([&] { this->ServeTargets(listener, replies); });
@@ -218,6 +275,7 @@
         this->book,
         this->selector,
         this->crashes,
+        this->notices,
         this->codec,
         this->budgets,
         relay_metrics,
@@ -230,7 +288,33 @@
           std::make_shared<RelayTask>(context, std::move(request), out)
               ->Start();
         });
-    Http1Client caller(this->loop, {"127.0.0.1", (*server)->port()}, {});
+    std::vector<CallerAnswer> answers;
+    for (const std::string& id : ids) {
+      answers.push_back(this->Ask((*server)->port(), id));
+      if (ids.size() > 1) {
+        this->WaitForRefusalBackoff();
+      }
+    }
+    shutdown(listener, SHUT_RDWR);
+    targets.join();
+    close(listener);
+    server->reset();
+    this->loop.RunFor(milliseconds(50));
+    this->relay_context = nullptr;
+    return answers;
+  }
+
+  void WaitForRefusalBackoff() {
+    const TimePoint end =
+        this->loop.Now() + TargetTrackerOptions{}.refusal_backoff;
+    while (this->loop.Now() < end) {
+      this->loop.RunFor(milliseconds(20));
+    }
+  }
+
+  // Sends a request with the ID as a caller and waits for its answer.
+  CallerAnswer Ask(uint16_t port, const std::string& id) {
+    Http1Client caller(this->loop, {"127.0.0.1", port}, {});
     CallerAnswer answer;
     HttpResponseCallbacks callbacks;
     callbacks.on_head = [&answer](const HttpResponseHead& head) {
@@ -241,18 +325,13 @@
     };
     callbacks.on_end = [&answer] { answer.complete = true; };
     callbacks.on_failure = [&answer](const Failure&) { answer.failed = true; };
-    const auto call = caller.Send({"GET", "/", {{"host", "h"}}, ""}, {},
-                                  std::move(callbacks));
+    const auto call =
+        caller.Send({"GET", "/", {{"host", "h"}, {"x-id", id}}, ""}, {},
+                    std::move(callbacks));
     for (int i = 0; i < kMaxIterations && !answer.complete && !answer.failed;
          ++i) {
       this->loop.RunFor(milliseconds(20));
     }
-    shutdown(listener, SHUT_RDWR);
-    targets.join();
-    close(listener);
-    server->reset();
-    this->loop.RunFor(milliseconds(50));
-    this->relay_context = nullptr;
     return answer;
   }
 
@@ -332,6 +411,55 @@
   CHECK_EQUAL(1u, this->received.size());
 }
 
+// Guards against an error that reaches the caller as a part of its stream, or
+// ends the stream as if it were complete.
+TEST(RelayTaskTest, OnlyAnEventStreamResumesAStream) {
+  constexpr char kError[] = "oops\n\n";
+  const std::string json =
+      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+  const std::string error = "HTTP/1.1 500 Oops\r\n";
+  const std::string length = "Content-Length: 6\r\n\r\n";
+  const std::string close = "Connection: close\r\n\r\n";
+  for (const TargetReply& reply :
+       {TargetReply{error + length + kError},
+        TargetReply{error + close + kError},
+        TargetReply{json + length + kError}, TargetReply{json + close + kError},
+        TargetReply{"HTTP/1.1 204 None\r\n" + close}, WithLength(kError),
+        Chunked(kError), Unframed(kError), Unframed(""), Unframed(": bye\n\n"),
+        Unframed(error + length + kError)}) {
+    this->BeginCase();
+    const CallerAnswer answer =
+        this->Relay(StreamRoute(), {Unframed(kBroken), reply});
+    STRNCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", answer.body.c_str(),
+                  sizeof("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") - 1);
+    CHECK_TRUE(answer.body.find("oops") == std::string::npos);
+    CHECK_TRUE(answer.failed);
+    CHECK_EQUAL(2u, this->received.size());
+  }
+}
+
+// Guards against a whole stream that is taken for broken off: no event was left
+// for the target that resumes it.
+TEST(RelayTaskTest, AnEmptyEventStreamWithAnEndResumesAStream) {
+  for (const TargetReply& reply : {WithLength(""), Chunked(": bye\n\n")}) {
+    this->BeginCase();
+    const CallerAnswer answer =
+        this->Relay(StreamRoute(), {Unframed(kBroken), reply});
+    CHECK_TRUE(answer.complete);
+    CHECK_EQUAL(2u, this->received.size());
+  }
+}
+
+// Guards against the head of another response that reaches the caller as an
+// event of an answer without a length.
+TEST(RelayTaskTest, AResponseInsideAnUnframedStreamIsNoEvent) {
+  this->CheckJoined(this->Relay(
+      StreamRoute(),
+      {Unframed("id: 1\ndata: a\n\nid: 2\ndata: b\n\nHTTP/1.1 500 Oops\r\n"
+                "Content-Length: 6\r\n\r\noops\n\n"),
+       Unframed(kResumed)}));
+}
+
 TEST(RelayTaskTest, AStreamThatEndsInsideItsFirstEventIsSentAgain) {
   const CallerAnswer answer = this->Relay(
       StreamRoute(), {Unframed("id: 1\nda"), Unframed("id: 1\ndata: x\n\n")});
@@ -378,6 +506,21 @@
   CHECK_TRUE(answer.complete);
 }
 
+// Guards against an empty success from a target that stopped within the head of
+// its answer or right after it.
+TEST(RelayTaskTest, AnAnswerThatIsCutAtItsHeadIsNoSuccess) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nContent-Type: a\r\nConnection: close\r\n\r\n";
+  Route route = PlainRoute();
+  route.kind = RouteKind::kNonIdempotent;
+  for (const size_t left_out : {0, 1, 2, 3, 4, 10, 40}) {
+    this->BeginCase();
+    const CallerAnswer answer =
+        this->Relay(route, {{head.substr(0, head.size() - left_out)}});
+    CHECK_EQUAL(502, answer.status);
+  }
+}
+
 TEST(RelayTaskTest, AnUnframedAnswerThatIsResetIsSentAgain) {
   const CallerAnswer answer =
       this->Relay(PlainRoute(), {UnframedThenReset("wh"), Unframed("whole")});
@@ -464,6 +607,122 @@
   CHECK_EQUAL(1u, this->received.size());
 }
 
+// Guards against a late copy of an earlier refusal that is taken for the answer
+// to the next request on its connection.
+TEST(RelayTaskTest, ARefusalOfAnEarlierRequestIsSkipped) {
+  for (const std::string id : {"x-id: a\r\n", ""}) {
+    Route route = PlainRoute();
+    route.kind = RouteKind::kNonIdempotent;
+    this->received.clear();
+    const auto answers = this->RelayEach(
+        route,
+        {{.bytes = Kept("x-id: a\r\n", "first"), .keeps_connection = true},
+         {.bytes = Refusal(id) + Kept("x-id: b\r\n", "second"),
+          .same_connection = true}},
+        {"a", "b"});
+    STRCMP_EQUAL("second", answers.back().body.c_str());
+    CHECK_EQUAL(2u, this->received.size());
+  }
+}
+
+// Guards against a request without an ID that takes any answer on a kept
+// connection for its own.
+TEST(RelayTaskTest, ARequestWithoutAnIdGetsAConnectionOfItsOwn) {
+  Route route = PlainRoute();
+  route.kind = RouteKind::kNonIdempotent;
+  const auto answers = this->RelayEach(
+      route,
+      {{.bytes = Kept("x-id: a\r\n", "first"), .keeps_connection = true},
+       Unframed("second")},
+      {"a", "none"});
+  CHECK_EQUAL(200, answers.back().status);
+  STRCMP_EQUAL("second", answers.back().body.c_str());
+}
+
+// Guards against "not run" to the caller of a request that its target may have
+// run: only the target's own word counts, not the status.
+TEST(RelayTaskTest, AnUnconfirmedRefusalIsNoRefusalToTheCaller) {
+  Route route = PlainRoute();
+  route.kind = RouteKind::kNonIdempotent;
+  const CallerAnswer answer = this->Relay(
+      route, {{"HTTP/1.1 503 Down\r\nContent-Length: 3\r\n\r\nran"}});
+  CHECK_EQUAL(502, answer.status);
+  CHECK_EQUAL(1u, this->received.size());
+}
+
+// Guards against the refusal of a caller's first request that is taken for the
+// answer to its second one with the same ID.
+TEST(RelayTaskTest, ARepeatedIdGetsAnotherConnection) {
+  Route route = PlainRoute();
+  route.kind = RouteKind::kNonIdempotent;
+  const auto answers = this->RelayEach(
+      route,
+      {{.bytes = Kept("x-id: a\r\n", "first"), .keeps_connection = true},
+       Unframed("second")},
+      {"a", "a"});
+  STRCMP_EQUAL("second", answers.back().body.c_str());
+}
+
+// Guards against requests to a target that has said it leaves, in whatever
+// answer and however that answer ends.
+TEST(RelayTaskTest, EveryAnswerOfATargetTellsThatItLeaves) {
+  const std::string leaving = "x-leaving: 1\r\n";
+  for (const std::string& bytes :
+       {Kept(leaving, "x"), "HTTP/1.1 500 Oops\r\n" + leaving + "\r\nx",
+        Refusal(leaving),
+        "HTTP/1.1 200 OK\r\n" + leaving + "Content-Length: 90\r\n\r\ncut"}) {
+    this->BeginCase();
+    const TargetNotices before = this->notices;
+    const auto answers = this->RelayEach(
+        PlainRoute(), {{bytes}, Unframed("first"), Unframed("second")},
+        {"a", "b"});
+    size_t left = 0;
+    for (const auto& [id, target] : this->view.targets()) {
+      left += this->notices.Leaves(HashTargetStart(target.entry)) ? 1 : 0;
+    }
+    CHECK_EQUAL_TEXT(1u, left, bytes.c_str());
+    CHECK_EQUAL_TEXT(200, answers.back().status, bytes.c_str());
+    this->notices = before;
+  }
+}
+
+// Guards against a target that gets nothing since the answer of another request
+// or another target says that it leaves.
+TEST(RelayTaskTest, OnlyItsOwnAnswerTellsThatATargetLeaves) {
+  const std::string leaving = "x-leaving: 1\r\n";
+  this->RelayEach(
+      PlainRoute(),
+      {{.bytes = Kept("x-id: a\r\n", "first"), .keeps_connection = true},
+       {.bytes = Kept("x-id: a\r\n" + leaving, "copy") +
+                 Kept("x-id: b\r\n", "second"),
+        .same_connection = true,
+        .keeps_connection = true},
+       {.bytes = Refusal(leaving + "x-id: c\r\nx-other: t3\r\n"),
+        .same_connection = true},
+       Unframed("third")},
+      {"a", "b", "c"});
+  CHECK_EQUAL(4u, this->received.size());
+  for (const auto& [id, target] : this->view.targets()) {
+    CHECK_FALSE(this->notices.Leaves(HashTargetStart(target.entry)));
+  }
+}
+
+// Guards against requests that are sent to a target although it declines them,
+// and that wait although all targets do.
+TEST(RelayTaskTest, ATargetThatDeclinesGetsNoFurtherRequest) {
+  const auto answers = this->RelayEach(PlainRoute(),
+                                       {{Refusal("x-declines: 1\r\n")},
+                                        Unframed("first"),
+                                        Unframed("second"),
+                                        {Refusal("x-declines: 1\r\n")}},
+                                       {"a", "b", "c", "d"});
+  CHECK_EQUAL(200, answers[0].status);
+  CHECK_EQUAL(200, answers[1].status);
+  CHECK_EQUAL(503, answers[2].status);
+  CHECK_EQUAL(503, answers[3].status);
+  CHECK_EQUAL(4u, this->received.size());
+}
+
 // Guards against a repeat that crashes a second target when the first crash has
 // already been seen elsewhere.
 TEST(RelayTaskTest, ABrokenRequestIsNotRepeatedWhenAnotherCrashAccusesItsPart) {
--- a/tests/process/store_sync_test.cc
+++ b/tests/process/store_sync_test.cc
@@ -51,25 +51,31 @@
   Loop loop;
   FakeStore store;
   SplitMixRandom random{1};
-  Log log{LogOptions{}, [](LogLevel, std::string_view) {},
+  std::string logged;
+  Log log{LogOptions{},
+          [this](LogLevel, std::string_view line) { this->logged += line; },
           [] { return std::chrono::system_clock::time_point(); }};
   int snapshots = 0;
+  StorePosition newest;
   int after_outages = 0;
   int regained = 0;
+  TimePoint current_at{};
   std::vector<KeyValue> changes;
   std::unique_ptr<StoreSync> sync;
 
   void setup() override {
     StoreSync::Callbacks callbacks;
-    callbacks.on_snapshot = [this](const std::vector<KeyValue>&, int64_t,
-                                   bool after_outage) {
+    callbacks.on_snapshot = [this](const std::vector<KeyValue>&,
+                                   StorePosition position, bool after_outage) {
       ++this->snapshots;
+      this->newest = position;
       this->after_outages += after_outage ? 1 : 0;
     };
     callbacks.on_changes = [this](const std::vector<KeyValue>& changed) {
       this->changes.insert(this->changes.end(), changed.begin(), changed.end());
     };
     callbacks.on_regained = [this] { ++this->regained; };
+    callbacks.on_current = [this](TimePoint time) { this->current_at = time; };
     this->sync = std::make_unique<StoreSync>(this->loop, this->store, this->log,
                                              this->random, StoreSyncOptions{},
                                              std::move(callbacks));
@@ -79,9 +85,10 @@
     this->sync.reset();
     this->loop.RunFor(milliseconds(20));
   }
-  void Answer(int64_t revision) {
+  void Answer(int64_t revision, int64_t era = 0) {
     KeyValueRange range;
     range.revision = revision;
+    range.era = era;
     this->store.read(std::move(range));
   }
   void RunUntil(const std::function<bool()>& done) {
@@ -122,6 +129,114 @@
   CHECK_EQUAL(61, this->store.from);
 }
 
+// Guards against a watch that stays silent after the outage in which it was
+// opened, although other calls of the process show that the service answers.
+TEST(StoreSyncTest, SilentWatchIsReplacedWhenTheServiceAnswersOtherCalls) {
+  this->Answer(41);
+  this->loop.RunFor(milliseconds(20));
+  const TimePoint lost_at = this->loop.Now() + milliseconds(1);
+  this->sync->OnServiceRegained(lost_at);
+  CHECK_EQUAL(2, this->store.reads);
+  this->Answer(60);
+  CHECK_EQUAL(61, this->store.from);
+}
+
+// Guards against a read of all documents by processes whose watch was answered
+// in the meantime.
+TEST(StoreSyncTest, AnsweredWatchGoesOnWhenTheServiceAnswersOtherCalls) {
+  const TimePoint lost_at = this->loop.Now();
+  this->Answer(41);
+  this->sync->OnServiceRegained(lost_at);
+  CHECK_EQUAL(1, this->store.reads);
+}
+
+// Guards against a change that is dated after the silence in which it was made.
+TEST(StoreSyncTest, SilentWatchDoesNotCountAsCurrent) {
+  this->Answer(41);
+  const TimePoint answered = this->current_at;
+  this->loop.RunFor(milliseconds(30));
+  this->store.end(
+      Failure{Verdict::kMayHaveRun, ErrorCode::kDeadlineExceeded, "no answer"});
+  CHECK_TRUE(this->current_at == answered);
+  this->RunUntil([this] { return this->store.reads == 2; });
+  this->store.read(NotRun(ErrorCode::kUnavailable, "away"));
+  CHECK_TRUE(this->current_at > answered);
+}
+
+// Guards against an outage of which the log doesn't say which call was silent.
+TEST(StoreSyncTest, LogsTheCallThatFoundTheServiceAway) {
+  this->Answer(41);
+  this->store.end(
+      Failure{Verdict::kMayHaveRun, ErrorCode::kDeadlineExceeded, "no answer"});
+  CHECK(this->logged.find(R"("call":"watch")") != std::string::npos);
+  CHECK(this->logged.find("silent_ms") != std::string::npos);
+}
+
+// Guards against a watch that waits for revisions of an older era and misses
+// the changes that reuse them.
+TEST(StoreSyncTest, NewEraIsReadAtOnceAndWatchedFromItsOwnRevision) {
+  this->Answer(60, 1);
+  CHECK_EQUAL(61, this->store.from);
+  this->sync->OnEra(1);
+  CHECK_EQUAL(1, this->store.reads);
+  this->sync->OnEra(2);
+  CHECK_EQUAL(2, this->store.reads);
+  this->Answer(44, 2);
+  CHECK_EQUAL(45, this->store.from);
+  CHECK_TRUE(this->newest == (StorePosition{2, 44}));
+}
+
+// Guards against a snapshot from an answer to a read that was sent before the
+// restore.
+TEST(StoreSyncTest, AnswerOfAnOlderEraIsNotASnapshot) {
+  this->Answer(60, 1);
+  this->sync->OnEra(2);
+  this->Answer(61, 1);
+  CHECK_EQUAL(1, this->snapshots);
+  this->RunUntil([this] { return this->store.reads == 3; });
+  this->Answer(44, 2);
+  CHECK_EQUAL(2, this->snapshots);
+  CHECK_EQUAL(45, this->store.from);
+}
+
+// Guards against a watch from a position of an older era that peers supplied.
+TEST(StoreSyncTest, PositionOfAnOlderEraIsReadBeforeItIsWatched) {
+  this->Answer(60, 1);
+  this->sync->SetWatching(false, {1, 60});
+  this->sync->OnEra(2);
+  CHECK_EQUAL(1, this->store.reads);
+  this->sync->SetWatching(true, {1, 64});
+  CHECK_EQUAL(2, this->store.reads);
+  this->Answer(44, 2);
+  this->sync->SetWatching(false, {2, 44});
+  this->sync->SetWatching(true, {2, 47});
+  CHECK_EQUAL(2, this->store.reads);
+  CHECK_EQUAL(48, this->store.from);
+}
+
+// Guards against a snapshot that joins prefixes of two eras.
+TEST(StoreSyncTest, PrefixesOfTwoErasMakeNoSnapshot) {
+  StoreSyncOptions options;
+  options.read_prefixes = {"op/", "nodes/"};
+  int joined = 0;
+  StoreSync::Callbacks callbacks;
+  callbacks.on_snapshot = [&joined](const std::vector<KeyValue>&, StorePosition,
+                                    bool) { ++joined; };
+  callbacks.on_regained = [] {};
+  callbacks.on_current = [](TimePoint) {};
+  StoreSync both(this->loop, this->store, this->log, this->random, options,
+                 std::move(callbacks));
+  both.Start();
+  this->Answer(60, 1);
+  this->Answer(44, 2);
+  CHECK_EQUAL(0, joined);
+  this->Answer(44, 2);
+  CHECK_EQUAL(0, joined);
+  this->Answer(45, 2);
+  CHECK_EQUAL(1, joined);
+  CHECK_EQUAL(45, this->store.from);
+}
+
 // Guards against taking lost history, from which a watch cannot continue, for
 // an outage.
 TEST(StoreSyncTest, LostHistoryIsReadAgainWithoutAnOutage) {
