Review requests that wait at targets when newer weights are named

Cause: found by looking for the same cause elsewhere, and in review. The time by which a waiting request must have started was computed once, when it was sent. A version named later, or learned late, never reached a request that waited at its target, so it could begin on superseded weights past the bound if its deadline is long enough. Change: gateways review waiting requests whenever documents change. The time until an attempt is given up counts from its sending, so that a review does not extend it. Result: RelayTaskTest.AWaitingRequestIsWithdrawnWhenItsWeightsAreSuperseded (the old weights answered 200 before: without the call of ReviewWaitingRequests the reply at 100 ms is passed on).

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -267,6 +267,7 @@
     known_targets[id] = true;
   }
   this->book.Forget(known_targets);
+  ReviewWaitingRequests(this->relay_context);
   this->notices.Forget(this->dependencies.loop.Now());
   if (this->Ready() && !this->was_ready) {
     this->was_ready = true;
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -119,6 +119,25 @@
   }
 }
 
+void ReviewWaitingRequests(const RelayContext& context) {
+  for (RelayTask* const task : context.active) {
+    task->OnWeightsChanged();
+  }
+}
+
+void RelayTask::OnWeightsChanged() {
+  if (this->done || !this->attempt || this->attempt->ended ||
+      this->attempt->had_event) {
+    return;
+  }
+  const auto must_begin_by = this->context.selector.MustBeginBy(
+      *this->selection.target, this->context.loop.Now());
+  if (must_begin_by && must_begin_by != this->selection.must_begin_by) {
+    this->selection.must_begin_by = must_begin_by;
+    this->StartAttemptTimer();
+  }
+}
+
 void RelayTask::OnPartQuarantined(PartHash part) {
   if (this->done || !this->attempt || this->attempt->ended ||
       this->attempt->survived ||
@@ -347,6 +366,11 @@
     timeout = AttemptTimeoutFor(this->context.options.attempt_timeouts,
                                 *this->route, this->attempt->had_event);
   }
+  if (timeout && awaiting_first_event) {
+    *timeout = std::max(
+        milliseconds(0),
+        *timeout - Since(this->attempt->sent_at, this->context.loop.Now()));
+  }
   if (awaiting_first_event && this->selection.must_begin_by) {
     const auto left = std::max(
         milliseconds(0),
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -91,6 +91,10 @@
 // may still crash on them.
 void WithdrawRequests(const RelayContext& context, PartHash part);
 
+// Applies what has become known of weights to the requests that wait at
+// targets.
+void ReviewWaitingRequests(const RelayContext& context);
+
 // One send of a request to a target.
 struct RelayAttempt {
   // The target's ID.
@@ -118,6 +122,8 @@
   // Ends the request if `part` is a part of its prompt and its target may still
   // crash on it.
   void OnPartQuarantined(PartHash part);
+  // Newer weights may have been named, or the target may have loaded some.
+  void OnWeightsChanged();
   // Logs that the process exits before this request has ended, and what the
   // request waits for.
   void LogCut() const;
--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -181,6 +181,27 @@
                     static_cast<uint64_t>(spread.count()) + 1));
 }
 
+std::optional<TimePoint> TargetSelector::MustBeginBy(
+    const TargetRegistration& target,
+    TimePoint now) const {
+  const auto& services = this->view.config()->services;
+  const auto service = services.find(target.service);
+  if (service == services.end() || !service->second.engine) {
+    return std::nullopt;
+  }
+  const KnownWeights* const weights =
+      this->view.Weights(service->second.engine->model);
+  const int64_t served = this->ServedVersion(target, service->second, now);
+  if (weights == nullptr || served == 0) {
+    return std::nullopt;
+  }
+  auto superseded_at = weights->FirstNamedAbove(served);
+  if (superseded_at) {
+    *superseded_at += this->options.version_bound - this->options.begin_margin;
+  }
+  return superseded_at;
+}
+
 Selection TargetSelector::Select(const SelectionRequest& request,
                                  TimePoint now) {
   Selection selection;
@@ -262,16 +283,7 @@
     selection.required_version =
         this->ServedVersion(chosen.entry, service->second, now);
   }
-  const KnownWeights* const weights =
-      rates != nullptr ? this->view.Weights(rates->model) : nullptr;
-  if (weights != nullptr) {
-    const auto superseded_at = weights->FirstNamedAbove(
-        this->ServedVersion(chosen.entry, service->second, now));
-    if (superseded_at) {
-      selection.must_begin_by = *superseded_at + this->options.version_bound -
-                                this->options.begin_margin;
-    }
-  }
+  selection.must_begin_by = this->MustBeginBy(chosen.entry, now);
   selection.reason = {};
   return selection;
 }
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -114,6 +114,11 @@
 
   // Chooses a target for the next attempt, or gives the reason for a refusal.
   Selection Select(const SelectionRequest& request, TimePoint now);
+  // Returns the time by which a request that waits at `target` must have
+  // started to run, since its weights are superseded; nothing when they are
+  // not, or when it is unknown which weights the target has.
+  std::optional<TimePoint> MustBeginBy(const TargetRegistration& target,
+                                       TimePoint now) const;
   // Replaces what is known from the stager of the target at `target_address`,
   // "ip:port".
   void OnStagerReport(const std::string& target_address, StagerReport report);
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -167,6 +167,9 @@
   ServiceRetryBudgets budgets{{.max_attempts = 4}, random};
   int64_t revision = 0;
 
+  // Version of model "m" that the targets serve; 0 when they are no engines.
+  int64_t served_version = 0;
+
   // The requests that the targets have received.
   std::vector<std::string> received;
 
@@ -257,13 +260,22 @@
     std::thread targets([&] { this->ServeTargets(listener, replies); });
     auto config = std::make_shared<GatewayConfig>();
     config->routes["h"] = {route};
-    config->services[ServiceName("s")].name = ServiceName("s");
+    ServiceConfig& service = config->services[ServiceName("s")];
+    service.name = ServiceName("s");
+    if (this->served_version > 0) {
+      service.engine.emplace().model = "m";
+    }
     this->Apply("config", std::shared_ptr<const GatewayConfig>(config));
     for (const char* const id : {"t1", "t2"}) {
       TargetRegistration target;
       target.id = id;
       target.service = ServiceName("s");
       target.address = {"127.0.0.1", port};
+      if (this->served_version > 0) {
+        HeldModel& model = target.models.emplace_back();
+        model.name = "m";
+        model.version = this->served_version;
+      }
       this->Apply(id, target);
     }
     Http1Client client(this->loop, {"127.0.0.1", port}, {});
@@ -607,6 +619,26 @@
   CHECK_EQUAL(1u, this->received.size());
 }
 
+// Guards against work on superseded weights that waited at its target when the
+// gateway learned of the newer version.
+TEST(RelayTaskTest, AWaitingRequestIsWithdrawnWhenItsWeightsAreSuperseded) {
+  this->served_version = 1;
+  Timer naming(this->loop, [this] {
+    const milliseconds until_due(10);
+    const TargetSelectorOptions bounds;
+    this->view.NoteCurrent(this->loop.Now() + until_due - bounds.version_bound +
+                           bounds.begin_margin);
+    this->Apply("weights", NamedWeights{"m", 2});
+    ReviewWaitingRequests(*this->relay_context);
+  });
+  naming.StartOnce(milliseconds(40));
+  TargetReply reply = Unframed("id: 1\ndata: x\n\n");
+  reply.pauses = true;
+  const CallerAnswer answer = this->Relay(StreamRoute(), {reply});
+  CHECK_EQUAL(502, answer.status);
+  CHECK_EQUAL(1u, this->received.size());
+}
+
 // Guards against a late copy of an earlier refusal that is taken for the answer
 // to the next request on its connection.
 TEST(RelayTaskTest, ARefusalOfAnEarlierRequestIsSkipped) {
