Date namings by what cannot have waited in a socket

Cause: the time up to which all changes are known was taken from answers and beats that had waited in the process's sockets during its pause, from failed calls of a process that alone could not reach the key-value service, from the first answer of a new watch, which brings old changes, and from ages that did not include their way. Since the latest time wins, one such time replaced the right ones of the peers. Change: Loop::ArrivedAfter tells a time before which nothing that is being handled arrived; it stays before a pause until the sockets are empty. Beats allow for their way, pulled ages count from the sending of the pull, failed calls date only this process's own namings and are not told, and a process without such a time tells none.

--- a/src/connection/loop.cc
+++ b/src/connection/loop.cc
@@ -8,6 +8,17 @@
 
 namespace celerypost {
 
+namespace {
+
+// An iteration that takes longer than this, waits included, may contain a pause
+// of the process: its tasks wake it more often.
+constexpr std::chrono::milliseconds kLongIteration{400};
+// Time after a pause in which sockets may still hold what arrived during it.
+// One iteration reads a limited number of datagrams.
+constexpr std::chrono::milliseconds kDrainTime{1000};
+
+}  // namespace
+
 // libuv frees a handle only after its close callback, so the handle outlives
 // the Timer that owns it.
 struct Timer::State {
@@ -74,10 +85,13 @@
   uv_prepare_init(this->handle.get(), &this->prepare);
   this->prepare.data = this;
   uv_prepare_start(&this->prepare, [](uv_prepare_t* prepare) {
-    static_cast<Loop*>(prepare->data)->RunDeferred();
+    auto* loop = static_cast<Loop*>(prepare->data);
+    loop->RunDeferred();
+    loop->NoteWait();
   });
   uv_unref(reinterpret_cast<uv_handle_t*>(&this->prepare));
   uv_timer_init(this->handle.get(), &this->run_limit_timer);
+  this->last_wait = this->previous_wait = this->before_pause = this->Now();
 }
 
 Loop::~Loop() {
@@ -148,6 +162,21 @@
   this->deferred.push_back(std::move(task));
 }
 
+TimePoint Loop::ArrivedAfter() const {
+  return this->Now() < this->paused_until ? this->before_pause
+                                          : this->previous_wait;
+}
+
+void Loop::NoteWait() {
+  const TimePoint now = this->Now();
+  if (now - this->last_wait > kLongIteration) {
+    this->before_pause = this->previous_wait;
+    this->paused_until = now + kDrainTime;
+  }
+  this->previous_wait = this->last_wait;
+  this->last_wait = now;
+}
+
 void Loop::RunDeferred() {
   while (!this->deferred.empty()) {
     const auto tasks = std::exchange(this->deferred, {});
--- a/src/connection/loop.h
+++ b/src/connection/loop.h
@@ -53,6 +53,10 @@
   // after a suspension they fire late.
   TimePoint Now() const;
 
+  // Returns a time before which nothing arrived that is being handled now. What
+  // is read from a socket may have waited there while the process was paused.
+  TimePoint ArrivedAfter() const;
+
   // Runs `task` in the next iteration of the loop.
   void Post(std::function<void()> task);
 
@@ -69,12 +73,20 @@
   struct Signals;
 
   void RunDeferred();
+  // Called before the loop waits for events.
+  void NoteWait();
 
   std::unique_ptr<uv_loop_t> handle;
   uv_prepare_t prepare;
   // Limits RunFor. Kept open, since closing a handle makes the next iteration
   // return at once.
   uv_timer_t run_limit_timer;
+  // When the loop began its last wait, and the one before. The time before a
+  // pause counts until the sockets have been emptied.
+  TimePoint last_wait{};
+  TimePoint previous_wait{};
+  TimePoint before_pause{};
+  TimePoint paused_until{};
   std::vector<std::function<void()>> deferred;
   std::unique_ptr<Signals> signals;
 };
--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -38,8 +38,11 @@
 // pulled together.
 constexpr milliseconds kMinPullInterval{100};
 // How long an encoded answer is sent again. The ages in it are too low by up to
-// this time.
+// this time, which receivers allow for.
 constexpr milliseconds kDeltaCacheTime{100};
+// Largest time between the sending of a beat and its arrival that is allowed
+// for when its ages are read.
+constexpr milliseconds kMaxTransit{100};
 // Largest age that a beat reports.
 constexpr milliseconds kMaxReportedAge{1000000};
 // Shortest time between two pulls for a newer configuration alone.
@@ -137,9 +140,6 @@
                                   "read");
             },
             [this](const std::vector<KeyValue>& changes) {
-              // A change arrives as soon as it is made, unless this process
-              // was paused.
-              this->cluster_view.NoteCurrent(this->last_tick);
               this->ReportChanges(this->cluster_view.ApplyChanges(
                                       changes, this->dependencies.loop.Now()),
                                   "watch");
@@ -148,7 +148,8 @@
               this->cluster_view.OnServiceRegained(
                   this->dependencies.loop.Now());
             },
-            [this](TimePoint time) { this->cluster_view.NoteCurrent(time); }}),
+            [this](TimePoint time) { this->cluster_view.NoteCurrent(time); },
+            [this](TimePoint time) { this->cluster_view.NoteAway(time); }}),
       registry(dependencies.loop,
                dependencies.store,
                dependencies.leases,
@@ -286,7 +287,7 @@
 void NodeCore::NoteCurrentPeer(const Peer& peer) {
   if (peer.beat.__isset.current_ms_ago && !this->HasNewerDocuments(peer)) {
     this->cluster_view.NoteCurrent(
-        this->dependencies.loop.Now() -
+        this->dependencies.loop.ArrivedAfter() - kMaxTransit -
         milliseconds(std::max(0, peer.beat.current_ms_ago)));
   }
 }
@@ -364,8 +365,9 @@
   if (const auto& current_at = this->cluster_view.current_at()) {
     const auto age = std::chrono::ceil<milliseconds>(
         this->dependencies.loop.Now() - *current_at);
-    beat.__set_current_ms_ago(static_cast<int32_t>(
-        std::clamp<int64_t>(age.count(), 0, kMaxReportedAge.count())));
+    if (age <= kMaxReportedAge) {
+      beat.__set_current_ms_ago(static_cast<int32_t>(age.count()));
+    }
   }
   return beat;
 }
@@ -513,7 +515,6 @@
   }
   this->UpdateStoreReading();
   this->CatchUp();
-  this->last_tick = now;
   if (const auto& current_at = this->cluster_view.current_at()) {
     this->documents_age.Set(
         std::chrono::duration<double>(now - *current_at).count());
@@ -664,14 +665,16 @@
         {{"peer", ip}});
     return;
   }
-  const auto delta = DecodeDelta(response->body);
+  auto delta = DecodeDelta(response->body);
   if (!delta) {
     this->dependencies.log.Warn("peer_documents_unreadable",
                                 delta.error().message, {{"peer", ip}});
     return;
   }
-  this->ReportChanges(
-      this->cluster_view.ApplyDelta(*delta, this->dependencies.loop.Now()), ip);
+  const TimePoint now = this->dependencies.loop.Now();
+  delta->AddToAges(kDeltaCacheTime +
+                   std::chrono::ceil<milliseconds>(now - this->last_pull));
+  this->ReportChanges(this->cluster_view.ApplyDelta(*delta, now), ip);
 }
 
 }  // namespace celerypost
--- a/src/process/node_core.h
+++ b/src/process/node_core.h
@@ -152,8 +152,6 @@
   NodeRegistry registry;
   Gauge& documents_age;
   Timer tick;
-  // When `tick` last fired; long ago after a pause of the process.
-  TimePoint last_tick{};
   std::unique_ptr<Http1Server> internal_server;
   std::unique_ptr<Http1Server> metrics_server;
   std::function<void()> on_view_changed;
--- a/src/process/state/cluster_view.cc
+++ b/src/process/state/cluster_view.cc
@@ -30,6 +30,15 @@
   return std::nullopt;
 }
 
+void DocumentDelta::AddToAges(std::chrono::milliseconds transit) {
+  for (ReportedNaming& naming : this->namings) {
+    naming.named_ago += transit;
+  }
+  if (this->current_ago) {
+    *this->current_ago += transit;
+  }
+}
+
 ClusterView::ClusterView(const DocumentDecoder& decoder,
                          ClusterViewOptions options)
     : decoder(decoder), options(options) {}
@@ -425,14 +434,24 @@
       std::max(this->known_current_at.value_or(time), time);
 }
 
+void ClusterView::NoteAway(TimePoint time) {
+  this->known_away_at = std::max(this->known_away_at.value_or(time), time);
+}
+
 WeightNaming ClusterView::MakeNaming(int64_t version,
                                      bool observed,
                                      TimePoint now) const {
   if (!observed) {
     return {version, now - this->options.assumed_naming_age, /*assumed=*/true};
   }
-  return {version, std::min(this->known_current_at.value_or(now), now),
-          /*assumed=*/false};
+  if (!this->known_current_at) {
+    return {version, now, /*assumed=*/true};
+  }
+  const TimePoint current_at = std::min(*this->known_current_at, now);
+  if (this->known_away_at > current_at) {
+    return {version, *this->known_away_at, /*assumed=*/true};
+  }
+  return {version, current_at, /*assumed=*/false};
 }
 
 void ClusterView::ApplyNaming(const ReportedNaming& reported, TimePoint now) {
--- a/src/process/state/cluster_view.h
+++ b/src/process/state/cluster_view.h
@@ -59,7 +59,8 @@
   // A time at which the version was not named yet, as late as is known: the
   // bound counts from the naming, which a process may learn of late.
   TimePoint named_at{};
-  // `named_at` is assumed (ClusterViewOptions::assumed_naming_age).
+  // Whether the version may have been named before `named_at`, which is then
+  // not told to peers.
   bool assumed = false;
 };
 
@@ -103,6 +104,9 @@
   std::vector<ReportedNaming> namings;
   // Time since the sender knew of all changes (ClusterView::current_at).
   std::optional<std::chrono::milliseconds> current_ago;
+
+  // Adds the longest time that the delta may have been on its way.
+  void AddToAges(std::chrono::milliseconds transit);
 };
 
 // A request for documents to another process.
@@ -154,6 +158,10 @@
   // All changes that were made before `time` are known, apart from those that
   // are applied next.
   void NoteCurrent(TimePoint time);
+  // The key-value service did not answer a call that was sent at `time`.
+  // Operators of a service that is away for all make no changes, but it may be
+  // away for this process alone, so the time is not told to peers.
+  void NoteAway(TimePoint time);
   // The latest time given to NoteCurrent.
   const std::optional<TimePoint>& current_at() const {
     return this->known_current_at;
@@ -281,6 +289,7 @@
   bool settled = true;
   std::optional<TimePoint> regained_at;
   std::optional<TimePoint> known_current_at;
+  std::optional<TimePoint> known_away_at;
 };
 
 }  // namespace celerypost
--- a/src/process/store_sync.cc
+++ b/src/process/store_sync.cc
@@ -135,6 +135,7 @@
 }
 
 void StoreSync::BeginWatch() {
+  this->watch_answered = false;
   this->call_began = this->loop.Now();
   KeyRange keys;
   keys.first = this->options.watch_prefix;
@@ -146,10 +147,17 @@
           this->next_revision =
               std::max(this->next_revision, change.mod_revision + 1);
         }
+        // Only a call that waits brings changes as soon as they are made.
+        const bool waited = std::exchange(this->watch_answered, true);
+        if (waited) {
+          this->callbacks.on_current(this->loop.ArrivedAfter());
+        }
         if (!changes.empty()) {
           this->callbacks.on_changes(changes);
         }
-        this->callbacks.on_current(this->loop.Now());
+        if (!waited) {
+          this->callbacks.on_current(this->call_began);
+        }
       },
       [this](const Failure& failure) { this->OnFailure(failure); });
 }
@@ -188,9 +196,9 @@
   // an outage.
   this->is_failing = failure.code != ErrorCode::kConflict;
   if (this->is_failing && !watched) {
-    // Reads use connections that were not silent before, so the service was
-    // away. A watch may have lost its connection alone.
-    this->callbacks.on_current(this->call_began);
+    // Reads use connections that were not silent before. A watch may have lost
+    // its connection alone.
+    this->callbacks.on_away(this->call_began);
   }
   if (this->is_connected && this->is_failing) {
     this->is_connected = false;
--- a/src/process/store_sync.h
+++ b/src/process/store_sync.h
@@ -42,9 +42,10 @@
     std::function<void(const std::vector<KeyValue>&)> on_changes;
     // The service answers again after an outage.
     std::function<void()> on_regained;
-    // All changes before `time` have been reported, or the service could not be
-    // reached then.
+    // All changes before `time` have been reported.
     std::function<void(TimePoint time)> on_current;
+    // The service did not answer a call that was sent at `time`.
+    std::function<void(TimePoint time)> on_away;
   };
 
   StoreSync(Loop& loop,
@@ -92,6 +93,8 @@
   Callbacks callbacks;
   Timer retry;
   std::unique_ptr<KeyValueWatch> watch;
+  // Whether the current watch has been answered, with or without changes.
+  bool watch_answered = false;
   bool watching = false;
   bool is_failing = false;
   bool read_pending = false;
--- a/tests/connection/loop_test.cc
+++ b/tests/connection/loop_test.cc
@@ -1,6 +1,7 @@
 #include "src/connection/loop.h"
 
 #include <csignal>
+#include <thread>
 
 #include "CppUTest/TestHarness.h"
 
@@ -27,5 +28,27 @@
   CHECK_TRUE(sent);
 }
 
+// Guards against taking what waited in a socket during a pause of the process
+// for news.
+TEST(LoopTest, WhatArrivedInAPauseIsNotDatedAfterIt) {
+  const TimePoint before = this->loop.Now();
+  bool resumed = false;
+  Timer pause(this->loop, [] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  });
+  Timer next(this->loop, [&] {
+    resumed = true;
+    CHECK_TRUE(this->loop.Now() - before >= std::chrono::milliseconds(600));
+    CHECK_TRUE(this->loop.ArrivedAfter() - before <
+               std::chrono::milliseconds(300));
+  });
+  pause.StartOnce(std::chrono::milliseconds(30));
+  next.StartOnce(std::chrono::milliseconds(100));
+  for (int i = 0; i < 100 && !resumed; ++i) {
+    this->loop.RunFor(std::chrono::milliseconds(20));
+  }
+  CHECK_TRUE(resumed);
+}
+
 }  // namespace
 }  // namespace celerypost
--- a/tests/process/state/cluster_view_test.cc
+++ b/tests/process/state/cluster_view_test.cc
@@ -138,11 +138,53 @@
   CHECK_TRUE(this->view.Weights("m")->FirstNamedAbove(1) == current_at);
 }
 
+// Guards against ages that shrink with each process that passes them on.
+TEST(ClusterViewTest, NamingPassedOnSlowlyIsNotYounger) {
+  ClusterView late{this->decoder, {}};
+  this->Change("o/config", "config 1", 1);
+  this->view.NoteCurrent(this->now);
+  late.ApplyDelta(this->view.MakeDelta({}, this->now), this->now);
+  const TimePoint named_at = this->now;
+  this->Change("o/w", "weights 2", 2);
+  for (int i = 0; i < 20; ++i) {
+    for (auto [from, to] :
+         {std::pair(&this->view, &late), std::pair(&late, &this->view)}) {
+      DocumentDelta delta = from->MakeDelta({{0, 1}, false}, this->now);
+      this->now += milliseconds(60);
+      delta.AddToAges(milliseconds(60));
+      to->ApplyDelta(delta, this->now);
+    }
+  }
+  CHECK_TRUE(*late.Weights("m")->FirstNamedAbove(1) <= named_at);
+  CHECK_TRUE(*this->view.Weights("m")->FirstNamedAbove(1) <= named_at);
+}
+
+// Guards against a process that alone could not reach the service and replaces
+// the time that its peers have seen.
+TEST(ClusterViewTest, NamingLearnedAfterAnOutageGivesWayToAnObservedOne) {
+  ClusterView cut_off{this->decoder, {}};
+  this->Change("o/config", "config 1", 1);
+  this->view.NoteCurrent(this->now);
+  cut_off.ApplyDelta(this->view.MakeDelta({}, this->now), this->now);
+  const TimePoint named_at = this->now;
+  this->Change("o/w", "weights 2", 2);
+  this->now += milliseconds(3000);
+  cut_off.NoteAway(this->now);
+  cut_off.ApplySnapshot({{"o/config", "config 1", 1}, {"o/w", "weights 2", 2}},
+                        {0, 2}, false, this->now);
+  CHECK_TRUE(cut_off.Weights("m")->FirstNamedAbove(1) == this->now);
+  CHECK_EQUAL(0u, cut_off.MakeDelta({}, this->now).namings.size());
+  cut_off.ApplyDelta(this->view.MakeDelta({{0, 2}, false}, this->now),
+                     this->now);
+  CHECK_TRUE(cut_off.Weights("m")->FirstNamedAbove(1) == named_at);
+}
+
 // Guards against an assumed time that replaces the one that a peer has seen, or
 // that spreads to peers.
 TEST(ClusterViewTest, AssumedTimeOfANamingGivesWayToAnObservedOne) {
   ClusterView restarted{this->decoder, {}};
   this->Change("o/config", "config 1", 1);
+  this->view.NoteCurrent(this->now);
   this->Change("o/w", "weights 2", 2);
   const TimePoint named_at = this->now;
   this->now += milliseconds(700);
