--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -123,12 +123,12 @@
     std::optional<int64_t> version_floor,
     TimePoint now) {
   const TargetRegistration& entry = target.entry;
+  const TargetStartHash start = HashTargetStart(entry);
   if (entry.draining || (target.usable_until && now >= *target.usable_until)) {
     return kLeaving;
   }
   const StagerReport* const report = this->FreshReport(entry, now);
-  if (this->notices.Leaves(HashTargetStart(entry)) ||
-      (report != nullptr && report->leaving)) {
+  if (this->notices.Leaves(start) || (report != nullptr && report->leaving)) {
     return kSaidItLeaves;
   }
   if (this->view.ZoneIsOut(entry.zone)) {
@@ -137,7 +137,7 @@
   if (!this->RegionAllowed(this->RegionOf(entry.zone), request)) {
     return kRegionNotAllowed;
   }
-  if (this->notices.DeclinesUntil(HashTargetStart(entry), now)) {
+  if (this->notices.DeclinesUntil(start, now)) {
     return kDeclines;
   }
   if (request.tried.contains(entry.id)) {
