--- a/src/connection/http1_client.cc
+++ b/src/connection/http1_client.cc
@@ -8,7 +8,9 @@
 #include <cctype>
 #include <cstdlib>
 #include <deque>
+#include <functional>
 #include <utility>
+#include <vector>
 
 namespace celerypost {
 
@@ -119,11 +121,12 @@
 
   TimePoint idle_since{};
 
-  // Whether a request with this ID was sent on the connection.
+  // Whether a request with this ID was sent on the connection; rarely true for
+  // another one.
   bool HasCarried(const std::string& id) const {
     return !id.empty() &&
-           std::find(this->carried_ids.begin(), this->carried_ids.end(), id) !=
-               this->carried_ids.end();
+           std::find(this->carried_ids.begin(), this->carried_ids.end(),
+                     std::hash<std::string>()(id)) != this->carried_ids.end();
   }
 
   void Close() {
@@ -154,9 +157,10 @@
     this->exchange->channel = this;
     this->exchange_open = true;
     if (!this->exchange->options.id.empty()) {
-      this->carried_ids.push_back(this->exchange->options.id);
+      this->carried_ids.push_back(
+          std::hash<std::string>()(this->exchange->options.id));
       if (this->carried_ids.size() > this->client->options.max_remembered_ids) {
-        this->carried_ids.pop_front();
+        this->carried_ids.erase(this->carried_ids.begin());
       }
     }
     this->skipped_responses = 0;
@@ -485,8 +489,8 @@
   http_parser parser{};
   std::unique_ptr<Timer> timer;
   std::shared_ptr<Exchange> exchange;
-  // Of the latest requests, oldest first.
-  std::deque<std::string> carried_ids;
+  // Hashes of the IDs of the latest requests, oldest first.
+  std::vector<size_t> carried_ids;
   HttpResponseHead head;
   bool last_was_value = true;
   bool connecting = false;
