--- a/src/process/key_value_client.h
+++ b/src/process/key_value_client.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -23,7 +24,11 @@
   int64_t era = 0;
   int64_t revision = 0;
 
-  friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+  friend bool operator==(const StorePosition&, const StorePosition&) = default;
+  friend std::strong_ordering operator<=>(const StorePosition& a,
+                                          const StorePosition& b) {
+    return std::tie(a.era, a.revision) <=> std::tie(b.era, b.revision);
+  }
 };
 
 // A key of the service with its value.
