--- a/src/connection/http1_client.cc
+++ b/src/connection/http1_client.cc
@@ -119,6 +119,25 @@
 
   TimePoint idle_since{};
 
+  // Closes the connection since its request was not answered in time. What
+  // silenced it may have silenced the connections that have been idle since
+  // before the request.
+  void CloseSilent() {
+    const auto pool = this->client;
+    while (!pool->idle.empty() &&
+           pool->idle.front()->idle_since <= this->attached_at) {
+      pool->idle.front()->Close();
+    }
+    this->Close();
+  }
+
+  // Whether a request with this ID was sent on the connection.
+  bool HasCarried(const std::string& id) const {
+    return !id.empty() &&
+           std::find(this->carried_ids.begin(), this->carried_ids.end(), id) !=
+               this->carried_ids.end();
+  }
+
   void Close() {
     if (this->closing) {
       return;
@@ -145,7 +164,14 @@
   void Attach(std::shared_ptr<Exchange> next) {
     this->exchange = std::move(next);
     this->exchange->channel = this;
+    this->attached_at = this->client->loop.Now();
     this->exchange_open = true;
+    if (!this->exchange->options.id.empty()) {
+      this->carried_ids.push_back(this->exchange->options.id);
+      if (this->carried_ids.size() > this->client->options.max_remembered_ids) {
+        this->carried_ids.pop_front();
+      }
+    }
     this->skipped_responses = 0;
     this->body_bytes = 0;
     this->head = {};
@@ -260,7 +286,9 @@
       if (this->closing) {
         return;
       }
-      if (this->complete && !this->skipping) {
+      // An empty body without a length looks the same as a response that was
+      // cut off after its head.
+      if (this->complete && !this->skipping && this->body_bytes > 0) {
         this->Finish(/*reuse=*/false);
         return;
       }
@@ -311,6 +339,7 @@
                        "too many responses before the one to the request");
             return;
           }
+          this->reused = this->reused || !informational;
           this->body_bytes = 0;
           http_parser_init(&this->parser, HTTP_RESPONSE);
           this->parser.data = this;
@@ -469,9 +498,14 @@
   http_parser parser{};
   std::unique_ptr<Timer> timer;
   std::shared_ptr<Exchange> exchange;
+  // Of the latest requests, oldest first.
+  std::deque<std::string> carried_ids;
   HttpResponseHead head;
+  // When the current request was attached.
+  TimePoint attached_at{};
   bool last_was_value = true;
   bool connecting = false;
+  // HttpResponseHead::reused_connection.
   bool reused = false;
   bool write_pending = false;
   bool response_started = false;
@@ -543,7 +577,7 @@
           }
           Channel* const channel = expired->channel;
           if (channel != nullptr) {
-            channel->Close();
+            channel->CloseSilent();
           }
           FailExchange(expired, Verdict::kMayHaveRun,
                        ErrorCode::kDeadlineExceeded,
@@ -553,10 +587,14 @@
   }
   Impl& pool = *this->impl;
   const TimePoint now = pool.loop.Now();
-  if (!pool.idle.empty() &&
-      now - pool.idle.back()->idle_since <= exchange->options.max_idle) {
-    Channel* const channel = pool.idle.back();
-    pool.idle.pop_back();
+  const auto usable = std::find_if(
+      pool.idle.rbegin(), pool.idle.rend(), [&](const Channel* channel) {
+        return now - channel->idle_since <= exchange->options.max_idle &&
+               !channel->HasCarried(exchange->options.id);
+      });
+  if (!exchange->options.new_connection && usable != pool.idle.rend()) {
+    Channel* const channel = *usable;
+    pool.idle.erase(std::next(usable).base());
     channel->Use(exchange);
     return call;
   }
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -18,9 +18,9 @@
 struct HttpResponseHead {
   int status = 0;
   HttpHeaders headers;
-  // Whether an earlier request was sent on the same connection (Http1Client
-  // only). A late copy of its response may then precede the one to this
-  // request.
+  // Whether an earlier request was sent on the same connection, or a response
+  // to another one was received on it (Http1Client only). A late copy of an
+  // earlier response may then precede the one to this request.
   bool reused_connection = false;
 };
 
@@ -32,6 +32,10 @@
   std::function<void(std::string_view)> on_body;
   std::function<void()> on_end;
   std::function<void(Failure)> on_failure;
+  // Returns false for a response that belongs to another request; the call then
+  // fails with kCorrupt (HttpClient only; see Http1SendOptions::accepts). Every
+  // response is accepted when empty.
+  std::function<bool(const HttpResponseHead&)> accepts{};
 };
 
 // Destroying the call cancels it: the connection is closed and no callback
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -70,10 +70,13 @@
       options(options),
       core(dependencies, NodeRole::kGateway),
       book({}),
+      notices({}),
       policy(MakePredictivePolicy({}, dependencies.random)),
       selector(core.view(),
                book,
+               notices,
                *policy,
+               dependencies.random,
                SelectorOptions(dependencies.settings)),
       quarantined_parts(dependencies.metrics.AddGauge(
           "celerypost_quarantined_parts",
@@ -88,12 +91,17 @@
       live_gateways(
           dependencies.metrics.AddGauge("celerypost_live_gateways",
                                         "Gateways heard, this one included")),
+      leaving_targets_of_peers(
+          dependencies.metrics.AddCounter("celerypost_leaving_targets_total",
+                                          "Targets that said they leave",
+                                          {{"source", "peer"}})),
       relay_context{dependencies.loop,
                     dependencies.log,
                     core.view(),
                     book,
                     selector,
                     crashes,
+                    notices,
                     request_codec,
                     budgets,
                     relay_metrics,
@@ -259,6 +267,7 @@
     known_targets[id] = true;
   }
   this->book.Forget(known_targets);
+  this->notices.Forget(this->dependencies.loop.Now());
   if (this->Ready() && !this->was_ready) {
     this->was_ready = true;
     this->dependencies.log.Info("ready",
@@ -266,8 +275,8 @@
                                 {{"config_version", config->version},
                                  {"targets", known_targets.size()}});
   }
-  if (this->core.view().operator_revision() !=
-      this->announced_operator_revision) {
+  if (this->core.view().progress().operator_position !=
+      this->announced_operator_position) {
     this->SendBeat();
   }
 }
@@ -282,7 +291,7 @@
                      beat.__isset.loads_in_ms
                          ? std::optional(now + milliseconds(beat.loads_in_ms))
                          : std::nullopt,
-                     now});
+                     now, beat.target_leaving});
     return;
   }
   const bool near = this->core.exchange().Near(peer);
@@ -291,6 +300,7 @@
                          near ? NewsScope::kRegion : NewsScope::kOtherRegions,
                          now);
   }
+  this->OnLeavingTargets(DecodeStarts(beat.leaving_targets), peer.ip);
   if (near) {
     this->book.OnReport(
         InstanceId{static_cast<uint64_t>(beat.instance)},
@@ -309,6 +319,26 @@
   }
 }
 
+void Gateway::OnLeavingTargets(const std::vector<TargetStartHash>& starts,
+                               const std::string& peer) {
+  for (const TargetStartHash start : starts) {
+    if (!this->notices.OnLeaving(start, this->dependencies.loop.Now())) {
+      continue;
+    }
+    this->leaving_targets_of_peers.Add();
+    const auto& targets = this->core.view().targets();
+    const auto known =
+        std::find_if(targets.begin(), targets.end(), [&](const auto& item) {
+          return HashTargetStart(item.second.entry) == start;
+        });
+    if (known != targets.end()) {
+      this->dependencies.log.Info(
+          "target_leaves", "the target gets no more requests",
+          {{"target", known->first}, {"source", "peer"}, {"peer", peer}});
+    }
+  }
+}
+
 void Gateway::OnQuarantine(const QuarantineRecord& record, size_t crashes) {
   std::array<char, 20> part{};
   std::snprintf(part.data(), part.size(), "%016llx",
@@ -331,6 +361,7 @@
 
 void Gateway::OnSummary(const RegionSummary& summary) {
   const TimePoint now = this->dependencies.loop.Now();
+  this->OnLeavingTargets(summary.leaving_targets, summary.ip);
   this->book.OnRegionReport(summary.region, summary.loads,
                             this->options.summary_load_lifetime, now);
   for (const RegionTarget& target : summary.targets) {
@@ -339,16 +370,17 @@
         StagerReport{target.serving_version, target.loading,
                      target.loads_in ? std::optional(now + *target.loads_in)
                                      : std::nullopt,
-                     now});
+                     now, target.leaving});
   }
 }
 
 void Gateway::SendBeat() {
   const TimePoint now = this->dependencies.loop.Now();
   wire::Beat beat = this->core.MakeBeat(this->state());
+  const StorePosition operator_position{beat.era, beat.operator_revision};
   const bool new_document =
-      beat.operator_revision != this->announced_operator_revision;
-  this->announced_operator_revision = beat.operator_revision;
+      operator_position != this->announced_operator_position;
+  this->announced_operator_position = operator_position;
   this->beats.Begin(new_document, now);
   if (this->beats.lists_addresses()) {
     beat.known = this->core.exchange().SampleNearAddresses(
@@ -361,6 +393,7 @@
            this->beats.ShouldSendTo(peer);
   });
   beat.loads = EncodeLoads(this->book.OwnLoads());
+  beat.leaving_targets = EncodeStarts(this->notices.RecentlyLeaving(now));
   for (const RegionSummary& summary : this->core.regions().TakeForwards()) {
     beat.summaries.push_back(EncodeSummary(summary));
   }
@@ -422,8 +455,7 @@
   RegionSummary summary;
   summary.region = this->dependencies.settings.region;
   summary.ip = this->dependencies.settings.ip;
-  summary.revision = this->core.view().revision();
-  summary.operator_revision = this->core.view().operator_revision();
+  summary.documents = this->core.view().progress();
   summary.gateways.push_back(
       {this->dependencies.settings.ip,
        this->dependencies.settings.caller_address->ToString(), this->state()});
@@ -439,7 +471,7 @@
       continue;
     }
     RegionTarget target{beat.target_address, beat.serving_version, beat.loading,
-                        std::nullopt};
+                        std::nullopt, beat.target_leaving};
     if (beat.__isset.loads_in_ms) {
       target.loads_in =
           milliseconds(beat.loads_in_ms) -
@@ -448,6 +480,7 @@
     summary.targets.push_back(std::move(target));
   }
   summary.loads = this->book.CombinedLoads(now);
+  summary.leaving_targets = this->notices.RecentlyLeaving(now);
   return summary;
 }
 
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -75,6 +75,9 @@
   void SendFarCrashNews();
   RegionSummary MakeSummary() const;
   void OnSummary(const RegionSummary& summary);
+  // Takes up that targets have told other gateways that they leave.
+  void OnLeavingTargets(const std::vector<TargetStartHash>& starts,
+                        const std::string& peer);
   // Returns the addresses of one live gateway of each other region, or of a
   // registered one when no summary of the region has arrived.
   std::vector<std::string> ChooseSummaryReceivers();
@@ -95,6 +98,7 @@
   GatewayOptions options;
   NodeCore core;
   TargetTracker book;
+  TargetNotices notices;
   std::unique_ptr<PlacementPolicy> policy;
   TargetSelector selector;
   Gauge& quarantined_parts;
@@ -102,6 +106,7 @@
   ServiceRetryBudgets budgets;
   RelayMetrics relay_metrics;
   Gauge& live_gateways;
+  Counter& leaving_targets_of_peers;
   RelayContext relay_context;
   std::unique_ptr<Http1Server> caller_server;
   std::unique_ptr<Http1Server> ready_server;
@@ -112,8 +117,8 @@
   GatewayBeats beats;
   TimePoint next_summary{};
   TimePoint next_far_crash_news{};
-  // Newest operator revision that a beat has carried.
-  int64_t announced_operator_revision = 0;
+  // Newest change of an operators' document that a beat has carried.
+  StorePosition announced_operator_position;
   StopPolicyOptions stop_policy;
   std::optional<TimePoint> stopping_since;
   bool was_ready = false;
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -1,6 +1,7 @@
 #include "src/process/gateway/relay_task.h"
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 #include <xxhash.h>
@@ -11,6 +12,9 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::string_view kEventStreamType = "text/event-stream";
+
+constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kBadGateway = 502;
@@ -80,6 +84,15 @@
       quarantined(metrics.AddCounter(
           "celerypost_quarantined_requests_total",
           "Requests not sent since a part of their prompt crashes targets")),
+      leaving_targets(metrics.AddCounter("celerypost_leaving_targets_total",
+                                         "Targets that said they leave",
+                                         {{"source", "answer"}})),
+      declining_targets(
+          metrics.AddCounter("celerypost_declining_targets_total",
+                             "Times that targets began to decline requests")),
+      malformed_headers(
+          metrics.AddCounter("celerypost_malformed_answer_headers_total",
+                             "Headers of answers that could not be read")),
       first_event(metrics.AddHistogram("celerypost_first_event_seconds",
                                        "Time to the first event")),
       total(metrics.AddHistogram("celerypost_request_seconds",
@@ -293,17 +306,15 @@
   if (!this->route->repeatable()) {
     options.max_idle = this->context.options.non_repeatable_max_idle;
   }
+  // The answer will have no ID either.
+  options.new_connection = this->call.id.empty();
   // The answer to a stream is passed on as it arrives; its events are limited
   // instead (OnBody).
   options.max_body_bytes =
       this->IsStream() ? 0 : this->context.options.max_answer_bytes;
+  options.id = this->call.id;
   options.accepts = [this](const HttpResponseHead& head) {
-    const TargetAnswer answer =
-        this->context.codec.ReadAnswer(head.status, head.headers);
-    // Without an id, an answer can be told from a late copy of an earlier one
-    // only on a new connection.
-    return answer.id == this->call.id ||
-           (answer.id.empty() && !head.reused_connection);
+    return this->IsOwnAnswer(head);
   };
   HttpResponseCallbacks callbacks;
   callbacks.on_head = [this](const HttpResponseHead& head) {
@@ -321,6 +332,14 @@
   this->StartAttemptTimer();
 }
 
+bool RelayTask::IsOwnAnswer(const HttpResponseHead& head) const {
+  const std::string id =
+      this->context.codec.ReadAnswer(head.status, head.headers).id;
+  // Without an ID, an answer can be told from a late copy of an earlier one
+  // only on a new connection.
+  return id.empty() ? !head.reused_connection : id == this->call.id;
+}
+
 void RelayTask::StartAttemptTimer() {
   const bool awaiting_first_event = !this->attempt->had_event;
   std::optional<milliseconds> timeout;
@@ -352,6 +371,8 @@
       this->context.codec.ReadAnswer(head.status, head.headers);
   this->attempt->headers = head.headers;
   const TargetAnswer& answer = this->attempt->answer;
+  this->ReadNotices();
+  this->ReadDecline();
   if (answer.other_target.empty() ||
       answer.other_target == this->attempt->target) {
     this->context.crashes.OnAnswerBegan(this->attempt->target_start,
@@ -380,13 +401,77 @@
     this->SendToNextTarget();
     return;
   }
-  if (this->head_sent && answer.status >= 300) {
+  if (this->head_sent && !this->ResumesStream()) {
     this->EndAttempt(AttemptOutcome::kFailed);
     this->RetryOrEnd(Verdict::kMayHaveRun, kBadGateway,
                      "the target does not go on with the stream");
   }
 }
 
+void RelayTask::ReadNotices() {
+  const TargetAnswer& answer = this->attempt->answer;
+  if (!answer.malformed_header.empty()) {
+    Counter& malformed = this->context.metrics.malformed_headers;
+    malformed.Add();
+    if (std::has_single_bit(malformed.value())) {
+      this->context.log.Warn("header_unreadable",
+                             "ignored a header of a target's answer",
+                             {{"header", answer.malformed_header},
+                              {"target", this->attempt->target},
+                              {"total", malformed.value()}},
+                             this->call.id);
+    }
+  }
+  std::string id = this->attempt->target;
+  TargetStartHash start = this->attempt->target_start;
+  if (!answer.other_target.empty() && answer.other_target != id) {
+    const auto& targets = this->context.view.targets();
+    const auto found = targets.find(answer.other_target);
+    if (found == targets.end()) {
+      return;
+    }
+    id = found->first;
+    start = HashTargetStart(found->second.entry);
+  }
+  if (answer.leaving &&
+      this->context.notices.OnLeaving(start, this->context.loop.Now())) {
+    this->context.metrics.leaving_targets.Add();
+    this->context.log.Info(
+        "target_leaves", "the target gets no more requests",
+        {{"target", id}, {"source", "answer"}, {"status", answer.status}},
+        this->call.id);
+  }
+}
+
+void RelayTask::ReadDecline() {
+  const TargetAnswer& answer = this->attempt->answer;
+  if (answer.declines_for && *answer.declines_for > milliseconds(0) &&
+      this->context.notices.OnDeclines(this->attempt->target_start,
+                                       *answer.declines_for,
+                                       this->context.loop.Now())) {
+    this->context.metrics.declining_targets.Add();
+    this->context.log.Info("target_declines",
+                           "the target gets no requests for a while",
+                           {{"target", this->attempt->target},
+                            {"source", "answer"},
+                            {"for_ms", answer.declines_for->count()}},
+                           this->call.id);
+  }
+}
+
+bool RelayTask::ResumesStream() const {
+  std::string type;
+  AppendLowerCase(type, FindHeader(this->attempt->headers, "content-type"));
+  return this->attempt->answer.status == kOk &&
+         (type.empty() || type.starts_with(kEventStreamType));
+}
+
+bool RelayTask::HasFramedAnswer() const {
+  const HttpHeaders& headers = this->attempt->headers;
+  return !FindHeader(headers, "content-length").empty() ||
+         !FindHeader(headers, "transfer-encoding").empty();
+}
+
 void RelayTask::OnBody(std::string_view bytes) {
   const auto keep_alive = this->shared_from_this();
   if (!this->attempt || this->attempt->ended) {
@@ -408,6 +493,11 @@
     this->NoteProgress();
   }
   this->ForwardEvents(complete);
+  if (this->events.corrupt()) {
+    this->OnFailure({Verdict::kMayHaveRun, ErrorCode::kCorrupt,
+                     "bytes that are no event of the stream"});
+    return;
+  }
   if (this->events.incomplete_bytes() > this->context.options.max_event_bytes) {
     this->OnFailure({Verdict::kMayHaveRun, ErrorCode::kCorrupt,
                      "an event of the stream exceeds the limit"});
@@ -442,10 +532,7 @@
 }
 
 void RelayTask::NoteEndOfAnswer() {
-  const HttpHeaders& headers = this->attempt->headers;
-  const bool framed = !FindHeader(headers, "content-length").empty() ||
-                      !FindHeader(headers, "transfer-encoding").empty();
-  if (framed && this->attempt->answer.status < 300) {
+  if (this->HasFramedAnswer() && this->attempt->answer.status < 300) {
     this->NoteSurvival();
   }
 }
@@ -476,7 +563,10 @@
                        "the stream ended inside an event"});
       return;
     }
-    if (!this->head_sent && !this->attempt->had_event) {
+    // A target that resumes a stream may have no event left, which only an
+    // answer with an end of its own tells from a crash.
+    if (!this->attempt->had_event &&
+        (!this->head_sent || !this->HasFramedAnswer())) {
       this->OnFailure({Verdict::kMayHaveRun, ErrorCode::kUnavailable,
                        "the stream ended before its first event"});
       return;
@@ -497,6 +587,11 @@
   this->NoteEndOfAnswer();
   this->EndAttempt(failed ? AttemptOutcome::kFailed
                           : AttemptOutcome::kAnswered);
+  if (this->attempt->answer.unconfirmed_refusal) {
+    this->FailWith(kBadGateway,
+                   "the target does not say whether the request has run");
+    return;
+  }
   this->SendTargetAnswer();
 }
 
--- a/src/process/store_sync.cc
+++ b/src/process/store_sync.cc
@@ -24,7 +24,7 @@
   this->Read();
 }
 
-void StoreSync::SetWatching(bool watches, int64_t revision) {
+void StoreSync::SetWatching(bool watches, StorePosition known) {
   if (watches == this->watching) {
     return;
   }
@@ -35,24 +35,52 @@
     this->retry.Stop();
     return;
   }
-  this->next_revision = std::max(this->next_revision, revision + 1);
+  if (known.era > this->era) {
+    this->era = known.era;
+    this->next_revision = 0;
+  }
+  const bool current = known.era == this->era && known.revision > 0;
+  if (current) {
+    this->next_revision = std::max(this->next_revision, known.revision + 1);
+  }
   if (this->read_pending) {
     return;
   }
-  if (revision > 0) {
+  if (current) {
     this->BeginWatch();
   } else {
     this->Read();
   }
 }
 
+void StoreSync::OnEra(int64_t era) {
+  if (era <= this->era) {
+    return;
+  }
+  const bool replaces = this->next_revision > 0 || this->era > 0;
+  this->era = era;
+  this->next_revision = 0;
+  if (this->watching && replaces) {
+    this->retry.Stop();
+    this->Restart();
+  }
+}
+
 void StoreSync::Restart() {
   this->watch.reset();
   this->Read();
 }
 
+void StoreSync::OnServiceRegained(TimePoint lost_at) {
+  if (this->watching && !this->read_pending && this->last_answered < lost_at) {
+    this->Restart();
+  }
+}
+
 void StoreSync::Read() {
+  this->retry.Stop();
   this->snapshot = {};
+  this->call_began = this->loop.Now();
   this->read_pending = true;
   this->ReadPrefix(++this->read_number, 0);
 }
@@ -70,10 +98,21 @@
           this->OnFailure(range.error());
           return;
         }
+        if (range->era < this->era) {
+          this->OnFailure(
+              Failure{Verdict::kNotRun, ErrorCode::kConflict,
+                      "the read was answered in an older era of the service"});
+          return;
+        }
+        this->era = range->era;
         // The prefixes are read one after the other; the watch starts after the
         // revision of the first read so that it misses no change.
         if (index == 0) {
           this->snapshot.revision = range->revision;
+          this->snapshot.era = range->era;
+        } else if (this->snapshot.era != range->era) {
+          this->Read();
+          return;
         }
         this->snapshot.items.insert(this->snapshot.items.end(),
                                     range->items.begin(), range->items.end());
@@ -83,10 +122,12 @@
         }
         this->read_pending = false;
         const bool after_outage = this->ever_connected && !this->is_connected;
-        this->OnAnswer();
         this->next_revision = this->snapshot.revision + 1;
-        this->callbacks.on_snapshot(this->snapshot.items,
-                                    this->snapshot.revision, after_outage);
+        this->OnAnswer();
+        this->callbacks.on_snapshot(
+            this->snapshot.items, {this->snapshot.era, this->snapshot.revision},
+            after_outage);
+        this->callbacks.on_current(this->call_began);
         if (this->watching) {
           this->BeginWatch();
         }
@@ -94,6 +135,7 @@
 }
 
 void StoreSync::BeginWatch() {
+  this->call_began = this->loop.Now();
   KeyRange keys;
   keys.first = this->options.watch_prefix;
   this->watch = this->store.Watch(
@@ -107,6 +149,7 @@
         if (!changes.empty()) {
           this->callbacks.on_changes(changes);
         }
+        this->callbacks.on_current(this->loop.Now());
       },
       [this](const Failure& failure) { this->OnFailure(failure); });
 }
@@ -119,14 +162,24 @@
   }
   this->is_connected = true;
   this->log.Info("store_connected", "the key-value service answers",
-                 {{"revision", this->next_revision}});
+                 {{"revision", this->next_revision},
+                  {"era", this->era},
+                  {"away_ms", this->ever_connected ? this->Since(this->lost_at)
+                                                   : int64_t{0}}});
   if (this->ever_connected) {
     this->callbacks.on_regained();
   }
   this->ever_connected = true;
 }
 
+int64_t StoreSync::Since(TimePoint time) const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             this->loop.Now() - time)
+      .count();
+}
+
 void StoreSync::OnFailure(const Failure& failure) {
+  const bool watched = this->watch != nullptr;
   this->watch.reset();
   this->read_pending = false;
   // Retries by a read, which fails or succeeds at once: a watch that is opened
@@ -134,10 +187,19 @@
   // ended. kConflict means that the history for the watch is lost, which is not
   // an outage.
   this->is_failing = failure.code != ErrorCode::kConflict;
+  if (this->is_failing && !watched) {
+    // Reads use connections that were not silent before, so the service was
+    // away. A watch may have lost its connection alone.
+    this->callbacks.on_current(this->call_began);
+  }
   if (this->is_connected && this->is_failing) {
     this->is_connected = false;
+    this->lost_at = this->loop.Now();
     this->log.Warn("store_lost", failure.message,
                    {{"code", ErrorCodeName(failure.code)},
+                    {"call", watched ? "watch" : "read"},
+                    {"call_open_ms", this->Since(this->call_began)},
+                    {"silent_ms", this->Since(this->last_answered)},
                     {"revision", this->next_revision}});
   }
   const auto range_ms = static_cast<uint64_t>(
--- a/src/request/event_stream.h
+++ b/src/request/event_stream.h
@@ -21,6 +21,11 @@
   // Drops the incomplete event; call before another target resumes the stream.
   void Restart();
 
+  // Returns whether the current run has sent something that cannot be passed
+  // on: the head of another response, or, resuming a stream with ids, a first
+  // event without one. Add returns nothing from there on.
+  bool corrupt() const { return this->is_corrupt; }
+
   // Returns whether a field or an unfinished line has been received after the
   // last complete event. A stream that ends then was broken off: an event needs
   // its blank line.
@@ -48,12 +53,29 @@
   bool line_empty = true;
   // The last byte was \r, so a following \n belongs to the same line end.
   bool after_cr = false;
+  bool is_corrupt = false;
+  // No event with an id has come since the restart of a stream with ids.
+  bool awaits_id = false;
   // The last complete event has been passed on.
   bool last_accepted = false;
   std::optional<std::string> last_event_id;
   uint64_t event_count = 0;
 };
 
+// Follows the bytes of an event stream that are passed on as they arrive. After
+// the bytes of an incomplete event nothing may be added to the stream: a reader
+// would take it for a part of that event.
+class EventBoundary {
+ public:
+  void Add(std::string_view bytes);
+  // Returns whether the stream is empty or ends with a blank line.
+  bool reached() const;
+
+ private:
+  // The last bytes, enough for two line ends.
+  std::string tail;
+};
+
 }  // namespace celerypost
 
 #endif  // SRC_REQUEST_EVENT_STREAM_H_
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -108,6 +108,8 @@
 
 class DocumentItem;
 
+class WeightNaming;
+
 class DocumentDelta;
 
 class RegionGateway;
@@ -1613,10 +1615,11 @@
 std::ostream& operator<<(std::ostream& out, const TargetLoad& obj);
 
 typedef struct _DocumentItem__isset {
-  _DocumentItem__isset() : key(false), value(false), revision(false) {}
+  _DocumentItem__isset() : key(false), value(false), revision(false), era(false) {}
   bool key :1;
   bool value :1;
   bool revision :1;
+  bool era :1;
 } _DocumentItem__isset;
 
 class DocumentItem : public virtual ::apache::thrift::TBase {
@@ -1629,13 +1632,15 @@
   DocumentItem() noexcept
                : key(),
                  value(),
-                 revision(0) {
+                 revision(0),
+                 era(0) {
   }
 
   virtual ~DocumentItem() noexcept;
   std::string key;
   std::string value;
   int64_t revision;
+  int64_t era;
 
   _DocumentItem__isset __isset;
 
@@ -1645,6 +1650,8 @@
 
   void __set_revision(const int64_t val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const DocumentItem & rhs) const
   {
     if (!(key == rhs.key))
@@ -1653,6 +1660,8 @@
       return false;
     if (!(revision == rhs.revision))
       return false;
+    if (!(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const DocumentItem &rhs) const {
@@ -1671,12 +1680,74 @@
 
 std::ostream& operator<<(std::ostream& out, const DocumentItem& obj);
 
+typedef struct _WeightNaming__isset {
+  _WeightNaming__isset() : model(false), version(false), named_ms_ago(false) {}
+  bool model :1;
+  bool version :1;
+  bool named_ms_ago :1;
+} _WeightNaming__isset;
+
+class WeightNaming : public virtual ::apache::thrift::TBase {
+ public:
+
+  WeightNaming(const WeightNaming&);
+  WeightNaming(WeightNaming&&) noexcept;
+  WeightNaming& operator=(const WeightNaming&);
+  WeightNaming& operator=(WeightNaming&&) noexcept;
+  WeightNaming() noexcept
+               : model(),
+                 version(0),
+                 named_ms_ago(0) {
+  }
+
+  virtual ~WeightNaming() noexcept;
+  std::string model;
+  int64_t version;
+  int32_t named_ms_ago;
+
+  _WeightNaming__isset __isset;
+
+  void __set_model(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_named_ms_ago(const int32_t val);
+
+  bool operator == (const WeightNaming & rhs) const
+  {
+    if (!(model == rhs.model))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(named_ms_ago == rhs.named_ms_ago))
+      return false;
+    return true;
+  }
+  bool operator != (const WeightNaming &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WeightNaming & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WeightNaming &a, WeightNaming &b);
+
+std::ostream& operator<<(std::ostream& out, const WeightNaming& obj);
+
 typedef struct _DocumentDelta__isset {
-  _DocumentDelta__isset() : partial(false), revision(false), items(false), regained_ms_ago(false) {}
+  _DocumentDelta__isset() : partial(false), revision(false), items(false), regained_ms_ago(false), era(false), namings(false), current_ms_ago(false) {}
   bool partial :1;
   bool revision :1;
   bool items :1;
   bool regained_ms_ago :1;
+  bool era :1;
+  bool namings :1;
+  bool current_ms_ago :1;
 } _DocumentDelta__isset;
 
 class DocumentDelta : public virtual ::apache::thrift::TBase {
@@ -1689,7 +1760,9 @@
   DocumentDelta() noexcept
                 : partial(0),
                   revision(0),
-                  regained_ms_ago(0) {
+                  regained_ms_ago(0),
+                  era(0),
+                  current_ms_ago(0) {
   }
 
   virtual ~DocumentDelta() noexcept;
@@ -1697,6 +1770,9 @@
   int64_t revision;
   std::vector<DocumentItem>  items;
   int64_t regained_ms_ago;
+  int64_t era;
+  std::vector<WeightNaming>  namings;
+  int32_t current_ms_ago;
 
   _DocumentDelta__isset __isset;
 
@@ -1708,6 +1784,12 @@
 
   void __set_regained_ms_ago(const int64_t val);
 
+  void __set_era(const int64_t val);
+
+  void __set_namings(const std::vector<WeightNaming> & val);
+
+  void __set_current_ms_ago(const int32_t val);
+
   bool operator == (const DocumentDelta & rhs) const
   {
     if (!(partial == rhs.partial))
@@ -1720,6 +1802,14 @@
       return false;
     else if (__isset.regained_ms_ago && !(regained_ms_ago == rhs.regained_ms_ago))
       return false;
+    if (!(era == rhs.era))
+      return false;
+    if (!(namings == rhs.namings))
+      return false;
+    if (__isset.current_ms_ago != rhs.__isset.current_ms_ago)
+      return false;
+    else if (__isset.current_ms_ago && !(current_ms_ago == rhs.current_ms_ago))
+      return false;
     return true;
   }
   bool operator != (const DocumentDelta &rhs) const {
@@ -1798,11 +1888,12 @@
 std::ostream& operator<<(std::ostream& out, const RegionGateway& obj);
 
 typedef struct _RegionTarget__isset {
-  _RegionTarget__isset() : address(false), serving_version(false), loading(false), loads_in_ms(false) {}
+  _RegionTarget__isset() : address(false), serving_version(false), loading(false), loads_in_ms(false), leaving(false) {}
   bool address :1;
   bool serving_version :1;
   bool loading :1;
   bool loads_in_ms :1;
+  bool leaving :1;
 } _RegionTarget__isset;
 
 class RegionTarget : public virtual ::apache::thrift::TBase {
@@ -1816,7 +1907,8 @@
                : address(),
                  serving_version(0),
                  loading(0),
-                 loads_in_ms(0) {
+                 loads_in_ms(0),
+                 leaving(0) {
   }
 
   virtual ~RegionTarget() noexcept;
@@ -1824,6 +1916,7 @@
   int64_t serving_version;
   bool loading;
   int32_t loads_in_ms;
+  bool leaving;
 
   _RegionTarget__isset __isset;
 
@@ -1835,6 +1928,8 @@
 
   void __set_loads_in_ms(const int32_t val);
 
+  void __set_leaving(const bool val);
+
   bool operator == (const RegionTarget & rhs) const
   {
     if (!(address == rhs.address))
@@ -1847,6 +1942,8 @@
       return false;
     else if (__isset.loads_in_ms && !(loads_in_ms == rhs.loads_in_ms))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const RegionTarget &rhs) const {
@@ -1866,7 +1963,7 @@
 std::ostream& operator<<(std::ostream& out, const RegionTarget& obj);
 
 typedef struct _RegionSummary__isset {
-  _RegionSummary__isset() : region(false), ip(false), gateways(false), targets(false), loads(false), revision(false), operator_revision(false) {}
+  _RegionSummary__isset() : region(false), ip(false), gateways(false), targets(false), loads(false), revision(false), operator_revision(false), era(false), config_version(false), leaving_targets(false) {}
   bool region :1;
   bool ip :1;
   bool gateways :1;
@@ -1874,6 +1971,9 @@
   bool loads :1;
   bool revision :1;
   bool operator_revision :1;
+  bool era :1;
+  bool config_version :1;
+  bool leaving_targets :1;
 } _RegionSummary__isset;
 
 class RegionSummary : public virtual ::apache::thrift::TBase {
@@ -1887,7 +1987,9 @@
                 : region(),
                   ip(),
                   revision(0),
-                  operator_revision(0) {
+                  operator_revision(0),
+                  era(0),
+                  config_version(0) {
   }
 
   virtual ~RegionSummary() noexcept;
@@ -1898,6 +2000,9 @@
   std::vector<TargetLoad>  loads;
   int64_t revision;
   int64_t operator_revision;
+  int64_t era;
+  int64_t config_version;
+  std::vector<int64_t>  leaving_targets;
 
   _RegionSummary__isset __isset;
 
@@ -1915,6 +2020,12 @@
 
   void __set_operator_revision(const int64_t val);
 
+  void __set_era(const int64_t val);
+
+  void __set_config_version(const int64_t val);
+
+  void __set_leaving_targets(const std::vector<int64_t> & val);
+
   bool operator == (const RegionSummary & rhs) const
   {
     if (!(region == rhs.region))
@@ -1931,6 +2042,12 @@
       return false;
     if (!(operator_revision == rhs.operator_revision))
       return false;
+    if (!(era == rhs.era))
+      return false;
+    if (!(config_version == rhs.config_version))
+      return false;
+    if (!(leaving_targets == rhs.leaving_targets))
+      return false;
     return true;
   }
   bool operator != (const RegionSummary &rhs) const {
@@ -2190,7 +2307,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashNews& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false) {}
+  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), era(false), config_version(false), current_ms_ago(false), leaving_targets(false), target_leaving(false) {}
   bool instance :1;
   bool role :1;
   bool ip :1;
@@ -2214,6 +2331,11 @@
   bool digests_version :1;
   bool summaries :1;
   bool crash_news :1;
+  bool era :1;
+  bool config_version :1;
+  bool current_ms_ago :1;
+  bool leaving_targets :1;
+  bool target_leaving :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -2242,7 +2364,11 @@
          loads_in_ms(0),
          operator_revision(0),
          store_answers(0),
-         digests_version(0) {
+         digests_version(0),
+         era(0),
+         config_version(0),
+         current_ms_ago(0),
+         target_leaving(0) {
   }
 
   virtual ~Beat() noexcept;
@@ -2269,6 +2395,11 @@
   int64_t digests_version;
   std::vector<RegionSummary>  summaries;
   CrashNews crash_news;
+  int64_t era;
+  int64_t config_version;
+  int32_t current_ms_ago;
+  std::vector<int64_t>  leaving_targets;
+  bool target_leaving;
 
   _Beat__isset __isset;
 
@@ -2318,6 +2449,16 @@
 
   void __set_crash_news(const CrashNews& val);
 
+  void __set_era(const int64_t val);
+
+  void __set_config_version(const int64_t val);
+
+  void __set_current_ms_ago(const int32_t val);
+
+  void __set_leaving_targets(const std::vector<int64_t> & val);
+
+  void __set_target_leaving(const bool val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2370,6 +2511,18 @@
       return false;
     else if (__isset.crash_news && !(crash_news == rhs.crash_news))
       return false;
+    if (!(era == rhs.era))
+      return false;
+    if (!(config_version == rhs.config_version))
+      return false;
+    if (__isset.current_ms_ago != rhs.__isset.current_ms_ago)
+      return false;
+    else if (__isset.current_ms_ago && !(current_ms_ago == rhs.current_ms_ago))
+      return false;
+    if (!(leaving_targets == rhs.leaving_targets))
+      return false;
+    if (!(target_leaving == rhs.target_leaving))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
