Bound what a late or false era does; send an encoded delta again

Cause: found in review of the era. A process that learned late of a new era renewed the outage grace for its peers (a target that had left 20 s later was usable for 2.15 s, the drain bound is 2 s); a zone taken out anew at a reused revision was held back for up to 5 s; an era in one wrong beat made a process refuse all reads of the key-value service; while documents of an older era were known, no encoded delta was sent twice, when all processes pull at once. Also: token counts of 1e300 reached a cast to 32 bits, and a Keep-Alive of many digits overflowed. Change: the grace is as old as the peer knows it; only revisions of the copy are held back; a peer's era makes a reader read again; deltas are kept by a count of changes and for 100 ms; counts of tokens and of seconds are limited. The load of a new era at 287 processes was not measured.

--- a/src/connection/http1_client.cc
+++ b/src/connection/http1_client.cc
@@ -410,8 +410,10 @@
     }
     const long seconds =
         std::strtol(std::string(text.substr(at + 8)).c_str(), nullptr, 10);
-    return std::min(this->client->options.idle_timeout,
-                    std::chrono::milliseconds(seconds * 800));
+    const long longest = this->client->options.idle_timeout.count() / 800 + 1;
+    return std::min(
+        this->client->options.idle_timeout,
+        std::chrono::milliseconds(std::clamp(seconds, 0L, longest) * 800));
   }
 
   static const http_parser_settings* Settings() {
--- a/src/process/gateway/summary_wire.cc
+++ b/src/process/gateway/summary_wire.cc
@@ -1,6 +1,7 @@
 #include "src/process/gateway/summary_wire.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace celerypost {
 
@@ -14,7 +15,8 @@
     wire::TargetLoad message;
     message.target = static_cast<int64_t>(load.target_hash);
     message.in_flight = static_cast<int32_t>(load.in_flight);
-    message.waiting_tokens = static_cast<int32_t>(load.waiting_tokens);
+    message.waiting_tokens = static_cast<int32_t>(std::clamp<double>(
+        load.waiting_tokens, 0, std::numeric_limits<int32_t>::max()));
     encoded.push_back(message);
   }
   return encoded;
--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -222,6 +222,16 @@
                       kMinRegistrationSpread, kMaxRegistrationSpread));
 }
 
+void NodeCore::OnEraOfPeer(int64_t era) {
+  if (era <= std::max(this->cluster_view.position().era, this->heard_era)) {
+    return;
+  }
+  this->heard_era = era;
+  if (this->reads_store) {
+    this->sync.Restart();
+  }
+}
+
 void NodeCore::FindPeers() {
   KeyRange keys;
   keys.first = NodeRegistry::GroupPrefix(this->dependencies.settings.region,
@@ -275,9 +285,7 @@
       [this, callback = std::move(callback)](const Peer& peer) {
         callback(peer);
         this->NoteCurrentPeer(peer);
-        if (peer.beat.era > this->cluster_view.position().era) {
-          this->OnEra(peer.beat.era);
-        }
+        this->OnEraOfPeer(peer.beat.era);
         if (!this->reads_store && this->HasNewerDocuments(peer)) {
           this->CatchUp();
         }
@@ -483,20 +491,14 @@
 
 const std::string& NodeCore::EncodedDelta(const DocumentQuery& query) {
   const TimePoint now = this->dependencies.loop.Now();
-  const DocumentDelta delta = this->cluster_view.MakeDelta(query, now);
-  const DocumentProgress documents = this->cluster_view.progress();
-  // Documents of older eras come and go without a new revision.
-  const bool cacheable =
-      !delta.regained_ago && this->cluster_view.CountOlderEras() == 0;
   const bool cached =
-      cacheable && now - this->last_delta.made_at < kDeltaCacheTime &&
-      this->last_delta.documents.position == documents.position &&
-      this->last_delta.documents.config_version == documents.config_version &&
+      now - this->last_delta.made_at < kDeltaCacheTime &&
+      this->last_delta.changes == this->cluster_view.changes() &&
       this->last_delta.query.since == query.since &&
       this->last_delta.query.for_stager == query.for_stager;
   if (!cached) {
-    this->last_delta = {query, cacheable ? documents : DocumentProgress(), now,
-                        EncodeDelta(delta)};
+    this->last_delta = {query, this->cluster_view.changes(), now,
+                        EncodeDelta(this->cluster_view.MakeDelta(query, now))};
   }
   return this->last_delta.bytes;
 }
@@ -531,9 +533,7 @@
   for (const RegionSummary* summary : this->region_directory.Fresh(now)) {
     newer = newer ||
             this->HasNewerDocuments(summary->documents, /*is_gateway=*/true);
-    if (summary->documents.position.era > this->cluster_view.position().era) {
-      this->OnEra(summary->documents.position.era);
-    }
+    this->OnEraOfPeer(summary->documents.position.era);
   }
   if (!newer) {
     this->behind = false;
--- a/src/process/node_core.h
+++ b/src/process/node_core.h
@@ -108,6 +108,9 @@
   // Reads the registrations of other processes, which tell whether gateways of
   // this region can supply the documents.
   void FindPeers();
+  // A peer knows `era`. Only a response of the key-value service itself begins
+  // it here; a process that watches the service reads it again.
+  void OnEraOfPeer(int64_t era);
   void OnPeersFound(const std::vector<KeyValue>& registrations);
   void StartSync();
   bool StoreAnswers() const;
@@ -159,9 +162,8 @@
   std::map<SocketAddress, std::unique_ptr<Http1Client>> clients;
   struct CachedDelta {
     DocumentQuery query;
-    // The documents in the answer; those of one that must not be used again
-    // have position 0.
-    DocumentProgress documents;
+    // ClusterView::changes of the documents in the answer.
+    uint64_t changes = 0;
     TimePoint made_at{};
     std::string bytes;
   };
@@ -171,6 +173,8 @@
   Timer start_timer;
   bool sync_started = false;
   bool reads_store = false;
+  // The newest era that a peer has told of.
+  int64_t heard_era = 0;
   // While `behind`: when a peer first had a newer revision; set anew whenever
   // the own revision changes or CatchUp restarts the read.
   TimePoint behind_since{};
--- a/src/process/state/cluster_view.cc
+++ b/src/process/state/cluster_view.cc
@@ -46,6 +46,7 @@
 std::vector<ViewChange> ClusterView::ApplyChanges(
     const std::vector<KeyValue>& changes,
     TimePoint now) {
+  ++this->change_count;
   std::vector<ViewChange> applied;
   for (const KeyValue& change : changes) {
     const auto known = this->documents.find(change.key);
@@ -67,6 +68,7 @@
     StorePosition position,
     bool after_outage,
     TimePoint now) {
+  ++this->change_count;
   std::vector<ViewChange> applied;
   const bool first = this->newest == StorePosition();
   if (first || position.era > this->newest.era) {
@@ -118,6 +120,7 @@
   this->removals_known_since = 0;
   this->held_back.clear();
   this->era_began = now;
+  this->copied_until = position.revision;
   this->settled = false;
   if (!first) {
     this->regained_at = now;
@@ -232,8 +235,8 @@
   }
   const auto gone = this->removed.find(change.key);
   // A copy has the revision with which the removed document was written.
-  if (seen && in_grace && gone != this->removed.end() &&
-      gone->second.at.era < change.era &&
+  if (seen && in_grace && change.mod_revision <= this->copied_until &&
+      gone != this->removed.end() && gone->second.at.era < change.era &&
       gone->second.put_revision == change.mod_revision) {
     return {Order::kOlder, "removed before the new era"};
   }
@@ -503,6 +506,7 @@
   if (this->settled) {
     return changes;
   }
+  ++this->change_count;
   const Duration since = now - this->era_began;
   std::vector<std::string> missing;
   for (const auto& [key, document] : this->documents) {
@@ -639,6 +643,7 @@
 
 std::vector<ViewChange> ClusterView::ApplyDelta(const DocumentDelta& delta,
                                                 TimePoint now) {
+  ++this->change_count;
   if (delta.regained_ago) {
     const TimePoint regained = now - *delta.regained_ago;
     this->regained_at =
@@ -650,8 +655,15 @@
     this->LapseTargetsOfOlderEras(now);
     this->Advance({delta.era, delta.revision});
   } else {
+    const int64_t era = this->newest.era;
     applied = this->ApplySnapshot(delta.items, {delta.era, delta.revision},
                                   /*after_outage=*/false, now);
+    if (this->newest.era != era) {
+      // The era is as old as the peer knows it, not as this process does.
+      this->regained_at = delta.regained_ago
+                              ? std::optional(now - *delta.regained_ago)
+                              : std::nullopt;
+    }
   }
   for (const ReportedNaming& naming : delta.namings) {
     this->ApplyNaming(naming, now);
--- a/src/process/state/cluster_view.h
+++ b/src/process/state/cluster_view.h
@@ -186,6 +186,8 @@
   DocumentProgress progress() const;
   // Returns the number of documents in force that the current era lacks.
   size_t CountOlderEras() const;
+  // Changes whenever MakeDelta may return other documents.
+  uint64_t changes() const { return this->change_count; }
   // Returns the changes that the asking process lacks, or all documents for it
   // when this process does not know all removals since `query.since`.
   DocumentDelta MakeDelta(const DocumentQuery& query, TimePoint now) const;
@@ -285,6 +287,10 @@
   // Newest revision of an operators' document in the current era.
   int64_t newest_operator_revision = 0;
   TimePoint era_began{};
+  // Revision of the first snapshot of the era: what was written before the
+  // restore has no higher one.
+  int64_t copied_until = 0;
+  uint64_t change_count = 0;
   // Whether documents of older eras have been settled.
   bool settled = true;
   std::optional<TimePoint> regained_at;
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -1,6 +1,6 @@
 #include "platform/request_codec.h"
 
-#include <cmath>
+#include <limits>
 
 #include "CppUTest/TestHarness.h"
 
@@ -110,7 +110,7 @@
     HttpRequest request;
     request.headers = {{"x-deadline-ms", value}, {"x-token-counts", value}};
     const CallerRequestInfo call = this->codec.ReadRequest(request);
-    CHECK_TRUE(std::isfinite(call.prompt_tokens));
+    CHECK_TRUE(call.prompt_tokens < std::numeric_limits<int32_t>::max());
     return call.deadline;
   };
   for (const char* const value : {"inf", "nan", "-inf", "1e999", ""}) {
--- a/tests/process/state/cluster_view_test.cc
+++ b/tests/process/state/cluster_view_test.cc
@@ -117,6 +117,7 @@
   const TimePoint named_at = this->now;
   this->Change("o/w", "weights 2", 2);
   this->now += milliseconds(500);
+  this->view.NoteCurrent(this->now);
   this->Change("o/w", "weights 3", 3);
   this->now += milliseconds(1000);
   late.ApplyDelta(this->view.MakeDelta({{0, 1}, false}, this->now), this->now);
@@ -493,6 +494,32 @@
   CHECK_TRUE(this->Usable("b"));
 }
 
+// Guards against a zone that is out again and still gets requests, since the
+// new era gives out the revision anew with which it was taken out before.
+TEST(ClusterViewTest, ZoneTakenOutAtAReusedRevisionIsOutAtOnce) {
+  this->Read(1, 43, {});
+  this->view.ApplyChanges({{"o/z", "zone north", 44, 1}}, this->now);
+  this->view.ApplyChanges({{"o/z", "", 46, 1}}, this->now);
+  CHECK_FALSE(this->view.ZoneIsOut(ZoneName("north")));
+  this->Read(2, 43, {});
+  this->view.ApplyChanges({{"o/z", "zone north", 44, 2}}, this->now);
+  CHECK_TRUE(this->view.ZoneIsOut(ZoneName("north")));
+}
+
+// Guards against a process that learns late of a new era and lets its peers use
+// targets that have left in the meantime.
+TEST(ClusterViewTest, EraLearnedLateDoesNotRenewTheOutageGrace) {
+  ClusterView late{this->decoder, {}};
+  this->Read(1, 40, {{"t/a", "target ready 900 4", 39}});
+  late.ApplyDelta(this->view.MakeDelta({}, this->now), this->now);
+  this->Read(2, 30, {{"t/a", "target ready 900 4", 29}});
+  this->now += milliseconds(20000);
+  this->view.Settle(this->now);
+  late.ApplyDelta(this->view.MakeDelta({{1, 40}, false}, this->now), this->now);
+  CHECK_FALSE(
+      late.MakeDelta({{2, 30}, false}, this->now).regained_ago.has_value());
+}
+
 // Guards against the loss of targets that the copy lacks: those that run
 // register again within two seconds.
 TEST(ClusterViewTest, TargetThatTheCopyLacksIsUsableForTheOutageGrace) {
