--- a/src/connection/http1_client.cc
+++ b/src/connection/http1_client.cc
@@ -8,12 +8,17 @@
 #include <cctype>
 #include <cstdlib>
 #include <deque>
+#include <functional>
 #include <utility>
+#include <vector>
 
 namespace celerypost {
 
 namespace {
 
+// Tells http_parser that a response has no body, whatever its headers say.
+constexpr int kNoBody = 1;
+
 class Channel;
 
 // State of one request; shared by the caller's HttpCall and the channel.
@@ -131,11 +136,12 @@
     this->Close();
   }
 
-  // Whether a request with this ID was sent on the connection.
+  // Whether a request with this ID was sent on the connection; rarely true for
+  // another one.
   bool HasCarried(const std::string& id) const {
     return !id.empty() &&
-           std::find(this->carried_ids.begin(), this->carried_ids.end(), id) !=
-               this->carried_ids.end();
+           std::find(this->carried_ids.begin(), this->carried_ids.end(),
+                     std::hash<std::string>()(id)) != this->carried_ids.end();
   }
 
   void Close() {
@@ -167,9 +173,10 @@
     this->attached_at = this->client->loop.Now();
     this->exchange_open = true;
     if (!this->exchange->options.id.empty()) {
-      this->carried_ids.push_back(this->exchange->options.id);
+      this->carried_ids.push_back(
+          std::hash<std::string>()(this->exchange->options.id));
       if (this->carried_ids.size() > this->client->options.max_remembered_ids) {
-        this->carried_ids.pop_front();
+        this->carried_ids.erase(this->carried_ids.begin());
       }
     }
     this->skipped_responses = 0;
@@ -403,8 +410,10 @@
     }
     const long seconds =
         std::strtol(std::string(text.substr(at + 8)).c_str(), nullptr, 10);
-    return std::min(this->client->options.idle_timeout,
-                    std::chrono::milliseconds(seconds * 800));
+    const long longest = this->client->options.idle_timeout.count() / 800 + 1;
+    return std::min(
+        this->client->options.idle_timeout,
+        std::chrono::milliseconds(std::clamp(seconds, 0L, longest) * 800));
   }
 
   static const http_parser_settings* Settings() {
@@ -451,7 +460,11 @@
       if (!self->skipping && current->callbacks.on_head) {
         current->callbacks.on_head(self->head);
       }
-      return self->cancelled ? -1 : 0;
+      if (self->cancelled) {
+        return -1;
+      }
+      const bool has_body = self->skipping || current->request.method != "HEAD";
+      return has_body ? 0 : kNoBody;
     };
     settings.on_body = [](http_parser* parser, const char* at, size_t length) {
       auto* self = static_cast<Channel*>(parser->data);
@@ -498,8 +511,8 @@
   http_parser parser{};
   std::unique_ptr<Timer> timer;
   std::shared_ptr<Exchange> exchange;
-  // Of the latest requests, oldest first.
-  std::deque<std::string> carried_ids;
+  // Hashes of the IDs of the latest requests, oldest first.
+  std::vector<size_t> carried_ids;
   HttpResponseHead head;
   // When the current request was attached.
   TimePoint attached_at{};
--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -38,8 +38,11 @@
 // pulled together.
 constexpr milliseconds kMinPullInterval{100};
 // How long an encoded answer is sent again. The ages in it are too low by up to
-// this time.
+// this time, which receivers allow for.
 constexpr milliseconds kDeltaCacheTime{100};
+// Largest time between the sending of a beat and its arrival that is allowed
+// for when its ages are read.
+constexpr milliseconds kMaxTransit{100};
 // Largest age that a beat reports.
 constexpr milliseconds kMaxReportedAge{1000000};
 // Shortest time between two pulls for a newer configuration alone.
@@ -137,9 +140,6 @@
                                   "read");
             },
             [this](const std::vector<KeyValue>& changes) {
-              // A change arrives as soon as it is made, unless this process
-              // was paused.
-              this->cluster_view.NoteCurrent(this->last_tick);
               this->ReportChanges(this->cluster_view.ApplyChanges(
                                       changes, this->dependencies.loop.Now()),
                                   "watch");
@@ -148,7 +148,8 @@
               this->cluster_view.OnServiceRegained(
                   this->dependencies.loop.Now());
             },
-            [this](TimePoint time) { this->cluster_view.NoteCurrent(time); }}),
+            [this](TimePoint time) { this->cluster_view.NoteCurrent(time); },
+            [this](TimePoint time) { this->cluster_view.NoteAway(time); }}),
       registry(dependencies.loop,
                dependencies.store,
                dependencies.leases,
@@ -221,6 +222,16 @@
                       kMinRegistrationSpread, kMaxRegistrationSpread));
 }
 
+void NodeCore::OnEraOfPeer(int64_t era) {
+  if (era <= std::max(this->cluster_view.position().era, this->heard_era)) {
+    return;
+  }
+  this->heard_era = era;
+  if (this->reads_store) {
+    this->sync.Restart();
+  }
+}
+
 void NodeCore::FindPeers() {
   KeyRange keys;
   keys.first = NodeRegistry::GroupPrefix(this->dependencies.settings.region,
@@ -274,9 +285,7 @@
       [this, callback = std::move(callback)](const Peer& peer) {
         callback(peer);
         this->NoteCurrentPeer(peer);
-        if (peer.beat.era > this->cluster_view.position().era) {
-          this->OnEra(peer.beat.era);
-        }
+        this->OnEraOfPeer(peer.beat.era);
         if (!this->reads_store && this->HasNewerDocuments(peer)) {
           this->CatchUp();
         }
@@ -286,7 +295,7 @@
 void NodeCore::NoteCurrentPeer(const Peer& peer) {
   if (peer.beat.__isset.current_ms_ago && !this->HasNewerDocuments(peer)) {
     this->cluster_view.NoteCurrent(
-        this->dependencies.loop.Now() -
+        this->dependencies.loop.ArrivedAfter() - kMaxTransit -
         milliseconds(std::max(0, peer.beat.current_ms_ago)));
   }
 }
@@ -364,8 +373,9 @@
   if (const auto& current_at = this->cluster_view.current_at()) {
     const auto age = std::chrono::ceil<milliseconds>(
         this->dependencies.loop.Now() - *current_at);
-    beat.__set_current_ms_ago(static_cast<int32_t>(
-        std::clamp<int64_t>(age.count(), 0, kMaxReportedAge.count())));
+    if (age <= kMaxReportedAge) {
+      beat.__set_current_ms_ago(static_cast<int32_t>(age.count()));
+    }
   }
   return beat;
 }
@@ -481,20 +491,14 @@
 
 const std::string& NodeCore::EncodedDelta(const DocumentQuery& query) {
   const TimePoint now = this->dependencies.loop.Now();
-  const DocumentDelta delta = this->cluster_view.MakeDelta(query, now);
-  const DocumentProgress documents = this->cluster_view.progress();
-  // Documents of older eras come and go without a new revision.
-  const bool cacheable =
-      !delta.regained_ago && this->cluster_view.CountOlderEras() == 0;
   const bool cached =
-      cacheable && now - this->last_delta.made_at < kDeltaCacheTime &&
-      this->last_delta.documents.position == documents.position &&
-      this->last_delta.documents.config_version == documents.config_version &&
+      now - this->last_delta.made_at < kDeltaCacheTime &&
+      this->last_delta.changes == this->cluster_view.changes() &&
       this->last_delta.query.since == query.since &&
       this->last_delta.query.for_stager == query.for_stager;
   if (!cached) {
-    this->last_delta = {query, cacheable ? documents : DocumentProgress(), now,
-                        EncodeDelta(delta)};
+    this->last_delta = {query, this->cluster_view.changes(), now,
+                        EncodeDelta(this->cluster_view.MakeDelta(query, now))};
   }
   return this->last_delta.bytes;
 }
@@ -513,7 +517,6 @@
   }
   this->UpdateStoreReading();
   this->CatchUp();
-  this->last_tick = now;
   if (const auto& current_at = this->cluster_view.current_at()) {
     this->documents_age.Set(
         std::chrono::duration<double>(now - *current_at).count());
@@ -530,9 +533,7 @@
   for (const RegionSummary* summary : this->region_directory.Fresh(now)) {
     newer = newer ||
             this->HasNewerDocuments(summary->documents, /*is_gateway=*/true);
-    if (summary->documents.position.era > this->cluster_view.position().era) {
-      this->OnEra(summary->documents.position.era);
-    }
+    this->OnEraOfPeer(summary->documents.position.era);
   }
   if (!newer) {
     this->behind = false;
@@ -664,14 +665,16 @@
         {{"peer", ip}});
     return;
   }
-  const auto delta = DecodeDelta(response->body);
+  auto delta = DecodeDelta(response->body);
   if (!delta) {
     this->dependencies.log.Warn("peer_documents_unreadable",
                                 delta.error().message, {{"peer", ip}});
     return;
   }
-  this->ReportChanges(
-      this->cluster_view.ApplyDelta(*delta, this->dependencies.loop.Now()), ip);
+  const TimePoint now = this->dependencies.loop.Now();
+  delta->AddToAges(kDeltaCacheTime +
+                   std::chrono::ceil<milliseconds>(now - this->last_pull));
+  this->ReportChanges(this->cluster_view.ApplyDelta(*delta, now), ip);
 }
 
 }  // namespace celerypost
--- a/src/process/state/cluster_view.cc
+++ b/src/process/state/cluster_view.cc
@@ -30,6 +30,15 @@
   return std::nullopt;
 }
 
+void DocumentDelta::AddToAges(std::chrono::milliseconds transit) {
+  for (ReportedNaming& naming : this->namings) {
+    naming.named_ago += transit;
+  }
+  if (this->current_ago) {
+    *this->current_ago += transit;
+  }
+}
+
 ClusterView::ClusterView(const DocumentDecoder& decoder,
                          ClusterViewOptions options)
     : decoder(decoder), options(options) {}
@@ -37,6 +46,7 @@
 std::vector<ViewChange> ClusterView::ApplyChanges(
     const std::vector<KeyValue>& changes,
     TimePoint now) {
+  ++this->change_count;
   std::vector<ViewChange> applied;
   for (const KeyValue& change : changes) {
     const auto known = this->documents.find(change.key);
@@ -58,6 +68,7 @@
     StorePosition position,
     bool after_outage,
     TimePoint now) {
+  ++this->change_count;
   std::vector<ViewChange> applied;
   const bool first = this->newest == StorePosition();
   if (first || position.era > this->newest.era) {
@@ -109,6 +120,7 @@
   this->removals_known_since = 0;
   this->held_back.clear();
   this->era_began = now;
+  this->copied_until = position.revision;
   this->settled = false;
   if (!first) {
     this->regained_at = now;
@@ -223,8 +235,8 @@
   }
   const auto gone = this->removed.find(change.key);
   // A copy has the revision with which the removed document was written.
-  if (seen && in_grace && gone != this->removed.end() &&
-      gone->second.at.era < change.era &&
+  if (seen && in_grace && change.mod_revision <= this->copied_until &&
+      gone != this->removed.end() && gone->second.at.era < change.era &&
       gone->second.put_revision == change.mod_revision) {
     return {Order::kOlder, "removed before the new era"};
   }
@@ -425,14 +437,24 @@
       std::max(this->known_current_at.value_or(time), time);
 }
 
+void ClusterView::NoteAway(TimePoint time) {
+  this->known_away_at = std::max(this->known_away_at.value_or(time), time);
+}
+
 WeightNaming ClusterView::MakeNaming(int64_t version,
                                      bool observed,
                                      TimePoint now) const {
   if (!observed) {
     return {version, now - this->options.assumed_naming_age, /*assumed=*/true};
   }
-  return {version, std::min(this->known_current_at.value_or(now), now),
-          /*assumed=*/false};
+  if (!this->known_current_at) {
+    return {version, now, /*assumed=*/true};
+  }
+  const TimePoint current_at = std::min(*this->known_current_at, now);
+  if (this->known_away_at > current_at) {
+    return {version, *this->known_away_at, /*assumed=*/true};
+  }
+  return {version, current_at, /*assumed=*/false};
 }
 
 void ClusterView::ApplyNaming(const ReportedNaming& reported, TimePoint now) {
@@ -484,6 +506,7 @@
   if (this->settled) {
     return changes;
   }
+  ++this->change_count;
   const Duration since = now - this->era_began;
   std::vector<std::string> missing;
   for (const auto& [key, document] : this->documents) {
@@ -620,6 +643,7 @@
 
 std::vector<ViewChange> ClusterView::ApplyDelta(const DocumentDelta& delta,
                                                 TimePoint now) {
+  ++this->change_count;
   if (delta.regained_ago) {
     const TimePoint regained = now - *delta.regained_ago;
     this->regained_at =
@@ -631,8 +655,15 @@
     this->LapseTargetsOfOlderEras(now);
     this->Advance({delta.era, delta.revision});
   } else {
+    const int64_t era = this->newest.era;
     applied = this->ApplySnapshot(delta.items, {delta.era, delta.revision},
                                   /*after_outage=*/false, now);
+    if (this->newest.era != era) {
+      // The era is as old as the peer knows it, not as this process does.
+      this->regained_at = delta.regained_ago
+                              ? std::optional(now - *delta.regained_ago)
+                              : std::nullopt;
+    }
   }
   for (const ReportedNaming& naming : delta.namings) {
     this->ApplyNaming(naming, now);
