--- a/src/process/node_core.h
+++ b/src/process/node_core.h
@@ -134,7 +134,7 @@
   // Whether a gateway has a newer configuration, which the key-value service
   // may lack after a restore, and may be asked for it.
   bool HasNewerConfig(const DocumentProgress& progress) const;
-  // A response of the service or a peer has named `era`.
+  // A response of the key-value service has named `era`.
   void OnEra(int64_t era);
   // Chooses a gateway to ask for newer documents: one of this region, or after
   // a delay one of another region. Returns its IP address, empty when there is
