Take over changes of a restored key-value service

What operators would see: after a restore of the key-value service from a backup, a change has no effect until the service's revision exceeds the one before the restore.

Cause: GossipTask::store_revisions skips documents whose revision is not higher than the last known one, and a restored service hands out revisions again.

The revisions that are known are dropped when a read precedes a watch: nothing newer can have been reported then. A revision of the service that went back ends the watch, which waits for revisions of the old history. A document with a lower number than the known one is still not taken.

Before: FleetTest ChangeAfterARestoreOfTheServiceComesIntoForce failed with number 2 instead of 3 in force.

--- a/src/process/gossip_store.cc
+++ b/src/process/gossip_store.cc
@@ -56,6 +56,17 @@
     this->AfterEvent();
     return;
   }
+  const bool restored = range->revision < this->store_revision;
+  this->store_revision = range->revision;
+  if (restored) {
+    // The watch waits for revisions that the restored service has not reached.
+    this->watch.reset();
+    this->watch_call.reset();
+  }
+  if (restored && keys_only) {
+    this->ReadStore(false);
+    return;
+  }
   if (keys_only) {
     for (const KeyValue& item : range->items) {
       const auto known = this->store_revisions.find(item.key);
@@ -67,6 +78,11 @@
       }
     }
   } else {
+    if (this->watch == nullptr) {
+      // Nothing newer can have been reported meanwhile, and a restored service
+      // hands out revisions again.
+      this->store_revisions.clear();
+    }
     for (const KeyValue& item : range->items) {
       this->ApplyStoredValue(item);
     }
--- a/src/process/gossip_task.h
+++ b/src/process/gossip_task.h
@@ -152,6 +152,8 @@
   bool store_read_pending = false;
   // Last known revisions by key; empty until the first full read.
   std::map<std::string, int64_t, std::less<>> store_revisions;
+  // Revision of the service at the last read.
+  int64_t store_revision = 0;
   bool store_loaded = false;
   // Send time of the last read that was answered.
   std::optional<TimePoint> answered_read;
--- a/tests/process/fleet_test.cc
+++ b/tests/process/fleet_test.cc
@@ -138,5 +138,38 @@
   CheckNoViolation(fleet);
 }
 
+// Guards against a change that is ignored since a key-value service that was
+// restored from a backup hands out its revision for the second time.
+TEST(FleetTest, ChangeAfterARestoreOfTheServiceComesIntoForce) {
+  FleetOptions options;
+  options.entries = 6;
+  options.agents = 6;
+  VirtualFleet fleet(options);
+  fleet.RunFor(seconds(3));
+  const VirtualStore::Backup backup = fleet.store.MakeBackup();
+  size_t accepted = 0;
+  const auto count = [&accepted](const CommitResult& result) {
+    accepted += result.outcome == CommitOutcome::kAccepted ? 1 : 0;
+  };
+  for (size_t zone = 1; zone <= 2; ++zone) {
+    fleet.Submit(0, ZoneChange(fleet, 0, zone), count);
+    fleet.RunFor(seconds(2));
+  }
+  LONGS_EQUAL(2, accepted);
+  const std::string key(kConfigKey);
+  auto next = ConfigDocument::Parse(fleet.store.history[key].back());
+  CHECK_TRUE(next.has_value());
+  ++next->number;
+
+  fleet.store.Restore(backup);
+  fleet.RunFor(seconds(1));
+  fleet.store.Write(key, next->Serialize());
+  fleet.RunFor(seconds(5));
+
+  for (size_t i = 0; i < fleet.size(); ++i) {
+    LONGS_EQUAL(3, fleet.node(i).gossip->config().number());
+  }
+}
+
 }  // namespace
 }  // namespace celerypost
--- a/tests/support/virtual_store.cc
+++ b/tests/support/virtual_store.cc
@@ -155,6 +155,18 @@
   }
 }
 
+void VirtualStore::Restore(const Backup& backup) {
+  this->SetUp(false);
+  this->revision = backup.revision;
+  this->values = backup.values;
+  this->SetUp(true);
+}
+
+void VirtualStore::Write(const std::string& key, const std::string& value) {
+  ++this->revision;
+  this->Put(key, value);
+}
+
 void VirtualStore::Put(const std::string& key, const std::string& value) {
   this->values[key] = KeyValue{key, value, this->revision};
   this->history[key].push_back(value);
--- a/tests/support/virtual_store.h
+++ b/tests/support/virtual_store.h
@@ -27,6 +27,17 @@
   // While down, the service answers no calls. Going down ends all watches.
   void SetUp(bool up);
 
+  // Returns a backup, and replaces all values and the revision by those of one.
+  // Restoring ends all watches.
+  struct Backup {
+    int64_t revision = 0;
+    std::map<std::string, KeyValue> values;
+  };
+  Backup MakeBackup() const { return {this->revision, this->values}; }
+  void Restore(const Backup& backup);
+  // Writes a value as an operator does with a tool of the service.
+  void Write(const std::string& key, const std::string& value);
+
   // Fractions (0 to 1) of transactions whose request or whose answer is lost.
   double lost_requests = 0;
   double lost_answers = 0;
