Bound the depth of JSON from other processes

What users saw: another writer left a deeply nested entry among those of the targets, and the machines that read the list ended again and again.

Cause: nlohmann::json parses and destroys without recursion, but dump(), copies and comparisons recurse once per level, and nothing bounded the depth. ParseJson prints a document that is no object by ShortJson, and ReduceForStagers prints documents with any extra field.

Evidence: RejectsDocumentsThatNestTooDeeply ended the test program with a segmentation fault (500,000 levels in a value under servers/) and accepted an entry with a nested extra field (65 levels) before this change.

ParseBoundedJson scans the text for its depth with constant stack space and parses no text that nests deeper than 64; all parsing of JSON in src/ and platform/ goes through it. A parser callback could bound the depth too, but it searches all earlier siblings at the end of each array, which takes quadratic time for a list of many.

Frames between processes need no change: Thrift bounds the recursion over unknown fields. RejectsNestedUnknownFields shows it; it passed before.

--- a/src/process/agent_process.cc
+++ b/src/process/agent_process.cc
@@ -10,6 +10,7 @@
 #include "src/process/roles.h"
 #include "src/process/service_directory.h"
 #include "src/process/state/rendezvous.h"
+#include "src/version/bounded_json.h"
 
 namespace celerypost {
 
@@ -219,7 +220,7 @@
           return;
         }
         const auto body =
-            nlohmann::json::parse(answer->body, nullptr, false, true);
+            ParseBoundedJson(answer->body, /*ignore_comments=*/true);
         if (body.is_object() && body.contains("start_id") &&
             body["start_id"].is_string()) {
           this->OnStartId(body["start_id"].get<std::string>());
--- a/src/process/commit_task.cc
+++ b/src/process/commit_task.cc
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "src/version/bounded_json.h"
+
 namespace celerypost {
 namespace {
 
@@ -42,7 +44,7 @@
   for (const KeyValue& item : range.items) {
     const uint64_t number =
         std::strtoull(item.key.c_str() + kAuditPrefix.size(), nullptr, 10);
-    auto change = nlohmann::json::parse(item.value, nullptr, false);
+    auto change = ParseBoundedJson(item.value);
     if (number >= first && change.is_object()) {
       change["number"] = number;
       changes.emplace_back(number, std::move(change));
@@ -114,7 +116,7 @@
                         "the change is not stored"});
       return;
     }
-    const auto record = nlohmann::json::parse((*read)->value, nullptr, false);
+    const auto record = ParseBoundedJson((*read)->value);
     const bool valid = record.is_object() && record.contains("number") &&
                        record["number"].is_number_unsigned() &&
                        record.contains("regions") &&
--- a/src/process/ctl.cc
+++ b/src/process/ctl.cc
@@ -11,6 +11,7 @@
 #include "src/process/ctl_manifest.h"
 #include "src/process/ctl_progress.h"
 #include "src/process/ctl_table.h"
+#include "src/version/bounded_json.h"
 
 namespace celerypost {
 namespace {
@@ -171,7 +172,7 @@
   if (!text) {
     return this->UsageError(text.error().message);
   }
-  Json manifest = Json::parse(*text, nullptr, /*allow_exceptions=*/false);
+  Json manifest = ParseBoundedJson<Json>(*text);
   if (!manifest.is_object()) {
     return this->UsageError(arguments[0] + " is not a JSON object");
   }
--- a/src/process/ctl_manifest.cc
+++ b/src/process/ctl_manifest.cc
@@ -12,6 +12,7 @@
 
 #include "celerypost/assert.h"
 #include "celerypost/types.h"
+#include "src/version/bounded_json.h"
 #include "src/version/digest.h"
 #include "src/version/manifest.h"
 #include "src/version/weight_index.h"
@@ -224,7 +225,7 @@
                                     const fs::path& directory,
                                     std::string_view name,
                                     uint64_t chunk_bytes) {
-  Json manifest = Json::parse(description, nullptr, /*allow_exceptions=*/false);
+  Json manifest = ParseBoundedJson<Json>(description);
   if (!manifest.is_object()) {
     return Invalid("the description is not a JSON object");
   }
--- a/src/process/ctl_outcome.cc
+++ b/src/process/ctl_outcome.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "src/version/bounded_json.h"
+
 namespace celerypost {
 namespace {
 
@@ -61,7 +63,7 @@
 }
 
 void ReadBody(CtlOutcome& outcome, const HttpResponse& response) {
-  Json body = Json::parse(response.body, nullptr, /*allow_exceptions=*/false);
+  Json body = ParseBoundedJson<Json>(response.body);
   if (!body.is_object()) {
     return;
   }
--- a/src/process/etcd_client.cc
+++ b/src/process/etcd_client.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/version/bounded_json.h"
+
 namespace celerypost {
 namespace {
 
@@ -70,7 +72,7 @@
 }
 
 Result<KeyValueRange> ParseRange(const std::string& body) {
-  const Json answer = Json::parse(body, nullptr, false);
+  const Json answer = ParseBoundedJson(body);
   if (!answer.is_object()) {
     return BadAnswer("range answer is no JSON object");
   }
@@ -91,7 +93,7 @@
 }
 
 Result<KeyValueTransactionResult> ParseTransaction(const std::string& body) {
-  const Json answer = Json::parse(body, nullptr, false);
+  const Json answer = ParseBoundedJson(body);
   if (!answer.is_object()) {
     return BadAnswer("transaction answer is no JSON object");
   }
@@ -157,7 +159,7 @@
     if (line.empty()) {
       return;
     }
-    const Json answer = Json::parse(line, nullptr, false);
+    const Json answer = ParseBoundedJson(line);
     const bool valid = answer.is_object() && answer.contains("result") &&
                        answer["result"].is_object();
     if (!valid || answer["result"].value("canceled", false)) {
--- a/src/process/membership_client.cc
+++ b/src/process/membership_client.cc
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include "src/version/bounded_json.h"
+
 namespace celerypost {
 namespace {
 
@@ -66,7 +68,7 @@
 }  // namespace
 
 Result<std::vector<PlatformMember>> ParseMembers(std::string_view json) {
-  const Json answer = Json::parse(json, nullptr, false);
+  const Json answer = ParseBoundedJson(json);
   const bool valid = answer.is_object() && answer.contains("members") &&
                      answer["members"].is_array();
   if (!valid) {
--- a/src/process/state/commit.cc
+++ b/src/process/state/commit.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "src/version/bounded_json.h"
+
 namespace celerypost {
 
 std::string_view CommitOutcomeName(CommitOutcome outcome) {
@@ -71,7 +73,7 @@
     return {};
   }
   if (read->value) {
-    const auto json = nlohmann::json::parse(*read->value, nullptr, false);
+    const auto json = ParseBoundedJson(*read->value);
     const bool valid = json.is_object() && json.contains("number") &&
                        json["number"].is_number_unsigned();
     if (!valid) {
--- a/src/process/state/config_document.cc
+++ b/src/process/state/config_document.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/version/bounded_json.h"
+
 namespace celerypost {
 namespace {
 
@@ -72,9 +74,10 @@
 }
 
 Result<Json> ParseObject(std::string_view json, const char* what) {
-  Json value = Json::parse(json, nullptr, false);
+  Json value = ParseBoundedJson(json);
   if (value.is_discarded()) {
-    return Invalid(std::string(what) + " is not valid JSON");
+    return Invalid(std::string(what) +
+                   " is not valid JSON, or nests too deeply");
   }
   if (!value.is_object()) {
     return Invalid(std::string(what) + " must be a JSON object");
--- a/src/process/state/config_state.cc
+++ b/src/process/state/config_state.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "celerypost/assert.h"
+#include "src/version/bounded_json.h"
 
 namespace celerypost {
 
@@ -14,7 +15,7 @@
                   "key \"" + std::string(key) + "\" names no document");
   }
   const char* const field = is_config ? "number" : "version";
-  const auto json = nlohmann::json::parse(bytes, nullptr, false);
+  const auto json = ParseBoundedJson(bytes);
   if (!json.is_object()) {
     return NotRun(ErrorCode::kInvalidArgument,
                   std::string(key) + " is not a JSON object");
--- a/src/request/slot_table.cc
+++ b/src/request/slot_table.cc
@@ -6,6 +6,8 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
+#include "src/version/bounded_json.h"
+
 namespace celerypost {
 namespace {
 
@@ -38,7 +40,7 @@
 }  // namespace
 
 Result<SlotTable> SlotTable::Parse(std::string_view json) {
-  const Json document = Json::parse(json, nullptr, /*allow_exceptions=*/false);
+  const Json document = ParseBoundedJson(json);
   if (!document.is_object()) {
     return Invalid("document", "a JSON object");
   }
--- a/src/version/json_fields.cc
+++ b/src/version/json_fields.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/version/bounded_json.h"
+
 namespace celerypost {
 namespace {
 
@@ -24,10 +26,11 @@
 }  // namespace
 
 Result<json> ParseJson(std::string_view text, std::string_view what) {
-  json document = json::parse(text, nullptr, false);
+  json document = ParseBoundedJson(text);
   if (document.is_discarded()) {
     return NotRun(ErrorCode::kInvalidArgument,
-                  std::string(what) + " is not valid JSON (" +
+                  std::string(what) +
+                      " is not valid JSON, or nests too deeply (" +
                       std::to_string(text.size()) + " bytes)");
   }
   if (!document.is_object()) {
--- a/tests/connection/frame_codec_test.cc
+++ b/tests/connection/frame_codec_test.cc
@@ -1,6 +1,7 @@
 #include "src/connection/frame_codec.h"
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "CppUTest/TestHarness.h"
@@ -50,6 +51,31 @@
   LONGS_EQUAL(2, ReadAll(&reader, bytes).size());
 }
 
+// Guards against a process that ends with an exhausted stack on an unknown
+// field of nested lists or maps.
+TEST(FrameCodecTest, RejectsNestedUnknownFields) {
+  // A field of a list that holds one list, and of a map that holds one map.
+  for (const auto& [field, nested] :
+       {std::pair{"\xF9", "\x19"}, std::pair{"\xFB", "\x01\xBB\x01\xBB"}}) {
+    std::string bytes = PullFrame("a");
+    bytes.pop_back();
+    bytes += field;
+    for (size_t i = 0; i < 500'000; ++i) {
+      bytes += nested;
+    }
+    const size_t length = bytes.size() - 4;
+    for (size_t i = 0; i < 4; ++i) {
+      bytes[i] = static_cast<char>(length >> (8 * (3 - i)));
+    }
+    FrameReader reader;
+    std::vector<Frame> frames;
+    const auto result = reader.Append(
+        bytes, [&frames](Frame frame) { frames.push_back(std::move(frame)); });
+    CHECK_TRUE(!result.has_value() ||
+               !DecodeMessage<wire::PullDocument>(frames.at(0)).has_value());
+  }
+}
+
 // Guards against a forged length that makes the process allocate memory.
 TEST(FrameCodecTest, RejectsOversizedLength) {
   FrameReader reader;
--- a/tests/platform/document_decoder_test.cc
+++ b/tests/platform/document_decoder_test.cc
@@ -1,5 +1,7 @@
 #include "platform/document_decoder.h"
 
+#include <string>
+
 #include "CppUTest/TestHarness.h"
 
 namespace celerypost::platform {
@@ -128,6 +130,28 @@
   }
 }
 
+// Guards against a process that ends with an exhausted stack because a document
+// nests as deeply as its size allows.
+TEST(PlatformDocumentDecoderTest, RejectsDocumentsThatNestTooDeeply) {
+  for (const size_t depth : {size_t{500'000}, size_t{30'000}, size_t{65}}) {
+    const std::string nested =
+        std::string(depth, '[') + std::string(depth, ']');
+    const std::string extra_field =
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,)"
+        R"("state":"ready","sequence":1,"model":"m","version":2,"new":)" +
+        nested + "}";
+    for (const char* const key : {"servers/i-1", "op/config", "op/version/m",
+                                  "op/new", "celerypost/nodes/10.0.0.1"}) {
+      for (const std::string& value : {nested, extra_field}) {
+        const auto document = this->decoder.Decode(key, value);
+        CHECK_FALSE(document.has_value());
+        CHECK_TRUE(document.error().message.size() < 300);
+        CHECK_EQUAL(value, this->decoder.ReduceForStagers(key, value));
+      }
+    }
+  }
+}
+
 // Guards against a zone that is not taken out because the value of its document
 // is empty or unexpected, and against unused documents that fail to decode.
 TEST(PlatformDocumentDecoderTest, ReadsZonesOutAndNamedWeights) {
