Keep a silent attempt until another one has answered

Cause: when an attempt was silent for too long, the gateway closed its connection first and looked for another target afterwards. If there was none, as when a new configuration drops the service, a stream was aborted 1.2 s later and other requests got 502 at once; if the next target refused or broke off, a stream was aborted at once. The retry was spent although nothing was sent.

Evidence: on the code before, these of RelayTaskTest fail, each with the answer cut after its first event or with 502 instead of 200: ASilentTargetKeepsItsStreamWhenThereIsNoOther, ...WhenItsServiceIsDropped, ...WhenTheNextOneRefuses, ...WhenTheNextOneBreaksOff, ASilentTargetKeepsARequestWhenThereIsNoOther, ...WhenTheNextOneRefuses, ASilentTargetThatGoesOnFirstKeepsItsStream, and AKeptAttemptSpendsNoRetry (49 instead of 50 retries left).

A live attempt is now given up only for an answer in hand. The next target is selected before a retry is spent. The silent attempt stays open beside the next one; the first event or complete answer of either ends the others, so that no pieces of two runs are joined; if one fails, the other goes on. All end when the caller leaves, at the deadline, at a stop, when a part is quarantined, and at the time by which work on superseded weights must have begun. Requests that may run once are not concerned. TargetTracker avoids the silent target as before and counts its load until it ends.

Log lines attempt_kept and `cut`, and two counters, tell a kept attempt from an answer that was cut.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -28,6 +28,10 @@
 // Retry-After when a target refused although it appeared to have capacity.
 constexpr milliseconds kRefusedRetryAfter{400};
 
+constexpr std::string_view kQuarantined = "a part of the prompt is quarantined";
+constexpr std::string_view kNoTimeLeft = "no time left for another target";
+constexpr std::string_view kNotAllowed = "no further attempt is allowed";
+
 milliseconds Since(TimePoint start, TimePoint now) {
   return std::chrono::duration_cast<milliseconds>(now - start);
 }
@@ -81,6 +85,13 @@
                                  "Requests sent to another target")),
       resumes(metrics.AddCounter("celerypost_stream_resumes_total",
                                  "Streams that went on at another target")),
+      kept_attempts(metrics.AddCounter(
+          "celerypost_kept_attempts_total",
+          "Silent attempts that were kept since no other target was "
+          "available")),
+      aborted_streams(metrics.AddCounter(
+          "celerypost_aborted_streams_total",
+          "Answers that had started and were cut by this process")),
       quarantined(metrics.AddCounter(
           "celerypost_quarantined_requests_total",
           "Requests not sent since a part of their prompt crashes targets")),
@@ -126,29 +137,52 @@
 }
 
 void RelayTask::OnWeightsChanged() {
-  if (this->done || !this->attempt || this->attempt->ended ||
-      this->attempt->had_event) {
+  if (this->done || !this->attempt || this->attempt->ended) {
     return;
   }
-  const auto must_begin_by = this->context.selector.MustBeginBy(
-      *this->selection.target, this->context.loop.Now());
-  if (must_begin_by && must_begin_by != this->selection.must_begin_by) {
-    this->selection.must_begin_by = must_begin_by;
+  bool changed = false;
+  const auto review = [&](const RelayAttempt& waiting, Selection& selected) {
+    if (waiting.had_event) {
+      return;
+    }
+    const auto must_begin_by = this->context.selector.MustBeginBy(
+        *selected.target, this->context.loop.Now());
+    if (must_begin_by && must_begin_by != selected.must_begin_by) {
+      selected.must_begin_by = must_begin_by;
+      changed = true;
+    }
+  };
+  review(*this->attempt, this->selection);
+  for (SilentAttempt& silent : this->silent_attempts) {
+    review(silent.attempt, silent.selection);
+  }
+  if (changed) {
     this->StartAttemptTimer();
   }
 }
 
 void RelayTask::OnPartQuarantined(PartHash part) {
   if (this->done || !this->attempt || this->attempt->ended ||
-      this->attempt->survived ||
       std::find(this->parts.begin(), this->parts.end(), part) ==
           this->parts.end()) {
     return;
   }
+  std::erase_if(this->silent_attempts, [this](SilentAttempt& silent) {
+    if (!silent.attempt.survived) {
+      this->EndSilent(silent);
+    }
+    return silent.attempt.ended;
+  });
+  if (this->attempt->survived) {
+    return;
+  }
   this->http_call.reset();
   this->EndAttempt(AttemptOutcome::kAbandoned);
-  ++this->possible_runs;
-  this->verdict = Verdict::kMayHaveRun;
+  this->CountRun(*this->attempt);
+  if (!this->silent_attempts.empty()) {
+    this->FallBack();
+    return;
+  }
   this->EndForQuarantine();
 }
 
@@ -232,8 +266,7 @@
       this->call.id);
 }
 
-void RelayTask::SendToNextTarget() {
-  const TimePoint now = this->context.loop.Now();
+void RelayTask::UpdatePlacement(TimePoint now) {
   PlacementRequest& placement = this->selection_request.placement;
   placement.prompt_tokens = this->call.prompt_tokens;
   placement.answer_tokens = this->call.answer_tokens;
@@ -242,7 +275,38 @@
       this->route->latency_goal - Since(this->arrived, now);
   placement.late_anyway =
       placement.on_time_left.count() <= 0 || this->sends > 0;
-  if (placement.deadline_left < this->context.options.min_time_left) {
+}
+
+std::optional<Selection> RelayTask::SelectNext(Verdict attempt_verdict,
+                                               std::string_view& reason) {
+  const TimePoint now = this->context.loop.Now();
+  this->UpdatePlacement(now);
+  if (this->selection_request.placement.deadline_left <
+      this->context.options.min_time_left) {
+    reason = kNoTimeLeft;
+    return std::nullopt;
+  }
+  if (!this->context.crashes.MaySend(this->parts, now)) {
+    reason = kQuarantined;
+    return std::nullopt;
+  }
+  Selection next = this->context.selector.Select(this->selection_request, now);
+  if (!next.target) {
+    reason = next.reason;
+    return std::nullopt;
+  }
+  if (!this->MayRetry(attempt_verdict)) {
+    reason = kNotAllowed;
+    return std::nullopt;
+  }
+  return next;
+}
+
+void RelayTask::SendToNextTarget() {
+  const TimePoint now = this->context.loop.Now();
+  this->UpdatePlacement(now);
+  if (this->selection_request.placement.deadline_left <
+      this->context.options.min_time_left) {
     this->EndForLackOfTime();
     return;
   }
@@ -275,23 +339,28 @@
   }
 }
 
+void RelayTask::SendNext(const Selection& next) {
+  this->selection = next;
+  this->SendTo(this->selection);
+}
+
 void RelayTask::EndForLackOfTime() {
   if (this->head_sent || this->verdict != Verdict::kNotRun) {
-    this->FailWith(kGatewayTimeout, "no time left for another target");
+    this->FailWith(kGatewayTimeout, kNoTimeLeft);
   } else {
     this->Refuse("no time left", kRefusedRetryAfter);
   }
 }
 
 void RelayTask::EndForQuarantine() {
-  constexpr std::string_view kReason = "a part of the prompt is quarantined";
   this->context.metrics.quarantined.Add();
   if (this->head_sent || this->verdict != Verdict::kNotRun) {
-    this->FailWith(kBadGateway, kReason);
+    this->FailWith(kBadGateway, kQuarantined);
   } else {
-    this->Refuse(kReason, std::max(kRefusedRetryAfter,
-                                   this->context.crashes.TimeLeft(
-                                       this->parts, this->context.loop.Now())));
+    this->Refuse(kQuarantined,
+                 std::max(kRefusedRetryAfter,
+                          this->context.crashes.TimeLeft(
+                              this->parts, this->context.loop.Now())));
   }
 }
 
@@ -312,12 +381,13 @@
     this->context.metrics.resumes.Add();
   }
   this->attempt.emplace();
+  this->attempt->number = ++this->sends;
   this->attempt->target = selection.target->id;
   this->attempt->prompt_tokens = this->call.prompt_tokens;
   this->attempt->target_start = HashTargetStart(*selection.target);
   this->attempt->sent_at = now;
+  this->attempt->progress_at = now;
   this->selection_request.tried.insert(selection.target->id);
-  ++this->sends;
   this->context.metrics.attempts.Add();
   this->context.book.OnSent(selection.target->id, this->call.prompt_tokens,
                             now);
@@ -336,13 +406,26 @@
     return this->IsOwnAnswer(head);
   };
   HttpResponseCallbacks callbacks;
-  callbacks.on_head = [this](const HttpResponseHead& head) {
-    this->OnHead(head);
+  const uint32_t number = this->attempt->number;
+  callbacks.on_head = [this, number](const HttpResponseHead& head) {
+    if (this->MakeCurrent(number)) {
+      this->OnHead(head);
+    }
   };
-  callbacks.on_body = [this](std::string_view bytes) { this->OnBody(bytes); };
-  callbacks.on_end = [this] { this->OnEnd(); };
-  callbacks.on_failure = [this](const Failure& failure) {
-    this->OnFailure(failure);
+  callbacks.on_body = [this, number](std::string_view bytes) {
+    if (this->MakeCurrent(number)) {
+      this->OnBody(bytes);
+    }
+  };
+  callbacks.on_end = [this, number] {
+    if (this->MakeCurrent(number)) {
+      this->OnEnd();
+    }
+  };
+  callbacks.on_failure = [this, number](const Failure& failure) {
+    if (this->MakeCurrent(number)) {
+      this->OnFailure(failure);
+    }
   };
   this->http_call = this->context.client(selection.target->address)
                         .Send(this->context.codec.MakeTargetRequest(
@@ -359,26 +442,131 @@
   return id.empty() ? !head.reused_connection : id == this->call.id;
 }
 
+bool RelayTask::MakeCurrent(uint32_t number) {
+  if (this->done || !this->attempt) {
+    return false;
+  }
+  if (this->attempt->number == number) {
+    return !this->attempt->ended;
+  }
+  const auto found =
+      std::find_if(this->silent_attempts.begin(), this->silent_attempts.end(),
+                   [number](const SilentAttempt& silent) {
+                     return silent.attempt.number == number;
+                   });
+  if (found == this->silent_attempts.end()) {
+    return false;
+  }
+  std::swap(*this->attempt, found->attempt);
+  std::swap(this->http_call, found->http_call);
+  std::swap(this->selection, found->selection);
+  std::swap(this->events, found->events);
+  return true;
+}
+
+void RelayTask::HoldCurrent() {
+  this->CountRun(*this->attempt);
+  this->attempt->replaced = true;
+  this->context.book.OnSilent(this->attempt->target, this->context.loop.Now());
+  this->silent_attempts.push_back({std::move(*this->attempt),
+                                   std::move(this->http_call), this->selection,
+                                   this->events});
+  this->attempt.reset();
+}
+
+void RelayTask::FallBack() {
+  SilentAttempt latest = std::move(this->silent_attempts.back());
+  this->silent_attempts.pop_back();
+  this->attempt = std::move(latest.attempt);
+  this->http_call = std::move(latest.http_call);
+  this->selection = std::move(latest.selection);
+  this->events = std::move(latest.events);
+  this->StartTakeoverTimer();
+}
+
+void RelayTask::EndSilent(SilentAttempt& silent) {
+  silent.http_call.reset();
+  silent.attempt.ended = true;
+  this->CountRun(silent.attempt);
+  this->context.book.OnEnd(silent.attempt.target, silent.attempt.prompt_tokens,
+                           silent.attempt.had_event, AttemptOutcome::kAbandoned,
+                           this->context.loop.Now());
+}
+
+void RelayTask::EndSilentAttempts() {
+  for (SilentAttempt& silent : this->silent_attempts) {
+    this->EndSilent(silent);
+  }
+  this->silent_attempts.clear();
+}
+
+void RelayTask::EndOverdueSilentAttempts() {
+  const TimePoint now = this->context.loop.Now();
+  std::erase_if(this->silent_attempts, [&](SilentAttempt& silent) {
+    const bool overdue = !silent.attempt.had_event &&
+                         silent.selection.must_begin_by &&
+                         now >= *silent.selection.must_begin_by;
+    if (overdue) {
+      this->EndSilent(silent);
+    }
+    return overdue;
+  });
+}
+
+void RelayTask::CountRun(RelayAttempt& counted) {
+  this->verdict = Verdict::kMayHaveRun;
+  if (!std::exchange(counted.counted, true)) {
+    ++this->possible_runs;
+  }
+}
+
+void RelayTask::UncountRun() {
+  if (std::exchange(this->attempt->counted, false) &&
+      --this->possible_runs == 0) {
+    this->verdict = Verdict::kNotRun;
+  }
+}
+
+std::optional<TimePoint> RelayTask::MustBeginBy() const {
+  std::optional<TimePoint> earliest;
+  const auto note = [&](const RelayAttempt& waiting, const Selection& chosen) {
+    if (!waiting.had_event && chosen.must_begin_by) {
+      earliest = std::min(earliest.value_or(*chosen.must_begin_by),
+                          *chosen.must_begin_by);
+    }
+  };
+  note(*this->attempt, this->selection);
+  for (const SilentAttempt& silent : this->silent_attempts) {
+    note(silent.attempt, silent.selection);
+  }
+  return earliest;
+}
+
+std::optional<TimePoint> RelayTask::SilentAt() const {
+  if (!this->route->repeatable()) {
+    return std::nullopt;
+  }
+  return this->attempt->progress_at +
+         AttemptTimeoutFor(this->context.options.attempt_timeouts, *this->route,
+                           this->attempt->had_event);
+}
+
 void RelayTask::StartAttemptTimer() {
-  const bool awaiting_first_event = !this->attempt->had_event;
-  std::optional<milliseconds> timeout;
-  if (this->route->repeatable()) {
-    timeout = AttemptTimeoutFor(this->context.options.attempt_timeouts,
-                                *this->route, this->attempt->had_event);
-  }
-  if (timeout && awaiting_first_event) {
-    *timeout = std::max(
-        milliseconds(0),
-        *timeout - Since(this->attempt->sent_at, this->context.loop.Now()));
-  }
-  if (awaiting_first_event && this->selection.must_begin_by) {
-    const auto left = std::max(
-        milliseconds(0),
-        Since(this->context.loop.Now(), *this->selection.must_begin_by));
-    timeout = std::min(timeout.value_or(left), left);
-  }
-  if (timeout) {
-    this->attempt_timer->StartOnce(*timeout);
+  this->StartAttemptTimerAt(this->SilentAt());
+}
+
+void RelayTask::StartTakeoverTimer() {
+  this->StartAttemptTimerAt(this->context.loop.Now() +
+                            this->context.options.takeover_retry_interval);
+}
+
+void RelayTask::StartAttemptTimerAt(std::optional<TimePoint> time) {
+  if (const auto must_begin_by = this->MustBeginBy()) {
+    time = std::min(time.value_or(*must_begin_by), *must_begin_by);
+  }
+  if (time) {
+    this->attempt_timer->StartOnce(
+        std::max(milliseconds(0), Since(this->context.loop.Now(), *time)));
   } else {
     this->attempt_timer->Stop();
   }
@@ -417,13 +605,19 @@
     return;
   }
   if (answer.status >= kServerError && !this->head_sent &&
-      this->route->repeatable() && this->MayRetry(Verdict::kMayHaveRun)) {
-    this->http_call.reset();
-    this->EndAttempt(AttemptOutcome::kFailed);
-    ++this->possible_runs;
-    this->verdict = Verdict::kMayHaveRun;
-    this->SendToNextTarget();
-    return;
+      this->route->repeatable()) {
+    if (!this->silent_attempts.empty()) {
+      this->EndAttempt(AttemptOutcome::kFailed);
+      this->RetryOrEnd(Verdict::kMayHaveRun, kBadGateway, "the target failed");
+      return;
+    }
+    if (this->MayRetry(Verdict::kMayHaveRun)) {
+      this->http_call.reset();
+      this->EndAttempt(AttemptOutcome::kFailed);
+      this->CountRun(*this->attempt);
+      this->SendToNextTarget();
+      return;
+    }
   }
   if (this->head_sent && !this->ResumesStream()) {
     this->EndAttempt(AttemptOutcome::kFailed);
@@ -530,6 +724,8 @@
 
 void RelayTask::NoteProgress() {
   const TimePoint now = this->context.loop.Now();
+  this->EndSilentAttempts();
+  this->attempt->progress_at = now;
   if (!this->attempt->had_event) {
     this->attempt->had_event = true;
     this->attempt->first_event_at = now;
@@ -562,7 +758,8 @@
 }
 
 void RelayTask::ForwardEvents(const std::string& complete_events) {
-  if (complete_events.empty()) {
+  this->attempt->unsent.append(complete_events);
+  if (this->attempt->unsent.empty() || !this->silent_attempts.empty()) {
     return;
   }
   if (!this->head_sent) {
@@ -571,7 +768,7 @@
         this->attempt->answer.status,
         this->context.codec.MakeCallerHeaders(this->attempt->headers));
   }
-  this->responder->Write(complete_events);
+  this->responder->Write(std::exchange(this->attempt->unsent, {}));
 }
 
 void RelayTask::OnEnd() {
@@ -595,6 +792,7 @@
                        "the stream ended before its first event"});
       return;
     }
+    this->EndSilentAttempts();
     this->ForwardEvents(this->events.TakeTrailingComments());
     this->NoteEndOfAnswer();
     this->EndAttempt(AttemptOutcome::kAnswered);
@@ -612,8 +810,13 @@
   this->EndAttempt(failed ? AttemptOutcome::kFailed
                           : AttemptOutcome::kAnswered);
   if (this->attempt->answer.unconfirmed_refusal) {
-    this->FailWith(kBadGateway,
-                   "the target does not say whether the request has run");
+    constexpr std::string_view kUnconfirmed =
+        "the target does not say whether the request has run";
+    if (this->silent_attempts.empty()) {
+      this->FailWith(kBadGateway, kUnconfirmed);
+    } else {
+      this->RetryOrEnd(Verdict::kMayHaveRun, kBadGateway, kUnconfirmed);
+    }
     return;
   }
   this->SendTargetAnswer();
@@ -663,27 +866,64 @@
   if (!this->attempt || this->attempt->ended) {
     return;
   }
+  this->EndOverdueSilentAttempts();
+  const TimePoint now = this->context.loop.Now();
   // A request that starts on weights past their bound would be answered by the
-  // wrong version, so it is moved regardless of the retry budget.
-  if (!this->MustLeaveTarget() && !this->MayRetry(Verdict::kMayHaveRun)) {
-    if (!this->attempt->had_event && this->selection.must_begin_by) {
-      this->attempt_timer->StartOnce(
-          Since(this->context.loop.Now(), *this->selection.must_begin_by));
+  // wrong version, so it is withdrawn whether or not it can be sent again.
+  if (this->MustLeaveTarget()) {
+    this->LogSilent("its weights are superseded");
+    this->http_call.reset();
+    this->EndAttempt(AttemptOutcome::kBroken);
+    this->CountRun(*this->attempt);
+    if (this->silent_attempts.empty()) {
+      this->SendToNextTarget();
+    } else {
+      this->FallBack();
     }
     return;
   }
-  this->context.log.Info(
-      "attempt_silent",
-      "no data from the target in time; trying another target",
-      {{"target", this->attempt->target},
-       {"events", this->events.events()},
-       {"attempt", this->sends}},
-      this->call.id);
-  this->http_call.reset();
-  this->EndAttempt(AttemptOutcome::kBroken);
-  ++this->possible_runs;
-  this->verdict = Verdict::kMayHaveRun;
-  this->SendToNextTarget();
+  const auto silent_at = this->SilentAt();
+  if (!silent_at || now < *silent_at) {
+    this->StartAttemptTimer();
+    return;
+  }
+  std::string_view reason;
+  const auto next = this->SelectNext(Verdict::kMayHaveRun, reason);
+  if (!next) {
+    this->KeepAttempt(reason);
+    return;
+  }
+  this->LogSilent("no data from the target in time; trying another target");
+  this->HoldCurrent();
+  this->SendNext(*next);
+}
+
+void RelayTask::LogSilent(std::string_view message) {
+  this->context.log.Info("attempt_silent", message,
+                         {{"target", this->attempt->target},
+                          {"events", this->events.events()},
+                          {"attempt", this->attempt->number}},
+                         this->call.id);
+}
+
+void RelayTask::KeepAttempt(std::string_view reason) {
+  if (!std::exchange(this->attempt->kept, true)) {
+    this->context.metrics.kept_attempts.Add();
+    this->context.log.Info(
+        "attempt_kept", "the silent target keeps the request",
+        {{"reason", reason},
+         {"target", this->attempt->target},
+         {"events", this->events.events()},
+         {"attempt", this->attempt->number},
+         {"config_version", this->config->version},
+         {"latest_config_version", this->context.view.config()->version}},
+        this->call.id);
+  }
+  if (reason == kNotAllowed || reason == kNoTimeLeft) {
+    this->StartAttemptTimerAt(std::nullopt);
+  } else {
+    this->StartTakeoverTimer();
+  }
 }
 
 void RelayTask::OnDeadline() {
@@ -731,8 +971,9 @@
     return false;
   }
   // Only attempts that may have run count against the route's limit.
-  const uint32_t may_have_run =
-      this->possible_runs + (attempt_verdict == Verdict::kNotRun ? 0 : 1);
+  const bool counted = attempt_verdict == Verdict::kNotRun ||
+                       (this->attempt && this->attempt->counted);
+  const uint32_t may_have_run = this->possible_runs + (counted ? 0 : 1);
   if (may_have_run >= std::max(1u, this->route->max_attempts) &&
       attempt_verdict != Verdict::kNotRun) {
     return false;
@@ -756,10 +997,21 @@
   // This may run inside a callback of `http_call`; the client closes the call
   // after the callback has returned.
   this->http_call.reset();
+  if (!this->silent_attempts.empty()) {
+    const auto next = this->SelectNext(attempt_verdict, reason);
+    if (attempt_verdict == Verdict::kNotRun) {
+      this->UncountRun();
+    } else {
+      this->CountRun(*this->attempt);
+    }
+    next ? this->SendNext(*next) : this->FallBack();
+    return;
+  }
   const bool retry = this->MayRetry(attempt_verdict);
-  if (attempt_verdict != Verdict::kNotRun) {
-    ++this->possible_runs;
-    this->verdict = Verdict::kMayHaveRun;
+  if (attempt_verdict == Verdict::kNotRun) {
+    this->UncountRun();
+  } else {
+    this->CountRun(*this->attempt);
   }
   if (retry) {
     this->SendToNextTarget();
@@ -776,6 +1028,10 @@
     return;
   }
   this->attempt->ended = true;
+  // Its silence has already been counted as a break.
+  if (this->attempt->replaced && outcome == AttemptOutcome::kBroken) {
+    outcome = AttemptOutcome::kAbandoned;
+  }
   this->context.book.OnEnd(this->attempt->target, this->attempt->prompt_tokens,
                            this->attempt->had_event, outcome,
                            this->context.loop.Now());
@@ -792,6 +1048,7 @@
 
 void RelayTask::FailWith(int status, std::string_view reason) {
   if (this->head_sent) {
+    this->context.metrics.aborted_streams.Add();
     this->responder->Abort();
   } else {
     this->responder->Send(
@@ -806,6 +1063,7 @@
                        int status,
                        std::string_view reason) {
   this->done = true;
+  this->EndSilentAttempts();
   this->context.active.erase(this);
   const TimePoint now = this->context.loop.Now();
   const auto total = Since(this->arrived, now);
@@ -830,6 +1088,9 @@
        {"predicted_ms", this->selection.predicted.count()},
        {"entry_age_ms", this->selection.entry_age.count()},
        {"config_version", this->config ? this->config->version : 0},
+       {"latest_config_version",
+        this->context.view.config() ? this->context.view.config()->version : 0},
+       {"cut", outcome == "failed" && this->head_sent},
        {"first_event_ms",
         this->first_event_at
             ? Since(this->arrived, *this->first_event_at).count()
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -33,6 +33,9 @@
   // time between two tries.
   std::chrono::milliseconds resume_timeout{1200};
   std::chrono::milliseconds resume_retry_interval{100};
+  // Time between two searches for a target that can take over from a silent
+  // one.
+  std::chrono::milliseconds takeover_retry_interval{250};
   // Most targets that one request is sent to, including those that refused it.
   uint32_t max_sends = 4;
   // A request is not sent to a target when less time is left until the caller's
@@ -58,6 +61,8 @@
   Counter& attempts;
   Counter& retries;
   Counter& resumes;
+  Counter& kept_attempts;
+  Counter& aborted_streams;
   Counter& quarantined;
   Counter& leaving_targets;
   Counter& declining_targets;
@@ -97,19 +102,41 @@
 
 // One send of a request to a target.
 struct RelayAttempt {
+  // From 1, in the order of the sends of a request.
+  uint32_t number = 0;
   // The target's ID.
   std::string target;
   double prompt_tokens = 0;
   TargetStartHash target_start = 0;
   TimePoint sent_at{};
+  // When it was sent or had its last event.
+  TimePoint progress_at{};
   bool had_event = false;
   TimePoint first_event_at{};
   // The target did not crash on the request (RelayOptions::survival_time).
   bool survived = false;
   bool ended = false;
+  // Another attempt has been started since this one was silent for too long.
+  bool replaced = false;
+  // Counted in RelayTask::possible_runs.
+  bool counted = false;
+  // No other target was available when it was silent for too long.
+  bool kept = false;
   TargetAnswer answer;
   HttpHeaders headers;
   std::string body;
+  // Complete parts of the stream that are not passed on while another attempt
+  // may still answer.
+  std::string unsent;
+};
+
+// A silent attempt that stays open until the one that was started in its place
+// has produced something for the caller.
+struct SilentAttempt {
+  RelayAttempt attempt;
+  std::unique_ptr<HttpCall> http_call;
+  Selection selection;
+  EventStream events;
 };
 
 // One request of a caller, from its arrival to the end of its response.
@@ -137,6 +164,30 @@
   // otherwise refuses the request, or fails it if an attempt may have run.
   void SendToNextTarget();
   void SendTo(const Selection& selection);
+  // Sends the request to the target of `next`.
+  void SendNext(const Selection& next);
+  void UpdatePlacement(TimePoint now);
+  // Selects the target of one more attempt and spends a retry of the budget on
+  // it. Returns nothing, with the cause in `reason`, and spends nothing, if no
+  // target is available or the request must not be sent again after an attempt
+  // with this verdict.
+  std::optional<Selection> SelectNext(Verdict verdict,
+                                      std::string_view& reason);
+  // Makes the attempt the current one; another one that is live becomes silent.
+  // Returns false if the attempt has ended.
+  bool MakeCurrent(uint32_t number);
+  // Keeps the current attempt open while another one is started.
+  void HoldCurrent();
+  // Continues with the latest silent attempt after the current one has ended.
+  void FallBack();
+  void EndSilent(SilentAttempt& silent);
+  void EndSilentAttempts();
+  // Ends the silent attempts that may no longer begin to run.
+  void EndOverdueSilentAttempts();
+  // Counts the attempt as one that may have run.
+  void CountRun(RelayAttempt& counted);
+  // Takes the current attempt back as its target says that it has not run.
+  void UncountRun();
   // Ends the request since the time until its deadline is too short for another
   // attempt.
   void EndForLackOfTime();
@@ -157,10 +208,13 @@
   void OnBody(std::string_view bytes);
   void OnEnd();
   void OnFailure(const Failure& failure);
-  // Moves the request to another target when the attempt has been silent for
-  // too long and may be retried, or when MustLeaveTarget requires it. Looks
+  // Starts another attempt when the current one has been silent for too long
+  // and may be retried; gives it up when MustLeaveTarget requires it. Looks
   // again for a target if a broken stream waits for one that can resume it.
   void OnAttemptTimeout();
+  void LogSilent(std::string_view message);
+  // Waits on for the current attempt since there is no other one to start.
+  void KeepAttempt(std::string_view reason);
   void OnDeadline();
   void OnCallerDisconnected();
   // The attempt has produced an event.
@@ -188,7 +242,16 @@
   // Returns whether the attempt has not started to run by the time at which the
   // target's weights become too old for it.
   bool MustLeaveTarget() const;
+  // The earliest time by which a live attempt must have begun to run.
+  std::optional<TimePoint> MustBeginBy() const;
+  // Returns when the attempt counts as silent; nothing if the request must not
+  // be repeated.
+  std::optional<TimePoint> SilentAt() const;
   void StartAttemptTimer();
+  void StartTakeoverTimer();
+  // Starts the timer for `time` or the earliest time by which a live attempt
+  // must have begun to run, whichever comes first.
+  void StartAttemptTimerAt(std::optional<TimePoint> time);
 
   RelayContext& context;
   HttpRequest request;
@@ -207,6 +270,8 @@
   std::unique_ptr<HttpCall> http_call;
   std::optional<RelayAttempt> attempt;
   Selection selection;
+  // Attempts before the current one that may still answer, oldest first.
+  std::vector<SilentAttempt> silent_attempts;
   SelectionRequest selection_request;
   EventStream events;
   // The worst verdict of the attempts so far.
--- a/src/request/target_tracker.cc
+++ b/src/request/target_tracker.cc
@@ -69,21 +69,29 @@
     case AttemptOutcome::kFailed:
       record.failure_share += (1 - record.failure_share) * weight;
       break;
-    case AttemptOutcome::kBroken: {
-      record.failure_share += (1 - record.failure_share) * weight;
-      const auto backoff =
-          std::min(this->options.initial_backoff *
-                       (1 << std::min(record.consecutive_breaks, 8u)),
-                   this->options.max_backoff);
-      ++record.consecutive_breaks;
-      record.avoided_until = std::max(record.avoided_until, now + backoff);
+    case AttemptOutcome::kBroken:
+      this->NoteBreak(record, now);
       break;
-    }
     case AttemptOutcome::kAbandoned:
       break;
   }
 }
 
+void TargetTracker::OnSilent(const std::string& target, TimePoint now) {
+  this->NoteBreak(this->records[target], now);
+}
+
+void TargetTracker::NoteBreak(Record& record, TimePoint now) const {
+  record.failure_share +=
+      (1 - record.failure_share) * this->options.failure_weight;
+  const auto backoff =
+      std::min(this->options.initial_backoff *
+                   (1 << std::min(record.consecutive_breaks, 8u)),
+               this->options.max_backoff);
+  ++record.consecutive_breaks;
+  record.avoided_until = std::max(record.avoided_until, now + backoff);
+}
+
 void TargetTracker::OnReport(InstanceId instance,
                              const std::vector<ReportedLoad>& loads,
                              std::chrono::milliseconds period,
--- a/src/request/target_tracker.h
+++ b/src/request/target_tracker.h
@@ -70,6 +70,9 @@
   void OnSent(const std::string& target, double prompt_tokens, TimePoint now);
   // An attempt has produced its first event, so its prompt no longer waits.
   void OnFirstEvent(const std::string& target, double prompt_tokens);
+  // An attempt has been silent for too long and goes on: avoids the target as
+  // after an attempt that ended with kBroken.
+  void OnSilent(const std::string& target, TimePoint now);
   // An attempt has ended. `had_event` says whether OnFirstEvent was called for
   // it.
   void OnEnd(const std::string& target,
@@ -124,6 +127,7 @@
     std::unordered_map<uint64_t, ReportedLoad> loads;
   };
 
+  void NoteBreak(Record& record, TimePoint now) const;
   static void SetReport(Report& report,
                         const std::vector<ReportedLoad>& loads,
                         TimePoint expires_at);
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -5,7 +5,9 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdio>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -21,7 +23,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr int kMaxIterations = 200;
 constexpr size_t kLastBytes = 2;
 constexpr char kHead[] = "HTTP/1.1 200 OK\r\nConnection: close\r\n";
 // Two events and a part of the third, and what a target that resumes sends.
@@ -33,15 +34,18 @@
 
 // What a target sends before it closes or resets its connection.
 struct TargetReply {
-  std::string bytes;
+  std::string bytes = {};
   bool reset = false;
   // Sends the last two bytes after a pause, in which the others reach the
   // caller.
   bool pauses = false;
+  milliseconds pause{100};
   // Sent on the connection of the reply before.
   bool same_connection = false;
   // The connection is kept until the end of the test.
   bool keeps_connection = false;
+  // Sent after `pause` on the first connection, without reading a request.
+  bool on_first_connection = false;
 };
 
 // An answer without a length that ends with its connection.
@@ -130,6 +134,18 @@
   }
 };
 
+const std::string kHeadAndFirst = std::string(kHead) + "\r\nid: 1\ndata: a\n\n";
+constexpr char kSecond[] = "id: 2\ndata: b\n\n";
+constexpr char kWhole[] = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+// A target that falls silent before the last two bytes of its answer.
+TargetReply SilentFor(milliseconds pause, const std::string& body) {
+  TargetReply reply = Unframed(body);
+  reply.pauses = true;
+  reply.pause = pause;
+  return reply;
+}
+
 int ListenOnLoopback(uint16_t& port) {
   const int listener = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
@@ -172,6 +188,14 @@
 
   // The requests that the targets have received.
   std::vector<std::string> received;
+  std::vector<std::string> target_ids = {"t1", "t2"};
+  // Connections to targets that were kept and that the gateway has not closed.
+  size_t open_connections = 0;
+  // Runs this long after a request was sent, if set.
+  std::function<void()> during;
+  milliseconds during_at{0};
+  // How long the callers wait.
+  milliseconds patience{10000};
 
   static Route StreamRoute() {
     Route route;
@@ -201,10 +225,22 @@
   void ServeTargets(int listener, const std::vector<TargetReply>& replies) {
     std::set<int> kept;
     int target = -1;
+    int first_target = -1;
     for (const TargetReply& reply : replies) {
+      if (reply.on_first_connection) {
+        std::this_thread::sleep_for(reply.pause);
+        send(first_target, reply.bytes.data(), reply.bytes.size(),
+             MSG_NOSIGNAL);
+        if (!reply.keeps_connection) {
+          kept.erase(first_target);
+          close(first_target);
+        }
+        continue;
+      }
       if (!reply.same_connection) {
         target = accept(listener, nullptr, nullptr);
       }
+      first_target = first_target < 0 ? target : first_target;
       if (target < 0) {
         break;
       }
@@ -215,7 +251,7 @@
       send(target, reply.bytes.data(), first, MSG_NOSIGNAL);
       if (reply.pauses || reply.reset) {
         // Lets the bytes arrive before the end or the reset.
-        std::this_thread::sleep_for(milliseconds(100));
+        std::this_thread::sleep_for(reply.pause);
       }
       send(target, reply.bytes.data() + first, reply.bytes.size() - first,
            MSG_NOSIGNAL);
@@ -233,6 +269,9 @@
     // Until the end of the test.
     accept(listener, nullptr, nullptr);
     for (const int descriptor : kept) {
+      char byte = 0;
+      const ssize_t count = recv(descriptor, &byte, sizeof(byte), MSG_DONTWAIT);
+      this->open_connections += count < 0 && errno == EAGAIN ? 1 : 0;
       close(descriptor);
     }
   }
@@ -266,7 +305,7 @@
       service.engine.emplace().model = "m";
     }
     this->Apply("config", std::shared_ptr<const GatewayConfig>(config));
-    for (const char* const id : {"t1", "t2"}) {
+    for (const std::string& id : this->target_ids) {
       TargetRegistration target;
       target.id = id;
       target.service = ServiceName("s");
@@ -307,6 +346,7 @@
         this->WaitForRefusalBackoff();
       }
     }
+    this->loop.RunFor(milliseconds(50));
     shutdown(listener, SHUT_RDWR);
     targets.join();
     close(listener);
@@ -340,13 +380,32 @@
     const auto call =
         caller.Send({"GET", "/", {{"host", "h"}, {"x-id", id}}, ""}, {},
                     std::move(callbacks));
-    for (int i = 0; i < kMaxIterations && !answer.complete && !answer.failed;
-         ++i) {
+    Timer during_timer(this->loop, [this] { this->during(); });
+    if (this->during) {
+      during_timer.StartOnce(this->during_at);
+    }
+    const TimePoint end = this->loop.Now() + this->patience;
+    while (!answer.complete && !answer.failed && this->loop.Now() < end) {
       this->loop.RunFor(milliseconds(20));
     }
     return answer;
   }
 
+  // Names a configuration that has no services.
+  void DropServices() {
+    auto config = std::make_shared<GatewayConfig>(*this->view.config());
+    config->services.clear();
+    ++config->version;
+    this->Apply("config", std::shared_ptr<const GatewayConfig>(config));
+  }
+
+  // The caller has received the answer of the first target alone.
+  void CheckAnsweredByTheFirst(const CallerAnswer& answer, const char* body) {
+    CHECK_EQUAL(200, answer.status);
+    STRCMP_EQUAL(body, answer.body.c_str());
+    CHECK_TRUE(answer.complete);
+  }
+
   // The caller has received all events once and whole, from two runs.
   void CheckJoined(const CallerAnswer& answer) {
     STRCMP_EQUAL(kJoined, answer.body.c_str());
@@ -768,5 +827,170 @@
   CHECK_EQUAL(1u, this->received.size());
 }
 
+// Guards against a stream that is cut since its target was silent for a second
+// while no other one could go on with it.
+TEST(RelayTaskTest, ASilentTargetKeepsItsStreamWhenThereIsNoOther) {
+  this->target_ids = {"t1"};
+  const CallerAnswer answer =
+      this->Relay(StreamRoute(), {SilentFor(milliseconds(1400), kWhole)});
+  this->CheckAnsweredByTheFirst(answer, kWhole);
+}
+
+TEST(RelayTaskTest, ASilentTargetKeepsItsStreamWhenItsServiceIsDropped) {
+  this->during = [this] { this->DropServices(); };
+  this->during_at = milliseconds(200);
+  const CallerAnswer answer =
+      this->Relay(StreamRoute(), {SilentFor(milliseconds(1400), kWhole)});
+  this->CheckAnsweredByTheFirst(answer, kWhole);
+  CHECK_EQUAL(1u, this->received.size());
+}
+
+// Guards against a stream that is cut since the target that was to take over
+// from a silent one refused it.
+TEST(RelayTaskTest, ASilentTargetKeepsItsStreamWhenTheNextOneRefuses) {
+  const CallerAnswer answer = this->Relay(
+      StreamRoute(), {{.bytes = kHeadAndFirst, .keeps_connection = true},
+                      {Refusal("Connection: close\r\n")},
+                      {.bytes = kSecond, .on_first_connection = true}});
+  this->CheckAnsweredByTheFirst(answer, kWhole);
+  CHECK_EQUAL(2u, this->received.size());
+}
+
+TEST(RelayTaskTest, ASilentTargetKeepsItsStreamWhenTheNextOneBreaksOff) {
+  for (const TargetReply& next :
+       {UnframedThenReset("id: 2\nda"), TargetReply{},
+        TargetReply{"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"}}) {
+    this->BeginCase();
+    const CallerAnswer answer = this->Relay(
+        StreamRoute(), {{.bytes = kHeadAndFirst, .keeps_connection = true},
+                        next,
+                        {.bytes = kSecond, .on_first_connection = true}});
+    this->CheckAnsweredByTheFirst(answer, kWhole);
+    CHECK_EQUAL(2u, this->received.size());
+  }
+}
+
+TEST(RelayTaskTest, ASilentTargetKeepsARequestWhenThereIsNoOther) {
+  this->target_ids = {"t1"};
+  Route route = PlainRoute();
+  route.latency_goal = milliseconds(100);
+  const CallerAnswer answer =
+      this->Relay(route, {SilentFor(milliseconds(700), "whole")});
+  this->CheckAnsweredByTheFirst(answer, "whole");
+}
+
+TEST(RelayTaskTest, ASilentTargetKeepsARequestWhenTheNextOneRefuses) {
+  Route route = PlainRoute();
+  route.latency_goal = milliseconds(100);
+  const CallerAnswer answer = this->Relay(
+      route, {{.keeps_connection = true},
+              {Refusal("Connection: close\r\n")},
+              {.bytes = Unframed("whole").bytes, .on_first_connection = true}});
+  this->CheckAnsweredByTheFirst(answer, "whole");
+}
+
+TEST(RelayTaskTest, ARequestThatASilentTargetRefusesLateHasNotRun) {
+  Route route = PlainRoute();
+  route.latency_goal = milliseconds(100);
+  const std::string refusal = Refusal("Connection: close\r\n");
+  const CallerAnswer answer =
+      this->Relay(route, {{.keeps_connection = true},
+                          {refusal},
+                          {.bytes = refusal, .on_first_connection = true}});
+  CHECK_EQUAL(503, answer.status);
+  CHECK_EQUAL(2u, this->received.size());
+}
+
+// Guards against pieces of two runs in one stream: the silent target goes on
+// while the next one has sent a part of an event.
+TEST(RelayTaskTest, ASilentTargetThatGoesOnFirstKeepsItsStream) {
+  const CallerAnswer answer = this->Relay(
+      StreamRoute(),
+      {{.bytes = kHeadAndFirst + "id: 2\nda", .keeps_connection = true},
+       {.bytes = std::string(kHead) + "\r\nid: 2\ndata: other",
+        .keeps_connection = true},
+       {.bytes = "ta: b\n\n", .on_first_connection = true}});
+  this->CheckAnsweredByTheFirst(answer, kWhole);
+  CHECK_EQUAL(2u, this->received.size());
+  CHECK_EQUAL(0u, this->open_connections);
+}
+
+// Guards against a silent target that goes on working for a request which
+// another one answers.
+TEST(RelayTaskTest, ASilentTargetIsLeftWhenTheNextOneAnswers) {
+  const CallerAnswer answer = this->Relay(
+      StreamRoute(),
+      {{.bytes = kHeadAndFirst + "id: 2\nda", .keeps_connection = true},
+       Unframed("id: 2\ndata: b\n\n")});
+  this->CheckAnsweredByTheFirst(answer, kWhole);
+  CHECK_EQUAL(0u, this->open_connections);
+}
+
+TEST(RelayTaskTest, BothTargetsAreLeftWhenTheCallerLeaves) {
+  this->patience = milliseconds(1400);
+  const CallerAnswer answer = this->Relay(
+      StreamRoute(), {{.bytes = kHeadAndFirst, .keeps_connection = true},
+                      {.keeps_connection = true}});
+  CHECK_FALSE(answer.complete);
+  CHECK_EQUAL(2u, this->received.size());
+  CHECK_EQUAL(0u, this->open_connections);
+}
+
+TEST(RelayTaskTest, BothTargetsAreLeftAtTheDeadline) {
+  Route route = StreamRoute();
+  route.timeout = milliseconds(1500);
+  const CallerAnswer answer =
+      this->Relay(route, {{.bytes = kHeadAndFirst, .keeps_connection = true},
+                          {.keeps_connection = true}});
+  CHECK_TRUE(answer.failed);
+  CHECK_EQUAL(2u, this->received.size());
+  CHECK_EQUAL(0u, this->open_connections);
+}
+
+TEST(RelayTaskTest, ASilentTargetKeepsARequestThatMayRunOnce) {
+  Route route = PlainRoute();
+  route.kind = RouteKind::kNonIdempotent;
+  route.latency_goal = milliseconds(100);
+  const CallerAnswer answer =
+      this->Relay(route, {SilentFor(milliseconds(1300), "whole")});
+  this->CheckAnsweredByTheFirst(answer, "whole");
+  CHECK_EQUAL(1u, this->received.size());
+}
+
+// Guards against a retry of the budget that is spent although nothing was sent.
+TEST(RelayTaskTest, AKeptAttemptSpendsNoRetry) {
+  this->target_ids = {"t1"};
+  this->Relay(StreamRoute(), {SilentFor(milliseconds(1400), kWhole)});
+  const TimePoint now = this->loop.Now();
+  RetryBudget& budget = this->budgets.For(ServiceName("s"));
+  size_t retries = 0;
+  while (budget.MayRetry(Verdict::kNotRun, true, 1, now + milliseconds(1000),
+                         now, RetryPriority::kStarted)) {
+    ++retries;
+  }
+  CHECK_EQUAL(static_cast<size_t>(RetryBudgetOptions().max_saved), retries);
+}
+
+// Guards against work on superseded weights that waits at a silent target while
+// another one has the request.
+TEST(RelayTaskTest, ASilentTargetIsLeftWhenItsWeightsAreSuperseded) {
+  this->served_version = 1;
+  this->during = [this] {
+    const TargetSelectorOptions bounds;
+    this->view.NoteCurrent(this->loop.Now() + milliseconds(10) -
+                           bounds.version_bound + bounds.begin_margin);
+    this->Apply("weights", NamedWeights{"m", 2});
+    ReviewWaitingRequests(*this->relay_context);
+  };
+  this->during_at = milliseconds(1200);
+  Route route = StreamRoute();
+  route.latency_goal = milliseconds(500);
+  const CallerAnswer answer = this->Relay(
+      route, {{.keeps_connection = true}, {.keeps_connection = true}});
+  CHECK_EQUAL(502, answer.status);
+  CHECK_EQUAL(2u, this->received.size());
+  CHECK_EQUAL(0u, this->open_connections);
+}
+
 }  // namespace
 }  // namespace celerypost
--- a/tests/request/target_tracker_test.cc
+++ b/tests/request/target_tracker_test.cc
@@ -74,6 +74,18 @@
   CHECK_FALSE(this->book.Avoided("a", this->now + milliseconds(4100)));
 }
 
+// Guards against a silent target that gets further requests, or that looks
+// idle, while its request is kept.
+TEST(TargetTrackerTest, AvoidsASilentTargetWhileItHoldsItsRequest) {
+  this->book.OnSent("a", 7, this->now);
+  this->book.OnSilent("a", this->now);
+  CHECK_TRUE(this->book.Avoided("a", this->now));
+  CHECK_TRUE(this->book.FailureShare("a") > 0);
+  CHECK_EQUAL(1u, this->book.LoadOf("a", this->now).in_flight);
+  this->book.OnEnd("a", 7, false, AttemptOutcome::kAbandoned, this->now);
+  CHECK_EQUAL(0u, this->book.LoadOf("a", this->now).in_flight);
+}
+
 // Guards against sending all requests to a target that breaks every attempt at
 // once and therefore looks the least loaded.
 TEST(TargetTrackerTest, AvoidsABreakingTargetLongerEachTime) {
