Refuse what a stopping gateway may not complete

A stopping gateway took every request for 2.5 s (0.35 of a shorter grace), whatever its route's timeout, and ended it at 0.93 of the grace: 502 if no answer had started, otherwise a broken answer. A caller may not repeat a non-repeatable request after either. Later it judged by the route's timeout alone and refused requests whose callers wait for less.

A request is taken if the smaller of its route's timeout and its caller's deadline ends before requests are ended, otherwise refused at once with 503, Retry-After 20 ms and Connection: close. The relay task decides, where both are known; the gateway no longer looks up the route itself, and a request without a route is answered 404 also late in the grace.

The two checks of StopPolicyTest that long requests are taken for 2.4 s pinned the fault. TakesOnlyWhatCompletesBeforeRequestsAreEnded takes their place: for graces from 1 to 60 s and times up to three times the grace it demands both directions of the rule.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -26,9 +26,6 @@
 // Share of the saved retries that only streams whose answer has started may
 // use. Targets cut running streams when they load new weights.
 constexpr double kReservedForStreams = 0.3;
-// Retry-After from a gateway that is about to exit. Short, since other gateways
-// can take the request at once.
-constexpr milliseconds kStoppingRetryAfter{20};
 
 TargetSelectorOptions SelectorOptions(const NodeSettings& settings) {
   TargetSelectorOptions options;
@@ -108,7 +105,8 @@
                     {},
                     [this](const SocketAddress& address) -> Http1Client& {
                       return this->core.ClientOf(address);
-                    }},
+                    },
+                    [this](TimePoint end) { return this->MayRunUntil(end); }},
       beat_timer(dependencies.loop, [this] { this->SendBeat(); }),
       crash_timer(dependencies.loop, [this] { this->ExchangeCrashNews(); }),
       stop_timer(dependencies.loop, [this] { this->CheckStop(); }),
@@ -170,32 +168,6 @@
 
 void Gateway::HandleRequest(HttpRequest request,
                             const std::shared_ptr<HttpResponder>& responder) {
-  if (this->stopping_since) {
-    const auto& config = this->core.view().config();
-    const Route* const route =
-        config ? config->FindRoute(FindHeader(request.headers, "host"),
-                                   request.path)
-               : nullptr;
-    const auto max_duration = route != nullptr
-                                  ? route->timeout
-                                  : this->dependencies.settings.stop_grace;
-    if (!AcceptsRequest(this->stop_policy, this->TimeSinceStop(),
-                        max_duration)) {
-      const CallerRequestInfo call =
-          this->relay_context.codec.ReadRequest(request);
-      this->dependencies.log.Info("request", "refused",
-                                  {{"status", kUnavailable},
-                                   {"reason", "stopping"},
-                                   {"age_ms", this->TimeSinceStop().count()}},
-                                  call.id);
-      this->relay_metrics.refused.Add();
-      responder->Send(kUnavailable,
-                      this->relay_context.codec.MakeOwnHeaders(
-                          call.id, kStoppingRetryAfter),
-                      "not run: stopping\n");
-      return;
-    }
-  }
   std::make_shared<RelayTask>(this->relay_context, std::move(request),
                               responder)
       ->Start();
@@ -592,6 +564,13 @@
       this->dependencies.loop.Now() - *this->stopping_since);
 }
 
+bool Gateway::MayRunUntil(TimePoint end) const {
+  return !this->stopping_since ||
+         CompletesInTime(this->stop_policy, this->TimeSinceStop(),
+                         std::chrono::ceil<milliseconds>(
+                             end - this->dependencies.loop.Now()));
+}
+
 void Gateway::CheckStop() {
   const Http1ServerWork work = this->caller_server->work();
   const StopWork left{
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -90,6 +90,9 @@
   // Ends all requests because the process is about to exit.
   void EndRequests();
   std::chrono::milliseconds TimeSinceStop() const;
+  // Returns whether a request that starts now and ends at `end` completes
+  // before requests are ended because the process stops.
+  bool MayRunUntil(TimePoint end) const;
   NodeState state() const;
   bool Ready() const;
 
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -27,6 +27,9 @@
 constexpr milliseconds kNoConfigRetryAfter{500};
 // Retry-After when a target refused although it appeared to have capacity.
 constexpr milliseconds kRefusedRetryAfter{400};
+// Retry-After from a gateway that stops. Short, since other gateways can take
+// the request at once.
+constexpr milliseconds kStoppingRetryAfter{20};
 
 milliseconds Since(TimePoint start, TimePoint now) {
   return std::chrono::duration_cast<milliseconds>(now - start);
@@ -180,6 +183,10 @@
       this->call.deadline.value_or(this->route->timeout);
   this->deadline =
       this->arrived + std::min(caller_timeout, this->route->timeout);
+  if (!this->MayRunUntil(this->deadline)) {
+    this->Refuse("stopping", kStoppingRetryAfter);
+    return;
+  }
   this->selection_request.route = this->route;
   this->selection_request.workspace = this->workspace;
   this->selection_request.service = this->service;
@@ -203,6 +210,10 @@
   this->SendToNextTarget();
 }
 
+bool RelayTask::MayRunUntil(TimePoint time) const {
+  return !this->context.may_run_until || this->context.may_run_until(time);
+}
+
 bool RelayTask::IsStream() const {
   return this->route->kind == RouteKind::kStream;
 }
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -83,6 +83,9 @@
   RelayOptions options;
   // Returns the HTTP client for a target's address.
   std::function<Http1Client&(const SocketAddress&)> client;
+  // Returns false when the process will have ended its requests at that time;
+  // not set where it does not stop.
+  std::function<bool(TimePoint)> may_run_until{};
   // The tasks that have started and not ended.
   std::unordered_set<RelayTask*> active{};
 };
@@ -181,6 +184,8 @@
   // Responds with an error, or aborts a response that has started.
   void FailWith(int status, std::string_view reason);
   void SendTargetAnswer();
+  // Returns whether the process runs until `time`.
+  bool MayRunUntil(TimePoint time) const;
   void Finish(std::string_view outcome, int status, std::string_view reason);
   bool IsStream() const;
   // What the request waits for, as a word for logs.
--- a/src/process/gateway/stop_policy.cc
+++ b/src/process/gateway/stop_policy.cc
@@ -1,7 +1,5 @@
 #include "src/process/gateway/stop_policy.h"
 
-#include <algorithm>
-
 namespace celerypost {
 
 namespace {
@@ -14,16 +12,14 @@
 
 }  // namespace
 
-bool AcceptsRequest(const StopPolicyOptions& options,
-                    std::chrono::milliseconds time_since_stop,
-                    std::chrono::milliseconds max_duration) {
-  if (time_since_stop <=
-      std::min(options.max_accept_long,
-               ShareOf(options.grace, options.refuse_long_after_share))) {
-    return true;
-  }
-  return time_since_stop + max_duration <
-         ShareOf(options.grace, options.end_requests_after_share);
+std::chrono::milliseconds EndRequestsAfter(const StopPolicyOptions& options) {
+  return ShareOf(options.grace, options.end_requests_after_share);
+}
+
+bool CompletesInTime(const StopPolicyOptions& options,
+                     std::chrono::milliseconds time_since_stop,
+                     std::chrono::milliseconds max_duration) {
+  return time_since_stop + max_duration < EndRequestsAfter(options);
 }
 
 StopStep NextStopStep(const StopPolicyOptions& options,
@@ -32,9 +28,7 @@
   if (time_since_stop > ShareOf(options.grace, options.exit_after_share)) {
     return StopStep::kExit;
   }
-  const bool ends_requests =
-      time_since_stop >
-      ShareOf(options.grace, options.end_requests_after_share);
+  const bool ends_requests = time_since_stop > EndRequestsAfter(options);
   if (work.busy > 0) {
     return ends_requests ? StopStep::kEndRequests : StopStep::kContinue;
   }
@@ -42,8 +36,7 @@
   const bool may_be_called =
       time_since_stop <= options.directory_ttl ||
       (work.idle > 0 &&
-       time_since_stop <=
-           ShareOf(options.grace, options.refuse_long_after_share));
+       time_since_stop <= ShareOf(options.grace, options.wait_for_idle_share));
   return may_be_called && !ends_requests ? StopStep::kContinue
                                          : StopStep::kExit;
 }
--- a/src/process/gateway/stop_policy.h
+++ b/src/process/gateway/stop_policy.h
@@ -12,17 +12,14 @@
   std::chrono::milliseconds grace{8000};
   // Longest time for which callers cache a directory response.
   std::chrono::milliseconds directory_ttl{5000};
-  // Shares of `grace`. After the first, requests that might not complete in
-  // time are refused; after the second, requests that have not completed are
-  // ended; after the third, the process exits in any case. The time between the
-  // last two is for sending the final answers, the rest for a signal that is
-  // handled late.
-  double refuse_long_after_share = 0.35;
+  // Shares of `grace`. After the first, connections without a request do not
+  // keep the process from exiting; after the second, requests that have not
+  // completed are ended; after the third, the process exits in any case. The
+  // time between the last two is for sending the final answers, the rest for a
+  // signal that is handled late.
+  double wait_for_idle_share = 0.35;
   double end_requests_after_share = 0.93;
   double exit_after_share = 0.96;
-  // Upper bound of the first, however long the grace is. The platform accepts
-  // that a request is cut only if it was sent up to 3 s after the signal.
-  std::chrono::milliseconds max_accept_long{2500};
 };
 
 // What a stopping gateway still has to do.
@@ -42,11 +39,15 @@
   kExit,
 };
 
-// Returns whether a stopping gateway accepts a request that arrives
-// `time_since_stop` after SIGTERM and may take up to `max_duration`.
-bool AcceptsRequest(const StopPolicyOptions& options,
-                    std::chrono::milliseconds time_since_stop,
-                    std::chrono::milliseconds max_duration);
+// Returns the time from SIGTERM until a gateway ends the requests that have not
+// completed.
+std::chrono::milliseconds EndRequestsAfter(const StopPolicyOptions& options);
+
+// Returns whether a request or an attempt that begins `time_since_stop` after
+// SIGTERM and takes up to `max_duration` completes before requests are ended.
+bool CompletesInTime(const StopPolicyOptions& options,
+                     std::chrono::milliseconds time_since_stop,
+                     std::chrono::milliseconds max_duration);
 
 // Returns what a stopping gateway should do `time_since_stop` after SIGTERM.
 StopStep NextStopStep(const StopPolicyOptions& options,
--- a/tests/process/gateway/gateway_stop_test.cc
+++ b/tests/process/gateway/gateway_stop_test.cc
@@ -3,13 +3,18 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
+#include <csignal>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include "platform/request_codec.h"
 #include "src/process/gateway/gateway.h"
 #include "tests/process/gateway/fake_decoder.h"
 
@@ -53,32 +58,6 @@
   std::vector<KeyValue> items;
 };
 
-// Forwards requests and answers as they are.
-class FakeRequestCodec : public RequestCodec {
- public:
-  CallerRequestInfo ReadRequest(const HttpRequest&) const override {
-    CallerRequestInfo info;
-    info.id = "a";
-    return info;
-  }
-  HttpRequest MakeTargetRequest(const HttpRequest& request,
-                                const TargetRequestInfo&) const override {
-    return request;
-  }
-  TargetAnswer ReadAnswer(int status, const HttpHeaders&) const override {
-    TargetAnswer answer;
-    answer.status = status;
-    return answer;
-  }
-  HttpHeaders MakeCallerHeaders(const HttpHeaders&) const override {
-    return {};
-  }
-  HttpHeaders MakeOwnHeaders(const std::string&,
-                             std::optional<milliseconds>) const override {
-    return {};
-  }
-};
-
 class FakeDirectoryCodec : public DirectoryCodec {
  public:
   std::optional<RegionName> ParseLookup(const HttpRequest&) const override {
@@ -141,6 +120,147 @@
   return received;
 }
 
+// Reads one request with its body; returns nothing once the other side has
+// closed the connection.
+std::string ReadRequest(int connection) {
+  std::string request;
+  char bytes[4096];
+  for (;;) {
+    const size_t head = request.find("\r\n\r\n");
+    if (head != std::string::npos) {
+      const size_t at = request.find("content-length: ");
+      const size_t body =
+          at < head ? std::stoul(request.substr(at + 16)) : size_t{0};
+      if (request.size() >= head + 4 + body) {
+        return request;
+      }
+    }
+    const ssize_t count = read(connection, bytes, sizeof(bytes));
+    if (count <= 0) {
+      return {};
+    }
+    request.append(bytes, static_cast<size_t>(count));
+  }
+}
+
+std::string HeaderOf(const std::string& message, const std::string& name) {
+  const size_t at = message.find(name + ": ");
+  if (at == std::string::npos) {
+    return {};
+  }
+  const size_t value = at + name.size() + 2;
+  return message.substr(value, message.find("\r\n", value) - value);
+}
+
+void SendAll(int connection, const std::string& bytes) {
+  send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+// A service process that runs a script for each request that it reads.
+class StandInTarget {
+ public:
+  using Script = std::function<void(int connection, const std::string&)>;
+
+  explicit StandInTarget(Script script) : script(std::move(script)) {
+    this->listener = Listen(this->port);
+    this->acceptor = std::thread([this] { this->Accept(); });
+  }
+  ~StandInTarget() {
+    shutdown(this->listener, SHUT_RDWR);
+    this->acceptor.join();
+    {
+      const std::lock_guard lock(this->mutex);
+      for (const int connection : this->connections) {
+        shutdown(connection, SHUT_RDWR);
+      }
+    }
+    for (std::thread& server : this->servers) {
+      server.join();
+    }
+    for (const int connection : this->connections) {
+      close(connection);
+    }
+    close(this->listener);
+  }
+  StandInTarget(const StandInTarget&) = delete;
+  StandInTarget& operator=(const StandInTarget&) = delete;
+
+  uint16_t port = 0;
+  // Requests read so far.
+  std::atomic<int> requests = 0;
+
+ private:
+  void Accept() {
+    int connection = 0;
+    while ((connection = accept(this->listener, nullptr, nullptr)) >= 0) {
+      {
+        const std::lock_guard lock(this->mutex);
+        this->connections.push_back(connection);
+      }
+      this->servers.emplace_back([this, connection] {
+        std::string request;
+        while (!(request = ReadRequest(connection)).empty()) {
+          ++this->requests;
+          this->script(connection, request);
+        }
+        shutdown(connection, SHUT_RDWR);
+      });
+    }
+  }
+
+  Script script;
+  int listener = -1;
+  std::mutex mutex;
+  std::vector<int> connections;
+  std::vector<std::thread> servers;
+  std::thread acceptor;
+};
+
+// The answer to `request` with the headers in `head`.
+std::string TargetAnswerTo(const std::string& request,
+                           const std::string& status,
+                           const std::string& head = {}) {
+  return "HTTP/1.1 " + status +
+         "\r\nx-attempt-id: " + HeaderOf(request, "x-attempt-id") + "\r\n" +
+         head + "Content-Length: 2\r\n\r\nok";
+}
+
+// Leaves the request without an answer until the gateway closes its connection.
+void StaySilent(int connection, const std::string&) {
+  char bytes[16];
+  while (read(connection, bytes, sizeof(bytes)) > 0) {
+  }
+}
+
+std::string RequestTo(const std::string& path, const std::string& head = {}) {
+  return "GET " + path +
+         " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + path.substr(1) + "\r\n" +
+         head + "\r\n";
+}
+
+// Returns a socket that is connected to the gateway, or -1.
+int ConnectTo(uint16_t port) {
+  const int caller = socket(AF_INET, SOCK_STREAM, 0);
+  const sockaddr_in address = Loopback(port);
+  if (connect(caller, reinterpret_cast<const sockaddr*>(&address),
+              sizeof(address)) != 0) {
+    close(caller);
+    return -1;
+  }
+  return caller;
+}
+
+// Receives until the connection ends.
+std::string ReadAll(int connection) {
+  std::string received;
+  char bytes[4096];
+  ssize_t count = 0;
+  while ((count = read(connection, bytes, sizeof(bytes))) > 0) {
+    received.append(bytes, static_cast<size_t>(count));
+  }
+  return received;
+}
+
 // A gateway with one target, which runs a script on its connection.
 TEST_GROUP(GatewayStopTest) {
   Loop loop;
@@ -154,7 +274,7 @@
   SplitMixRandom random{1};
   FakeStore store;
   FakeDecoder decoder;
-  FakeRequestCodec request_codec;
+  platform::PlatformRequestCodec request_codec;
   FakeDirectoryCodec directory_codec;
   NodeSettings settings;
 
@@ -228,6 +348,111 @@
     return received;
   }
 
+  // A request that is sent to the gateway on a connection of its own.
+  struct StopCall {
+    // Time from the stop until the connection is opened.
+    milliseconds connects_after;
+    std::string request;
+    // Time from the stop until the last byte of the request is sent, if that
+    // follows later than the others.
+    milliseconds completed_after{0};
+    std::string answer{};
+    // Time from the stop until the connection has ended.
+    milliseconds ended_after{0};
+  };
+
+  static Route MakeRoute(const std::string& prefix, RouteKind kind,
+                         milliseconds timeout) {
+    Route route;
+    route.name = route.prefix = prefix;
+    route.host = "h";
+    route.kind = kind;
+    route.resumable = kind == RouteKind::kStream;
+    route.max_attempts = kind == RouteKind::kNonIdempotent ? 1 : 2;
+    route.timeout = timeout;
+    route.latency_goal = timeout / 2;
+    route.backends = {{ServiceName("s"), 1}};
+    return route;
+  }
+
+  // Makes the gateway know these routes and targets.
+  void Configure(const std::vector<Route>& routes,
+                 const std::vector<uint16_t>& target_ports) {
+    auto config = std::make_shared<GatewayConfig>();
+    config->routes["h"] = routes;
+    config->services[ServiceName("s")].name = ServiceName("s");
+    this->decoder.documents["config"] =
+        std::shared_ptr<const GatewayConfig>(config);
+    this->store.items = {{"config", "x", 1}};
+    // Callers may connect until the end of the grace.
+    this->settings.max_directory_ttl = this->settings.stop_grace;
+    for (const uint16_t port : target_ports) {
+      TargetRegistration target;
+      target.id = "t" + std::to_string(this->store.items.size());
+      target.service = ServiceName("s");
+      target.address = {"127.0.0.1", port};
+      this->decoder.documents[target.id] = target;
+      this->store.items.push_back({target.id, "x", 2});
+    }
+  }
+
+  // Runs a gateway that is stopped 200 ms after it is ready, until it exits.
+  // `stop` is called at that time and must lead to Gateway::Stop.
+  void RunAndStop(
+      std::vector<StopCall> & calls,
+      const std::function<void(Gateway&)>& stop = [](Gateway& gateway) {
+        gateway.Stop();
+      }) {
+    using Clock = std::chrono::steady_clock;
+    NodeDependencies dependencies{this->loop,    this->log,      this->metrics,
+                                  this->random,  this->store,    this->store,
+                                  this->decoder, this->settings, InstanceId{1}};
+    auto gateway =
+        std::make_unique<Gateway>(dependencies, this->request_codec,
+                                  this->directory_codec, GatewayOptions{});
+    CHECK_TRUE(gateway->Start().has_value());
+    for (int i = 0; i < 100 && !this->Logged("\"ready\""); ++i) {
+      this->loop.RunFor(milliseconds(20));
+    }
+    CHECK_TRUE(this->Logged("\"ready\""));
+    const Clock::time_point stop_time = Clock::now() + milliseconds(200);
+    const auto since_stop = [stop_time] {
+      return std::chrono::duration_cast<milliseconds>(Clock::now() - stop_time);
+    };
+    std::vector<std::thread> callers;
+    for (StopCall& call : calls) {
+      callers.emplace_back([&call, stop_time, since_stop,
+                            port = this->settings.caller_address->port] {
+        std::this_thread::sleep_until(stop_time + call.connects_after);
+        const int caller = ConnectTo(port);
+        if (call.completed_after > call.connects_after) {
+          const size_t first = call.request.size() - 1;
+          SendAll(caller, call.request.substr(0, first));
+          std::this_thread::sleep_until(stop_time + call.completed_after);
+          SendAll(caller, call.request.substr(first));
+        } else {
+          SendAll(caller, call.request);
+        }
+        call.answer = ReadAll(caller);
+        call.ended_after = since_stop();
+        close(caller);
+      });
+    }
+    Timer timer(this->loop, [&] { stop(*gateway); });
+    timer.StartOnce(std::max(milliseconds(0), -since_stop()));
+    this->loop.Run();
+    this->exited_after = since_stop();
+    // Closes the sockets, as the exit of the process does.
+    gateway.reset();
+    this->loop.RunFor(milliseconds(20));
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+  }
+
+  // Time from the stop until the gateway's loop ended.
+  milliseconds exited_after{0};
+
   bool Logged(const std::string& text) const {
     return std::ranges::any_of(this->lines, [&text](const std::string& line) {
       return line.find(text) != std::string::npos;
@@ -268,5 +493,53 @@
   CHECK_TRUE(this->Logged("\"waits_for\":\"answer\""));
 }
 
+// Guards against a request that is taken though it may last longer than the
+// grace, and is given up at its end.
+TEST(GatewayStopTest, RefusesWhatMayNotEndBeforeTheExit) {
+  StandInTarget target(StaySilent);
+  this->Configure(
+      {MakeRoute("/n/", RouteKind::kNonIdempotent, milliseconds(6000)),
+       MakeRoute("/i/", RouteKind::kIdempotent, milliseconds(6000)),
+       MakeRoute("/s/", RouteKind::kStream, milliseconds(6000))},
+      {target.port});
+  std::vector<StopCall> calls = {
+      {milliseconds(-100), RequestTo("/n/body"), milliseconds(300)},
+      {milliseconds(300), RequestTo("/n/1")},
+      {milliseconds(300), RequestTo("/i/1")},
+      {milliseconds(300), RequestTo("/s/1")},
+      {milliseconds(1000), RequestTo("/n/2")},
+  };
+  this->RunAndStop(calls);
+  for (const StopCall& call : calls) {
+    STRNCMP_EQUAL("HTTP/1.1 503", call.answer.c_str(), 12);
+    CHECK_TRUE(call.answer.find("Connection: close\r\n") != std::string::npos);
+    STRCMP_EQUAL("0.020", HeaderOf(call.answer, "retry-after").c_str());
+  }
+  CHECK_EQUAL(0, target.requests.load());
+}
+
+// Guards against a refusal by the route's timeout of a request whose caller
+// waits for less.
+TEST(GatewayStopTest, TakesWhatEndsInTimeByTheCallersDeadline) {
+  StandInTarget target([](int connection, const std::string& request) {
+    if (request.find("/silent ") != std::string::npos) {
+      StaySilent(connection, request);
+    }
+    SendAll(connection, TargetAnswerTo(request, "200 OK"));
+  });
+  this->Configure(
+      {MakeRoute("/n/", RouteKind::kNonIdempotent, milliseconds(6000))},
+      {target.port});
+  std::vector<StopCall> calls = {
+      {milliseconds(900), RequestTo("/n/1", "X-Deadline-Ms: 300\r\n")},
+      {milliseconds(900), RequestTo("/n/silent", "X-Deadline-Ms: 300\r\n")},
+      {milliseconds(900), RequestTo("/n/long", "X-Deadline-Ms: 3000\r\n")},
+  };
+  this->RunAndStop(calls);
+  STRNCMP_EQUAL("HTTP/1.1 200", calls[0].answer.c_str(), 12);
+  STRNCMP_EQUAL("HTTP/1.1 504", calls[1].answer.c_str(), 12);
+  STRNCMP_EQUAL("HTTP/1.1 503", calls[2].answer.c_str(), 12);
+}
+
 }  // namespace
 }  // namespace celerypost
--- a/tests/process/gateway/stop_policy_test.cc
+++ b/tests/process/gateway/stop_policy_test.cc
@@ -7,8 +7,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kStream{6000};
-constexpr milliseconds kShort{800};
+constexpr milliseconds kShortest{300};
 
 TEST_GROUP(StopPolicyTest) {
   StopPolicyOptions options;
@@ -18,23 +17,25 @@
   }
 };
 
-// Guards against accepting a request too late to complete before the process
-// exits: a stream that arrived 3.9 s after SIGTERM was cut off at 7.5 s (system
-// kilele-waivers, run hunt-6892-27).
-TEST(StopPolicyTest, TakesOnlyWhatCanBeFinished) {
-  CHECK_TRUE(AcceptsRequest(this->options, milliseconds(2000), kStream));
-  CHECK_FALSE(AcceptsRequest(this->options, milliseconds(3900), kStream));
-  CHECK_TRUE(AcceptsRequest(this->options, milliseconds(3900), kShort));
-  CHECK_FALSE(AcceptsRequest(this->options, milliseconds(7000), kShort));
-}
-
-// Guards against accepting a request that the exit will cut when it was sent
-// more than 3 s after the signal, which may also have been handled late.
-TEST(StopPolicyTest, TakesLongRequestsForALimitedTimeOnly) {
-  for (const milliseconds grace : {milliseconds(8000), milliseconds(30000)}) {
+// Guards against accepting a request that the gateway may end without the
+// target's answer, whatever the grace and the request's time, and against
+// refusing one that completes.
+TEST(StopPolicyTest, TakesOnlyWhatCompletesBeforeRequestsAreEnded) {
+  for (const int seconds : {1, 2, 4, 8, 30, 60}) {
+    const milliseconds grace = milliseconds(1000) * seconds;
     this->options.grace = grace;
-    CHECK_TRUE(AcceptsRequest(this->options, milliseconds(2400), 2 * grace));
-    CHECK_FALSE(AcceptsRequest(this->options, milliseconds(2600), 2 * grace));
+    milliseconds ended_after{0};
+    while (this->Step(ended_after, {1, 0}) == StopStep::kContinue) {
+      ++ended_after;
+    }
+    CHECK_TRUE(ended_after >= grace / 2);
+    for (milliseconds since{0}; since <= grace; since += grace / 40) {
+      for (milliseconds duration = kShortest; duration <= 3 * grace;
+           duration += grace / 20) {
+        CHECK_EQUAL(since + duration < ended_after - milliseconds(1),
+                    CompletesInTime(this->options, since, duration));
+      }
+    }
   }
 }
 
