Check the range of every number in documents and reports

What users saw: an entry of a target with a number too large, or with a port out of range, among those of the targets.

Cause: numbers were cast without a check of their range. A cast of a double that the integer cannot hold is undefined: arm64 saturates, x86-64 does not. slots of 1e18, cold_remaining_ms of 1e300 and -5e18, born of 1e300 and port 0 were accepted, and made a target of an entry that names none.

--- a/tests/platform/document_decoder_test.cc
+++ b/tests/platform/document_decoder_test.cc
@@ -1,6 +1,8 @@
 #include "platform/document_decoder.h"
 
+#include <initializer_list>
 #include <string>
+#include <utility>
 
 #include "CppUTest/TestHarness.h"
 
@@ -152,6 +154,106 @@
   }
 }
 
+std::string Entry(const std::string& field, const std::string& value) {
+  std::string text =
+      R"({"service":"s","zone":"z","version":"v","state":"ready")";
+  const std::pair<const char*, const char*> fields[] = {
+      {"address", R"("10.0.0.9:80")"},
+      {"slots", "16"},
+      {"cold_remaining_ms", "0.5"},
+      {"sequence", "4"},
+      {"born", "1790000000000"},
+      {"models", "[]"},
+      {"layers", "[]"}};
+  for (const auto& [name, usual] : fields) {
+    text += std::string(",\"") + name + "\":" + (field == name ? value : usual);
+  }
+  return text + "}";
+}
+
+// Guards against a target that is used by a number that makes no sense, and
+// against casts whose result differs by processor.
+TEST(PlatformDocumentDecoderTest, RejectsEntriesWithNumbersOutOfRange) {
+  CHECK_TRUE(this->decoder.Decode("servers/i-1", Entry("", "")).has_value());
+  CHECK_TRUE(
+      this->decoder.Decode("servers/i-1", Entry("slots", "16.0")).has_value());
+  for (const auto& [field, value] :
+       std::initializer_list<std::pair<const char*, const char*>>{
+           {"address", R"("10.0.0.9:0")"},
+           {"address", R"("10.0.0.9:70000")"},
+           {"address", R"("10.0.0.9:-1")"},
+           {"slots", "1e18"},
+           {"slots", "1e300"},
+           {"slots", "-1"},
+           {"slots", "18446744073709551617"},
+           {"cold_remaining_ms", "1e300"},
+           {"cold_remaining_ms", "-5e18"},
+           {"sequence", "1e300"},
+           {"sequence", "-1"},
+           {"sequence", "9223372036854775808"},
+           {"born", "1e300"},
+           {"born", "95617584000000"},
+           {"born", "-1"},
+           {"born", "1790000000000.5"},
+           {"models", R"([{"name":"m","version":1e300}])"},
+           {"models", R"([{"name":"m","version":-1}])"},
+           {"layers", R"({"from":1e300,"target":8,"version":2})"},
+           {"layers", R"({"from":-1,"target":8,"version":2})"},
+           {"layers", R"({"from":0,"target":1e10,"version":2})"},
+           {"layers", R"({"from":0,"target":8,"version":1e300})"}}) {
+    const auto document =
+        this->decoder.Decode("servers/i-1", Entry(field, value));
+    CHECK_FALSE_TEXT(document.has_value(), value);
+    CHECK_TRUE(document.error().message.size() < 300);
+  }
+}
+
+// Guards against timeouts and limits that overflow where they are added up.
+TEST(PlatformDocumentDecoderTest, RejectsConfigurationsWithNumbersOutOfRange) {
+  for (const char* const text :
+       {R"({"version":1e300})", R"({"version":-1})",
+        R"({"version":1,"limits":{"max_body_bytes":-1}})",
+        R"({"version":1,"limits":{"max_header_bytes":1e300}})",
+        R"({"version":1,"limits":{"idle_timeout_ms":1e300}})",
+        R"({"version":1,"limits":{"header_timeout_ms":-1}})",
+        R"({"version":1,"tenants":[{"name":"t","priority":1e300}]})",
+        R"({"version":1,"services":[{"name":"s","max_conns":1e300}]})",
+        R"({"version":1,"services":[{"name":"s","cold_per_s":-1}]})",
+        R"({"version":1,"services":[{"name":"s","engine":{"slots":1e300}}]})",
+        R"({"version":1,"services":[{"name":"s",
+            "engine":{"slots":1,"layers":-1}}]})",
+        R"({"version":1,"services":[{"name":"s",
+            "engine":{"slots":1,"step_ms":1e300}}]})"}) {
+    CHECK_FALSE_TEXT(this->decoder.Decode("op/config", text).has_value(), text);
+  }
+  for (const char* const field :
+       {R"("timeout_ms":1e300)", R"("timeout_ms":-1)",
+        R"("target_latency_ms":1e300)", R"("gap_aim_ms":-1)",
+        R"("priority":1e300)", R"("max_attempts":1e300)",
+        R"("backends":[{"service":"s","weight":-1}])"}) {
+    const std::string text =
+        R"({"version":1,"routes":[{"host":"h","prefix":"/","kind":"stream",)"
+        R"("service":"s",)" +
+        std::string(field) + "}]}";
+    CHECK_FALSE_TEXT(this->decoder.Decode("op/config", text).has_value(),
+                     field);
+  }
+  CHECK_FALSE(
+      this->decoder.Decode("op/version/m", R"({"model":"m","version":1e300})")
+          .has_value());
+}
+
+// Guards against a division by zero where the time of a prompt is predicted.
+TEST(PlatformDocumentDecoderTest, ReadsNoRateOfZero) {
+  const auto document =
+      this->decoder.Decode("op/config", R"({"version":1,"services":[{"name":"s",
+                       "engine":{"slots":1,"read_per_s":0}}]})");
+  const auto& config =
+      *std::get<std::shared_ptr<const GatewayConfig>>(*document);
+  CHECK_TRUE(config.services.at(ServiceName("s")).engine->prompt_tokens_per_ms >
+             0);
+}
+
 // Guards against a zone that is not taken out because the value of its document
 // is empty or unexpected, and against unused documents that fail to decode.
 TEST(PlatformDocumentDecoderTest, ReadsZonesOutAndNamedWeights) {
--- a/tests/platform/target_client_test.cc
+++ b/tests/platform/target_client_test.cc
@@ -55,5 +55,44 @@
   }
 }
 
+TEST_GROUP(TargetReportTest) {
+  Loop loop;
+
+  // Asks a target that answers with `report`.
+  Result<TargetReport> GetReport(const std::string& report) {
+    auto target = Http1Server::Make(
+        this->loop, "127.0.0.1", 0,
+        [&](const HttpRequest&, const std::shared_ptr<HttpResponder>& out) {
+          out->SendJson(200, report);
+        });
+    TargetClient client(this->loop, {"127.0.0.1", (*target)->port()}, {});
+    std::optional<Result<TargetReport>> result;
+    client.GetReport(
+        [&](Result<TargetReport> got) { result = std::move(got); });
+    for (int i = 0; i < kMaxIterations && !result; ++i) {
+      this->loop.RunFor(milliseconds(20));
+    }
+    CHECK_TRUE(result.has_value());
+    return *result;
+  }
+};
+
+// Guards against an order that expects a number of which the target has said
+// nothing, and against a stager that ends on a deeply nested report.
+TEST(TargetReportTest, RefusesReportsThatCannotBeRead) {
+  const auto good = this->GetReport(
+      R"({"models":[{"name":"m","version":1}],"busy":true,"sequence":2})");
+  CHECK_EQUAL(2, good->sequence);
+  for (const std::string& odd :
+       {std::string(R"({"models":[],"sequence":1e300})"),
+        std::string(R"({"models":[],"sequence":-1})"),
+        std::string(R"({"models":[{"name":"m","version":1e300}]})"),
+        std::string(R"({"models":[],"new":)") + std::string(500'000, '[') +
+            std::string(500'000, ']') + "}"}) {
+    CHECK_FALSE_TEXT(this->GetReport(odd).has_value(),
+                     odd.substr(0, 60).c_str());
+  }
+}
+
 }  // namespace
 }  // namespace celerypost::platform
