--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -72,6 +72,61 @@
   CHECK_EQUAL(1u, this->eras.size());
 }
 
+// Guards against a list that is never read again, or a removal that is seen,
+// because one of its items cannot be read.
+TEST(StoreClientTest, UnreadableItemHidesNoOtherItem) {
+  this->SetAnswer(200, nullptr, R"({"at":44,"has_more":false,"items":[
+      {"key":"servers/a","value":"e30=","revision":41},
+      {"key":"servers/b","value":"not base64","revision":42},
+      {"key":"servers/c","value":"","revision":42},
+      {"key":"servers/d","value":7,"revision":42},
+      {"key":"servers/e","revision":42},
+      {"key":"servers/f","value":"e30=","revision":1e300},
+      {"key":"servers/g","value":"e30=","revision":9223372036854775807},
+      {"key":7,"value":"e30=","revision":42}, 7, null, [],
+      {"key":"servers/z","value":"e30=","revision":43}]})");
+  for (int i = 0; i < 3; ++i) {
+    const auto range = this->Read();
+    CHECK_TRUE(range.has_value());
+    std::string keys;
+    for (const KeyValue& item : range->items) {
+      keys += item.key.back();
+      CHECK_FALSE(item.value.empty());
+    }
+    CHECK_EQUAL(std::string("abcdez"), keys);
+  }
+  CHECK_EQUAL(1u, this->logged.size());
+}
+
+// Guards against a watch that ends at an event which cannot be read, and begins
+// again with the same one.
+TEST(StoreClientTest, UnreadableEventDoesNotEndTheWatch) {
+  this->SetAnswer(200, nullptr, R"({"at":44,"events":[
+      {"key":"servers/b","value":"not base64","revision":42},
+      {"key":"servers/c","value":"","revision":42},
+      {"key":"servers/d","revision":42,"deleted":true},
+      {"key":"servers/e","revision":-1,"deleted":true}, 7,
+      {"key":"servers/z","value":"e30=","revision":43}]})");
+  std::vector<KeyValue> changes;
+  bool ended = false;
+  const auto watch = this->client->Watch(
+      KeyRange{}, 42,
+      [&](const std::vector<KeyValue>& got) {
+        if (changes.empty()) {
+          changes = got;
+        }
+        this->SetAnswer(200, nullptr, kNoChange);
+      },
+      [&](const Failure&) { ended = true; });
+  this->server.RunUntil([&] { return ended || !changes.empty(); });
+  CHECK_FALSE(ended);
+  CHECK_EQUAL(4u, changes.size());
+  CHECK_FALSE(changes[0].value.empty());
+  CHECK_FALSE(changes[1].value.empty());
+  CHECK_TRUE(changes[2].value.empty());
+  CHECK_EQUAL(std::string("servers/z"), changes[3].key);
+}
+
 // Guards against an era that is learned only from some kinds of response.
 TEST(StoreClientTest, EveryResponseNamesTheEra) {
   const int statuses[] = {404, 410, 412, 429, 503};
