Pass a target's failure on when no other target is available

RelayTaskTest AFailureOfATargetIsPassedOnWhenThereIsNoOther failed with 502 instead of 500. The next target is selected first; without one, the answer is passed on, and no retry of the budget is spent.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -606,16 +606,13 @@
   }
   if (answer.status >= kServerError && !this->head_sent &&
       this->route->repeatable()) {
-    if (!this->silent_attempts.empty()) {
-      this->EndAttempt(AttemptOutcome::kFailed);
-      this->RetryOrEnd(Verdict::kMayHaveRun, kBadGateway, "the target failed");
-      return;
-    }
-    if (this->MayRetry(Verdict::kMayHaveRun)) {
+    std::string_view reason;
+    const auto next = this->SelectNext(Verdict::kMayHaveRun, reason);
+    if (next || !this->silent_attempts.empty()) {
       this->http_call.reset();
       this->EndAttempt(AttemptOutcome::kFailed);
       this->CountRun(*this->attempt);
-      this->SendToNextTarget();
+      next ? this->SendNext(*next) : this->FallBack();
       return;
     }
   }
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -901,6 +901,15 @@
   CHECK_EQUAL(2u, this->received.size());
 }
 
+// Guards against a failure of the gateway's own in place of the target's.
+TEST(RelayTaskTest, AFailureOfATargetIsPassedOnWhenThereIsNoOther) {
+  this->target_ids = {"t1"};
+  const CallerAnswer answer = this->Relay(
+      PlainRoute(), {{"HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\noops"}});
+  CHECK_EQUAL(500, answer.status);
+  STRCMP_EQUAL("oops", answer.body.c_str());
+}
+
 // Guards against pieces of two runs in one stream: the silent target goes on
 // while the next one has sent a part of an event.
 TEST(RelayTaskTest, ASilentTargetThatGoesOnFirstKeepsItsStream) {
