Do not close a connection whose request has arrived unread

Cause: timers run before the loop reads. The check of idle connections, and the one of a planned stop, counted a connection as idle by what had been read, and closed it, although the next request lay in the socket. It was reset, and nothing was logged.

Evidence: on the code before, Http1ServerTest AnswersARequestThatArrivedDuringAPause gets no answer (the second request never comes), StopDoesNotCloseAConnectionWithAn- UnreadRequest counts the connection as idle.

A connection counts as receiving if its socket holds bytes; the check looks just before it would close. What a planned stop has not read at its end is refused with 503 (StopAnswersARequestThatHasNotBeenRead).

--- a/src/connection/http1_server.cc
+++ b/src/connection/http1_server.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <http_parser.h>
+#include <sys/socket.h>
 #include <uv.h>
 
 #include <algorithm>
@@ -138,13 +139,14 @@
     if (this->responder) {
       return &Http1ServerWork::answering;
     }
-    if (!this->output.empty() || this->queued_writes > 0) {
+    if (this->HasUnsentBytes()) {
       return &Http1ServerWork::unsent;
     }
     if (this->send_closed) {
       return &Http1ServerWork::lingering;
     }
-    if (this->in_message || !this->pipelined.empty()) {
+    if (this->in_message || !this->pipelined.empty() ||
+        this->HasUnreadBytes()) {
       return &Http1ServerWork::receiving;
     }
     return &Http1ServerWork::idle;
@@ -153,7 +155,7 @@
   void CheckTimeouts(TimePoint now) {
     const auto& limits = this->server->limits;
     const auto age = now - this->state_since;
-    if (this->WorkMember() == &Http1ServerWork::unsent) {
+    if (!this->responder && this->HasUnsentBytes()) {
       const size_t left =
           this->output.size() + uv_stream_get_write_queue_size(this->stream());
       if (left != this->unsent_bytes) {
@@ -172,7 +174,8 @@
       if (age > limits.header_timeout) {
         this->Reject(408);
       }
-    } else if (!this->in_message && age > limits.idle_timeout) {
+    } else if (!this->in_message && age > limits.idle_timeout &&
+               !this->HasUnreadBytes()) {
       this->Close();
     }
   }
@@ -182,7 +185,8 @@
   bool has_next_request() const { return !this->pipelined.empty(); }
 
   void RefusePartialRequest() {
-    if (this->in_message && !this->close_when_flushed) {
+    const bool unread = this->pipelined.empty() && this->HasUnreadBytes();
+    if ((this->in_message || unread) && !this->close_when_flushed) {
       this->Reject(503);
     }
   }
@@ -234,6 +238,20 @@
  private:
   uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&this->tcp); }
 
+  bool HasUnsentBytes() const {
+    return !this->output.empty() || this->queued_writes > 0;
+  }
+
+  // Returns whether the operating system holds bytes of the caller. Timers run
+  // before the loop reads, so after a pause a request may be waiting there.
+  bool HasUnreadBytes() const {
+    uv_os_fd_t descriptor = -1;
+    char byte = 0;
+    return uv_fileno(reinterpret_cast<const uv_handle_t*>(&this->tcp),
+                     &descriptor) == 0 &&
+           recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+  }
+
   static void Allocate(uv_handle_t*, size_t, uv_buf_t* buffer) {
     // All connections of the loop's thread read into one buffer, since a read
     // is consumed before the next one starts.
--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -2,6 +2,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
@@ -796,5 +797,56 @@
   this->responder.reset();
 }
 
+// Guards against a request that is closed unread: it arrived while the process
+// was paused for longer than the idle timeout.
+TEST(Http1ServerTest, AnswersARequestThatArrivedDuringAPause) {
+  this->Serve();
+  Http1Limits limits;
+  limits.idle_timeout = milliseconds(700);
+  this->server->SetLimits(limits);
+  const int caller = this->Connect();
+  Send(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  this->RunUntil([this] { return this->requests.size() == 1; });
+  this->responder->Send(200, {}, "one");
+  this->Receive(caller, 1);
+  Send(caller, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(1300));
+  this->RunUntil([this] { return this->requests.size() == 2; });
+  this->responder->Send(200, {}, "two");
+  STRCMP_CONTAINS("two", this->Receive(caller, 1).c_str());
+  close(caller);
+  this->responder.reset();
+}
+
+// Guards against a planned stop that closes a connection whose next request has
+// arrived but has not been read.
+TEST(Http1ServerTest, StopDoesNotCloseAConnectionWithAnUnreadRequest) {
+  this->Serve();
+  const int caller = this->Connect();
+  this->RunUntil([this] { return this->server->connections() == 1; });
+  this->server->CloseAfterAnswers();
+  Send(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK_EQUAL(1u, this->server->work().receiving);
+  this->server->CloseIdle();
+  this->RunUntil([this] { return this->requests.size() == 1; });
+  this->responder->Send(200, {}, "whole");
+  STRCMP_CONTAINS("whole", this->ReceiveAll(caller).c_str());
+  close(caller);
+  this->responder.reset();
+}
+
+// Guards against a planned stop that ends without an answer to a request which
+// has arrived but has not been read.
+TEST(Http1ServerTest, StopAnswersARequestThatHasNotBeenRead) {
+  this->Serve();
+  const int caller = this->Connect();
+  this->RunUntil([this] { return this->server->connections() == 1; });
+  Send(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  this->server->RefusePartialRequests();
+  STRNCMP_EQUAL("HTTP/1.1 503", this->ReceiveAll(caller).c_str(), 12);
+  CHECK_EQUAL(0u, this->requests.size());
+  close(caller);
+}
+
 }  // namespace
 }  // namespace celerypost
