Keep the idle timeout under which a connection became idle

A configuration with a shorter idle_timeout closed, within half a second, connections that their callers were told they could still use; a request on its way met the reset. On the code before, Http1ServerTest AShorterIdleTimeoutHoldsFromTheNextAnswerOn finds the connection closed after 1.2 s of a limit of 15 s.

A shorter timeout now holds from the connection's next answer on, a longer one at once.

--- a/src/connection/http1_server.cc
+++ b/src/connection/http1_server.cc
@@ -98,7 +98,9 @@
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   explicit Connection(std::shared_ptr<Http1Server::Impl> server)
-      : server(std::move(server)), state_since(this->server->loop.Now()) {
+      : server(std::move(server)),
+        state_since(this->server->loop.Now()),
+        idle_timeout(this->server->limits.idle_timeout) {
     uv_tcp_init(this->server->loop.uv(), &this->tcp);
     this->tcp.data = this;
     http_parser_init(&this->parser, HTTP_REQUEST);
@@ -174,7 +176,8 @@
       if (age > limits.header_timeout) {
         this->Reject(408);
       }
-    } else if (!this->in_message && age > limits.idle_timeout &&
+    } else if (!this->in_message &&
+               age > std::max(this->idle_timeout, limits.idle_timeout) &&
                !this->HasUnreadBytes()) {
       this->Close();
     }
@@ -212,6 +215,7 @@
     --this->server->in_progress;
     done->Finish();
     this->state_since = this->server->loop.Now();
+    this->idle_timeout = this->server->limits.idle_timeout;
     if (close_after || !this->keep_alive) {
       this->close_when_flushed = true;
       return;
@@ -467,6 +471,8 @@
   std::string pipelined;
   std::string output;
   TimePoint state_since;
+  // The limit when the connection became idle; its caller relies on it.
+  std::chrono::milliseconds idle_timeout;
   // Bytes of a complete answer that were unsent at the last check of timeouts.
   size_t unsent_bytes = 0;
   size_t header_bytes = 0;
--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -848,5 +848,32 @@
   close(caller);
 }
 
+// Guards against a new configuration that closes connections which their
+// callers may still use.
+TEST(Http1ServerTest, AShorterIdleTimeoutHoldsFromTheNextAnswerOn) {
+  this->Serve();
+  const int caller = this->Connect();
+  for (const char* const path : {"/a", "/b"}) {
+    Send(caller, std::string("GET ") + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    const size_t before = this->requests.size();
+    this->RunUntil([&] { return this->requests.size() > before; });
+    this->responder->Send(200, {}, "one");
+    this->Receive(caller, 1);
+    Http1Limits limits;
+    limits.idle_timeout = milliseconds(300);
+    this->server->SetLimits(limits);
+    if (before == 0) {
+      const TimePoint end = this->loop.Now() + milliseconds(1200);
+      while (this->loop.Now() < end) {
+        this->loop.RunFor(milliseconds(20));
+      }
+      CHECK_EQUAL(1u, this->server->connections());
+    }
+  }
+  this->RunUntil([this] { return this->server->connections() == 0; });
+  close(caller);
+  this->responder.reset();
+}
+
 }  // namespace
 }  // namespace celerypost
