Stop reading instead of closing when a caller sends far ahead

A caller that sent more than 1 MiB behind a request that was being answered lost that answer: the connection was closed, although a body may have 4 MiB.

The connection is no longer read until the answer has ended. Until then the server does not notice that such a caller leaves; the request ends at its deadline.

--- a/src/connection/http1_server.cc
+++ b/src/connection/http1_server.cc
@@ -22,8 +22,8 @@
 // close it. Closing it earlier with unread bytes would reset it before the
 // caller has read the answer.
 constexpr std::chrono::milliseconds kLingerTimeout{1000};
-// Most bytes of pipelined requests that are buffered while one is being
-// answered; a connection with more is closed.
+// A connection with more bytes of pipelined requests is not read until the
+// current request has been answered.
 constexpr size_t kMaxPipelinedBytes = 1u << 20;
 
 class Connection;
@@ -229,6 +229,7 @@
           const std::string bytes = std::move(connection->pipelined);
           connection->pipelined.clear();
           connection->Parse(bytes);
+          connection->ResumeReading();
         }
       });
     }
@@ -278,13 +279,22 @@
     if (connection->responder || !connection->pipelined.empty()) {
       connection->pipelined.append(bytes);
       if (connection->pipelined.size() > kMaxPipelinedBytes) {
-        connection->Close();
+        uv_read_stop(stream);
+        connection->reading_stopped = true;
       }
       return;
     }
     connection->Parse(bytes);
   }
 
+  void ResumeReading() {
+    if (this->reading_stopped && !this->closing &&
+        this->pipelined.size() <= kMaxPipelinedBytes) {
+      this->reading_stopped = false;
+      uv_read_start(this->stream(), Allocate, OnRead);
+    }
+  }
+
   void Parse(std::string_view bytes) {
     static const http_parser_settings settings = MakeParserSettings();
     const size_t used = http_parser_execute(&this->parser, &settings,
@@ -482,6 +492,7 @@
   bool in_message = false;
   bool headers_done = false;
   bool flush_scheduled = false;
+  bool reading_stopped = false;
   bool close_when_flushed = false;
   // The sending side is shut down.
   bool send_closed = false;
--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -875,5 +875,37 @@
   this->responder.reset();
 }
 
+// Guards against an answer that is cut since its caller sends a long request
+// behind it.
+TEST(Http1ServerTest, ALongRequestBehindAnotherDoesNotCutItsAnswer) {
+  this->Serve();
+  const int caller = this->Connect();
+  Send(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  this->RunUntil([this] { return this->requests.size() == 1; });
+  constexpr size_t kBytes = 3u << 20;
+  std::string unsent = "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                       std::to_string(kBytes) + "\r\n\r\n" +
+                       std::string(kBytes, 'x');
+  const auto send_more = [&] {
+    const ssize_t count =
+        send(caller, unsent.data(), unsent.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    unsent.erase(0, static_cast<size_t>(std::max<ssize_t>(0, count)));
+    return unsent.empty();
+  };
+  for (int i = 0; i < 20; ++i) {
+    send_more();
+    this->loop.RunFor(milliseconds(20));
+  }
+  this->responder->Send(200, {}, "one");
+  STRCMP_CONTAINS("one", this->Receive(caller, 1).c_str());
+  this->RunUntil(send_more);
+  this->RunUntil([this] { return this->requests.size() == 2; });
+  CHECK_EQUAL(kBytes, this->requests.back().body.size());
+  this->responder->Send(200, {}, "two");
+  STRCMP_CONTAINS("two", this->Receive(caller, 1).c_str());
+  close(caller);
+  this->responder.reset();
+}
+
 }  // namespace
 }  // namespace celerypost
