Wait for arrivals, not for times, in tests of silent attempts

BothTargetsAreLeftWhenTheCallerLeaves failed once in four runs at a load of 36 on 8 processors (one request had arrived instead of two): the second request is sent after 1 s, and the caller left at 1.4 s. What happens during a request now waits for the arrival of requests at the targets. Attempts are no longer changed in a predicate.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -56,6 +56,10 @@
   return route.backends.empty() ? ServiceName() : route.backends.back().service;
 }
 
+bool HasEnded(const SilentAttempt& silent) {
+  return silent.attempt.ended;
+}
+
 std::string Join(const std::vector<std::string>& ids) {
   std::string joined;
   for (const std::string& id : ids) {
@@ -167,12 +171,12 @@
           this->parts.end()) {
     return;
   }
-  std::erase_if(this->silent_attempts, [this](SilentAttempt& silent) {
+  for (SilentAttempt& silent : this->silent_attempts) {
     if (!silent.attempt.survived) {
       this->EndSilent(silent);
     }
-    return silent.attempt.ended;
-  });
+  }
+  std::erase_if(this->silent_attempts, HasEnded);
   if (this->attempt->survived) {
     return;
   }
@@ -502,15 +506,13 @@
 
 void RelayTask::EndOverdueSilentAttempts() {
   const TimePoint now = this->context.loop.Now();
-  std::erase_if(this->silent_attempts, [&](SilentAttempt& silent) {
-    const bool overdue = !silent.attempt.had_event &&
-                         silent.selection.must_begin_by &&
-                         now >= *silent.selection.must_begin_by;
-    if (overdue) {
+  for (SilentAttempt& silent : this->silent_attempts) {
+    if (!silent.attempt.had_event && silent.selection.must_begin_by &&
+        now >= *silent.selection.must_begin_by) {
       this->EndSilent(silent);
     }
-    return overdue;
-  });
+  }
+  std::erase_if(this->silent_attempts, HasEnded);
 }
 
 void RelayTask::CountRun(RelayAttempt& counted) {
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cerrno>
 #include <cstdio>
 #include <functional>
@@ -12,6 +13,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "tests/process/gateway/fake_decoder.h"
@@ -191,11 +193,13 @@
   std::vector<std::string> target_ids = {"t1", "t2"};
   // Connections to targets that were kept and that the gateway has not closed.
   size_t open_connections = 0;
-  // Runs this long after a request was sent, if set.
+  // Requests that have arrived at targets.
+  std::atomic<size_t> arrived{0};
+  // Runs when this many requests have arrived.
   std::function<void()> during;
-  milliseconds during_at{0};
-  // How long the callers wait.
-  milliseconds patience{10000};
+  size_t during_arrivals = 1;
+  // The callers leave when this many requests have arrived; 0: never.
+  size_t leaves_after_arrivals = 0;
 
   static Route StreamRoute() {
     Route route;
@@ -247,6 +251,7 @@
       char request[4096];
       const ssize_t size = read(target, request, sizeof(request));
       this->received.emplace_back(request, std::max<ssize_t>(size, 0));
+      ++this->arrived;
       const size_t first = reply.bytes.size() - (reply.pauses ? kLastBytes : 0);
       send(target, reply.bytes.data(), first, MSG_NOSIGNAL);
       if (reply.pauses || reply.reset) {
@@ -380,13 +385,17 @@
     const auto call =
         caller.Send({"GET", "/", {{"host", "h"}, {"x-id", id}}, ""}, {},
                     std::move(callbacks));
-    Timer during_timer(this->loop, [this] { this->during(); });
-    if (this->during) {
-      during_timer.StartOnce(this->during_at);
-    }
-    const TimePoint end = this->loop.Now() + this->patience;
+    const TimePoint end = this->loop.Now() + std::chrono::seconds(10);
     while (!answer.complete && !answer.failed && this->loop.Now() < end) {
       this->loop.RunFor(milliseconds(20));
+      const size_t arrivals = this->arrived;
+      if (this->leaves_after_arrivals > 0 &&
+          arrivals >= this->leaves_after_arrivals) {
+        break;
+      }
+      if (this->during && arrivals >= this->during_arrivals) {
+        std::exchange(this->during, nullptr)();
+      }
     }
     return answer;
   }
@@ -838,7 +847,6 @@
 
 TEST(RelayTaskTest, ASilentTargetKeepsItsStreamWhenItsServiceIsDropped) {
   this->during = [this] { this->DropServices(); };
-  this->during_at = milliseconds(200);
   const CallerAnswer answer =
       this->Relay(StreamRoute(), {SilentFor(milliseconds(1400), kWhole)});
   this->CheckAnsweredByTheFirst(answer, kWhole);
@@ -936,7 +944,7 @@
 }
 
 TEST(RelayTaskTest, BothTargetsAreLeftWhenTheCallerLeaves) {
-  this->patience = milliseconds(1400);
+  this->leaves_after_arrivals = 2;
   const CallerAnswer answer = this->Relay(
       StreamRoute(), {{.bytes = kHeadAndFirst, .keeps_connection = true},
                       {.keeps_connection = true}});
@@ -947,7 +955,7 @@
 
 TEST(RelayTaskTest, BothTargetsAreLeftAtTheDeadline) {
   Route route = StreamRoute();
-  route.timeout = milliseconds(1500);
+  route.timeout = milliseconds(2500);
   const CallerAnswer answer =
       this->Relay(route, {{.bytes = kHeadAndFirst, .keeps_connection = true},
                           {.keeps_connection = true}});
@@ -991,7 +999,7 @@
     this->Apply("weights", NamedWeights{"m", 2});
     ReviewWaitingRequests(*this->relay_context);
   };
-  this->during_at = milliseconds(1200);
+  this->during_arrivals = 2;
   Route route = StreamRoute();
   route.latency_goal = milliseconds(500);
   const CallerAnswer answer = this->Relay(
