--- a/src/connection/http1_server.cc
+++ b/src/connection/http1_server.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <http_parser.h>
+#include <sys/socket.h>
 #include <uv.h>
 
 #include <algorithm>
@@ -21,8 +22,8 @@
 // close it. Closing it earlier with unread bytes would reset it before the
 // caller has read the answer.
 constexpr std::chrono::milliseconds kLingerTimeout{1000};
-// Most bytes of pipelined requests that are buffered while one is being
-// answered; a connection with more is closed.
+// A connection with more bytes of pipelined requests is not read until the
+// current request has been answered.
 constexpr size_t kMaxPipelinedBytes = 1u << 20;
 
 class Connection;
@@ -97,7 +98,9 @@
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   explicit Connection(std::shared_ptr<Http1Server::Impl> server)
-      : server(std::move(server)), state_since(this->server->loop.Now()) {
+      : server(std::move(server)),
+        state_since(this->server->loop.Now()),
+        idle_timeout(this->server->limits.idle_timeout) {
     uv_tcp_init(this->server->loop.uv(), &this->tcp);
     this->tcp.data = this;
     http_parser_init(&this->parser, HTTP_REQUEST);
@@ -138,13 +141,14 @@
     if (this->responder) {
       return &Http1ServerWork::answering;
     }
-    if (!this->output.empty() || this->queued_writes > 0) {
+    if (this->HasUnsentBytes()) {
       return &Http1ServerWork::unsent;
     }
     if (this->send_closed) {
       return &Http1ServerWork::lingering;
     }
-    if (this->in_message || !this->pipelined.empty()) {
+    if (this->in_message || !this->pipelined.empty() ||
+        this->HasUnreadBytes()) {
       return &Http1ServerWork::receiving;
     }
     return &Http1ServerWork::idle;
@@ -153,7 +157,7 @@
   void CheckTimeouts(TimePoint now) {
     const auto& limits = this->server->limits;
     const auto age = now - this->state_since;
-    if (this->WorkMember() == &Http1ServerWork::unsent) {
+    if (!this->responder && this->HasUnsentBytes()) {
       const size_t left =
           this->output.size() + uv_stream_get_write_queue_size(this->stream());
       if (left != this->unsent_bytes) {
@@ -172,7 +176,9 @@
       if (age > limits.header_timeout) {
         this->Reject(408);
       }
-    } else if (!this->in_message && age > limits.idle_timeout) {
+    } else if (!this->in_message &&
+               age > std::max(this->idle_timeout, limits.idle_timeout) &&
+               !this->HasUnreadBytes()) {
       this->Close();
     }
   }
@@ -182,7 +188,8 @@
   bool has_next_request() const { return !this->pipelined.empty(); }
 
   void RefusePartialRequest() {
-    if (this->in_message && !this->close_when_flushed) {
+    const bool unread = this->pipelined.empty() && this->HasUnreadBytes();
+    if ((this->in_message || unread) && !this->close_when_flushed) {
       this->Reject(503);
     }
   }
@@ -208,6 +215,7 @@
     --this->server->in_progress;
     done->Finish();
     this->state_since = this->server->loop.Now();
+    this->idle_timeout = this->server->limits.idle_timeout;
     if (close_after || !this->keep_alive) {
       this->close_when_flushed = true;
       return;
@@ -221,6 +229,7 @@
           const std::string bytes = std::move(connection->pipelined);
           connection->pipelined.clear();
           connection->Parse(bytes);
+          connection->ResumeReading();
         }
       });
     }
@@ -234,6 +243,20 @@
  private:
   uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&this->tcp); }
 
+  bool HasUnsentBytes() const {
+    return !this->output.empty() || this->queued_writes > 0;
+  }
+
+  // Returns whether the operating system holds bytes of the caller. Timers run
+  // before the loop reads, so after a pause a request may be waiting there.
+  bool HasUnreadBytes() const {
+    uv_os_fd_t descriptor = -1;
+    char byte = 0;
+    return uv_fileno(reinterpret_cast<const uv_handle_t*>(&this->tcp),
+                     &descriptor) == 0 &&
+           recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+  }
+
   static void Allocate(uv_handle_t*, size_t, uv_buf_t* buffer) {
     // All connections of the loop's thread read into one buffer, since a read
     // is consumed before the next one starts.
@@ -256,13 +279,22 @@
     if (connection->responder || !connection->pipelined.empty()) {
       connection->pipelined.append(bytes);
       if (connection->pipelined.size() > kMaxPipelinedBytes) {
-        connection->Close();
+        uv_read_stop(stream);
+        connection->reading_stopped = true;
       }
       return;
     }
     connection->Parse(bytes);
   }
 
+  void ResumeReading() {
+    if (this->reading_stopped && !this->closing &&
+        this->pipelined.size() <= kMaxPipelinedBytes) {
+      this->reading_stopped = false;
+      uv_read_start(this->stream(), Allocate, OnRead);
+    }
+  }
+
   void Parse(std::string_view bytes) {
     static const http_parser_settings settings = MakeParserSettings();
     const size_t used = http_parser_execute(&this->parser, &settings,
@@ -449,6 +481,8 @@
   std::string pipelined;
   std::string output;
   TimePoint state_since;
+  // The limit when the connection became idle; its caller relies on it.
+  std::chrono::milliseconds idle_timeout;
   // Bytes of a complete answer that were unsent at the last check of timeouts.
   size_t unsent_bytes = 0;
   size_t header_bytes = 0;
@@ -458,6 +492,7 @@
   bool in_message = false;
   bool headers_done = false;
   bool flush_scheduled = false;
+  bool reading_stopped = false;
   bool close_when_flushed = false;
   // The sending side is shut down.
   bool send_closed = false;
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -59,6 +59,10 @@
   return route.backends.empty() ? ServiceName() : route.backends.back().service;
 }
 
+bool HasEnded(const SilentAttempt& silent) {
+  return silent.attempt.ended;
+}
+
 std::string Join(const std::vector<std::string>& ids) {
   std::string joined;
   for (const std::string& id : ids) {
@@ -170,12 +174,12 @@
           this->parts.end()) {
     return;
   }
-  std::erase_if(this->silent_attempts, [this](SilentAttempt& silent) {
+  for (SilentAttempt& silent : this->silent_attempts) {
     if (!silent.attempt.survived) {
       this->EndSilent(silent);
     }
-    return silent.attempt.ended;
-  });
+  }
+  std::erase_if(this->silent_attempts, HasEnded);
   if (this->attempt->survived) {
     return;
   }
@@ -513,15 +517,13 @@
 
 void RelayTask::EndOverdueSilentAttempts() {
   const TimePoint now = this->context.loop.Now();
-  std::erase_if(this->silent_attempts, [&](SilentAttempt& silent) {
-    const bool overdue = !silent.attempt.had_event &&
-                         silent.selection.must_begin_by &&
-                         now >= *silent.selection.must_begin_by;
-    if (overdue) {
+  for (SilentAttempt& silent : this->silent_attempts) {
+    if (!silent.attempt.had_event && silent.selection.must_begin_by &&
+        now >= *silent.selection.must_begin_by) {
       this->EndSilent(silent);
     }
-    return overdue;
-  });
+  }
+  std::erase_if(this->silent_attempts, HasEnded);
 }
 
 void RelayTask::CountRun(RelayAttempt& counted) {
@@ -617,16 +619,13 @@
   }
   if (answer.status >= kServerError && !this->head_sent &&
       this->route->repeatable()) {
-    if (!this->silent_attempts.empty()) {
-      this->EndAttempt(AttemptOutcome::kFailed);
-      this->RetryOrEnd(Verdict::kMayHaveRun, kBadGateway, "the target failed");
-      return;
-    }
-    if (this->MayRetry(Verdict::kMayHaveRun)) {
+    std::string_view reason;
+    const auto next = this->SelectNext(Verdict::kMayHaveRun, reason);
+    if (next || !this->silent_attempts.empty()) {
       this->http_call.reset();
       this->EndAttempt(AttemptOutcome::kFailed);
       this->CountRun(*this->attempt);
-      this->SendToNextTarget();
+      next ? this->SendNext(*next) : this->FallBack();
       return;
     }
   }
--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -2,6 +2,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
@@ -796,5 +797,115 @@
   this->responder.reset();
 }
 
+// Guards against a request that is closed unread: it arrived while the process
+// was paused for longer than the idle timeout.
+TEST(Http1ServerTest, AnswersARequestThatArrivedDuringAPause) {
+  this->Serve();
+  Http1Limits limits;
+  limits.idle_timeout = milliseconds(700);
+  this->server->SetLimits(limits);
+  const int caller = this->Connect();
+  Send(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  this->RunUntil([this] { return this->requests.size() == 1; });
+  this->responder->Send(200, {}, "one");
+  this->Receive(caller, 1);
+  Send(caller, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(1300));
+  this->RunUntil([this] { return this->requests.size() == 2; });
+  this->responder->Send(200, {}, "two");
+  STRCMP_CONTAINS("two", this->Receive(caller, 1).c_str());
+  close(caller);
+  this->responder.reset();
+}
+
+// Guards against a planned stop that closes a connection whose next request has
+// arrived but has not been read.
+TEST(Http1ServerTest, StopDoesNotCloseAConnectionWithAnUnreadRequest) {
+  this->Serve();
+  const int caller = this->Connect();
+  this->RunUntil([this] { return this->server->connections() == 1; });
+  this->server->CloseAfterAnswers();
+  Send(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK_EQUAL(1u, this->server->work().receiving);
+  this->server->CloseIdle();
+  this->RunUntil([this] { return this->requests.size() == 1; });
+  this->responder->Send(200, {}, "whole");
+  STRCMP_CONTAINS("whole", this->ReceiveAll(caller).c_str());
+  close(caller);
+  this->responder.reset();
+}
+
+// Guards against a planned stop that ends without an answer to a request which
+// has arrived but has not been read.
+TEST(Http1ServerTest, StopAnswersARequestThatHasNotBeenRead) {
+  this->Serve();
+  const int caller = this->Connect();
+  this->RunUntil([this] { return this->server->connections() == 1; });
+  Send(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  this->server->RefusePartialRequests();
+  STRNCMP_EQUAL("HTTP/1.1 503", this->ReceiveAll(caller).c_str(), 12);
+  CHECK_EQUAL(0u, this->requests.size());
+  close(caller);
+}
+
+// Guards against a new configuration that closes connections which their
+// callers may still use.
+TEST(Http1ServerTest, AShorterIdleTimeoutHoldsFromTheNextAnswerOn) {
+  this->Serve();
+  const int caller = this->Connect();
+  for (const char* const path : {"/a", "/b"}) {
+    Send(caller, std::string("GET ") + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    const size_t before = this->requests.size();
+    this->RunUntil([&] { return this->requests.size() > before; });
+    this->responder->Send(200, {}, "one");
+    this->Receive(caller, 1);
+    Http1Limits limits;
+    limits.idle_timeout = milliseconds(300);
+    this->server->SetLimits(limits);
+    if (before == 0) {
+      const TimePoint end = this->loop.Now() + milliseconds(1200);
+      while (this->loop.Now() < end) {
+        this->loop.RunFor(milliseconds(20));
+      }
+      CHECK_EQUAL(1u, this->server->connections());
+    }
+  }
+  this->RunUntil([this] { return this->server->connections() == 0; });
+  close(caller);
+  this->responder.reset();
+}
+
+// Guards against an answer that is cut since its caller sends a long request
+// behind it.
+TEST(Http1ServerTest, ALongRequestBehindAnotherDoesNotCutItsAnswer) {
+  this->Serve();
+  const int caller = this->Connect();
+  Send(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  this->RunUntil([this] { return this->requests.size() == 1; });
+  constexpr size_t kBytes = 3u << 20;
+  std::string unsent = "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                       std::to_string(kBytes) + "\r\n\r\n" +
+                       std::string(kBytes, 'x');
+  const auto send_more = [&] {
+    const ssize_t count =
+        send(caller, unsent.data(), unsent.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    unsent.erase(0, static_cast<size_t>(std::max<ssize_t>(0, count)));
+    return unsent.empty();
+  };
+  for (int i = 0; i < 20; ++i) {
+    send_more();
+    this->loop.RunFor(milliseconds(20));
+  }
+  this->responder->Send(200, {}, "one");
+  STRCMP_CONTAINS("one", this->Receive(caller, 1).c_str());
+  this->RunUntil(send_more);
+  this->RunUntil([this] { return this->requests.size() == 2; });
+  CHECK_EQUAL(kBytes, this->requests.back().body.size());
+  this->responder->Send(200, {}, "two");
+  STRCMP_CONTAINS("two", this->Receive(caller, 1).c_str());
+  close(caller);
+  this->responder.reset();
+}
+
 }  // namespace
 }  // namespace celerypost
