End requests in time when the grace is short

The times at which a stopping gateway ends its requests and exits were shares of the grace, looked at every 100 ms: with a grace of 1 s the look after 0.93 s came with the SIGKILL, and 30 ms were left to send answers. At least 150 ms lie between the end of requests and the exit now, at least 100 ms between that and SIGKILL, and the looks are a hundredth of the grace apart, at most 100 ms. Nothing changes for a grace of 8 s but that looks come every 80 ms.

AnswersBeforeTheEndOfAShortGrace failed before: the caller of a request that waited at a silent target was not answered within 950 ms of 1 s.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -16,7 +16,6 @@
 using std::chrono::milliseconds;
 
 constexpr int kUnavailable = 503;
-constexpr milliseconds kStopCheckInterval{100};
 // Most requests that are logged one by one when the process stops before they
 // have ended.
 constexpr size_t kMaxLoggedCuts = 20;
@@ -556,7 +555,7 @@
   // The gateway lives on for longer than this call takes.
   this->core.Leave([] {});
   this->SendBeat();
-  this->stop_timer.StartRepeating(kStopCheckInterval);
+  this->stop_timer.StartRepeating(StopCheckInterval(this->stop_policy));
 }
 
 milliseconds Gateway::TimeSinceStop() const {
--- a/src/process/gateway/stop_policy.cc
+++ b/src/process/gateway/stop_policy.cc
@@ -1,19 +1,36 @@
 #include "src/process/gateway/stop_policy.h"
 
+#include <algorithm>
+
 namespace celerypost {
 
 namespace {
 
+constexpr std::chrono::milliseconds kMaxCheckInterval{100};
+// Of the grace.
+constexpr double kCheckIntervalShare = 0.01;
+
 std::chrono::milliseconds ShareOf(std::chrono::milliseconds whole,
                                   double share) {
   return std::chrono::milliseconds(
       static_cast<int64_t>(static_cast<double>(whole.count()) * share));
 }
 
+std::chrono::milliseconds ExitAfter(const StopPolicyOptions& options) {
+  return std::min(ShareOf(options.grace, options.exit_after_share),
+                  options.grace - options.min_exit_time);
+}
+
 }  // namespace
 
 std::chrono::milliseconds EndRequestsAfter(const StopPolicyOptions& options) {
-  return ShareOf(options.grace, options.end_requests_after_share);
+  return std::min(ShareOf(options.grace, options.end_requests_after_share),
+                  ExitAfter(options) - options.min_send_time);
+}
+
+std::chrono::milliseconds StopCheckInterval(const StopPolicyOptions& options) {
+  return std::clamp(ShareOf(options.grace, kCheckIntervalShare),
+                    std::chrono::milliseconds(1), kMaxCheckInterval);
 }
 
 bool CompletesInTime(const StopPolicyOptions& options,
@@ -25,7 +42,7 @@
 StopStep NextStopStep(const StopPolicyOptions& options,
                       std::chrono::milliseconds time_since_stop,
                       const StopWork& work) {
-  if (time_since_stop > ShareOf(options.grace, options.exit_after_share)) {
+  if (time_since_stop > ExitAfter(options)) {
     return StopStep::kExit;
   }
   const bool ends_requests = time_since_stop > EndRequestsAfter(options);
--- a/src/process/gateway/stop_policy.h
+++ b/src/process/gateway/stop_policy.h
@@ -20,6 +20,10 @@
   double wait_for_idle_share = 0.35;
   double end_requests_after_share = 0.93;
   double exit_after_share = 0.96;
+  // Shortest times, for a short grace, from the second to the third and from
+  // the third to SIGKILL.
+  std::chrono::milliseconds min_send_time{150};
+  std::chrono::milliseconds min_exit_time{100};
 };
 
 // What a stopping gateway still has to do.
@@ -43,6 +47,9 @@
 // completed.
 std::chrono::milliseconds EndRequestsAfter(const StopPolicyOptions& options);
 
+// Returns the time between two calls of NextStopStep.
+std::chrono::milliseconds StopCheckInterval(const StopPolicyOptions& options);
+
 // Returns whether a request or an attempt that begins `time_since_stop` after
 // SIGTERM and takes up to `max_duration` completes before requests are ended.
 bool CompletesInTime(const StopPolicyOptions& options,
--- a/tests/process/gateway/gateway_stop_test.cc
+++ b/tests/process/gateway/gateway_stop_test.cc
@@ -4,10 +4,14 @@
 
 #include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <sstream>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -44,10 +48,13 @@
       KeyValueTransaction,
       std::function<void(Result<KeyValueTransactionResult>)>) override {}
   std::unique_ptr<KeyValueWatch> Watch(
-      const KeyRange&,
+      const KeyRange& range,
       int64_t,
-      std::function<void(std::vector<KeyValue>)>,
+      std::function<void(std::vector<KeyValue>)> on_events,
       std::function<void(Failure)>) override {
+    if (range.first.empty()) {
+      this->on_change = std::move(on_events);
+    }
     return std::make_unique<KeyValueWatch>();
   }
   KeyValueCalls Calls() const override { return {}; }
@@ -56,6 +63,7 @@
   void Revoke(int64_t, std::function<void(Result<void>)>) override {}
 
   std::vector<KeyValue> items;
+  std::function<void(std::vector<KeyValue>)> on_change;
 };
 
 class FakeDirectoryCodec : public DirectoryCodec {
@@ -261,6 +269,8 @@
   return received;
 }
 
+constexpr milliseconds kTimeBeforeStop{500};
+
 // A gateway with one target, which runs a script on its connection.
 TEST_GROUP(GatewayStopTest) {
   Loop loop;
@@ -278,13 +288,17 @@
   FakeDirectoryCodec directory_codec;
   NodeSettings settings;
 
-  void setup() override {
-    this->settings.ip = "127.0.0.1";
+  void ChoosePorts() {
     this->settings.caller_address = {"127.0.0.1", FreePort()};
     this->settings.ready_address = {"127.0.0.1", FreePort()};
     this->settings.directory_address = {"127.0.0.1", FreePort()};
     this->settings.first_internal_port = FreePort();
     this->settings.last_internal_port = this->settings.first_internal_port;
+  }
+
+  void setup() override {
+    this->settings.ip = "127.0.0.1";
+    this->ChoosePorts();
     this->settings.stop_grace = milliseconds(2000);
     this->settings.max_directory_ttl = milliseconds(100);
   }
@@ -355,7 +369,7 @@
     std::string request;
     // Time from the stop until the last byte of the request is sent, if that
     // follows later than the others.
-    milliseconds completed_after{0};
+    milliseconds completed_after = milliseconds::min();
     std::string answer{};
     // Time from the stop until the connection has ended.
     milliseconds ended_after{0};
@@ -370,7 +384,7 @@
     route.resumable = kind == RouteKind::kStream;
     route.max_attempts = kind == RouteKind::kNonIdempotent ? 1 : 2;
     route.timeout = timeout;
-    route.latency_goal = timeout / 2;
+    route.latency_goal = timeout / 8;
     route.backends = {{ServiceName("s"), 1}};
     return route;
   }
@@ -391,13 +405,14 @@
       target.id = "t" + std::to_string(this->store.items.size());
       target.service = ServiceName("s");
       target.address = {"127.0.0.1", port};
+      target.slots = 16;
       this->decoder.documents[target.id] = target;
       this->store.items.push_back({target.id, "x", 2});
     }
   }
 
-  // Runs a gateway that is stopped 200 ms after it is ready, until it exits.
-  // `stop` is called at that time and must lead to Gateway::Stop.
+  // Runs a gateway that is stopped kTimeBeforeStop after it is ready, until it
+  // exits. `stop` is called at that time and must lead to Gateway::Stop.
   void RunAndStop(
       std::vector<StopCall> & calls,
       const std::function<void(Gateway&)>& stop = [](Gateway& gateway) {
@@ -410,16 +425,28 @@
     auto gateway =
         std::make_unique<Gateway>(dependencies, this->request_codec,
                                   this->directory_codec, GatewayOptions{});
-    CHECK_TRUE(gateway->Start().has_value());
+    // Another process may have taken a port in the meantime.
+    constexpr int kMaxStarts = 5;
+    for (int i = 1; !gateway->Start(); ++i) {
+      CHECK_TRUE(i < kMaxStarts);
+      this->ChoosePorts();
+      gateway =
+          std::make_unique<Gateway>(dependencies, this->request_codec,
+                                    this->directory_codec, GatewayOptions{});
+    }
     for (int i = 0; i < 100 && !this->Logged("\"ready\""); ++i) {
       this->loop.RunFor(milliseconds(20));
     }
     CHECK_TRUE(this->Logged("\"ready\""));
-    const Clock::time_point stop_time = Clock::now() + milliseconds(200);
+    const Clock::time_point stop_time = Clock::now() + kTimeBeforeStop;
+    this->stops_at = stop_time;
     const auto since_stop = [stop_time] {
       return std::chrono::duration_cast<milliseconds>(Clock::now() - stop_time);
     };
     std::vector<std::thread> callers;
+    for (int i = 0; i < this->looping_callers; ++i) {
+      callers.emplace_back([this, i] { this->loop_caller(i); });
+    }
     for (StopCall& call : calls) {
       callers.emplace_back([&call, stop_time, since_stop,
                             port = this->settings.caller_address->port] {
@@ -440,6 +467,10 @@
     }
     Timer timer(this->loop, [&] { stop(*gateway); });
     timer.StartOnce(std::max(milliseconds(0), -since_stop()));
+    Timer change(this->loop, [this] { this->on_change_due(); });
+    if (this->on_change_due) {
+      change.StartOnce(this->change_after);
+    }
     this->loop.Run();
     this->exited_after = since_stop();
     // Closes the sockets, as the exit of the process does.
@@ -452,6 +483,21 @@
 
   // Time from the stop until the gateway's loop ended.
   milliseconds exited_after{0};
+  std::chrono::steady_clock::time_point stops_at;
+  // Threads that run `loop_caller` with their number.
+  int looping_callers = 0;
+  std::function<void(int)> loop_caller;
+  // Called this long after the gateway is ready.
+  milliseconds change_after{0};
+  std::function<void()> on_change_due;
+
+  std::string Lines() const {
+    std::string all;
+    for (const std::string& line : this->lines) {
+      all.append(line).append("\n");
+    }
+    return all;
+  }
 
   bool Logged(const std::string& text) const {
     return std::ranges::any_of(this->lines, [&text](const std::string& line) {
@@ -503,7 +549,7 @@
        MakeRoute("/s/", RouteKind::kStream, milliseconds(6000))},
       {target.port});
   std::vector<StopCall> calls = {
-      {milliseconds(-100), RequestTo("/n/body"), milliseconds(300)},
+      {milliseconds(-300), RequestTo("/n/body"), milliseconds(300)},
       {milliseconds(300), RequestTo("/n/1")},
       {milliseconds(300), RequestTo("/i/1")},
       {milliseconds(300), RequestTo("/s/1")},
@@ -541,5 +587,20 @@
   STRNCMP_EQUAL("HTTP/1.1 503", calls[2].answer.c_str(), 12);
 }
 
+// Guards against a process that is still busy with a request when SIGKILL
+// comes.
+TEST(GatewayStopTest, AnswersBeforeTheEndOfAShortGrace) {
+  this->settings.stop_grace = milliseconds(1000);
+  StandInTarget target(StaySilent);
+  this->Configure(
+      {MakeRoute("/n/", RouteKind::kNonIdempotent, milliseconds(6000))},
+      {target.port});
+  std::vector<StopCall> calls = {{milliseconds(-300), RequestTo("/n/1")}};
+  this->RunAndStop(calls);
+  STRNCMP_EQUAL("HTTP/1.1 502", calls[0].answer.c_str(), 12);
+  CHECK_TRUE(calls[0].ended_after < milliseconds(950));
+  CHECK_TRUE(this->exited_after < milliseconds(950));
+}
+
 }  // namespace
 }  // namespace celerypost
