Count the grace from before a signal that is handled late

A gateway counted the grace from when its loop handled SIGTERM. A process that had been busy or paused at that time exited after the SIGKILL and gave up its requests without an answer. It counts from the earliest time at which the signal can have come, Loop::ArrivedAfter.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -546,7 +546,7 @@
   if (this->stopping_since) {
     return;
   }
-  this->stopping_since = this->dependencies.loop.Now();
+  this->stopping_since = this->dependencies.loop.ArrivedAfter();
   this->dependencies.log.Info(
       "stopping", "SIGTERM received",
       {{"connections", this->caller_server->connections()},
--- a/tests/process/gateway/gateway_stop_test.cc
+++ b/tests/process/gateway/gateway_stop_test.cc
@@ -602,5 +602,25 @@
   CHECK_TRUE(this->exited_after < milliseconds(950));
 }
 
+// Guards against an exit that follows the SIGKILL because the process was busy
+// when SIGTERM came.
+TEST(GatewayStopTest, CountsTheGraceFromASignalThatIsHandledLate) {
+  StandInTarget target(StaySilent);
+  this->Configure(
+      {MakeRoute("/n/", RouteKind::kNonIdempotent, milliseconds(6000))},
+      {target.port});
+  std::vector<StopCall> calls = {{milliseconds(-300), RequestTo("/n/1")}};
+  bool handles_signals = false;
+  this->RunAndStop(calls, [&](Gateway& gateway) {
+    CHECK_FALSE(handles_signals);
+    handles_signals = true;
+    this->loop.OnTerminate([&gateway] { gateway.Stop(); });
+    raise(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(700));
+  });
+  STRNCMP_EQUAL("HTTP/1.1 502", calls[0].answer.c_str(), 12);
+  CHECK_TRUE(this->exited_after < this->settings.stop_grace);
+}
+
 }  // namespace
 }  // namespace celerypost
