Refuse at the exit what no target has received

A request that still waited for a connection to its target when a stopping gateway ended its requests got 502, which promises nothing, so that callers may not repeat it if it is not repeatable. It has not run and never will: it gets 503. HttpCall::MayHaveBeenSent tells the two apart.

RefusesWhatWaitsForAConnectionAtTheExit has a target that accepts no connection. It had not run on the old code in its present form.

--- a/src/connection/http1_client.cc
+++ b/src/connection/http1_client.cc
@@ -28,6 +28,8 @@
   HttpResponseCallbacks callbacks;
   Channel* channel = nullptr;
   std::unique_ptr<Timer> timer;
+  // A connection has been established for it.
+  bool sent = false;
   bool done = false;
 };
 
@@ -222,6 +224,7 @@
   };
 
   void SendRequest() {
+    this->exchange->sent = true;
     auto* write = new Write{
         {}, Serialize(this->exchange->request, this->client->server), this};
     this->exchange->request.body.clear();
@@ -551,6 +554,7 @@
   }
   Http1Call(const Http1Call&) = delete;
   Http1Call& operator=(const Http1Call&) = delete;
+  bool MayHaveBeenSent() const override { return this->exchange->sent; }
 
  private:
   std::shared_ptr<Exchange> exchange;
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -43,6 +43,8 @@
 class HttpCall {
  public:
   virtual ~HttpCall() = default;
+  // Whether the server may have received a part of the request.
+  virtual bool MayHaveBeenSent() const { return true; }
 };
 
 // A complete response.
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -716,9 +716,16 @@
     return;
   }
   const auto keep_alive = this->shared_from_this();
+  const bool may_have_run =
+      this->head_sent || this->verdict != Verdict::kNotRun ||
+      (this->http_call && this->http_call->MayHaveBeenSent());
   this->http_call.reset();
   this->EndAttempt(AttemptOutcome::kAbandoned);
-  this->FailWith(kBadGateway, "stopping");
+  if (may_have_run) {
+    this->FailWith(kBadGateway, "stopping");
+  } else {
+    this->Refuse("stopping", kStoppingRetryAfter);
+  }
 }
 
 void RelayTask::OnCallerDisconnected() {
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -130,8 +130,9 @@
   // Logs that the process exits before this request has ended, and what the
   // request waits for.
   void LogCut() const;
-  // Ends the request because the process exits: with 502 if no answer has
-  // started, otherwise by closing the connection without the end of the answer.
+  // Ends the request because the process exits: with 503 if no target can have
+  // received it, with 502 if no answer has started, otherwise by closing the
+  // connection without the end of the answer.
   void EndForStop();
 
  private:
--- a/tests/process/gateway/gateway_stop_test.cc
+++ b/tests/process/gateway/gateway_stop_test.cc
@@ -622,5 +622,27 @@
   CHECK_TRUE(this->exited_after < this->settings.stop_grace);
 }
 
+// Guards against 502, which promises nothing, for a request that no target has
+// received a byte of.
+TEST(GatewayStopTest, RefusesWhatWaitsForAConnectionAtTheExit) {
+  // Accepts no connection, and its queue of connections is full.
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address = Loopback(0);
+  socklen_t length = sizeof(address);
+  CHECK_EQUAL(0, bind(listener, reinterpret_cast<sockaddr*>(&address), length));
+  CHECK_EQUAL(0, listen(listener, 0));
+  getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
+  const int queued = ConnectTo(ntohs(address.sin_port));
+  this->settings.stop_grace = milliseconds(900);
+  this->Configure(
+      {MakeRoute("/n/", RouteKind::kNonIdempotent, milliseconds(6000))},
+      {ntohs(address.sin_port)});
+  std::vector<StopCall> calls = {{milliseconds(-50), RequestTo("/n/1")}};
+  this->RunAndStop(calls);
+  STRNCMP_EQUAL("HTTP/1.1 503", calls[0].answer.c_str(), 12);
+  close(queued);
+  close(listener);
+}
+
 }  // namespace
 }  // namespace celerypost
