Begin no attempt that may not end before the exit

A gateway that was stopping sent a request that its first target had refused or failed to a second one, whatever time was left, and ended it at the end of the grace. A request whose deadline lies after that is not sent again: 503 if it has not run, otherwise the first target's answer or 502. A broken stream is resumed as long as the next event is due in time, since its caller has lost it otherwise.

DoesNotBeginARetryThatMayNotEndBeforeTheExit failed before: the second target got the request.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -245,6 +245,10 @@
 
 void RelayTask::SendToNextTarget() {
   const TimePoint now = this->context.loop.Now();
+  if (this->sends > 0 && !this->MayBeginRetry()) {
+    this->EndForLackOfTime();
+    return;
+  }
   PlacementRequest& placement = this->selection_request.placement;
   placement.prompt_tokens = this->call.prompt_tokens;
   placement.answer_tokens = this->call.answer_tokens;
@@ -739,7 +743,19 @@
   this->Finish("abandoned", 0, "the caller left");
 }
 
+bool RelayTask::MayBeginRetry() const {
+  // What the caller has of a started stream would be lost, so its rest is tried
+  // when only the next event is sure to come in time.
+  return this->MayRunUntil(
+      this->head_sent ? std::min(this->deadline, this->context.loop.Now() +
+                                                     this->route->latency_goal)
+                      : this->deadline);
+}
+
 bool RelayTask::MayRetry(Verdict attempt_verdict) {
+  if (!this->MayBeginRetry()) {
+    return false;
+  }
   // An attempt that was not run, or that survived, has not harmed its target.
   const bool may_have_harmed = attempt_verdict != Verdict::kNotRun &&
                                this->attempt && !this->attempt->survived;
@@ -784,7 +800,8 @@
   } else if (this->head_sent || this->verdict != Verdict::kNotRun) {
     this->FailWith(status == kUnavailable ? kBadGateway : status, reason);
   } else {
-    this->Refuse(reason, kRefusedRetryAfter);
+    this->Refuse(reason, this->MayBeginRetry() ? kRefusedRetryAfter
+                                               : kStoppingRetryAfter);
   }
 }
 
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -187,6 +187,8 @@
   void SendTargetAnswer();
   // Returns whether the process runs until `time`.
   bool MayRunUntil(TimePoint time) const;
+  // Returns whether a further attempt can end before the process stops.
+  bool MayBeginRetry() const;
   void Finish(std::string_view outcome, int status, std::string_view reason);
   bool IsStream() const;
   // What the request waits for, as a word for logs.
--- a/tests/process/gateway/gateway_stop_test.cc
+++ b/tests/process/gateway/gateway_stop_test.cc
@@ -622,6 +622,41 @@
   CHECK_TRUE(this->exited_after < this->settings.stop_grace);
 }
 
+// Guards against a second target that gets a request which may not end before
+// the exit.
+TEST(GatewayStopTest, DoesNotBeginARetryThatMayNotEndBeforeTheExit) {
+  StandInTarget target([](int connection, const std::string& request) {
+    if (request.find("/failed ") != std::string::npos) {
+      std::this_thread::sleep_for(milliseconds(800));
+      SendAll(connection, TargetAnswerTo(request, "500 Failed"));
+      return;
+    }
+    std::this_thread::sleep_for(milliseconds(800));
+    SendAll(connection,
+            TargetAnswerTo(request, "503 Full", "x-not-executed: 1\r\n"));
+  });
+  StandInTarget other([](int connection, const std::string& request) {
+    std::this_thread::sleep_for(milliseconds(800));
+    SendAll(connection,
+            TargetAnswerTo(request, "503 Full", "x-not-executed: 1\r\n"));
+  });
+  this->Configure(
+      {MakeRoute("/n/", RouteKind::kNonIdempotent, milliseconds(6000)),
+       MakeRoute("/i/", RouteKind::kIdempotent, milliseconds(6000)),
+       MakeRoute("/s/", RouteKind::kStream, milliseconds(6000))},
+      {target.port, other.port});
+  std::vector<StopCall> calls = {{milliseconds(-300), RequestTo("/n/1")},
+                                 {milliseconds(-300), RequestTo("/i/1")},
+                                 {milliseconds(-300), RequestTo("/s/1")}};
+  this->RunAndStop(calls);
+  for (const StopCall& call : calls) {
+    STRNCMP_EQUAL("HTTP/1.1 503", call.answer.c_str(), 12);
+    CHECK_TRUE_TEXT(call.ended_after < milliseconds(1300),
+                    this->Lines().c_str());
+  }
+  CHECK_EQUAL(3, target.requests + other.requests);
+}
+
 // Guards against 502, which promises nothing, for a request that no target has
 // received a byte of.
 TEST(GatewayStopTest, RefusesWhatWaitsForAConnectionAtTheExit) {
