Play seeded stops with callers that keep calling

GatewayStopSoakTest runs a real gateway through its stop with twelve callers that use their connections until the process is gone, routes from 0.3 s to three times the grace, deadlines of callers, bodies in two parts, slow, silent and full targets, and a change of the configuration. Each request that was read must be answered, a refused one must not have run, and the exit must precede SIGKILL.

--- a/tests/process/gateway/gateway_stop_test.cc
+++ b/tests/process/gateway/gateway_stop_test.cc
@@ -269,6 +269,43 @@
   return received;
 }
 
+// Receives one answer; `complete` tells whether it has ended as its head says.
+std::string ReadAnswer(int connection, bool& complete) {
+  std::string answer;
+  char bytes[4096];
+  complete = false;
+  while (!complete) {
+    const ssize_t count = read(connection, bytes, sizeof(bytes));
+    if (count <= 0) {
+      return answer;
+    }
+    answer.append(bytes, static_cast<size_t>(count));
+    const size_t head = answer.find("\r\n\r\n");
+    if (head != std::string::npos) {
+      const std::string length =
+          HeaderOf(answer.substr(0, head + 2), "Content-Length");
+      complete = length.empty()
+                     ? answer.ends_with("0\r\n\r\n")
+                     : answer.size() >= head + 4 + std::stoul(length);
+    }
+  }
+  return answer;
+}
+
+// One request of a caller that calls until the gateway has exited.
+struct CallRecord {
+  std::string id;
+  bool is_stream = false;
+  // The shorter of the route's timeout and the caller's deadline.
+  milliseconds allowed{0};
+  // Times from the stop until the last byte of the request was sent, and until
+  // its answer or its connection ended.
+  milliseconds sent_after{0};
+  milliseconds ended_after{0};
+  std::string answer{};
+  bool complete = false;
+};
+
 constexpr milliseconds kTimeBeforeStop{500};
 
 // A gateway with one target, which runs a script on its connection.
@@ -679,5 +716,229 @@
   close(listener);
 }
 
+// A fleet of callers that keep calling a gateway through its stop, and targets
+// that are slow, silent or full, drawn from a seed.
+TEST_GROUP_BASE(GatewayStopSoakTest, TEST_GROUP_CppUTestGroupGatewayStopTest) {
+  using Clock = std::chrono::steady_clock;
+  static constexpr int kCallers = 12;
+
+  std::mutex mutex;
+  std::vector<CallRecord> records;
+  // By ID of a request: the times that a target ran it.
+  std::map<std::string, int> runs;
+
+  milliseconds SinceStop() const {
+    return std::chrono::duration_cast<milliseconds>(Clock::now() -
+                                                    this->stops_at);
+  }
+
+  // The path of a request tells a target what to do: /KIND/ID/DELAY/MODE.
+  void Serve(int connection, const std::string& request, bool refuses) {
+    std::istringstream path(request.substr(request.find('/')));
+    std::string skipped;
+    std::string kind;
+    std::string id;
+    std::string delay;
+    std::string mode;
+    std::getline(path, skipped, '/');
+    std::getline(path, kind, '/');
+    std::getline(path, id, '/');
+    std::getline(path, delay, '/');
+    std::getline(path, mode, ' ');
+    if (mode == "full" && refuses) {
+      std::this_thread::sleep_for(milliseconds(std::stoi(delay) / 4));
+      SendAll(connection,
+              TargetAnswerTo(request, "503 Full", "x-not-executed: 1\r\n"));
+      return;
+    }
+    {
+      const std::lock_guard lock(this->mutex);
+      ++this->runs[id];
+    }
+    if (mode == "silent") {
+      StaySilent(connection, request);
+      return;
+    }
+    if (kind != "s") {
+      std::this_thread::sleep_for(milliseconds(std::stoi(delay)));
+      SendAll(connection, TargetAnswerTo(request, "200 OK"));
+      return;
+    }
+    SendAll(connection, "HTTP/1.1 200 OK\r\nx-attempt-id: " +
+                            HeaderOf(request, "x-attempt-id") +
+                            "\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int event = 1; event <= 5; ++event) {
+      std::this_thread::sleep_for(milliseconds(std::stoi(delay) / 5));
+      SendAll(connection,
+              "e\r\nid: " + std::to_string(event) + "\ndata: x\n\n\r\n");
+    }
+    SendAll(connection, "0\r\n\r\n");
+  }
+
+  // Calls on kept connections until no connection can be made.
+  void CallUntilExit(SplitMixRandom draws, int number) {
+    const std::vector<std::string> modes = {"plain", "plain", "plain", "full",
+                                            "silent"};
+    const auto grace = static_cast<uint64_t>(this->settings.stop_grace.count());
+    int caller = -1;
+    for (int i = 0;; ++i) {
+      if (caller < 0) {
+        caller = ConnectTo(this->settings.caller_address->port);
+        if (caller < 0) {
+          return;
+        }
+      }
+      CallRecord record;
+      record.id = std::to_string(number) + "x" + std::to_string(i);
+      const std::string kind(1, "nis"[draws.Below(3)]);
+      const std::string range(1, "012"[draws.Below(3)]);
+      record.is_stream = kind == "s";
+      const milliseconds deadline(100 + draws.Below(2 * grace));
+      record.allowed = std::min(deadline, this->RouteTimeout(range));
+      const std::string request =
+          "POST /" + kind + "/" + record.id + "/" +
+          std::to_string(10 + draws.Below(grace / 3)) + "/" +
+          modes[draws.Below(modes.size())] + " HTTP/1.1\r\nHost: h" + range +
+          "\r\nX-Attempt-Id: " + record.id +
+          "\r\nX-Deadline-Ms: " + std::to_string(deadline.count()) +
+          "\r\nContent-Length: 2\r\n\r\nxy";
+      SendAll(caller, request.substr(0, request.size() - 1));
+      if (draws.Below(4) == 0) {
+        std::this_thread::sleep_for(milliseconds(draws.Below(grace / 4)));
+      }
+      SendAll(caller, request.substr(request.size() - 1));
+      record.sent_after = this->SinceStop();
+      record.answer = ReadAnswer(caller, record.complete);
+      record.ended_after = this->SinceStop();
+      if (!record.complete ||
+          record.answer.find("Connection: close") != std::string::npos) {
+        close(caller);
+        caller = -1;
+      }
+      const std::lock_guard lock(this->mutex);
+      this->records.push_back(std::move(record));
+    }
+  }
+
+  // Hosts h0 to h2 have routes with a short, a medium and a long timeout.
+  milliseconds RouteTimeout(const std::string& range) const {
+    const milliseconds grace = this->settings.stop_grace;
+    return range == "0"   ? milliseconds(300)
+           : range == "1" ? grace / 2
+                          : 3 * grace;
+  }
+
+  std::shared_ptr<const GatewayConfig> MakeConfig(int version) {
+    auto config = std::make_shared<GatewayConfig>();
+    config->version = version;
+    for (const char* const range : {"0", "1", "2"}) {
+      for (const auto& [prefix, kind] :
+           {std::pair("/n/", RouteKind::kNonIdempotent),
+            std::pair("/i/", RouteKind::kIdempotent),
+            std::pair("/s/", RouteKind::kStream)}) {
+        Route route = MakeRoute(prefix, kind, this->RouteTimeout(range));
+        route.host = std::string("h") + range;
+        config->routes[route.host].push_back(route);
+      }
+    }
+    config->services[ServiceName("s")].name = ServiceName("s");
+    return config;
+  }
+
+  // Returns what is wrong with the end of a request, or an empty string.
+  std::string Judge(const CallRecord& record) {
+    const auto found = this->runs.find(record.id);
+    const int times = found == this->runs.end() ? 0 : found->second;
+    if (record.answer.starts_with("HTTP/1.1 503") && times > 0) {
+      return "refused, but has run";
+    }
+    if (record.complete) {
+      return {};
+    }
+    if (record.answer.empty() && times == 0) {
+      // The connection may have been closed before the request was read.
+      return record.ended_after >= this->exited_after - kClockSlack
+                 ? std::string()
+                 : "closed without an answer before the exit";
+    }
+    const bool out_of_time =
+        record.ended_after - record.sent_after >= record.allowed - kClockSlack;
+    const bool sent_before_stop = record.sent_after < milliseconds(0);
+    return record.is_stream && (out_of_time || sent_before_stop) ? std::string()
+                                                                 : "cut";
+  }
+  static constexpr milliseconds kClockSlack{60};
+
+  // Plays one stop; returns what went wrong.
+  std::vector<std::string> Play(uint64_t seed) {
+    SplitMixRandom draws(seed);
+    this->records.clear();
+    this->runs.clear();
+    this->lines.clear();
+    this->settings.stop_grace = milliseconds(draws.Below(2) == 0 ? 1000 : 2000);
+    this->settings.max_directory_ttl = this->settings.stop_grace;
+    std::vector<std::string> faults;
+    {
+      StandInTarget full([this](int connection, const std::string& request) {
+        this->Serve(connection, request, /*refuses=*/true);
+      });
+      StandInTarget other([this](int connection, const std::string& request) {
+        this->Serve(connection, request, /*refuses=*/false);
+      });
+      this->Configure({}, {full.port, other.port});
+      this->decoder.documents["config"] = this->MakeConfig(1);
+      this->change_after =
+          kTimeBeforeStop +
+          milliseconds(draws.Below(this->settings.stop_grace.count() / 2));
+      this->on_change_due = [this] {
+        this->decoder.documents["config"] = this->MakeConfig(2);
+        this->store.on_change({{"config", "y", 20}});
+      };
+      const uint64_t caller_seed = draws.Next();
+      this->looping_callers = kCallers;
+      this->loop_caller = [this, caller_seed](int number) {
+        this->CallUntilExit(SplitMixRandom(caller_seed + number), number);
+      };
+      std::vector<StopCall> calls;
+      this->RunAndStop(calls);
+    }
+    if (this->exited_after >= this->settings.stop_grace) {
+      faults.push_back("exit after " +
+                       std::to_string(this->exited_after.count()) + " ms");
+    }
+    for (const CallRecord& record : this->records) {
+      const std::string fault = this->Judge(record);
+      if (!fault.empty()) {
+        faults.push_back(
+            "request " + record.id + (record.is_stream ? " (stream) " : " ") +
+            fault + ", sent " + std::to_string(record.sent_after.count()) +
+            " ms, ended " + std::to_string(record.ended_after.count()) +
+            " ms after the stop, allowed " +
+            std::to_string(record.allowed.count()) + " ms");
+      }
+    }
+    return faults;
+  }
+};
+
+// Guards against a stop in which a request that was taken ends without an
+// answer. CELERYPOST_SEEDS="FIRST COUNT" plays other seeds.
+TEST(GatewayStopSoakTest, EveryRequestThatWasReadIsAnswered) {
+  uint64_t first = 1;
+  uint64_t count = 2;
+  if (const char* const seeds = std::getenv("CELERYPOST_SEEDS")) {
+    std::istringstream(seeds) >> first >> count;
+  }
+  for (uint64_t seed = first; seed < first + count; ++seed) {
+    const std::vector<std::string> faults = this->Play(seed);
+    std::string report;
+    for (const std::string& fault : faults) {
+      report += "seed " + std::to_string(seed) + ": " + fault + "\n";
+    }
+    CHECK_TRUE_TEXT(faults.empty(), report.c_str());
+    CHECK_TRUE(this->records.size() >= kCallers);
+  }
+}
+
 }  // namespace
 }  // namespace celerypost
