--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -319,6 +319,10 @@
 
 void RelayTask::SendToNextTarget() {
   const TimePoint now = this->context.loop.Now();
+  if (this->sends > 0 && !this->MayBeginRetry()) {
+    this->EndForLackOfTime();
+    return;
+  }
   this->UpdatePlacement(now);
   if (this->selection_request.placement.deadline_left <
       this->context.options.min_time_left) {
@@ -955,9 +959,16 @@
     return;
   }
   const auto keep_alive = this->shared_from_this();
+  const bool may_have_run =
+      this->head_sent || this->verdict != Verdict::kNotRun ||
+      (this->http_call && this->http_call->MayHaveBeenSent());
   this->http_call.reset();
   this->EndAttempt(AttemptOutcome::kAbandoned);
-  this->FailWith(kBadGateway, "stopping");
+  if (may_have_run) {
+    this->FailWith(kBadGateway, "stopping");
+  } else {
+    this->Refuse("stopping", kStoppingRetryAfter);
+  }
 }
 
 void RelayTask::OnCallerDisconnected() {
@@ -971,7 +982,19 @@
   this->Finish("abandoned", 0, "the caller left");
 }
 
+bool RelayTask::MayBeginRetry() const {
+  // What the caller has of a started stream would be lost, so its rest is tried
+  // when only the next event is sure to come in time.
+  return this->MayRunUntil(
+      this->head_sent ? std::min(this->deadline, this->context.loop.Now() +
+                                                     this->route->latency_goal)
+                      : this->deadline);
+}
+
 bool RelayTask::MayRetry(Verdict attempt_verdict) {
+  if (!this->MayBeginRetry()) {
+    return false;
+  }
   // An attempt that was not run, or that survived, has not harmed its target.
   const bool may_have_harmed = attempt_verdict != Verdict::kNotRun &&
                                this->attempt && !this->attempt->survived;
@@ -1028,7 +1051,8 @@
   } else if (this->head_sent || this->verdict != Verdict::kNotRun) {
     this->FailWith(status == kUnavailable ? kBadGateway : status, reason);
   } else {
-    this->Refuse(reason, kRefusedRetryAfter);
+    this->Refuse(reason, this->MayBeginRetry() ? kRefusedRetryAfter
+                                               : kStoppingRetryAfter);
   }
 }
 
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -157,8 +157,9 @@
   // Logs that the process exits before this request has ended, and what the
   // request waits for.
   void LogCut() const;
-  // Ends the request because the process exits: with 502 if no answer has
-  // started, otherwise by closing the connection without the end of the answer.
+  // Ends the request because the process exits: with 503 if no target can have
+  // received it, with 502 if no answer has started, otherwise by closing the
+  // connection without the end of the answer.
   void EndForStop();
 
  private:
@@ -240,6 +241,8 @@
   void SendTargetAnswer();
   // Returns whether the process runs until `time`.
   bool MayRunUntil(TimePoint time) const;
+  // Returns whether a further attempt can end before the process stops.
+  bool MayBeginRetry() const;
   void Finish(std::string_view outcome, int status, std::string_view reason);
   bool IsStream() const;
   // What the request waits for, as a word for logs.
--- a/tests/process/gateway/gateway_stop_test.cc
+++ b/tests/process/gateway/gateway_stop_test.cc
@@ -4,10 +4,14 @@
 
 #include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <sstream>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -44,10 +48,13 @@
       KeyValueTransaction,
       std::function<void(Result<KeyValueTransactionResult>)>) override {}
   std::unique_ptr<KeyValueWatch> Watch(
-      const KeyRange&,
+      const KeyRange& range,
       int64_t,
-      std::function<void(std::vector<KeyValue>)>,
+      std::function<void(std::vector<KeyValue>)> on_events,
       std::function<void(Failure)>) override {
+    if (range.first.empty()) {
+      this->on_change = std::move(on_events);
+    }
     return std::make_unique<KeyValueWatch>();
   }
   KeyValueCalls Calls() const override { return {}; }
@@ -56,6 +63,7 @@
   void Revoke(int64_t, std::function<void(Result<void>)>) override {}
 
   std::vector<KeyValue> items;
+  std::function<void(std::vector<KeyValue>)> on_change;
 };
 
 class FakeDirectoryCodec : public DirectoryCodec {
@@ -261,6 +269,45 @@
   return received;
 }
 
+// Receives one answer; `complete` tells whether it has ended as its head says.
+std::string ReadAnswer(int connection, bool& complete) {
+  std::string answer;
+  char bytes[4096];
+  complete = false;
+  while (!complete) {
+    const ssize_t count = read(connection, bytes, sizeof(bytes));
+    if (count <= 0) {
+      return answer;
+    }
+    answer.append(bytes, static_cast<size_t>(count));
+    const size_t head = answer.find("\r\n\r\n");
+    if (head != std::string::npos) {
+      const std::string length =
+          HeaderOf(answer.substr(0, head + 2), "Content-Length");
+      complete = length.empty()
+                     ? answer.ends_with("0\r\n\r\n")
+                     : answer.size() >= head + 4 + std::stoul(length);
+    }
+  }
+  return answer;
+}
+
+// One request of a caller that calls until the gateway has exited.
+struct CallRecord {
+  std::string id;
+  bool is_stream = false;
+  // The shorter of the route's timeout and the caller's deadline.
+  milliseconds allowed{0};
+  // Times from the stop until the last byte of the request was sent, and until
+  // its answer or its connection ended.
+  milliseconds sent_after{0};
+  milliseconds ended_after{0};
+  std::string answer{};
+  bool complete = false;
+};
+
+constexpr milliseconds kTimeBeforeStop{500};
+
 // A gateway with one target, which runs a script on its connection.
 TEST_GROUP(GatewayStopTest) {
   Loop loop;
@@ -278,13 +325,17 @@
   FakeDirectoryCodec directory_codec;
   NodeSettings settings;
 
-  void setup() override {
-    this->settings.ip = "127.0.0.1";
+  void ChoosePorts() {
     this->settings.caller_address = {"127.0.0.1", FreePort()};
     this->settings.ready_address = {"127.0.0.1", FreePort()};
     this->settings.directory_address = {"127.0.0.1", FreePort()};
     this->settings.first_internal_port = FreePort();
     this->settings.last_internal_port = this->settings.first_internal_port;
+  }
+
+  void setup() override {
+    this->settings.ip = "127.0.0.1";
+    this->ChoosePorts();
     this->settings.stop_grace = milliseconds(2000);
     this->settings.max_directory_ttl = milliseconds(100);
   }
@@ -355,7 +406,7 @@
     std::string request;
     // Time from the stop until the last byte of the request is sent, if that
     // follows later than the others.
-    milliseconds completed_after{0};
+    milliseconds completed_after = milliseconds::min();
     std::string answer{};
     // Time from the stop until the connection has ended.
     milliseconds ended_after{0};
@@ -370,7 +421,7 @@
     route.resumable = kind == RouteKind::kStream;
     route.max_attempts = kind == RouteKind::kNonIdempotent ? 1 : 2;
     route.timeout = timeout;
-    route.latency_goal = timeout / 2;
+    route.latency_goal = timeout / 8;
     route.backends = {{ServiceName("s"), 1}};
     return route;
   }
@@ -391,13 +442,14 @@
       target.id = "t" + std::to_string(this->store.items.size());
       target.service = ServiceName("s");
       target.address = {"127.0.0.1", port};
+      target.slots = 16;
       this->decoder.documents[target.id] = target;
       this->store.items.push_back({target.id, "x", 2});
     }
   }
 
-  // Runs a gateway that is stopped 200 ms after it is ready, until it exits.
-  // `stop` is called at that time and must lead to Gateway::Stop.
+  // Runs a gateway that is stopped kTimeBeforeStop after it is ready, until it
+  // exits. `stop` is called at that time and must lead to Gateway::Stop.
   void RunAndStop(
       std::vector<StopCall> & calls,
       const std::function<void(Gateway&)>& stop = [](Gateway& gateway) {
@@ -410,16 +462,28 @@
     auto gateway =
         std::make_unique<Gateway>(dependencies, this->request_codec,
                                   this->directory_codec, GatewayOptions{});
-    CHECK_TRUE(gateway->Start().has_value());
+    // Another process may have taken a port in the meantime.
+    constexpr int kMaxStarts = 5;
+    for (int i = 1; !gateway->Start(); ++i) {
+      CHECK_TRUE(i < kMaxStarts);
+      this->ChoosePorts();
+      gateway =
+          std::make_unique<Gateway>(dependencies, this->request_codec,
+                                    this->directory_codec, GatewayOptions{});
+    }
     for (int i = 0; i < 100 && !this->Logged("\"ready\""); ++i) {
       this->loop.RunFor(milliseconds(20));
     }
     CHECK_TRUE(this->Logged("\"ready\""));
-    const Clock::time_point stop_time = Clock::now() + milliseconds(200);
+    const Clock::time_point stop_time = Clock::now() + kTimeBeforeStop;
+    this->stops_at = stop_time;
     const auto since_stop = [stop_time] {
       return std::chrono::duration_cast<milliseconds>(Clock::now() - stop_time);
     };
     std::vector<std::thread> callers;
+    for (int i = 0; i < this->looping_callers; ++i) {
+      callers.emplace_back([this, i] { this->loop_caller(i); });
+    }
     for (StopCall& call : calls) {
       callers.emplace_back([&call, stop_time, since_stop,
                             port = this->settings.caller_address->port] {
@@ -440,6 +504,10 @@
     }
     Timer timer(this->loop, [&] { stop(*gateway); });
     timer.StartOnce(std::max(milliseconds(0), -since_stop()));
+    Timer change(this->loop, [this] { this->on_change_due(); });
+    if (this->on_change_due) {
+      change.StartOnce(this->change_after);
+    }
     this->loop.Run();
     this->exited_after = since_stop();
     // Closes the sockets, as the exit of the process does.
@@ -452,6 +520,21 @@
 
   // Time from the stop until the gateway's loop ended.
   milliseconds exited_after{0};
+  std::chrono::steady_clock::time_point stops_at;
+  // Threads that run `loop_caller` with their number.
+  int looping_callers = 0;
+  std::function<void(int)> loop_caller;
+  // Called this long after the gateway is ready.
+  milliseconds change_after{0};
+  std::function<void()> on_change_due;
+
+  std::string Lines() const {
+    std::string all;
+    for (const std::string& line : this->lines) {
+      all.append(line).append("\n");
+    }
+    return all;
+  }
 
   bool Logged(const std::string& text) const {
     return std::ranges::any_of(this->lines, [&text](const std::string& line) {
@@ -503,7 +586,7 @@
        MakeRoute("/s/", RouteKind::kStream, milliseconds(6000))},
       {target.port});
   std::vector<StopCall> calls = {
-      {milliseconds(-100), RequestTo("/n/body"), milliseconds(300)},
+      {milliseconds(-300), RequestTo("/n/body"), milliseconds(300)},
       {milliseconds(300), RequestTo("/n/1")},
       {milliseconds(300), RequestTo("/i/1")},
       {milliseconds(300), RequestTo("/s/1")},
@@ -541,5 +624,321 @@
   STRNCMP_EQUAL("HTTP/1.1 503", calls[2].answer.c_str(), 12);
 }
 
+// Guards against a process that is still busy with a request when SIGKILL
+// comes.
+TEST(GatewayStopTest, AnswersBeforeTheEndOfAShortGrace) {
+  this->settings.stop_grace = milliseconds(1000);
+  StandInTarget target(StaySilent);
+  this->Configure(
+      {MakeRoute("/n/", RouteKind::kNonIdempotent, milliseconds(6000))},
+      {target.port});
+  std::vector<StopCall> calls = {{milliseconds(-300), RequestTo("/n/1")}};
+  this->RunAndStop(calls);
+  STRNCMP_EQUAL("HTTP/1.1 502", calls[0].answer.c_str(), 12);
+  CHECK_TRUE(calls[0].ended_after < milliseconds(950));
+  CHECK_TRUE(this->exited_after < milliseconds(950));
+}
+
+// Guards against an exit that follows the SIGKILL because the process was busy
+// when SIGTERM came.
+TEST(GatewayStopTest, CountsTheGraceFromASignalThatIsHandledLate) {
+  StandInTarget target(StaySilent);
+  this->Configure(
+      {MakeRoute("/n/", RouteKind::kNonIdempotent, milliseconds(6000))},
+      {target.port});
+  std::vector<StopCall> calls = {{milliseconds(-300), RequestTo("/n/1")}};
+  bool handles_signals = false;
+  this->RunAndStop(calls, [&](Gateway& gateway) {
+    CHECK_FALSE(handles_signals);
+    handles_signals = true;
+    this->loop.OnTerminate([&gateway] { gateway.Stop(); });
+    raise(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(700));
+  });
+  STRNCMP_EQUAL("HTTP/1.1 502", calls[0].answer.c_str(), 12);
+  CHECK_TRUE(this->exited_after < this->settings.stop_grace);
+}
+
+// Guards against a second target that gets a request which may not end before
+// the exit.
+TEST(GatewayStopTest, DoesNotBeginARetryThatMayNotEndBeforeTheExit) {
+  StandInTarget target([](int connection, const std::string& request) {
+    if (request.find("/failed ") != std::string::npos) {
+      std::this_thread::sleep_for(milliseconds(800));
+      SendAll(connection, TargetAnswerTo(request, "500 Failed"));
+      return;
+    }
+    std::this_thread::sleep_for(milliseconds(800));
+    SendAll(connection,
+            TargetAnswerTo(request, "503 Full", "x-not-executed: 1\r\n"));
+  });
+  StandInTarget other([](int connection, const std::string& request) {
+    std::this_thread::sleep_for(milliseconds(800));
+    SendAll(connection,
+            TargetAnswerTo(request, "503 Full", "x-not-executed: 1\r\n"));
+  });
+  this->Configure(
+      {MakeRoute("/n/", RouteKind::kNonIdempotent, milliseconds(6000)),
+       MakeRoute("/i/", RouteKind::kIdempotent, milliseconds(6000)),
+       MakeRoute("/s/", RouteKind::kStream, milliseconds(6000))},
+      {target.port, other.port});
+  std::vector<StopCall> calls = {{milliseconds(-300), RequestTo("/n/1")},
+                                 {milliseconds(-300), RequestTo("/i/1")},
+                                 {milliseconds(-300), RequestTo("/s/1")}};
+  this->RunAndStop(calls);
+  for (const StopCall& call : calls) {
+    STRNCMP_EQUAL("HTTP/1.1 503", call.answer.c_str(), 12);
+    CHECK_TRUE_TEXT(call.ended_after < milliseconds(1300),
+                    this->Lines().c_str());
+  }
+  CHECK_EQUAL(3, target.requests + other.requests);
+}
+
+// Guards against 502, which promises nothing, for a request that no target has
+// received a byte of.
+TEST(GatewayStopTest, RefusesWhatWaitsForAConnectionAtTheExit) {
+  // Accepts no connection, and its queue of connections is full.
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address = Loopback(0);
+  socklen_t length = sizeof(address);
+  CHECK_EQUAL(0, bind(listener, reinterpret_cast<sockaddr*>(&address), length));
+  CHECK_EQUAL(0, listen(listener, 0));
+  getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
+  const int queued = ConnectTo(ntohs(address.sin_port));
+  this->settings.stop_grace = milliseconds(900);
+  this->Configure(
+      {MakeRoute("/n/", RouteKind::kNonIdempotent, milliseconds(6000))},
+      {ntohs(address.sin_port)});
+  std::vector<StopCall> calls = {{milliseconds(-50), RequestTo("/n/1")}};
+  this->RunAndStop(calls);
+  STRNCMP_EQUAL("HTTP/1.1 503", calls[0].answer.c_str(), 12);
+  close(queued);
+  close(listener);
+}
+
+// A fleet of callers that keep calling a gateway through its stop, and targets
+// that are slow, silent or full, drawn from a seed.
+TEST_GROUP_BASE(GatewayStopSoakTest, TEST_GROUP_CppUTestGroupGatewayStopTest) {
+  using Clock = std::chrono::steady_clock;
+  static constexpr int kCallers = 12;
+
+  std::mutex mutex;
+  std::vector<CallRecord> records;
+  // By ID of a request: the times that a target ran it.
+  std::map<std::string, int> runs;
+
+  milliseconds SinceStop() const {
+    return std::chrono::duration_cast<milliseconds>(Clock::now() -
+                                                    this->stops_at);
+  }
+
+  // The path of a request tells a target what to do: /KIND/ID/DELAY/MODE.
+  void Serve(int connection, const std::string& request, bool refuses) {
+    std::istringstream path(request.substr(request.find('/')));
+    std::string skipped;
+    std::string kind;
+    std::string id;
+    std::string delay;
+    std::string mode;
+    std::getline(path, skipped, '/');
+    std::getline(path, kind, '/');
+    std::getline(path, id, '/');
+    std::getline(path, delay, '/');
+    std::getline(path, mode, ' ');
+    if (mode == "full" && refuses) {
+      std::this_thread::sleep_for(milliseconds(std::stoi(delay) / 4));
+      SendAll(connection,
+              TargetAnswerTo(request, "503 Full", "x-not-executed: 1\r\n"));
+      return;
+    }
+    {
+      const std::lock_guard lock(this->mutex);
+      ++this->runs[id];
+    }
+    if (mode == "silent") {
+      StaySilent(connection, request);
+      return;
+    }
+    if (kind != "s") {
+      std::this_thread::sleep_for(milliseconds(std::stoi(delay)));
+      SendAll(connection, TargetAnswerTo(request, "200 OK"));
+      return;
+    }
+    SendAll(connection, "HTTP/1.1 200 OK\r\nx-attempt-id: " +
+                            HeaderOf(request, "x-attempt-id") +
+                            "\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int event = 1; event <= 5; ++event) {
+      std::this_thread::sleep_for(milliseconds(std::stoi(delay) / 5));
+      SendAll(connection,
+              "e\r\nid: " + std::to_string(event) + "\ndata: x\n\n\r\n");
+    }
+    SendAll(connection, "0\r\n\r\n");
+  }
+
+  // Calls on kept connections until no connection can be made.
+  void CallUntilExit(SplitMixRandom draws, int number) {
+    const std::vector<std::string> modes = {"plain", "plain", "plain", "full",
+                                            "silent"};
+    const auto grace = static_cast<uint64_t>(this->settings.stop_grace.count());
+    int caller = -1;
+    for (int i = 0;; ++i) {
+      if (caller < 0) {
+        caller = ConnectTo(this->settings.caller_address->port);
+        if (caller < 0) {
+          return;
+        }
+      }
+      CallRecord record;
+      record.id = std::to_string(number) + "x" + std::to_string(i);
+      const std::string kind(1, "nis"[draws.Below(3)]);
+      const std::string range(1, "012"[draws.Below(3)]);
+      record.is_stream = kind == "s";
+      const milliseconds deadline(100 + draws.Below(2 * grace));
+      record.allowed = std::min(deadline, this->RouteTimeout(range));
+      const std::string request =
+          "POST /" + kind + "/" + record.id + "/" +
+          std::to_string(10 + draws.Below(grace / 3)) + "/" +
+          modes[draws.Below(modes.size())] + " HTTP/1.1\r\nHost: h" + range +
+          "\r\nX-Attempt-Id: " + record.id +
+          "\r\nX-Deadline-Ms: " + std::to_string(deadline.count()) +
+          "\r\nContent-Length: 2\r\n\r\nxy";
+      SendAll(caller, request.substr(0, request.size() - 1));
+      if (draws.Below(4) == 0) {
+        std::this_thread::sleep_for(milliseconds(draws.Below(grace / 4)));
+      }
+      SendAll(caller, request.substr(request.size() - 1));
+      record.sent_after = this->SinceStop();
+      record.answer = ReadAnswer(caller, record.complete);
+      record.ended_after = this->SinceStop();
+      if (!record.complete ||
+          record.answer.find("Connection: close") != std::string::npos) {
+        close(caller);
+        caller = -1;
+      }
+      const std::lock_guard lock(this->mutex);
+      this->records.push_back(std::move(record));
+    }
+  }
+
+  // Hosts h0 to h2 have routes with a short, a medium and a long timeout.
+  milliseconds RouteTimeout(const std::string& range) const {
+    const milliseconds grace = this->settings.stop_grace;
+    return range == "0"   ? milliseconds(300)
+           : range == "1" ? grace / 2
+                          : 3 * grace;
+  }
+
+  std::shared_ptr<const GatewayConfig> MakeConfig(int version) {
+    auto config = std::make_shared<GatewayConfig>();
+    config->version = version;
+    for (const char* const range : {"0", "1", "2"}) {
+      for (const auto& [prefix, kind] :
+           {std::pair("/n/", RouteKind::kNonIdempotent),
+            std::pair("/i/", RouteKind::kIdempotent),
+            std::pair("/s/", RouteKind::kStream)}) {
+        Route route = MakeRoute(prefix, kind, this->RouteTimeout(range));
+        route.host = std::string("h") + range;
+        config->routes[route.host].push_back(route);
+      }
+    }
+    config->services[ServiceName("s")].name = ServiceName("s");
+    return config;
+  }
+
+  // Returns what is wrong with the end of a request, or an empty string.
+  std::string Judge(const CallRecord& record) {
+    const auto found = this->runs.find(record.id);
+    const int times = found == this->runs.end() ? 0 : found->second;
+    if (record.answer.starts_with("HTTP/1.1 503") && times > 0) {
+      return "refused, but has run";
+    }
+    if (record.complete) {
+      return {};
+    }
+    if (record.answer.empty() && times == 0) {
+      // The connection may have been closed before the request was read.
+      return record.ended_after >= this->exited_after - kClockSlack
+                 ? std::string()
+                 : "closed without an answer before the exit";
+    }
+    const bool out_of_time =
+        record.ended_after - record.sent_after >= record.allowed - kClockSlack;
+    const bool sent_before_stop = record.sent_after < milliseconds(0);
+    return record.is_stream && (out_of_time || sent_before_stop) ? std::string()
+                                                                 : "cut";
+  }
+  static constexpr milliseconds kClockSlack{60};
+
+  // Plays one stop; returns what went wrong.
+  std::vector<std::string> Play(uint64_t seed) {
+    SplitMixRandom draws(seed);
+    this->records.clear();
+    this->runs.clear();
+    this->lines.clear();
+    this->settings.stop_grace = milliseconds(draws.Below(2) == 0 ? 1000 : 2000);
+    this->settings.max_directory_ttl = this->settings.stop_grace;
+    std::vector<std::string> faults;
+    {
+      StandInTarget full([this](int connection, const std::string& request) {
+        this->Serve(connection, request, /*refuses=*/true);
+      });
+      StandInTarget other([this](int connection, const std::string& request) {
+        this->Serve(connection, request, /*refuses=*/false);
+      });
+      this->Configure({}, {full.port, other.port});
+      this->decoder.documents["config"] = this->MakeConfig(1);
+      this->change_after =
+          kTimeBeforeStop +
+          milliseconds(draws.Below(this->settings.stop_grace.count() / 2));
+      this->on_change_due = [this] {
+        this->decoder.documents["config"] = this->MakeConfig(2);
+        this->store.on_change({{"config", "y", 20}});
+      };
+      const uint64_t caller_seed = draws.Next();
+      this->looping_callers = kCallers;
+      this->loop_caller = [this, caller_seed](int number) {
+        this->CallUntilExit(SplitMixRandom(caller_seed + number), number);
+      };
+      std::vector<StopCall> calls;
+      this->RunAndStop(calls);
+    }
+    if (this->exited_after >= this->settings.stop_grace) {
+      faults.push_back("exit after " +
+                       std::to_string(this->exited_after.count()) + " ms");
+    }
+    for (const CallRecord& record : this->records) {
+      const std::string fault = this->Judge(record);
+      if (!fault.empty()) {
+        faults.push_back(
+            "request " + record.id + (record.is_stream ? " (stream) " : " ") +
+            fault + ", sent " + std::to_string(record.sent_after.count()) +
+            " ms, ended " + std::to_string(record.ended_after.count()) +
+            " ms after the stop, allowed " +
+            std::to_string(record.allowed.count()) + " ms");
+      }
+    }
+    return faults;
+  }
+};
+
+// Guards against a stop in which a request that was taken ends without an
+// answer. CELERYPOST_SEEDS="FIRST COUNT" plays other seeds.
+TEST(GatewayStopSoakTest, EveryRequestThatWasReadIsAnswered) {
+  uint64_t first = 1;
+  uint64_t count = 2;
+  if (const char* const seeds = std::getenv("CELERYPOST_SEEDS")) {
+    std::istringstream(seeds) >> first >> count;
+  }
+  for (uint64_t seed = first; seed < first + count; ++seed) {
+    const std::vector<std::string> faults = this->Play(seed);
+    std::string report;
+    for (const std::string& fault : faults) {
+      report += "seed " + std::to_string(seed) + ": " + fault + "\n";
+    }
+    CHECK_TRUE_TEXT(faults.empty(), report.c_str());
+    CHECK_TRUE(this->records.size() >= kCallers);
+  }
+}
+
 }  // namespace
 }  // namespace celerypost
