--- a/src/process/gateway/crash_news_wire.cc
+++ b/src/process/gateway/crash_news_wire.cc
@@ -47,6 +47,17 @@
   return message;
 }
 
+void SetCrashNews(const CrashNews& parts,
+                  const CrashNews& requests,
+                  wire::Beat& beat) {
+  if (!parts.empty()) {
+    beat.__set_crash_news(EncodeCrashNews(parts));
+  }
+  if (!requests.empty()) {
+    beat.__set_request_crash_news(EncodeCrashNews(requests));
+  }
+}
+
 CrashNews DecodeCrashNews(const wire::CrashNews& message) {
   CrashNews news;
   for (const wire::CrashAccusation& entry : message.accusations) {
--- a/src/process/gateway/crash_news_wire.h
+++ b/src/process/gateway/crash_news_wire.h
@@ -9,6 +9,10 @@
 // Conversion between CrashNews and its Thrift message.
 wire::CrashNews EncodeCrashNews(const CrashNews& news);
 CrashNews DecodeCrashNews(const wire::CrashNews& message);
+// Adds the news of parts and of whole requests to a beat, each if there is any.
+void SetCrashNews(const CrashNews& parts,
+                  const CrashNews& requests,
+                  wire::Beat& beat);
 
 }  // namespace celerypost
 
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -81,11 +81,19 @@
       quarantined_parts(dependencies.metrics.AddGauge(
           "celerypost_quarantined_parts",
           "Parts of prompts whose requests are not sent")),
+      quarantined_requests(dependencies.metrics.AddGauge(
+          "celerypost_quarantined_requests",
+          "Requests, by what they ask for, that are not sent")),
       crashes(options.crashes,
               dependencies.settings.ip,
               [this](const QuarantineRecord& record, size_t crashes) {
                 this->OnQuarantine(record, crashes);
               }),
+      request_crashes(options.request_crashes,
+                      dependencies.settings.ip,
+                      [this](const QuarantineRecord& record, size_t crashes) {
+                        this->OnRequestQuarantine(record, crashes);
+                      }),
       budgets(BudgetOptions(dependencies.settings), dependencies.random),
       relay_metrics(dependencies.metrics),
       live_gateways(
@@ -101,6 +109,7 @@
                     book,
                     selector,
                     crashes,
+                    request_crashes,
                     notices,
                     request_codec,
                     budgets,
@@ -296,10 +305,13 @@
     return;
   }
   const bool near = this->core.exchange().Near(peer);
+  const NewsScope scope = near ? NewsScope::kRegion : NewsScope::kOtherRegions;
   if (beat.__isset.crash_news) {
-    this->crashes.OnNews(DecodeCrashNews(beat.crash_news),
-                         near ? NewsScope::kRegion : NewsScope::kOtherRegions,
-                         now);
+    this->crashes.OnNews(DecodeCrashNews(beat.crash_news), scope, now);
+  }
+  if (beat.__isset.request_crash_news) {
+    this->request_crashes.OnNews(DecodeCrashNews(beat.request_crash_news),
+                                 scope, now);
   }
   this->OnLeavingTargets(DecodeStarts(beat.leaving_targets), peer.ip);
   if (near) {
@@ -340,19 +352,35 @@
   }
 }
 
-void Gateway::OnQuarantine(const QuarantineRecord& record, size_t crashes) {
+void Gateway::LogQuarantine(std::string_view kind,
+                            const QuarantineRecord& record,
+                            size_t crashes) {
   std::array<char, 20> part{};
   std::snprintf(part.data(), part.size(), "%016llx",
                 static_cast<unsigned long long>(record.part));
   this->dependencies.log.Info(
       "quarantine",
-      record.lifted
-          ? "requests with the part are sent again"
-          : "a part of prompts crashes targets; requests with it are not sent",
-      {{"part_hash", std::string_view(part.data())},
+      record.lifted ? "requests with it are sent again"
+                    : "crashes targets; requests with it are not sent",
+      {{"kind", kind},
+       {"part_hash", std::string_view(part.data())},
        {"crashes", crashes},
        {"round", record.round},
        {"probe_in_ms", record.left.count()}});
+}
+
+void Gateway::OnRequestQuarantine(const QuarantineRecord& record,
+                                  size_t crashes) {
+  this->LogQuarantine("request", record, crashes);
+  if (!record.lifted) {
+    WithdrawRequestsWithFingerprint(this->relay_context, record.part);
+  }
+  this->quarantined_requests.Set(
+      static_cast<double>(this->request_crashes.quarantines().parts().size()));
+}
+
+void Gateway::OnQuarantine(const QuarantineRecord& record, size_t crashes) {
+  this->LogQuarantine("part", record, crashes);
   if (!record.lifted) {
     WithdrawRequests(this->relay_context, record.part);
   }
@@ -447,6 +475,7 @@
   for (const GatewayMember& member : members) {
     addresses.push_back(member.ip);
   }
+  this->request_crashes.SetGateways(addresses);
   this->crashes.SetGateways(std::move(addresses));
   this->selector.SetGateways(std::move(members));
 }
@@ -538,12 +567,16 @@
 
 void Gateway::ExchangeCrashNews() {
   const TimePoint now = this->dependencies.loop.Now();
+  this->request_crashes.Judge(now);
+  this->crashes.TakeExplanations(this->request_crashes);
   this->crashes.Judge(now);
   const CrashNews news = this->crashes.TakeNews(NewsScope::kRegion, now);
-  if (!news.empty()) {
+  const CrashNews request_news =
+      this->request_crashes.TakeNews(NewsScope::kRegion, now);
+  if (!news.empty() || !request_news.empty()) {
     wire::Beat beat = this->core.MakeBeat(this->state());
     beat.loads = EncodeLoads(this->book.OwnLoads());
-    beat.__set_crash_news(EncodeCrashNews(news));
+    SetCrashNews(news, request_news, beat);
     this->core.exchange().Send(beat, [](const BeatPeer& peer) {
       return peer.near && peer.heard && peer.role == NodeRole::kGateway;
     });
@@ -563,11 +596,13 @@
   }
   this->next_far_crash_news = now + this->options.far_crash_news_period;
   const CrashNews news = this->crashes.TakeNews(NewsScope::kOtherRegions, now);
-  if (news.empty()) {
+  const CrashNews request_news =
+      this->request_crashes.TakeNews(NewsScope::kOtherRegions, now);
+  if (news.empty() && request_news.empty()) {
     return;
   }
   wire::Beat beat = this->core.MakeBeat(this->state());
-  beat.__set_crash_news(EncodeCrashNews(news));
+  SetCrashNews(news, request_news, beat);
   this->core.exchange().SendTo(beat, this->ChooseSummaryReceivers());
 }
 
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -21,11 +21,12 @@
   // How long the loads in the summary of another region are used.
   std::chrono::milliseconds summary_load_lifetime{2000};
   CrashGuardOptions crashes;
-  // Longest time between two messages to the region about parts of prompts that
-  // crash targets. Beats come less often in large regions.
+  CrashGuardOptions request_crashes = WholeRequestGuardOptions();
+  // Longest time between two messages to the region about requests that crash
+  // targets. Beats come less often in large regions.
   std::chrono::milliseconds max_crash_news_period{500};
-  // Shortest time between two messages to other regions about parts of prompts
-  // that crash targets.
+  // Shortest time between two messages to other regions about requests that
+  // crash targets.
   std::chrono::milliseconds far_crash_news_period{250};
   // How long callers may cache a directory response.
   std::chrono::milliseconds directory_ttl{2000};
@@ -64,13 +65,19 @@
   void SendBeat();
   // A part of prompts was quarantined, or its quarantine was lifted.
   void OnQuarantine(const QuarantineRecord& record, size_t crashes);
+  // The same for a request as a whole.
+  void OnRequestQuarantine(const QuarantineRecord& record, size_t crashes);
+  void LogQuarantine(std::string_view kind,
+                     const QuarantineRecord& record,
+                     size_t crashes);
   // Sends a summary of this region to one gateway of each other region when one
   // is due from this gateway.
   void SendSummary();
   // Whether this gateway is one of those that send to other regions.
   bool SendsToOtherRegions() const;
-  // Judges the parts of prompts that crash targets and tells the gateways of
-  // this region, and one of each other region, what is new about them.
+  // Judges the requests, and the parts of prompts, that crash targets and tells
+  // the gateways of this region, and one of each other region, what is new
+  // about them.
   void ExchangeCrashNews();
   void SendFarCrashNews();
   RegionSummary MakeSummary() const;
@@ -102,7 +109,9 @@
   std::unique_ptr<PlacementPolicy> policy;
   TargetSelector selector;
   Gauge& quarantined_parts;
+  Gauge& quarantined_requests;
   CrashGuard crashes;
+  CrashGuard request_crashes;
   ServiceRetryBudgets budgets;
   RelayMetrics relay_metrics;
   Gauge& live_gateways;
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -1,7 +1,9 @@
 #include "src/process/gateway/relay_task.h"
 
 #include <algorithm>
+#include <array>
 #include <bit>
+#include <cstdio>
 #include <utility>
 
 #include <xxhash.h>
@@ -60,6 +62,23 @@
   return joined;
 }
 
+std::string ToHexText(uint64_t hash) {
+  std::array<char, 17> text{};
+  std::snprintf(text.data(), text.size(), "%016llx",
+                static_cast<unsigned long long>(hash));
+  return text.data();
+}
+
+std::vector<std::shared_ptr<RelayTask>> ActiveTasks(
+    const RelayContext& context) {
+  std::vector<std::shared_ptr<RelayTask>> tasks;
+  tasks.reserve(context.active.size());
+  for (RelayTask* const task : context.active) {
+    tasks.push_back(task->shared_from_this());
+  }
+  return tasks;
+}
+
 }  // namespace
 
 RelayMetrics::RelayMetrics(Metrics& metrics)
@@ -83,7 +102,8 @@
                                  "Streams that went on at another target")),
       quarantined(metrics.AddCounter(
           "celerypost_quarantined_requests_total",
-          "Requests not sent since a part of their prompt crashes targets")),
+          "Requests not sent since they, or a part of their prompt, crash "
+          "targets")),
       leaving_targets(metrics.AddCounter("celerypost_leaving_targets_total",
                                          "Targets that said they leave",
                                          {{"source", "answer"}})),
@@ -109,16 +129,18 @@
       deadline(arrived) {}
 
 void WithdrawRequests(const RelayContext& context, PartHash part) {
-  std::vector<std::shared_ptr<RelayTask>> tasks;
-  tasks.reserve(context.active.size());
-  for (RelayTask* const task : context.active) {
-    tasks.push_back(task->shared_from_this());
-  }
-  for (const auto& task : tasks) {
+  for (const auto& task : ActiveTasks(context)) {
     task->OnPartQuarantined(part);
   }
 }
 
+void WithdrawRequestsWithFingerprint(const RelayContext& context,
+                                     RequestFingerprint fingerprint) {
+  for (const auto& task : ActiveTasks(context)) {
+    task->OnRequestQuarantined(fingerprint);
+  }
+}
+
 void ReviewWaitingRequests(const RelayContext& context) {
   for (RelayTask* const task : context.active) {
     task->OnWeightsChanged();
@@ -138,13 +160,49 @@
   }
 }
 
+bool RelayTask::MayCrashTarget() const {
+  return !this->done && this->attempt && !this->attempt->ended &&
+         !this->attempt->survived;
+}
+
 void RelayTask::OnPartQuarantined(PartHash part) {
-  if (this->done || !this->attempt || this->attempt->ended ||
-      this->attempt->survived ||
-      std::find(this->parts.begin(), this->parts.end(), part) ==
+  if (this->MayCrashTarget() &&
+      std::find(this->parts.begin(), this->parts.end(), part) !=
           this->parts.end()) {
-    return;
+    this->Withdraw();
+  }
+}
+
+void RelayTask::OnRequestQuarantined(RequestFingerprint quarantined) {
+  if (this->MayCrashTarget() && this->Fingerprint() == quarantined) {
+    this->Withdraw();
   }
+}
+
+RequestFingerprint RelayTask::Fingerprint() {
+  if (!this->fingerprint) {
+    this->fingerprint =
+        FingerprintOf({.method = this->request.method,
+                       .host = FindHeader(this->request.headers, "host"),
+                       .path = this->request.path,
+                       .api_key = this->call.api_key,
+                       .body = this->request.body});
+  }
+  return *this->fingerprint;
+}
+
+std::vector<PartHash> RelayTask::SuspectedRequest() {
+  return this->context.request_crashes.HasSuspects()
+             ? std::vector<PartHash>{this->Fingerprint()}
+             : std::vector<PartHash>();
+}
+
+bool RelayTask::MaySend(TimePoint now) {
+  return this->context.request_crashes.MaySend(this->SuspectedRequest(), now) &&
+         this->context.crashes.MaySend(this->parts, now);
+}
+
+void RelayTask::Withdraw() {
   this->http_call.reset();
   this->EndAttempt(AttemptOutcome::kAbandoned);
   ++this->possible_runs;
@@ -246,7 +304,7 @@
     this->EndForLackOfTime();
     return;
   }
-  if (!this->context.crashes.MaySend(this->parts, now)) {
+  if (!this->MaySend(now)) {
     this->EndForQuarantine();
     return;
   }
@@ -284,14 +342,19 @@
 }
 
 void RelayTask::EndForQuarantine() {
-  constexpr std::string_view kReason = "a part of the prompt is quarantined";
+  const TimePoint now = this->context.loop.Now();
+  const bool part = this->context.crashes.quarantines().Contains(this->parts);
+  const std::string_view reason = part ? "a part of the prompt is quarantined"
+                                       : "the request is quarantined";
   this->context.metrics.quarantined.Add();
   if (this->head_sent || this->verdict != Verdict::kNotRun) {
-    this->FailWith(kBadGateway, kReason);
+    this->FailWith(kBadGateway, reason);
   } else {
-    this->Refuse(kReason, std::max(kRefusedRetryAfter,
-                                   this->context.crashes.TimeLeft(
-                                       this->parts, this->context.loop.Now())));
+    this->Refuse(reason,
+                 std::max({kRefusedRetryAfter,
+                           this->context.crashes.TimeLeft(this->parts, now),
+                           this->context.request_crashes.TimeLeft(
+                               this->SuspectedRequest(), now)}));
   }
 }
 
@@ -399,8 +462,10 @@
   this->ReadDecline();
   if (answer.other_target.empty() ||
       answer.other_target == this->attempt->target) {
-    this->context.crashes.OnAnswerBegan(this->attempt->target_start,
-                                        this->attempt->sent_at);
+    for (CrashGuard* const guard :
+         {&this->context.crashes, &this->context.request_crashes}) {
+      guard->OnAnswerBegan(this->attempt->target_start, this->attempt->sent_at);
+    }
   }
   if (answer.encoded) {
     this->EndAttempt(AttemptOutcome::kBroken);
@@ -551,7 +616,9 @@
 void RelayTask::NoteSurvival() {
   if (!this->attempt->survived) {
     this->attempt->survived = true;
-    this->context.crashes.OnSurvived(this->parts, this->context.loop.Now());
+    const TimePoint now = this->context.loop.Now();
+    this->context.crashes.OnSurvived(this->parts, now);
+    this->context.request_crashes.OnSurvived(this->SuspectedRequest(), now);
   }
 }
 
@@ -640,13 +707,17 @@
                           {"verdict", VerdictName(failure.verdict)},
                           {"events", this->events.events()},
                           {"attempt", this->sends},
-                          {"shared_parts", Join(this->call.shared_parts)}},
+                          {"shared_parts", Join(this->call.shared_parts)},
+                          {"request_hash", ToHexText(this->Fingerprint())}},
                          this->call.id);
   // Any other failure has a cause that is known and not the request.
   if (failure.verdict == Verdict::kMayHaveRun &&
       failure.code == ErrorCode::kUnavailable && !this->attempt->survived) {
+    const TimePoint now = this->context.loop.Now();
     this->context.crashes.OnBroken(this->parts, this->attempt->target_start,
-                                   this->context.loop.Now());
+                                   now);
+    this->context.request_crashes.OnBroken({this->Fingerprint()},
+                                           this->attempt->target_start, now);
   }
   this->EndAttempt(AttemptOutcome::kBroken);
   this->RetryOrEnd(failure.verdict, kBadGateway, "the target broke off");
@@ -721,13 +792,17 @@
   this->Finish("abandoned", 0, "the caller left");
 }
 
+bool RelayTask::MayRepeat(TimePoint now) {
+  return this->context.crashes.MayRepeat(this->parts, now) &&
+         this->context.request_crashes.MayRepeat(this->SuspectedRequest(), now);
+}
+
 bool RelayTask::MayRetry(Verdict attempt_verdict) {
   // An attempt that was not run, or that survived, has not harmed its target.
   const bool may_have_harmed = attempt_verdict != Verdict::kNotRun &&
                                this->attempt && !this->attempt->survived;
   if (this->sends >= this->context.options.max_sends ||
-      (may_have_harmed && !this->context.crashes.MayRepeat(
-                              this->parts, this->context.loop.Now()))) {
+      (may_have_harmed && !this->MayRepeat(this->context.loop.Now()))) {
     return false;
   }
   // Only attempts that may have run count against the route's limit.
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -76,6 +76,7 @@
   TargetTracker& book;
   TargetSelector& selector;
   CrashGuard& crashes;
+  CrashGuard& request_crashes;
   TargetNotices& notices;
   const RequestCodec& codec;
   ServiceRetryBudgets& budgets;
@@ -90,6 +91,9 @@
 // Takes back the requests with a part that was quarantined from targets that
 // may still crash on them.
 void WithdrawRequests(const RelayContext& context, PartHash part);
+// The same for requests that were quarantined as a whole.
+void WithdrawRequestsWithFingerprint(const RelayContext& context,
+                                     RequestFingerprint fingerprint);
 
 // Applies what has become known of weights to the requests that wait at
 // targets.
@@ -122,6 +126,8 @@
   // Ends the request if `part` is a part of its prompt and its target may still
   // crash on it.
   void OnPartQuarantined(PartHash part);
+  // The same if the request has this fingerprint.
+  void OnRequestQuarantined(RequestFingerprint quarantined);
   // Newer weights may have been named, or the target may have loaded some.
   void OnWeightsChanged();
   // Logs that the process exits before this request has ended, and what the
@@ -140,8 +146,19 @@
   // Ends the request since the time until its deadline is too short for another
   // attempt.
   void EndForLackOfTime();
-  // Ends the request since a part of its prompt is quarantined.
+  // Returns whether neither a part of the prompt nor the request as a whole is
+  // quarantined, and begins a probe if it is one.
+  bool MaySend(TimePoint now);
+  // Ends the request since it, or a part of its prompt, is quarantined.
   void EndForQuarantine();
+  // Whether the target may still crash on the current attempt.
+  bool MayCrashTarget() const;
+  // Takes back the attempt and ends the request.
+  void Withdraw();
+  RequestFingerprint Fingerprint();
+  // The fingerprint if anything is known of requests that crash targets,
+  // otherwise nothing: it costs a digest of the body.
+  std::vector<PartHash> SuspectedRequest();
   // Returns whether a response is the one to the current attempt.
   bool IsOwnAnswer(const HttpResponseHead& head) const;
   void OnHead(const HttpResponseHead& head);
@@ -171,6 +188,9 @@
   void NoteEndOfAnswer();
   void ForwardEvents(const std::string& complete_events);
 
+  // Returns whether the request may be sent to another target after it may have
+  // harmed the last one.
+  bool MayRepeat(TimePoint now);
   // Returns whether the request may be sent to another target after an attempt
   // with this verdict. If so, spends one retry of the budget.
   bool MayRetry(Verdict verdict);
@@ -200,6 +220,8 @@
   CallerRequestInfo call;
   // Of the parts of the prompt that other requests may share.
   std::vector<PartHash> parts;
+  // Set by Fingerprint().
+  std::optional<RequestFingerprint> fingerprint;
   TimePoint arrived;
   TimePoint deadline;
   std::unique_ptr<Timer> deadline_timer;
--- a/src/request/crash_evidence.cc
+++ b/src/request/crash_evidence.cc
@@ -102,14 +102,18 @@
   }
   if (!this->suspects.contains(part) &&
       this->suspects.size() >= this->options.max_suspects) {
-    // The part with the fewest crashes proves least.
+    // The part with the fewest crashes proves least, an old one less than a new
+    // one.
     this->suspects.erase(std::min_element(
         this->suspects.begin(), this->suspects.end(),
         [](const auto& a, const auto& b) {
-          return a.second.crashes.size() < b.second.crashes.size();
+          return std::pair(a.second.crashes.size(), a.second.last_crash) <
+                 std::pair(b.second.crashes.size(), b.second.last_crash);
         }));
   }
-  auto& crashes = this->suspects[part].crashes;
+  Suspect& suspect = this->suspects[part];
+  suspect.last_crash = std::max(suspect.last_crash, at);
+  auto& crashes = suspect.crashes;
   if (crashes.size() >= this->options.max_crashes_per_part &&
       !crashes.contains(target_start)) {
     return false;
@@ -159,6 +163,13 @@
   return true;
 }
 
+void CrashEvidence::Explain(
+    const std::unordered_map<TargetStartHash, TimePoint>& crashes) {
+  for (const auto& [target_start, at] : crashes) {
+    this->explained_crashes.insert_or_assign(target_start, at);
+  }
+}
+
 size_t CrashEvidence::Crashes(PartHash part) const {
   const auto found = this->suspects.find(part);
   return found == this->suspects.end() ? 0 : found->second.crashes.size();
@@ -184,7 +195,7 @@
     const Suspect& suspect) const {
   std::vector<Accusation> accusations;
   for (const auto& [target_start, accusation] : suspect.crashes) {
-    if (!this->explained.contains(target_start)) {
+    if (!this->explained_crashes.contains(target_start)) {
       accusations.push_back(accusation);
       accusations.back().target_start = target_start;
     }
@@ -296,7 +307,7 @@
       this->recent_count += it->second.size();
       it = it->second.empty() ? this->recent.erase(it) : std::next(it);
     }
-    std::erase_if(this->explained, [&](const auto& entry) {
+    std::erase_if(this->explained_crashes, [&](const auto& entry) {
       return now - entry.second > this->options.lifetime;
     });
   }
@@ -314,7 +325,7 @@
   this->DropExpired(now);
   const auto explain = [&](const Suspect& suspect) {
     for (const auto& [target_start, accusation] : suspect.crashes) {
-      this->explained.insert_or_assign(target_start, accusation.at);
+      this->explained_crashes.insert_or_assign(target_start, accusation.at);
     }
   };
   for (const PartHash part : quarantined) {
--- a/src/request/crash_evidence.h
+++ b/src/request/crash_evidence.h
@@ -113,6 +113,13 @@
   TimePoint LastSurvival(PartHash part) const;
   // The same for requests of this gateway.
   TimePoint LastOwnSurvival(PartHash part) const;
+  // Crashes for which a part was held responsible, and when they happened. They
+  // accuse no other part.
+  const std::unordered_map<TargetStartHash, TimePoint>& explained() const {
+    return this->explained_crashes;
+  }
+  // Takes over crashes that are explained by something else than a part.
+  void Explain(const std::unordered_map<TargetStartHash, TimePoint>& crashes);
   // Drops what accuses a part, after a quarantine of it was lifted.
   void Forget(PartHash part) { this->suspects.erase(part); }
 
@@ -127,6 +134,7 @@
   };
   struct Suspect {
     std::map<TargetStartHash, Accusation> crashes;
+    TimePoint last_crash{};
   };
   struct Survival {
     TimePoint at{};
@@ -178,7 +186,7 @@
   size_t recent_count = 0;
   // Crashes for which a part was held responsible. They accuse no other part,
   // also after the part was acquitted.
-  std::unordered_map<TargetStartHash, TimePoint> explained;
+  std::unordered_map<TargetStartHash, TimePoint> explained_crashes;
   TimePoint next_cleaning{};
   // By second since the clock's epoch.
   std::map<int64_t, Outcomes> outcomes;
--- a/src/request/crash_guard.cc
+++ b/src/request/crash_guard.cc
@@ -34,6 +34,19 @@
 
 }  // namespace
 
+CrashGuardOptions WholeRequestGuardOptions() {
+  CrashGuardOptions options;
+  options.evidence.known_part_delay = milliseconds(1500);
+  options.evidence.min_other_survivals = 2;
+  options.evidence.max_chance = 0.003;
+  options.evidence.max_suspects = 2048;
+  options.evidence.max_crashes_per_part = 64;
+  options.evidence.max_known_parts = 1024;
+  options.first_crash_news_delay = milliseconds(300);
+  options.keeps_survivals_of_suspects_only = true;
+  return options;
+}
+
 CrashGuard::CrashGuard(CrashGuardOptions options,
                        std::string self,
                        OnChange on_change)
@@ -137,12 +150,19 @@
 
 void CrashGuard::OnSurvived(const std::vector<PartHash>& parts, TimePoint now) {
   std::vector<PartHash> acquitted;
+  std::vector<PartHash> suspects;
   for (const PartHash part : parts) {
-    if (this->evidence.Crashes(part) > 0) {
+    const bool accused = this->evidence.Crashes(part) > 0;
+    if (accused) {
       acquitted.push_back(part);
     }
+    if (accused || this->quarantine.parts().contains(part) ||
+        this->evidence.LastSurvival(part) != TimePoint{}) {
+      suspects.push_back(part);
+    }
   }
-  this->evidence.OnSurvived(parts, now);
+  this->evidence.OnSurvived(
+      this->options.keeps_survivals_of_suspects_only ? suspects : parts, now);
   for (const PartHash part : acquitted) {
     this->AnnounceOwnSurvival(part, now);
   }
@@ -163,11 +183,14 @@
                           TimePoint now) {
   this->evidence.OnBroken(parts, target_start, now);
   for (const PartHash part : parts) {
-    const bool known = this->evidence.LastSurvival(part) != TimePoint{};
+    milliseconds delay{0};
+    if (this->evidence.LastSurvival(part) != TimePoint{}) {
+      delay = this->options.known_part_news_delay;
+    } else if (this->evidence.Crashes(part) == 1) {
+      delay = this->options.first_crash_news_delay;
+    }
     this->accusations.push_back(
-        {{{part, target_start}, now},
-         known ? now + this->options.known_part_news_delay : now,
-         this->CopiesFor(nullptr)});
+        {{{part, target_start}, now}, now + delay, this->CopiesFor(nullptr)});
   }
   Trim(this->accusations);
 }
--- a/src/request/crash_guard.h
+++ b/src/request/crash_guard.h
@@ -15,10 +15,12 @@
 #include "celerypost/types.h"
 #include "src/request/crash_evidence.h"
 #include "src/request/part_quarantine.h"
+#include "src/request/request_fingerprint.h"
 
 namespace celerypost {
 
-// What gateways tell each other about parts of prompts that crash targets.
+// What gateways tell each other about parts of prompts, or whole requests, that
+// crash targets.
 struct CrashNews {
   struct Accusation {
     CrashAccusation accusation;
@@ -56,6 +58,11 @@
   // An accusation of a part whose requests have survived before is sent only
   // after this long: most such parts are acquitted by then.
   std::chrono::milliseconds known_part_news_delay{400};
+  // The first accusation of a part by this gateway is sent only after this
+  // long: most requests that broke survive their repeat by then.
+  std::chrono::milliseconds first_crash_news_delay{0};
+  // Survivals of parts that nothing accuses are not kept.
+  bool keeps_survivals_of_suspects_only = false;
   // Shortest time between two reports that requests with a part survive.
   std::chrono::milliseconds survival_news_period{500};
   // Longest time between two messages that list all quarantines to the own
@@ -71,6 +78,10 @@
   size_t max_crashes_to_repeat = 1;
 };
 
+// Options of a guard that judges whole requests by their fingerprints. Most are
+// sent once, so nothing is known of a request before it breaks.
+CrashGuardOptions WholeRequestGuardOptions();
+
 // The receivers of news.
 enum class NewsScope : uint8_t {
   // The gateways of the own region.
@@ -83,6 +94,9 @@
 // targets. Each gateway sees only some of the crashes, so gateways exchange
 // what accuses and acquits a part; whichever has enough evidence first
 // quarantines the part and tells the others.
+//
+// A second guard does the same for requests that crash targets as a whole: its
+// only part of a request is the RequestFingerprint.
 class CrashGuard {
  public:
   // Called when a part is quarantined or its quarantine is lifted. `crashes` is
@@ -104,6 +118,13 @@
     return this->quarantine.TimeLeft(parts, now);
   }
 
+  // Whether any part is accused or quarantined. While none is, MaySend and
+  // MayRepeat return true and the parts of surviving requests don't matter if
+  // `keeps_survivals_of_suspects_only` is set.
+  bool HasSuspects() const {
+    return !this->evidence.empty() || !this->quarantine.parts().empty();
+  }
+
   // A request survived: its target did not crash on it. Without shared parts it
   // only counts towards the share of requests that survive.
   void OnSurvived(const std::vector<PartHash>& parts, TimePoint now);
@@ -115,6 +136,10 @@
   void OnBroken(const std::vector<PartHash>& parts,
                 TargetStartHash target_start,
                 TimePoint now);
+  // Crashes for which `other` holds something responsible accuse no part here.
+  void TakeExplanations(const CrashGuard& other) {
+    this->evidence.Explain(other.evidence.explained());
+  }
   // Quarantines the parts for which the evidence suffices. Call at intervals.
   void Judge(TimePoint now);
 
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -6069,6 +6069,11 @@
 __isset.crash_news = true;
 }
 
+void Beat::__set_request_crash_news(const CrashNews& val) {
+  this->request_crash_news = val;
+__isset.request_crash_news = true;
+}
+
 void Beat::__set_era(const int64_t val) {
   this->era = val;
 }
@@ -6337,6 +6342,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 41:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request_crash_news.read(iprot);
+          this->__isset.request_crash_news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 24:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->era);
@@ -6524,6 +6537,11 @@
     xfer += this->crash_news.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.request_crash_news) {
+    xfer += oprot->writeFieldBegin("request_crash_news", ::apache::thrift::protocol::T_STRUCT, 41);
+    xfer += this->request_crash_news.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 24);
   xfer += oprot->writeI64(this->era);
   xfer += oprot->writeFieldEnd();
@@ -6583,6 +6601,7 @@
   swap(a.digests_version, b.digests_version);
   swap(a.summaries, b.summaries);
   swap(a.crash_news, b.crash_news);
+  swap(a.request_crash_news, b.request_crash_news);
   swap(a.era, b.era);
   swap(a.config_version, b.config_version);
   swap(a.current_ms_ago, b.current_ms_ago);
@@ -6615,6 +6634,7 @@
   digests_version = other228.digests_version;
   summaries = other228.summaries;
   crash_news = other228.crash_news;
+  request_crash_news = other228.request_crash_news;
   era = other228.era;
   config_version = other228.config_version;
   current_ms_ago = other228.current_ms_ago;
@@ -6646,6 +6666,7 @@
   digests_version = other229.digests_version;
   summaries = std::move(other229.summaries);
   crash_news = std::move(other229.crash_news);
+  request_crash_news = std::move(other229.request_crash_news);
   era = other229.era;
   config_version = other229.config_version;
   current_ms_ago = other229.current_ms_ago;
@@ -6677,6 +6698,7 @@
   digests_version = other230.digests_version;
   summaries = other230.summaries;
   crash_news = other230.crash_news;
+  request_crash_news = other230.request_crash_news;
   era = other230.era;
   config_version = other230.config_version;
   current_ms_ago = other230.current_ms_ago;
@@ -6709,6 +6731,7 @@
   digests_version = other231.digests_version;
   summaries = std::move(other231.summaries);
   crash_news = std::move(other231.crash_news);
+  request_crash_news = std::move(other231.request_crash_news);
   era = other231.era;
   config_version = other231.config_version;
   current_ms_ago = other231.current_ms_ago;
@@ -6743,6 +6766,7 @@
   out << ", " << "digests_version=" << to_string(digests_version);
   out << ", " << "summaries=" << to_string(summaries);
   out << ", " << "crash_news="; (__isset.crash_news ? (out << to_string(crash_news)) : (out << "<null>"));
+  out << ", " << "request_crash_news="; (__isset.request_crash_news ? (out << to_string(request_crash_news)) : (out << "<null>"));
   out << ", " << "era=" << to_string(era);
   out << ", " << "config_version=" << to_string(config_version);
   out << ", " << "current_ms_ago="; (__isset.current_ms_ago ? (out << to_string(current_ms_ago)) : (out << "<null>"));
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -2307,7 +2307,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashNews& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), era(false), config_version(false), current_ms_ago(false), leaving_targets(false), target_leaving(false) {}
+  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), request_crash_news(false), era(false), config_version(false), current_ms_ago(false), leaving_targets(false), target_leaving(false) {}
   bool instance :1;
   bool role :1;
   bool ip :1;
@@ -2331,6 +2331,7 @@
   bool digests_version :1;
   bool summaries :1;
   bool crash_news :1;
+  bool request_crash_news :1;
   bool era :1;
   bool config_version :1;
   bool current_ms_ago :1;
@@ -2395,6 +2396,7 @@
   int64_t digests_version;
   std::vector<RegionSummary>  summaries;
   CrashNews crash_news;
+  CrashNews request_crash_news;
   int64_t era;
   int64_t config_version;
   int32_t current_ms_ago;
@@ -2449,6 +2451,8 @@
 
   void __set_crash_news(const CrashNews& val);
 
+  void __set_request_crash_news(const CrashNews& val);
+
   void __set_era(const int64_t val);
 
   void __set_config_version(const int64_t val);
@@ -2511,6 +2515,10 @@
       return false;
     else if (__isset.crash_news && !(crash_news == rhs.crash_news))
       return false;
+    if (__isset.request_crash_news != rhs.__isset.request_crash_news)
+      return false;
+    else if (__isset.request_crash_news && !(request_crash_news == rhs.request_crash_news))
+      return false;
     if (!(era == rhs.era))
       return false;
     if (!(config_version == rhs.config_version))
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -361,6 +361,8 @@
   22: list<RegionSummary> summaries
   // Gateways: what they know of prompts that crash targets.
   23: optional CrashNews crash_news
+  // The same of whole requests, with their fingerprints in place of parts.
+  41: optional CrashNews request_crash_news
   // Era of the key-value service to which both revisions belong.
   24: i64 era
   // Version of the configuration in force, 0 for none.
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -92,12 +92,16 @@
  public:
   // The shared part of all prompts.
   std::string part = "part";
+  std::string api_key;
 
   CallerRequestInfo ReadRequest(const HttpRequest& request) const override {
     CallerRequestInfo info;
     const std::string id(FindHeader(request.headers, "x-id"));
     info.id = id.empty() ? "a" : id == "none" ? "" : id;
-    info.shared_parts = {this->part};
+    info.api_key = this->api_key;
+    if (!this->part.empty()) {
+      info.shared_parts = {this->part};
+    }
     return info;
   }
   HttpRequest MakeTargetRequest(const HttpRequest& request,
@@ -164,6 +168,13 @@
           WithdrawRequests(*this->relay_context, record.part);
         }
       }};
+  CrashGuard request_crashes{WholeRequestGuardOptions(), "gateway",
+                             [this](const QuarantineRecord& record, size_t) {
+                               if (this->relay_context != nullptr) {
+                                 WithdrawRequestsWithFingerprint(
+                                     *this->relay_context, record.part);
+                               }
+                             }};
   ServiceRetryBudgets budgets{{.max_attempts = 4}, random};
   int64_t revision = 0;
 
@@ -242,6 +253,12 @@
     this->received.clear();
     this->book.Forget({});
     this->codec.part += "+";
+    this->codec.api_key += "+";
+  }
+
+  // Of the requests that Relay sends.
+  RequestFingerprint Fingerprint() const {
+    return FingerprintOf({"GET", "h", "/", this->codec.api_key, ""});
   }
 
   // Relays one request on `route` to two targets. The n-th attempt gets the
@@ -287,6 +304,7 @@
         this->book,
         this->selector,
         this->crashes,
+        this->request_crashes,
         this->notices,
         this->codec,
         this->budgets,
@@ -768,5 +786,76 @@
   CHECK_EQUAL(1u, this->received.size());
 }
 
+// Guards against a request that crashes target after target, sent by a gateway
+// that has seen none of the crashes.
+TEST(RelayTaskTest, AQuarantinedRequestIsRefusedAndNotSent) {
+  this->codec.part.clear();
+  this->request_crashes.OnNews(
+      {{}, {}, {{this->Fingerprint(), 1, false, milliseconds(30000)}}},
+      NewsScope::kRegion, this->loop.Now());
+  CHECK_EQUAL(503, this->Relay(PlainRoute(), {WithLength("x")}).status);
+  CHECK_TRUE(this->received.empty());
+  // Another caller asks for the same.
+  this->codec.api_key = "other";
+  CHECK_EQUAL(200, this->Relay(PlainRoute(), {WithLength("x")}).status);
+}
+
+// Guards against a repeat of a request whose first crash was seen elsewhere.
+TEST(RelayTaskTest, ABrokenRequestIsNotRepeatedWhenAnotherCrashAccusesIt) {
+  this->codec.part.clear();
+  this->request_crashes.OnNews(
+      {{{{this->Fingerprint(), 77}, milliseconds(10)}}, {}, {}},
+      NewsScope::kRegion, this->loop.Now());
+  const CallerAnswer answer = this->Relay(
+      StreamRoute(),
+      {UnframedThenReset("id: 1\ndata: fir"), Unframed("id: 1\ndata: x\n\n")});
+  CHECK_EQUAL(502, answer.status);
+  CHECK_EQUAL(1u, this->received.size());
+}
+
+// Guards against a request that goes on to a third target after it has ended
+// two, also when the first one began to answer.
+TEST(RelayTaskTest, ARequestThatBreaksAtTwoTargetsIsNotSentToAThird) {
+  this->codec.part.clear();
+  Route route = StreamRoute();
+  route.max_attempts = 4;
+  const CallerAnswer answer =
+      this->Relay(route, {UnframedThenReset(""), UnframedThenReset(""),
+                          Unframed("id: 1\ndata: x\n\n")});
+  CHECK_EQUAL(502, answer.status);
+  CHECK_EQUAL(2u, this->received.size());
+  CHECK_FALSE(
+      this->request_crashes.MayRepeat({this->Fingerprint()}, this->loop.Now()));
+}
+
+// Guards against a request that crashes its target after it was quarantined.
+TEST(RelayTaskTest, ARequestThatWaitsAtATargetIsWithdrawnWhenItIsQuarantined) {
+  Timer quarantine(this->loop, [&] {
+    this->request_crashes.OnNews(
+        {{}, {}, {{this->Fingerprint(), 1, false, milliseconds(30000)}}},
+        NewsScope::kRegion, this->loop.Now());
+  });
+  quarantine.StartOnce(milliseconds(40));
+  TargetReply reply = Unframed("id: 1\ndata: x\n\n");
+  reply.pauses = true;
+  const CallerAnswer answer = this->Relay(StreamRoute(), {reply});
+  CHECK_EQUAL(502, answer.status);
+  CHECK_EQUAL(1u, this->received.size());
+}
+
+// Guards against a sound request that stays accused although it is answered.
+TEST(RelayTaskTest, ARequestThatIsAnsweredIsAcquitted) {
+  this->codec.part.clear();
+  const std::vector<PartHash> request{this->Fingerprint()};
+  this->request_crashes.OnNews({{{{request[0], 77}, milliseconds(10)},
+                                 {{request[0], 78}, milliseconds(10)}},
+                                {},
+                                {}},
+                               NewsScope::kRegion, this->loop.Now());
+  CHECK_FALSE(this->request_crashes.MayRepeat(request, this->loop.Now()));
+  CHECK_EQUAL(200, this->Relay(PlainRoute(), {WithLength("x")}).status);
+  CHECK_TRUE(this->request_crashes.MayRepeat(request, this->loop.Now()));
+}
+
 }  // namespace
 }  // namespace celerypost
--- a/tests/request/crash_fleet.cc
+++ b/tests/request/crash_fleet.cc
@@ -34,6 +34,7 @@
   }
   for (const Gateway& gateway : this->gateways) {
     gateway.guard->SetGateways(this->NamesOfRunning());
+    gateway.request_guard->SetGateways(this->NamesOfRunning());
   }
   this->AtMicros(this->Between(1, 10), [this] { this->Arrive(); });
 }
@@ -121,20 +122,44 @@
   this->Submit(parts);
 }
 
+void CrashFleet::AddRequest(const RepeatedRequest& request) {
+  this->judges_requests = true;
+  this->AtMicros(this->Between(0, static_cast<int>(2 * request.period.count())),
+                 [this, request] {
+                   const auto attempt = std::make_shared<Attempt>();
+                   attempt->gateway = this->random.Below(this->gateways.size());
+                   attempt->parts = request.parts;
+                   attempt->fingerprint = request.fingerprint;
+                   attempt->resumable = request.repeatable;
+                   this->Submit(attempt);
+                   this->AddRequest(request);
+                 });
+}
+
+std::vector<PartHash> CrashFleet::RequestOf(const Attempt& attempt) const {
+  return this->judges_requests ? std::vector<PartHash>{attempt.fingerprint}
+                               : std::vector<PartHash>();
+}
+
 void CrashFleet::Submit(const std::vector<PartHash>& parts) {
-  const size_t gateway = this->random.Below(this->gateways.size());
   const auto attempt = std::make_shared<Attempt>();
-  attempt->gateway = gateway;
-  attempt->generation = this->gateways[gateway].generation;
+  attempt->gateway = this->random.Below(this->gateways.size());
   attempt->parts = parts;
+  attempt->fingerprint = this->next_fingerprint++;
   attempt->resumable = this->Chance(0.7);
-  this->OnGateway(gateway, attempt->generation,
+  this->Submit(attempt);
+}
+
+void CrashFleet::Submit(const AttemptPtr& attempt) {
+  attempt->generation = this->gateways[attempt->gateway].generation;
+  this->OnGateway(attempt->gateway, attempt->generation,
                   [this, attempt] { this->Dispatch(attempt); });
 }
 
 void CrashFleet::Dispatch(const AttemptPtr& attempt) {
-  if (!this->gateways[attempt->gateway].guard->MaySend(attempt->parts,
-                                                       this->now)) {
+  const Gateway& gateway = this->gateways[attempt->gateway];
+  if (!gateway.request_guard->MaySend(this->RequestOf(*attempt), this->now) ||
+      !gateway.guard->MaySend(attempt->parts, this->now)) {
     return;
   }
   std::vector<size_t> candidates;
@@ -159,10 +184,14 @@
   Target& target = this->targets[attempt->target];
   attempt->target_start = target.target_start;
   target.waiting.push_back(attempt);
-  for (const PartHash part : attempt->parts) {
-    if (this->deadly.contains(part) &&
-        this->now - this->gateways[attempt->gateway].started_at > kLearnTime) {
-      this->sends[part].at.push_back(this->now);
+  if (this->now - gateway.started_at > kLearnTime) {
+    for (const PartHash part : attempt->parts) {
+      if (this->deadly.contains(part)) {
+        this->sends[part].at.push_back(this->now);
+      }
+    }
+    if (this->deadly_requests.contains(attempt->fingerprint)) {
+      this->request_sends[attempt->fingerprint].at.push_back(this->now);
     }
   }
   this->StartWaiting(attempt->target);
@@ -208,6 +237,10 @@
       crashes = true;
     }
   }
+  if (this->deadly_requests.contains(attempt->fingerprint)) {
+    this->request_sends[attempt->fingerprint].crashes.push_back(this->now);
+    crashes = true;
+  }
   if (crashes) {
     this->Crash(attempt->target, kDownTime);
     return;
@@ -230,8 +263,9 @@
   }
   if (this->now - attempt->first_event_at >= kSurvivalTime) {
     attempt->survived = true;
-    this->gateways[attempt->gateway].guard->OnSurvived(attempt->parts,
-                                                       this->now);
+    const Gateway& gateway = this->gateways[attempt->gateway];
+    gateway.guard->OnSurvived(attempt->parts, this->now);
+    gateway.request_guard->OnSurvived(this->RequestOf(*attempt), this->now);
     return;
   }
   this->At(kEventPeriod, [this, attempt] {
@@ -248,6 +282,9 @@
     this->OnGateway(
         attempt->gateway, attempt->generation, [this, attempt, broken] {
           CrashGuard& guard = *this->gateways[attempt->gateway].guard;
+          CrashGuard& request_guard =
+              *this->gateways[attempt->gateway].request_guard;
+          const std::vector<PartHash> request = this->RequestOf(*attempt);
           if (attempt->ended) {
             return;
           }
@@ -256,16 +293,20 @@
           if (!attempt->survived) {
             if (broken) {
               guard.OnBroken(attempt->parts, attempt->target_start, this->now);
+              request_guard.OnBroken(request, attempt->target_start, this->now);
             } else {
               guard.OnSurvived(attempt->parts, this->now);
+              request_guard.OnSurvived(request, this->now);
             }
           }
           if (broken && attempt->resumable && attempt->number == 1 &&
-              guard.MayRepeat(attempt->parts, this->now)) {
+              guard.MayRepeat(attempt->parts, this->now) &&
+              request_guard.MayRepeat(request, this->now)) {
             const auto repeat = std::make_shared<Attempt>();
             repeat->gateway = attempt->gateway;
             repeat->generation = attempt->generation;
             repeat->parts = attempt->parts;
+            repeat->fingerprint = attempt->fingerprint;
             repeat->number = 2;
             this->Dispatch(repeat);
           }
@@ -328,6 +369,13 @@
           this->wrongly_quarantined.insert(record.part);
         }
       });
+  gateway.request_guard = std::make_unique<CrashGuard>(
+      WholeRequestGuardOptions(), "gateway-" + std::to_string(index),
+      [this](const QuarantineRecord& record, size_t) {
+        if (!record.lifted && !this->deadly_requests.contains(record.part)) {
+          this->wrongly_quarantined_requests.insert(record.part);
+        }
+      });
   const uint32_t generation = gateway.generation;
   this->AtMicros(this->Between(0, 100), [this, index, generation] {
     this->OnGateway(index, generation, [this, index] { this->Beat(index); });
@@ -336,6 +384,7 @@
 
 void CrashFleet::StopGateway(size_t index) {
   this->gateways[index].guard.reset();
+  this->gateways[index].request_guard.reset();
   ++this->gateways[index].generation;
   this->AnnounceGateways();
 }
@@ -349,6 +398,7 @@
     this->AtMicros(this->Between(0, 1000), [this, i] {
       if (this->gateways[i].guard) {
         this->gateways[i].guard->SetGateways(this->NamesOfRunning());
+        this->gateways[i].request_guard->SetGateways(this->NamesOfRunning());
       }
     });
   }
@@ -384,11 +434,15 @@
   Gateway& gateway = this->gateways[index];
   const size_t region = this->RegionOf(index);
   const std::vector<size_t> near = this->RunningIn(region);
+  gateway.request_guard->Judge(this->now);
+  gateway.guard->TakeExplanations(*gateway.request_guard);
   gateway.guard->Judge(this->now);
   std::vector<size_t> receivers = near;
   std::erase(receivers, index);
-  this->SendNews(gateway.guard->TakeNews(NewsScope::kRegion, this->now),
-                 NewsScope::kRegion, receivers);
+  for (const auto guard : {&Gateway::guard, &Gateway::request_guard}) {
+    this->SendNews((gateway.*guard)->TakeNews(NewsScope::kRegion, this->now),
+                   guard, NewsScope::kRegion, receivers);
+  }
   const bool sends_far =
       index == near[0] || (near.size() > 1 && index == near[1]);
   if (sends_far && this->now >= gateway.next_far_news) {
@@ -400,8 +454,11 @@
         receivers.push_back(running[this->random.Below(running.size())]);
       }
     }
-    this->SendNews(gateway.guard->TakeNews(NewsScope::kOtherRegions, this->now),
-                   NewsScope::kOtherRegions, receivers);
+    for (const auto guard : {&Gateway::guard, &Gateway::request_guard}) {
+      this->SendNews(
+          (gateway.*guard)->TakeNews(NewsScope::kOtherRegions, this->now),
+          guard, NewsScope::kOtherRegions, receivers);
+    }
   }
   const uint32_t generation = gateway.generation;
   this->At(this->BeatPeriod(region), [this, index, generation] {
@@ -410,6 +467,7 @@
 }
 
 void CrashFleet::SendNews(const CrashNews& news,
+                          std::unique_ptr<CrashGuard> Gateway::*guard,
                           NewsScope scope,
                           const std::vector<size_t>& receivers) {
   if (news.empty()) {
@@ -427,11 +485,13 @@
                           news.quarantines.size());
   const auto shared = std::make_shared<const CrashNews>(news);
   for (const size_t receiver : receivers) {
-    const auto deliver = [this, receiver, shared, scope,
+    const auto deliver = [this, receiver, shared, guard, scope,
                           generation = this->gateways[receiver].generation] {
-      this->OnGateway(receiver, generation, [this, receiver, shared, scope] {
-        this->gateways[receiver].guard->OnNews(*shared, scope, this->now);
-      });
+      this->OnGateway(receiver, generation,
+                      [this, receiver, shared, guard, scope] {
+                        (this->gateways[receiver].*guard)
+                            ->OnNews(*shared, scope, this->now);
+                      });
     };
     if (this->Chance(0.02)) {
       continue;
@@ -453,19 +513,43 @@
   return count;
 }
 
+size_t CrashFleet::CountBlockingRequest(RequestFingerprint fingerprint) const {
+  size_t count = 0;
+  for (size_t i = 0; i < this->gateways.size(); ++i) {
+    count +=
+        this->gateways[i].guard && this->BlocksRequest(i, fingerprint) ? 1 : 0;
+  }
+  return count;
+}
+
 size_t CrashFleet::CountRunning() const {
   return std::count_if(this->gateways.begin(), this->gateways.end(),
                        [](const Gateway& gateway) { return !!gateway.guard; });
 }
 
-size_t CrashFleet::LateSends(PartHash part, milliseconds after) const {
-  const auto found = this->sends.find(part);
-  if (found == this->sends.end() || found->second.crashes.size() < 5) {
+size_t CrashFleet::CountLateSends(const Sends& sends,
+                                  size_t crashes,
+                                  milliseconds after) {
+  if (sends.crashes.size() < crashes) {
     return 0;
   }
-  const TimePoint from = found->second.crashes[4] + after;
-  return std::count_if(found->second.at.begin(), found->second.at.end(),
+  const TimePoint from = sends.crashes[crashes - 1] + after;
+  return std::count_if(sends.at.begin(), sends.at.end(),
                        [from](TimePoint at) { return at > from; });
 }
 
+size_t CrashFleet::LateSends(PartHash part, milliseconds after) const {
+  const auto found = this->sends.find(part);
+  return found == this->sends.end() ? 0
+                                    : CountLateSends(found->second, 5, after);
+}
+
+size_t CrashFleet::LateRequestSends(RequestFingerprint fingerprint,
+                                    milliseconds after) const {
+  const auto found = this->request_sends.find(fingerprint);
+  return found == this->request_sends.end()
+             ? 0
+             : CountLateSends(found->second, 3, after);
+}
+
 }  // namespace celerypost
--- a/tests/request/crash_fleet.h
+++ b/tests/request/crash_fleet.h
@@ -40,6 +40,14 @@
     double share = 0;
     milliseconds period{0};
   };
+  // One request that comes again and again, on average once in `period`.
+  struct RepeatedRequest {
+    RequestFingerprint fingerprint = 0;
+    std::vector<PartHash> parts;
+    milliseconds period{0};
+    // A target that breaks off is replaced by another one.
+    bool repeatable = true;
+  };
   struct Target {
     bool up = true;
     TargetStartHash target_start = 0;
@@ -61,6 +69,8 @@
   void Repeat(milliseconds period, std::function<bool()> action);
 
   void AddSource(Source source);
+  // Also makes the gateways judge whole requests.
+  void AddRequest(const RepeatedRequest& request);
   void Crash(size_t target, milliseconds down);
   // Ends a share of the connections to a target.
   void ResetConnections(size_t target, double share);
@@ -73,6 +83,12 @@
   bool Blocks(size_t gateway, PartHash part) const {
     return this->gateways[gateway].guard->quarantines().Contains({part});
   }
+  bool BlocksRequest(size_t gateway, RequestFingerprint fingerprint) const {
+    return this->gateways[gateway].request_guard->quarantines().Contains(
+        {fingerprint});
+  }
+  // Returns the number of running gateways that block the request.
+  size_t CountBlockingRequest(RequestFingerprint fingerprint) const;
   // Returns the number of running gateways that block the part.
   size_t CountBlocking(PartHash part) const;
   size_t CountRunning() const;
@@ -81,6 +97,9 @@
   // Number of requests with the part that reached targets later than `after`
   // past its fifth crash.
   size_t LateSends(PartHash part, milliseconds after) const;
+  // The same for a request, past its third crash.
+  size_t LateRequestSends(RequestFingerprint fingerprint,
+                          milliseconds after) const;
 
   CrashFleetSize size;
   SplitMixRandom random;
@@ -88,9 +107,15 @@
   std::vector<Target> targets;
   // Parts on which targets crash.
   std::set<PartHash> deadly;
+  // Requests on which targets crash whatever their parts are.
+  std::set<RequestFingerprint> deadly_requests;
   // Share of the requests that a target breaks before their first event.
   std::map<size_t, double> broken_share;
   std::map<PartHash, Sends> sends;
+  std::map<RequestFingerprint, Sends> request_sends;
+  std::set<RequestFingerprint> wrongly_quarantined_requests;
+  // Whether the gateways judge whole requests.
+  bool judges_requests = false;
   // Parts other than deadly ones that a gateway quarantined.
   std::set<PartHash> wrongly_quarantined;
   std::map<PartHash, TimePoint> first_quarantine;
@@ -110,6 +135,7 @@
   using AttemptPtr = std::shared_ptr<Attempt>;
   struct Gateway {
     std::unique_ptr<CrashGuard> guard;
+    std::unique_ptr<CrashGuard> request_guard;
     uint32_t generation = 0;
     TimePoint started_at{};
     TimePoint paused_until{};
@@ -142,6 +168,13 @@
   PartHash DrawFirstPart();
   void Arrive();
   void Submit(const std::vector<PartHash>& parts);
+  void Submit(const AttemptPtr& attempt);
+  // What the guard for whole requests learns of an attempt.
+  std::vector<PartHash> RequestOf(const Attempt& attempt) const;
+  // Number of sends later than `after` past so many crashes.
+  static size_t CountLateSends(const Sends& sends,
+                               size_t crashes,
+                               milliseconds after);
   void Dispatch(const AttemptPtr& attempt);
   void StartWaiting(size_t target);
   void OnFirstToken(const AttemptPtr& attempt);
@@ -153,6 +186,7 @@
   std::vector<size_t> RunningIn(size_t region) const;
   void Beat(size_t gateway);
   void SendNews(const CrashNews& news,
+                std::unique_ptr<CrashGuard> Gateway::*guard,
                 NewsScope scope,
                 const std::vector<size_t>& receivers);
   void RunGateway(size_t gateway);
@@ -165,6 +199,7 @@
   std::priority_queue<Event> events;
   uint64_t sequence = 0;
   uint64_t sessions = 0;
+  RequestFingerprint next_fingerprint = 1000000;
   TargetStartHash next_target_start = 1;
 };
 
@@ -172,6 +207,7 @@
   size_t gateway = 0;
   uint32_t generation = 0;
   std::vector<PartHash> parts;
+  RequestFingerprint fingerprint = 0;
   size_t number = 1;
   bool resumable = false;
   size_t target = 0;
--- a/tests/request/crash_fleet_test.cc
+++ b/tests/request/crash_fleet_test.cc
@@ -17,6 +17,9 @@
 constexpr PartHash kDeadly = 1;
 constexpr PartHash kCompanion = 2;
 constexpr PartHash kSecondDeadly = 3;
+constexpr RequestFingerprint kDeadlyRequest = 7;
+// Parts that a deadly request has in common with sound ones.
+const std::vector<PartHash> kSoundParts{1000, 1003};
 constexpr seconds kWarmUp{4};
 constexpr CrashFleetSize kSizes[] = {{4, 3, 1},
                                      {8, 14, 3},
@@ -66,6 +69,12 @@
                      " sound parts quarantined, such as " +
                      std::to_string(*fleet.wrongly_quarantined.begin()));
         }
+        if (!fleet.wrongly_quarantined_requests.empty()) {
+          this->Fail(
+              std::to_string(fleet.wrongly_quarantined_requests.size()) +
+              " sound requests quarantined, such as " +
+              std::to_string(*fleet.wrongly_quarantined_requests.begin()));
+        }
         if (this->failures != before) {
           this->failures += "  with " + std::to_string(size.gateways) +
                             " gateways, seed " + std::to_string(seed) + "\n";
@@ -104,6 +113,43 @@
       }
     });
   }
+  void CheckLateRequestSends(const CrashFleet& fleet) {
+    const size_t late =
+        fleet.LateRequestSends(kDeadlyRequest, TouchTime(fleet.size));
+    this->Check(late <= 3, std::to_string(late) + " late sends of the request");
+  }
+  // Runs fleets in which one request that crashes targets is a share of the
+  // requests of a route, of which there are three.
+  void RunDeadlyRequest(double share, bool repeatable, milliseconds time) {
+    this->ForFleets([&](CrashFleet& fleet) {
+      const double rate = share * 1.1 * static_cast<double>(fleet.size.targets);
+      this->RunDeadlyRequest(
+          fleet,
+          {kDeadlyRequest, kSoundParts,
+           milliseconds(static_cast<int64_t>(1000 / rate)), repeatable},
+          time);
+    });
+  }
+  void RunDeadlyRequest(CrashFleet & fleet,
+                        const CrashFleet::RepeatedRequest& request,
+                        milliseconds time) {
+    fleet.deadly_requests.insert(request.fingerprint);
+    fleet.AddRequest(request);
+    fleet.Run(time);
+    this->CheckLateRequestSends(fleet);
+    if (fleet.request_sends[kDeadlyRequest].crashes.size() >= 5) {
+      const size_t blocking = fleet.CountBlockingRequest(kDeadlyRequest);
+      this->Check(
+          blocking == fleet.CountRunning(),
+          "only " + std::to_string(blocking) + " gateways block the request");
+    }
+  }
+  // Sound requests that come again and again, as reads of a status do.
+  static void AddSoundRequests(CrashFleet & fleet) {
+    fleet.AddRequest({8, {1000}, milliseconds(100), true});
+    fleet.AddRequest({9, {1001}, milliseconds(500), false});
+    fleet.AddRequest({10, {}, milliseconds(2000), true});
+  }
   // Quarantines the part in the whole fleet.
   void Quarantine(CrashFleet & fleet) {
     fleet.deadly.insert(kDeadly);
@@ -414,5 +460,139 @@
   });
 }
 
+// Guards against a request that crashes one target after the other, since
+// gateways know only the parts of its prompt, which sound requests share.
+TEST(CrashFleetTest, StopsSendingARequestOfOneInAHundred) {
+  this->RunDeadlyRequest(0.01, /*repeatable=*/true, seconds(28));
+}
+TEST(CrashFleetTest, StopsSendingARequestOfOneInThirty) {
+  this->RunDeadlyRequest(0.03, /*repeatable=*/true, seconds(25));
+}
+TEST(CrashFleetTest, StopsSendingARequestOfOneInFour) {
+  this->RunDeadlyRequest(0.25, /*repeatable=*/true, seconds(20));
+}
+TEST(CrashFleetTest, StopsSendingARequestThatMayNotBeRepeated) {
+  this->RunDeadlyRequest(0.05, /*repeatable=*/false, seconds(25));
+}
+
+// Guards against a request that is unknown because its prompt has no parts.
+TEST(CrashFleetTest, StopsSendingARequestWithoutParts) {
+  this->ForFleets([&](CrashFleet& fleet) {
+    AddSoundRequests(fleet);
+    this->RunDeadlyRequest(fleet, {kDeadlyRequest, {}, milliseconds(700), true},
+                           seconds(25));
+  });
+}
+
+// Guards against rare crashes that don't add up.
+TEST(CrashFleetTest, StopsSendingARequestThatComesEveryTenSeconds) {
+  this->ForFleets([&](CrashFleet& fleet) {
+    this->RunDeadlyRequest(
+        fleet, {kDeadlyRequest, kSoundParts, seconds(10), true}, seconds(80));
+  });
+}
+
+// Guards against a request that hides behind the failures of other targets.
+TEST(CrashFleetTest, StopsSendingARequestWhileOtherTargetsFail) {
+  this->ForFleets([&](CrashFleet& fleet) {
+    fleet.Repeat(milliseconds(3000), [&fleet] {
+      fleet.Crash(fleet.random.Below(fleet.targets.size()), seconds(3));
+      return true;
+    });
+    this->RunDeadlyRequest(
+        fleet, {kDeadlyRequest, kSoundParts, milliseconds(700), true},
+        seconds(25));
+  });
+}
+
+// Guards against sound requests that are blamed for the failures of targets.
+TEST(CrashFleetTest, QuarantinesNoRequestWhenZonesFail) {
+  this->ForFleets([&](CrashFleet& fleet) {
+    AddSoundRequests(fleet);
+    for (int round = 0; round < 3; ++round) {
+      for (size_t i = round; i < fleet.targets.size(); i += 3) {
+        fleet.Crash(i, seconds(4));
+      }
+      fleet.Run(seconds(7));
+    }
+  });
+}
+TEST(CrashFleetTest, QuarantinesNoRequestWhenRandomTargetsCrashAgainAndAgain) {
+  this->ForFleets([&](CrashFleet& fleet) {
+    AddSoundRequests(fleet);
+    fleet.Repeat(milliseconds(1400), [&fleet] {
+      for (size_t i = 0; i < fleet.targets.size(); ++i) {
+        if (fleet.random.Unit() < 0.15) {
+          fleet.Crash(i, milliseconds(3000));
+        }
+      }
+      return true;
+    });
+    fleet.Run(seconds(15));
+  });
+}
+TEST(CrashFleetTest, QuarantinesNoRequestWhenConnectionsAreReset) {
+  this->ForFleets([&](CrashFleet& fleet) {
+    AddSoundRequests(fleet);
+    fleet.Repeat(seconds(1), [&fleet] {
+      for (size_t i = 0; i < fleet.targets.size(); ++i) {
+        fleet.ResetConnections(i, 0.35);
+      }
+      return true;
+    });
+    fleet.Run(seconds(15));
+  });
+}
+TEST(CrashFleetTest, QuarantinesNoRequestWhenTargetsRestartSlowly) {
+  this->ForFleets([&](CrashFleet& fleet) {
+    AddSoundRequests(fleet);
+    size_t next = 0;
+    fleet.Repeat(
+        milliseconds(std::max<size_t>(200, 6000 / fleet.targets.size())),
+        [&fleet, &next] {
+          fleet.Crash(next++ % fleet.targets.size(), seconds(5));
+          return true;
+        });
+    fleet.Run(seconds(20));
+  });
+}
+
+// Guards against a restarted gateway that sends what the others do not.
+TEST(CrashFleetTest, ARestartedGatewayBlocksTheRequestAtOnce) {
+  this->ForFleets([&](CrashFleet& fleet) {
+    this->RunDeadlyRequest(
+        fleet, {kDeadlyRequest, kSoundParts, milliseconds(300), true},
+        seconds(12));
+    for (size_t i = 0; i < 5; ++i) {
+      const size_t gateway = fleet.random.Below(fleet.CountGateways());
+      fleet.StopGateway(gateway);
+      fleet.Run(milliseconds(fleet.random.Below(1500)));
+      fleet.StartGateway(gateway);
+      fleet.Run(milliseconds(1200));
+      this->Check(fleet.BlocksRequest(gateway, kDeadlyRequest),
+                  "gateway sends the request 1.2 s after its start");
+    }
+    this->CheckLateRequestSends(fleet);
+  });
+}
+
+// Guards against messages and traffic that grow with the requests that break.
+TEST(CrashFleetTest, NewsOfRequestsIsBoundedInEveryFleet) {
+  const CrashGuardOptions options = WholeRequestGuardOptions();
+  this->ForFleets([&](CrashFleet& fleet) {
+    AddSoundRequests(fleet);
+    for (size_t i = 0; i < fleet.targets.size(); i += 3) {
+      fleet.Crash(i, seconds(4));
+    }
+    this->RunDeadlyRequest(
+        fleet, {kDeadlyRequest, kSoundParts, milliseconds(300), true},
+        seconds(10));
+    this->Check(fleet.max_accusations <= options.max_items &&
+                    fleet.max_survivals <= options.max_items &&
+                    fleet.max_quarantines <= options.quarantine.max_parts,
+                "a message with too many items");
+  });
+}
+
 }  // namespace
 }  // namespace celerypost
--- a/tests/request/crash_guard_test.cc
+++ b/tests/request/crash_guard_test.cc
@@ -169,5 +169,62 @@
                  .accusations.empty());
 }
 
+// Guards against an accusation that is lost among requests which broke once.
+TEST(CrashGuardTest, RequestsThatBrokeOnceDoNotEvictANewerAccusation) {
+  const CrashGuardOptions options = WholeRequestGuardOptions();
+  CrashGuard guard(options, "gateway", [](const QuarantineRecord&, size_t) {});
+  for (size_t i = 0; i < options.evidence.max_suspects; ++i) {
+    guard.OnBroken({100 + i}, 1, this->now);
+  }
+  this->now += milliseconds(1000);
+  guard.OnBroken({kDeadly}, 2, this->now);
+  guard.OnBroken({kShared}, 3, this->now);
+  guard.OnBroken({kDeadly}, 4, this->now);
+  CHECK_FALSE(guard.MayRepeat({kDeadly}, this->now));
+}
+
+// Guards against news of every request that was in progress at a target.
+TEST(CrashGuardTest, TellsNothingOfARequestThatSurvivesItsRepeat) {
+  const CrashGuardOptions options = WholeRequestGuardOptions();
+  CrashGuard guard(options, "gateway", [](const QuarantineRecord&, size_t) {});
+  guard.OnBroken({kDeadly, kShared}, 1, this->now);
+  CHECK_TRUE(guard.TakeNews(NewsScope::kRegion, this->now).empty());
+  guard.OnSurvived({kShared}, this->now + milliseconds(100));
+  this->now += options.first_crash_news_delay;
+  const CrashNews news = guard.TakeNews(NewsScope::kRegion, this->now);
+  CHECK_EQUAL(1u, news.accusations.size());
+  CHECK_EQUAL(kDeadly, news.accusations[0].accusation.part);
+}
+
+// Guards against parts that are blamed for what a whole request has done.
+TEST(CrashGuardTest, CrashesOfAQuarantinedRequestAccuseNoPart) {
+  const auto ignore = [](const QuarantineRecord&, size_t) {};
+  CrashGuard requests(WholeRequestGuardOptions(), "gateway", ignore);
+  CrashGuard parts({}, "gateway", ignore);
+  CrashGuard parts_alone({}, "gateway", ignore);
+  const auto serve = [&](milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += milliseconds(100)) {
+      this->now += milliseconds(100);
+      for (CrashGuard* const guard : {&requests, &parts, &parts_alone}) {
+        guard->OnSurvived({}, this->now);
+      }
+    }
+  };
+  serve(milliseconds(5000));
+  for (size_t i = 0; i < 3; ++i) {
+    requests.OnBroken({kDeadly}, 10 + i, this->now);
+    parts.OnBroken({kShared}, 10 + i, this->now);
+    parts_alone.OnBroken({kShared}, 10 + i, this->now);
+    serve(milliseconds(400));
+  }
+  requests.Judge(this->now);
+  parts.TakeExplanations(requests);
+  parts.Judge(this->now);
+  parts_alone.Judge(this->now);
+  CHECK_FALSE(requests.MaySend({kDeadly}, this->now));
+  CHECK_TRUE(parts.MaySend({kShared}, this->now));
+  CHECK_FALSE(parts_alone.MaySend({kShared}, this->now));
+}
+
 }  // namespace
 }  // namespace celerypost
