--- a/src/request/request_fingerprint.cc
+++ b/src/request/request_fingerprint.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Space for the lengths of the fields.
+constexpr size_t kLengths = 64;
+
 char ToLower(char c) {
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
@@ -27,11 +30,13 @@
     c = ToLower(c);
   }
   std::string text;
-  AppendField(text, identity.method);
-  AppendField(text, host);
-  AppendField(text, identity.path);
-  AppendField(text, identity.api_key);
-  text.append(Digest::Of(identity.body).ToHex());
+  text.reserve(identity.method.size() + host.size() + identity.path.size() +
+               identity.api_key.size() + identity.body.size() + kLengths);
+  for (const std::string_view field :
+       {identity.method, std::string_view(host), identity.path,
+        identity.api_key, identity.body}) {
+    AppendField(text, field);
+  }
   const Digest digest = Digest::Of(text);
   RequestFingerprint fingerprint = 0;
   for (size_t i = 0; i < sizeof(fingerprint); ++i) {
