Log who ended a request's last attempt and whether its answer was cut

The line of a failed request did not tell a target that broke off from one that the gateway left while it was silent, nor an answer of 502 from a connection that was closed in the middle of a stream. The hypotheses on requests without an answer beside a change of the configuration differ in just that. The line now has attempt_end and cut, attempt_silent tells the reason, the length of the silence and the time left, and celerypost_cut_answers_total counts closed answers.

No decision changes. RelayTaskTest: 36 tests pass, two of them new.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -75,6 +75,8 @@
       abandoned(metrics.AddCounter("celerypost_requests_total",
                                    "Requests by outcome",
                                    {{"outcome", "abandoned"}})),
+      cut(metrics.AddCounter("celerypost_cut_answers_total",
+                             "Answers that were closed before their end")),
       attempts(metrics.AddCounter("celerypost_attempts_total",
                                   "Requests sent to targets")),
       retries(metrics.AddCounter("celerypost_retries_total",
@@ -145,8 +147,7 @@
           this->parts.end()) {
     return;
   }
-  this->http_call.reset();
-  this->EndAttempt(AttemptOutcome::kAbandoned);
+  this->GiveUpAttempt(AttemptOutcome::kAbandoned, "quarantine");
   ++this->possible_runs;
   this->verdict = Verdict::kMayHaveRun;
   this->EndForQuarantine();
@@ -536,6 +537,7 @@
     this->context.book.OnFirstEvent(this->attempt->target,
                                     this->attempt->prompt_tokens);
   }
+  this->attempt->last_event_at = now;
   if (now - this->attempt->first_event_at >=
       this->context.options.survival_time) {
     this->NoteSurvival();
@@ -672,15 +674,25 @@
     }
     return;
   }
+  // Timers fire up to a millisecond early.
+  const bool old_weights = !this->attempt->had_event &&
+                           this->selection.must_begin_by &&
+                           this->context.loop.Now() + milliseconds(1) >=
+                               *this->selection.must_begin_by;
+  const std::string_view reason = old_weights ? "old weights" : "silent";
   this->context.log.Info(
       "attempt_silent",
       "no data from the target in time; trying another target",
       {{"target", this->attempt->target},
        {"events", this->events.events()},
-       {"attempt", this->sends}},
+       {"attempt", this->sends},
+       {"reason", reason},
+       {"silent_ms", this->SilentFor().count()},
+       {"deadline_in_ms",
+        Since(this->context.loop.Now(), this->deadline).count()},
+       {"config_version", this->config->version}},
       this->call.id);
-  this->http_call.reset();
-  this->EndAttempt(AttemptOutcome::kBroken);
+  this->GiveUpAttempt(AttemptOutcome::kBroken, reason);
   ++this->possible_runs;
   this->verdict = Verdict::kMayHaveRun;
   this->SendToNextTarget();
@@ -691,8 +703,7 @@
     return;
   }
   const auto keep_alive = this->shared_from_this();
-  this->http_call.reset();
-  this->EndAttempt(AttemptOutcome::kAbandoned);
+  this->GiveUpAttempt(AttemptOutcome::kAbandoned, "deadline");
   if (this->sends == 0) {
     this->Refuse("deadline", kRefusedRetryAfter);
   } else {
@@ -705,8 +716,7 @@
     return;
   }
   const auto keep_alive = this->shared_from_this();
-  this->http_call.reset();
-  this->EndAttempt(AttemptOutcome::kAbandoned);
+  this->GiveUpAttempt(AttemptOutcome::kAbandoned, "stopping");
   this->FailWith(kBadGateway, "stopping");
 }
 
@@ -715,8 +725,7 @@
     return;
   }
   const auto keep_alive = this->shared_from_this();
-  this->http_call.reset();
-  this->EndAttempt(AttemptOutcome::kAbandoned);
+  this->GiveUpAttempt(AttemptOutcome::kAbandoned, "the caller left");
   this->context.metrics.abandoned.Add();
   this->Finish("abandoned", 0, "the caller left");
 }
@@ -781,6 +790,20 @@
                            this->context.loop.Now());
 }
 
+void RelayTask::GiveUpAttempt(AttemptOutcome outcome, std::string_view reason) {
+  this->http_call.reset();
+  if (this->attempt && !this->attempt->ended) {
+    this->attempt->end_reason = reason;
+  }
+  this->EndAttempt(outcome);
+}
+
+milliseconds RelayTask::SilentFor() const {
+  return Since(this->attempt->had_event ? this->attempt->last_event_at
+                                        : this->attempt->sent_at,
+               this->context.loop.Now());
+}
+
 void RelayTask::Refuse(std::string_view reason, milliseconds retry_after) {
   this->responder->Send(
       kUnavailable,
@@ -792,6 +815,7 @@
 
 void RelayTask::FailWith(int status, std::string_view reason) {
   if (this->head_sent) {
+    this->context.metrics.cut.Add();
     this->responder->Abort();
   } else {
     this->responder->Send(
@@ -820,6 +844,9 @@
        {"target", this->attempt ? std::string_view(this->attempt->target)
                                 : std::string_view()},
        {"attempts", this->sends},
+       {"attempt_end",
+        this->attempt ? this->attempt->end_reason : std::string_view()},
+       {"cut", this->head_sent && outcome == "failed"},
        {"events", this->events.events()},
        {"candidates", this->selection.candidates},
        {"in_flight", this->selection.load.in_flight},
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -55,6 +55,7 @@
   Counter& refused;
   Counter& failed;
   Counter& abandoned;
+  Counter& cut;
   Counter& attempts;
   Counter& retries;
   Counter& resumes;
@@ -104,6 +105,10 @@
   TimePoint sent_at{};
   bool had_event = false;
   TimePoint first_event_at{};
+  TimePoint last_event_at{};
+  // Why this gateway ended the attempt; empty if the target answered or broke
+  // off.
+  std::string_view end_reason;
   // The target did not crash on the request (RelayOptions::survival_time).
   bool survived = false;
   bool ended = false;
@@ -189,6 +194,10 @@
   // target's weights become too old for it.
   bool MustLeaveTarget() const;
   void StartAttemptTimer();
+  // Ends an attempt that its target has neither answered nor broken off.
+  void GiveUpAttempt(AttemptOutcome outcome, std::string_view reason);
+  // The time since the attempt was sent or has produced an event.
+  std::chrono::milliseconds SilentFor() const;
 
   RelayContext& context;
   HttpRequest request;
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -145,7 +145,11 @@
 
 TEST_GROUP(RelayTaskTest) {
   Loop loop;
-  Log log{LogOptions{}, [](LogLevel, std::string_view) {},
+  std::vector<std::string> lines;
+  Log log{LogOptions{},
+          [this](LogLevel, std::string_view line) {
+            this->lines.emplace_back(line);
+          },
           [] { return std::chrono::system_clock::now(); }};
   Metrics metrics;
   SplitMixRandom random{1};
@@ -347,6 +351,17 @@
     return answer;
   }
 
+  // Returns the line of the event that was logged last.
+  std::string LastLine(const std::string& event) const {
+    const std::string name = "\"event\":\"" + event + "\"";
+    for (auto line = this->lines.rbegin(); line != this->lines.rend(); ++line) {
+      if (line->find(name) != std::string::npos) {
+        return *line;
+      }
+    }
+    return {};
+  }
+
   // The caller has received all events once and whole, from two runs.
   void CheckJoined(const CallerAnswer& answer) {
     STRCMP_EQUAL(kJoined, answer.body.c_str());
@@ -768,5 +783,34 @@
   CHECK_EQUAL(1u, this->received.size());
 }
 
+// Guards against cut answers that their request's line does not tell of.
+TEST(RelayTaskTest, TheLineOfARequestTellsThatItsAnswerWasCut) {
+  this->CheckCut(UnframedThenReset(kBroken));
+  const std::string line = this->LastLine("request");
+  STRCMP_CONTAINS("\"cut\":true", line.c_str());
+  STRCMP_CONTAINS("\"attempt_end\":\"\"", line.c_str());
+}
+
+// Guards against lines that do not tell who ended the last attempt, and why.
+TEST(RelayTaskTest, TheLineOfARequestTellsWhyItsAttemptWasGivenUp) {
+  this->served_version = 1;
+  Timer naming(this->loop, [this] {
+    const TargetSelectorOptions bounds;
+    this->view.NoteCurrent(this->loop.Now() + milliseconds(10) -
+                           bounds.version_bound + bounds.begin_margin);
+    this->Apply("weights", NamedWeights{"m", 2});
+    ReviewWaitingRequests(*this->relay_context);
+  });
+  naming.StartOnce(milliseconds(40));
+  TargetReply reply = Unframed("id: 1\ndata: x\n\n");
+  reply.pauses = true;
+  this->Relay(StreamRoute(), {reply});
+  STRCMP_CONTAINS("\"reason\":\"old weights\"",
+                  this->LastLine("attempt_silent").c_str());
+  const std::string line = this->LastLine("request");
+  STRCMP_CONTAINS("\"cut\":false", line.c_str());
+  STRCMP_CONTAINS("\"attempt_end\":\"old weights\"", line.c_str());
+}
+
 }  // namespace
 }  // namespace celerypost
