Test that a request read after a pause is not closed as idle (red)

Callers would see: a connection that ends although they had sent a whole request. After a pause of the process, or a long iteration, the next request may lie unread in the socket.

--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -796,5 +796,27 @@
   this->responder.reset();
 }
 
+// Guards against a request that is lost unread: the process was held up, and
+// the idle timeout ran before the sockets were read.
+TEST(Http1ServerTest, ARequestThatArrivedInAPauseIsNotClosedAsIdle) {
+  this->Serve();
+  Http1Limits limits;
+  limits.idle_timeout = milliseconds(400);
+  this->server->SetLimits(limits);
+  const int caller = this->Connect();
+  Send(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  this->RunUntil([this] { return this->requests.size() == 1; });
+  this->responder->Send(200, {}, "one");
+  this->Receive(caller, 40);
+  Send(caller, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(1100));
+  this->RunUntil([this] {
+    return this->requests.size() == 2 || this->server->connections() == 0;
+  });
+  CHECK_EQUAL(2u, this->requests.size());
+  close(caller);
+  this->responder.reset();
+}
+
 }  // namespace
 }  // namespace celerypost
