--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -994,11 +994,15 @@
 }
 
 void RelayTask::LogSilent(std::string_view message) {
-  this->context.log.Info("attempt_silent", message,
-                         {{"target", this->attempt->target},
-                          {"events", this->events.events()},
-                          {"attempt", this->attempt->number}},
-                         this->call.id);
+  const TimePoint now = this->context.loop.Now();
+  this->context.log.Info(
+      "attempt_silent", message,
+      {{"target", this->attempt->target},
+       {"events", this->events.events()},
+       {"attempt", this->attempt->number},
+       {"silent_ms", Since(this->attempt->progress_at, now).count()},
+       {"deadline_in_ms", Since(now, this->deadline).count()}},
+      this->call.id);
 }
 
 void RelayTask::KeepAttempt(std::string_view reason) {
