Check the range of ports and numbers in settings and headers

Evidence: NodeFileTest.RejectsNumbersOutOfRange failed before (first seen: internal_ports=7700,7715x was accepted).

Headers were finite and bounded before; nothing changes for them.

--- a/src/connection/socket_address.cc
+++ b/src/connection/socket_address.cc
@@ -2,7 +2,7 @@
 
 #include <arpa/inet.h>
 
-#include <charconv>
+#include "src/version/checked_number.h"
 
 namespace celerypost {
 
@@ -16,18 +16,16 @@
   if (colon != std::string_view::npos) {
     address.ip = std::string(text.substr(0, colon));
     const std::string_view digits = text.substr(colon + 1);
-    const auto parsed = std::from_chars(
-        digits.data(), digits.data() + digits.size(), address.port);
+    const auto port = ParsePort(digits);
     in_addr ignored;
-    if (parsed.ec == std::errc() &&
-        parsed.ptr == digits.data() + digits.size() && !digits.empty() &&
-        inet_pton(AF_INET, address.ip.c_str(), &ignored) == 1) {
+    if (port && inet_pton(AF_INET, address.ip.c_str(), &ignored) == 1) {
+      address.port = *port;
       return address;
     }
   }
   return NotRun(ErrorCode::kInvalidArgument,
                 "'" + std::string(text) +
-                    "' is not an address; expected IPv4:port, port 0..65535");
+                    "' is not an address; expected IPv4:port, port 1..65535");
 }
 
 }  // namespace celerypost
--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "src/version/checked_number.h"
+
 namespace celerypost {
 
 namespace {
@@ -80,14 +82,14 @@
       if (cost < best_cost) {
         best_cost = cost;
         placement.candidate = index;
-        placement.predicted = milliseconds(static_cast<int64_t>(predicted));
+        placement.predicted = ToClampedDuration(predicted);
       }
     }
     if (!placement.candidate) {
-      placement.predicted = milliseconds(static_cast<int64_t>(
-          candidates.empty() ? 0 : std::min(soonest, 1e6)));
-      placement.retry_after = this->RetryAfter(milliseconds(
-          static_cast<int64_t>(std::max(0.0, std::min(soonest, 1e6) - limit))));
+      placement.predicted =
+          ToClampedDuration(candidates.empty() ? 0 : std::min(soonest, 1e6));
+      placement.retry_after =
+          this->RetryAfter(ToClampedDuration(std::min(soonest, 1e6) - limit));
     }
     return placement;
   }
--- a/tests/platform/node_file_test.cc
+++ b/tests/platform/node_file_test.cc
@@ -47,5 +47,18 @@
   CHECK_TRUE(no_service.error().message.find("service") != std::string::npos);
 }
 
+// Guards against a process that starts with a setting that a cast has changed.
+TEST(NodeFileTest, RejectsNumbersOutOfRange) {
+  for (const char* const line :
+       {"internal_ports=7700,70000", "internal_ports=-7700,7715",
+        "internal_ports=7700,7715x", "internal_ports=65536,65540",
+        "listen.front=10.1.0.40:0", "platform.address=10.1.0.40:70000",
+        "bounds.drain_ms=1e300", "bounds.grace_s=inf", "bounds.grace_s=nan",
+        "bounds.budget_ratio=nan", "bounds.cold_over=inf"}) {
+    const auto node = ParseNodeFile(std::string(kGatewayFile) + line + "\n");
+    CHECK_FALSE_TEXT(node.has_value(), line);
+  }
+}
+
 }  // namespace
 }  // namespace celerypost::platform
