Run a request once when its target's weights are superseded

A request that may run once was sent to a second target, whose answer its caller got, when the first target's weights were superseded before it had produced an event: the request was withdrawn and sent on without a look at its route. An answer that is no stream has no events, so this also met requests that the first target was running.

Such a request is still withdrawn, but fails with 502, which promises nothing.

Before, ARequestThatMayRunOnceIsNotRepeatedForNewerWeights got 200 from the second target.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -886,10 +886,12 @@
     this->http_call.reset();
     this->EndAttempt(AttemptOutcome::kBroken);
     this->CountRun(*this->attempt);
-    if (this->silent_attempts.empty()) {
+    if (!this->silent_attempts.empty()) {
+      this->FallBack();
+    } else if (this->route->repeatable()) {
       this->SendToNextTarget();
     } else {
-      this->FallBack();
+      this->FailWith(kBadGateway, "its weights are superseded");
     }
     return;
   }
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -992,5 +992,30 @@
   CHECK_EQUAL(0u, this->open_connections);
 }
 
+// Guards against a second run of a request that may run once, when its target's
+// weights are superseded and another target has the new ones.
+TEST(RelayTaskTest, ARequestThatMayRunOnceIsNotRepeatedForNewerWeights) {
+  this->served_version = 1;
+  this->during = [this] {
+    const TargetSelectorOptions bounds;
+    this->view.NoteCurrent(this->loop.Now() + milliseconds(10) -
+                           bounds.version_bound + bounds.begin_margin);
+    for (const std::string& id : this->target_ids) {
+      TargetRegistration loaded = this->view.targets().at(id).entry;
+      loaded.models.front().version = 2;
+      this->Apply(id, loaded);
+    }
+    this->Apply("weights", NamedWeights{"m", 2});
+    ReviewWaitingRequests(*this->relay_context);
+  };
+  this->during_at = milliseconds(200);
+  Route route = PlainRoute();
+  route.kind = RouteKind::kNonIdempotent;
+  const CallerAnswer answer =
+      this->Relay(route, {{.keeps_connection = true}, Unframed("second")});
+  CHECK_EQUAL(502, answer.status);
+  CHECK_EQUAL(1u, this->received.size());
+}
+
 }  // namespace
 }  // namespace celerypost
