Count the attempt beside a silent one as a run

When a silent attempt spoke again, the attempt that had replaced it became the silent one without being counted among those that may have run. If the first then failed, the request was sent to a third target while the second was running it, although its route allows two (BUDGET).

MakeCurrent counts the attempt that it replaces; a refusal takes it back as before.

Before, AnAttemptBesideASilentOneCountsAsARun saw 3 sends for max_attempts = 2.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -468,6 +468,8 @@
   if (found == this->silent_attempts.end()) {
     return false;
   }
+  // It may run, and MayRetry looks only at the current attempt.
+  this->CountRun(*this->attempt);
   std::swap(*this->attempt, found->attempt);
   std::swap(this->http_call, found->http_call);
   std::swap(this->selection, found->selection);
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -1017,5 +1017,22 @@
   CHECK_EQUAL(1u, this->received.size());
 }
 
+// Guards against more runs of a request than its route allows: the attempt that
+// replaces a silent one runs too when the silent one fails.
+TEST(RelayTaskTest, AnAttemptBesideASilentOneCountsAsARun) {
+  this->target_ids = {"t1", "t2", "t3"};
+  this->patience = milliseconds(1500);
+  Route route = PlainRoute();
+  route.latency_goal = milliseconds(100);
+  this->Relay(
+      route,
+      {{.keeps_connection = true},
+       {.keeps_connection = true},
+       {.bytes = "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+        .on_first_connection = true},
+       {.keeps_connection = true}});
+  CHECK_EQUAL(2u, this->received.size());
+}
+
 }  // namespace
 }  // namespace celerypost
