Replace a silent attempt only once

When a silent attempt failed or refused while its successor was at work, a third target was selected at once and a retry was spent, although the successor had just been sent. With half of the targets slow, each late refusal or end of a connection added one more run of its request.

An attempt that has a successor is not replaced again: the request goes on with the latest attempt that is left, which is replaced when it is silent itself. MakeCurrent swaps attempts, so FallBack looks for the latest by its number.

Before, ASilentAttemptIsReplacedOnce saw 3 sends instead of 2.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -488,8 +488,14 @@
 }
 
 void RelayTask::FallBack() {
-  SilentAttempt latest = std::move(this->silent_attempts.back());
-  this->silent_attempts.pop_back();
+  // MakeCurrent may have changed the order.
+  const auto found = std::max_element(
+      this->silent_attempts.begin(), this->silent_attempts.end(),
+      [](const SilentAttempt& left, const SilentAttempt& right) {
+        return left.attempt.number < right.attempt.number;
+      });
+  SilentAttempt latest = std::move(*found);
+  this->silent_attempts.erase(found);
   this->attempt = std::move(latest.attempt);
   this->http_call = std::move(latest.http_call);
   this->selection = std::move(latest.selection);
@@ -1013,7 +1019,10 @@
   // after the callback has returned.
   this->http_call.reset();
   if (!this->silent_attempts.empty()) {
-    const auto next = this->SelectNext(attempt_verdict, reason);
+    // The successor of a silent attempt has already been sent.
+    const auto next = this->attempt->replaced
+                          ? std::nullopt
+                          : this->SelectNext(attempt_verdict, reason);
     if (attempt_verdict == Verdict::kNotRun) {
       this->UncountRun();
     } else {
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -275,7 +275,7 @@
   std::unique_ptr<HttpCall> http_call;
   std::optional<RelayAttempt> attempt;
   Selection selection;
-  // Attempts before the current one that may still answer, oldest first.
+  // Other attempts that may still answer, in no order.
   std::vector<SilentAttempt> silent_attempts;
   SelectionRequest selection_request;
   EventStream events;
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -1024,15 +1024,33 @@
   this->patience = milliseconds(1500);
   Route route = PlainRoute();
   route.latency_goal = milliseconds(100);
-  this->Relay(
-      route,
-      {{.keeps_connection = true},
-       {.keeps_connection = true},
-       {.bytes = "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
-        .on_first_connection = true},
-       {.keeps_connection = true}});
+  this->Relay(route,
+              {{.keeps_connection = true},
+               {.keeps_connection = true},
+               {.bytes = "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+                .on_first_connection = true},
+               {.keeps_connection = true}});
   CHECK_EQUAL(2u, this->received.size());
 }
 
+// Guards against a retry for a silent attempt that already has a successor.
+TEST(RelayTaskTest, ASilentAttemptIsReplacedOnce) {
+  this->target_ids = {"t1", "t2", "t3"};
+  this->patience = milliseconds(1500);
+  Route route = PlainRoute();
+  route.max_attempts = 3;
+  route.latency_goal = milliseconds(300);
+  for (const std::string& end :
+       {std::string("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"),
+        Refusal("Connection: close\r\n"), std::string()}) {
+    this->BeginCase();
+    this->Relay(route, {{.keeps_connection = true},
+                        {.keeps_connection = true},
+                        {.bytes = end, .on_first_connection = true},
+                        {.keeps_connection = true}});
+    CHECK_EQUAL_TEXT(2u, this->received.size(), end.c_str());
+  }
+}
+
 }  // namespace
 }  // namespace celerypost
