Bound the comments kept for a silent stream

While two attempts of a stream are live, complete comments of either are kept until it is known which one the caller gets. Only the incomplete event was limited, so a target that sends comments without end occupied memory until the deadline.

The kept bytes count towards max_event_bytes; an attempt over it fails and the other one goes on.

Before, CommentsThatAreNotPassedOnAreBounded did not complete in its 1.8 s: the flood was kept and no third target was asked.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -735,7 +735,8 @@
                      "bytes that are no event of the stream"});
     return;
   }
-  if (this->events.incomplete_bytes() > this->context.options.max_event_bytes) {
+  if (this->events.incomplete_bytes() + this->attempt->unsent.size() >
+      this->context.options.max_event_bytes) {
     this->OnFailure({Verdict::kMayHaveRun, ErrorCode::kCorrupt,
                      "an event of the stream exceeds the limit"});
   }
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -1052,5 +1052,25 @@
   }
 }
 
+// Guards against a target that sends comments without end, which are kept while
+// another attempt may still answer.
+TEST(RelayTaskTest, CommentsThatAreNotPassedOnAreBounded) {
+  this->target_ids = {"t1", "t2", "t3"};
+  this->patience = milliseconds(1800);
+  Route route = StreamRoute();
+  route.max_attempts = 3;
+  std::string comments;
+  while (comments.size() <= RelayOptions().max_event_bytes) {
+    comments += ": " + std::string(1000, 'x') + "\n\n";
+  }
+  const CallerAnswer answer =
+      this->Relay(route, {{.bytes = kHeadAndFirst, .keeps_connection = true},
+                          {.bytes = std::string(kHead) + "\r\n" + comments,
+                           .keeps_connection = true},
+                          Unframed(kSecond)});
+  this->CheckAnsweredByTheFirst(answer, kWhole);
+  CHECK_EQUAL(3u, this->received.size());
+}
+
 }  // namespace
 }  // namespace celerypost
