--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -549,6 +549,8 @@
   if (found == this->silent_attempts.end()) {
     return false;
   }
+  // It may run, and MayRetry looks only at the current attempt.
+  this->CountRun(*this->attempt);
   std::swap(*this->attempt, found->attempt);
   std::swap(this->http_call, found->http_call);
   std::swap(this->selection, found->selection);
@@ -567,8 +569,14 @@
 }
 
 void RelayTask::FallBack() {
-  SilentAttempt latest = std::move(this->silent_attempts.back());
-  this->silent_attempts.pop_back();
+  // MakeCurrent may have changed the order.
+  const auto found = std::max_element(
+      this->silent_attempts.begin(), this->silent_attempts.end(),
+      [](const SilentAttempt& left, const SilentAttempt& right) {
+        return left.attempt.number < right.attempt.number;
+      });
+  SilentAttempt latest = std::move(*found);
+  this->silent_attempts.erase(found);
   this->attempt = std::move(latest.attempt);
   this->http_call = std::move(latest.http_call);
   this->selection = std::move(latest.selection);
@@ -805,7 +813,8 @@
                      "bytes that are no event of the stream"});
     return;
   }
-  if (this->events.incomplete_bytes() > this->context.options.max_event_bytes) {
+  if (this->events.incomplete_bytes() + this->attempt->unsent.size() >
+      this->context.options.max_event_bytes) {
     this->OnFailure({Verdict::kMayHaveRun, ErrorCode::kCorrupt,
                      "an event of the stream exceeds the limit"});
   }
@@ -970,10 +979,12 @@
     this->http_call.reset();
     this->EndAttempt(AttemptOutcome::kBroken);
     this->CountRun(*this->attempt);
-    if (this->silent_attempts.empty()) {
+    if (!this->silent_attempts.empty()) {
+      this->FallBack();
+    } else if (this->route->repeatable()) {
       this->SendToNextTarget();
     } else {
-      this->FallBack();
+      this->FailWith(kBadGateway, "its weights are superseded");
     }
     return;
   }
@@ -1120,7 +1131,10 @@
   // after the callback has returned.
   this->http_call.reset();
   if (!this->silent_attempts.empty()) {
-    const auto next = this->SelectNext(attempt_verdict, reason);
+    // The successor of a silent attempt has already been sent.
+    const auto next = this->attempt->replaced
+                          ? std::nullopt
+                          : this->SelectNext(attempt_verdict, reason);
     if (attempt_verdict == Verdict::kNotRun) {
       this->UncountRun();
     } else {
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -1098,5 +1098,85 @@
   CHECK_TRUE(this->request_crashes.MayRepeat(request, this->loop.Now()));
 }
 
+// Guards against a second run of a request that may run once, when its target's
+// weights are superseded and another target has the new ones.
+TEST(RelayTaskTest, ARequestThatMayRunOnceIsNotRepeatedForNewerWeights) {
+  this->served_version = 1;
+  this->during = [this] {
+    const TargetSelectorOptions bounds;
+    this->view.NoteCurrent(this->loop.Now() + milliseconds(10) -
+                           bounds.version_bound + bounds.begin_margin);
+    for (const std::string& id : this->target_ids) {
+      TargetRegistration loaded = this->view.targets().at(id).entry;
+      loaded.models.front().version = 2;
+      this->Apply(id, loaded);
+    }
+    this->Apply("weights", NamedWeights{"m", 2});
+    ReviewWaitingRequests(*this->relay_context);
+  };
+  this->during_at = milliseconds(200);
+  Route route = PlainRoute();
+  route.kind = RouteKind::kNonIdempotent;
+  const CallerAnswer answer =
+      this->Relay(route, {{.keeps_connection = true}, Unframed("second")});
+  CHECK_EQUAL(502, answer.status);
+  CHECK_EQUAL(1u, this->received.size());
+}
+
+// Guards against more runs of a request than its route allows: the attempt that
+// replaces a silent one runs too when the silent one fails.
+TEST(RelayTaskTest, AnAttemptBesideASilentOneCountsAsARun) {
+  this->target_ids = {"t1", "t2", "t3"};
+  this->patience = milliseconds(1500);
+  Route route = PlainRoute();
+  route.latency_goal = milliseconds(100);
+  this->Relay(route,
+              {{.keeps_connection = true},
+               {.keeps_connection = true},
+               {.bytes = "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+                .on_first_connection = true},
+               {.keeps_connection = true}});
+  CHECK_EQUAL(2u, this->received.size());
+}
+
+// Guards against a retry for a silent attempt that already has a successor.
+TEST(RelayTaskTest, ASilentAttemptIsReplacedOnce) {
+  this->target_ids = {"t1", "t2", "t3"};
+  this->patience = milliseconds(1500);
+  Route route = PlainRoute();
+  route.max_attempts = 3;
+  route.latency_goal = milliseconds(300);
+  for (const std::string& end :
+       {std::string("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"),
+        Refusal("Connection: close\r\n"), std::string()}) {
+    this->BeginCase();
+    this->Relay(route, {{.keeps_connection = true},
+                        {.keeps_connection = true},
+                        {.bytes = end, .on_first_connection = true},
+                        {.keeps_connection = true}});
+    CHECK_EQUAL_TEXT(2u, this->received.size(), end.c_str());
+  }
+}
+
+// Guards against a target that sends comments without end, which are kept while
+// another attempt may still answer.
+TEST(RelayTaskTest, CommentsThatAreNotPassedOnAreBounded) {
+  this->target_ids = {"t1", "t2", "t3"};
+  this->patience = milliseconds(1800);
+  Route route = StreamRoute();
+  route.max_attempts = 3;
+  std::string comments;
+  while (comments.size() <= RelayOptions().max_event_bytes) {
+    comments += ": " + std::string(1000, 'x') + "\n\n";
+  }
+  const CallerAnswer answer =
+      this->Relay(route, {{.bytes = kHeadAndFirst, .keeps_connection = true},
+                          {.bytes = std::string(kHead) + "\r\n" + comments,
+                           .keeps_connection = true},
+                          Unframed(kSecond)});
+  this->CheckAnsweredByTheFirst(answer, kWhole);
+  CHECK_EQUAL(3u, this->received.size());
+}
+
 }  // namespace
 }  // namespace celerypost
