Send whole events in the soak of planned stops

The streams of GatewayStopSoakTest had a wrong chunk size, so none of them was passed on whole, and were too short to outlast a grace. It also reports the last log line of a gateway that exits too late.

--- a/tests/process/gateway/gateway_stop_test.cc
+++ b/tests/process/gateway/gateway_stop_test.cc
@@ -770,7 +770,7 @@
     for (int event = 1; event <= 5; ++event) {
       std::this_thread::sleep_for(milliseconds(std::stoi(delay) / 5));
       SendAll(connection,
-              "e\r\nid: " + std::to_string(event) + "\ndata: x\n\n\r\n");
+              "f\r\nid: " + std::to_string(event) + "\ndata: x\n\n\r\n");
     }
     SendAll(connection, "0\r\n\r\n");
   }
@@ -797,9 +797,10 @@
       record.allowed = std::min(deadline, this->RouteTimeout(range));
       const std::string request =
           "POST /" + kind + "/" + record.id + "/" +
-          std::to_string(10 + draws.Below(grace / 3)) + "/" +
-          modes[draws.Below(modes.size())] + " HTTP/1.1\r\nHost: h" + range +
-          "\r\nX-Attempt-Id: " + record.id +
+          std::to_string(
+              10 + draws.Below(record.is_stream ? 3 * grace / 2 : grace / 3)) +
+          "/" + modes[draws.Below(modes.size())] + " HTTP/1.1\r\nHost: h" +
+          range + "\r\nX-Attempt-Id: " + record.id +
           "\r\nX-Deadline-Ms: " + std::to_string(deadline.count()) +
           "\r\nContent-Length: 2\r\n\r\nxy";
       SendAll(caller, request.substr(0, request.size() - 1));
@@ -904,7 +905,8 @@
     }
     if (this->exited_after >= this->settings.stop_grace) {
       faults.push_back("exit after " +
-                       std::to_string(this->exited_after.count()) + " ms");
+                       std::to_string(this->exited_after.count()) +
+                       " ms: " + this->lines.back());
     }
     for (const CallRecord& record : this->records) {
       const std::string fault = this->Judge(record);
