--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -211,6 +211,8 @@
   size_t during_arrivals = 1;
   // The callers leave when this many requests have arrived; 0: never.
   size_t leaves_after_arrivals = 0;
+  // How long the callers wait for their answers.
+  milliseconds patience{10000};
 
   static Route StreamRoute() {
     Route route;
@@ -403,7 +405,7 @@
     const auto call =
         caller.Send({"GET", "/", {{"host", "h"}, {"x-id", id}}, ""}, {},
                     std::move(callbacks));
-    const TimePoint end = this->loop.Now() + std::chrono::seconds(10);
+    const TimePoint end = this->loop.Now() + this->patience;
     while (!answer.complete && !answer.failed && this->loop.Now() < end) {
       this->loop.RunFor(milliseconds(20));
       const size_t arrivals = this->arrived;
@@ -1114,7 +1116,6 @@
     this->Apply("weights", NamedWeights{"m", 2});
     ReviewWaitingRequests(*this->relay_context);
   };
-  this->during_at = milliseconds(200);
   Route route = PlainRoute();
   route.kind = RouteKind::kNonIdempotent;
   const CallerAnswer answer =
