Stop the gateway of a test only when its request is under way

process_gateway_tests hung once beside load: GatewayStopTest waited in accept() for a request that never reached the target. The gateway was stopped 100 ms after the caller's thread was created; a caller that came later is refused since "Refuse what a stopping gateway may not complete", as its route's timeout exceeds the grace.

The stop waits until the target has the request or the caller has its answer; the listener is shut down before the target's thread is joined. No check is changed.

--- a/tests/process/gateway/gateway_stop_test.cc
+++ b/tests/process/gateway/gateway_stop_test.cc
@@ -325,20 +325,30 @@
     }
     CHECK_TRUE(this->Logged("\"ready\""));
     std::string received;
+    // The target has the request, or the caller has its answer.
+    std::atomic<bool> under_way = false;
     std::thread caller([&] {
       received = Call(this->settings.caller_address->port, caller_pause);
+      under_way = true;
     });
     std::thread server([&] {
       const int accepted = accept(listener, nullptr, nullptr);
       char request[4096];
       if (read(accepted, request, sizeof(request)) > 0) {
+        under_way = true;
         target_script(accepted);
       }
       close(accepted);
     });
-    Timer stop(this->loop, [&gateway] { gateway->Stop(); });
-    stop.StartOnce(milliseconds(100));
+    Timer stop(this->loop, [&] {
+      if (under_way) {
+        gateway->Stop();
+      }
+    });
+    stop.StartRepeating(milliseconds(100));
     this->loop.Run();
+    stop.Stop();
+    shutdown(listener, SHUT_RDWR);
     // Closes the sockets, as the exit of the process does.
     gateway.reset();
     this->loop.RunFor(milliseconds(20));
