Log an unreadable document once for each reason

What users would see: a writer that rewrites an odd entry fills the log of every process, up to the limit of 500 lines a second, beyond which other lines are dropped.

Cause: each applied change was logged, whatever had been logged of the same key.

--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -459,6 +459,9 @@
       continue;
     }
     changed = changed || change.outcome != "older";
+    if (!this->IsNewsForLog(change)) {
+      continue;
+    }
     this->dependencies.log.Info("document", change.outcome,
                                 {{"key", change.key},
                                  {"revision", change.position.revision},
@@ -474,6 +477,19 @@
   }
 }
 
+bool NodeCore::IsNewsForLog(const ViewChange& change) {
+  if (change.outcome != "unreadable") {
+    this->unreadable_reasons.erase(change.key);
+    return true;
+  }
+  std::string& logged = this->unreadable_reasons[change.key];
+  if (logged == change.detail) {
+    return false;
+  }
+  logged = change.detail;
+  return true;
+}
+
 void NodeCore::HandleInternal(const HttpRequest& request,
                               const std::shared_ptr<HttpResponder>& responder) {
   const auto path = PathWithoutQuery(request.path);
--- a/src/process/node_core.h
+++ b/src/process/node_core.h
@@ -95,6 +95,9 @@
   // peer's IP address.
   void ReportChanges(const std::vector<ViewChange>& changes,
                      std::string_view source);
+  // Whether a change is to be logged: a document that stays unreadable for the
+  // same reason is logged once.
+  bool IsNewsForLog(const ViewChange& change);
   // Brings `nodes` in line with the registrations in `cluster_view` and adds
   // the processes of this region to the peers.
   void UpdateRegisteredNodes();
@@ -185,6 +188,8 @@
   TimePoint last_config_pull{};
   // The position at the last report of changes.
   StorePosition reported;
+  // Why documents could not be read, by key, as it was logged.
+  std::map<std::string, std::string> unreadable_reasons;
 };
 
 }  // namespace celerypost
