Search for a target that can take over with exponential delays

Each search selects among all targets; with many silent requests and a thousand targets one every 250 ms per request would occupy the loop (review). A probe of a quarantine is now begun only when a target was found for it.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -143,7 +143,8 @@
       responder(std::move(responder)),
       config(context.view.config()),
       arrived(context.loop.Now()),
-      deadline(arrived) {}
+      deadline(arrived),
+      takeover_delay(context.options.min_takeover_delay) {}
 
 void WithdrawRequests(const RelayContext& context, PartHash part) {
   for (const auto& task : ActiveTasks(context)) {
@@ -365,15 +366,16 @@
     reason = kNoTimeLeft;
     return std::nullopt;
   }
-  if (!this->MaySend(now)) {
-    reason = this->QuarantineReason();
-    return std::nullopt;
-  }
   Selection next = this->context.selector.Select(this->selection_request, now);
   if (!next.target) {
     reason = next.reason;
     return std::nullopt;
   }
+  // May begin a probe of a quarantine, which needs a target.
+  if (!this->MaySend(now)) {
+    reason = this->QuarantineReason();
+    return std::nullopt;
+  }
   if (!this->MayRetry(attempt_verdict)) {
     reason = kNotAllowed;
     return std::nullopt;
@@ -654,8 +656,8 @@
 }
 
 void RelayTask::StartTakeoverTimer() {
-  this->StartAttemptTimerAt(this->context.loop.Now() +
-                            this->context.options.takeover_retry_interval);
+  this->StartAttemptTimerAt(this->context.loop.Now() + this->takeover_delay);
+  this->takeover_delay *= 2;
 }
 
 void RelayTask::StartAttemptTimerAt(std::optional<TimePoint> time) {
@@ -824,6 +826,7 @@
   const TimePoint now = this->context.loop.Now();
   this->EndSilentAttempts();
   this->attempt->progress_at = now;
+  this->takeover_delay = this->context.options.min_takeover_delay;
   if (!this->attempt->had_event) {
     this->attempt->had_event = true;
     this->attempt->first_event_at = now;
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -33,9 +33,9 @@
   // time between two tries.
   std::chrono::milliseconds resume_timeout{1200};
   std::chrono::milliseconds resume_retry_interval{100};
-  // Time between two searches for a target that can take over from a silent
-  // one.
-  std::chrono::milliseconds takeover_retry_interval{250};
+  // First time between two searches for a target that can take over from a
+  // silent one; doubles with each search until an event arrives.
+  std::chrono::milliseconds min_takeover_delay{250};
   // Most targets that one request is sent to, including those that refused it.
   uint32_t max_sends = 4;
   // A request is not sent to a target when less time is left until the caller's
@@ -316,6 +316,8 @@
   bool done = false;
   // Since when the started stream has had no target.
   std::optional<TimePoint> stream_broken_at;
+  // Time until the next search for a target that can take over.
+  std::chrono::milliseconds takeover_delay;
   std::optional<TimePoint> first_event_at;
 };
 
