--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -383,6 +383,14 @@
   return next;
 }
 
+std::optional<Selection> RelayTask::SelectSuccessor(Verdict attempt_verdict,
+                                                    std::string_view& reason) {
+  if (this->attempt->replaced && !this->silent_attempts.empty()) {
+    return std::nullopt;
+  }
+  return this->SelectNext(attempt_verdict, reason);
+}
+
 void RelayTask::SendToNextTarget() {
   const TimePoint now = this->context.loop.Now();
   if (this->sends > 0 && !this->MayBeginRetry()) {
@@ -709,7 +717,7 @@
   if (answer.status >= kServerError && !this->head_sent &&
       this->route->repeatable()) {
     std::string_view reason;
-    const auto next = this->SelectNext(Verdict::kMayHaveRun, reason);
+    const auto next = this->SelectSuccessor(Verdict::kMayHaveRun, reason);
     if (next || !this->silent_attempts.empty()) {
       this->http_call.reset();
       this->EndAttempt(AttemptOutcome::kFailed);
@@ -1134,10 +1142,7 @@
   // after the callback has returned.
   this->http_call.reset();
   if (!this->silent_attempts.empty()) {
-    // The successor of a silent attempt has already been sent.
-    const auto next = this->attempt->replaced
-                          ? std::nullopt
-                          : this->SelectNext(attempt_verdict, reason);
+    const auto next = this->SelectSuccessor(attempt_verdict, reason);
     if (attempt_verdict == Verdict::kNotRun) {
       this->UncountRun();
     } else {
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -183,6 +183,10 @@
   // with this verdict.
   std::optional<Selection> SelectNext(Verdict verdict,
                                       std::string_view& reason);
+  // The same for a target that replaces one that failed; nothing if the
+  // attempt's successor has already been sent.
+  std::optional<Selection> SelectSuccessor(Verdict attempt_verdict,
+                                           std::string_view& reason);
   // Makes the attempt the current one; another one that is live becomes silent.
   // Returns false if the attempt has ended.
   bool MakeCurrent(uint32_t number);
