Reject a success that its target has not signed

Cause: nothing read the signature. An answer was judged by status, attempt ID and framing alone.

Change: the codec marks a success without a signature; RelayTask rejects it at its head. A repeatable request goes to another target within the budget; others get 502, which does not say "not run". The attempt counts as broken. Encoded answers take the same way.

Stand-ins of GatewayStopTest sign their answers now; no assertion changed.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -117,6 +117,10 @@
       aborted_streams(metrics.AddCounter(
           "celerypost_aborted_streams_total",
           "Answers that had started and were cut by this process")),
+      rejected_answers(metrics.AddCounter(
+          "celerypost_rejected_answers_total",
+          "Answers that were not passed on: unsigned successes and encoded "
+          "bodies")),
       quarantined(metrics.AddCounter(
           "celerypost_quarantined_requests_total",
           "Requests not sent since they, or a part of their prompt, crash "
@@ -700,10 +704,9 @@
       guard->OnAnswerBegan(this->attempt->target_start, this->attempt->sent_at);
     }
   }
-  if (answer.encoded) {
-    this->EndAttempt(AttemptOutcome::kBroken);
-    this->RetryOrEnd(Verdict::kMayHaveRun, kBadGateway,
-                     "the target's answer is encoded");
+  if (answer.encoded || answer.unsigned_success) {
+    this->RejectAnswer(answer.encoded ? "the target's answer is encoded"
+                                      : "the target's answer is not signed");
     return;
   }
   if (answer.not_run) {
@@ -733,6 +736,18 @@
   }
 }
 
+void RelayTask::RejectAnswer(std::string_view reason) {
+  this->context.metrics.rejected_answers.Add();
+  this->context.log.Info("answer_rejected", reason,
+                         {{"target", this->attempt->target},
+                          {"status", this->attempt->answer.status},
+                          {"attempt", this->attempt->number},
+                          {"repeatable", this->route->repeatable()}},
+                         this->call.id);
+  this->EndAttempt(AttemptOutcome::kBroken);
+  this->RetryOrEnd(Verdict::kMayHaveRun, kBadGateway, reason);
+}
+
 void RelayTask::ReadNotices() {
   const TargetAnswer& answer = this->attempt->answer;
   if (!answer.malformed_header.empty()) {
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -63,6 +63,7 @@
   Counter& resumes;
   Counter& kept_attempts;
   Counter& aborted_streams;
+  Counter& rejected_answers;
   Counter& quarantined;
   Counter& leaving_targets;
   Counter& declining_targets;
@@ -223,6 +224,9 @@
   // Returns whether a response is the one to the current attempt.
   bool IsOwnAnswer(const HttpResponseHead& head) const;
   void OnHead(const HttpResponseHead& head);
+  // Ends the attempt since its answer must not be passed on. The request may
+  // have run.
+  void RejectAnswer(std::string_view reason);
   // Takes up what the target says about itself in the answer's head.
   void ReadNotices();
   void ReadDecline();
--- a/src/request/request_codec.h
+++ b/src/request/request_codec.h
@@ -57,6 +57,8 @@
   bool not_run = false;
   // The status means "not run" to callers, but the target does not say so.
   bool unconfirmed_refusal = false;
+  // A success without the target's signature, which callers do not accept.
+  bool unsigned_success = false;
   // Identity of the target process that answered, if it is not the one that the
   // request was meant for.
   std::string other_target;
--- a/tests/platform/request_codec_test.cc
+++ b/tests/platform/request_codec_test.cc
@@ -144,6 +144,25 @@
   }
 }
 
+// Guards against a success that callers do not accept (MIXED, review/4).
+TEST(PlatformRequestCodecTest, TellsSuccessesWithoutASignature) {
+  const HttpHeaders misspelt = {{"x-response-seam", "3e1b.a"}};
+  const HttpHeaders sealed = {{"x-response-seal", "3e1b.a"}};
+  const HttpHeaders blank = {{"x-response-seal", " \t"}};
+  const HttpHeaders partly_empty = {{"x-response-seal", "3e1b.a"},
+                                    {"x-response-seal", ""}};
+  for (const int status : {200, 202, 204, 206, 299}) {
+    for (const HttpHeaders& headers :
+         {HttpHeaders(), misspelt, blank, partly_empty}) {
+      CHECK_TRUE(this->codec.ReadAnswer(status, headers).unsigned_success);
+    }
+    CHECK_FALSE(this->codec.ReadAnswer(status, sealed).unsigned_success);
+  }
+  for (const int status : {300, 304, 404, 421, 500, 503}) {
+    CHECK_FALSE(this->codec.ReadAnswer(status, {}).unsigned_success);
+  }
+}
+
 // Guards against a target that leaves and is not believed, in whatever answer
 // it says so, and against a value that means nothing.
 TEST(PlatformRequestCodecTest, ReadsThatATargetLeaves) {
--- a/tests/process/gateway/gateway_stop_test.cc
+++ b/tests/process/gateway/gateway_stop_test.cc
@@ -225,12 +225,14 @@
 };
 
 // The answer to `request` with the headers in `head`.
+constexpr char kSignature[] = "x-response-seal: 1.2\r\n";
+
 std::string TargetAnswerTo(const std::string& request,
                            const std::string& status,
                            const std::string& head = {}) {
   return "HTTP/1.1 " + status +
          "\r\nx-attempt-id: " + HeaderOf(request, "x-attempt-id") + "\r\n" +
-         head + "Content-Length: 2\r\n\r\nok";
+         kSignature + head + "Content-Length: 2\r\n\r\nok";
 }
 
 // Leaves the request without an answer until the gateway closes its connection.
@@ -563,9 +565,10 @@
   }
   const std::string received =
       this->StopDuringRequest(milliseconds(1200), [&body](int connection) {
-        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
-                                   std::to_string(body.size()) + "\r\n\r\n" +
-                                   body;
+        const std::string answer =
+            "HTTP/1.1 200 OK\r\n" + std::string(kSignature) +
+            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+            body;
         CHECK_EQUAL(static_cast<ssize_t>(answer.size()),
                     write(connection, answer.data(), answer.size()));
       });
@@ -775,8 +778,8 @@
       return;
     }
     SendAll(connection, "HTTP/1.1 200 OK\r\nx-attempt-id: " +
-                            HeaderOf(request, "x-attempt-id") +
-                            "\r\nTransfer-Encoding: chunked\r\n\r\n");
+                            HeaderOf(request, "x-attempt-id") + "\r\n" +
+                            kSignature + "Transfer-Encoding: chunked\r\n\r\n");
     for (int event = 1; event <= 5; ++event) {
       std::this_thread::sleep_for(milliseconds(std::stoi(delay) / 5));
       SendAll(connection,
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -129,6 +129,8 @@
     }
     answer.not_run = !FindHeader(headers, "x-not-run").empty();
     answer.unconfirmed_refusal = status == 503 && !answer.not_run;
+    answer.unsigned_success =
+        status < 300 && !FindHeader(headers, "x-unsigned").empty();
     return answer;
   }
   HttpHeaders MakeCallerHeaders(const HttpHeaders&) const override {
@@ -457,6 +459,58 @@
   }
 };
 
+// Guards against a success without the target's signature that reaches the
+// caller (MIXED, review/4): another target is asked if that is allowed.
+TEST(RelayTaskTest, AnUnsignedSuccessOfARepeatableRequestIsRetried) {
+  for (const std::string head :
+       {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 204 None\r\n"}) {
+    const TargetReply reply{
+        head + "x-unsigned: 1\r\nConnection: close\r\n\r\n" + kWhole};
+    for (const Route& route : {PlainRoute(), StreamRoute()}) {
+      this->BeginCase();
+      this->CheckAnsweredByTheFirst(
+          this->Relay(route, {reply, WithLength(kWhole)}), kWhole);
+      CHECK_EQUAL(2u, this->received.size());
+    }
+  }
+}
+
+// Guards against an unsigned success that is passed on since no other target
+// may be asked, and against a status that says the request has not run.
+TEST(RelayTaskTest, AnUnsignedSuccessWithoutRetryFails) {
+  Route once = PlainRoute();
+  once.kind = RouteKind::kNonIdempotent;
+  Route stream_once = StreamRoute();
+  stream_once.resumable = false;
+  Route no_attempt_left = PlainRoute();
+  no_attempt_left.max_attempts = 1;
+  const TargetReply reply{Kept("x-unsigned: 1\r\n", kWhole), false, false,
+                          milliseconds(0)};
+  for (const Route& route : {once, stream_once, no_attempt_left}) {
+    this->BeginCase();
+    const CallerAnswer answer = this->Relay(route, {reply, WithLength(kWhole)});
+    CHECK_EQUAL(502, answer.status);
+    CHECK_TRUE(answer.complete);
+    CHECK_EQUAL(1u, this->received.size());
+  }
+}
+
+// Guards against the events of an unsigned answer in a stream that its target
+// is to resume.
+TEST(RelayTaskTest, AnUnsignedAnswerDoesNotResumeAStream) {
+  Route route = StreamRoute();
+  route.max_attempts = 3;
+  this->target_ids.emplace_back("t3");
+  const CallerAnswer answer = this->Relay(
+      route,
+      {Unframed(kBroken),
+       TargetReply{std::string(kHead) + "x-unsigned: 1\r\n\r\n" + kResumed},
+       Unframed(kResumed)});
+  STRCMP_EQUAL(kJoined, answer.body.c_str());
+  CHECK_TRUE(answer.complete);
+  CHECK_EQUAL(3u, this->received.size());
+}
+
 // Guards against a stream that joins pieces of two runs: a target that broke
 // off within its first event left the part behind, and the first event of the
 // next target was appended to it (kilele-waivers-large, trouble-2).
