Read a stream no faster than its caller takes it

Cause: Http1Client never stopped reading. RelayTask wrote each complete event to the responder, which queued it without a bound, so a gateway kept the difference between what the target sent and what the caller took, until the deadline.

Change: a responder tells its unsent bytes and when they have drained; a call can stop reading. Over 256 KiB unsent the target is not read until a quarter is left. The caller's connection is still read, and the deadline runs, so that both end a paused stream. The time counts as no silence of the target, and its connection is read again before it is kept for another request.

--- a/src/connection/http1_client.cc
+++ b/src/connection/http1_client.cc
@@ -383,6 +383,9 @@
   }
 
   void Finish(bool reuse) {
+    if (reuse) {
+      this->ResumeReading();
+    }
     const auto finished = this->exchange;
     this->exchange.reset();
     this->exchange_open = false;
@@ -496,6 +499,19 @@
   }
 
  public:
+  void PauseReading() {
+    if (!this->closing && !this->connecting) {
+      this->paused = true;
+      uv_read_stop(this->stream());
+    }
+  }
+
+  void ResumeReading() {
+    if (!this->closing && std::exchange(this->paused, false)) {
+      uv_read_start(this->stream(), Allocate, OnRead);
+    }
+  }
+
   // Called when the caller destroys its HttpCall.
   void Cancel() {
     // A running callback must not be destroyed, so the connection is closed
@@ -521,6 +537,8 @@
   TimePoint attached_at{};
   bool last_was_value = true;
   bool connecting = false;
+  // Reading is stopped at the request of the caller.
+  bool paused = false;
   // HttpResponseHead::reused_connection.
   bool reused = false;
   bool write_pending = false;
@@ -555,6 +573,16 @@
   Http1Call(const Http1Call&) = delete;
   Http1Call& operator=(const Http1Call&) = delete;
   bool MayHaveBeenSent() const override { return this->exchange->sent; }
+  void PauseReading() override {
+    if (this->exchange->channel != nullptr) {
+      this->exchange->channel->PauseReading();
+    }
+  }
+  void ResumeReading() override {
+    if (this->exchange->channel != nullptr) {
+      this->exchange->channel->ResumeReading();
+    }
+  }
 
  private:
   std::shared_ptr<Exchange> exchange;
--- a/src/connection/http1_server.cc
+++ b/src/connection/http1_server.cc
@@ -45,13 +45,26 @@
     this->content_length = length;
     this->has_length = true;
   }
+  size_t unsent_bytes() const override;
+  void OnDrained(size_t bytes, std::function<void()> callback) override {
+    this->drained_at = bytes;
+    this->on_drained = std::move(callback);
+  }
   void OnClosed(std::function<void()> callback) override {
     this->on_closed = std::move(callback);
   }
   bool closed() const override { return this->connection == nullptr; }
 
+  // Bytes of the answer have been sent.
+  void NoteSent() {
+    if (this->on_drained && this->unsent_bytes() <= this->drained_at) {
+      std::exchange(this->on_drained, nullptr)();
+    }
+  }
+
   void Detach() {
     this->connection = nullptr;
+    this->on_drained = nullptr;
     auto callback = std::move(this->on_closed);
     this->on_closed = nullptr;
     if (callback) {
@@ -61,10 +74,14 @@
   void Finish() {
     this->connection = nullptr;
     this->on_closed = nullptr;
+    this->on_drained = nullptr;
   }
 
   Connection* connection;
   std::function<void()> on_closed;
+  std::function<void()> on_drained;
+  // Unsent bytes at which on_drained is called.
+  size_t drained_at = 0;
   size_t content_length = 0;
   bool has_length = false;
   bool started = false;
@@ -158,8 +175,7 @@
     const auto& limits = this->server->limits;
     const auto age = now - this->state_since;
     if (!this->responder && this->HasUnsentBytes()) {
-      const size_t left =
-          this->output.size() + uv_stream_get_write_queue_size(this->stream());
+      const size_t left = this->UnsentBytes();
       if (left != this->unsent_bytes) {
         this->unsent_bytes = left;
         this->state_since = now;
@@ -194,6 +210,12 @@
     }
   }
 
+  size_t UnsentBytes() const {
+    return this->output.size() +
+           uv_stream_get_write_queue_size(
+               reinterpret_cast<const uv_stream_t*>(&this->tcp));
+  }
+
   // Queues bytes; the output of one loop iteration is sent in one write.
   void Output(std::string_view bytes) {
     if (this->closing || this->send_closed) {
@@ -353,7 +375,14 @@
       }
       this->output.clear();
     }
+    this->OnSent();
+  }
+
+  void OnSent() {
     this->CloseIfDone();
+    if (const auto held = this->responder) {
+      held->NoteSent();
+    }
   }
 
   struct Write {
@@ -376,7 +405,7 @@
           if (status != 0) {
             done->connection->Close();
           } else {
-            done->connection->CloseIfDone();
+            done->connection->OnSent();
           }
         });
     if (status != 0) {
@@ -541,6 +570,10 @@
   this->connection->Output(chunk);
 }
 
+size_t Responder::unsent_bytes() const {
+  return this->closed() ? 0 : this->connection->UnsentBytes();
+}
+
 void Responder::End() {
   if (this->closed()) {
     return;
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -45,6 +45,11 @@
   virtual ~HttpCall() = default;
   // Whether the server may have received a part of the request.
   virtual bool MayHaveBeenSent() const { return true; }
+  // Stops reading the response, so that the server cannot send more than the
+  // operating system buffers; what has been read is still delivered. The end of
+  // the connection goes unnoticed meanwhile (Http1Client only).
+  virtual void PauseReading() {}
+  virtual void ResumeReading() {}
 };
 
 // A complete response.
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -22,7 +22,8 @@
 
   // Sends the status line and headers of a streamed answer.
   virtual void Start(int status, const HttpHeaders& headers) = 0;
-  // Sends a part of the body; buffers while the connection is slow.
+  // Sends a part of the body; buffers while the connection is slow
+  // (unsent_bytes).
   virtual void Write(std::string_view bytes) = 0;
   // Ends the body.
   virtual void End() = 0;
@@ -42,6 +43,13 @@
   // Call before Start.
   virtual void SetContentLength(size_t /*length*/) {}
 
+  // Bytes of the answer that are kept because the caller has not taken them.
+  virtual size_t unsent_bytes() const { return 0; }
+  // Calls `callback` once when at most `bytes` of the answer are unsent; never
+  // if the answer or the connection ends before. Replaces an earlier callback.
+  virtual void OnDrained(size_t /*bytes*/, std::function<void()> /*callback*/) {
+  }
+
   // Called once when the caller's connection ends before the answer does.
   virtual void OnClosed(std::function<void()> callback) = 0;
   virtual bool closed() const = 0;
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -121,6 +121,9 @@
           "celerypost_rejected_answers_total",
           "Answers that were not passed on: unsigned successes and encoded "
           "bodies")),
+      paused_streams(metrics.AddCounter(
+          "celerypost_paused_streams_total",
+          "Times that a target was not read since its caller was slow")),
       quarantined(metrics.AddCounter(
           "celerypost_quarantined_requests_total",
           "Requests not sent since they, or a part of their prompt, crash "
@@ -655,7 +658,7 @@
 }
 
 std::optional<TimePoint> RelayTask::SilentAt() const {
-  if (!this->route->repeatable()) {
+  if (!this->route->repeatable() || this->paused) {
     return std::nullopt;
   }
   return this->attempt->progress_at +
@@ -895,6 +898,38 @@
         this->context.codec.MakeCallerHeaders(this->attempt->headers));
   }
   this->responder->Write(std::exchange(this->attempt->unsent, {}));
+  this->PauseForCaller();
+}
+
+void RelayTask::PauseForCaller() {
+  const size_t limit = this->context.options.max_unsent_bytes;
+  if (this->responder->unsent_bytes() <= limit || !this->http_call) {
+    return;
+  }
+  // Also while an earlier pause lasts: another attempt may have gone on.
+  this->http_call->PauseReading();
+  if (std::exchange(this->paused, true)) {
+    return;
+  }
+  this->context.metrics.paused_streams.Add();
+  this->responder->OnDrained(limit / 4, [weak = this->weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->OnCallerCaughtUp();
+    }
+  });
+}
+
+void RelayTask::OnCallerCaughtUp() {
+  this->paused = false;
+  if (this->done || !this->attempt || this->attempt->ended) {
+    return;
+  }
+  // The pause was the caller's.
+  this->attempt->progress_at = this->context.loop.Now();
+  this->StartAttemptTimer();
+  if (this->http_call) {
+    this->http_call->ResumeReading();
+  }
 }
 
 void RelayTask::OnEnd() {
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -45,6 +45,9 @@
   // of a stream. They bound what a target that sends without end occupies.
   size_t max_answer_bytes = 1u << 20;
   size_t max_event_bytes = 256u << 10;
+  // The gateway stops reading a stream from its target when more bytes of it
+  // wait for the caller, and goes on when a quarter of them is left.
+  size_t max_unsent_bytes = 256u << 10;
   // A target that has sent events of an answer for this long does not crash on
   // its request.
   std::chrono::milliseconds survival_time{250};
@@ -64,6 +67,7 @@
   Counter& kept_attempts;
   Counter& aborted_streams;
   Counter& rejected_answers;
+  Counter& paused_streams;
   Counter& quarantined;
   Counter& leaving_targets;
   Counter& declining_targets;
@@ -255,6 +259,9 @@
   // looks the same.
   void NoteEndOfAnswer();
   void ForwardEvents(const std::string& complete_events);
+  // Stops reading from the target while the caller takes the stream too slowly.
+  void PauseForCaller();
+  void OnCallerCaughtUp();
 
   // Returns whether the request may be sent to another target after it may have
   // harmed the last one.
@@ -283,7 +290,7 @@
   // The earliest time by which a live attempt must have begun to run.
   std::optional<TimePoint> MustBeginBy() const;
   // Returns when the attempt counts as silent; nothing if the request must not
-  // be repeated.
+  // be repeated or its target is not read.
   std::optional<TimePoint> SilentAt() const;
   void StartAttemptTimer();
   void StartTakeoverTimer();
@@ -322,6 +329,8 @@
   // The response to the caller has started.
   bool head_sent = false;
   bool done = false;
+  // The target is not read because the caller is slow.
+  bool paused = false;
   // Since when the started stream has had no target.
   std::optional<TimePoint> stream_broken_at;
   // Time until the next search for a target that can take over.
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -215,6 +215,11 @@
   size_t leaves_after_arrivals = 0;
   // How long the callers wait for their answers.
   milliseconds patience{10000};
+  // How long they read nothing after the head of an answer.
+  milliseconds reading_pause{0};
+  // To the latest request, and most bytes of it that were unsent at a time.
+  std::shared_ptr<HttpResponder> responder;
+  size_t max_unsent_bytes = 0;
 
   static Route StreamRoute() {
     Route route;
@@ -362,7 +367,9 @@
     this->relay_context = &context;
     auto server = Http1Server::Make(
         this->loop, "127.0.0.1", 0,
-        [&context](HttpRequest request, std::shared_ptr<HttpResponder> out) {
+        [this, &context](HttpRequest request,
+                         std::shared_ptr<HttpResponder> out) {
+          this->responder = out;
           std::make_shared<RelayTask>(context, std::move(request), out)
               ->Start();
         });
@@ -396,20 +403,35 @@
     Http1Client caller(this->loop, {"127.0.0.1", port}, {});
     CallerAnswer answer;
     HttpResponseCallbacks callbacks;
-    callbacks.on_head = [&answer](const HttpResponseHead& head) {
+    std::unique_ptr<HttpCall> call;
+    std::optional<TimePoint> reads_from;
+    callbacks.on_head = [&](const HttpResponseHead& head) {
       answer.status = head.status;
+      if (this->reading_pause.count() > 0) {
+        reads_from = this->loop.Now() + this->reading_pause;
+        call->PauseReading();
+      }
     };
     callbacks.on_body = [&answer](std::string_view bytes) {
       answer.body.append(bytes);
     };
     callbacks.on_end = [&answer] { answer.complete = true; };
     callbacks.on_failure = [&answer](const Failure&) { answer.failed = true; };
-    const auto call =
-        caller.Send({"GET", "/", {{"host", "h"}, {"x-id", id}}, ""}, {},
-                    std::move(callbacks));
+    Http1SendOptions options;
+    options.max_body_bytes = 0;
+    call = caller.Send({"GET", "/", {{"host", "h"}, {"x-id", id}}, ""},
+                       std::move(options), std::move(callbacks));
     const TimePoint end = this->loop.Now() + this->patience;
     while (!answer.complete && !answer.failed && this->loop.Now() < end) {
       this->loop.RunFor(milliseconds(20));
+      if (this->responder) {
+        this->max_unsent_bytes =
+            std::max(this->max_unsent_bytes, this->responder->unsent_bytes());
+      }
+      if (reads_from && this->loop.Now() >= *reads_from) {
+        reads_from.reset();
+        call->ResumeReading();
+      }
       const size_t arrivals = this->arrived;
       if (this->leaves_after_arrivals > 0 &&
           arrivals >= this->leaves_after_arrivals) {
@@ -511,6 +533,52 @@
   CHECK_EQUAL(3u, this->received.size());
 }
 
+// Guards against a process that runs out of memory since it reads an answer
+// faster than the caller takes it (LOST, review/1), and against a pause of the
+// caller that counts as the target's.
+TEST(RelayTaskTest, ASlowCallerHoldsUpItsTarget) {
+  constexpr int kEvents = 16384;
+  std::string body;
+  for (int i = 1; i <= kEvents; ++i) {
+    body += "id: " + std::to_string(i) + "\ndata: " + std::string(1024, 'x') +
+            "\n\n";
+  }
+  Route route = StreamRoute();
+  route.timeout = milliseconds(20000);
+  route.latency_goal = milliseconds(200);
+  this->patience = route.timeout;
+  this->reading_pause = milliseconds(2500);
+  const CallerAnswer answer =
+      this->Relay(route, {WithLength(body), WithLength(body)});
+  CHECK_TRUE(answer.complete);
+  CHECK_TRUE(body == answer.body);
+  CHECK_EQUAL(1u, this->received.size());
+  CHECK_COMPARE(this->max_unsent_bytes, >, 0u);
+  // The limit, one read from the target and the framing of chunks.
+  CHECK_COMPARE(this->max_unsent_bytes, <=,
+                RelayOptions{}.max_unsent_bytes + (66u << 10));
+}
+
+// Guards against a caller that leaves, and a deadline that passes, unnoticed
+// while the target is not read.
+TEST(RelayTaskTest, APausedStreamEndsWithItsCallerOrDeadline) {
+  const TargetReply reply =
+      WithLength("id: 1\ndata: " + std::string(200u << 10, 'x') +
+                 "\n\nid: 2\ndata: " + std::string(200u << 10, 'x') +
+                 "\n\nid: 3\ndata: " + std::string(16u << 20, ' ') + "\n\n");
+  Route route = StreamRoute();
+  route.timeout = milliseconds(1000);
+  this->reading_pause = milliseconds(60000);
+  for (const milliseconds wait : {milliseconds(400), milliseconds(1500)}) {
+    this->BeginCase();
+    this->patience = wait;
+    const CallerAnswer answer = this->Relay(route, {reply});
+    CHECK_FALSE(answer.complete);
+    CHECK_EQUAL(0u, this->responder->unsent_bytes());
+    CHECK_TRUE(this->responder->closed());
+  }
+}
+
 // Guards against a stream that joins pieces of two runs: a target that broke
 // off within its first event left the part behind, and the first event of the
 // next target was appended to it (kilele-waivers-large, trouble-2).
