Abort a streamed answer that its caller does not take

Change: over 4 MiB behind an unfinished send the answer is aborted and dropped. A single write of any length is not concerned: it is handed to h2o at once.

Evidence: HttpTest AbortsAnAnswerThatItsCallerDoesNotTake fails without the check (the connection does not end) and passes with it.

--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -32,6 +32,7 @@
   h2o_handler_t super;
   HttpHandler* handler;
   size_t* requests;
+  size_t max_unsent_bytes;
 };
 
 std::string ToString(const h2o_iovec_t& bytes) {
@@ -49,8 +50,10 @@
 class H2oResponder : public HttpResponder {
  public:
   // `requests` counts the requests that h2o has not disposed of.
-  H2oResponder(h2o_req_t* request, size_t& requests)
-      : request(request), requests(requests) {
+  H2oResponder(h2o_req_t* request, size_t& requests, size_t max_unsent_bytes)
+      : request(request),
+        requests(requests),
+        max_unsent_bytes(max_unsent_bytes) {
     ++this->requests;
   }
 
@@ -72,6 +75,12 @@
       return;
     }
     this->waiting.append(bytes);
+    // What waits behind an unfinished send waits for the caller.
+    if (this->sending && this->waiting.size() > this->max_unsent_bytes) {
+      this->waiting = {};
+      this->Abort();
+      return;
+    }
     this->Flush();
   }
 
@@ -162,6 +171,7 @@
 
   h2o_req_t* request;
   size_t& requests;
+  size_t max_unsent_bytes;
   ResponseGenerator* generator = nullptr;
   std::function<void()> on_closed;
   std::string waiting;
@@ -182,8 +192,10 @@
 }
 
 std::shared_ptr<H2oResponder> MakeResponder(h2o_req_t* request,
-                                            size_t& requests) {
-  auto responder = std::make_shared<H2oResponder>(request, requests);
+                                            size_t& requests,
+                                            size_t max_unsent_bytes) {
+  auto responder =
+      std::make_shared<H2oResponder>(request, requests, max_unsent_bytes);
   auto* generator = static_cast<ResponseGenerator*>(h2o_mem_alloc_shared(
       &request->pool, sizeof(ResponseGenerator), DisposeGenerator));
   generator->super.proceed = [](h2o_generator_t* self, h2o_req_t*) {
@@ -208,7 +220,8 @@
     message.body = ToString(request->entity);
   }
   const auto* const registered = reinterpret_cast<RequestHandler*>(self);
-  auto responder = MakeResponder(request, *registered->requests);
+  auto responder = MakeResponder(request, *registered->requests,
+                                 registered->max_unsent_bytes);
   (*registered->handler)(std::move(message), responder);
   return 0;
 }
@@ -247,6 +260,7 @@
     request_handler->super.on_req = OnRequest;
     request_handler->handler = &this->handler;
     request_handler->requests = &this->requests;
+    request_handler->max_unsent_bytes = this->options.max_unsent_bytes;
     h2o_context_init(&this->context, this->loop.uv(), &this->config);
     this->accept.ctx = &this->context;
     this->accept.hosts = this->config.hosts;
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -65,6 +65,9 @@
   uint16_t port = 0;
   // Larger request bodies are answered with 413.
   size_t max_body_bytes = 8u << 20;
+  // A streamed answer is aborted when more of its bytes than this wait for a
+  // caller that takes them too slowly.
+  size_t max_unsent_bytes = 4u << 20;
 };
 
 // HTTP/1.1 server on h2o. Calls the handler on the loop's thread.
--- a/tests/connection/http_test.cc
+++ b/tests/connection/http_test.cc
@@ -2,10 +2,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "src/connection/http_client.h"
@@ -168,6 +171,49 @@
   CHECK(response->body.ends_with("498,499,"));
 }
 
+// Guards against an answer that is kept without a bound for a caller that does
+// not take it (the cause of review/1 in the product's own server).
+TEST(HttpTest, AbortsAnAnswerThatItsCallerDoesNotTake) {
+  constexpr size_t kPieces = 40;
+  constexpr size_t kPieceBytes = 1u << 20;
+  std::shared_ptr<HttpResponder> answer;
+  this->Serve([&](const HttpRequest&, std::shared_ptr<HttpResponder> out) {
+    answer = std::move(out);
+    answer->Start(200, {});
+  });
+  const int caller = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  uv_ip4_addr("127.0.0.1", this->server->port(), &address);
+  CHECK_EQUAL(0, connect(caller, reinterpret_cast<sockaddr*>(&address),
+                         sizeof(address)));
+  constexpr std::string_view kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  CHECK_EQUAL(static_cast<ssize_t>(kRequest.size()),
+              write(caller, kRequest.data(), kRequest.size()));
+  for (int i = 0; i < kMaxIterations && !answer; ++i) {
+    this->loop.RunFor(milliseconds(20));
+  }
+  for (size_t i = 0; i < kPieces; ++i) {
+    answer->Write(std::string(kPieceBytes, 'x'));
+    this->loop.RunFor(milliseconds(1));
+  }
+  answer->End();
+  std::string received;
+  bool ended = false;
+  for (int i = 0; i < kMaxIterations && !ended; ++i) {
+    std::vector<char> bytes(kPieceBytes);
+    const ssize_t count =
+        recv(caller, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    received.append(bytes.data(),
+                    static_cast<size_t>(std::max<ssize_t>(count, 0)));
+    ended = count == 0 || (count < 0 && errno != EAGAIN);
+    this->loop.RunFor(milliseconds(1));
+  }
+  CHECK_TRUE(ended);
+  CHECK_COMPARE(received.size(), <, kPieces * kPieceBytes);
+  CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+  close(caller);
+}
+
 // Guards against an aborted stream that looks like a complete answer.
 TEST(HttpTest, AbortFailsTheCall) {
   this->Serve([](HttpRequest, std::shared_ptr<HttpResponder> out) {
