Bound the memory that a process keeps for its callers

What callers saw: limits on one body, answer or event did not bound their sum.

Cause: no part knew the sum; the client kept the body of a request twice after it was sent, bodies grew by doubling, and the allocator kept what was freed.

Change: MemoryBudget, 0.6 of limits.memory_mb. Connections and relay tasks report what they hold. The internal ports count and refuse, too.

Tests: MemoryBudgetTest, Http1ServerTest RefusesLongBodiesWithoutMemoryForThem, RelayTaskTest AnAnswerOverTheMemoryBudgetFails and RefusesARequestWithoutMemoryForIt; they need the new interface, so they don't build before it.

--- a/src/connection/http1_client.cc
+++ b/src/connection/http1_client.cc
@@ -5,6 +5,7 @@
 #include <uv.h>
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <cstdlib>
 #include <deque>
@@ -50,7 +51,8 @@
   }
 }
 
-std::string Serialize(const HttpRequest& request, const SocketAddress& server) {
+std::string SerializeHead(const HttpRequest& request,
+                          const SocketAddress& server) {
   std::string head = request.method + " " + request.path + " HTTP/1.1\r\n";
   if (FindHeader(request.headers, "host").empty()) {
     head += "host: " + server.ToString() + "\r\n";
@@ -63,7 +65,7 @@
     head += "content-length: " + std::to_string(request.body.size()) + "\r\n";
   }
   head += "\r\n";
-  return head + request.body;
+  return head;
 }
 
 }  // namespace
@@ -219,20 +221,27 @@
 
   struct Write {
     uv_write_t request;
-    std::string bytes;
+    std::string head;
+    std::string body;
     Channel* channel;
   };
 
   void SendRequest() {
     this->exchange->sent = true;
-    auto* write = new Write{
-        {}, Serialize(this->exchange->request, this->client->server), this};
-    this->exchange->request.body.clear();
+    auto* write =
+        new Write{{},
+                  SerializeHead(this->exchange->request, this->client->server),
+                  std::move(this->exchange->request.body),
+                  this};
     write->request.data = write;
-    uv_buf_t buffer = uv_buf_init(write->bytes.data(),
-                                  static_cast<unsigned>(write->bytes.size()));
+    const std::array<uv_buf_t, 2> buffers = {
+        uv_buf_init(write->head.data(),
+                    static_cast<unsigned>(write->head.size())),
+        uv_buf_init(write->body.data(),
+                    static_cast<unsigned>(write->body.size()))};
     this->write_pending = true;
-    if (uv_write(&write->request, this->stream(), &buffer, 1,
+    if (uv_write(&write->request, this->stream(), buffers.data(),
+                 write->body.empty() ? 1 : 2,
                  [](uv_write_t* request, int status) {
                    const std::unique_ptr<Write> done(
                        static_cast<Write*>(request->data));
--- a/src/connection/http1_server.cc
+++ b/src/connection/http1_server.cc
@@ -91,14 +91,16 @@
 }  // namespace
 
 struct Http1Server::Impl : std::enable_shared_from_this<Http1Server::Impl> {
-  Impl(Loop& loop, HttpHandler handler)
+  Impl(Loop& loop, MemoryBudget& memory, HttpHandler handler)
       : loop(loop),
+        memory(memory),
         handler(std::move(handler)),
         sweep(loop, [this] { this->Sweep(); }) {}
 
   void Sweep();
 
   Loop& loop;
+  MemoryBudget& memory;
   HttpHandler handler;
   Http1Limits limits;
   Timer sweep;
@@ -117,7 +119,8 @@
   explicit Connection(std::shared_ptr<Http1Server::Impl> server)
       : server(std::move(server)),
         state_since(this->server->loop.Now()),
-        idle_timeout(this->server->limits.idle_timeout) {
+        idle_timeout(this->server->limits.idle_timeout),
+        memory(this->server->memory, [this] { this->EndForMemory(); }) {
     uv_tcp_init(this->server->loop.uv(), &this->tcp);
     this->tcp.data = this;
     http_parser_init(&this->parser, HTTP_REQUEST);
@@ -141,6 +144,7 @@
       return;
     }
     this->closing = true;
+    this->memory.Set(0);
     this->server->connections.erase(this);
     if (this->responder) {
       --this->server->in_progress;
@@ -222,6 +226,7 @@
       return;
     }
     this->output.append(bytes);
+    this->ReportMemory();
     if (!this->flush_scheduled) {
       this->flush_scheduled = true;
       this->server->loop.BeforeWait([weak = this->weak_from_this()] {
@@ -252,6 +257,7 @@
           connection->pipelined.clear();
           connection->Parse(bytes);
           connection->ResumeReading();
+          connection->ReportMemory();
         }
       });
     }
@@ -304,9 +310,28 @@
         uv_read_stop(stream);
         connection->reading_stopped = true;
       }
+    } else {
+      connection->Parse(bytes);
+    }
+    connection->ReportMemory();
+  }
+
+  void ReportMemory() {
+    if (!this->closing) {
+      this->memory.Set(this->request.body.size() + this->pipelined.size() +
+                       this->UnsentBytes());
+    }
+  }
+
+  // Refuses a request that has not been read completely; otherwise closes the
+  // connection.
+  void EndForMemory() {
+    if (!this->in_message || this->HasUnsentBytes()) {
+      this->Close();
       return;
     }
-    connection->Parse(bytes);
+    this->request = {};
+    this->Reject(503);
   }
 
   void ResumeReading() {
@@ -348,9 +373,11 @@
   }
 
   void Reject(int status) {
+    const bool may_return = status == 503;
     this->Output("HTTP/1.1 " + std::to_string(status) + " " +
-                 std::string(StatusReason(status)) +
-                 "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+                 std::string(StatusReason(status)) + "\r\n" +
+                 (may_return ? "Retry-After: 1\r\n" : "") +
+                 "Content-Length: 0\r\nConnection: close\r\n\r\n");
     this->close_when_flushed = true;
   }
 
@@ -379,6 +406,7 @@
   }
 
   void OnSent() {
+    this->ReportMemory();
     this->CloseIfDone();
     if (const auto held = this->responder) {
       held->NoteSent();
@@ -471,6 +499,21 @@
       self->headers_done = true;
       self->request.method =
           http_method_str(static_cast<http_method>(parser->method));
+      // A chunked body may become as long as the limit.
+      const size_t max_body = self->server->limits.max_body_bytes;
+      size_t length = 0;
+      if ((parser->flags & F_CHUNKED) != 0) {
+        length = max_body;
+      } else if (parser->content_length <= max_body) {
+        length = parser->content_length;
+      }
+      if (length > 0 && !self->server->memory.Accepts(length)) {
+        self->reject_status = 503;
+        return -1;
+      }
+      if ((parser->flags & F_CHUNKED) == 0) {
+        self->request.body.reserve(length);
+      }
       if (FindHeader(self->request.headers, "expect") == "100-continue") {
         self->Output("HTTP/1.1 100 Continue\r\n\r\n");
       }
@@ -512,6 +555,7 @@
   TimePoint state_since;
   // The limit when the connection became idle; its caller relies on it.
   std::chrono::milliseconds idle_timeout;
+  MemoryAccount memory;
   // Bytes of a complete answer that were unsent at the last check of timeouts.
   size_t unsent_bytes = 0;
   size_t header_bytes = 0;
@@ -608,8 +652,9 @@
 Result<std::unique_ptr<Http1Server>> Http1Server::Make(Loop& loop,
                                                        const std::string& ip,
                                                        uint16_t port,
+                                                       MemoryBudget& memory,
                                                        HttpHandler handler) {
-  auto impl = std::make_shared<Impl>(loop, std::move(handler));
+  auto impl = std::make_shared<Impl>(loop, memory, std::move(handler));
   sockaddr_in address{};
   int status = uv_ip4_addr(ip.c_str(), port, &address);
   impl->listener = new uv_tcp_t;
--- a/src/connection/http1_server.h
+++ b/src/connection/http1_server.h
@@ -10,6 +10,7 @@
 #include "src/connection/http1_limits.h"
 #include "src/connection/http_server.h"
 #include "src/connection/loop.h"
+#include "src/connection/memory_budget.h"
 
 namespace celerypost {
 
@@ -33,10 +34,12 @@
 class Http1Server {
  public:
   // Binds and listens. Fails with kUnavailable when it cannot listen on the
-  // address.
+  // address. `memory` counts the requests and answers that connections hold;
+  // a body that it does not accept is refused with 503 before it is read.
   static Result<std::unique_ptr<Http1Server>> Make(Loop& loop,
                                                    const std::string& ip,
                                                    uint16_t port,
+                                                   MemoryBudget& memory,
                                                    HttpHandler handler);
   ~Http1Server();
   Http1Server(const Http1Server&) = delete;
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -110,6 +110,7 @@
                     request_codec,
                     budgets,
                     relay_metrics,
+                    dependencies.memory,
                     {},
                     [this](const SocketAddress& address) -> Http1Client& {
                       return this->core.ClientOf(address);
@@ -126,7 +127,7 @@
     const SocketAddress& address,
     HttpHandler handler) {
   return Http1Server::Make(this->dependencies.loop, address.ip, address.port,
-                           std::move(handler));
+                           this->dependencies.memory, std::move(handler));
 }
 
 Result<void> Gateway::Start() {
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -151,6 +151,8 @@
       config(context.view.config()),
       arrived(context.loop.Now()),
       deadline(arrived),
+      memory(context.memory,
+             [this] { this->EndEarly("out of memory", kRefusedRetryAfter); }),
       takeover_delay(context.options.min_takeover_delay) {}
 
 void WithdrawRequests(const RelayContext& context, PartHash part) {
@@ -271,6 +273,10 @@
     this->Refuse("no configuration known", kNoConfigRetryAfter);
     return;
   }
+  if (!this->context.memory.Accepts(0)) {
+    this->Refuse("out of memory", kRefusedRetryAfter);
+    return;
+  }
   this->route = this->config->FindRoute(
       FindHeader(this->request.headers, "host"), this->request.path);
   if (this->route == nullptr) {
@@ -540,6 +546,7 @@
                         .Send(this->context.codec.MakeTargetRequest(
                                   this->request, target_call),
                               std::move(options), std::move(callbacks));
+  this->ReportMemory();
   this->StartAttemptTimer();
 }
 
@@ -822,6 +829,7 @@
   }
   if (!this->IsStream() || this->attempt->answer.status >= 300) {
     this->attempt->body.append(bytes);
+    this->ReportMemory();
     if (this->attempt->body.size() > this->context.options.max_answer_bytes) {
       this->OnFailure({Verdict::kMayHaveRun, ErrorCode::kCorrupt,
                        "the answer exceeds the limit"});
@@ -836,6 +844,7 @@
     this->NoteProgress();
   }
   this->ForwardEvents(complete);
+  this->ReportMemory();
   if (this->events.corrupt()) {
     this->OnFailure({Verdict::kMayHaveRun, ErrorCode::kCorrupt,
                      "bytes that are no event of the stream"});
@@ -1112,6 +1121,10 @@
 }
 
 void RelayTask::EndForStop() {
+  this->EndEarly("stopping", kStoppingRetryAfter);
+}
+
+void RelayTask::EndEarly(std::string_view reason, milliseconds retry_after) {
   if (this->done) {
     return;
   }
@@ -1122,10 +1135,29 @@
   this->http_call.reset();
   this->EndAttempt(AttemptOutcome::kAbandoned);
   if (may_have_run) {
-    this->FailWith(kBadGateway, "stopping");
+    this->FailWith(kBadGateway, reason);
   } else {
-    this->Refuse("stopping", kStoppingRetryAfter);
+    this->Refuse(reason, retry_after);
+  }
+}
+
+void RelayTask::ReportMemory() {
+  if (this->done) {
+    return;
+  }
+  // Each call holds a copy of the request's body until it is sent.
+  size_t bytes = this->request.body.size();
+  const auto add = [&](const RelayAttempt& live, const EventStream& stream) {
+    bytes += this->request.body.size() + live.body.size() + live.unsent.size() +
+             stream.incomplete_bytes();
+  };
+  if (this->attempt && !this->attempt->ended) {
+    add(*this->attempt, this->events);
+  }
+  for (const SilentAttempt& silent : this->silent_attempts) {
+    add(silent.attempt, silent.events);
   }
+  this->memory.Set(bytes);
 }
 
 void RelayTask::OnCallerDisconnected() {
@@ -1258,6 +1290,7 @@
                        int status,
                        std::string_view reason) {
   this->done = true;
+  this->memory.Set(0);
   this->EndSilentAttempts();
   this->context.active.erase(this);
   const TimePoint now = this->context.loop.Now();
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -12,6 +12,7 @@
 
 #include "src/connection/http1_client.h"
 #include "src/connection/http1_server.h"
+#include "src/connection/memory_budget.h"
 #include "src/process/gateway/target_selector.h"
 #include "src/process/log.h"
 #include "src/process/metrics.h"
@@ -91,6 +92,7 @@
   const RequestCodec& codec;
   ServiceRetryBudgets& budgets;
   RelayMetrics& metrics;
+  MemoryBudget& memory;
   RelayOptions options;
   // Returns the HTTP client for a target's address.
   std::function<Http1Client&(const SocketAddress&)> client;
@@ -174,6 +176,11 @@
   void EndForStop();
 
  private:
+  // Ends the request as EndForStop does. The caller of one that cannot have run
+  // may return after `retry_after`.
+  void EndEarly(std::string_view reason, std::chrono::milliseconds retry_after);
+  // Reports the bytes that this task and its calls hold.
+  void ReportMemory();
   // Selects a target and sends the request to it. If none can be selected,
   // waits for one for up to resume_timeout if the stream has started;
   // otherwise refuses the request, or fails it if an attempt may have run.
@@ -312,6 +319,7 @@
   std::optional<RequestFingerprint> fingerprint;
   TimePoint arrived;
   TimePoint deadline;
+  MemoryAccount memory;
   std::unique_ptr<Timer> deadline_timer;
   std::unique_ptr<Timer> attempt_timer;
   std::unique_ptr<HttpCall> http_call;
--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -16,6 +16,9 @@
 
 constexpr char kDocumentsPath[] = "/v1/documents";
 constexpr char kMetricsPath[] = "/metrics";
+// The rest is for the process itself and for what the allocator does not return
+// to the operating system.
+constexpr double kCallerShareOfMemory = 0.6;
 // How often expired targets are dropped and peers are checked for newer
 // documents.
 constexpr milliseconds kTickPeriod{200};
@@ -109,6 +112,12 @@
 
 }  // namespace
 
+MemoryBudgetOptions CallerMemory(const NodeSettings& settings) {
+  return {.max_bytes =
+              static_cast<size_t>(static_cast<double>(settings.memory_limit) *
+                                  kCallerShareOfMemory)};
+}
+
 NodeCore::NodeCore(NodeDependencies dependencies, NodeRole role)
     : dependencies(dependencies),
       role(role),
@@ -183,17 +192,18 @@
              const std::shared_ptr<HttpResponder>& responder) {
         this->HandleInternal(request, responder);
       };
-  auto server = Http1Server::Make(
-      this->dependencies.loop, this->dependencies.settings.ip,
-      this->dependencies.settings.first_internal_port, handler);
+  auto server =
+      Http1Server::Make(this->dependencies.loop, this->dependencies.settings.ip,
+                        this->dependencies.settings.first_internal_port,
+                        this->dependencies.memory, handler);
   if (!server) {
     return tl::unexpected<Failure>(server.error());
   }
   this->internal_server = std::move(*server);
   if (this->dependencies.metrics_port != 0) {
-    auto metrics = Http1Server::Make(this->dependencies.loop,
-                                     this->dependencies.settings.ip,
-                                     this->dependencies.metrics_port, handler);
+    auto metrics = Http1Server::Make(
+        this->dependencies.loop, this->dependencies.settings.ip,
+        this->dependencies.metrics_port, this->dependencies.memory, handler);
     if (!metrics) {
       return tl::unexpected<Failure>(metrics.error());
     }
@@ -493,7 +503,9 @@
 void NodeCore::HandleInternal(const HttpRequest& request,
                               const std::shared_ptr<HttpResponder>& responder) {
   const auto path = PathWithoutQuery(request.path);
-  if (path == kDocumentsPath) {
+  if (path != kMetricsPath && !this->dependencies.memory.Accepts(0)) {
+    responder->SendJson(503, R"({"error":{"code":"out_of_memory"}})");
+  } else if (path == kDocumentsPath) {
     responder->Send(200, {{"content-type", "application/octet-stream"}},
                     this->EncodedDelta(ParseQuestion(request.path)));
   } else if (path == kMetricsPath) {
--- a/src/process/node_core.h
+++ b/src/process/node_core.h
@@ -9,6 +9,7 @@
 #include "celerypost/random.h"
 #include "src/connection/http1_client.h"
 #include "src/connection/http1_server.h"
+#include "src/connection/memory_budget.h"
 #include "src/process/log.h"
 #include "src/process/metrics.h"
 #include "src/process/node_registry.h"
@@ -29,6 +30,7 @@
   Random& random;
   KeyValueClient& store;
   LeaseClient& leases;
+  MemoryBudget& memory;
   const DocumentDecoder& decoder;
   const NodeSettings& settings;
   InstanceId instance;
@@ -36,6 +38,9 @@
   uint16_t metrics_port = 0;
 };
 
+// Returns the bound of what a process with these settings keeps for callers.
+MemoryBudgetOptions CallerMemory(const NodeSettings& settings);
+
 // The parts that gateways and stagers share: a copy of the documents in the
 // key-value service, beats to and from peers, this process's registration, and
 // the internal HTTP server, from which processes that do not read the key-value
--- a/src/process/node_settings.h
+++ b/src/process/node_settings.h
@@ -2,6 +2,7 @@
 #define SRC_PROCESS_NODE_SETTINGS_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -30,6 +31,8 @@
   std::optional<SocketAddress> directory_address;
   // Rate of this VM's link, in bytes per second.
   double link_rate = 7e6 / 8;
+  // Bytes of memory at which this VM ends the process; 0 means no limit.
+  size_t memory_limit = 0;
   // Ports for connections between processes of this project; the same on every
   // VM.
   uint16_t first_internal_port = 0;
--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -79,6 +79,7 @@
 
 TEST_GROUP(Http1Test) {
   Loop loop;
+  MemoryBudget memory{loop, {}, {}};
 
   Result<HttpResponse> Fetch(Http1Client & client,
                              Http1SendOptions options = {}) {
@@ -128,7 +129,7 @@
 TEST(Http1Test, ClosesIdleConnectionsWhenARequestTimesOut) {
   std::vector<std::shared_ptr<HttpResponder>> waiting;
   auto made = Http1Server::Make(
-      this->loop, "127.0.0.1", 0,
+      this->loop, "127.0.0.1", 0, this->memory,
       [&waiting](const HttpRequest&,
                  const std::shared_ptr<HttpResponder>& responder) {
         waiting.push_back(responder);
@@ -491,13 +492,18 @@
 
 TEST_GROUP(Http1ServerTest) {
   Loop loop;
+  MemoryBudget memory{loop, {}, {}};
   std::unique_ptr<Http1Server> server;
   std::shared_ptr<HttpResponder> responder;
   std::vector<HttpRequest> requests;
 
   void Serve() {
+    this->Serve(this->memory);
+  }
+
+  void Serve(MemoryBudget & budget) {
     auto made = Http1Server::Make(
-        this->loop, "127.0.0.1", 0,
+        this->loop, "127.0.0.1", 0, budget,
         [this](HttpRequest request, std::shared_ptr<HttpResponder> out) {
           this->requests.push_back(std::move(request));
           this->responder = std::move(out);
@@ -558,6 +564,54 @@
   }
 };
 
+// Guards against bodies of callers that take all memory of the process: without
+// room for it a long body is refused before it is read, and one that is being
+// read is refused when the sum exceeds the limit.
+TEST(Http1ServerTest, RefusesLongBodiesWithoutMemoryForThem) {
+  size_t evictions = 0;
+  MemoryBudget small(this->loop, {.max_bytes = 300u << 10},
+                     [&evictions](size_t, size_t) { ++evictions; });
+  this->Serve(small);
+  const auto post = [this](size_t announced, size_t sent) {
+    const int descriptor = this->Connect();
+    const std::string bytes =
+        "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(announced) +
+        "\r\n\r\n" + std::string(sent, 'x');
+    CHECK_EQUAL(static_cast<ssize_t>(bytes.size()),
+                write(descriptor, bytes.data(), bytes.size()));
+    return descriptor;
+  };
+  const auto send_more = [](int descriptor, size_t bytes) {
+    const std::string more(bytes, 'x');
+    CHECK_EQUAL(static_cast<ssize_t>(bytes),
+                write(descriptor, more.data(), bytes));
+  };
+  const int first = post(200u << 10, 100u << 10);
+  this->RunUntil([&] { return small.used() >= 100u << 10; });
+  const int second = post(120u << 10, 60u << 10);
+  this->RunUntil([&] { return small.used() >= 160u << 10; });
+  const int refused = post(70u << 10, 0);
+  const std::string answer = this->Receive(refused, 60);
+  STRNCMP_EQUAL("HTTP/1.1 503", answer.c_str(), 12);
+  STRCMP_CONTAINS("Retry-After: 1\r\n", answer.c_str());
+  const int short_one = post(2, 2);
+  this->RunUntil([&] { return this->requests.size() == 1; });
+  CHECK_EQUAL(0u, evictions);
+  send_more(first, 90u << 10);
+  this->RunUntil([&] { return small.used() >= 250u << 10; });
+  send_more(second, 55u << 10);
+  STRNCMP_EQUAL("HTTP/1.1 503", this->Receive(first, 12).c_str(), 12);
+  send_more(second, 5u << 10);
+  this->RunUntil([&] { return this->requests.size() == 2; });
+  CHECK_EQUAL(1u, evictions);
+  for (const int descriptor : {first, second, refused, short_one}) {
+    close(descriptor);
+  }
+  this->RunUntil([&] { return small.used() == 0; });
+  this->server.reset();
+  this->loop.RunFor(milliseconds(20));
+}
+
 // Guards against a target that goes on working after its caller disconnected:
 // the server must detect the close while the request is being answered.
 TEST(Http1ServerTest, NoticesThatTheCallerLeavesBeforeTheAnswer) {
--- a/tests/platform/node_file_test.cc
+++ b/tests/platform/node_file_test.cc
@@ -11,7 +11,8 @@
     "listen.directory=10.1.0.40:8009\ninternal_ports=7700,7715\n"
     "seed_nodes=10.1.0.40:8000,10.2.0.37:8000\nheartbeat_ms=1200\n"
     "bounds.drain_ms=2500\nbounds.grace_s=8\nbounds.budget_ratio=0.25\n"
-    "platform.address=10.200.1.7:8007\nsomething.new=1\n";
+    "limits.memory_mb=260\nplatform.address=10.200.1.7:8007\n"
+    "something.new=1\n";
 
 TEST_GROUP(NodeFileTest){};
 
@@ -25,6 +26,7 @@
   STRCMP_EQUAL("10.2.0.37", node->seed_ips[1].c_str());
   CHECK_EQUAL(2500, node->drain_bound.count());
   CHECK_EQUAL(8000, node->stop_grace.count());
+  CHECK_EQUAL(260000000u, node->memory_limit);
   DOUBLES_EQUAL(0.25, node->retry_share, 1e-9);
   STRCMP_EQUAL("q", node->regions_of_zones.at(ZoneName("z-b")).value().c_str());
   CHECK_FALSE(node->target_address.has_value());
--- a/tests/platform/store_watch_test.cc
+++ b/tests/platform/store_watch_test.cc
@@ -22,6 +22,7 @@
 // A store that answers the first `answered_watches` calls of watches.
 TEST_GROUP(StoreWatchTest) {
   Loop loop;
+  MemoryBudget memory{loop, {}, {}};
   Log log{LogOptions{}, [](LogLevel, std::string_view) {},
           [] { return std::chrono::system_clock::time_point(); }};
   std::unique_ptr<Http1Server> server;
@@ -31,7 +32,7 @@
 
   void setup() override {
     auto made = Http1Server::Make(
-        this->loop, "127.0.0.1", 0,
+        this->loop, "127.0.0.1", 0, this->memory,
         [this](const HttpRequest& request,
                const std::shared_ptr<HttpResponder>& responder) {
           CHECK_TRUE(request.path.starts_with("/kv-watch"));
--- a/tests/platform/target_client_test.cc
+++ b/tests/platform/target_client_test.cc
@@ -20,8 +20,9 @@
 
   // Asks an origin that answers with `manifest` for version 2 of model m.
   Result<ChunkDigests> GetDigests(const std::string& manifest) {
+    MemoryBudget memory(this->loop, {}, {});
     auto origin = Http1Server::Make(
-        this->loop, "127.0.0.1", 0,
+        this->loop, "127.0.0.1", 0, memory,
         [&](const HttpRequest&, const std::shared_ptr<HttpResponder>& out) {
           out->SendJson(200, manifest);
         });
@@ -60,8 +61,9 @@
 
   // Asks a target that answers with `report`.
   Result<TargetReport> GetReport(const std::string& report) {
+    MemoryBudget memory(this->loop, {}, {});
     auto target = Http1Server::Make(
-        this->loop, "127.0.0.1", 0,
+        this->loop, "127.0.0.1", 0, memory,
         [&](const HttpRequest&, const std::shared_ptr<HttpResponder>& out) {
           out->SendJson(200, report);
         });
--- a/tests/process/gateway/gateway_stop_test.cc
+++ b/tests/process/gateway/gateway_stop_test.cc
@@ -313,6 +313,7 @@
 // A gateway with one target, which runs a script on its connection.
 TEST_GROUP(GatewayStopTest) {
   Loop loop;
+  MemoryBudget memory{loop, {}, {}};
   std::vector<std::string> lines;
   Log log{LogOptions{},
           [this](LogLevel, std::string_view line) {
@@ -366,9 +367,10 @@
         std::shared_ptr<const GatewayConfig>(config);
     this->decoder.documents["t1"] = target;
     this->store.items = {{"config", "x", 1}, {"t1", "x", 2}};
-    NodeDependencies dependencies{this->loop,    this->log,      this->metrics,
-                                  this->random,  this->store,    this->store,
-                                  this->decoder, this->settings, InstanceId{1}};
+    NodeDependencies dependencies{this->loop,   this->log,     this->metrics,
+                                  this->random, this->store,   this->store,
+                                  this->memory, this->decoder, this->settings,
+                                  InstanceId{1}};
     auto gateway =
         std::make_unique<Gateway>(dependencies, this->request_codec,
                                   this->directory_codec, GatewayOptions{});
@@ -468,9 +470,10 @@
         gateway.Stop();
       }) {
     using Clock = std::chrono::steady_clock;
-    NodeDependencies dependencies{this->loop,    this->log,      this->metrics,
-                                  this->random,  this->store,    this->store,
-                                  this->decoder, this->settings, InstanceId{1}};
+    NodeDependencies dependencies{this->loop,   this->log,     this->metrics,
+                                  this->random, this->store,   this->store,
+                                  this->memory, this->decoder, this->settings,
+                                  InstanceId{1}};
     auto gateway =
         std::make_unique<Gateway>(dependencies, this->request_codec,
                                   this->directory_codec, GatewayOptions{});
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -169,6 +169,7 @@
 
 TEST_GROUP(RelayTaskTest) {
   Loop loop;
+  MemoryBudget memory{loop, {}, {}};
   Log log{LogOptions{}, [](LogLevel, std::string_view) {},
           [] { return std::chrono::system_clock::now(); }};
   Metrics metrics;
@@ -180,6 +181,12 @@
   std::unique_ptr<PlacementPolicy> policy = MakePredictivePolicy({}, random);
   TargetNotices notices{{}};
   TargetSelector selector{view, book, notices, *policy, random, {}};
+  // Holds less than a long answer.
+  size_t evictions = 0;
+  MemoryBudget small_memory{loop,
+                            {.max_bytes = 64u << 10},
+                            [this](size_t, size_t) { ++this->evictions; }};
+  MemoryBudget* relay_memory = &memory;
   // Set while a request is relayed.
   RelayContext* relay_context = nullptr;
   CrashGuard crashes{
@@ -362,11 +369,12 @@
         this->codec,
         this->budgets,
         relay_metrics,
+        *this->relay_memory,
         {},
         [&client](const SocketAddress&) -> Http1Client& { return client; }};
     this->relay_context = &context;
     auto server = Http1Server::Make(
-        this->loop, "127.0.0.1", 0,
+        this->loop, "127.0.0.1", 0, this->memory,
         [this, &context](HttpRequest request,
                          std::shared_ptr<HttpResponder> out) {
           this->responder = out;
@@ -579,6 +587,30 @@
   }
 }
 
+// Guards against answers that are collected until the process runs out of
+// memory (LOST, review/1): the largest is given up, and may have run.
+TEST(RelayTaskTest, AnAnswerOverTheMemoryBudgetFails) {
+  this->relay_memory = &this->small_memory;
+  const CallerAnswer answer = this->Relay(
+      PlainRoute(), {WithLength(std::string(200u << 10, 'x')), WithLength("")});
+  CHECK_EQUAL(502, answer.status);
+  CHECK_EQUAL(1u, this->evictions);
+  CHECK_EQUAL(1u, this->received.size());
+  CHECK_EQUAL(0u, this->small_memory.used());
+}
+
+// Guards against a request that is taken without memory for it, and against a
+// refusal that does not say that it has not run.
+TEST(RelayTaskTest, RefusesARequestWithoutMemoryForIt) {
+  this->relay_memory = &this->small_memory;
+  MemoryAccount holder(this->small_memory, [] {});
+  holder.Set(62u << 10);
+  CHECK_EQUAL(503, this->Relay(PlainRoute(), {WithLength("")}).status);
+  CHECK_EQUAL(0u, this->received.size());
+  holder.Set(0);
+  CHECK_EQUAL(200, this->Relay(PlainRoute(), {WithLength("")}).status);
+}
+
 // Guards against a stream that joins pieces of two runs: a target that broke
 // off within its first event left the part behind, and the first event of the
 // next target was appended to it (kilele-waivers-large, trouble-2).
--- a/tests/process/odd_entries_test.cc
+++ b/tests/process/odd_entries_test.cc
@@ -149,6 +149,7 @@
 
 TEST_GROUP(OddEntriesTest) {
   Loop loop;
+  MemoryBudget memory{loop, {}, {}};
   std::vector<std::string> lines;
   Log log{LogOptions{},
           [this](LogLevel, std::string_view line) {
@@ -181,9 +182,9 @@
   }
 
   NodeDependencies Dependencies() {
-    return {this->loop,    this->log,      this->metrics,
-            this->random,  this->store,    this->store,
-            this->decoder, this->settings, InstanceId{1}};
+    return {this->loop,     this->log,    this->metrics, this->random,
+            this->store,    this->store,  this->memory,  this->decoder,
+            this->settings, InstanceId{1}};
   }
   size_t CountLines(const std::string& text) const {
     return static_cast<size_t>(
@@ -230,10 +231,10 @@
 TEST(OddEntriesTest, GatewayFollowsAListWithOddEntries) {
   int served = 0;
   auto server = Http1Server::Make(
-      this->loop, "127.0.0.1", 0,
+      this->loop, "127.0.0.1", 0, this->memory,
       [&](const HttpRequest&, const std::shared_ptr<HttpResponder>& out) {
         ++served;
-        out->Send(200, {{"x-attempt-id", "a"}}, "ok");
+        out->Send(200, {{"x-attempt-id", "a"}, {"x-response-seal", "1"}}, "ok");
       });
   const std::string good = Entry((*server)->port());
   const std::vector<std::string> odd = OddEntries();
--- a/tests/process/stager_stop_test.cc
+++ b/tests/process/stager_stop_test.cc
@@ -97,6 +97,7 @@
 
 TEST_GROUP(StagerStopTest) {
   Loop loop;
+  MemoryBudget memory{loop, {}, {}};
   Log log{LogOptions{}, [](LogLevel, std::string_view) {},
           [] { return std::chrono::system_clock::now(); }};
   Metrics metrics;
@@ -112,9 +113,10 @@
     this->settings.first_internal_port = FreePort();
     this->settings.last_internal_port = this->settings.first_internal_port;
     this->settings.target_address = {"127.0.0.1", 1};
-    NodeDependencies dependencies{this->loop,    this->log,      this->metrics,
-                                  this->random,  this->store,    this->store,
-                                  this->decoder, this->settings, InstanceId{1}};
+    NodeDependencies dependencies{this->loop,   this->log,     this->metrics,
+                                  this->random, this->store,   this->store,
+                                  this->memory, this->decoder, this->settings,
+                                  InstanceId{1}};
     Stager stager(
         dependencies, this->target,
         [](const SocketAddress&) { return std::unique_ptr<WeightOrigin>(); },
