Correct digests that a source's bytes and list disprove

Cause: a stager kept the first list for good, handed it to its peers, and took each chunk that did not fit for corrupt. A list of the wrong length was used too; of one that is too short, the target loaded weights with chunks missing.

Change: a chunk that does not fit makes the stager ask its source, origin or peer, for its list. If that names the bytes, it replaces the own list but for held chunks, and the bytes are staged; otherwise the bytes are corrupt. A list needs as many digests as the service has chunks. While bytes fit nothing waits.

--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -105,6 +105,10 @@
                                           {{"source", "origin"}})),
       chunks_bad(dependencies.metrics.AddCounter("celerypost_chunks_bad_total",
                                                  "Chunks with a wrong digest")),
+      corrected_digests(dependencies.metrics.AddCounter(
+          "celerypost_corrected_digests_total",
+          "Digests of chunks that were replaced since a source's bytes and "
+          "digests disagreed with them")),
       orders(dependencies.metrics.AddCounter("celerypost_orders_total",
                                              "Orders to load weights")) {}
 
@@ -384,26 +388,47 @@
 }
 
 void Stager::AskPeerForDigests(InstanceId instance, int64_t version) {
-  const std::string ip = this->IpOf(instance);
+  this->RequestDigests(instance, version, this->digests_call,
+                       [this, version](const Result<ChunkDigests>& received) {
+                         this->OnDigests(version, received);
+                       });
+}
+
+void Stager::RequestDigests(InstanceId peer,
+                            int64_t version,
+                            std::unique_ptr<HttpCall>& call,
+                            std::function<void(Result<ChunkDigests>)> done) {
   HttpRequest request;
   request.path =
       std::string(kDigestsPath) + "?version=" + std::to_string(version);
-  this->digests_call =
-      this->core.ClientOf(this->core.InternalAddress(ip))
-          .Fetch(std::move(request), kDigestsTimeout,
-                 [this, version](const Result<HttpResponse>& response) {
-                   const auto call = std::move(this->digests_call);
-                   this->OnDigests(
-                       version, DecodeDigests(this->model, version, response));
-                 });
+  call = this->core.ClientOf(this->core.InternalAddress(this->IpOf(peer)))
+             .Fetch(std::move(request), kDigestsTimeout,
+                    [this, version, &call, done = std::move(done)](
+                        const Result<HttpResponse>& response) {
+                      // The call owns this closure; keep it alive until the
+                      // closure returns.
+                      const auto ended = std::move(call);
+                      done(DecodeDigests(this->model, version, response));
+                    });
+}
+
+std::string_view Stager::FindDigestsFault(const ChunkDigests& received) const {
+  const ServiceConfig* const service = this->Service();
+  if (service != nullptr && service->engine->chunks > 0 &&
+      received.digests.size() != service->engine->chunks) {
+    return "the number of digests is not the number of chunks";
+  }
+  return {};
 }
 
 void Stager::OnDigests(int64_t version, const Result<ChunkDigests>& digests) {
   this->digests_requested = false;
-  if (!digests) {
+  const std::string_view fault =
+      digests ? this->FindDigestsFault(*digests) : digests.error().message;
+  if (!digests || !fault.empty()) {
     if (this->logged_digests_failure_version != version) {
       this->logged_digests_failure_version = version;
-      this->dependencies.log.Warn("digests_failed", digests.error().message,
+      this->dependencies.log.Warn("digests_failed", fault,
                                   {{"version", version}});
     }
     this->next_digests_request =
@@ -434,21 +459,15 @@
                               {{"version", next.version},
                                {"chunks", next.digests.digests.size()},
                                {"serving_version", this->serving_version}});
-  ChunkGoal chunks;
-  chunks.set = this->WeightSetDigest(next.version);
-  chunks.all_chunks_listed = true;
-  for (const Digest& digest : next.digests.digests) {
-    ChunkRef chunk;
-    chunk.digest = digest;
-    chunks.chunks.push_back(chunk);
-  }
   const bool first = !this->goal;
   this->goal = std::move(next);
   ++this->goal_generation;
   this->peer_fetches.clear();
   this->checked_at.reset();
   this->checking = false;
-  this->chunk_planner.SetGoal(std::move(chunks), now);
+  this->comparing_digests = false;
+  this->comparison_call.reset();
+  this->chunk_planner.SetGoal(this->MakeChunkGoal(), now);
   this->UpdateFarStagers();
   for (const auto& [ip, peer] : this->core.exchange().peers()) {
     this->UpdatePeer(peer);
@@ -462,6 +481,18 @@
   this->Fetch();
 }
 
+ChunkGoal Stager::MakeChunkGoal() const {
+  ChunkGoal chunks;
+  chunks.set = this->WeightSetDigest(this->goal->version);
+  chunks.all_chunks_listed = true;
+  for (const Digest& digest : this->goal->digests.digests) {
+    ChunkRef chunk;
+    chunk.digest = digest;
+    chunks.chunks.push_back(chunk);
+  }
+  return chunks;
+}
+
 void Stager::UpdatePeer(const Peer& peer) {
   const wire::Beat& beat = peer.beat;
   if (beat.role != static_cast<int32_t>(NodeRole::kStager) ||
@@ -576,10 +607,7 @@
 }
 
 void Stager::FetchChunk(const FetchAction& action) {
-  const auto& digests = this->goal->digests.digests;
-  const auto found =
-      std::find(digests.begin(), digests.end(), action.chunk.digest);
-  const auto number = static_cast<size_t>(found - digests.begin());
+  const size_t number = this->NumberOf(action.chunk.digest);
   const int64_t version = this->goal->version;
   const uint64_t generation = this->goal_generation;
   if (action.source.origin) {
@@ -661,28 +689,111 @@
     this->Fetch();
     return;
   }
+  // The digests may have been corrected since the chunk was requested.
+  if (!this->chunk_planner.Wants(action.chunk.digest)) {
+    this->Fetch();
+    return;
+  }
   if (Digest::Of(*bytes) != action.chunk.digest) {
-    this->chunks_bad.Add();
-    this->dependencies.log.Warn("chunk_bad",
-                                "a fetched chunk has a wrong digest",
-                                {{"from_origin", action.source.origin},
-                                 {"bytes", bytes->size()},
-                                 {"version", this->goal->version}});
+    this->OnWrongDigest(action, *bytes);
+    return;
+  }
+  this->Stage(action, *bytes);
+}
+
+void Stager::OnWrongDigest(const FetchAction& action,
+                           const std::string& bytes) {
+  const TimePoint now = this->dependencies.loop.Now();
+  this->chunks_bad.Add();
+  this->dependencies.log.Warn("chunk_bad", "a fetched chunk has a wrong digest",
+                              {{"from_origin", action.source.origin},
+                               {"chunk", this->NumberOf(action.chunk.digest)},
+                               {"bytes", bytes.size()},
+                               {"version", this->goal->version}});
+  WeightOrigin* const origin_of_chunk =
+      action.source.origin ? this->Origin() : nullptr;
+  const bool can_ask = action.source.origin
+                           ? origin_of_chunk != nullptr
+                           : !this->IpOf(action.source.peer).empty();
+  if (this->comparing_digests || !can_ask) {
+    this->chunk_planner.OnChunk(action.chunk.digest, action.source,
+                                FetchOutcome::kRefused, now);
+    this->Fetch();
+    return;
+  }
+  this->comparing_digests = true;
+  const int64_t version = this->goal->version;
+  const auto compare = [this, action, bytes,
+                        generation = this->goal_generation](
+                           const Result<ChunkDigests>& received) {
+    if (generation == this->goal_generation) {
+      this->comparing_digests = false;
+      this->CompareDigests(action, bytes, received);
+    }
+  };
+  if (action.source.origin) {
+    origin_of_chunk->GetDigests(this->model, version, compare);
+  } else {
+    this->RequestDigests(action.source.peer, version, this->comparison_call,
+                         compare);
+  }
+}
+
+void Stager::CompareDigests(const FetchAction& action,
+                            const std::string& bytes,
+                            const Result<ChunkDigests>& received) {
+  const TimePoint now = this->dependencies.loop.Now();
+  const size_t number = this->NumberOf(action.chunk.digest);
+  std::vector<Digest>& own = this->goal->digests.digests;
+  const Digest actual = Digest::Of(bytes);
+  if (number == own.size() || !received ||
+      received->digests.size() != own.size() ||
+      received->digests[number] != actual) {
     this->chunk_planner.OnChunk(action.chunk.digest, action.source,
                                 FetchOutcome::kCorrupt, now);
     this->Fetch();
     return;
   }
+  size_t corrected = 0;
+  for (size_t i = 0; i < own.size(); ++i) {
+    // Bytes that are held prove their digest.
+    if (own[i] != received->digests[i] &&
+        (i == number || !this->chunk_planner.Holds(own[i]))) {
+      own[i] = received->digests[i];
+      ++corrected;
+    }
+  }
+  this->corrected_digests.Add(corrected);
+  this->dependencies.log.Warn(
+      "digests_corrected",
+      "a chunk and the digests of its source agree against those received "
+      "before",
+      {{"chunk", number},
+       {"corrected", corrected},
+       {"from_origin", action.source.origin},
+       {"version", this->goal->version}});
+  this->digests = this->goal->digests;
+  this->checked_at.reset();
+  this->chunk_planner.SetGoal(this->MakeChunkGoal(), now);
+  FetchAction proven = action;
+  proven.chunk.digest = actual;
+  this->Stage(proven, bytes);
+}
+
+size_t Stager::NumberOf(const Digest& digest) const {
+  const auto& known = this->goal->digests.digests;
+  return static_cast<size_t>(std::find(known.begin(), known.end(), digest) -
+                             known.begin());
+}
+
+void Stager::Stage(const FetchAction& action, const std::string& bytes) {
   (action.source.origin ? this->chunks_from_origin : this->chunks_from_peers)
       .Add();
-  this->chunk_bytes = bytes->size();
-  const auto& digests = this->goal->digests.digests;
-  const auto number = static_cast<size_t>(
-      std::find(digests.begin(), digests.end(), action.chunk.digest) -
-      digests.begin());
+  this->chunk_bytes = bytes.size();
+  const size_t number = this->NumberOf(action.chunk.digest);
   const uint64_t generation = this->goal_generation;
   this->target.PutChunk(
-      this->model, number, *bytes,
+      this->model, number, bytes,
       [this, action, generation](const Result<void>& put) {
         if (generation != this->goal_generation) {
           return;
--- a/src/process/stager/stager.h
+++ b/src/process/stager/stager.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "src/process/drain_policy.h"
@@ -88,11 +89,34 @@
   void AskPeerForDigests(InstanceId peer, int64_t version);
   void AskOriginForDigests(int64_t version);
   void OnDigests(int64_t version, const Result<ChunkDigests>& digests);
+  // Returns why the digests cannot be those of the service's weights; empty if
+  // nothing speaks against them.
+  std::string_view FindDigestsFault(const ChunkDigests& received) const;
   void SetGoal(ChunkDigests digests);
+  // Returns the chunks of the current goal for the planner.
+  ChunkGoal MakeChunkGoal() const;
+  void RequestDigests(InstanceId peer,
+                      int64_t version,
+                      std::unique_ptr<HttpCall>& call,
+                      std::function<void(Result<ChunkDigests>)> done);
   void DropExpiredClaims();
   void Fetch();
   void FetchChunk(const FetchAction& action);
   void OnBytes(const FetchAction& action, const Result<std::string>& bytes);
+  // Handles bytes that do not have the expected digest. Either they or the
+  // digests of this process are corrupt, so the source is asked for its
+  // digests.
+  void OnWrongDigest(const FetchAction& action, const std::string& bytes);
+  // If the source's digests name the bytes that it sent, they replace those of
+  // this process, except for chunks that are held; the bytes are then staged.
+  void CompareDigests(const FetchAction& action,
+                      const std::string& bytes,
+                      const Result<ChunkDigests>& received);
+  // Stages bytes that have the digest of the chunk.
+  void Stage(const FetchAction& action, const std::string& bytes);
+  // Returns the first number of a chunk with this digest; the number of chunks
+  // if there is none.
+  size_t NumberOf(const Digest& digest) const;
   void StartCheck();
   void CheckNextChunks();
   void OnCheckDone();
@@ -204,6 +228,9 @@
   // Chunk requests to peers that are in flight.
   std::map<Digest, std::unique_ptr<HttpCall>> peer_fetches;
   std::unique_ptr<HttpCall> digests_call;
+  // The digests of a source are being compared with those of this process.
+  bool comparing_digests = false;
+  std::unique_ptr<HttpCall> comparison_call;
   StagerBeats beats;
   Timer step_timer;
   Timer beat_timer;
@@ -224,6 +251,7 @@
   Counter& chunks_from_peers;
   Counter& chunks_from_origin;
   Counter& chunks_bad;
+  Counter& corrected_digests;
   Counter& orders;
   bool origin_available = true;
   // Chunks being read or occupying the link.
