--- a/src/connection/http1_server.cc
+++ b/src/connection/http1_server.cc
@@ -26,6 +26,9 @@
 // current request has been answered.
 constexpr size_t kMaxPipelinedBytes = 1u << 20;
 
+// Of a refusal for lack of memory: requests that hold it end within seconds.
+constexpr std::string_view kMemoryHeaders = "Retry-After: 1\r\n";
+
 class Connection;
 
 std::string_view StatusReason(int status) {
@@ -331,7 +334,7 @@
       return;
     }
     this->request = {};
-    this->Reject(503);
+    this->Reject(503, kMemoryHeaders);
   }
 
   void ResumeReading() {
@@ -357,7 +360,8 @@
       return;
     }
     if (error != HPE_OK || this->parser.upgrade) {
-      this->Reject(this->reject_status != 0 ? this->reject_status : 400);
+      this->Reject(this->reject_status != 0 ? this->reject_status : 400,
+                   this->reject_headers);
     }
   }
 
@@ -372,11 +376,11 @@
     this->request = {};
   }
 
-  void Reject(int status) {
-    const bool may_return = status == 503;
+  // `headers` are further lines of the head.
+  void Reject(int status, std::string_view headers = {}) {
     this->Output("HTTP/1.1 " + std::to_string(status) + " " +
                  std::string(StatusReason(status)) + "\r\n" +
-                 (may_return ? "Retry-After: 1\r\n" : "") +
+                 std::string(headers) +
                  "Content-Length: 0\r\nConnection: close\r\n\r\n");
     this->close_when_flushed = true;
   }
@@ -509,6 +513,7 @@
       }
       if (length > 0 && !self->server->memory.Accepts(length)) {
         self->reject_status = 503;
+        self->reject_headers = kMemoryHeaders;
         return -1;
       }
       if ((parser->flags & F_CHUNKED) == 0) {
@@ -560,6 +565,7 @@
   size_t unsent_bytes = 0;
   size_t header_bytes = 0;
   int reject_status = 0;
+  std::string_view reject_headers;
   int queued_writes = 0;
   bool last_was_value = true;
   bool in_message = false;
