Let accounts outlive their memory budget

Connections and their accounts are freed by the loop some time after a server has closed them. In the program the budget lives as long as the process.

Change: budget and accounts share the sum; the budget leaves it when it ends.

--- a/src/connection/memory_budget.cc
+++ b/src/connection/memory_budget.cc
@@ -8,45 +8,54 @@
 MemoryBudget::MemoryBudget(Loop& loop,
                            MemoryBudgetOptions options,
                            OnEvict on_evict)
-    : loop(loop), options(options), on_evict(std::move(on_evict)) {}
+    : loop(loop), options(options), on_evict(std::move(on_evict)) {
+  this->sum->budget = this;
+}
+
+MemoryBudget::~MemoryBudget() {
+  this->sum->budget = nullptr;
+}
 
 bool MemoryBudget::Accepts(size_t bytes) const {
   const double share = bytes > this->options.max_short_bytes
                            ? this->options.long_share
                            : this->options.short_share;
   return this->options.max_bytes == 0 ||
-         static_cast<double>(this->used_bytes + bytes) <=
+         static_cast<double>(this->sum->bytes + bytes) <=
              static_cast<double>(this->options.max_bytes) * share;
 }
 
-void MemoryBudget::Change(size_t before, size_t after) {
-  this->used_bytes += after - before;
+void MemoryBudget::ScheduleEviction() {
   if (this->options.max_bytes == 0 ||
-      this->used_bytes <= this->options.max_bytes || this->evict_scheduled) {
+      this->sum->bytes <= this->options.max_bytes || this->evict_scheduled) {
     return;
   }
   // The holder that reports may be in the middle of a callback.
   this->evict_scheduled = true;
-  this->loop.Post([this] { this->Evict(); });
+  this->loop.Post([shared = this->sum] {
+    if (shared->budget != nullptr) {
+      shared->budget->Evict();
+    }
+  });
 }
 
 void MemoryBudget::Evict() {
   this->evict_scheduled = false;
-  while (this->used_bytes > this->options.max_bytes) {
+  while (this->sum->bytes > this->options.max_bytes) {
     const auto largest = std::max_element(
-        this->accounts.begin(), this->accounts.end(),
+        this->sum->accounts.begin(), this->sum->accounts.end(),
         [](const MemoryAccount* left, const MemoryAccount* right) {
           return left->bytes < right->bytes;
         });
-    if (largest == this->accounts.end() || (*largest)->bytes == 0) {
+    if (largest == this->sum->accounts.end() || (*largest)->bytes == 0) {
       return;
     }
     MemoryAccount* const evicted = *largest;
-    this->on_evict(evicted->bytes, this->used_bytes);
+    this->on_evict(evicted->bytes, this->sum->bytes);
     // The memory is released when the holder's connection is closed, which the
     // loop does later.
     evicted->Set(0);
-    this->accounts.erase(evicted);
+    this->sum->accounts.erase(evicted);
     const auto end_holder = std::move(evicted->end_holder);
     end_holder();
   }
@@ -54,19 +63,19 @@
 
 MemoryAccount::MemoryAccount(MemoryBudget& budget,
                              std::function<void()> end_holder)
-    : budget(budget), end_holder(std::move(end_holder)) {
-  this->budget.accounts.insert(this);
+    : sum(budget.sum), end_holder(std::move(end_holder)) {
+  this->sum->accounts.insert(this);
 }
 
 MemoryAccount::~MemoryAccount() {
   this->Set(0);
-  this->budget.accounts.erase(this);
+  this->sum->accounts.erase(this);
 }
 
-void MemoryAccount::Set(size_t bytes) {
-  const size_t before = std::exchange(this->bytes, bytes);
-  if (before != bytes) {
-    this->budget.Change(before, bytes);
+void MemoryAccount::Set(size_t new_bytes) {
+  this->sum->bytes += new_bytes - std::exchange(this->bytes, new_bytes);
+  if (this->sum->budget != nullptr) {
+    this->sum->budget->ScheduleEviction();
   }
 }
 
--- a/src/connection/memory_budget.h
+++ b/src/connection/memory_budget.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <unordered_set>
 
 #include "src/connection/loop.h"
@@ -34,28 +35,38 @@
   using OnEvict = std::function<void(size_t bytes, size_t used)>;
 
   MemoryBudget(Loop& loop, MemoryBudgetOptions options, OnEvict on_evict);
+  ~MemoryBudget();
   MemoryBudget(const MemoryBudget&) = delete;
   MemoryBudget& operator=(const MemoryBudget&) = delete;
 
   // Whether a request of this length may be taken.
   bool Accepts(size_t bytes) const;
-  size_t used() const { return this->used_bytes; }
+  size_t used() const { return this->sum->bytes; }
 
  private:
   friend class MemoryAccount;
 
-  void Change(size_t before, size_t after);
+  // Shared with the accounts, since connections end some time after they are
+  // closed.
+  struct Sum {
+    // Null when the budget has ended.
+    MemoryBudget* budget = nullptr;
+    std::unordered_set<MemoryAccount*> accounts;
+    size_t bytes = 0;
+  };
+
+  void ScheduleEviction();
   void Evict();
 
   Loop& loop;
   MemoryBudgetOptions options;
   OnEvict on_evict;
-  std::unordered_set<MemoryAccount*> accounts;
-  size_t used_bytes = 0;
+  std::shared_ptr<Sum> sum = std::make_shared<Sum>();
   bool evict_scheduled = false;
 };
 
-// The bytes of one holder, such as a connection. The budget outlives it.
+// The bytes of one holder, such as a connection. Nothing is ended for them any
+// more when the budget has ended.
 class MemoryAccount {
  public:
   // `end_holder` ends what holds the bytes. It is called from the loop, at most
@@ -65,12 +76,12 @@
   MemoryAccount(const MemoryAccount&) = delete;
   MemoryAccount& operator=(const MemoryAccount&) = delete;
 
-  void Set(size_t bytes);
+  void Set(size_t new_bytes);
 
  private:
   friend class MemoryBudget;
 
-  MemoryBudget& budget;
+  std::shared_ptr<MemoryBudget::Sum> sum;
   std::function<void()> end_holder;
   size_t bytes = 0;
 };
--- a/tests/connection/memory_budget_test.cc
+++ b/tests/connection/memory_budget_test.cc
@@ -63,6 +63,18 @@
   CHECK_EQUAL(0u, this->budget.used());
 }
 
+// Guards against connections that are freed by the loop after the budget.
+TEST(MemoryBudgetTest, AnAccountMayOutliveTheBudget) {
+  auto short_lived = std::make_unique<MemoryBudget>(
+      this->loop, MemoryBudgetOptions{.max_bytes = 1},
+      [](size_t, size_t) { FAIL("evicted"); });
+  MemoryAccount account(*short_lived, [] {});
+  account.Set(2);
+  short_lived.reset();
+  account.Set(3);
+  this->RunLoop();
+}
+
 // Guards against long requests that leave no memory to short ones, and against
 // requests that leave none to work that has begun.
 TEST(MemoryBudgetTest, AcceptsWorkBelowItsShare) {
