Log how old the reads behind an order are, and how long its answer takes

The order's line now has oldest_read_ms_ago, from the start of the check, and its acceptance or failure has a line with answer_ms. No decision is changed.

--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -61,6 +61,10 @@
   return digests;
 }
 
+int64_t MillisecondsBetween(TimePoint from, TimePoint to) {
+  return std::chrono::duration_cast<milliseconds>(to - from).count();
+}
+
 int64_t ParseInteger(const std::string& text) {
   int64_t value = -1;
   std::from_chars(text.data(), text.data() + text.size(), value);
@@ -844,6 +848,7 @@
 
 void Stager::StartCheck() {
   this->checking = true;
+  this->check_started = this->dependencies.loop.Now();
   this->next_chunk_to_check = 0;
   this->running_checks = 0;
   this->check_found_bad = false;
@@ -962,28 +967,33 @@
       {{"version", version},
        {"sequence", this->target_report->sequence},
        {"serving_version", this->serving_version},
-       {"checked_ms_ago",
-        std::chrono::duration_cast<milliseconds>(now - *this->checked_at)
-            .count()}});
+       {"checked_ms_ago", MillisecondsBetween(*this->checked_at, now)},
+       {"oldest_read_ms_ago", MillisecondsBetween(this->check_started, now)}});
   const ServiceConfig* const service = this->Service();
   const LoadMode mode = service != nullptr && service->interruptible
                             ? LoadMode::kInterrupt
                             : LoadMode::kAfterRunning;
-  this->target.Load(this->model, version, this->target_report->sequence, mode,
-                    [this, version](const Result<void>& taken) {
-                      this->order_in_flight = false;
-                      this->next_order_time = this->dependencies.loop.Now() +
-                                              this->options.order_retry_delay;
-                      if (!taken) {
-                        this->dependencies.log.Warn("order_failed",
-                                                    taken.error().message,
-                                                    {{"version", version}});
-                        return;
-                      }
-                      this->loading = true;
-                      this->ordered_version = version;
-                      this->ScheduleBeat(/*to_all=*/true);
-                    });
+  this->target.Load(
+      this->model, version, this->target_report->sequence, mode,
+      [this, version, now](const Result<void>& taken) {
+        const TimePoint answered = this->dependencies.loop.Now();
+        this->order_in_flight = false;
+        this->next_order_time = answered + this->options.order_retry_delay;
+        if (!taken) {
+          this->dependencies.log.Warn(
+              "order_failed", taken.error().message,
+              {{"version", version},
+               {"answer_ms", MillisecondsBetween(now, answered)}});
+          return;
+        }
+        this->dependencies.log.Info(
+            "order_accepted", "the target loads the staged chunks",
+            {{"version", version},
+             {"answer_ms", MillisecondsBetween(now, answered)}});
+        this->loading = true;
+        this->ordered_version = version;
+        this->ScheduleBeat(/*to_all=*/true);
+      });
 }
 
 HaveAnnouncement Stager::HeldChunks() const {
--- a/src/process/stager/stager.h
+++ b/src/process/stager/stager.h
@@ -230,6 +230,8 @@
   // Valid chunks that the check has read, by digest.
   std::unordered_map<Digest, size_t> valid_copies;
   std::optional<TimePoint> checked_at;
+  // When the check that is running, or the last one, began to read.
+  TimePoint check_started{};
   bool order_in_flight = false;
   bool loading = false;
   // Version of the last order that the target accepted.
