Bound what peers and etcd claim about sizes and types

What callers saw: nothing yet; both were found by reading. A line of etcd's watch whose `canceled` or `type` was of another JSON type ended the entry with all its requests. A frame of ten bytes that claimed a list of 4 Mi elements made the process take about 1 GB before it found that the elements were missing, and a frame of 4 MiB of empty structs was accepted. A compressed document delta of 13 bytes took the 64 MiB that it claimed, and one with a list of 4 Mi empty items was accepted.

Cause: json::value() throws for another type, and nothing above catches. Revisions that are no number, negative or out of range were passed on as 0, as wrapped or as the largest number, "kvs" of another type was an empty range. Thrift resizes a list before it reads it, takes a struct to need no bytes, and its limits were the largest frame, not the one at hand. The decoder caught TException only, not std::bad_alloc.

Change: ReadBoundedThrift, used for frames, datagrams and deltas, refuses a list of more elements than the rest of the message can hold (5 bytes a struct, the smallest that is written) or than 65,536 (max_records of a ledger); a string may claim the message's size. A delta may claim what zlib can expand its bytes to. Every field of etcd's answers is checked; one of another type or range, null included, fails the call or ends the watch and is logged (bad_store_answer). A malformed frame of gossip is logged (bad_frame, at powers of two). Memory is still more than the bytes of a message: an element of 5 bytes may take 256 (Member), for 65,536 elements a list.

The log of bad_frame has no test.

--- a/src/connection/frame_codec.cc
+++ b/src/connection/frame_codec.cc
@@ -7,21 +7,17 @@
 #include <thrift/transport/TBufferTransports.h>
 
 #include "messages_constants.h"
+#include "src/connection/bounded_thrift.h"
 
 namespace celerypost {
 
 namespace {
 
-using apache::thrift::TException;
 using apache::thrift::protocol::TCompactProtocolT;
 using apache::thrift::transport::TMemoryBuffer;
 
 constexpr size_t kLengthBytes = 4;
 
-// Limits the declared length of a string or list to what a frame can hold, so
-// that a forged length cannot make the decoder allocate more.
-constexpr int32_t kMaxElementBytes = static_cast<int32_t>(kMaxFrameBytes);
-
 uint32_t ReadLength(std::string_view bytes) {
   uint32_t length = 0;
   for (size_t i = 0; i < kLengthBytes; ++i) {
@@ -30,29 +26,6 @@
   return length;
 }
 
-std::shared_ptr<TMemoryBuffer> ViewAsTransport(std::string_view bytes) {
-  // The buffer only observes the bytes and never writes to them.
-  auto* data =
-      reinterpret_cast<uint8_t*>(const_cast<char*>(bytes.data()));  // NOLINT
-  return std::make_shared<TMemoryBuffer>(
-      data, static_cast<uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
-}
-
-template <typename Message>
-Result<Message> Decode(std::string_view bytes, size_t* consumed) {
-  auto transport = ViewAsTransport(bytes);
-  TCompactProtocolT<TMemoryBuffer> protocol(transport, kMaxElementBytes,
-                                            kMaxElementBytes);
-  Message message;
-  try {
-    *consumed = message.read(&protocol);
-  } catch (const TException& error) {
-    return NotRun(ErrorCode::kInvalidArgument,
-                  std::string("malformed message: ") + error.what());
-  }
-  return message;
-}
-
 }  // namespace
 
 template <typename Message>
@@ -81,12 +54,15 @@
 
 template <typename Message>
 Result<Message> DecodeMessage(const Frame& frame) {
-  size_t consumed = 0;
-  auto message = Decode<Message>(frame.payload, &consumed);
-  if (message && consumed != frame.payload.size()) {
+  Message message;
+  const auto consumed = ReadBoundedThrift(frame.payload, message);
+  if (!consumed) {
+    return tl::unexpected<Failure>(consumed.error());
+  }
+  if (*consumed != frame.payload.size()) {
     return NotRun(ErrorCode::kInvalidArgument,
                   "malformed message: " +
-                      std::to_string(frame.payload.size() - consumed) +
+                      std::to_string(frame.payload.size() - *consumed) +
                       " bytes after its end");
   }
   return message;
@@ -113,21 +89,21 @@
       break;
     }
     const auto body = rest.substr(kLengthBytes, length);
-    size_t consumed = 0;
-    auto header = Decode<wire::Header>(body, &consumed);
-    if (!header) {
+    wire::Header header;
+    const auto consumed = ReadBoundedThrift(body, header);
+    if (!consumed) {
       this->failed = true;
-      return tl::unexpected<Failure>(header.error());
+      return tl::unexpected<Failure>(consumed.error());
     }
-    if (header->version != wire::g_messages_constants.PROTOCOL_VERSION) {
+    if (header.version != wire::g_messages_constants.PROTOCOL_VERSION) {
       this->failed = true;
       return NotRun(
           ErrorCode::kInvalidArgument,
-          "header.version " + std::to_string(header->version) +
+          "header.version " + std::to_string(header.version) +
               " is not supported; expected " +
               std::to_string(wire::g_messages_constants.PROTOCOL_VERSION));
     }
-    Frame frame{*header, std::string(body.substr(consumed))};
+    Frame frame{std::move(header), std::string(body.substr(*consumed))};
     start += kLengthBytes + length;
     on_frame(std::move(frame));
   }
--- a/src/process/delta_codec.cc
+++ b/src/process/delta_codec.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "messages_types.h"
+#include "src/connection/bounded_thrift.h"
 
 namespace celerypost {
 
@@ -22,6 +23,8 @@
 constexpr uint32_t kMaxDecodedBytes = 64u << 20;
 // Number of bytes of the decoded size that precede the compressed bytes.
 constexpr size_t kSizeBytes = 4;
+// No compressed byte stands for more than this many bytes in zlib's format.
+constexpr size_t kMaxExpansion = 1032;
 
 // Ages are sent as 32 bits; older ones than these hold are cut.
 int32_t ToWireAge(std::chrono::milliseconds age) {
@@ -57,7 +60,8 @@
   for (size_t i = 0; i < kSizeBytes; ++i) {
     size |= static_cast<uint32_t>(static_cast<uint8_t>(bytes[i])) << (8 * i);
   }
-  if (size > kMaxDecodedBytes) {
+  if (size > kMaxDecodedBytes ||
+      size > (bytes.size() - kSizeBytes) * kMaxExpansion) {
     return tl::unexpected<Failure>(
         Corrupt("document delta of a peer: too large"));
   }
@@ -115,18 +119,10 @@
   if (!plain) {
     return tl::unexpected<Failure>(plain.error());
   }
-  auto buffer =
-      std::make_shared<TMemoryBuffer>(reinterpret_cast<uint8_t*>(plain->data()),
-                                      static_cast<uint32_t>(plain->size()));
-  const auto limit = static_cast<int32_t>(plain->size());
-  TCompactProtocolT<TMemoryBuffer> protocol(buffer, limit, limit);
   wire::DocumentDelta message;
-  // Thrift throws on malformed input.
-  try {
-    message.read(&protocol);
-  } catch (const std::exception& error) {
+  if (const auto read = ReadBoundedThrift(*plain, message); !read) {
     return tl::unexpected<Failure>(
-        Corrupt(std::string("document delta of a peer: ") + error.what()));
+        Corrupt("document delta of a peer: " + read.error().message));
   }
   DocumentDelta delta;
   delta.partial = message.partial;
--- a/src/process/entry_process.cc
+++ b/src/process/entry_process.cc
@@ -39,7 +39,10 @@
                            std::unique_ptr<Runtime> made_runtime)
     : settings(settings),
       runtime(std::move(made_runtime)),
-      key_value(runtime->loop, settings.key_value_address, EtcdClientOptions{}),
+      key_value(runtime->loop,
+                runtime->log,
+                settings.key_value_address,
+                EtcdClientOptions{}),
       verifier(settings.shared_key) {}
 
 Result<std::unique_ptr<EntryProcess>> EntryProcess::Make(
--- a/src/process/etcd_client.cc
+++ b/src/process/etcd_client.cc
@@ -1,9 +1,13 @@
 #include "src/process/etcd_client.h"
 
+#include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "src/version/bounded_json.h"
+#include "src/version/checked_number.h"
 
 namespace celerypost {
 namespace {
@@ -25,19 +29,45 @@
                                          "key-value service: " + what});
 }
 
-// etcd's JSON gateway sends 64-bit numbers as strings and leaves zeros out.
-int64_t NumberField(const Json& object, const char* field) {
+tl::unexpected<Failure> BadField(const char* field, const char* accepted) {
+  return BadAnswer(std::string("field \"") + field + "\" is not " + accepted);
+}
+
+// Reads a count or revision, which is 0 if it is absent: etcd's JSON gateway
+// leaves zeros out and sends 64-bit numbers as strings.
+Result<int64_t> NumberField(const Json& object, const char* field) {
+  constexpr int64_t kMax = std::numeric_limits<int64_t>::max();
   const auto found = object.find(field);
   if (found == object.end()) {
     return 0;
   }
-  if (found->is_number_integer()) {
-    return found->get<int64_t>();
+  std::optional<int64_t> number;
+  if (const auto* text = found->get_ptr<const std::string*>()) {
+    int64_t value = 0;
+    const char* const end = text->data() + text->size();
+    const auto parsed = std::from_chars(text->data(), end, value);
+    if (parsed.ec == std::errc() && parsed.ptr == end && value >= 0) {
+      number = value;
+    }
+  } else {
+    number = ToInteger(*found, 0, kMax);
+  }
+  if (!number) {
+    return BadField(field, "a number from 0 to 2^63 - 1");
   }
-  return found->is_string()
-             ? std::strtoll(found->get_ref<const std::string&>().c_str(),
-                            nullptr, 10)
-             : 0;
+  return *number;
+}
+
+// Reads a boolean, which is false if it is absent.
+Result<bool> BooleanField(const Json& object, const char* field) {
+  const auto found = object.find(field);
+  if (found == object.end()) {
+    return false;
+  }
+  if (!found->is_boolean()) {
+    return BadField(field, "true or false");
+  }
+  return found->get<bool>();
 }
 
 Result<std::string> BytesField(const Json& object, const char* field) {
@@ -46,29 +76,79 @@
     return std::string();
   }
   if (!found->is_string()) {
-    return BadAnswer(std::string("field \"") + field + "\" is no string");
+    return BadField(field, "a string");
   }
   return DecodeBase64(found->get_ref<const std::string&>());
 }
 
-Result<KeyValue> ParseItem(const Json& object) {
-  if (!object.is_object()) {
-    return BadAnswer("an item is no object");
+// Reads an array of objects with `parse`, which returns nothing for one to be
+// left out. An absent array is empty.
+Result<std::vector<KeyValue>> ArrayField(
+    const Json& object,
+    const char* field,
+    Result<std::optional<KeyValue>> (*parse)(const Json&)) {
+  std::vector<KeyValue> items;
+  const auto found = object.find(field);
+  if (found == object.end()) {
+    return items;
+  }
+  if (!found->is_array()) {
+    return BadField(field, "an array");
   }
+  for (const Json& element : *found) {
+    if (!element.is_object()) {
+      return BadField(field, "an array of objects");
+    }
+    auto item = parse(element);
+    if (!item) {
+      return tl::unexpected<Failure>(item.error());
+    }
+    if (*item) {
+      items.push_back(std::move(**item));
+    }
+  }
+  return items;
+}
+
+Result<std::optional<KeyValue>> ParseItem(const Json& object) {
   auto key = BytesField(object, "key");
   auto value = BytesField(object, "value");
+  const auto revision = NumberField(object, "mod_revision");
   if (!key || !value) {
-    return tl::unexpected(key ? value.error() : key.error());
+    return tl::unexpected<Failure>(key ? value.error() : key.error());
+  }
+  if (!revision) {
+    return tl::unexpected<Failure>(revision.error());
   }
-  return KeyValue{std::move(*key), std::move(*value),
-                  NumberField(object, "mod_revision")};
+  return KeyValue{std::move(*key), std::move(*value), *revision};
 }
 
-int64_t HeaderRevision(const Json& answer) {
+// Returns nothing for a deletion: a deleted key is absent from the next range
+// read.
+Result<std::optional<KeyValue>> ParseEvent(const Json& event) {
+  const auto type = event.find("type");
+  if (type != event.end() && *type != "PUT" && *type != "DELETE") {
+    return BadField("type", "\"PUT\" or \"DELETE\"");
+  }
+  const auto item = event.find("kv");
+  if (item == event.end() || !item->is_object()) {
+    return BadField("kv", "an object");
+  }
+  if (type != event.end() && *type == "DELETE") {
+    return std::nullopt;
+  }
+  return ParseItem(*item);
+}
+
+Result<int64_t> HeaderRevision(const Json& answer) {
   const auto header = answer.find("header");
-  return header != answer.end() && header->is_object()
-             ? NumberField(*header, "revision")
-             : 0;
+  if (header == answer.end()) {
+    return 0;
+  }
+  if (!header->is_object()) {
+    return BadField("header", "an object");
+  }
+  return NumberField(*header, "revision");
 }
 
 Result<KeyValueRange> ParseRange(const std::string& body) {
@@ -76,19 +156,14 @@
   if (!answer.is_object()) {
     return BadAnswer("range answer is no JSON object");
   }
-  KeyValueRange range;
-  range.revision = HeaderRevision(answer);
-  const auto items = answer.find("kvs");
-  if (items == answer.end()) {
-    return range;
-  }
-  for (const Json& object : *items) {
-    auto item = ParseItem(object);
-    if (!item) {
-      return tl::unexpected(item.error());
-    }
-    range.items.push_back(std::move(*item));
+  const auto revision = HeaderRevision(answer);
+  auto items = ArrayField(answer, "kvs", ParseItem);
+  if (!revision || !items) {
+    return tl::unexpected<Failure>(revision ? items.error() : revision.error());
   }
+  KeyValueRange range;
+  range.revision = *revision;
+  range.items = std::move(*items);
   return range;
 }
 
@@ -97,11 +172,34 @@
   if (!answer.is_object()) {
     return BadAnswer("transaction answer is no JSON object");
   }
-  const auto succeeded = answer.find("succeeded");
-  return KeyValueTransactionResult{succeeded != answer.end() &&
-                                       succeeded->is_boolean() &&
-                                       succeeded->get<bool>(),
-                                   HeaderRevision(answer)};
+  const auto succeeded = BooleanField(answer, "succeeded");
+  const auto revision = HeaderRevision(answer);
+  if (!succeeded || !revision) {
+    return tl::unexpected<Failure>(succeeded ? revision.error()
+                                             : succeeded.error());
+  }
+  return KeyValueTransactionResult{*succeeded, *revision};
+}
+
+// Returns the changes that one line of a watch reports.
+Result<std::vector<KeyValue>> ParseWatchLine(std::string_view line) {
+  const Json answer = ParseBoundedJson(line);
+  const auto result = answer.find("result");
+  if (!answer.is_object() || result == answer.end() || !result->is_object()) {
+    return BadAnswer("a line of the watch has no result");
+  }
+  const auto canceled = BooleanField(*result, "canceled");
+  if (!canceled) {
+    return tl::unexpected<Failure>(canceled.error());
+  }
+  if (*canceled) {
+    return BadAnswer("the watch was cancelled");
+  }
+  return ArrayField(*result, "events", ParseEvent);
+}
+
+void LogBadAnswer(Log& log, const Failure& failure) {
+  log.Warn("bad_store_answer", failure.message);
 }
 
 Json PutRequest(const std::string& key, const std::string& value) {
@@ -112,9 +210,10 @@
 // One open watch. etcd's JSON gateway streams JSON objects, one per line.
 class EtcdWatch : public KeyValueWatch {
  public:
-  EtcdWatch(std::function<void(std::vector<KeyValue>)> on_change,
+  EtcdWatch(Log& log,
+            std::function<void(std::vector<KeyValue>)> on_change,
             std::function<void(Failure)> on_end)
-      : on_change(std::move(on_change)), on_end(std::move(on_end)) {}
+      : log(log), on_change(std::move(on_change)), on_end(std::move(on_end)) {}
 
   void Open(HttpClient& http, HttpRequest request) {
     HttpResponseCallbacks callbacks;
@@ -159,43 +258,31 @@
     if (line.empty()) {
       return;
     }
-    const Json answer = ParseBoundedJson(line);
-    const bool valid = answer.is_object() && answer.contains("result") &&
-                       answer["result"].is_object();
-    if (!valid || answer["result"].value("canceled", false)) {
-      this->End("the watch was cancelled or is malformed");
+    auto items = ParseWatchLine(line);
+    if (!items) {
+      LogBadAnswer(this->log, items.error());
+      this->EndWith(std::move(items.error().message));
       return;
     }
-    std::vector<KeyValue> items;
-    const Json events = answer["result"].value("events", Json::array());
-    for (const Json& event : events) {
-      // Deletions are not reported; a deleted key is absent from the next range
-      // read.
-      if (!event.is_object() || event.value("type", "PUT") == "DELETE" ||
-          !event.contains("kv")) {
-        continue;
-      }
-      auto item = ParseItem(event["kv"]);
-      if (!item) {
-        this->End(item.error().message);
-        return;
-      }
-      items.push_back(std::move(*item));
-    }
-    if (!items.empty()) {
-      this->on_change(std::move(items));
+    if (!items->empty()) {
+      this->on_change(std::move(*items));
     }
   }
 
   void End(const std::string& message) {
+    this->EndWith("key-value service: " + message);
+  }
+
+  void EndWith(std::string message) {
     if (!std::exchange(this->ended, true)) {
       this->on_end(Failure{Verdict::kNotRun, ErrorCode::kUnavailable,
-                           "key-value service: " + message});
+                           std::move(message)});
     }
   }
 
   static constexpr size_t kMaxLineBytes = 16u << 20;
 
+  Log& log;
   std::function<void(std::vector<KeyValue>)> on_change;
   std::function<void(Failure)> on_end;
   std::string buffer;
@@ -214,22 +301,37 @@
 };
 
 EtcdClient::EtcdClient(Loop& loop,
+                       Log& log,
                        SocketAddress server,
                        EtcdClientOptions options)
     : options(options),
       loop(loop),
+      log(log),
       http(loop, server, HttpClientOptions{}),
       watch_http(loop, server, HttpClientOptions{std::chrono::hours(24), 1}) {}
 
 EtcdClient::~EtcdClient() = default;
 
+template <typename Value>
+Result<Value> EtcdClient::Read(const Result<std::string>& body,
+                               Result<Value> (*parse)(const std::string&)) {
+  if (!body) {
+    return tl::unexpected<Failure>(body.error());
+  }
+  auto value = parse(*body);
+  if (!value) {
+    LogBadAnswer(this->log, value.error());
+  }
+  return value;
+}
+
 void EtcdClient::Get(
     const std::string& key,
     std::function<void(Result<std::optional<KeyValue>>)> done) {
   ++this->calls.reads;
   this->Post("/v3/kv/range", Json{{"key", EncodeBase64(key)}}.dump(),
-             [done = std::move(done)](const Result<std::string>& body) {
-               auto range = body.and_then(ParseRange);
+             [this, done = std::move(done)](const Result<std::string>& body) {
+               auto range = this->Read(body, ParseRange);
                if (!range) {
                  done(tl::unexpected(range.error()));
                } else if (range->items.empty()) {
@@ -249,8 +351,8 @@
                   {"range_end", EncodeBase64(range.end)},
                   {"keys_only", keys_only}}
                  .dump(),
-             [done = std::move(done)](const Result<std::string>& body) {
-               done(body.and_then(ParseRange));
+             [this, done = std::move(done)](const Result<std::string>& body) {
+               done(this->Read(body, ParseRange));
              });
 }
 
@@ -281,8 +383,8 @@
   this->Post("/v3/kv/txn",
              Json{{"compare", std::move(compare)}, {"success", std::move(puts)}}
                  .dump(),
-             [done = std::move(done)](const Result<std::string>& body) {
-               done(body.and_then(ParseTransaction));
+             [this, done = std::move(done)](const Result<std::string>& body) {
+               done(this->Read(body, ParseTransaction));
              });
 }
 
@@ -292,8 +394,8 @@
     std::function<void(std::vector<KeyValue>)> on_change,
     std::function<void(Failure)> on_end) {
   ++this->calls.watches;
-  auto watch =
-      std::make_unique<EtcdWatch>(std::move(on_change), std::move(on_end));
+  auto watch = std::make_unique<EtcdWatch>(this->log, std::move(on_change),
+                                           std::move(on_end));
   watch->Open(
       this->watch_http,
       JsonPost("/v3/watch",
--- a/src/process/etcd_client.h
+++ b/src/process/etcd_client.h
@@ -10,6 +10,7 @@
 #include "src/connection/base64.h"
 #include "src/connection/http_client.h"
 #include "src/process/key_value_client.h"
+#include "src/process/log.h"
 
 namespace celerypost {
 
@@ -23,7 +24,12 @@
 // KeyValueClient over the JSON gateway of etcd v3.
 class EtcdClient : public KeyValueClient {
  public:
-  EtcdClient(Loop& loop, SocketAddress server, EtcdClientOptions options);
+  // `loop` and `log` must outlive the client. An answer that is not as etcd's
+  // protocol says fails its call or ends its watch, and is logged.
+  EtcdClient(Loop& loop,
+             Log& log,
+             SocketAddress server,
+             EtcdClientOptions options);
   ~EtcdClient() override;
 
   void Get(const std::string& key,
@@ -48,8 +54,14 @@
             std::string body,
             std::function<void(Result<std::string>)> done);
 
+  // Reads the body of an answer with `parse`, whose failures are logged.
+  template <typename Value>
+  Result<Value> Read(const Result<std::string>& body,
+                     Result<Value> (*parse)(const std::string&));
+
   const EtcdClientOptions options;
   Loop& loop;
+  Log& log;
   HttpClient http;
   // Separate, because a watch may receive nothing for hours and needs a longer
   // timeout.
--- a/src/process/gossip_task.cc
+++ b/src/process/gossip_task.cc
@@ -89,7 +89,7 @@
   this->members.OnPeerHeard(peer, this->scheduler.Now());
 }
 
-void GossipTask::OnFrame(InstanceId from, const Frame& frame) {
+Result<void> GossipTask::OnFrame(InstanceId from, const Frame& frame) {
   const TimePoint now = this->scheduler.Now();
   ++this->counts.frames_received;
   this->counts.bytes_received += FrameBytes(frame);
@@ -102,7 +102,7 @@
                   : Result<GossipHeartbeat>(tl::unexpected(message.error()));
       if (!heartbeat) {
         ++this->counts.bad_frames;
-        return;
+        return tl::unexpected<Failure>(heartbeat.error());
       }
       this->echoes[from] = Echo{frame.header.request, now};
       std::optional<Duration> transit;
@@ -118,7 +118,7 @@
       const auto message = DecodeMessage<wire::PullDocument>(frame);
       if (!message) {
         ++this->counts.bad_frames;
-        return;
+        return tl::unexpected<Failure>(message.error());
       }
       this->gossip.OnPull(from, GossipPull{message->key}, now);
       break;
@@ -127,7 +127,9 @@
       const auto message = DecodeMessage<wire::Document>(frame);
       if (!message || message->number < 0) {
         ++this->counts.bad_frames;
-        return;
+        return message ? NotRun(ErrorCode::kInvalidArgument,
+                                "Document.number is below 0")
+                       : tl::unexpected<Failure>(message.error());
       }
       this->gossip.OnDocument(
           from,
@@ -139,9 +141,10 @@
     }
     default:
       ++this->counts.bad_frames;
-      return;
+      return NotRun(ErrorCode::kInvalidArgument, "no message of gossip");
   }
   this->AfterEvent();
+  return {};
 }
 
 void GossipTask::OnPlatformList(const std::vector<PlatformMember>& list) {
--- a/src/process/gossip_task.h
+++ b/src/process/gossip_task.h
@@ -76,7 +76,9 @@
   // Records that `peer` sent a frame that is not passed to OnFrame. Has no
   // caller.
   void OnPeerHeard(InstanceId peer);
-  void OnFrame(InstanceId from, const Frame& frame);
+  // Fails with kInvalidArgument for a frame that is malformed or of another
+  // kind; it is counted and changes nothing else.
+  Result<void> OnFrame(InstanceId from, const Frame& frame);
 
   // Called with each membership list read from the platform.
   void OnPlatformList(const std::vector<PlatformMember>& list);
--- a/src/process/peer_exchange.cc
+++ b/src/process/peer_exchange.cc
@@ -5,8 +5,11 @@
 #include <thrift/transport/TBufferTransports.h>
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
+#include "src/connection/bounded_thrift.h"
+
 namespace celerypost {
 
 namespace {
@@ -24,19 +27,8 @@
   return buffer->getBufferAsString();
 }
 
-bool Decode(const char* bytes, size_t length, wire::Beat& beat) {
-  auto buffer = std::make_shared<TMemoryBuffer>(
-      reinterpret_cast<uint8_t*>(const_cast<char*>(bytes)),
-      static_cast<uint32_t>(length));
-  TCompactProtocolT<TMemoryBuffer> protocol(buffer, kMaxDatagramBytes,
-                                            kMaxDatagramBytes);
-  // Thrift throws on malformed input.
-  try {
-    beat.read(&protocol);
-  } catch (const std::exception&) {
-    return false;
-  }
-  return beat.instance != 0;
+bool Decode(std::string_view bytes, wire::Beat& beat) {
+  return ReadBoundedThrift(bytes, beat).has_value() && beat.instance != 0;
 }
 
 }  // namespace
@@ -103,7 +95,7 @@
                               size_t length,
                               const std::string& ip) {
   wire::Beat beat;
-  if (!Decode(bytes, length, beat)) {
+  if (!Decode({bytes, length}, beat)) {
     if (this->malformed_datagrams++ == 0) {
       this->log.Warn("beat_unreadable",
                      "received a datagram that is not a valid beat",
--- a/src/process/runtime.cc
+++ b/src/process/runtime.cc
@@ -1,5 +1,6 @@
 #include "src/process/runtime.h"
 
+#include <bit>
 #include <ctime>
 #include <random>
 #include <utility>
@@ -165,7 +166,13 @@
     case wire::Kind::HEARTBEAT:
     case wire::Kind::PULL_DOCUMENT:
     case wire::Kind::DOCUMENT:
-      this->gossip->OnFrame(from.peer().instance, frame);
+      if (const auto taken = this->gossip->OnFrame(from.peer().instance, frame);
+          !taken && std::has_single_bit(this->gossip->counters().bad_frames)) {
+        this->log.Warn("bad_frame", taken.error().message,
+                       {{"peer", FormatInstance(from.peer().instance)},
+                        {"address", from.peer().address},
+                        {"total", this->gossip->counters().bad_frames}});
+      }
       return;
     default:
       this->handlers.on_frame(from, std::move(frame));
--- a/tests/connection/frame_codec_test.cc
+++ b/tests/connection/frame_codec_test.cc
@@ -1,14 +1,34 @@
 #include "src/connection/frame_codec.h"
 
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "tests/support/peak_memory.h"
+
 #include "CppUTest/TestHarness.h"
 
 namespace celerypost {
 namespace {
 
+// Returns a frame whose only field `id`, under 16, is a list that claims `size`
+// structs, with `content` after the claim.
+Frame ListFrame(wire::Kind::type kind,
+                uint8_t id,
+                uint32_t size,
+                const std::string& content) {
+  Frame frame;
+  frame.header.kind = kind;
+  frame.payload = {static_cast<char>(id << 4 | 0x09), '\xFC'};
+  for (; size >= 0x80; size >>= 7) {
+    frame.payload += static_cast<char>(size | 0x80);
+  }
+  frame.payload += static_cast<char>(size);
+  frame.payload += content;
+  return frame;
+}
+
 std::vector<Frame> ReadAll(FrameReader* reader, std::string_view bytes) {
   std::vector<Frame> frames;
   const auto result = reader->Append(
@@ -85,6 +105,48 @@
   CHECK_FALSE(reader.Append("", [](Frame) {}).has_value());
 }
 
+// Guards against a few bytes that claim a long list, for which memory is taken
+// before its elements are read.
+TEST(FrameCodecTest, AListThatItsFrameCannotHoldTakesNoMemory) {
+  const PeakMemory peak;
+  constexpr uint32_t kClaimed = kMaxFrameBytes;
+  const auto heartbeat = [](uint8_t field) {
+    return DecodeMessage<wire::Heartbeat>(
+               ListFrame(wire::Kind::HEARTBEAT, field, kClaimed, "rest"))
+        .has_value();
+  };
+  CHECK_FALSE(heartbeat(1));
+  CHECK_FALSE(heartbeat(2));
+  CHECK_FALSE(heartbeat(3));
+  CHECK_FALSE(DecodeMessage<wire::HandOff>(
+                  ListFrame(wire::Kind::HAND_OFF, 6, kClaimed, "rest"))
+                  .has_value());
+  CHECK_COMPARE(peak.Growth(), <, kMaxFrameBytes);
+}
+
+// Guards against elements of one byte, each of which takes hundreds in memory.
+TEST(FrameCodecTest, AListOfEmptyStructsTakesNoMemory) {
+  constexpr uint32_t kClaimed = kMaxFrameBytes - 64;
+  const Frame frame = ListFrame(wire::Kind::HEARTBEAT, 2, kClaimed,
+                                std::string(kClaimed + 1, '\0'));
+  const PeakMemory peak;
+  CHECK_FALSE(DecodeMessage<wire::Heartbeat>(frame).has_value());
+  CHECK_COMPARE(peak.Growth(), <, kMaxFrameBytes);
+}
+
+// Guards against a bound that refuses the records of a full ledger.
+TEST(FrameCodecTest, AcceptsTheLargestHandOff) {
+  constexpr size_t kMaxLedgerRecords = 65536;
+  wire::HandOff message;
+  message.records.resize(kMaxLedgerRecords);
+  FrameReader reader;
+  const auto frames =
+      ReadAll(&reader, EncodeFrame(wire::Kind::HAND_OFF, 0, 1, message));
+  const auto decoded = DecodeMessage<wire::HandOff>(frames.at(0));
+  CHECK_TRUE(decoded.has_value());
+  CHECK_EQUAL(kMaxLedgerRecords, decoded->records.size());
+}
+
 // Guards against bytes of another protocol being taken for messages.
 TEST(FrameCodecTest, RejectsMalformedHeader) {
   FrameReader reader;
--- a/tests/process/delta_codec_test.cc
+++ b/tests/process/delta_codec_test.cc
@@ -1,7 +1,11 @@
 #include "src/process/delta_codec.h"
 
+#include <zlib.h>
+
 #include <string>
 
+#include "tests/support/peak_memory.h"
+
 #include "CppUTest/TestHarness.h"
 
 namespace celerypost {
@@ -80,5 +84,33 @@
   CHECK_FALSE(DecodeDelta(wrong_size).has_value());
 }
 
+// Guards against a short body that claims a long document or a long list, for
+// which memory is taken first.
+TEST(DeltaCodecTest, AClaimedSizeTakesNoMemory) {
+  constexpr size_t kMaxGrowth = 4u << 20;
+  const PeakMemory peak;
+  CHECK_FALSE(DecodeDelta(std::string("\0\0\0\4 no bytes", 13)).has_value());
+  CHECK_COMPARE(peak.Growth(), <, kMaxGrowth);
+}
+
+// Guards against elements of one byte, each of which takes hundreds in memory.
+TEST(DeltaCodecTest, AListOfEmptyItemsTakesNoMemory) {
+  constexpr size_t kPlainBytes = 4u << 20;
+  // A list of items, 4 Mi - 64 of them, and as many empty structs.
+  std::string plain("\x39\xFC\xC0\xFF\xFF\x01", 6);
+  plain.resize(kPlainBytes);
+  std::string bytes("\0\0\x40\0", 4);
+  uLongf length = compressBound(plain.size());
+  bytes.resize(bytes.size() + length);
+  CHECK_EQUAL(
+      Z_OK,
+      compress(reinterpret_cast<Bytef*>(bytes.data() + 4), &length,
+               reinterpret_cast<const Bytef*>(plain.data()), plain.size()));
+  bytes.resize(4 + length);
+  const PeakMemory peak;
+  CHECK_FALSE(DecodeDelta(bytes).has_value());
+  CHECK_COMPARE(peak.Growth(), <, 2 * kPlainBytes);
+}
+
 }  // namespace
 }  // namespace celerypost
--- a/tests/process/etcd_client_test.cc
+++ b/tests/process/etcd_client_test.cc
@@ -18,6 +18,12 @@
 
 TEST_GROUP(EtcdClientTest) {
   Loop loop;
+  std::vector<std::string> lines;
+  Log log{LogOptions{},
+          [this](LogLevel, std::string_view line) {
+            this->lines.emplace_back(line);
+          },
+          [] { return std::chrono::system_clock::now(); }};
   std::vector<std::pair<std::string, nlohmann::json>> requests;
   // Answer to the next request; if empty, the response is started and kept
   // open.
@@ -46,7 +52,14 @@
     EtcdClientOptions options;
     options.call_timeout = milliseconds(200);
     this->client = std::make_unique<EtcdClient>(
-        this->loop, SocketAddress{"127.0.0.1", this->server->port()}, options);
+        this->loop, this->log, SocketAddress{"127.0.0.1", this->server->port()},
+        options);
+  }
+  // The log has one line, on the bad answer.
+  void CheckLogged(const std::string& malformed) {
+    CHECK_EQUAL_TEXT(1u, this->lines.size(), malformed.c_str());
+    STRCMP_CONTAINS("bad_store_answer", this->lines.front().c_str());
+    this->lines.clear();
   }
   // Runs the loop until `done`, at most 5 s.
   void RunUntil(const std::function<bool()>& done) {
@@ -124,8 +137,9 @@
   CHECK(transact() == Verdict::kMayHaveRun);
   this->server->StopListening();
   this->server.reset();
-  this->client = std::make_unique<EtcdClient>(
-      this->loop, SocketAddress{"127.0.0.1", 1}, EtcdClientOptions{});
+  this->client = std::make_unique<EtcdClient>(this->loop, this->log,
+                                              SocketAddress{"127.0.0.1", 1},
+                                              EtcdClientOptions{});
   CHECK(transact() == Verdict::kNotRun);
 }
 
@@ -154,5 +168,76 @@
   this->RunUntil([&] { return ended; });
 }
 
+// Guards against a line of the watch with a field of another JSON type, or a
+// revision that is no number, that ends the process or is passed on.
+TEST(EtcdClientTest, AMalformedLineEndsTheWatch) {
+  constexpr char kKeyAndValue[] = R"("key":"YQ==","value":"Yg==")";
+  const auto event = [&](const std::string& fields) {
+    return R"({"result":{"events":[{)" + fields + "}]}}";
+  };
+  const auto revision = [&](const std::string& json) {
+    return event(std::string(R"("kv":{)") + kKeyAndValue +
+                 R"(,"mod_revision":)" + json + "}");
+  };
+  for (const std::string& line :
+       {std::string(R"({"result":{"canceled":"yes"}})"),
+        std::string(R"({"result":{"canceled":1}})"),
+        std::string(R"({"result":{"canceled":null}})"),
+        std::string(R"({"result":{"events":{"a":1}}})"),
+        std::string(R"({"result":{"events":"none"}})"),
+        std::string(R"({"result":{"events":[7]}})"),
+        std::string(R"({"result":[]})"), std::string("[]"),
+        event(R"("type":1,"kv":{)" + std::string(kKeyAndValue) + "}"),
+        event(R"("type":["DELETE"])"), event(R"("kv":3)"),
+        event(R"("kv":{"key":1})"), revision("true"), revision("\"x\""),
+        revision("\"99999999999999999999\""), revision("-1"),
+        revision("18446744073709551615"), revision("6.5")}) {
+    size_t changes = 0;
+    std::optional<Failure> end;
+    const auto watch = this->client->Watch(
+        KeyRange{"a", "c"}, 5, [&](const std::vector<KeyValue>&) { ++changes; },
+        [&](const Failure& failure) { end = failure; });
+    this->RunUntil([&] { return this->open != nullptr; });
+    this->open->Write(line + "\n");
+    this->RunUntil([&] { return end.has_value(); });
+    CHECK_EQUAL_TEXT(0u, changes, line.c_str());
+    this->CheckLogged(line);
+    std::exchange(this->open, nullptr)->End();
+  }
+}
+
+// Guards against answers of other JSON types that end the process or are taken
+// for an empty range or a lost comparison.
+TEST(EtcdClientTest, AMalformedAnswerFails) {
+  for (const std::string& malformed :
+       {std::string(R"({"kvs":7})"), std::string(R"({"kvs":{}})"),
+        std::string(R"({"kvs":null})"), std::string(R"({"header":1})"),
+        std::string(R"({"header":{"revision":"x"}})"),
+        std::string(R"({"header":{"revision":[1]}})"),
+        std::string(R"({"kvs":[{"mod_revision":{}}]})")}) {
+    this->answer = malformed;
+    std::optional<Result<KeyValueRange>> range;
+    this->client->GetRange(KeyRange{"a", "c"}, false,
+                           [&](Result<KeyValueRange> got) { range = got; });
+    this->RunUntil([&] { return range.has_value(); });
+    CHECK_FALSE_TEXT(range->has_value(), malformed.c_str());
+    this->CheckLogged(malformed);
+  }
+  for (const std::string& malformed :
+       {std::string(R"({"succeeded":"true"})"),
+        std::string(R"({"succeeded":1})"),
+        std::string(R"({"header":{"revision":"-"},"succeeded":true})")}) {
+    this->answer = malformed;
+    std::optional<Result<KeyValueTransactionResult>> result;
+    this->client->Transact(
+        KeyValueTransaction{"a", 0, "b", {}},
+        [&](Result<KeyValueTransactionResult> got) { result = got; });
+    this->RunUntil([&] { return result.has_value(); });
+    CHECK_FALSE_TEXT(result->has_value(), malformed.c_str());
+    this->CheckLogged(malformed);
+    CHECK(result->error().verdict == Verdict::kMayHaveRun);
+  }
+}
+
 }  // namespace
 }  // namespace celerypost
