Count the withdrawal for newer weights as an attempt

What callers saw: nothing yet; found by reading. When the weights of a request's target were superseded before the first event, a repeatable request was sent to another target although its route allowed no further attempt or the retry budget was spent. So each version that became due could send all waiting requests again at once. A request that was withdrawn before a byte of it was sent was told to its caller as "may have run" (502).

Cause: OnAttemptTimeout called SendToNextTarget itself, past MayRetry, and counted a run whatever had been sent.

Change: a withdrawn attempt ends like one that broke, in RetryOrEnd: it counts for max_attempts and max_sends, the retry is taken from the budget, parts that are accused of crashes are respected, and with a silent attempt beside it another target is tried before that one is waited for. If no byte was sent, the attempt is one that was not run. Without a further attempt the caller is told at once: 503 "not run" if that is true of all attempts, else 502; it never gets an answer of the superseded weights.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -1045,17 +1045,12 @@
   // A request that starts on weights past their bound would be answered by the
   // wrong version, so it is withdrawn whether or not it can be sent again.
   if (this->MustLeaveTarget()) {
-    this->LogSilent("its weights are superseded");
-    this->http_call.reset();
+    constexpr std::string_view kSuperseded = "its weights are superseded";
+    this->LogSilent(kSuperseded);
+    const bool unsent = this->http_call && !this->http_call->MayHaveBeenSent();
     this->EndAttempt(AttemptOutcome::kBroken);
-    this->CountRun(*this->attempt);
-    if (!this->silent_attempts.empty()) {
-      this->FallBack();
-    } else if (this->route->repeatable()) {
-      this->SendToNextTarget();
-    } else {
-      this->FailWith(kBadGateway, "its weights are superseded");
-    }
+    this->RetryOrEnd(unsent ? Verdict::kNotRun : Verdict::kMayHaveRun,
+                     kBadGateway, kSuperseded);
     return;
   }
   const auto silent_at = this->SilentAt();
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <cerrno>
 #include <cstdio>
@@ -167,6 +168,40 @@
   return listener;
 }
 
+// A listener with which no further connection can be established.
+class BusyListener {
+ public:
+  BusyListener() : listener(ListenOnLoopback(this->bound_port)) {
+    CHECK_EQUAL(0, listen(this->listener, 0));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(this->bound_port);
+    for (int& waiting : this->queue) {
+      waiting = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      CHECK_TRUE(connect(waiting, reinterpret_cast<sockaddr*>(&address),
+                         sizeof(address)) == 0 ||
+                 errno == EINPROGRESS);
+    }
+  }
+  ~BusyListener() {
+    for (const int waiting : this->queue) {
+      close(waiting);
+    }
+    close(this->listener);
+  }
+  BusyListener(const BusyListener&) = delete;
+  BusyListener& operator=(const BusyListener&) = delete;
+
+  uint16_t port() const { return this->bound_port; }
+
+ private:
+  uint16_t bound_port = 0;
+  const int listener;
+  // More than a listener without a backlog accepts.
+  std::array<int, 3> queue{};
+};
+
 TEST_GROUP(RelayTaskTest) {
   Loop loop;
   MemoryBudget memory{loop, {}, {}};
@@ -224,6 +259,8 @@
   milliseconds patience{10000};
   // How long they read nothing after the head of an answer.
   milliseconds reading_pause{0};
+  // Whether connections to targets can be established.
+  bool targets_accept = true;
   // To the latest request, and most bytes of it that were unsent at a time.
   std::shared_ptr<HttpResponder> responder;
   size_t max_unsent_bytes = 0;
@@ -355,7 +392,10 @@
       }
       this->Apply(id, target);
     }
-    Http1Client client(this->loop, {"127.0.0.1", port}, {});
+    const BusyListener busy;
+    Http1Client client(this->loop,
+                       {"127.0.0.1", this->targets_accept ? port : busy.port()},
+                       {});
     RelayMetrics relay_metrics(this->metrics);
     RelayContext context{
         this->loop,
@@ -452,6 +492,32 @@
     return answer;
   }
 
+  // All targets load version 2, which is named and due.
+  void SupersedeWeights() {
+    const TargetSelectorOptions bounds;
+    this->view.NoteCurrent(this->loop.Now() + milliseconds(10) -
+                           bounds.version_bound + bounds.begin_margin);
+    for (const std::string& id : this->target_ids) {
+      TargetRegistration loaded = this->view.targets().at(id).entry;
+      loaded.models.front().version = 2;
+      this->Apply(id, loaded);
+    }
+    this->Apply("weights", NamedWeights{"m", 2});
+    ReviewWaitingRequests(*this->relay_context);
+  }
+
+  // A request that waits at its target when its weights are superseded fails
+  // and does not reach the other one.
+  void CheckNotRepeatedForNewerWeights(const Route& route) {
+    this->served_version = 1;
+    this->during = [this] { this->SupersedeWeights(); };
+    const CallerAnswer answer =
+        this->Relay(route, {{.keeps_connection = true}, Unframed("second")});
+    CHECK_EQUAL(502, answer.status);
+    STRCMP_EQUAL("its weights are superseded\n", answer.body.c_str());
+    CHECK_EQUAL(1u, this->received.size());
+  }
+
   // Names a configuration that has no services.
   void DropServices() {
     auto config = std::make_shared<GatewayConfig>(*this->view.config());
@@ -1260,25 +1326,50 @@
 // Guards against a second run of a request that may run once, when its target's
 // weights are superseded and another target has the new ones.
 TEST(RelayTaskTest, ARequestThatMayRunOnceIsNotRepeatedForNewerWeights) {
-  this->served_version = 1;
-  this->during = [this] {
-    const TargetSelectorOptions bounds;
-    this->view.NoteCurrent(this->loop.Now() + milliseconds(10) -
-                           bounds.version_bound + bounds.begin_margin);
-    for (const std::string& id : this->target_ids) {
-      TargetRegistration loaded = this->view.targets().at(id).entry;
-      loaded.models.front().version = 2;
-      this->Apply(id, loaded);
-    }
-    this->Apply("weights", NamedWeights{"m", 2});
-    ReviewWaitingRequests(*this->relay_context);
-  };
   Route route = PlainRoute();
   route.kind = RouteKind::kNonIdempotent;
+  this->CheckNotRepeatedForNewerWeights(route);
+}
+
+// Guards against more runs of a request than its route allows, when its
+// target's weights are superseded.
+TEST(RelayTaskTest, ARequestWithoutAttemptsIsNotRepeatedForNewerWeights) {
+  Route route = PlainRoute();
+  route.max_attempts = 1;
+  this->CheckNotRepeatedForNewerWeights(route);
+}
+
+// Guards against retries beyond the budget for all requests that wait when
+// weights are superseded.
+TEST(RelayTaskTest, ARequestIsNotRepeatedForNewerWeightsWithoutBudget) {
+  this->budgets.SetMaxSaved(0);
+  this->CheckNotRepeatedForNewerWeights(PlainRoute());
+}
+
+// Guards against a request that is sent on for newer weights and not counted as
+// a retry.
+TEST(RelayTaskTest, ARequestThatIsRepeatedForNewerWeightsSpendsARetry) {
+  this->served_version = 1;
+  this->during = [this] { this->SupersedeWeights(); };
   const CallerAnswer answer =
-      this->Relay(route, {{.keeps_connection = true}, Unframed("second")});
-  CHECK_EQUAL(502, answer.status);
-  CHECK_EQUAL(1u, this->received.size());
+      this->Relay(PlainRoute(), {{.keeps_connection = true}, Unframed("new")});
+  this->CheckAnsweredByTheFirst(answer, "new");
+  CHECK_EQUAL(2u, this->received.size());
+  DOUBLES_EQUAL(RetryBudgetOptions().max_saved - 1,
+                this->budgets.For(ServiceName("s")).saved(), 0.01);
+}
+
+// Guards against "may have run" for a request that is withdrawn before it was
+// sent.
+TEST(RelayTaskTest, AnUnsentRequestIsRefusedWhenItsWeightsAreSuperseded) {
+  this->served_version = 1;
+  this->targets_accept = false;
+  this->budgets.SetMaxSaved(0);
+  Timer naming(this->loop, [this] { this->SupersedeWeights(); });
+  naming.StartOnce(milliseconds(40));
+  const CallerAnswer answer = this->Relay(PlainRoute(), {});
+  CHECK_EQUAL(503, answer.status);
+  STRCMP_EQUAL("not run: its weights are superseded\n", answer.body.c_str());
 }
 
 // Guards against more runs of a request than its route allows: the attempt that
