Serve long prompts about as often as short ones under overload

Cause: a request is placed when the predicted time to its first event, its own reading included, is within one limit. Where load holds the predictions at the limit only prompts shorter than what is left get in; returns meet the same limit. A prompt that takes longer to read than the limit was refused by an idle fleet.

Short prompts are compared as though they were longer by the lean's part of the distance to a measured reference size; a lean of 0 is the placement of before, and an idle target is never left unused for it. A request that even an idle target would begin to answer late is placed like one that is late already; if reading takes longer than that limit, only the wait counts.

Existing tests run the policy without the balance, as before (ModelLoadOptions::balances_sizes is off by default).

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -68,10 +68,12 @@
       book({}),
       notices({}),
       policy(MakePredictivePolicy({}, dependencies.random)),
+      sizes({}),
       selector(core.view(),
                book,
                notices,
                *policy,
+               sizes,
                dependencies.random,
                SelectorOptions(dependencies.settings)),
       quarantined_parts(dependencies.metrics.AddGauge(
@@ -95,6 +97,9 @@
       live_gateways(
           dependencies.metrics.AddGauge("celerypost_live_gateways",
                                         "Gateways heard, this one included")),
+      size_lean(dependencies.metrics.AddGauge(
+          "celerypost_size_lean",
+          "How much short prompts are held back for long ones, 0 to 1")),
       leaving_targets_of_peers(
           dependencies.metrics.AddCounter("celerypost_leaving_targets_total",
                                           "Targets that said they leave",
@@ -376,6 +381,7 @@
 }
 
 void Gateway::SendBeat() {
+  this->size_lean.Set(this->sizes.LargestLean());
   const TimePoint now = this->dependencies.loop.Now();
   wire::Beat beat = this->core.MakeBeat(this->state());
   const StorePosition operator_position{beat.era, beat.operator_revision};
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -110,6 +110,7 @@
   TargetTracker book;
   TargetNotices notices;
   std::unique_ptr<PlacementPolicy> policy;
+  SizeBalance sizes;
   TargetSelector selector;
   Gauge& quarantined_parts;
   Gauge& quarantined_requests;
@@ -118,6 +119,7 @@
   ServiceRetryBudgets budgets;
   RelayMetrics relay_metrics;
   Gauge& live_gateways;
+  Gauge& size_lean;
   Counter& leaving_targets_of_peers;
   RelayContext relay_context;
   std::unique_ptr<Http1Server> caller_server;
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -17,6 +17,7 @@
 #include "src/process/state/cluster_view.h"
 #include "src/request/cold_share.h"
 #include "src/request/placement.h"
+#include "src/request/size_balance.h"
 #include "src/request/target_notices.h"
 #include "src/request/target_tracker.h"
 
@@ -61,6 +62,7 @@
   std::chrono::milliseconds entry_age{0};
   size_t candidates = 0;
   std::chrono::milliseconds predicted{0};
+  SizeLean size_lean;
   // When refused: why, and when a target should be available.
   std::string_view reason;
   std::chrono::milliseconds retry_after{0};
@@ -109,6 +111,7 @@
                  const TargetTracker& book,
                  const TargetNotices& notices,
                  PlacementPolicy& policy,
+                 SizeBalance& sizes,
                  Random& random,
                  TargetSelectorOptions options);
 
@@ -134,6 +137,13 @@
                                    const ServiceConfig& service,
                                    std::optional<int64_t> version_floor,
                                    TimePoint now);
+  // Places the request. Its first placement is balanced by size and counts for
+  // the balance; later ones repair what a target has failed to do.
+  Placement Place(const EngineRates* rates,
+                  const std::vector<PlacementCandidate>& candidates,
+                  const SelectionRequest& request,
+                  TimePoint now,
+                  SizeLean& lean);
   // Returns when callers should come back if a target takes requests again at
   // `until`.
   std::chrono::milliseconds RetryAfter(TimePoint until, TimePoint now);
@@ -159,6 +169,7 @@
   const TargetTracker& book;
   const TargetNotices& notices;
   PlacementPolicy& policy;
+  SizeBalance& sizes;
   Random& random;
   TargetSelectorOptions options;
   // By target address, as "ip:port".
--- a/src/request/engine_model.cc
+++ b/src/request/engine_model.cc
@@ -43,6 +43,10 @@
          (answer_tokens / std::max(1.0, rates.mean_answer_tokens));
 }
 
+Milliseconds ReadingTime(const EngineRates& rates, double tokens) {
+  return Milliseconds(tokens / std::max(0.001, rates.prompt_tokens_per_ms));
+}
+
 Milliseconds PredictFirstEvent(const EngineRates& rates,
                                const EngineLoad& load,
                                double prompt_tokens) {
@@ -51,8 +55,7 @@
   // The current pass ends first, after half a pass on average; then all waiting
   // prompts are read before the first pass that includes this request.
   Milliseconds time = load.in_flight > 0 ? pass / 2 : Milliseconds(0);
-  time += Milliseconds((load.waiting_tokens + prompt_tokens) /
-                       std::max(0.001, rates.prompt_tokens_per_ms));
+  time += ReadingTime(rates, load.waiting_tokens + prompt_tokens);
   time += pass;
   if (load.in_flight >= rates.slots) {
     const double requests_ahead = load.in_flight - rates.slots + 1;
--- a/src/request/engine_model.h
+++ b/src/request/engine_model.h
@@ -25,6 +25,9 @@
 // with `running` requests, without the time to read prompts.
 Milliseconds PassTime(const EngineRates& rates, double running);
 
+// Returns the time to read prompts of `tokens` in total.
+Milliseconds ReadingTime(const EngineRates& rates, double tokens);
+
 // Returns the predicted time to the first event of a request with
 // `prompt_tokens` that is sent to a target with `load`.
 Milliseconds PredictFirstEvent(const EngineRates& rates,
--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -45,18 +45,61 @@
     return cost + candidate.failure_share * kFailureCostMs;
   }
 
+  // What a request is compared with, in milliseconds.
+  struct Bounds {
+    // Predicted time to the first event at an idle target.
+    double idle = 0;
+    double limit = 0;
+    double deadline_left = 0;
+  };
+
+  Bounds BoundsOf(const EngineRates& rates,
+                  const PlacementRequest& request) const {
+    const Milliseconds idle =
+        PredictFirstEvent(rates, EngineLoad(), request.prompt_tokens);
+    const milliseconds on_time =
+        std::min(request.on_time_left, request.deadline_left) -
+        this->options.margin;
+    const bool late = request.late_anyway || idle > on_time;
+    return {
+        .idle = idle.count(),
+        .limit = static_cast<double>(
+            (late ? std::min(this->options.late_limit, request.deadline_left)
+                  : on_time)
+                .count()),
+        .deadline_left = static_cast<double>(request.deadline_left.count())};
+  }
+
+  // Returns by how much a candidate with this predicted time is too busy; 0 or
+  // less if the request may be placed there.
+  static double ExcessMs(const EngineRates& rates,
+                         const PlacementRequest& request,
+                         const Bounds& bounds,
+                         double slowdown,
+                         double predicted) {
+    if (bounds.idle > bounds.limit) {
+      return std::max(predicted - bounds.idle - bounds.limit,
+                      predicted - bounds.deadline_left);
+    }
+    const SizeLean& lean = request.size_lean;
+    const double factor = std::max(1.0, slowdown);
+    const double missing_tokens =
+        std::max(0.0, lean.reference_tokens - request.prompt_tokens);
+    const double added =
+        lean.weight * ReadingTime(rates, missing_tokens).count() * factor;
+    const double room_of_idle =
+        std::max(0.0, bounds.limit - bounds.idle * factor);
+    return predicted + std::min(added, room_of_idle) - bounds.limit;
+  }
+
   Placement PlaceOnEngine(const EngineRates& rates,
                           const std::vector<PlacementCandidate>& candidates,
                           const PlacementRequest& request) {
-    const double limit = static_cast<double>(
-        (request.late_anyway
-             ? std::min(this->options.late_limit, request.deadline_left)
-             : std::min(request.on_time_left, request.deadline_left) -
-                   this->options.margin)
-            .count());
+    const Bounds bounds = this->BoundsOf(rates, request);
     Placement placement;
     double best_cost = std::numeric_limits<double>::max();
     double soonest = std::numeric_limits<double>::max();
+    double excess = std::numeric_limits<double>::max();
     // Starts at a random candidate, so that gateways with the same data do not
     // all choose the same one of equal candidates.
     const size_t start = this->random.Below(candidates.size());
@@ -67,7 +110,15 @@
           PredictFirstEvent(rates, candidate.load, request.prompt_tokens)
               .count();
       soonest = std::min(soonest, predicted);
-      if (predicted > limit) {
+      placement.room_tokens = std::max(
+          placement.room_tokens.value_or(std::numeric_limits<double>::lowest()),
+          request.prompt_tokens + (bounds.limit - predicted) *
+                                      rates.prompt_tokens_per_ms /
+                                      std::max(1.0, candidate.load.slowdown));
+      const double over =
+          ExcessMs(rates, request, bounds, candidate.load.slowdown, predicted);
+      excess = std::min(excess, over);
+      if (over > 0) {
         continue;
       }
       double cost = predicted + this->PenaltyMs(candidate);
@@ -89,7 +140,7 @@
       placement.predicted =
           ToClampedDuration(candidates.empty() ? 0 : std::min(soonest, 1e6));
       placement.retry_after =
-          this->RetryAfter(ToClampedDuration(std::min(soonest, 1e6) - limit));
+          this->RetryAfter(ToClampedDuration(std::min(excess, 1e6)));
     }
     return placement;
   }
--- a/src/request/placement.h
+++ b/src/request/placement.h
@@ -28,6 +28,15 @@
   std::optional<std::chrono::milliseconds> reload_in;
 };
 
+// How much the placement of short prompts leaves to long ones (SizeBalance).
+struct SizeLean {
+  // From 0, for not at all, to 1, for prompts up to the reference size being
+  // refused alike.
+  double weight = 0;
+  // Size of a long prompt of the kind, in tokens.
+  double reference_tokens = 0;
+};
+
 // The request to place.
 struct PlacementRequest {
   double prompt_tokens = 0;
@@ -40,6 +49,7 @@
   // The first event is late already, or the request was sent to a target
   // before. PlacementOptions::late_limit then replaces `on_time_left`.
   bool late_anyway = false;
+  SizeLean size_lean;
 };
 
 struct Placement {
@@ -50,6 +60,10 @@
   // Predicted time to the first event at the chosen candidate or, when refused,
   // the shortest one over all candidates.
   std::chrono::milliseconds predicted{0};
+  // Longest prompt, in tokens, that a candidate would begin to answer within
+  // the limit of this request. Negative if none would of any length; absent
+  // without an engine.
+  std::optional<double> room_tokens;
 };
 
 // Chooses the target of a request, or refuses it. `rates` is null for services
@@ -71,9 +85,10 @@
   // cost of the transfer and the higher network latency.
   std::chrono::milliseconds other_zone_cost{20};
   std::chrono::milliseconds other_region_cost{40};
-  // A request with PlacementRequest::late_anyway is placed only if its
-  // predicted time to the first event is at most this, so that it does not make
-  // other requests late.
+  // A request with PlacementRequest::late_anyway, or that even an idle target
+  // would begin to answer late, is placed only if its predicted time to the
+  // first event is at most this, so that it does not make other requests late.
+  // If it takes longer than this to read, only the wait before it counts.
   std::chrono::milliseconds late_limit{450};
   // Added for a target that is about to load other weights and that the request
   // would delay, since it would still be running then. Larger than the
@@ -86,7 +101,10 @@
 
 // Chooses the target with the lowest sum of the predicted time to the first
 // event and the costs of its location, its failures and a reload. Refuses when
-// no target is predicted to be on time (late_anyway: within `late_limit`).
+// no target is predicted to be on time (late_anyway: within `late_limit`). For
+// this, a prompt below the reference size of PlacementRequest::size_lean counts
+// as longer by the weight's share of the difference, but is never refused by an
+// idle target for it.
 // Without an engine, the load per slot stands for the predicted time and
 // nothing is refused while there is a candidate.
 std::unique_ptr<PlacementPolicy> MakePredictivePolicy(PlacementOptions options,
--- /dev/null
+++ b/src/request/size_balance.cc
@@ -0,0 +1,95 @@
+#include "src/request/size_balance.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace celerypost {
+
+SizeBalance::SizeBalance(SizeBalanceOptions options) : options(options) {}
+
+SizeLean SizeBalance::LeanOf(const ServiceName& service,
+                             std::string_view kind) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) {
+    return {};
+  }
+  const auto sizes = found->second.kinds.find(kind);
+  if (sizes == found->second.kinds.end() ||
+      sizes->second.recent.size() < this->options.min_sizes) {
+    return {};
+  }
+  return {.weight = found->second.lean,
+          .reference_tokens = sizes->second.reference};
+}
+
+void SizeBalance::AddSize(KindSizes& sizes, double prompt_tokens) const {
+  sizes.recent.push_back(prompt_tokens);
+  if (sizes.recent.size() > this->options.window) {
+    sizes.recent.pop_front();
+  }
+  const auto count = static_cast<double>(sizes.recent.size());
+  double sum = 0;
+  double sum_of_squares = 0;
+  for (const double size : sizes.recent) {
+    sum += size;
+    sum_of_squares += size * size;
+  }
+  sizes.mean = sum / count;
+  const double variance =
+      std::max(0.0, sum_of_squares / count - sizes.mean * sizes.mean);
+  sizes.reference =
+      sizes.mean + this->options.reference_deviations * std::sqrt(variance);
+}
+
+double SizeBalance::Shortfall(const KindSizes& sizes,
+                              double lean,
+                              double room_tokens) const {
+  double shortfall = 0;
+  for (const double size : sizes.recent) {
+    const double counted = size + lean * std::max(0.0, sizes.reference - size);
+    // With s for "placed" and z for the relative size, the mean is 0 where
+    // E[zs] is `token_share` times E[s].
+    if (counted <= room_tokens) {
+      shortfall += this->options.token_share - size / sizes.mean;
+    }
+  }
+  return shortfall / static_cast<double>(sizes.recent.size());
+}
+
+void SizeBalance::OnDecision(const ServiceName& service,
+                             std::string_view kind,
+                             double prompt_tokens,
+                             double room_tokens,
+                             TimePoint now) {
+  if (!(prompt_tokens > 0)) {
+    return;
+  }
+  ServiceSizes& state = this->services[service];
+  auto found = state.kinds.find(kind);
+  if (found == state.kinds.end()) {
+    found = state.kinds.emplace(kind, KindSizes()).first;
+  }
+  KindSizes& sizes = found->second;
+  this->AddSize(sizes, prompt_tokens);
+  const double step =
+      std::clamp(std::chrono::duration<double>(now - state.changed_at) /
+                     std::chrono::duration<double>(this->options.response_time),
+                 0.0, this->options.max_step);
+  state.changed_at = now;
+  if (sizes.recent.size() < this->options.min_sizes) {
+    return;
+  }
+  state.lean = std::clamp(
+      state.lean + step * this->Shortfall(sizes, state.lean, room_tokens), 0.0,
+      1.0);
+}
+
+double SizeBalance::LargestLean() const {
+  double largest = 0;
+  for (const auto& [service, state] : this->services) {
+    largest = std::max(largest, state.lean);
+  }
+  return largest;
+}
+
+}  // namespace celerypost
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -182,7 +182,8 @@
   TargetTracker book{{}};
   std::unique_ptr<PlacementPolicy> policy = MakePredictivePolicy({}, random);
   TargetNotices notices{{}};
-  TargetSelector selector{view, book, notices, *policy, random, {}};
+  SizeBalance sizes{{}};
+  TargetSelector selector{view, book, notices, *policy, sizes, random, {}};
   // Holds less than a long answer.
   size_t evictions = 0;
   MemoryBudget small_memory{loop,
--- a/tests/process/gateway/target_selector_test.cc
+++ b/tests/process/gateway/target_selector_test.cc
@@ -19,6 +19,7 @@
   ClusterView view{decoder, {}};
   TargetTracker book{{}};
   TargetNotices notices{{}};
+  SizeBalance sizes{{}};
   SplitMixRandom random{1};
   std::unique_ptr<PlacementPolicy> policy = MakePredictivePolicy({}, random);
   std::unique_ptr<TargetSelector> selector;
@@ -33,9 +34,9 @@
     options.region = RegionName("north");
     options.regions_of_zones = {{ZoneName("north-a"), RegionName("north")},
                                 {ZoneName("south-a"), RegionName("south")}};
-    this->selector =
-        std::make_unique<TargetSelector>(this->view, this->book, this->notices,
-                                         *this->policy, this->random, options);
+    this->selector = std::make_unique<TargetSelector>(
+        this->view, this->book, this->notices, *this->policy, this->sizes,
+        this->random, options);
     auto config = std::make_shared<GatewayConfig>();
     config->version = 1;
     ServiceConfig service;
@@ -319,5 +320,41 @@
   CHECK_TRUE(static_cast<double>(sent * kGateways) <= 26 * 1.5 + 5);
 }
 
+// Guards against a selector that neither measures how sizes are refused nor
+// heeds it, and against repeated sends that are held back or counted.
+TEST(TargetSelectorTest, BalancesTheFirstPlacementBySize) {
+  this->route.name = "chat";
+  this->Apply("t1", this->Target("t1", "north-a"));
+  // Leaves room for short prompts only: 10 tokens are read in 1 ms.
+  this->book.OnSent("t1", 2500, this->now);
+  const auto play = [&](size_t count) {
+    for (size_t i = 0; i < count; ++i) {
+      this->now += milliseconds(200);
+      this->request.placement.prompt_tokens =
+          static_cast<double>(100 * (1 + i * 7 % 20));
+      this->selector->Select(this->request, this->now);
+    }
+  };
+  this->request.tried = {"t2"};
+  play(40);
+  DOUBLES_EQUAL(0, this->sizes.LargestLean(), 0);
+  this->request.tried.clear();
+  play(40);
+  CHECK_TRUE(this->sizes.LargestLean() > 0.2);
+
+  this->request.placement.prompt_tokens = 100;
+  Selection selection = this->selector->Select(this->request, this->now);
+  CHECK_FALSE(selection.target.has_value());
+  CHECK_TRUE(selection.size_lean.weight > 0.2);
+  this->request.tried = {"t2"};
+  selection = this->selector->Select(this->request, this->now);
+  CHECK_TRUE(selection.target.has_value());
+  // Of unknown size.
+  this->request.tried.clear();
+  this->request.placement.prompt_tokens = 0;
+  CHECK_TRUE(
+      this->selector->Select(this->request, this->now).target.has_value());
+}
+
 }  // namespace
 }  // namespace celerypost
--- a/tests/request/model_load.h
+++ b/tests/request/model_load.h
@@ -13,6 +13,7 @@
 
 #include "celerypost/random.h"
 #include "src/request/placement.h"
+#include "src/request/size_balance.h"
 #include "src/request/target_notices.h"
 
 namespace celerypost {
@@ -41,6 +42,14 @@
   double retry_share = 0.17;
   // Refused callers come back once, at the time that they are told.
   bool callers_return = false;
+  // Gateways balance the sizes that they refuse, beside the policy.
+  bool balances_sizes = false;
+};
+
+// What became of one caller's request.
+struct ModelLoadRequest {
+  double prompt_tokens = 0;
+  bool served = false;
 };
 
 struct ModelLoadResult {
@@ -55,7 +64,26 @@
   // were sent over half a second after it had told the gateway.
   size_t declined = 0;
   size_t sent_in_vain = 0;
+  // All requests, in the order of their arrival.
+  std::vector<ModelLoadRequest> all;
 
+  double ServedShare() const { return this->ServedShareBySize(0, 1); }
+  // Share served of the requests between two quantiles of the prompt sizes, for
+  // example 0.9 and 1 for the largest tenth.
+  double ServedShareBySize(double from, double to) const {
+    std::vector<ModelLoadRequest> sorted = this->all;
+    std::stable_sort(sorted.begin(), sorted.end(),
+                     [](const auto& first, const auto& second) {
+                       return first.prompt_tokens < second.prompt_tokens;
+                     });
+    const auto count = static_cast<double>(sorted.size());
+    const auto begin = sorted.begin() + static_cast<ptrdiff_t>(from * count);
+    const auto end = sorted.begin() + static_cast<ptrdiff_t>(to * count);
+    const auto served = std::count_if(
+        begin, end, [](const auto& request) { return request.served; });
+    return static_cast<double>(served) /
+           static_cast<double>(std::max<ptrdiff_t>(1, end - begin));
+  }
   double OnTimeShare() const {
     return static_cast<double>(this->on_time) /
            static_cast<double>(std::max<size_t>(1, this->requests));
@@ -79,6 +107,8 @@
 inline ModelLoadResult SimulateModelLoad(PlacementPolicy& policy,
                                          const ModelLoadOptions& options) {
   struct Work {
+    // Index in ModelLoadResult::all.
+    size_t index = 0;
     double arrived = 0;
     double prompt = 0;
     int events_left = 0;
@@ -102,6 +132,9 @@
   // When each target first told each gateway that it declines.
   std::vector<std::vector<double>> told(
       options.gateways, std::vector<double>(options.targets, -1));
+  std::vector<SizeBalance> balances(options.gateways, SizeBalance({}));
+  const ServiceName service("model");
+  constexpr std::string_view kKind = "kind";
   std::multimap<double, Work> returning;
   size_t retries = 0;
   const auto count = [](std::chrono::milliseconds time) {
@@ -143,7 +176,14 @@
       request.answer_tokens = work.events_left * 5;
       request.on_time_left = options.first_event_goal;
       request.deadline_left = std::chrono::milliseconds(6000);
+      if (options.balances_sizes && tried.empty()) {
+        request.size_lean = balances[gateway].LeanOf(service, kKind);
+      }
       const Placement placement = policy.Place(&rates, candidates, request);
+      if (tried.empty() && placement.room_tokens) {
+        balances[gateway].OnDecision(service, kKind, work.prompt,
+                                     *placement.room_tokens, time_point(now));
+      }
       if (!placement.candidate) {
         return count(placement.retry_after);
       }
@@ -205,6 +245,7 @@
           work.had_event = true;
           const bool on_time = now - work.arrived <= first_event_goal;
           (on_time ? result.on_time : result.late) += 1;
+          result.all[work.index].served = true;
         }
       }
       std::erase_if(target.running,
@@ -232,6 +273,8 @@
       work.prompt = std::min(draw(977), 3880.0);
       work.events_left = static_cast<int>(std::clamp(draw(19), 1.0, 52.0));
       ++result.requests;
+      work.index = result.all.size();
+      result.all.push_back({.prompt_tokens = work.prompt});
       admit(work, now);
     }
     while (!returning.empty() && returning.begin()->first <= now) {
--- a/tests/request/placement_test.cc
+++ b/tests/request/placement_test.cc
@@ -156,6 +156,113 @@
   }
 }
 
+// What callers get of a load, over several seeds.
+struct ServedBySize {
+  double all = 0;
+  double largest_tenth = 0;
+  double fifth_below = 0;
+};
+
+ServedBySize PlayBySize(ModelLoadOptions load,
+                        std::initializer_list<uint64_t> seeds) {
+  ServedBySize served;
+  for (const uint64_t seed : seeds) {
+    load.seed = seed;
+    SplitMixRandom random(seed);
+    const auto policy = MakePredictivePolicy({}, random);
+    const ModelLoadResult result = SimulateModelLoad(*policy, load);
+    const auto count = static_cast<double>(seeds.size());
+    served.all += result.ServedShare() / count;
+    served.largest_tenth += result.ServedShareBySize(0.9, 1) / count;
+    served.fifth_below += result.ServedShareBySize(0.7, 0.9) / count;
+  }
+  return served;
+}
+
+// Simulates up to three times the load that the targets bear, for few gateways
+// and for so many that each sees a few requests a second. Guards against long
+// prompts that pay for the overload alone, and against sizes that are evened
+// out by refusing many more.
+TEST(PlacementTest, LongPromptsAreServedAboutAsOftenAsShortOnes) {
+  constexpr double kLeastOfAll = 0.6;
+  constexpr double kLeastServedAt170 = 0.84;
+  struct Fleet {
+    size_t gateways;
+    // Multiple of the targets and the load.
+    size_t scale;
+    std::initializer_list<uint64_t> seeds;
+  };
+  const std::initializer_list<Fleet> fleets = {
+      {1, 1, {1, 2, 3, 4, 5}}, {7, 1, {1, 2, 3, 4, 5}}, {400, 8, {1, 2}}};
+  for (const Fleet& fleet : fleets) {
+    for (const double rate : {170., 250., 300.}) {
+      for (const bool return_once : {false, true}) {
+        ModelLoadOptions load;
+        load.gateways = fleet.gateways;
+        load.targets *= fleet.scale;
+        load.requests_per_second = rate * static_cast<double>(fleet.scale);
+        load.callers_return = return_once;
+        load.balances_sizes = true;
+        const ServedBySize served = PlayBySize(load, fleet.seeds);
+        std::printf(
+            "%zu gateways, %.0f/s%s: served %.3f, largest tenth %.2f and fifth "
+            "below %.2f of it\n",
+            fleet.gateways, rate, return_once ? ", callers return" : "",
+            served.all, served.largest_tenth / served.all,
+            served.fifth_below / served.all);
+        CHECK_TRUE(served.largest_tenth >= kLeastOfAll * served.all);
+        CHECK_TRUE(served.fifth_below >= kLeastOfAll * served.all);
+        CHECK_TRUE(rate > 170 || served.all >= kLeastServedAt170);
+      }
+    }
+  }
+}
+
+// Guards against a prompt that is refused by idle targets since reading it
+// takes longer than the time until it is late, at first and when it comes back,
+// and against one that a busy target is given in spite of the others that wait.
+TEST(PlacementTest, AnIdleFleetServesWhatTakesLongToRead) {
+  const auto policy = MakePredictivePolicy({}, this->random);
+  for (const double prompt_tokens : {7500., 9000., 20000.}) {
+    this->request.prompt_tokens = prompt_tokens;
+    for (const bool late_anyway : {false, true}) {
+      this->request.late_anyway = late_anyway;
+      CHECK_TRUE(
+          policy->Place(&this->rates, {this->Candidate(0, 0)}, this->request)
+              .candidate.has_value());
+      CHECK_FALSE(
+          policy
+              ->Place(&this->rates, {this->Candidate(20, 9000)}, this->request)
+              .candidate.has_value());
+    }
+  }
+  // The caller would give up before the first event.
+  this->request.deadline_left = milliseconds(900);
+  CHECK_FALSE(
+      policy->Place(&this->rates, {this->Candidate(0, 0)}, this->request)
+          .candidate.has_value());
+}
+
+// Guards against a lean that leaves an idle target unused, and against one that
+// holds back no short prompt from a busy target.
+TEST(PlacementTest, ALeanHoldsShortPromptsBackFromBusyTargetsOnly) {
+  const auto policy = MakePredictivePolicy({}, this->random);
+  this->request.prompt_tokens = 100;
+  const auto busy = this->Candidate(8, 4000);
+  CHECK_TRUE(
+      policy->Place(&this->rates, {busy}, this->request).candidate.has_value());
+  this->request.size_lean = {.weight = 1, .reference_tokens = 20000};
+  CHECK_FALSE(
+      policy->Place(&this->rates, {busy}, this->request).candidate.has_value());
+  CHECK_TRUE(policy->Place(&this->rates, {this->Candidate(0, 0)}, this->request)
+                 .candidate.has_value());
+  // A prompt of the reference size is compared as it is.
+  this->request.prompt_tokens = 900;
+  this->request.size_lean = {.weight = 1, .reference_tokens = 900};
+  CHECK_TRUE(
+      policy->Place(&this->rates, {busy}, this->request).candidate.has_value());
+}
+
 // Guards against refusals below capacity: at two thirds of the capacity, hardly
 // any request is refused and nearly all are on time.
 TEST(PlacementTest, RefusesNobodyWhileThereIsRoom) {
