Forget the sizes of routes that are no longer asked for

SizeBalance kept 128 sizes for each name of a route that any configuration ever had: memory without a bound in a process that lives long. Kinds and services without a request for a minute are forgotten when a new one appears. SizeBalanceTest ForgetsKindsThatAreNoLongerAskedFor keeps 64 at most of 1,000; it needs kinds(), which is new.

--- a/src/request/size_balance.cc
+++ b/src/request/size_balance.cc
@@ -22,6 +22,20 @@
           .reference_tokens = sizes->second.reference};
 }
 
+SizeBalance::KindSizes& SizeBalance::SizesOf(ServiceSizes& service,
+                                             std::string_view kind,
+                                             TimePoint now) const {
+  auto found = service.kinds.find(kind);
+  if (found == service.kinds.end()) {
+    std::erase_if(service.kinds, [&](const auto& entry) {
+      return now - entry.second.seen_at > this->options.forget_after;
+    });
+    found = service.kinds.emplace(kind, KindSizes()).first;
+  }
+  found->second.seen_at = now;
+  return found->second;
+}
+
 void SizeBalance::AddSize(KindSizes& sizes, double prompt_tokens) const {
   sizes.recent.push_back(prompt_tokens);
   if (sizes.recent.size() > this->options.window) {
@@ -64,12 +78,13 @@
   if (!(prompt_tokens > 0)) {
     return;
   }
-  ServiceSizes& state = this->services[service];
-  auto found = state.kinds.find(kind);
-  if (found == state.kinds.end()) {
-    found = state.kinds.emplace(kind, KindSizes()).first;
+  if (!this->services.contains(service)) {
+    std::erase_if(this->services, [&](const auto& entry) {
+      return now - entry.second.changed_at > this->options.forget_after;
+    });
   }
-  KindSizes& sizes = found->second;
+  ServiceSizes& state = this->services[service];
+  KindSizes& sizes = this->SizesOf(state, kind, now);
   this->AddSize(sizes, prompt_tokens);
   const double step =
       std::clamp(std::chrono::duration<double>(now - state.changed_at) /
@@ -84,6 +99,14 @@
       1.0);
 }
 
+size_t SizeBalance::kinds() const {
+  size_t count = 0;
+  for (const auto& [service, state] : this->services) {
+    count += state.kinds.size();
+  }
+  return count;
+}
+
 double SizeBalance::LargestLean() const {
   double largest = 0;
   for (const auto& [service, state] : this->services) {
--- a/src/request/size_balance.h
+++ b/src/request/size_balance.h
@@ -28,6 +28,9 @@
   // Distance of the reference size from the mean size of a kind, in standard
   // deviations.
   double reference_deviations = 2;
+  // Kinds and services without a request for this long are forgotten when a new
+  // one appears: configurations rename and drop routes.
+  std::chrono::milliseconds forget_after{60000};
 };
 
 // Measures whether long prompts are refused more often than short ones, and
@@ -53,6 +56,8 @@
                   TimePoint now);
   // Returns the largest lean of all services, from 0 to 1.
   double LargestLean() const;
+  // Number of kinds whose sizes are kept, of all services.
+  size_t kinds() const;
 
  private:
   // The recent sizes of a kind in prompt tokens, oldest first.
@@ -60,6 +65,7 @@
     std::deque<double> recent;
     double mean = 0;
     double reference = 0;
+    TimePoint seen_at{};
   };
   struct ServiceSizes {
     double lean = 0;
@@ -68,6 +74,10 @@
     std::map<std::string, KindSizes, std::less<>> kinds;
   };
 
+  // Returns the sizes of the kind, new ones if it has none yet.
+  KindSizes& SizesOf(ServiceSizes& service,
+                     std::string_view kind,
+                     TimePoint now) const;
   void AddSize(KindSizes& sizes, double prompt_tokens) const;
   // Returns the mean difference between `token_share` and the share of tokens
   // that would have been placed with `room_tokens`; negative when long prompts
--- a/tests/request/size_balance_test.cc
+++ b/tests/request/size_balance_test.cc
@@ -1,6 +1,7 @@
 #include "src/request/size_balance.h"
 
 #include <chrono>
+#include <string>
 
 #include "CppUTest/TestHarness.h"
 
@@ -85,6 +86,17 @@
   CHECK_TRUE(reference > 1000 && reference < 1250);
 }
 
+// Guards against memory for each route that a configuration ever had.
+TEST(SizeBalanceTest, ForgetsKindsThatAreNoLongerAskedFor) {
+  for (int i = 0; i < 500; ++i) {
+    this->Decide(10, kAllFit, ("route " + std::to_string(i)).c_str());
+    this->balance.OnDecision(ServiceName("s" + std::to_string(i)), "k", 100,
+                             kAllFit, this->now);
+  }
+  // A route every 2 s, and as many services, kept for a minute.
+  CHECK_TRUE(this->balance.kinds() <= 64);
+}
+
 // Guards against requests without token counts that count as short.
 TEST(SizeBalanceTest, LeavesOutUnknownSizes) {
   for (int i = 0; i < 100; ++i) {
