Count the delay of a timer from its start, not from the loop's cached time

The request had no line of its own at the gateway; the test's caller had failed about 1 s after its start: its connect timeout is 1 s.

Cause: uv_timer_start adds the delay to the time that libuv read when the iteration began. A timer that is started at the end of a long iteration, or after the process stood still in one, fires early by that length. A timeout could end a call, an order to load among them, right after it was sent, while the target goes on to accept it.

Change: Timer reads the clock when it is started.

Evidence: LoopTest ADelayCountsFromItsStartAfterALongIteration failed before (the timers fired at once after an iteration of 300 ms) and passes.

--- a/src/connection/loop.cc
+++ b/src/connection/loop.cc
@@ -53,17 +53,21 @@
 }
 
 void Timer::StartOnce(std::chrono::milliseconds delay) {
-  uv_timer_start(
-      &this->state->handle,
-      [](uv_timer_t* timer) { static_cast<State*>(timer->data)->on_fire(); },
-      ToUvTimeout(delay), 0);
+  this->Start(delay, std::chrono::milliseconds(0));
 }
 
 void Timer::StartRepeating(std::chrono::milliseconds period) {
+  this->Start(period, period);
+}
+
+void Timer::Start(std::chrono::milliseconds delay,
+                  std::chrono::milliseconds period) {
+  // libuv counts the delay from the time that it read when the iteration began.
+  uv_update_time(this->state->handle.loop);
   uv_timer_start(
       &this->state->handle,
       [](uv_timer_t* timer) { static_cast<State*>(timer->data)->on_fire(); },
-      ToUvTimeout(period), ToUvTimeout(period));
+      ToUvTimeout(delay), ToUvTimeout(period));
 }
 
 void Timer::Stop() {
--- a/src/connection/loop.h
+++ b/src/connection/loop.h
@@ -22,13 +22,15 @@
   Timer(const Timer&) = delete;
   Timer& operator=(const Timer&) = delete;
 
-  // Fires once after `delay`. Replaces an earlier schedule.
+  // Fires once, `delay` after this call. Replaces an earlier schedule.
   void StartOnce(std::chrono::milliseconds delay);
   // Fires every `period`, first after one period.
   void StartRepeating(std::chrono::milliseconds period);
   void Stop();
 
  private:
+  void Start(std::chrono::milliseconds delay, std::chrono::milliseconds period);
+
   struct State;
   State* state;
 };
--- a/tests/connection/loop_test.cc
+++ b/tests/connection/loop_test.cc
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <thread>
+#include <vector>
 
 #include "CppUTest/TestHarness.h"
 
@@ -50,5 +51,34 @@
   CHECK_TRUE(resumed);
 }
 
+// Guards against a timeout that has passed before its call is sent, since the
+// call is made at the end of a long iteration.
+TEST(LoopTest, ADelayCountsFromItsStartAfterALongIteration) {
+  constexpr std::chrono::milliseconds kDelay{150};
+  std::vector<Duration> waited;
+  TimePoint started{};
+  const auto fire = [&] { waited.push_back(this->loop.Now() - started); };
+  Timer once(this->loop, fire);
+  Timer repeating(this->loop, [&] {
+    fire();
+    repeating.Stop();
+  });
+  Timer work(this->loop, [&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    started = this->loop.Now();
+    once.StartOnce(kDelay);
+    repeating.StartRepeating(kDelay);
+  });
+  work.StartOnce(std::chrono::milliseconds(0));
+  for (int i = 0; i < 100 && waited.size() < 2; ++i) {
+    this->loop.RunFor(std::chrono::milliseconds(20));
+  }
+  CHECK_EQUAL(2u, waited.size());
+  for (const Duration& time : waited) {
+    // The timers have a resolution of 1 ms.
+    CHECK_TRUE(time >= kDelay - std::chrono::milliseconds(2));
+  }
+}
+
 }  // namespace
 }  // namespace celerypost
