Drop the watches of stopped stagers between the seeds of a test

Cause: the test plays several seeds and destroys the stager in between; the stand-in of the store kept its watch callbacks, and the next seed's new version called them. A backtrace shows NameVersion, the callback of BeginWatch and a Log at 0x78.

Change: the callbacks go with the stagers.

--- a/tests/process/stager_test.cc
+++ b/tests/process/stager_test.cc
@@ -203,6 +203,7 @@
 
   void teardown() override {
     this->processes.clear();
+    this->store.on_change.clear();
     this->loop.RunFor(milliseconds(50));
   }
 };
