Ignore reports of a target that were asked for before it accepted an order

What callers would see: requests sent to a target that has just begun to load, which refuses them. The stager asks for a report while its order is on the way; the report, from before the acceptance, arrives after the answer to the order, so the target is announced as not loading and is ordered again with the old sequence until the next report.

Cause: the age of a report counted from its arrival.

Change: after an accepted order the target counts as busy until a report that was asked for later says otherwise; an earlier report is dropped.

Evidence: before, AReportFromBeforeTheAcceptanceDoesNotEndTheLoading failed with two refused orders where none was expected; with the change it and the group pass.

--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -228,7 +228,9 @@
     this->target.GetReport([this, asked_at = this->dependencies.loop.Now()](
                                const Result<TargetReport>& report) {
       this->report_requested = false;
-      this->OnReport(report, asked_at);
+      if (!report || asked_at >= this->order_accepted_at) {
+        this->OnReport(report, asked_at);
+      }
     });
   }
   // Beats to stagers alone do not count: without a beat to all, gateways would
@@ -1068,6 +1070,7 @@
   }
   this->loading = true;
   this->ordered_version = version;
+  this->NoteOrderAccepted();
   const LoadProof::State proof_before = this->load_proof.state();
   this->load_proof.OnAccepted(this->staged_copy, now);
   this->dependencies.log.Info(
@@ -1111,10 +1114,19 @@
             this->dependencies.loop.Now() + this->options.unload_retry_delay;
         if (!taken) {
           this->dependencies.log.Warn("unload_failed", taken.error().message);
+          return;
         }
+        this->NoteOrderAccepted();
       });
 }
 
+void Stager::NoteOrderAccepted() {
+  this->order_accepted_at = this->dependencies.loop.Now();
+  if (this->target_report) {
+    this->target_report->busy = true;
+  }
+}
+
 void Stager::OnLoadProofChanged(LoadProof::State before) {
   const LoadProof::State state = this->load_proof.state();
   if (state == before) {
--- a/src/process/stager/stager.h
+++ b/src/process/stager/stager.h
@@ -158,6 +158,9 @@
   // Returns whether the staged chunks are not to be loaded for now.
   bool ResolveLoad();
   void OrderUnload();
+  // The target is busy from now on until a report says otherwise that was asked
+  // for later.
+  void NoteOrderAccepted();
   // Logs and announces what has become of the load since `before`.
   void OnLoadProofChanged(LoadProof::State before);
   LoadMode ModeOfOrders() const;
@@ -245,6 +248,9 @@
   // The version for which a failed request of digests has been logged.
   int64_t logged_digests_failure_version = 0;
   bool report_requested = false;
+  // When the answer to the last accepted order arrived. Reports that were asked
+  // for before may tell the state before the order.
+  TimePoint order_accepted_at{};
   StagedCopy staged_copy;
   LoadProof load_proof;
   // A check of staged chunks: whether one is running, what it reads, the next
--- a/tests/process/stager_test.cc
+++ b/tests/process/stager_test.cc
@@ -400,6 +400,31 @@
   CHECK_EQUAL(1, target.unloads);
 }
 
+// Guards against a target that is announced as not loading, and ordered again,
+// since a report from before the acceptance arrives after it (UNSERVED).
+TEST(StagerTest, AReportFromBeforeTheAcceptanceDoesNotEndTheLoading) {
+  this->DivideTimes(kScale);
+  this->StartStagers(1);
+  FakeModelTarget& target = this->processes.front()->target;
+  target.report_delay = milliseconds(90);
+  target.load_time = milliseconds(150);
+  target.order_delay = milliseconds(30);
+  this->CheckServesOnlyTrueChunks(2);
+  for (int i = 0; i < 16; ++i) {
+    this->loop.RunFor(milliseconds(20));
+  }
+  this->lines.clear();
+  this->NameVersion(3, ChunksOf(3));
+  this->CheckServesOnlyTrueChunks(3);
+  CHECK_EQUAL(2, target.loads);
+  CHECK_EQUAL(0, target.refused_orders);
+  for (const std::string& line : this->lines) {
+    CHECK_TRUE(line.find("\"target_weights\"") == std::string::npos ||
+               line.find("\"loading\":true") != std::string::npos ||
+               line.find("\"version\":3") != std::string::npos);
+  }
+}
+
 // Guards against answers from bytes of a write that was given up and is carried
 // out after the check (WHOLE).
 TEST(StagerTest, AWriteThatIsCarriedOutLateIsNotServed) {
