Verify a load that an earlier process of the stager ordered

What callers would see: answers from a bad chunk (WHOLE). A stager is killed after its order was accepted late and before it has read the chunks again; the next process finds the target busy and then with the version, and announced it without any check. The same held for an order of the earlier process that was accepted after the next one had found the target idle.

Cause: a load without an order of this process counted as proven.

Change: a target that is busy without an order of this process is loading one of an earlier process. That load is served once all chunks have been read after it began; a chunk that is bad, or was written by this process before, disproves it. The first goal of a process no longer counts as a replacement of what is staged, since its chunks are read before any is written; each write does instead.

Evidence: before, ABadLoadThatAnEarlierProcessOrderedIsNotServed and ABadLoadByALateOrderOfAnEarlierProcessIsNotServed failed with "CHECK_TRUE( this->origin.chunks[i] == target.loaded.at(i)) failed". With the change they pass; AGoodLoadThatAnEarlierProcessOrderedIsServed passes on both: no second load, no write.

--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -502,9 +502,14 @@
   ++this->goal_generation;
   this->peer_fetches.clear();
   this->staged_copy.Reset(this->goal->digests.digests.size(), now);
-  const LoadProof::State proof_before = this->load_proof.state();
-  this->load_proof.OnCopyInvalid();
-  this->OnLoadProofChanged(proof_before);
+  // The chunks may still be staged after a restart of the target or of this
+  // process.
+  const bool reads_first = first && this->serving_version == 0;
+  if (!reads_first) {
+    const LoadProof::State proof_before = this->load_proof.state();
+    this->load_proof.OnCopyInvalid();
+    this->OnLoadProofChanged(proof_before);
+  }
   this->checked_at.reset();
   this->checking = false;
   this->comparing_digests = false;
@@ -514,8 +519,7 @@
   for (const auto& [ip, peer] : this->core.exchange().peers()) {
     this->UpdatePeer(peer);
   }
-  if (first && this->serving_version == 0) {
-    // The chunks may still be staged after a restart of the target.
+  if (reads_first) {
     this->check_adds_chunks = true;
     this->StartCheck(this->staged_copy.NotGoodSince(now), now);
   }
@@ -850,6 +854,8 @@
 
 void Stager::StageNextNumber(const std::shared_ptr<StagedBytes>& staged) {
   const size_t number = staged->numbers[staged->next];
+  const LoadProof::State proof_before = this->load_proof.state();
+  this->load_proof.OnCopyInvalid();
   this->staged_copy.OnChanged(number, this->dependencies.loop.Now());
   ++this->running_writes;
   this->target.PutChunk(
@@ -871,6 +877,7 @@
           this->OnStaged(staged->action, put);
         }
       });
+  this->OnLoadProofChanged(proof_before);
 }
 
 void Stager::OnStaged(const FetchAction& action, const Result<void>& put) {
@@ -1086,7 +1093,10 @@
 bool Stager::ResolveLoad() {
   const TimePoint now = this->dependencies.loop.Now();
   if (this->load_proof.state() == LoadProof::State::kVerifying) {
-    this->StartCheck(this->load_proof.ChunksToRead(this->staged_copy), now);
+    auto unread = this->load_proof.ChunksToRead(this->staged_copy);
+    if (!unread.empty()) {
+      this->StartCheck(std::move(unread), now);
+    }
     return true;
   }
   if (this->load_proof.state() != LoadProof::State::kDisproven ||
--- a/src/version/load_proof.cc
+++ b/src/version/load_proof.cc
@@ -9,6 +9,7 @@
   }
   this->before_order =
       version == this->ordered_version ? this->current : State::kNone;
+  this->replaced_before_order = this->copy_replaced;
   this->copy_replaced =
       this->before_order == State::kDisproven ||
       (this->before_order == State::kOrdered && this->copy_replaced);
@@ -20,6 +21,7 @@
 void LoadProof::OnRefused() {
   if (this->current == State::kOrdered) {
     this->current = this->before_order;
+    this->copy_replaced = this->copy_replaced || this->replaced_before_order;
   }
 }
 
@@ -40,6 +42,16 @@
        report.held_version == this->ordered_version)) {
     this->OnAccepted(copy, now);
   }
+  if (this->current == State::kNone && report.busy) {
+    this->current = this->copy_replaced ? State::kDisproven : State::kVerifying;
+    this->ordered_version = 0;
+    this->accepted_by = now;
+  }
+  if (this->current != State::kNone && this->ordered_version == 0 &&
+      !report.busy && report.held_version > 0) {
+    this->ordered_version = report.held_version;
+    this->OnRead(copy);
+  }
   const bool accepted =
       this->current != State::kNone && this->current != State::kOrdered;
   // A report that was on its way at the acceptance says nothing about the load.
@@ -53,7 +65,8 @@
 }
 
 void LoadProof::OnRead(const StagedCopy& copy) {
-  if (this->current == State::kVerifying && this->ChunksToRead(copy).empty()) {
+  if (this->current == State::kVerifying && this->ordered_version > 0 &&
+      copy.GoodSince() && this->ChunksToRead(copy).empty()) {
     this->current = State::kProven;
   }
 }
--- a/src/version/load_proof.h
+++ b/src/version/load_proof.h
@@ -20,7 +20,8 @@
     kNone,
     // An order was sent, and it is not known whether it was accepted.
     kOrdered,
-    // Accepted; chunks must be read again to prove the load.
+    // Accepted, or ordered by an earlier process of this VM; chunks must be
+    // read again to prove the load.
     kVerifying,
     kProven,
     // A chunk was bad, or the staged chunks were replaced before the proof.
@@ -60,15 +61,17 @@
 
  private:
   State current = State::kNone;
+  // 0 for an order of an earlier process, until the target holds its version.
   int64_t ordered_version = 0;
   int64_t sequence_before = 0;
   TimePoint accepted_by{};
-  // A staged chunk was bad or replaced after an earlier order whose load the
-  // target may hold.
+  // A staged chunk was bad or replaced after an earlier order, maybe of an
+  // earlier process, whose load the target may hold.
   bool copy_replaced = false;
-  // What was known before this order of the loads of its version; holds again
-  // when the order is refused.
+  // What was known before this order of the loads of its version, and the value
+  // of copy_replaced then; both hold again when the order is refused.
   State before_order = State::kNone;
+  bool replaced_before_order = false;
   // Version of an earlier order that was not proven, 0 for none. The target may
   // hold it until it has loaded another one.
   int64_t distrusted_version = 0;
--- a/tests/process/stager_test.cc
+++ b/tests/process/stager_test.cc
@@ -105,6 +105,8 @@
   std::vector<std::string> lines;
   StagerOptions options;
   milliseconds version_bound{8000};
+  // Called with each target before its stager starts.
+  std::function<void(FakeModelTarget&)> before_start;
   std::vector<std::unique_ptr<StagerProcess>> processes;
 
   // The stagers that are started next divide their times by this.
@@ -154,6 +156,9 @@
       this->processes.push_back(std::make_unique<StagerProcess>(
           this->loop, this->store, this->memory, this->decoder, this->origin,
           this->lines, settings, InstanceId{i + 1}, this->options));
+      if (this->before_start) {
+        this->before_start(this->processes.back()->target);
+      }
       CHECK_TRUE(this->processes.back()->stager.Start().has_value());
     }
   }
@@ -208,6 +213,20 @@
     return 0;
   }
 
+  void StageAll(FakeModelTarget & target) const {
+    for (size_t i = 0; i < this->origin.chunks.size(); ++i) {
+      target.SetStaged(i, this->origin.chunks[i]);
+    }
+  }
+
+  // The target is loading what is staged, by an order of an earlier process.
+  static void LoadForEarlierProcess(FakeModelTarget & target) {
+    target.load_time = milliseconds(300);
+    target.orders = 1;
+    target.loaded = target.staged;
+    target.BeginLoading(2);
+  }
+
   // The first target serves the version in the end, and never bad chunks.
   void CheckServesOnlyTrueChunks(int64_t version) {
     const FakeModelTarget& target = this->processes.front()->target;
@@ -425,6 +444,48 @@
   }
 }
 
+// Guards against a bad load that is served since the process that ordered it
+// was killed before it could verify it (WHOLE).
+TEST(StagerTest, ABadLoadThatAnEarlierProcessOrderedIsNotServed) {
+  this->DivideTimes(kScale);
+  this->before_start = [this](FakeModelTarget& target) {
+    this->StageAll(target);
+    target.SetStaged(4, "bad");
+    this->LoadForEarlierProcess(target);
+  };
+  this->StartStagers(1);
+  this->CheckServesOnlyTrueChunks(2);
+  CHECK_EQUAL(1, this->processes.front()->target.unloads);
+}
+
+// Guards against the same when the order is accepted after the next process has
+// found the target idle.
+TEST(StagerTest, ABadLoadByALateOrderOfAnEarlierProcessIsNotServed) {
+  this->DivideTimes(kScale);
+  this->StartStagers(1);
+  FakeModelTarget& target = this->processes.front()->target;
+  this->StageAll(target);
+  target.SetStaged(4, "bad");
+  this->LoadForEarlierProcess(target);
+  this->CheckServesOnlyTrueChunks(2);
+  CHECK_EQUAL(1, target.unloads);
+}
+
+// Guards against a sound load that is given up after a restart of the stager.
+TEST(StagerTest, AGoodLoadThatAnEarlierProcessOrderedIsServed) {
+  this->DivideTimes(kScale);
+  this->before_start = [this](FakeModelTarget& target) {
+    this->StageAll(target);
+    this->LoadForEarlierProcess(target);
+  };
+  this->StartStagers(1);
+  this->CheckServesOnlyTrueChunks(2);
+  const FakeModelTarget& target = this->processes.front()->target;
+  CHECK_EQUAL(0, target.unloads);
+  CHECK_EQUAL(0, target.loads);
+  CHECK_EQUAL(0u, target.puts);
+}
+
 // Guards against answers from bytes of a write that was given up and is carried
 // out after the check (WHOLE).
 TEST(StagerTest, AWriteThatIsCarriedOutLateIsNotServed) {
--- a/tests/version/load_proof_test.cc
+++ b/tests/version/load_proof_test.cc
@@ -152,5 +152,23 @@
   this->Check(State::kDisproven, false);
 }
 
+// Guards against a load that is trusted since the process that ordered it was
+// killed, before or after the chunks have been read again.
+TEST(LoadProofTest, ABadChunkDisprovesALoadThatAnEarlierProcessOrdered) {
+  this->Report(0, true, 8, 9800, 9810);
+  this->proof.OnCopyInvalid();
+  this->Report(2, false, 8, 11000, 11010);
+  this->Check(State::kDisproven, false);
+}
+
+TEST(LoadProofTest, ALoadThatAnEarlierProcessOrderedIsProvenByReads) {
+  this->Report(0, true, 8, 9800, 9810);
+  this->Report(2, false, 8, 11000, 11010);
+  this->Check(State::kVerifying, false);
+  this->ReadAll(11100);
+  this->proof.OnRead(this->copy);
+  this->Check(State::kProven, true);
+}
+
 }  // namespace
 }  // namespace celerypost
