--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -228,7 +228,9 @@
     this->target.GetReport([this, asked_at = this->dependencies.loop.Now()](
                                const Result<TargetReport>& report) {
       this->report_requested = false;
-      this->OnReport(report, asked_at);
+      if (!report || asked_at >= this->order_accepted_at) {
+        this->OnReport(report, asked_at);
+      }
     });
   }
   // Beats to stagers alone do not count: without a beat to all, gateways would
@@ -500,9 +502,14 @@
   ++this->goal_generation;
   this->peer_fetches.clear();
   this->staged_copy.Reset(this->goal->digests.digests.size(), now);
-  const LoadProof::State proof_before = this->load_proof.state();
-  this->load_proof.OnCopyInvalid();
-  this->OnLoadProofChanged(proof_before);
+  // The chunks may still be staged after a restart of the target or of this
+  // process.
+  const bool reads_first = first && this->serving_version == 0;
+  if (!reads_first) {
+    const LoadProof::State proof_before = this->load_proof.state();
+    this->load_proof.OnCopyInvalid();
+    this->OnLoadProofChanged(proof_before);
+  }
   this->checked_at.reset();
   this->checking = false;
   this->comparing_digests = false;
@@ -512,8 +519,7 @@
   for (const auto& [ip, peer] : this->core.exchange().peers()) {
     this->UpdatePeer(peer);
   }
-  if (first && this->serving_version == 0) {
-    // The chunks may still be staged after a restart of the target.
+  if (reads_first) {
     this->check_adds_chunks = true;
     this->StartCheck(this->staged_copy.NotGoodSince(now), now);
   }
@@ -848,6 +854,8 @@
 
 void Stager::StageNextNumber(const std::shared_ptr<StagedBytes>& staged) {
   const size_t number = staged->numbers[staged->next];
+  const LoadProof::State proof_before = this->load_proof.state();
+  this->load_proof.OnCopyInvalid();
   this->staged_copy.OnChanged(number, this->dependencies.loop.Now());
   ++this->running_writes;
   this->target.PutChunk(
@@ -869,6 +877,7 @@
           this->OnStaged(staged->action, put);
         }
       });
+  this->OnLoadProofChanged(proof_before);
 }
 
 void Stager::OnStaged(const FetchAction& action, const Result<void>& put) {
@@ -1068,6 +1077,7 @@
   }
   this->loading = true;
   this->ordered_version = version;
+  this->NoteOrderAccepted();
   const LoadProof::State proof_before = this->load_proof.state();
   this->load_proof.OnAccepted(this->staged_copy, now);
   this->dependencies.log.Info(
@@ -1083,7 +1093,10 @@
 bool Stager::ResolveLoad() {
   const TimePoint now = this->dependencies.loop.Now();
   if (this->load_proof.state() == LoadProof::State::kVerifying) {
-    this->StartCheck(this->load_proof.ChunksToRead(this->staged_copy), now);
+    auto unread = this->load_proof.ChunksToRead(this->staged_copy);
+    if (!unread.empty()) {
+      this->StartCheck(std::move(unread), now);
+    }
     return true;
   }
   if (this->load_proof.state() != LoadProof::State::kDisproven ||
@@ -1111,10 +1124,19 @@
             this->dependencies.loop.Now() + this->options.unload_retry_delay;
         if (!taken) {
           this->dependencies.log.Warn("unload_failed", taken.error().message);
+          return;
         }
+        this->NoteOrderAccepted();
       });
 }
 
+void Stager::NoteOrderAccepted() {
+  this->order_accepted_at = this->dependencies.loop.Now();
+  if (this->target_report) {
+    this->target_report->busy = true;
+  }
+}
+
 void Stager::OnLoadProofChanged(LoadProof::State before) {
   const LoadProof::State state = this->load_proof.state();
   if (state == before) {
--- a/tests/version/load_proof_test.cc
+++ b/tests/version/load_proof_test.cc
@@ -127,5 +127,48 @@
   CHECK_TRUE(this->proof.MayServe(2));
 }
 
+// Guards against a disproven load that is trusted again since a further order,
+// which a report from before the load had led to, was refused.
+TEST(LoadProofTest, ARefusedOrderDoesNotProveADisprovenLoad) {
+  this->ReadAll(9900);
+  this->proof.OnOrder(2, 7);
+  this->proof.OnAccepted(this->copy, this->At(12500));
+  this->proof.OnCopyInvalid();
+  this->Report(0, false, 7, 12400, 13200);
+  this->proof.OnOrder(2, 7);
+  this->proof.OnRefused();
+  this->Check(State::kDisproven, false);
+}
+
+// Guards against the same when the further order gets no answer.
+TEST(LoadProofTest, AnUnansweredOrderDoesNotProveADisprovenLoad) {
+  this->ReadAll(9900);
+  this->proof.OnOrder(2, 7);
+  this->proof.OnAccepted(this->copy, this->At(12500));
+  this->proof.OnCopyInvalid();
+  this->proof.OnOrder(2, 7);
+  this->ReadAll(14000);
+  this->Report(2, false, 8, 14100, 14110);
+  this->Check(State::kDisproven, false);
+}
+
+// Guards against a load that is trusted since the process that ordered it was
+// killed, before or after the chunks have been read again.
+TEST(LoadProofTest, ABadChunkDisprovesALoadThatAnEarlierProcessOrdered) {
+  this->Report(0, true, 8, 9800, 9810);
+  this->proof.OnCopyInvalid();
+  this->Report(2, false, 8, 11000, 11010);
+  this->Check(State::kDisproven, false);
+}
+
+TEST(LoadProofTest, ALoadThatAnEarlierProcessOrderedIsProvenByReads) {
+  this->Report(0, true, 8, 9800, 9810);
+  this->Report(2, false, 8, 11000, 11010);
+  this->Check(State::kVerifying, false);
+  this->ReadAll(11100);
+  this->proof.OnRead(this->copy);
+  this->Check(State::kProven, true);
+}
+
 }  // namespace
 }  // namespace celerypost
