Check what a test's target has written on the test's own thread

SendsTheWholeAnswerBeforeTheExit checked the result of write() on the thread of its target. The same check now runs after the threads have ended; it still fails for the same result.

--- a/tests/process/gateway/gateway_stop_test.cc
+++ b/tests/process/gateway/gateway_stop_test.cc
@@ -566,15 +566,16 @@
     body += "id: " + std::to_string(i) + "\ndata: " + std::string(65536, 'x') +
             "\n\n";
   }
-  const std::string received =
-      this->StopDuringRequest(milliseconds(1200), [&body](int connection) {
-        const std::string answer =
-            "HTTP/1.1 200 OK\r\n" + std::string(kSignature) +
-            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-            body;
-        CHECK_EQUAL(static_cast<ssize_t>(answer.size()),
-                    write(connection, answer.data(), answer.size()));
+  const std::string answer = "HTTP/1.1 200 OK\r\n" + std::string(kSignature) +
+                             "Content-Length: " + std::to_string(body.size()) +
+                             "\r\n\r\n" + body;
+  // Checked on this thread: a failed check on another one ends the process.
+  std::atomic<ssize_t> written = 0;
+  const std::string received = this->StopDuringRequest(
+      milliseconds(1200), [&answer, &written](int connection) {
+        written = write(connection, answer.data(), answer.size());
       });
+  CHECK_EQUAL(static_cast<ssize_t>(answer.size()), written.load());
   CHECK_TRUE(received.ends_with("0\r\n\r\n"));
   CHECK_TRUE(this->Logged("\"unsent\":0,"));
 }
--- a/tests/process/stager_test.cc
+++ b/tests/process/stager_test.cc
@@ -420,7 +420,7 @@
 }
 
 // Guards against a target that is announced as not loading, and ordered again,
-// since a report from before the acceptance arrives after it (UNSERVED).
+// since a report from before the acceptance arrives after it.
 TEST(StagerTest, AReportFromBeforeTheAcceptanceDoesNotEndTheLoading) {
   this->DivideTimes(kScale);
   this->StartStagers(1);
