Keep weights that a stager held back out of use while it is silent

What callers would see: answers from a bad chunk (WHOLE). A stager holds weights back until they are proven; when it then is suspended or cut off for 3.5 s, gateways take the version from the target's own registration and send to it.

Cause: the registration says what is loaded, not that it was proven; the last report said more and was dropped for its age.

Change: a report that held weights back, or told of a load, keeps the target out until the next report. A target whose stager serves weights when it falls silent is used as before.

Evidence: before, WeightsThatAStagerHeldBackAreNotUsedInItsSilence failed: expected "without weights", was "t1". With the change the 95 tests of process_gateway_tests pass.

--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -105,6 +105,13 @@
   if (const StagerReport* const report = this->FreshReport(target, now)) {
     return report->loading ? 0 : report->serving_version;
   }
+  // Whether weights that were held back or being loaded are sound is known to
+  // the stager alone.
+  const auto last = this->stager_reports.find(target.address.ToString());
+  if (last != this->stager_reports.end() &&
+      (last->second.loading || last->second.serving_version == 0)) {
+    return 0;
+  }
   for (const HeldModel& model : target.models) {
     const bool complete =
         !model.end_layer ||
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -86,7 +86,8 @@
   std::chrono::milliseconds reload_lead{20};
   std::chrono::milliseconds reload_overdue{300};
   // A stager's report takes precedence over the target's registration for this
-  // long: three beats of 1 s and a margin.
+  // long: three beats of 1 s and a margin. One that held weights back, or told
+  // that they were being loaded, holds until the next.
   std::chrono::milliseconds report_lifetime{3500};
   // When all targets decline, callers are told to come back when the first one
   // takes requests again or later by up to this share of the time, or this
--- a/tests/process/gateway/target_selector_test.cc
+++ b/tests/process/gateway/target_selector_test.cc
@@ -294,6 +294,18 @@
   STRCMP_EQUAL("without weights", this->Choose().c_str());
 }
 
+// Guards against requests to a target whose stager fell silent while it held
+// its weights back (WHOLE).
+TEST(TargetSelectorTest, WeightsThatAStagerHeldBackAreNotUsedInItsSilence) {
+  const auto target = this->Target("t1", "north-a");
+  this->Apply("t1", target);
+  const std::string address = target.address.ToString();
+  this->selector->OnStagerReport(address, {0, false, std::nullopt, this->now});
+  STRCMP_EQUAL("without weights", this->Choose().c_str());
+  this->now += milliseconds(3600);
+  STRCMP_EQUAL("without weights", this->Choose().c_str());
+}
+
 // Guards against exceeding the rate limit of a cold target: seven gateways that
 // each send at their share of it stay below it in total (for more of them see
 // ColdShareTest). Simulates one second.
