Let a bad chunk end the goal without use after free

What callers would see: a stager that crashes in the midst of a version change.

Change: OnBadChunk takes what it needs of the goal first; DropGoal also makes the answers to calls for the goal count as of an earlier one, as SetGoal does, so a write that is answered after it doesn't touch the goal either.

--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -325,14 +325,14 @@
         this->load_proof.state() != LoadProof::State::kVerifying))) {
     // The target took the chunks to load when it accepted the order, so the
     // staged chunks may be replaced now.
-    this->goal.reset();
+    this->DropGoal();
   }
   if (this->ServesAtLeast(wanted)) {
     if (this->goal) {
       this->dependencies.log.Info("weights_loaded",
                                   "the target serves the weights",
                                   {{"version", wanted}});
-      this->goal.reset();
+      this->DropGoal();
     }
     return;
   }
@@ -527,6 +527,13 @@
   this->Fetch();
 }
 
+void Stager::DropGoal() {
+  this->goal.reset();
+  ++this->goal_generation;
+  this->checking = false;
+  this->check_adds_chunks = false;
+}
+
 ChunkGoal Stager::MakeChunkGoal() const {
   ChunkGoal chunks;
   chunks.set = this->WeightSetDigest(this->goal->version);
@@ -929,7 +936,9 @@
           }
           --this->running_checks;
           this->OnChunkRead(number, started, bytes);
-          this->CheckNextChunks();
+          if (generation == this->goal_generation) {
+            this->CheckNextChunks();
+          }
         });
   }
   if (this->running_checks == 0 &&
@@ -1339,22 +1348,22 @@
 }
 
 void Stager::OnBadChunk(size_t number) {
+  const TimePoint now = this->dependencies.loop.Now();
+  const Digest& digest = this->goal->digests.digests[number];
+  if (this->chunk_planner.Holds(digest)) {
+    this->chunks_bad.Add();
+    this->dependencies.log.Warn(
+        "staged_chunk_bad",
+        "a staged chunk is missing or has a wrong digest; fetching it again",
+        {{"chunk", number},
+         {"version", this->goal->version},
+         {"check_ms", MillisecondsBetween(this->check_started, now)}});
+    this->chunk_planner.OnDropped(digest, now);
+  }
   const LoadProof::State proof_before = this->load_proof.state();
   this->load_proof.OnCopyInvalid();
+  // May end the goal.
   this->OnLoadProofChanged(proof_before);
-  const Digest& digest = this->goal->digests.digests[number];
-  if (!this->chunk_planner.Holds(digest)) {
-    return;
-  }
-  this->chunks_bad.Add();
-  this->dependencies.log.Warn(
-      "staged_chunk_bad",
-      "a staged chunk is missing or has a wrong digest; fetching it again",
-      {{"chunk", number},
-       {"version", this->goal->version},
-       {"check_ms", MillisecondsBetween(this->check_started,
-                                        this->dependencies.loop.Now())}});
-  this->chunk_planner.OnDropped(digest, this->dependencies.loop.Now());
 }
 
 int64_t Stager::StagedVersion() const {
--- a/src/process/stager/stager.h
+++ b/src/process/stager/stager.h
@@ -102,6 +102,8 @@
   // nothing speaks against them.
   std::string_view FindDigestsFault(const ChunkDigests& received) const;
   void SetGoal(ChunkDigests digests);
+  // Stops staging; the answers to calls for the goal are ignored.
+  void DropGoal();
   // Returns the chunks of the current goal for the planner.
   ChunkGoal MakeChunkGoal() const;
   void RequestDigests(InstanceId peer,
--- a/tests/process/stager_test.cc
+++ b/tests/process/stager_test.cc
@@ -486,6 +486,27 @@
   CHECK_EQUAL(0u, target.puts);
 }
 
+// Guards against a stager that ends when a bad load is found, and with it the
+// goal, since a newer version was named meanwhile.
+TEST(StagerTest, ABadChunkBesideANewerVersionEndsTheGoalOnly) {
+  this->DivideTimes(kScale);
+  this->origin.chunks_of_version = ChunksOf;
+  this->StartStagers(1);
+  FakeModelTarget& target = this->processes.front()->target;
+  target.load_time = milliseconds(600);
+  target.order_delay = milliseconds(360);
+  target.before_load = [&] {
+    target.staged[4] = "bad";
+    target.before_load = nullptr;
+    target.order_delay = milliseconds(0);
+    target.read_delay = milliseconds(40);
+    target.After(milliseconds(20),
+                 [this] { this->NameVersion(3, ChunksOf(3)); });
+  };
+  this->CheckServesOnlyTrueChunks(3);
+  CHECK_TRUE(this->CountLines("\"load_disproven\"") >= 1);
+}
+
 // Guards against answers from bytes of a write that was given up and is carried
 // out after the check (WHOLE).
 TEST(StagerTest, AWriteThatIsCarriedOutLateIsNotServed) {
