--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -522,6 +522,7 @@
   target_call.deadline_left = Since(now, this->deadline);
   target_call.target_id = selection.target->id;
   target_call.version = selection.required_version;
+  target_call.urgency = selection.urgency;
   if (this->workspace != nullptr) {
     target_call.workspace = this->workspace->name;
   }
--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -32,15 +32,13 @@
 TargetSelector::TargetSelector(const ClusterView& view,
                                const TargetTracker& book,
                                const TargetNotices& notices,
-                               PlacementPolicy& policy,
-                               SizeBalance& sizes,
+                               GatewayAdmission& admission,
                                Random& random,
                                TargetSelectorOptions options)
     : view(view),
       book(book),
       notices(notices),
-      policy(policy),
-      sizes(sizes),
+      admission(admission),
       random(random),
       options(std::move(options)),
       cold_shares({}, this->options.self_ip) {
@@ -211,26 +209,6 @@
   return superseded_at;
 }
 
-Placement TargetSelector::Place(
-    const EngineRates* rates,
-    const std::vector<PlacementCandidate>& candidates,
-    const SelectionRequest& request,
-    TimePoint now,
-    SizeLean& lean) {
-  if (!request.tried.empty() || request.placement.prompt_tokens <= 0) {
-    return this->policy.Place(rates, candidates, request.placement);
-  }
-  PlacementRequest balanced = request.placement;
-  lean = this->sizes.LeanOf(request.service, request.route->name);
-  balanced.size_lean = lean;
-  const Placement placement = this->policy.Place(rates, candidates, balanced);
-  if (placement.room_tokens) {
-    this->sizes.OnDecision(request.service, request.route->name,
-                           balanced.prompt_tokens, *placement.room_tokens, now);
-  }
-  return placement;
-}
-
 Selection TargetSelector::Select(const SelectionRequest& request,
                                  TimePoint now) {
   Selection selection;
@@ -295,8 +273,17 @@
     }
     return selection;
   }
-  const Placement placement =
-      this->Place(rates, candidates, request, now, selection.size_lean);
+  AdmissionRequest admission_request;
+  admission_request.service = request.service;
+  admission_request.route = request.route;
+  admission_request.workspace = request.workspace;
+  admission_request.placement = request.placement;
+  admission_request.first_send = request.tried.empty();
+  const AdmissionDecision decision =
+      this->admission.Decide(rates, candidates, admission_request, now);
+  const Placement& placement = decision.placement;
+  selection.urgency = decision.urgency;
+  selection.size_lean = decision.size_lean;
   selection.predicted = placement.predicted;
   if (!placement.candidate) {
     selection.reason = "no target would be on time";
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -16,8 +16,8 @@
 #include "src/process/node_settings.h"
 #include "src/process/state/cluster_view.h"
 #include "src/request/cold_share.h"
+#include "src/request/gateway_admission.h"
 #include "src/request/placement.h"
-#include "src/request/size_balance.h"
 #include "src/request/target_notices.h"
 #include "src/request/target_tracker.h"
 
@@ -55,6 +55,8 @@
   // Set when the target's weights are superseded: a request that has not
   // started to run by then must be moved to another target.
   std::optional<TimePoint> must_begin_by;
+  // As in AdmissionDecision.
+  std::optional<int> urgency;
   // For the log: the load that the choice was based on, the time since the
   // target's registration was read, the number of eligible targets, and the
   // predicted time to the first event.
@@ -111,8 +113,7 @@
   TargetSelector(const ClusterView& view,
                  const TargetTracker& book,
                  const TargetNotices& notices,
-                 PlacementPolicy& policy,
-                 SizeBalance& sizes,
+                 GatewayAdmission& admission,
                  Random& random,
                  TargetSelectorOptions options);
 
@@ -138,13 +139,6 @@
                                    const ServiceConfig& service,
                                    std::optional<int64_t> version_floor,
                                    TimePoint now);
-  // Places the request. Its first placement is balanced by size and counts for
-  // the balance; later ones repair what a target has failed to do.
-  Placement Place(const EngineRates* rates,
-                  const std::vector<PlacementCandidate>& candidates,
-                  const SelectionRequest& request,
-                  TimePoint now,
-                  SizeLean& lean);
   // Returns when callers should come back if a target takes requests again at
   // `until`.
   std::chrono::milliseconds RetryAfter(TimePoint until, TimePoint now);
@@ -169,8 +163,7 @@
   const ClusterView& view;
   const TargetTracker& book;
   const TargetNotices& notices;
-  PlacementPolicy& policy;
-  SizeBalance& sizes;
+  GatewayAdmission& admission;
   Random& random;
   TargetSelectorOptions options;
   // By target address, as "ip:port".
