Compare few candidates and add a learnt allowance to predictions

Cause: gateways whose load reports are 100 to 200 ms old all choose the same target between two reports, and predictions leave out what arrives meanwhile. Nothing sets the new fields yet.

--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
+#include <utility>
 
 #include "src/version/checked_number.h"
 
@@ -86,12 +88,23 @@
     const double missing_tokens =
         std::max(0.0, lean.reference_tokens - request.prompt_tokens);
     const double added =
-        lean.weight * ReadingTime(rates, missing_tokens).count() * factor;
+        lean.weight * ReadingTime(rates, missing_tokens).count() * factor +
+        static_cast<double>(request.allowance.count());
     const double room_of_idle =
         std::max(0.0, bounds.limit - bounds.idle * factor);
     return predicted + std::min(added, room_of_idle) - bounds.limit;
   }
 
+  // Returns all indexes below `count` in a random order.
+  std::vector<size_t> DrawOrder(size_t count) {
+    std::vector<size_t> order(count);
+    std::iota(order.begin(), order.end(), 0);
+    for (size_t i = count; i > 1; --i) {
+      std::swap(order[i - 1], order[this->random.Below(i)]);
+    }
+    return order;
+  }
+
   Placement PlaceOnEngine(const EngineRates& rates,
                           const std::vector<PlacementCandidate>& candidates,
                           const PlacementRequest& request) {
@@ -100,11 +113,11 @@
     double best_cost = std::numeric_limits<double>::max();
     double soonest = std::numeric_limits<double>::max();
     double excess = std::numeric_limits<double>::max();
-    // Starts at a random candidate, so that gateways with the same data do not
-    // all choose the same one of equal candidates.
-    const size_t start = this->random.Below(candidates.size());
-    for (size_t i = 0; i < candidates.size(); ++i) {
-      const size_t index = (start + i) % candidates.size();
+    // In a random order, so that gateways with the same data do not all choose
+    // the same one of equal candidates.
+    const std::vector<size_t> order = this->DrawOrder(candidates.size());
+    size_t suitable = 0;
+    for (const size_t index : order) {
       const PlacementCandidate& candidate = candidates[index];
       const double predicted =
           PredictFirstEvent(rates, candidate.load, request.prompt_tokens)
@@ -118,7 +131,7 @@
       const double over =
           ExcessMs(rates, request, bounds, candidate.load.slowdown, predicted);
       excess = std::min(excess, over);
-      if (over > 0) {
+      if (over > 0 || (request.compared > 0 && ++suitable > request.compared)) {
         continue;
       }
       double cost = predicted + this->PenaltyMs(candidate);
--- a/src/request/placement.h
+++ b/src/request/placement.h
@@ -50,6 +50,13 @@
   // before. PlacementOptions::late_limit then replaces `on_time_left`.
   bool late_anyway = false;
   SizeLean size_lean;
+  // Added to the predicted time to the first event when it is compared with a
+  // limit (PredictionErrors).
+  std::chrono::milliseconds allowance{0};
+  // Number of suitable candidates, drawn at random, of which the one with the
+  // lowest cost is chosen; 0 for all. Gateways that know of each other's
+  // requests with a delay choose the same target if they compare all.
+  size_t compared = 0;
 };
 
 struct Placement {
--- a/tests/request/fleet_load.cc
+++ b/tests/request/fleet_load.cc
@@ -248,6 +248,7 @@
       return gone;
     });
     double reading = 0;
+    const bool writes = !target.running.empty();
     while (target.running.size() < this->options.rates.slots &&
            !target.waiting.empty()) {
       const Work work = target.waiting.begin()->second;
