Place by few random candidates and learn the error of predictions

Change: the selector derives how many requests of other gateways its reports miss; from a quarter of a request on, admission compares few candidates drawn at random (two from one request on) and refuses if none of them will do. Relay tasks feed the measured time to first events to PredictionErrors. The request line shows allowance_ms and unseen_requests.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -69,7 +69,8 @@
       notices({}),
       policy(MakePredictivePolicy({}, dependencies.random)),
       sizes({}),
-      admission(*policy, sizes),
+      errors({}),
+      admission(*policy, sizes, errors),
       selector(core.view(),
                book,
                notices,
@@ -109,6 +110,7 @@
                     core.view(),
                     book,
                     selector,
+                    errors,
                     crashes,
                     request_crashes,
                     notices,
@@ -410,9 +412,11 @@
   });
   this->SendSummary();
   this->UpdateShares();
-  this->beat_timer.StartOnce(GatewayBeatPeriod(
+  const milliseconds period = GatewayBeatPeriod(
       this->options.beats, this->options.beat_period,
-      1 + this->core.exchange().CountNear(NodeRole::kGateway)));
+      1 + this->core.exchange().CountNear(NodeRole::kGateway));
+  this->selector.SetReportPeriod(period);
+  this->beat_timer.StartOnce(period);
 }
 
 std::vector<GatewayMember> Gateway::KnownGateways() const {
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -111,6 +111,7 @@
   TargetNotices notices;
   std::unique_ptr<PlacementPolicy> policy;
   SizeBalance sizes;
+  PredictionErrors errors;
   GatewayAdmission admission;
   TargetSelector selector;
   Gauge& quarantined_parts;
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -905,6 +905,11 @@
     this->attempt->first_event_at = now;
     this->context.book.OnFirstEvent(this->attempt->target,
                                     this->attempt->prompt_tokens);
+    if (this->attempt->prompt_tokens > 0) {
+      this->context.errors.OnFirstEvent(this->service,
+                                        this->selection.predicted,
+                                        Since(this->attempt->sent_at, now));
+    }
   }
   if (now - this->attempt->first_event_at >=
       this->context.options.survival_time) {
@@ -1367,6 +1372,8 @@
        {"shared_parts", Join(this->call.shared_parts)},
        {"predicted_ms", this->selection.predicted.count()},
        {"size_lean", this->selection.size_lean.weight},
+       {"allowance_ms", this->selection.allowance.count()},
+       {"unseen_requests", this->selection.unseen_requests},
        {"entry_age_ms", this->selection.entry_age.count()},
        {"config_version", this->config ? this->config->version : 0},
        {"latest_config_version",
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -112,6 +112,7 @@
   const ClusterView& view;
   TargetTracker& book;
   TargetSelector& selector;
+  PredictionErrors& errors;
   CrashGuard& crashes;
   CrashGuard& request_crashes;
   TargetNotices& notices;
--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -51,6 +51,25 @@
   this->stager_reports[target_address] = report;
 }
 
+void TargetSelector::SetGateways(std::vector<GatewayMember> gateways) {
+  this->gateways = std::max<size_t>(1, gateways.size());
+  this->cold_shares.SetGateways(std::move(gateways));
+}
+
+double TargetSelector::UnseenRequests(
+    const std::vector<PlacementCandidate>& candidates,
+    TimePoint now) const {
+  size_t sent = 0;
+  for (const PlacementCandidate& candidate : candidates) {
+    sent += this->book.SentInLastSecond(candidate.target, now);
+  }
+  const double per_target_and_second =
+      static_cast<double>(sent * (this->gateways - 1)) /
+      static_cast<double>(std::max<size_t>(1, candidates.size()));
+  return per_target_and_second *
+         std::chrono::duration<double>(this->report_period).count();
+}
+
 RegionName TargetSelector::RegionOf(const ZoneName& zone) const {
   const auto found = this->options.regions_of_zones.find(zone);
   return found == this->options.regions_of_zones.end() ? RegionName()
@@ -279,11 +298,14 @@
   admission_request.workspace = request.workspace;
   admission_request.placement = request.placement;
   admission_request.first_send = request.tried.empty();
+  admission_request.unseen_requests = selection.unseen_requests =
+      this->UnseenRequests(candidates, now);
   const AdmissionDecision decision =
       this->admission.Decide(rates, candidates, admission_request, now);
   const Placement& placement = decision.placement;
   selection.urgency = decision.urgency;
   selection.size_lean = decision.size_lean;
+  selection.allowance = decision.allowance;
   selection.predicted = placement.predicted;
   if (!placement.candidate) {
     selection.reason = "no target would be on time";
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -65,6 +65,8 @@
   size_t candidates = 0;
   std::chrono::milliseconds predicted{0};
   SizeLean size_lean;
+  std::chrono::milliseconds allowance{0};
+  double unseen_requests = 0;
   // When refused: why, and when a target should be available.
   std::string_view reason;
   std::chrono::milliseconds retry_after{0};
@@ -128,8 +130,10 @@
   // "ip:port".
   void OnStagerReport(const std::string& target_address, StagerReport report);
   // Replaces the gateways that may send to the same targets, this one included.
-  void SetGateways(std::vector<GatewayMember> gateways) {
-    this->cold_shares.SetGateways(std::move(gateways));
+  void SetGateways(std::vector<GatewayMember> gateways);
+  // Sets the time between two load reports of a gateway.
+  void SetReportPeriod(std::chrono::milliseconds period) {
+    this->report_period = period;
   }
 
  private:
@@ -159,6 +163,10 @@
   bool RegionAllowed(const RegionName& region,
                      const SelectionRequest& request) const;
   RegionName RegionOf(const ZoneName& zone) const;
+  // Returns AdmissionRequest::unseen_requests if callers spread over the
+  // gateways: the others send as many requests to these targets as this one.
+  double UnseenRequests(const std::vector<PlacementCandidate>& candidates,
+                        TimePoint now) const;
 
   const ClusterView& view;
   const TargetTracker& book;
@@ -169,6 +177,8 @@
   // By target address, as "ip:port".
   std::map<std::string, StagerReport> stager_reports;
   ColdShares cold_shares;
+  size_t gateways = 1;
+  std::chrono::milliseconds report_period{0};
 };
 
 }  // namespace celerypost
--- a/src/request/gateway_admission.cc
+++ b/src/request/gateway_admission.cc
@@ -1,7 +1,27 @@
 #include "src/request/gateway_admission.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace celerypost {
 
+namespace {
+
+// Returns PlacementRequest::compared. Loads that are known exactly are compared
+// all. The more requests each report misses, the fewer loads are compared: with
+// two, a target is not chosen by many gateways at once, while full ones are
+// still avoided.
+size_t CandidatesToCompare(double unseen_requests) {
+  constexpr double kNegligible = 0.25;
+  constexpr double kLeast = 2;
+  if (unseen_requests < kNegligible) {
+    return 0;
+  }
+  return static_cast<size_t>(std::max(kLeast, std::round(2 / unseen_requests)));
+}
+
+}  // namespace
+
 AdmissionDecision GatewayAdmission::Decide(
     const EngineRates* rates,
     const std::vector<PlacementCandidate>& candidates,
@@ -14,6 +34,9 @@
     return decision;
   }
   PlacementRequest balanced = request.placement;
+  balanced.compared = CandidatesToCompare(request.unseen_requests);
+  balanced.allowance = decision.allowance =
+      this->errors.AllowanceOf(request.service);
   balanced.size_lean = decision.size_lean =
       this->sizes.LeanOf(request.service, request.route->name);
   decision.placement = this->policy.Place(rates, candidates, balanced);
--- a/src/request/gateway_admission.h
+++ b/src/request/gateway_admission.h
@@ -1,12 +1,14 @@
 #ifndef SRC_REQUEST_GATEWAY_ADMISSION_H_
 #define SRC_REQUEST_GATEWAY_ADMISSION_H_
 
+#include <chrono>
 #include <optional>
 #include <vector>
 
 #include "celerypost/types.h"
 #include "src/request/gateway_config.h"
 #include "src/request/placement.h"
+#include "src/request/prediction_error.h"
 #include "src/request/size_balance.h"
 
 namespace celerypost {
@@ -18,6 +20,9 @@
   // Null for routes without API keys.
   const Workspace* workspace = nullptr;
   PlacementRequest placement;
+  // Expected number of requests that other gateways have sent to a target since
+  // their last reports.
+  double unseen_requests = 0;
   // The request has not been sent to a target. Later placements repair what a
   // target has failed to do, so they do not count as demand.
   bool first_send = true;
@@ -28,8 +33,9 @@
   // Position in the target's queue, from 0 for first to 9; absent for the
   // target's default.
   std::optional<int> urgency;
-  // For the log.
+  // For the log: PlacementRequest::size_lean and ::allowance.
   SizeLean size_lean;
+  std::chrono::milliseconds allowance{0};
 };
 
 // Decides whether a gateway sends a request to one of the eligible targets or
@@ -38,8 +44,10 @@
 // Performs no I/O.
 class GatewayAdmission {
  public:
-  GatewayAdmission(PlacementPolicy& policy, SizeBalance& sizes)
-      : policy(policy), sizes(sizes) {}
+  GatewayAdmission(PlacementPolicy& policy,
+                   SizeBalance& sizes,
+                   const PredictionErrors& errors)
+      : policy(policy), sizes(sizes), errors(errors) {}
 
   // `rates` is null for services without an engine.
   AdmissionDecision Decide(const EngineRates* rates,
@@ -50,6 +58,7 @@
  private:
   PlacementPolicy& policy;
   SizeBalance& sizes;
+  const PredictionErrors& errors;
 };
 
 }  // namespace celerypost
--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -115,8 +115,10 @@
     double excess = std::numeric_limits<double>::max();
     // In a random order, so that gateways with the same data do not all choose
     // the same one of equal candidates.
-    const std::vector<size_t> order = this->DrawOrder(candidates.size());
-    size_t suitable = 0;
+    std::vector<size_t> order = this->DrawOrder(candidates.size());
+    if (request.compared > 0 && request.compared < order.size()) {
+      order.resize(request.compared);
+    }
     for (const size_t index : order) {
       const PlacementCandidate& candidate = candidates[index];
       const double predicted =
--- a/src/request/placement.h
+++ b/src/request/placement.h
@@ -53,9 +53,9 @@
   // Added to the predicted time to the first event when it is compared with a
   // limit (PredictionErrors).
   std::chrono::milliseconds allowance{0};
-  // Number of suitable candidates, drawn at random, of which the one with the
-  // lowest cost is chosen; 0 for all. Gateways that know of each other's
-  // requests with a delay choose the same target if they compare all.
+  // Number of candidates, drawn at random, that are compared; 0 for all.
+  // Gateways that know of each other's requests with a delay choose the same
+  // targets if they compare all, also if only few of all would do.
   size_t compared = 0;
 };
 
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -218,7 +218,8 @@
   std::unique_ptr<PlacementPolicy> policy = MakePredictivePolicy({}, random);
   TargetNotices notices{{}};
   SizeBalance sizes{{}};
-  GatewayAdmission admission{*policy, sizes};
+  PredictionErrors errors{{}};
+  GatewayAdmission admission{*policy, sizes, errors};
   TargetSelector selector{view, book, notices, admission, random, {}};
   // Holds less than a long answer.
   size_t evictions = 0;
@@ -407,6 +408,7 @@
         this->view,
         this->book,
         this->selector,
+        this->errors,
         this->crashes,
         this->request_crashes,
         this->notices,
--- a/tests/process/gateway/target_selector_test.cc
+++ b/tests/process/gateway/target_selector_test.cc
@@ -22,7 +22,8 @@
   SizeBalance sizes{{}};
   SplitMixRandom random{1};
   std::unique_ptr<PlacementPolicy> policy = MakePredictivePolicy({}, random);
-  GatewayAdmission admission{*policy, sizes};
+  PredictionErrors errors{{}};
+  GatewayAdmission admission{*policy, sizes, errors};
   std::unique_ptr<TargetSelector> selector;
   TimePoint now{std::chrono::seconds(1000)};
   int64_t revision = 0;
--- a/tests/request/fleet_load.cc
+++ b/tests/request/fleet_load.cc
@@ -176,6 +176,7 @@
     decision.placement.on_time_left = route.latency_goal;
     decision.placement.deadline_left =
         route.timeout - milliseconds(static_cast<int64_t>(age));
+    decision.unseen_requests = this->UnseenRequests(gateway, now);
     if (this->hooks.prepare) {
       this->hooks.prepare(gateway_index, request, decision);
     }
@@ -210,6 +211,17 @@
         urgency, Work{index, gateway_index, urgency, request.events, false});
   }
 
+  // As TargetSelector derives it.
+  double UnseenRequests(const LoadGateway& gateway, double now) const {
+    size_t sent = 0;
+    for (const LoadTarget& target : this->targets) {
+      sent += gateway.book.SentInLastSecond(target.id, At(now));
+    }
+    return static_cast<double>(sent * (this->gateways.size() - 1)) /
+           static_cast<double>(this->targets.size()) *
+           Count(this->options.report_period) / 1000;
+  }
+
   void Refuse(size_t index, milliseconds retry_after, double now) {
     LoadRequest& request = this->result.requests[index];
     request.outcome = LoadOutcome::kRefused;
@@ -273,8 +285,11 @@
                          Count(this->options.kinds[request.kind].latency_goal);
     request.outcome = on_time ? LoadOutcome::kOnTime : LoadOutcome::kLate;
     request.first_event_ms = now - request.first_event_ms;
-    this->gateways[work.gateway]->book.OnFirstEvent(target.id,
-                                                    request.prompt_tokens);
+    LoadGateway& gateway = *this->gateways[work.gateway];
+    gateway.book.OnFirstEvent(target.id, request.prompt_tokens);
+    gateway.errors.OnFirstEvent(
+        this->service, milliseconds(static_cast<int64_t>(request.predicted_ms)),
+        milliseconds(static_cast<int64_t>(request.first_event_ms)));
     if (this->hooks.first_event) {
       this->hooks.first_event(work.gateway, target.id, request, At(now));
     }
@@ -337,7 +352,7 @@
 LoadGateway::LoadGateway(uint64_t seed)
     : random(seed),
       policy(MakePredictivePolicy({}, random)),
-      admission(std::make_unique<GatewayAdmission>(*policy, sizes)) {}
+      admission(std::make_unique<GatewayAdmission>(*policy, sizes, errors)) {}
 
 double FleetLoadResult::Share(LoadOutcome outcome, const Filter& filter) const {
   size_t all = 0;
--- a/tests/request/fleet_load.h
+++ b/tests/request/fleet_load.h
@@ -67,6 +67,7 @@
   SplitMixRandom random;
   TargetTracker book{{}};
   SizeBalance sizes{{}};
+  PredictionErrors errors{{}};
   std::unique_ptr<PlacementPolicy> policy;
   std::unique_ptr<GatewayAdmission> admission;
 };
