Compare targets of the own region first

Change: the compared targets are drawn from the own region first; its gateways share 0.8 of the limit of cold targets instead of 0.6; the quantile is 0.7; the prediction is as it was.

--- a/src/request/cold_share.h
+++ b/src/request/cold_share.h
@@ -19,8 +19,9 @@
 
 struct ColdShareOptions {
   // Part of a target's limit that the gateways of its own region share; those
-  // of other regions share the rest.
-  double same_region_part = 0.6;
+  // of other regions share the rest, which they need only when the targets of
+  // their region are full.
+  double same_region_part = 0.8;
 };
 
 // Divides the rate limit of cold targets among the gateways without
--- a/src/request/engine_model.cc
+++ b/src/request/engine_model.cc
@@ -52,21 +52,15 @@
                                double prompt_tokens) {
   const double running = std::min<double>(load.in_flight, rates.slots);
   const Milliseconds pass = PassTime(rates, running);
-  if (load.in_flight >= rates.slots) {
-    // The prompts ahead are read while the request waits for a slot, which is
-    // part of SlotTime; those of the last pass before it are read with its own.
-    const double requests_ahead = load.in_flight - rates.slots + 1;
-    const double read_last =
-        std::min(load.waiting_tokens, rates.mean_prompt_tokens);
-    return (SlotTime(rates, running) / rates.slots * requests_ahead + pass +
-            ReadingTime(rates, read_last + prompt_tokens)) *
-           std::max(1.0, load.slowdown);
-  }
   // The current pass ends first, after half a pass on average; then all waiting
   // prompts are read before the first pass that includes this request.
   Milliseconds time = load.in_flight > 0 ? pass / 2 : Milliseconds(0);
   time += ReadingTime(rates, load.waiting_tokens + prompt_tokens);
   time += pass;
+  if (load.in_flight >= rates.slots) {
+    const double requests_ahead = load.in_flight - rates.slots + 1;
+    time += SlotTime(rates, running) / rates.slots * requests_ahead;
+  }
   return time * std::max(1.0, load.slowdown);
 }
 
--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -95,7 +95,8 @@
     return predicted + std::min(added, room_of_idle) - bounds.limit;
   }
 
-  // Returns all indexes below `count` in a random order.
+  // Returns the indexes of the candidates in a random order, so that gateways
+  // with the same data do not all choose the same one of equal candidates.
   std::vector<size_t> DrawOrder(size_t count) {
     std::vector<size_t> order(count);
     std::iota(order.begin(), order.end(), 0);
@@ -105,6 +106,26 @@
     return order;
   }
 
+  // Returns the groups of candidates to compare: each group is compared only if
+  // no candidate of the one before it will do.
+  std::vector<std::vector<size_t>> DrawGroups(
+      const std::vector<PlacementCandidate>& candidates,
+      size_t compared) {
+    const std::vector<size_t> order = this->DrawOrder(candidates.size());
+    if (compared == 0) {
+      return {order};
+    }
+    std::vector<std::vector<size_t>> groups(2);
+    for (const size_t index : order) {
+      std::vector<size_t>& group =
+          groups[candidates[index].same_region ? 0 : 1];
+      if (group.size() < compared) {
+        group.push_back(index);
+      }
+    }
+    return groups;
+  }
+
   Placement PlaceOnEngine(const EngineRates& rates,
                           const std::vector<PlacementCandidate>& candidates,
                           const PlacementRequest& request) {
@@ -113,42 +134,43 @@
     double best_cost = std::numeric_limits<double>::max();
     double soonest = std::numeric_limits<double>::max();
     double excess = std::numeric_limits<double>::max();
-    // In a random order, so that gateways with the same data do not all choose
-    // the same one of equal candidates.
-    std::vector<size_t> order = this->DrawOrder(candidates.size());
-    if (request.compared > 0 && request.compared < order.size()) {
-      order.resize(request.compared);
-    }
-    for (const size_t index : order) {
-      const PlacementCandidate& candidate = candidates[index];
-      const double predicted =
-          PredictFirstEvent(rates, candidate.load, request.prompt_tokens)
-              .count();
-      soonest = std::min(soonest, predicted);
-      placement.room_tokens = std::max(
-          placement.room_tokens.value_or(std::numeric_limits<double>::lowest()),
-          request.prompt_tokens + (bounds.limit - predicted) *
-                                      rates.prompt_tokens_per_ms /
-                                      std::max(1.0, candidate.load.slowdown));
-      const double over =
-          ExcessMs(rates, request, bounds, candidate.load.slowdown, predicted);
-      excess = std::min(excess, over);
-      if (over > 0) {
-        continue;
+    for (const std::vector<size_t>& group :
+         this->DrawGroups(candidates, request.compared)) {
+      for (const size_t index : group) {
+        const PlacementCandidate& candidate = candidates[index];
+        const double predicted =
+            PredictFirstEvent(rates, candidate.load, request.prompt_tokens)
+                .count();
+        soonest = std::min(soonest, predicted);
+        placement.room_tokens = std::max(
+            placement.room_tokens.value_or(
+                std::numeric_limits<double>::lowest()),
+            request.prompt_tokens + (bounds.limit - predicted) *
+                                        rates.prompt_tokens_per_ms /
+                                        std::max(1.0, candidate.load.slowdown));
+        const double over = ExcessMs(rates, request, bounds,
+                                     candidate.load.slowdown, predicted);
+        excess = std::min(excess, over);
+        if (over > 0) {
+          continue;
+        }
+        double cost = predicted + this->PenaltyMs(candidate);
+        if (candidate.reload_in &&
+            predicted + kAnswerLengthFactor *
+                            AnswerTime(rates, candidate.load.in_flight,
+                                       request.answer_tokens)
+                                .count() >
+                static_cast<double>(candidate.reload_in->count())) {
+          cost += static_cast<double>(this->options.reload_cost.count());
+        }
+        if (cost < best_cost) {
+          best_cost = cost;
+          placement.candidate = index;
+          placement.predicted = ToClampedDuration(predicted);
+        }
       }
-      double cost = predicted + this->PenaltyMs(candidate);
-      if (candidate.reload_in &&
-          predicted + kAnswerLengthFactor * AnswerTime(rates,
-                                                       candidate.load.in_flight,
-                                                       request.answer_tokens)
-                                                .count() >
-              static_cast<double>(candidate.reload_in->count())) {
-        cost += static_cast<double>(this->options.reload_cost.count());
-      }
-      if (cost < best_cost) {
-        best_cost = cost;
-        placement.candidate = index;
-        placement.predicted = ToClampedDuration(predicted);
+      if (placement.candidate) {
+        break;
       }
     }
     if (!placement.candidate) {
--- a/src/request/placement.h
+++ b/src/request/placement.h
@@ -53,9 +53,11 @@
   // Added to the predicted time to the first event when it is compared with a
   // limit (PredictionErrors).
   std::chrono::milliseconds allowance{0};
-  // Number of candidates, drawn at random, that are compared; 0 for all.
-  // Gateways that know of each other's requests with a delay choose the same
-  // targets if they compare all, also if only few of all would do.
+  // Number of candidates of this region, drawn at random, that are compared,
+  // and of other regions if none of these will do; 0 for all. Gateways that
+  // know of each other's requests with a delay choose the same targets if they
+  // compare all, also if only few of all would do. Loads of other regions are
+  // known later still.
   size_t compared = 0;
 };
 
--- a/src/request/prediction_error.h
+++ b/src/request/prediction_error.h
@@ -12,7 +12,7 @@
 struct PredictionErrorOptions {
   // Share of the requests whose first event is to come within the prediction
   // and the allowance.
-  double quantile = 0.8;
+  double quantile = 0.7;
   // A first event after the allowance raises it by `quantile` of this, one
   // before lowers it by the rest.
   Milliseconds step{20};
