--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -32,15 +32,13 @@
 TargetSelector::TargetSelector(const ClusterView& view,
                                const TargetTracker& book,
                                const TargetNotices& notices,
-                               PlacementPolicy& policy,
-                               SizeBalance& sizes,
+                               GatewayAdmission& admission,
                                Random& random,
                                TargetSelectorOptions options)
     : view(view),
       book(book),
       notices(notices),
-      policy(policy),
-      sizes(sizes),
+      admission(admission),
       random(random),
       options(std::move(options)),
       cold_shares({}, this->options.self_ip) {
@@ -53,6 +51,25 @@
   this->stager_reports[target_address] = report;
 }
 
+void TargetSelector::SetGateways(std::vector<GatewayMember> gateways) {
+  this->gateways = std::max<size_t>(1, gateways.size());
+  this->cold_shares.SetGateways(std::move(gateways));
+}
+
+double TargetSelector::UnseenRequests(
+    const std::vector<PlacementCandidate>& candidates,
+    TimePoint now) const {
+  size_t sent = 0;
+  for (const PlacementCandidate& candidate : candidates) {
+    sent += this->book.SentInLastSecond(candidate.target, now);
+  }
+  const double per_target_and_second =
+      static_cast<double>(sent * (this->gateways - 1)) /
+      static_cast<double>(std::max<size_t>(1, candidates.size()));
+  return per_target_and_second *
+         std::chrono::duration<double>(this->report_period).count();
+}
+
 RegionName TargetSelector::RegionOf(const ZoneName& zone) const {
   const auto found = this->options.regions_of_zones.find(zone);
   return found == this->options.regions_of_zones.end() ? RegionName()
@@ -211,26 +228,6 @@
   return superseded_at;
 }
 
-Placement TargetSelector::Place(
-    const EngineRates* rates,
-    const std::vector<PlacementCandidate>& candidates,
-    const SelectionRequest& request,
-    TimePoint now,
-    SizeLean& lean) {
-  if (!request.tried.empty() || request.placement.prompt_tokens <= 0) {
-    return this->policy.Place(rates, candidates, request.placement);
-  }
-  PlacementRequest balanced = request.placement;
-  lean = this->sizes.LeanOf(request.service, request.route->name);
-  balanced.size_lean = lean;
-  const Placement placement = this->policy.Place(rates, candidates, balanced);
-  if (placement.room_tokens) {
-    this->sizes.OnDecision(request.service, request.route->name,
-                           balanced.prompt_tokens, *placement.room_tokens, now);
-  }
-  return placement;
-}
-
 Selection TargetSelector::Select(const SelectionRequest& request,
                                  TimePoint now) {
   Selection selection;
@@ -295,8 +292,20 @@
     }
     return selection;
   }
-  const Placement placement =
-      this->Place(rates, candidates, request, now, selection.size_lean);
+  AdmissionRequest admission_request;
+  admission_request.service = request.service;
+  admission_request.route = request.route;
+  admission_request.workspace = request.workspace;
+  admission_request.placement = request.placement;
+  admission_request.first_send = request.tried.empty();
+  admission_request.unseen_requests = selection.unseen_requests =
+      this->UnseenRequests(candidates, now);
+  const AdmissionDecision decision =
+      this->admission.Decide(rates, candidates, admission_request, now);
+  const Placement& placement = decision.placement;
+  selection.urgency = decision.urgency;
+  selection.size_lean = decision.size_lean;
+  selection.allowance = decision.allowance;
   selection.predicted = placement.predicted;
   if (!placement.candidate) {
     selection.reason = "no target would be on time";
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -16,8 +16,8 @@
 #include "src/process/node_settings.h"
 #include "src/process/state/cluster_view.h"
 #include "src/request/cold_share.h"
+#include "src/request/gateway_admission.h"
 #include "src/request/placement.h"
-#include "src/request/size_balance.h"
 #include "src/request/target_notices.h"
 #include "src/request/target_tracker.h"
 
@@ -55,6 +55,8 @@
   // Set when the target's weights are superseded: a request that has not
   // started to run by then must be moved to another target.
   std::optional<TimePoint> must_begin_by;
+  // As in AdmissionDecision.
+  std::optional<int> urgency;
   // For the log: the load that the choice was based on, the time since the
   // target's registration was read, the number of eligible targets, and the
   // predicted time to the first event.
@@ -63,6 +65,8 @@
   size_t candidates = 0;
   std::chrono::milliseconds predicted{0};
   SizeLean size_lean;
+  std::chrono::milliseconds allowance{0};
+  double unseen_requests = 0;
   // When refused: why, and when a target should be available.
   std::string_view reason;
   std::chrono::milliseconds retry_after{0};
@@ -111,8 +115,7 @@
   TargetSelector(const ClusterView& view,
                  const TargetTracker& book,
                  const TargetNotices& notices,
-                 PlacementPolicy& policy,
-                 SizeBalance& sizes,
+                 GatewayAdmission& admission,
                  Random& random,
                  TargetSelectorOptions options);
 
@@ -127,8 +130,10 @@
   // "ip:port".
   void OnStagerReport(const std::string& target_address, StagerReport report);
   // Replaces the gateways that may send to the same targets, this one included.
-  void SetGateways(std::vector<GatewayMember> gateways) {
-    this->cold_shares.SetGateways(std::move(gateways));
+  void SetGateways(std::vector<GatewayMember> gateways);
+  // Sets the time between two load reports of a gateway.
+  void SetReportPeriod(std::chrono::milliseconds period) {
+    this->report_period = period;
   }
 
  private:
@@ -138,13 +143,6 @@
                                    const ServiceConfig& service,
                                    std::optional<int64_t> version_floor,
                                    TimePoint now);
-  // Places the request. Its first placement is balanced by size and counts for
-  // the balance; later ones repair what a target has failed to do.
-  Placement Place(const EngineRates* rates,
-                  const std::vector<PlacementCandidate>& candidates,
-                  const SelectionRequest& request,
-                  TimePoint now,
-                  SizeLean& lean);
   // Returns when callers should come back if a target takes requests again at
   // `until`.
   std::chrono::milliseconds RetryAfter(TimePoint until, TimePoint now);
@@ -165,17 +163,22 @@
   bool RegionAllowed(const RegionName& region,
                      const SelectionRequest& request) const;
   RegionName RegionOf(const ZoneName& zone) const;
+  // Returns AdmissionRequest::unseen_requests if callers spread over the
+  // gateways: the others send as many requests to these targets as this one.
+  double UnseenRequests(const std::vector<PlacementCandidate>& candidates,
+                        TimePoint now) const;
 
   const ClusterView& view;
   const TargetTracker& book;
   const TargetNotices& notices;
-  PlacementPolicy& policy;
-  SizeBalance& sizes;
+  GatewayAdmission& admission;
   Random& random;
   TargetSelectorOptions options;
   // By target address, as "ip:port".
   std::map<std::string, StagerReport> stager_reports;
   ColdShares cold_shares;
+  size_t gateways = 1;
+  std::chrono::milliseconds report_period{0};
 };
 
 }  // namespace celerypost
--- /dev/null
+++ b/src/request/gateway_admission.h
@@ -0,0 +1,66 @@
+#ifndef SRC_REQUEST_GATEWAY_ADMISSION_H_
+#define SRC_REQUEST_GATEWAY_ADMISSION_H_
+
+#include <chrono>
+#include <optional>
+#include <vector>
+
+#include "celerypost/types.h"
+#include "src/request/gateway_config.h"
+#include "src/request/placement.h"
+#include "src/request/prediction_error.h"
+#include "src/request/size_balance.h"
+
+namespace celerypost {
+
+// The request of one decision. The pointers are valid during the call only.
+struct AdmissionRequest {
+  ServiceName service;
+  const Route* route = nullptr;
+  // Null for routes without API keys.
+  const Workspace* workspace = nullptr;
+  PlacementRequest placement;
+  // Expected number of requests that other gateways have sent to a target since
+  // their last reports.
+  double unseen_requests = 0;
+  // The request has not been sent to a target. Later placements repair what a
+  // target has failed to do, so they do not count as demand.
+  bool first_send = true;
+};
+
+struct AdmissionDecision {
+  Placement placement;
+  // Position in the target's queue, from 0 for first to 9; absent for the
+  // target's default.
+  std::optional<int> urgency;
+  // For the log: PlacementRequest::size_lean and ::allowance.
+  SizeLean size_lean;
+  std::chrono::milliseconds allowance{0};
+};
+
+// Decides whether a gateway sends a request to one of the eligible targets or
+// refuses it: joins the placement policy with the rules that decide who is
+// served first when there is too little room. Each gateway has its own object.
+// Performs no I/O.
+class GatewayAdmission {
+ public:
+  GatewayAdmission(PlacementPolicy& policy,
+                   SizeBalance& sizes,
+                   const PredictionErrors& errors)
+      : policy(policy), sizes(sizes), errors(errors) {}
+
+  // `rates` is null for services without an engine.
+  AdmissionDecision Decide(const EngineRates* rates,
+                           const std::vector<PlacementCandidate>& candidates,
+                           const AdmissionRequest& request,
+                           TimePoint now);
+
+ private:
+  PlacementPolicy& policy;
+  SizeBalance& sizes;
+  const PredictionErrors& errors;
+};
+
+}  // namespace celerypost
+
+#endif  // SRC_REQUEST_GATEWAY_ADMISSION_H_
--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
+#include <utility>
 
 #include "src/version/checked_number.h"
 
@@ -86,12 +88,44 @@
     const double missing_tokens =
         std::max(0.0, lean.reference_tokens - request.prompt_tokens);
     const double added =
-        lean.weight * ReadingTime(rates, missing_tokens).count() * factor;
+        lean.weight * ReadingTime(rates, missing_tokens).count() * factor +
+        static_cast<double>(request.allowance.count());
     const double room_of_idle =
         std::max(0.0, bounds.limit - bounds.idle * factor);
     return predicted + std::min(added, room_of_idle) - bounds.limit;
   }
 
+  // Returns the indexes of the candidates in a random order, so that gateways
+  // with the same data do not all choose the same one of equal candidates.
+  std::vector<size_t> DrawOrder(size_t count) {
+    std::vector<size_t> order(count);
+    std::iota(order.begin(), order.end(), 0);
+    for (size_t i = count; i > 1; --i) {
+      std::swap(order[i - 1], order[this->random.Below(i)]);
+    }
+    return order;
+  }
+
+  // Returns the groups of candidates to compare: each group is compared only if
+  // no candidate of the one before it will do.
+  std::vector<std::vector<size_t>> DrawGroups(
+      const std::vector<PlacementCandidate>& candidates,
+      size_t compared) {
+    const std::vector<size_t> order = this->DrawOrder(candidates.size());
+    if (compared == 0) {
+      return {order};
+    }
+    std::vector<std::vector<size_t>> groups(2);
+    for (const size_t index : order) {
+      std::vector<size_t>& group =
+          groups[candidates[index].same_region ? 0 : 1];
+      if (group.size() < compared) {
+        group.push_back(index);
+      }
+    }
+    return groups;
+  }
+
   Placement PlaceOnEngine(const EngineRates& rates,
                           const std::vector<PlacementCandidate>& candidates,
                           const PlacementRequest& request) {
@@ -100,40 +134,43 @@
     double best_cost = std::numeric_limits<double>::max();
     double soonest = std::numeric_limits<double>::max();
     double excess = std::numeric_limits<double>::max();
-    // Starts at a random candidate, so that gateways with the same data do not
-    // all choose the same one of equal candidates.
-    const size_t start = this->random.Below(candidates.size());
-    for (size_t i = 0; i < candidates.size(); ++i) {
-      const size_t index = (start + i) % candidates.size();
-      const PlacementCandidate& candidate = candidates[index];
-      const double predicted =
-          PredictFirstEvent(rates, candidate.load, request.prompt_tokens)
-              .count();
-      soonest = std::min(soonest, predicted);
-      placement.room_tokens = std::max(
-          placement.room_tokens.value_or(std::numeric_limits<double>::lowest()),
-          request.prompt_tokens + (bounds.limit - predicted) *
-                                      rates.prompt_tokens_per_ms /
-                                      std::max(1.0, candidate.load.slowdown));
-      const double over =
-          ExcessMs(rates, request, bounds, candidate.load.slowdown, predicted);
-      excess = std::min(excess, over);
-      if (over > 0) {
-        continue;
-      }
-      double cost = predicted + this->PenaltyMs(candidate);
-      if (candidate.reload_in &&
-          predicted + kAnswerLengthFactor * AnswerTime(rates,
-                                                       candidate.load.in_flight,
-                                                       request.answer_tokens)
-                                                .count() >
-              static_cast<double>(candidate.reload_in->count())) {
-        cost += static_cast<double>(this->options.reload_cost.count());
+    for (const std::vector<size_t>& group :
+         this->DrawGroups(candidates, request.compared)) {
+      for (const size_t index : group) {
+        const PlacementCandidate& candidate = candidates[index];
+        const double predicted =
+            PredictFirstEvent(rates, candidate.load, request.prompt_tokens)
+                .count();
+        soonest = std::min(soonest, predicted);
+        placement.room_tokens = std::max(
+            placement.room_tokens.value_or(
+                std::numeric_limits<double>::lowest()),
+            request.prompt_tokens + (bounds.limit - predicted) *
+                                        rates.prompt_tokens_per_ms /
+                                        std::max(1.0, candidate.load.slowdown));
+        const double over = ExcessMs(rates, request, bounds,
+                                     candidate.load.slowdown, predicted);
+        excess = std::min(excess, over);
+        if (over > 0) {
+          continue;
+        }
+        double cost = predicted + this->PenaltyMs(candidate);
+        if (candidate.reload_in &&
+            predicted + kAnswerLengthFactor *
+                            AnswerTime(rates, candidate.load.in_flight,
+                                       request.answer_tokens)
+                                .count() >
+                static_cast<double>(candidate.reload_in->count())) {
+          cost += static_cast<double>(this->options.reload_cost.count());
+        }
+        if (cost < best_cost) {
+          best_cost = cost;
+          placement.candidate = index;
+          placement.predicted = ToClampedDuration(predicted);
+        }
       }
-      if (cost < best_cost) {
-        best_cost = cost;
-        placement.candidate = index;
-        placement.predicted = ToClampedDuration(predicted);
+      if (placement.candidate) {
+        break;
       }
     }
     if (!placement.candidate) {
