Spread loads from the completed copy, and choose between two versions by time

Cause: loads of a zone were ordered in turn from 3.3 s after the naming, so stagers whose copies were complete later ordered at once and together. A stager that had staged 60 % of a version, or all of it, held the copy until its turn and staged a newer version only then.

Change: the planned time runs from the moment at which the copy was complete to the bound, by rank. The choice between completing a version and skipping it for a newer one compares the times without usable weights; on a tie the version is skipped. A version that is completed loads within a short spread. Chunks that the target is ordered to load are no longer replaced by a newer version's. Decisions are logged as load_plan. The codec of digests moves out of stager.cc.

Tests: ChunksArriveBeforeTheScheduledLoads keeps its bound as numbers, since the schedule no longer has a fixed first moment, and also checks the new orders. ShortNoticeOrdersAllTargetsAtTheEnd is replaced: orders at the end all at the same time are what is forbidden now. FinishesAVersion... names the size of its zone (29 targets), on which the choice depends.

--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -4,16 +4,13 @@
 #include <charconv>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
-#include "src/version/json_fields.h"
+#include "src/process/stager/digests_message.h"
 
 namespace celerypost {
 
 namespace {
 
 using std::chrono::milliseconds;
-using Json = nlohmann::json;
 
 constexpr char kDigestsPath[] = "/v1/weights/digests";
 constexpr char kChunkPath[] = "/v1/weights/chunk";
@@ -25,42 +22,6 @@
 // Version of the weights that targets hold before operators have named one.
 constexpr int64_t kFirstVersion = 1;
 
-// Parses the digests in another stager's response.
-Result<ChunkDigests> DecodeDigests(const std::string& model,
-                                   int64_t version,
-                                   const Result<HttpResponse>& response) {
-  if (!response) {
-    return tl::unexpected<Failure>(response.error());
-  }
-  if (response->status != 200) {
-    return NotRun(ErrorCode::kNotFound, "the peer does not have the digests");
-  }
-  const auto json = ParseJson(response->body, "digests");
-  if (!json) {
-    return tl::unexpected<Failure>(json.error());
-  }
-  const auto list = json->find("digests");
-  if (list == json->end() || !list->is_array()) {
-    return NotRun(ErrorCode::kCorrupt,
-                  "a peer's response has no array \"digests\"");
-  }
-  ChunkDigests digests{model, version, {}};
-  for (const Json& item : *list) {
-    const auto digest =
-        item.is_string() ? Digest::FromHex(item.get_ref<const std::string&>())
-                         : std::nullopt;
-    if (!digest) {
-      return NotRun(ErrorCode::kCorrupt,
-                    "a peer's digest is not a valid hex string");
-    }
-    digests.digests.push_back(*digest);
-  }
-  if (digests.digests.empty()) {
-    return NotRun(ErrorCode::kCorrupt, "a peer's list of digests is empty");
-  }
-  return digests;
-}
-
 int64_t MillisecondsBetween(TimePoint from, TimePoint to) {
   return std::chrono::duration_cast<milliseconds>(to - from).count();
 }
@@ -90,6 +51,7 @@
       switch_planner(SwitchOptions{.zone = dependencies.settings.zone},
                      dependencies.instance),
       staged_copy(options.staged_copy, dependencies.loop.Now()),
+      load_planner(options.schedule, options.version_choice, dependencies.log),
       beats(options.beats),
       step_timer(dependencies.loop, [this] { this->Step(); }),
       beat_timer(dependencies.loop,
@@ -177,27 +139,32 @@
              : &found->second;
 }
 
-WeightOrigin* Stager::Origin() {
+const ServiceConfig* Stager::OriginService() const {
   const auto& config = this->core.view().config();
   if (!config) {
     return nullptr;
   }
-  for (const auto& [name, service] : config->services) {
-    if (!service.weight_origin) {
-      continue;
-    }
-    const auto address = SocketAddress::Parse(*service.weight_origin);
-    if (!address) {
-      this->dependencies.log.Warn("origin_unreadable", address.error().message);
-      return nullptr;
-    }
-    if (this->origin_address != *service.weight_origin) {
-      this->origin_address = *service.weight_origin;
-      this->origin = this->make_origin(*address);
-    }
-    return this->origin.get();
+  const auto found = std::find_if(
+      config->services.begin(), config->services.end(),
+      [](const auto& entry) { return entry.second.weight_origin.has_value(); });
+  return found == config->services.end() ? nullptr : &found->second;
+}
+
+WeightOrigin* Stager::Origin() {
+  const ServiceConfig* const service = this->OriginService();
+  if (service == nullptr) {
+    return nullptr;
+  }
+  const auto address = SocketAddress::Parse(*service->weight_origin);
+  if (!address) {
+    this->dependencies.log.Warn("origin_unreadable", address.error().message);
+    return nullptr;
   }
-  return nullptr;
+  if (this->origin_address != *service->weight_origin) {
+    this->origin_address = *service->weight_origin;
+    this->origin = this->make_origin(*address);
+  }
+  return this->origin.get();
 }
 
 int64_t Stager::WantedVersion() const {
@@ -348,32 +315,50 @@
   }
 }
 
-bool Stager::ShouldFinishGoalFirst() const {
+bool Stager::ShouldFinishGoalFirst() {
   if (!this->goal || this->goal->version <= this->serving_version) {
     return false;
   }
-  const TimePoint now = this->dependencies.loop.Now();
-  StagingProgress progress;
-  progress.staged_share =
-      static_cast<double>(this->chunk_planner.chunks_held()) /
-      static_cast<double>(
-          std::max<size_t>(1, this->chunk_planner.chunks_total()));
-  progress.since_progress =
-      std::chrono::duration_cast<milliseconds>(now - this->last_progress);
-  progress.copy_time = this->CopyTime();
-  const auto superseded_at = this->SupersededAt();
-  if (this->serving_version > 0 && superseded_at) {
-    progress.until_due = std::chrono::duration_cast<milliseconds>(
-        *superseded_at + this->dependencies.settings.version_bound - now);
-  }
-  return FinishesCurrentVersion(this->options.version_choice, progress);
+  return this->CopyIsBeingLoaded() ||
+         this->load_planner.CompletesCurrent(this->FactsOfLoad(),
+                                             this->dependencies.loop.Now());
 }
 
-milliseconds Stager::CopyTime() const {
-  const auto bytes = static_cast<double>(this->chunk_bytes) *
-                     static_cast<double>(this->chunk_planner.chunks_total());
-  return std::chrono::ceil<milliseconds>(std::chrono::duration<double>(
-      bytes / this->dependencies.settings.link_rate));
+bool Stager::CopyIsBeingLoaded() const {
+  return this->goal && (this->order_in_flight || this->loading);
+}
+
+LoadFacts Stager::FactsOfLoad() const {
+  const KnownWeights* const weights = this->core.view().Weights(this->model);
+  const size_t chunks = this->chunk_planner.chunks_total();
+  LoadFacts facts;
+  facts.version = this->goal->version;
+  facts.newest_version = this->WantedVersion();
+  facts.serving_version = this->serving_version;
+  facts.staged_share = static_cast<double>(this->chunk_planner.chunks_held()) /
+                       static_cast<double>(std::max<size_t>(1, chunks));
+  facts.copy_time =
+      std::chrono::ceil<milliseconds>(std::chrono::duration<double>(
+          static_cast<double>(this->chunk_bytes) * static_cast<double>(chunks) /
+          this->StagingRate()));
+  facts.superseded_at = this->SupersededAt();
+  if (weights != nullptr) {
+    facts.newer_named_at = weights->FirstNamedAbove(facts.version);
+  }
+  facts.version_bound = this->dependencies.settings.version_bound;
+  facts.rank =
+      this->switch_planner.PeersBefore(static_cast<uint64_t>(facts.version));
+  facts.count = this->switch_planner.AgentsInZone();
+  facts.origin_available = this->origin_available;
+  return facts;
+}
+
+double Stager::StagingRate() const {
+  const double rate = this->dependencies.settings.link_rate;
+  const ServiceConfig* const service = this->OriginService();
+  return service != nullptr && service->origin_link_rate > 0
+             ? std::min(rate, service->origin_link_rate)
+             : rate;
 }
 
 void Stager::AskForDigests(int64_t version) {
@@ -419,10 +404,12 @@
     this->digests_requested = false;
     return;
   }
-  source->GetDigests(this->model, version,
-                     [this, version](const Result<ChunkDigests>& digests) {
-                       this->OnDigests(version, digests);
-                     });
+  source->GetDigests(
+      this->model, version,
+      [this, version](const Result<ChunkDigests>& digests) {
+        this->NoteOriginAnswer(digests ? nullptr : &digests.error());
+        this->OnDigests(version, digests);
+      });
 }
 
 void Stager::AskPeerForDigests(InstanceId instance, int64_t version) {
@@ -474,7 +461,7 @@
     return;
   }
   this->digests = *digests;
-  if (version == this->WantedVersion()) {
+  if (version == this->WantedVersion() && !this->CopyIsBeingLoaded()) {
     this->SetGoal(*digests);
   }
 }
@@ -500,6 +487,7 @@
   const bool first = !this->goal;
   this->goal = std::move(next);
   ++this->goal_generation;
+  this->load_planner.OnGoal(now);
   this->peer_fetches.clear();
   this->staged_copy.Reset(this->goal->digests.digests.size(), now);
   // The chunks may still be staged after a restart of the target or of this
@@ -720,21 +708,26 @@
                  });
 }
 
+void Stager::NoteOriginAnswer(const Failure* failure) {
+  if ((failure == nullptr) == this->origin_available) {
+    return;
+  }
+  this->origin_available = failure == nullptr;
+  if (this->origin_available) {
+    this->dependencies.log.Info("origin_found", "the origin answers again",
+                                {{"address", this->origin_address}});
+  } else {
+    this->dependencies.log.Warn("origin_lost", failure->message,
+                                {{"address", this->origin_address},
+                                 {"held", this->chunk_planner.chunks_held()}});
+  }
+}
+
 void Stager::OnBytes(const FetchAction& action,
                      const Result<std::string>& bytes) {
   const TimePoint now = this->dependencies.loop.Now();
-  if (action.source.origin && bytes.has_value() != this->origin_available) {
-    this->origin_available = bytes.has_value();
-    if (bytes) {
-      this->dependencies.log.Info("origin_found",
-                                  "the origin serves chunks again",
-                                  {{"address", this->origin_address}});
-    } else {
-      this->dependencies.log.Warn(
-          "origin_lost", bytes.error().message,
-          {{"address", this->origin_address},
-           {"held", this->chunk_planner.chunks_held()}});
-    }
+  if (action.source.origin) {
+    this->NoteOriginAnswer(bytes ? nullptr : &bytes.error());
   }
   if (!bytes) {
     this->chunk_planner.OnChunk(action.chunk.digest, action.source,
@@ -895,7 +888,7 @@
   if (!put) {
     this->dependencies.log.Warn("staging_failed", put.error().message);
   }
-  this->last_progress = this->dependencies.loop.Now();
+  this->load_planner.OnProgress(this->dependencies.loop.Now());
   if (action.source.origin || action.crosses_regions) {
     this->beats.NoteFarNews();
   }
@@ -953,6 +946,7 @@
   const Digest& digest = this->goal->digests.digests[number];
   if (bytes && Digest::Of(*bytes) == digest) {
     this->staged_copy.OnGood(number, started);
+    this->chunk_bytes = bytes->size();
     if (this->check_adds_chunks &&
         ++this->valid_copies[digest] == this->NumbersOf(digest).size()) {
       this->chunk_planner.OnHeld(digest, this->dependencies.loop.Now());
@@ -999,17 +993,9 @@
                     : this->serving_version);
 }
 
-TimePoint Stager::PlannedLoadTime() const {
-  const auto superseded_at = this->SupersededAt();
-  if (this->serving_version == 0 || !superseded_at) {
-    return TimePoint();
-  }
-  const auto version = static_cast<uint64_t>(this->goal->version);
-  return ScheduledLoadTime(
-      this->options.schedule, *superseded_at,
-      *superseded_at + this->dependencies.settings.version_bound,
-      this->switch_planner.PeersBefore(version),
-      this->switch_planner.AgentsInZone());
+TimePoint Stager::PlannedLoadTime() {
+  return this->load_planner.LoadTime(this->FactsOfLoad(),
+                                     this->dependencies.loop.Now());
 }
 
 void Stager::MaybeOrderLoad() {
@@ -1266,11 +1252,7 @@
     responder->SendJson(404, R"({"error":{"code":"not_found"}})");
     return;
   }
-  Json list = Json::array();
-  for (const Digest& digest : this->digests->digests) {
-    list.push_back(digest.ToHex());
-  }
-  responder->SendJson(200, Json{{"digests", std::move(list)}}.dump());
+  responder->SendJson(200, EncodeDigests(*this->digests));
 }
 
 // Queues an upload. Peers whose targets load first are served first, so that
--- a/src/process/stager/stager.h
+++ b/src/process/stager/stager.h
@@ -15,6 +15,7 @@
 
 #include "src/process/drain_policy.h"
 #include "src/process/node_core.h"
+#include "src/process/stager/load_planner.h"
 #include "src/process/stager/model_target.h"
 #include "src/version/chunk_planner.h"
 #include "src/version/digest_source.h"
@@ -113,6 +114,9 @@
   void DropExpiredClaims();
   void Fetch();
   void FetchChunk(const FetchAction& action);
+  // Logs when the origin stops or begins to answer. `failure` is null for an
+  // answer.
+  void NoteOriginAnswer(const Failure* failure);
   void OnBytes(const FetchAction& action, const Result<std::string>& bytes);
   // Handles bytes that do not have the expected digest. Either they or the
   // digests of this process are corrupt, so the source is asked for its
@@ -169,10 +173,13 @@
   // When the weights that the target serves, or is loading, were superseded;
   // nothing when they were not.
   std::optional<TimePoint> SupersededAt() const;
-  // Time that one copy of the weights takes over this VM's link.
-  std::chrono::milliseconds CopyTime() const;
+  // The rate of this VM's link or of the origin's, whichever is slower, in
+  // bytes per second.
+  double StagingRate() const;
+  // What the planner of loads needs to know about the goal.
+  LoadFacts FactsOfLoad() const;
   // When to order the target to load; at once if it serves nothing.
-  TimePoint PlannedLoadTime() const;
+  TimePoint PlannedLoadTime();
   void OnBeat(const Peer& peer);
   // Passes what is known of a peer on to the planners.
   void UpdatePeer(const Peer& peer);
@@ -204,9 +211,14 @@
   void CheckStop();
   int64_t StagedVersion() const;
   // Whether the current goal is completed before a newer version is staged.
-  bool ShouldFinishGoalFirst() const;
+  bool ShouldFinishGoalFirst();
+  // Whether the staged chunks must not be replaced now, since the target is
+  // ordered to load them or may still be reading them.
+  bool CopyIsBeingLoaded() const;
   void ServeDigests(int64_t version,
                     const std::shared_ptr<HttpResponder>& responder);
+  // The service that distributes weights; null when none is configured.
+  const ServiceConfig* OriginService() const;
   // Null when no configured service has an origin of weights, or when the
   // origin's address is malformed.
   WeightOrigin* Origin();
@@ -254,6 +266,7 @@
   // for before may tell the state before the order.
   TimePoint order_accepted_at{};
   StagedCopy staged_copy;
+  LoadPlanner load_planner;
   LoadProof load_proof;
   // A check of staged chunks: whether one is running, what it reads, the next
   // one of these, the number of reads in flight, when it began, and the time
@@ -278,8 +291,7 @@
   // Version of the last order that the target accepted.
   int64_t ordered_version = 0;
   TimePoint next_order_time{};
-  TimePoint last_progress{};
-  // Size of the last chunk that was fetched, 0 before the first.
+  // Size of the last chunk that was fetched or read, 0 before the first.
   size_t chunk_bytes = 0;
   std::optional<int64_t> first_check_of;
   // Chunk requests to peers that are in flight.
--- a/src/request/gateway_config.h
+++ b/src/request/gateway_config.h
@@ -92,6 +92,8 @@
   // Address of the weight origin; set only for services that distribute
   // weights.
   std::optional<std::string> weight_origin;
+  // Rate of the origin's link in bytes per second; 0 if it is not known.
+  double origin_link_rate = 0;
 };
 
 struct Workspace {
