Judge the older version by the time at which it would load before a newer one

Cause: the choice took the planned time without the newer version, which is late for high ranks, so it counted a gap that the sooner loads avoid.

Change: LoadPlanner plans the older version's load as one before the newer version whenever it compares the two.

--- a/src/process/stager/load_planner.cc
+++ b/src/process/stager/load_planner.cc
@@ -31,7 +31,6 @@
   this->started = now;
   this->whole_at.reset();
   this->choice = {};
-  this->chosen_against = 0;
 }
 
 void LoadPlanner::OnProgress(TimePoint now) {
@@ -65,7 +64,8 @@
   if (facts.serving_version > 0 && facts.superseded_at) {
     progress.until_due = *facts.superseded_at + facts.version_bound - now;
     if (facts.staged_share >= 1) {
-      progress.until_load = this->LoadTime(facts, now) - now;
+      progress.until_load =
+          this->PlannedTime(facts, /*before_newer=*/true, now) - now;
     }
   }
   if (facts.newer_named_at) {
@@ -73,7 +73,6 @@
         *facts.newer_named_at + facts.version_bound - now;
   }
   this->choice = ChooseVersion(this->choice_options, progress);
-  this->chosen_against = facts.newest_version;
   this->LogPlan(facts, this->choice.completes_current ? "complete" : "skip",
                 facts.staged_share >= 1 && progress.until_due
                     ? std::optional(this->LoadTime(facts, now))
@@ -83,6 +82,19 @@
 }
 
 TimePoint LoadPlanner::LoadTime(const LoadFacts& facts, TimePoint now) {
+  // A version that is to be skipped keeps its time, in case the digests of the
+  // newer one do not come.
+  const TimePoint load_at =
+      this->PlannedTime(facts, this->choice.completes_current, now);
+  if (facts.version == facts.newest_version && load_at != TimePoint()) {
+    this->LogPlan(facts, "load", load_at, now);
+  }
+  return load_at;
+}
+
+TimePoint LoadPlanner::PlannedTime(const LoadFacts& facts,
+                                   bool before_newer,
+                                   TimePoint now) {
   if (facts.staged_share >= 1 && !this->whole_at) {
     this->whole_at = now;
   }
@@ -94,18 +106,12 @@
   input.due = *facts.superseded_at + facts.version_bound;
   input.rank = facts.rank;
   input.count = facts.count;
-  // A version that is to be skipped keeps its time, in case the digests of the
-  // newer one do not come.
-  if (this->choice.completes_current && facts.newer_named_at) {
+  if (before_newer && facts.newer_named_at) {
     input.newer = NewerVersion{*facts.newer_named_at,
                                *facts.newer_named_at + facts.version_bound,
                                this->StagingTime(facts, now)};
   }
-  const TimePoint load_at = ScheduledLoadTime(this->schedule_options, input);
-  if (facts.version == facts.newest_version) {
-    this->LogPlan(facts, "load", load_at, now);
-  }
-  return load_at;
+  return ScheduledLoadTime(this->schedule_options, input);
 }
 
 void LoadPlanner::LogPlan(const LoadFacts& facts,
--- a/src/process/stager/load_planner.h
+++ b/src/process/stager/load_planner.h
@@ -58,6 +58,10 @@
   // Returns the time that staging a whole version takes. When the version being
   // staged has taken longer than estimated, the next one is expected to.
   Duration StagingTime(const LoadFacts& facts, TimePoint now) const;
+  // `before_newer`: whether a newer version is to be staged afterwards.
+  TimePoint PlannedTime(const LoadFacts& facts,
+                        bool before_newer,
+                        TimePoint now);
   void LogPlan(const LoadFacts& facts,
                std::string_view choice,
                std::optional<TimePoint> load_at,
@@ -70,9 +74,8 @@
   TimePoint last_progress{};
   // When the copy was completed. A chunk that goes bad later does not move it.
   std::optional<TimePoint> whole_at;
-  // The last choice for `version`, with the newest version then.
+  // The last choice for the version being staged.
   VersionChoice choice;
-  int64_t chosen_against = 0;
   // What the last line told.
   int64_t logged_version = 0;
   int64_t logged_newest = 0;
--- a/tests/process/stager_fleet.h
+++ b/tests/process/stager_fleet.h
@@ -82,6 +82,8 @@
   // Changes the n-th answer, from 1.
   std::function<void(size_t, std::vector<Digest>&)> spoil_digests;
   std::function<void(size_t, std::string&)> spoil_chunk;
+  // Whether it answers at all.
+  bool available = true;
   size_t digest_answers = 0;
   size_t chunk_answers = 0;
 };
@@ -93,6 +95,10 @@
   void GetDigests(const std::string& model,
                   int64_t version,
                   std::function<void(Result<ChunkDigests>)> done) override {
+    if (!this->origin.available) {
+      this->origin.loop.Post([done = std::move(done)] { done(Away()); });
+      return;
+    }
     ChunkDigests digests{model, version, this->origin.TrueDigests(version)};
     ++this->origin.digest_answers;
     if (this->origin.spoil_digests) {
@@ -105,6 +111,10 @@
                 int64_t version,
                 size_t number,
                 std::function<void(Result<std::string>)> done) override {
+    if (!this->origin.available) {
+      this->origin.loop.Post([done = std::move(done)] { done(Away()); });
+      return;
+    }
     std::string bytes = this->origin.ChunksOf(version).at(number);
     ++this->origin.chunk_answers;
     if (this->origin.spoil_chunk) {
@@ -114,6 +124,10 @@
   }
 
  private:
+  static tl::unexpected<Failure> Away() {
+    return NotRun(ErrorCode::kUnavailable, "the origin is away");
+  }
+
   FakeOrigin& origin;
 };
 
--- a/tests/process/stager_test.cc
+++ b/tests/process/stager_test.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <memory>
@@ -541,6 +542,69 @@
   CHECK_EQUAL(0, target.unloads);
 }
 
+// Guards against two loads, or loads of a whole zone at once or after the
+// bound, when a newer version is named while an older one waits for its turn.
+TEST(StagerTest, AVersionThatWaitsForItsTurnIsSkipped) {
+  constexpr size_t kStagers = 7;
+  this->DivideTimes(4);
+  this->origin.chunks_of_version = ChunksOf;
+  this->StartStagers(kStagers);
+  this->CheckAllLoad(2);
+  this->NameVersion(3, ChunksOf(3));
+  const TimePoint due = this->loop.Now() + this->version_bound;
+  for (int i = 0; i < kMaxIterations &&
+                  this->CountLines("\"weights_staged\"") < 2 * kStagers;
+       ++i) {
+    this->loop.RunFor(milliseconds(5));
+  }
+  this->NameVersion(4, ChunksOf(4));
+  const auto behind = [this] {
+    return std::count_if(
+        this->processes.begin(), this->processes.end(),
+        [](const auto& process) { return process->target.loaded_version < 4; });
+  };
+  for (int i = 0; i < kMaxIterations && behind() > 0; ++i) {
+    this->loop.RunFor(milliseconds(20));
+  }
+  std::vector<TimePoint> times;
+  size_t loaded_twice = 0;
+  for (const auto& process : this->processes) {
+    times.push_back(process->target.loaded_at);
+    loaded_twice += process->target.loads == 2 ? 1 : 0;
+  }
+  std::sort(times.begin(), times.end());
+  CHECK_EQUAL(0, behind());
+  CHECK_TRUE(times.back() < due);
+  // Half of the 1.5 s between the end of staging and the bound.
+  CHECK_TRUE(times.back() - times.front() >= milliseconds(750));
+  // The first in turn may load version 3 before it knows of version 4.
+  CHECK_TRUE(loaded_twice >= kStagers - 1);
+  CHECK_TRUE(this->CountLines("\"load_plan\"") >= kStagers);
+}
+
+// Guards against a version that peers could complete, but that is dropped for a
+// newer one whose digests nobody has since the origin does not answer.
+TEST(StagerTest, AVersionIsKeptWhileTheNewerDigestsAreMissing) {
+  this->DivideTimes(kScale);
+  this->origin.chunks_of_version = ChunksOf;
+  this->StartStagers(4);
+  this->CheckAllLoad(2);
+  this->NameVersion(3, ChunksOf(3));
+  for (int i = 0;
+       i < kMaxIterations && this->CountLines("\"weights_wanted\"") < 8; ++i) {
+    this->loop.RunFor(milliseconds(2));
+  }
+  this->loop.RunFor(milliseconds(30));
+  this->origin.available = false;
+  this->NameVersion(4, ChunksOf(4));
+  this->origin.chunks = ChunksOf(3);
+  this->CheckAllLoad(3);
+  CHECK_TRUE(this->CountLines("\"origin_lost\"") >= 1);
+  this->origin.available = true;
+  this->origin.chunks = ChunksOf(4);
+  this->CheckAllLoad(4);
+}
+
 // Random troubles, at a tenth of the times of a real target: slow reads, loads
 // and reports, late and unanswered orders, lost and late writes, chunks that go
 // bad, restarts of the target and further versions. Guards against answers from
