--- a/src/process/stager/load_planner.cc
+++ b/src/process/stager/load_planner.cc
@@ -133,7 +133,8 @@
   this->logged_time = load_at;
   const auto milliseconds_until = [now](std::optional<TimePoint> from,
                                         Duration bound) {
-    return from ? Milliseconds(*from + bound - now) : int64_t{-1};
+    return from ? std::max(int64_t{0}, Milliseconds(*from + bound - now))
+                : int64_t{-1};
   };
   this->log.Info(
       "load_plan", "when the target loads the version, or why it skips it",
