Bound the memory that callers' requests take

Causes in the code: - an announced length counted only as its bytes arrived, so that many bodies were admitted against the same free memory; - holders were ended in the next iteration of the loop, after one read of up to 2 MB of every connection; - a rejected body stayed allocated until its connection was closed, since the assignment of an empty request keeps the capacity of its strings; - heads did not count, and an empty header takes 64 bytes for 4 that are sent; - a request was admitted once and then held twice, by its task and its call; - listeners without bodies accepted 4 MB each; - a body that was never completed was kept without end; - the kernel's buffers grew to megabytes a connection.

An announced length is now reserved and one over the limit is answered with 413 at once. A chunked body's buffer grows only while there is memory for it. The budget is enforced before each read, and counts heads, capacities and 4 KB a connection. Rejected requests are freed. A task is admitted with its copy. At most 256 KB of pipelined requests wait instead of 1 MB.

--- a/src/connection/http.cc
+++ b/src/connection/http.cc
@@ -68,4 +68,18 @@
   return path.substr(0, path.find('?'));
 }
 
+size_t HeldBytes(const HttpRequest& request) {
+  // Shorter strings are kept within their object.
+  static const size_t in_object = std::string().capacity();
+  const auto held = [](const std::string& text) {
+    return text.capacity() > in_object ? text.capacity() : size_t{0};
+  };
+  size_t bytes = held(request.body) + held(request.path) +
+                 request.headers.capacity() * sizeof(HttpHeaders::value_type);
+  for (const auto& [name, value] : request.headers) {
+    bytes += held(name) + held(value);
+  }
+  return bytes;
+}
+
 }  // namespace celerypost
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -1,6 +1,7 @@
 #ifndef SRC_CONNECTION_HTTP_H_
 #define SRC_CONNECTION_HTTP_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -33,6 +34,9 @@
   std::string body;
 };
 
+// Returns about how many bytes of memory the request takes.
+size_t HeldBytes(const HttpRequest& request);
+
 }  // namespace celerypost
 
 #endif  // SRC_CONNECTION_HTTP_H_
--- a/src/connection/http1_limits.h
+++ b/src/connection/http1_limits.h
@@ -9,14 +9,21 @@
 // Limits on what a caller may send and how long it may take.
 struct Http1Limits {
   size_t max_header_bytes = 16384;
+  // Headers of one request. An empty header takes 64 bytes of memory for 4 that
+  // are sent.
+  size_t max_headers = 1000;
   size_t max_body_bytes = 4u << 20;
   // Longest time from the first byte of a request to the end of its headers.
   std::chrono::milliseconds header_timeout{3000};
-  // Longest time that a connection stays open between two requests, or while
-  // its caller takes no bytes of a complete answer.
+  // Longest time that a connection stays open between two requests, while its
+  // caller takes no bytes of a complete answer, or while no bytes of a body
+  // arrive.
   std::chrono::milliseconds idle_timeout{15000};
 };
 
+// Limits of a listener whose requests have no bodies to speak of.
+inline constexpr Http1Limits kShortBodyLimits{.max_body_bytes = 64u << 10};
+
 }  // namespace celerypost
 
 #endif  // SRC_CONNECTION_HTTP1_LIMITS_H_
--- a/src/connection/http1_server.cc
+++ b/src/connection/http1_server.cc
@@ -24,13 +24,30 @@
 constexpr std::chrono::milliseconds kLingerTimeout{1000};
 // A connection with more bytes of pipelined requests is not read until the
 // current request has been answered.
-constexpr size_t kMaxPipelinedBytes = 1u << 20;
+constexpr size_t kMaxPipelinedBytes = 256u << 10;
+// Sizes of the kernel's buffers of a connection, which count towards the memory
+// of the VM; by default they grow to several megabytes each. The kernel doubles
+// them for its own use. At 10 ms there and back a caller can send 6 MB/s.
+constexpr int kReceiveBufferBytes = 64 << 10;
+constexpr int kSendBufferBytes = 256 << 10;
+// What an open connection costs without a request: its object, its parser and
+// the kernel's socket.
+constexpr size_t kConnectionBytes = 4096;
+// A larger buffer for output is given back once its bytes are sent.
+constexpr size_t kMaxKeptOutput = 16u << 10;
+// A chunked body's buffer grows in steps of at least this size.
+constexpr size_t kMinBodyGrowth = 4096;
 
 // Of a refusal for lack of memory: requests that hold it end within seconds.
 constexpr std::string_view kMemoryHeaders = "Retry-After: 1\r\n";
 
 class Connection;
 
+// Gives the memory of `text` back, which an assignment need not do.
+void Release(std::string& text) {
+  std::string().swap(text);
+}
+
 std::string_view StatusReason(int status) {
   return http_status_str(static_cast<http_status>(status));
 }
@@ -137,8 +154,13 @@
       this->Close();
       return false;
     }
+    if (!this->server->memory.Accepts(kConnectionBytes)) {
+      this->Close();
+      return false;
+    }
     uv_tcp_nodelay(&this->tcp, 1);
     uv_read_start(this->stream(), Allocate, OnRead);
+    this->ReportMemory();
     return true;
   }
 
@@ -148,6 +170,10 @@
     }
     this->closing = true;
     this->memory.Set(0);
+    // The handle is closed later, and what it held may be needed at once.
+    this->DropRequest();
+    Release(this->pipelined);
+    Release(this->output);
     this->server->connections.erase(this);
     if (this->responder) {
       --this->server->in_progress;
@@ -199,6 +225,10 @@
       if (age > limits.header_timeout) {
         this->Reject(408);
       }
+    } else if (this->in_message) {
+      if (age > limits.idle_timeout && !this->HasUnreadBytes()) {
+        this->Reject(408);
+      }
     } else if (!this->in_message &&
                age > std::max(this->idle_timeout, limits.idle_timeout) &&
                !this->HasUnreadBytes()) {
@@ -306,6 +336,11 @@
         connection->close_when_flushed) {
       return;
     }
+    // Many connections are read before the loop runs what they have posted.
+    connection->server->memory.EnforceLimit();
+    if (connection->closing || connection->close_when_flushed) {
+      return;
+    }
     const std::string_view bytes(buf->base, static_cast<size_t>(count));
     if (connection->responder || !connection->pipelined.empty()) {
       connection->pipelined.append(bytes);
@@ -321,11 +356,17 @@
 
   void ReportMemory() {
     if (!this->closing) {
-      this->memory.Set(this->request.body.size() + this->pipelined.size() +
-                       this->UnsentBytes());
+      this->memory.Set(kConnectionBytes + HeldBytes(this->request) +
+                       this->pipelined.capacity() + this->UnsentBytes());
     }
   }
 
+  void DropRequest() {
+    Release(this->request.body);
+    this->request = {};
+    this->request.path.clear();
+  }
+
   // Refuses a request that has not been read completely; otherwise closes the
   // connection.
   void EndForMemory() {
@@ -333,7 +374,6 @@
       this->Close();
       return;
     }
-    this->request = {};
     this->Reject(503, kMemoryHeaders);
   }
 
@@ -372,12 +412,17 @@
     this->responder = std::make_shared<Responder>(this);
     ++this->server->in_progress;
     const auto held = this->responder;
-    this->server->handler(std::move(this->request), held);
-    this->request = {};
+    HttpRequest taken = std::move(this->request);
+    this->DropRequest();
+    // From here on the handler accounts for the request.
+    this->ReportMemory();
+    this->server->handler(std::move(taken), held);
   }
 
   // `headers` are further lines of the head.
   void Reject(int status, std::string_view headers = {}) {
+    // The connection stays open until the caller has read the answer.
+    this->DropRequest();
     this->Output("HTTP/1.1 " + std::to_string(status) + " " +
                  std::string(StatusReason(status)) + "\r\n" +
                  std::string(headers) +
@@ -404,6 +449,9 @@
       if (static_cast<size_t>(sent) < this->output.size()) {
         this->QueueWrite(this->output.substr(static_cast<size_t>(sent)));
       }
+      if (this->output.capacity() > kMaxKeptOutput) {
+        Release(this->output);
+      }
       this->output.clear();
     }
     this->OnSent();
@@ -471,8 +519,7 @@
       self->headers_done = false;
       self->header_bytes = 0;
       self->last_was_value = true;
-      self->request = {};
-      self->request.path.clear();
+      self->DropRequest();
       self->state_since = self->server->loop.Now();
       return 0;
     };
@@ -485,6 +532,10 @@
                                   size_t length) {
       auto* self = static_cast<Connection*>(parser->data);
       if (self->last_was_value) {
+        if (self->request.headers.size() >= self->server->limits.max_headers) {
+          self->reject_status = 431;
+          return 1;
+        }
         self->request.headers.emplace_back();
         self->last_was_value = false;
       }
@@ -503,21 +554,28 @@
       self->headers_done = true;
       self->request.method =
           http_method_str(static_cast<http_method>(parser->method));
-      // A chunked body may become as long as the limit.
       const size_t max_body = self->server->limits.max_body_bytes;
+      const bool is_chunked = (parser->flags & F_CHUNKED) != 0;
+      const bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+      if (!is_chunked && has_length && parser->content_length > max_body) {
+        self->reject_status = 413;
+        return -1;
+      }
+      // A chunked body may become as long as the limit.
       size_t length = 0;
-      if ((parser->flags & F_CHUNKED) != 0) {
+      if (is_chunked) {
         length = max_body;
-      } else if (parser->content_length <= max_body) {
+      } else if (has_length) {
         length = parser->content_length;
       }
       if (length > 0 && !self->server->memory.Accepts(length)) {
-        self->reject_status = 503;
-        self->reject_headers = kMemoryHeaders;
-        return -1;
+        return self->RefuseForMemory();
       }
-      if ((parser->flags & F_CHUNKED) == 0) {
+      if (!is_chunked) {
+        // Accounted for at once: many requests may begin before the bytes of
+        // the first one arrive.
         self->request.body.reserve(length);
+        self->ReportMemory();
       }
       if (FindHeader(self->request.headers, "expect") == "100-continue") {
         self->Output("HTTP/1.1 100 Continue\r\n\r\n");
@@ -531,6 +589,10 @@
         self->reject_status = 413;
         return 1;
       }
+      self->state_since = self->server->loop.Now();
+      if (!self->GrowBody(self->request.body.size() + length)) {
+        return self->RefuseForMemory();
+      }
       self->request.body.append(at, length);
       return 0;
     };
@@ -541,6 +603,30 @@
     return settings;
   }
 
+  int RefuseForMemory() {
+    this->reject_status = 503;
+    this->reject_headers = kMemoryHeaders;
+    return -1;
+  }
+
+  // Makes room for a body of `length` bytes; returns false if there is no
+  // memory for it.
+  bool GrowBody(size_t length) {
+    std::string& body = this->request.body;
+    if (length <= body.capacity()) {
+      return true;
+    }
+    const size_t capacity =
+        std::min(std::max(length, body.capacity() * 2 + kMinBodyGrowth),
+                 this->server->limits.max_body_bytes);
+    if (!this->server->memory.Accepts(capacity)) {
+      return false;
+    }
+    body.reserve(capacity);
+    this->ReportMemory();
+    return true;
+  }
+
   int CountHeaderBytes(size_t length) {
     this->header_bytes += length;
     if (this->header_bytes > this->server->limits.max_header_bytes) {
@@ -671,6 +757,14 @@
                          reinterpret_cast<const sockaddr*>(&address), 0);
   }
   if (status == 0) {
+    // Accepted connections inherit these.
+    uv_os_fd_t descriptor = -1;
+    uv_fileno(reinterpret_cast<const uv_handle_t*>(impl->listener),
+              &descriptor);
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
+               sizeof(kReceiveBufferBytes));
+    setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &kSendBufferBytes,
+               sizeof(kSendBufferBytes));
     status =
         uv_listen(reinterpret_cast<uv_stream_t*>(impl->listener),
                   kListenBacklog, [](uv_stream_t* listener, int error) {
--- a/src/connection/memory_budget.cc
+++ b/src/connection/memory_budget.cc
@@ -25,6 +25,13 @@
              static_cast<double>(this->options.max_bytes) * share;
 }
 
+void MemoryBudget::EnforceLimit() {
+  if (this->options.max_bytes != 0 &&
+      this->sum->bytes > this->options.max_bytes) {
+    this->Evict();
+  }
+}
+
 void MemoryBudget::ScheduleEviction() {
   if (this->options.max_bytes == 0 ||
       this->sum->bytes <= this->options.max_bytes || this->evict_scheduled) {
--- a/src/connection/memory_budget.h
+++ b/src/connection/memory_budget.h
@@ -41,6 +41,9 @@
 
   // Whether a request of this length may be taken.
   bool Accepts(size_t bytes) const;
+  // Ends the largest holders now if the limit is exceeded. The caller must not
+  // be in the middle of a holder's callback.
+  void EnforceLimit();
   size_t used() const { return this->sum->bytes; }
 
  private:
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -165,12 +165,14 @@
     return tl::unexpected<Failure>(ready.error());
   }
   this->ready_server = std::move(*ready);
+  this->ready_server->SetLimits(kShortBodyLimits);
   auto directory =
       this->Listen(*settings.directory_address, readiness_or_directory);
   if (!directory) {
     return tl::unexpected<Failure>(directory.error());
   }
   this->directory_server = std::move(*directory);
+  this->directory_server->SetLimits(kShortBodyLimits);
   this->core.OnViewChanged([this] { this->OnViewChanged(); });
   this->core.OnBeat([this](const Peer& peer) { this->OnBeat(peer); });
   auto started = this->core.Start();
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -310,7 +310,8 @@
     this->Refuse("no configuration known", kNoConfigRetryAfter);
     return;
   }
-  if (!this->context.memory.Accepts(0)) {
+  // The first attempt holds a copy.
+  if (!this->context.memory.Accepts(2 * HeldBytes(this->request))) {
     this->Refuse("out of memory", kRefusedRetryAfter);
     return;
   }
@@ -1187,10 +1188,12 @@
   if (this->done) {
     return;
   }
-  // Each call holds a copy of the request's body until it is sent.
-  size_t bytes = this->request.body.size();
+  // Each call holds a copy of the request until it is sent; then the kernel may
+  // hold it.
+  const size_t request_bytes = HeldBytes(this->request);
+  size_t bytes = request_bytes;
   const auto add = [&](const RelayAttempt& live, const EventStream& stream) {
-    bytes += this->request.body.size() + live.body.size() + live.unsent.size() +
+    bytes += request_bytes + live.body.size() + live.unsent.size() +
              stream.incomplete_bytes();
   };
   if (this->attempt && !this->attempt->ended) {
--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -200,6 +200,7 @@
     return tl::unexpected<Failure>(server.error());
   }
   this->internal_server = std::move(*server);
+  this->internal_server->SetLimits(kShortBodyLimits);
   if (this->dependencies.metrics_port != 0) {
     auto metrics = Http1Server::Make(
         this->dependencies.loop, this->dependencies.settings.ip,
@@ -208,6 +209,7 @@
       return tl::unexpected<Failure>(metrics.error());
     }
     this->metrics_server = std::move(*metrics);
+    this->metrics_server->SetLimits(kShortBodyLimits);
   }
   this->registry.OnRegained([this](TimePoint lost_at) {
     this->cluster_view.OnServiceRegained(this->dependencies.loop.Now());
