Move the check of a staged copy and the orders to the target out of Stager

Cause: stager.cc held the reads of a check, the calls that order a target and their state beside everything else.

Change: CopyCheck reads staged chunks back, a few at a time; LoadOrders sends orders one at a time, keeps the time of the next one and logs the answers. Behaviour is the same. The two delays between orders are options of LoadOrders.

--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -51,6 +51,21 @@
       switch_planner(SwitchOptions{.zone = dependencies.settings.zone},
                      dependencies.instance),
       staged_copy(options.staged_copy, dependencies.loop.Now()),
+      copy_check(
+          dependencies.loop,
+          target,
+          options.max_concurrent_checks,
+          [this](size_t number,
+                 TimePoint started,
+                 const Result<std::string>& bytes) {
+            this->OnChunkRead(number, started, bytes);
+          },
+          [this] { this->OnCheckDone(); }),
+      orders(dependencies.loop,
+             dependencies.log,
+             dependencies.metrics,
+             target,
+             options.orders),
       load_planner(options.schedule, options.version_choice, dependencies.log),
       beats(options.beats),
       step_timer(dependencies.loop, [this] { this->Step(); }),
@@ -76,8 +91,6 @@
           "celerypost_corrected_digests_total",
           "Digests of chunks that were replaced since a source's bytes and "
           "digests disagreed with them")),
-      orders(dependencies.metrics.AddCounter("celerypost_orders_total",
-                                             "Orders to load weights")),
       unproven_loads(dependencies.metrics.AddCounter(
           "celerypost_unproven_loads_total",
           "Loads whose chunks had to be read again after the order was "
@@ -195,7 +208,7 @@
     this->target.GetReport([this, asked_at = this->dependencies.loop.Now()](
                                const Result<TargetReport>& report) {
       this->report_requested = false;
-      if (!report || asked_at >= this->order_accepted_at) {
+      if (!report || asked_at >= this->orders.accepted_at()) {
         this->OnReport(report, asked_at);
       }
     });
@@ -325,7 +338,7 @@
 }
 
 bool Stager::CopyIsBeingLoaded() const {
-  return this->goal && (this->order_in_flight || this->loading);
+  return this->goal && (this->orders.in_flight() || this->loading);
 }
 
 LoadFacts Stager::FactsOfLoad() const {
@@ -499,7 +512,7 @@
     this->OnLoadProofChanged(proof_before);
   }
   this->checked_at.reset();
-  this->checking = false;
+  this->copy_check.Cancel();
   this->comparing_digests = false;
   this->comparison_call.reset();
   this->chunk_planner.SetGoal(this->MakeChunkGoal(), now);
@@ -518,7 +531,7 @@
 void Stager::DropGoal() {
   this->goal.reset();
   ++this->goal_generation;
-  this->checking = false;
+  this->copy_check.Cancel();
   this->check_adds_chunks = false;
 }
 
@@ -630,7 +643,7 @@
 }
 
 void Stager::Fetch() {
-  if (!this->goal || (this->checking && this->check_adds_chunks)) {
+  if (!this->goal || (this->copy_check.running() && this->check_adds_chunks)) {
     return;
   }
   const PlannerActions actions =
@@ -902,42 +915,8 @@
 }
 
 void Stager::StartCheck(std::vector<size_t> numbers, TimePoint since) {
-  this->checking = true;
-  this->chunks_to_check = std::move(numbers);
-  this->next_chunk_to_check = 0;
-  this->running_checks = 0;
-  this->check_started = this->dependencies.loop.Now();
-  this->check_since = since;
   this->valid_copies.clear();
-  this->CheckNextChunks();
-}
-
-// Reads staged chunks, max_concurrent_checks at a time, and compares them with
-// their digests.
-void Stager::CheckNextChunks() {
-  while (this->running_checks < this->options.max_concurrent_checks &&
-         this->next_chunk_to_check < this->chunks_to_check.size()) {
-    const size_t number = this->chunks_to_check[this->next_chunk_to_check++];
-    ++this->running_checks;
-    this->target.GetChunk(
-        this->model, number,
-        [this, number, generation = this->goal_generation,
-         started =
-             this->dependencies.loop.Now()](const Result<std::string>& bytes) {
-          if (generation != this->goal_generation || !this->goal) {
-            return;
-          }
-          --this->running_checks;
-          this->OnChunkRead(number, started, bytes);
-          if (generation == this->goal_generation) {
-            this->CheckNextChunks();
-          }
-        });
-  }
-  if (this->running_checks == 0 &&
-      this->next_chunk_to_check >= this->chunks_to_check.size()) {
-    this->OnCheckDone();
-  }
+  this->copy_check.Start(this->model, std::move(numbers), since);
 }
 
 void Stager::OnChunkRead(size_t number,
@@ -960,16 +939,13 @@
 }
 
 void Stager::OnCheckDone() {
-  if (!this->checking) {
-    return;
-  }
-  this->checking = false;
   const bool added = std::exchange(this->check_adds_chunks, false);
   const LoadProof::State proof_before = this->load_proof.state();
   this->load_proof.OnRead(this->staged_copy);
   this->OnLoadProofChanged(proof_before);
-  const bool good = this->chunk_planner.complete() &&
-                    this->staged_copy.NotGoodSince(this->check_since).empty();
+  const bool good =
+      this->chunk_planner.complete() &&
+      this->staged_copy.NotGoodSince(this->copy_check.since()).empty();
   if (good) {
     this->checked_at = this->dependencies.loop.Now();
   }
@@ -989,8 +965,9 @@
     return std::nullopt;
   }
   return weights->FirstNamedAbove(
-      this->loading ? std::max(this->serving_version, this->ordered_version)
-                    : this->serving_version);
+      this->loading
+          ? std::max(this->serving_version, this->orders.accepted_version())
+          : this->serving_version);
 }
 
 TimePoint Stager::PlannedLoadTime() {
@@ -1003,10 +980,10 @@
     return;
   }
   const TimePoint now = this->dependencies.loop.Now();
-  if (!this->goal || this->checking || this->order_in_flight ||
+  if (!this->goal || this->copy_check.running() || this->orders.in_flight() ||
       this->running_writes > 0 || !this->target_report || this->ResolveLoad() ||
       !this->chunk_planner.complete() || this->target_report->busy ||
-      now < this->next_order_time) {
+      !this->orders.MaySend()) {
     return;
   }
   const TimePoint planned = this->PlannedLoadTime();
@@ -1026,52 +1003,44 @@
   this->OrderLoad();
 }
 
-LoadMode Stager::ModeOfOrders() const {
+LoadOrder Stager::MakeOrder(int64_t version) const {
   const ServiceConfig* const service = this->Service();
-  return service != nullptr && service->interruptible ? LoadMode::kInterrupt
-                                                      : LoadMode::kAfterRunning;
+  return {this->model, version, this->target_report->sequence,
+          service != nullptr && service->interruptible
+              ? LoadMode::kInterrupt
+              : LoadMode::kAfterRunning};
 }
 
 void Stager::OrderLoad() {
   const TimePoint now = this->dependencies.loop.Now();
-  this->order_in_flight = true;
-  this->orders.Add();
-  const int64_t version = this->goal->version;
-  const int64_t sequence = this->target_report->sequence;
+  const LoadOrder order = this->MakeOrder(this->goal->version);
   const TimePoint good_since =
       this->staged_copy.GoodSince().value_or(TimePoint());
   this->dependencies.log.Info(
       "order", "ordering the target to load",
-      {{"version", version},
-       {"sequence", sequence},
+      {{"version", order.version},
+       {"sequence", order.sequence},
        {"serving_version", this->serving_version},
        {"checked_ms_ago", MillisecondsBetween(*this->checked_at, now)},
        {"oldest_read_ms_ago", MillisecondsBetween(good_since, now)}});
-  this->load_proof.OnOrder(version, sequence);
-  this->target.Load(this->model, version, sequence, this->ModeOfOrders(),
-                    [this, version, now](const Result<void>& taken) {
-                      this->OnLoadAnswer(version, now, taken);
-                    });
+  this->load_proof.OnOrder(order.version, order.sequence);
+  this->orders.Load(
+      order, [this, version = order.version, now](const Result<void>& taken) {
+        this->OnLoadAnswer(version, now, taken);
+      });
 }
 
 void Stager::OnLoadAnswer(int64_t version,
                           TimePoint ordered_at,
                           const Result<void>& taken) {
   const TimePoint now = this->dependencies.loop.Now();
-  this->order_in_flight = false;
-  this->next_order_time = now + this->options.order_retry_delay;
   if (!taken) {
-    this->dependencies.log.Warn(
-        "order_failed", taken.error().message,
-        {{"version", version},
-         {"answer_ms", MillisecondsBetween(ordered_at, now)}});
     if (taken.error().verdict == Verdict::kNotRun) {
       this->load_proof.OnRefused();
     }
     return;
   }
   this->loading = true;
-  this->ordered_version = version;
   this->NoteOrderAccepted();
   const LoadProof::State proof_before = this->load_proof.state();
   this->load_proof.OnAccepted(this->staged_copy, now);
@@ -1098,35 +1067,18 @@
       this->held_version != this->goal->version) {
     return false;
   }
-  if (!this->target_report->busy && now >= this->next_order_time) {
-    this->OrderUnload();
+  if (!this->target_report->busy && this->orders.MaySend()) {
+    this->orders.Unload(this->MakeOrder(this->held_version),
+                        [this](const Result<void>& taken) {
+                          if (taken) {
+                            this->NoteOrderAccepted();
+                          }
+                        });
   }
   return true;
 }
 
-void Stager::OrderUnload() {
-  this->order_in_flight = true;
-  this->orders.Add();
-  this->dependencies.log.Warn(
-      "unload_order", "ordering the target to give up weights that may be bad",
-      {{"version", this->held_version},
-       {"sequence", this->target_report->sequence}});
-  this->target.Unload(
-      this->model, this->held_version, this->target_report->sequence,
-      this->ModeOfOrders(), [this](const Result<void>& taken) {
-        this->order_in_flight = false;
-        this->next_order_time =
-            this->dependencies.loop.Now() + this->options.unload_retry_delay;
-        if (!taken) {
-          this->dependencies.log.Warn("unload_failed", taken.error().message);
-          return;
-        }
-        this->NoteOrderAccepted();
-      });
-}
-
 void Stager::NoteOrderAccepted() {
-  this->order_accepted_at = this->dependencies.loop.Now();
   if (this->target_report) {
     this->target_report->busy = true;
   }
@@ -1339,7 +1291,8 @@
         "a staged chunk is missing or has a wrong digest; fetching it again",
         {{"chunk", number},
          {"version", this->goal->version},
-         {"check_ms", MillisecondsBetween(this->check_started, now)}});
+         {"check_ms",
+          MillisecondsBetween(this->copy_check.started_at(), now)}});
     this->chunk_planner.OnDropped(digest, now);
   }
   const LoadProof::State proof_before = this->load_proof.state();
--- a/src/process/stager/stager.h
+++ b/src/process/stager/stager.h
@@ -15,6 +15,8 @@
 
 #include "src/process/drain_policy.h"
 #include "src/process/node_core.h"
+#include "src/process/stager/copy_check.h"
+#include "src/process/stager/load_orders.h"
 #include "src/process/stager/load_planner.h"
 #include "src/process/stager/model_target.h"
 #include "src/version/chunk_planner.h"
@@ -52,10 +54,7 @@
   // stagers again when it has been silent for this long: two of its beats to
   // other regions while it is staging.
   std::chrono::milliseconds claim_lifetime{1000};
-  // Least time from the target's response to an order to the next order.
-  std::chrono::milliseconds order_retry_delay{200};
-  // The same after an order to give up weights.
-  std::chrono::milliseconds unload_retry_delay{1000};
+  LoadOrderOptions orders;
   StagerUploadOptions uploads;
   // Delay before digests are requested again after a failure.
   std::chrono::milliseconds digests_retry_delay{150};
@@ -146,7 +145,6 @@
   // Reads chunks back; those without a good read since `since` must turn out
   // good for the check to succeed.
   void StartCheck(std::vector<size_t> numbers, TimePoint since);
-  void CheckNextChunks();
   void OnChunkRead(size_t number,
                    TimePoint started,
                    const Result<std::string>& bytes);
@@ -163,13 +161,12 @@
   // Proves what the target has loaded, or has it given up if that is disproven.
   // Returns whether the staged chunks are not to be loaded for now.
   bool ResolveLoad();
-  void OrderUnload();
   // The target is busy from now on until a report says otherwise that was asked
   // for later.
   void NoteOrderAccepted();
   // Logs and announces what has become of the load since `before`.
   void OnLoadProofChanged(LoadProof::State before);
-  LoadMode ModeOfOrders() const;
+  LoadOrder MakeOrder(int64_t version) const;
   // When the weights that the target serves, or is loading, were superseded;
   // nothing when they were not.
   std::optional<TimePoint> SupersededAt() const;
@@ -262,21 +259,11 @@
   // The version for which a failed request of digests has been logged.
   int64_t logged_digests_failure_version = 0;
   bool report_requested = false;
-  // When the answer to the last accepted order arrived. Reports that were asked
-  // for before may tell the state before the order.
-  TimePoint order_accepted_at{};
   StagedCopy staged_copy;
+  CopyCheck copy_check;
+  LoadOrders orders;
   LoadPlanner load_planner;
   LoadProof load_proof;
-  // A check of staged chunks: whether one is running, what it reads, the next
-  // one of these, the number of reads in flight, when it began, and the time
-  // since which each chunk must have been good.
-  bool checking = false;
-  std::vector<size_t> chunks_to_check;
-  size_t next_chunk_to_check = 0;
-  size_t running_checks = 0;
-  TimePoint check_started{};
-  TimePoint check_since{};
   // Whether the check adds valid chunks to those held, besides dropping bad
   // ones.
   bool check_adds_chunks = false;
@@ -286,11 +273,7 @@
   std::optional<TimePoint> checked_at;
   // Writes to the target that have not been answered.
   size_t running_writes = 0;
-  bool order_in_flight = false;
   bool loading = false;
-  // Version of the last order that the target accepted.
-  int64_t ordered_version = 0;
-  TimePoint next_order_time{};
   // Size of the last chunk that was fetched or read, 0 before the first.
   size_t chunk_bytes = 0;
   std::optional<int64_t> first_check_of;
@@ -321,7 +304,6 @@
   Counter& chunks_from_origin;
   Counter& chunks_bad;
   Counter& corrected_digests;
-  Counter& orders;
   Counter& unproven_loads;
   Counter& disproven_loads;
   bool origin_available = true;
--- a/tests/process/stager_test.cc
+++ b/tests/process/stager_test.cc
@@ -117,8 +117,9 @@
     this->options.idle_poll_period = defaults.idle_poll_period / divisor;
     this->options.check_lifetime = defaults.check_lifetime / divisor;
     this->options.check_lead = defaults.check_lead / divisor;
-    this->options.order_retry_delay = defaults.order_retry_delay / divisor;
-    this->options.unload_retry_delay = defaults.unload_retry_delay / divisor;
+    this->options.orders.retry_delay = defaults.orders.retry_delay / divisor;
+    this->options.orders.unload_retry_delay =
+        defaults.orders.unload_retry_delay / divisor;
     this->options.staged_copy.proof_lifetime =
         defaults.staged_copy.proof_lifetime / divisor;
     this->options.staged_copy.write_settle_time =
