--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "src/process/gateway/crash_news_wire.h"
 #include "src/process/gateway/directory.h"
@@ -55,6 +57,17 @@
   return options;
 }
 
+std::array<Gauge*, kRankLevels> MakeRankHoldGauges(Metrics& metrics) {
+  std::array<Gauge*, kRankLevels> gauges{};
+  for (size_t i = 0; i < gauges.size(); ++i) {
+    gauges[i] = &metrics.AddGauge(
+        "celerypost_rank_hold",
+        "How much requests of a rank are held back for higher ones, 0 to 1",
+        {{"rank", std::to_string(i)}});
+  }
+  return gauges;
+}
+
 }  // namespace
 
 Gateway::Gateway(NodeDependencies dependencies,
@@ -102,6 +115,7 @@
       size_lean(dependencies.metrics.AddGauge(
           "celerypost_size_lean",
           "How much short prompts are held back for long ones, 0 to 1")),
+      rank_holds(MakeRankHoldGauges(dependencies.metrics)),
       leaving_targets_of_peers(
           dependencies.metrics.AddCounter("celerypost_leaving_targets_total",
                                           "Targets that said they leave",
@@ -112,6 +126,7 @@
                     book,
                     selector,
                     errors,
+                    ranks,
                     crashes,
                     request_crashes,
                     notices,
@@ -299,13 +314,16 @@
   }
   this->OnLeavingTargets(DecodeStarts(beat.leaving_targets), peer.ip);
   if (near) {
-    this->book.OnReport(
-        InstanceId{static_cast<uint64_t>(beat.instance)},
-        DecodeLoads(beat.loads),
-        GatewayBeatPeriod(
-            this->options.beats, this->options.beat_period,
-            1 + this->core.exchange().CountNear(NodeRole::kGateway)),
-        now);
+    const InstanceId instance{static_cast<uint64_t>(beat.instance)};
+    const milliseconds period = GatewayBeatPeriod(
+        this->options.beats, this->options.beat_period,
+        1 + this->core.exchange().CountNear(NodeRole::kGateway));
+    this->book.OnReport(instance, DecodeLoads(beat.loads), period, now);
+    if (beat.__isset.rank_counts) {
+      this->ranks.OnReport(
+          instance, DecodeRankCounts(beat.rank_counts),
+          now + period * TargetTrackerOptions().max_missed_reports);
+    }
   }
   for (const wire::RegionSummary& summary : beat.summaries) {
     const RegionSummary decoded = DecodeSummary(summary);
@@ -377,6 +395,10 @@
   this->OnLeavingTargets(summary.leaving_targets, summary.ip);
   this->book.OnRegionReport(summary.region, summary.loads,
                             this->options.summary_load_lifetime, now);
+  if (!summary.rank_counts.empty()) {
+    this->ranks.OnRegionReport(summary.region, summary.rank_counts,
+                               now + this->options.summary_load_lifetime);
+  }
   for (const RegionTarget& target : summary.targets) {
     this->selector.OnStagerReport(
         target.address,
@@ -390,6 +412,11 @@
 void Gateway::SendBeat() {
   this->size_lean.Set(this->sizes.LargestLean());
   const TimePoint now = this->dependencies.loop.Now();
+  this->ranks.Control(now);
+  const auto holds = this->ranks.LargestHolds();
+  for (size_t i = 0; i < holds.size(); ++i) {
+    this->rank_holds[i]->Set(holds[i]);
+  }
   wire::Beat beat = this->core.MakeBeat(this->state());
   const StorePosition operator_position{beat.era, beat.operator_revision};
   const bool new_document =
@@ -407,6 +434,10 @@
            this->beats.ShouldSendTo(peer);
   });
   beat.loads = EncodeLoads(this->book.OwnLoads());
+  const std::vector<RankCounts> rank_counts = this->ranks.OwnCounts(now);
+  if (!rank_counts.empty()) {
+    beat.__set_rank_counts(EncodeRankCounts(rank_counts));
+  }
   beat.leaving_targets = EncodeStarts(this->notices.RecentlyLeaving(now));
   for (const RegionSummary& summary : this->core.regions().TakeForwards()) {
     beat.summaries.push_back(EncodeSummary(summary));
@@ -497,6 +528,7 @@
     summary.targets.push_back(std::move(target));
   }
   summary.loads = this->book.CombinedLoads(now);
+  summary.rank_counts = this->ranks.RegionCounts(now);
   summary.leaving_targets = this->notices.RecentlyLeaving(now);
   return summary;
 }
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef SRC_PROCESS_GATEWAY_GATEWAY_H_
 #define SRC_PROCESS_GATEWAY_GATEWAY_H_
 
+#include <array>
 #include <chrono>
 #include <memory>
 
@@ -123,6 +124,8 @@
   RelayMetrics relay_metrics;
   Gauge& live_gateways;
   Gauge& size_lean;
+  // By RankRuling::level.
+  std::array<Gauge*, kRankLevels> rank_holds;
   Counter& leaving_targets_of_peers;
   RelayContext relay_context;
   std::unique_ptr<Http1Server> caller_server;
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -89,6 +89,12 @@
   return tasks;
 }
 
+Counter& AddRankCounter(Metrics& metrics, size_t level, const char* outcome) {
+  return metrics.AddCounter(
+      "celerypost_rank_requests_total", "Requests by rank and outcome",
+      {{"rank", std::to_string(level)}, {"outcome", outcome}});
+}
+
 }  // namespace
 
 std::optional<PromptSize> PromptSizeOf(const ServiceConfig& service,
@@ -126,6 +132,12 @@
   this->prompt_tokens.Add(static_cast<uint64_t>(prompt_tokens));
 }
 
+RankRequestMetrics::RankRequestMetrics(Metrics& metrics, size_t level)
+    : placed(AddRankCounter(metrics, level, "placed")),
+      refused(AddRankCounter(metrics, level, "refused")),
+      on_time(AddRankCounter(metrics, level, "on_time")),
+      late(AddRankCounter(metrics, level, "late")) {}
+
 RelayMetrics::RelayMetrics(Metrics& metrics)
     : answered(metrics.AddCounter("celerypost_requests_total",
                                   "Requests by outcome",
@@ -177,7 +189,11 @@
       first_event(metrics.AddHistogram("celerypost_first_event_seconds",
                                        "Time to the first event")),
       total(metrics.AddHistogram("celerypost_request_seconds",
-                                 "Time to the end of the answer")) {}
+                                 "Time to the end of the answer")) {
+  for (size_t level = 0; level < kRankLevels; ++level) {
+    this->ranks.emplace_back(metrics, level);
+  }
+}
 
 RelayTask::RelayTask(RelayContext& context,
                      HttpRequest request,
@@ -458,6 +474,7 @@
     return;
   }
   this->selection = this->context.selector.Select(this->selection_request, now);
+  this->CountRank();
   if (this->selection.target) {
     this->stream_broken_at.reset();
     this->SendTo(this->selection);
@@ -482,6 +499,28 @@
   }
 }
 
+void RelayTask::CountRank() {
+  if (this->selection.rank && this->sends == 0) {
+    RankRequestMetrics& counters =
+        this->context.metrics
+            .ranks[static_cast<size_t>(this->selection.rank->level)];
+    (this->selection.target ? counters.placed : counters.refused).Add();
+  }
+}
+
+void RelayTask::NoteFirstEventOfRank(TimePoint now) {
+  if (!this->selection.rank || this->sends != 1) {
+    return;
+  }
+  const bool on_time = Since(this->arrived, now) <= this->route->latency_goal;
+  this->context.ranks.OnFirstEvent(this->service, *this->route, this->workspace,
+                                   on_time, now);
+  RankRequestMetrics& counters =
+      this->context.metrics
+          .ranks[static_cast<size_t>(this->selection.rank->level)];
+  (on_time ? counters.on_time : counters.late).Add();
+}
+
 void RelayTask::SendNext(const Selection& next) {
   this->selection = next;
   this->SendTo(this->selection);
@@ -909,6 +948,7 @@
       this->context.errors.OnFirstEvent(this->service,
                                         this->selection.predicted,
                                         Since(this->attempt->sent_at, now));
+      this->NoteFirstEventOfRank(now);
     }
   }
   if (now - this->attempt->first_event_at >=
@@ -1374,6 +1414,8 @@
        {"size_lean", this->selection.size_lean.weight},
        {"allowance_ms", this->selection.allowance.count()},
        {"unseen_requests", this->selection.unseen_requests},
+       {"rank", this->selection.rank ? this->selection.rank->level : -1},
+       {"hold", this->selection.rank ? this->selection.rank->hold : 0.0},
        {"entry_age_ms", this->selection.entry_age.count()},
        {"config_version", this->config ? this->config->version : 0},
        {"latest_config_version",
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -78,6 +78,18 @@
   Counter& prompt_tokens;
 };
 
+// Requests of one rank by outcome. A request that is sent again is not counted
+// again.
+struct RankRequestMetrics {
+  RankRequestMetrics(Metrics& metrics, size_t level);
+
+  Counter& placed;
+  Counter& refused;
+  // Of those placed, by their first event.
+  Counter& on_time;
+  Counter& late;
+};
+
 // Counters and histograms of relayed requests.
 struct RelayMetrics {
   explicit RelayMetrics(Metrics& metrics);
@@ -99,6 +111,8 @@
   Counter& malformed_headers;
   SizedRequestMetrics answered_sizes;
   SizedRequestMetrics refused_sizes;
+  // By RankRuling::level.
+  std::vector<RankRequestMetrics> ranks;
   Histogram& first_event;
   Histogram& total;
 };
@@ -113,6 +127,7 @@
   TargetTracker& book;
   TargetSelector& selector;
   PredictionErrors& errors;
+  RankAdmission& ranks;
   CrashGuard& crashes;
   CrashGuard& request_crashes;
   TargetNotices& notices;
@@ -288,6 +303,10 @@
   void OnCallerDisconnected();
   // The attempt has produced an event.
   void NoteProgress();
+  // The first decision on the request has been made.
+  void CountRank();
+  // The first event has come from the first target.
+  void NoteFirstEventOfRank(TimePoint now);
   void NoteSurvival();
   // The answer is complete. Without a length or chunks, a crash of the target
   // looks the same.
--- a/src/process/gateway/summary_wire.cc
+++ b/src/process/gateway/summary_wire.cc
@@ -1,12 +1,19 @@
 #include "src/process/gateway/summary_wire.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace celerypost {
 
 using std::chrono::milliseconds;
 
+namespace {
+
+constexpr double kThousandths = 1000;
+
+}  // namespace
+
 std::vector<wire::TargetLoad> EncodeLoads(
     const std::vector<ReportedLoad>& loads) {
   std::vector<wire::TargetLoad> encoded;
@@ -42,6 +49,47 @@
   return {starts.begin(), starts.end()};
 }
 
+std::vector<wire::RankCounts> EncodeRankCounts(
+    const std::vector<RankCounts>& counts) {
+  std::vector<wire::RankCounts> encoded;
+  encoded.reserve(counts.size());
+  for (const RankCounts& entry : counts) {
+    wire::RankCounts message;
+    message.service_hash = static_cast<int64_t>(entry.service_hash);
+    message.workspace_priority = entry.rank.workspace_priority;
+    message.route_priority = entry.rank.route_priority;
+    message.asked = static_cast<int32_t>(entry.asked);
+    message.placed = static_cast<int32_t>(entry.placed);
+    message.begun = static_cast<int32_t>(entry.begun);
+    message.on_time = static_cast<int32_t>(entry.on_time);
+    message.held_thousandths = std::llround(entry.held * kThousandths);
+    encoded.push_back(message);
+  }
+  return encoded;
+}
+
+std::vector<RankCounts> DecodeRankCounts(
+    const std::vector<wire::RankCounts>& counts) {
+  std::vector<RankCounts> decoded;
+  decoded.reserve(counts.size());
+  for (const wire::RankCounts& entry : counts) {
+    // A share above 1 would be taken for spare room.
+    const double asked = std::max(0, entry.asked);
+    const double begun = std::max(0, entry.begun);
+    decoded.push_back(
+        {.service_hash = static_cast<uint64_t>(entry.service_hash),
+         .rank = {entry.workspace_priority, entry.route_priority},
+         .asked = asked,
+         .placed = std::clamp<double>(entry.placed, 0, asked),
+         .begun = begun,
+         .on_time = std::clamp<double>(entry.on_time, 0, begun),
+         .held = std::clamp(
+             static_cast<double>(entry.held_thousandths) / kThousandths, 0.0,
+             asked)});
+  }
+  return decoded;
+}
+
 wire::RegionSummary EncodeSummary(const RegionSummary& summary) {
   wire::RegionSummary message;
   message.region = summary.region.value();
@@ -70,6 +118,9 @@
   }
   message.loads = EncodeLoads(summary.loads);
   message.leaving_targets = EncodeStarts(summary.leaving_targets);
+  if (!summary.rank_counts.empty()) {
+    message.__set_rank_counts(EncodeRankCounts(summary.rank_counts));
+  }
   return message;
 }
 
@@ -94,6 +145,7 @@
   }
   decoded.loads = DecodeLoads(summary.loads);
   decoded.leaving_targets = DecodeStarts(summary.leaving_targets);
+  decoded.rank_counts = DecodeRankCounts(summary.rank_counts);
   return decoded;
 }
 
--- a/src/process/gateway/summary_wire.h
+++ b/src/process/gateway/summary_wire.h
@@ -9,14 +9,18 @@
 
 namespace celerypost {
 
-// Conversions between loads, starts of targets and region summaries and their
-// messages.
+// Conversions between loads, starts of targets, counts by rank and region
+// summaries and their messages.
 std::vector<wire::TargetLoad> EncodeLoads(
     const std::vector<ReportedLoad>& loads);
 std::vector<ReportedLoad> DecodeLoads(
     const std::vector<wire::TargetLoad>& loads);
 std::vector<int64_t> EncodeStarts(const std::vector<TargetStartHash>& starts);
 std::vector<TargetStartHash> DecodeStarts(const std::vector<int64_t>& starts);
+std::vector<wire::RankCounts> EncodeRankCounts(
+    const std::vector<RankCounts>& counts);
+std::vector<RankCounts> DecodeRankCounts(
+    const std::vector<wire::RankCounts>& counts);
 wire::RegionSummary EncodeSummary(const RegionSummary& summary);
 RegionSummary DecodeSummary(const wire::RegionSummary& summary);
 
--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -306,6 +306,7 @@
   selection.urgency = decision.urgency;
   selection.size_lean = decision.size_lean;
   selection.allowance = decision.allowance;
+  selection.rank = decision.rank;
   selection.predicted = placement.predicted;
   if (!placement.candidate) {
     selection.reason = "no target would be on time";
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -67,6 +67,7 @@
   SizeLean size_lean;
   std::chrono::milliseconds allowance{0};
   double unseen_requests = 0;
+  std::optional<RankRuling> rank;
   // When refused: why, and when a target should be available.
   std::string_view reason;
   std::chrono::milliseconds retry_after{0};
--- a/src/process/state/region_directory.h
+++ b/src/process/state/region_directory.h
@@ -13,6 +13,7 @@
 #include "src/process/state/document_progress.h"
 #include "src/process/state/node_role.h"
 #include "src/request/crash_evidence.h"
+#include "src/request/rank_admission.h"
 #include "src/request/target_tracker.h"
 
 namespace celerypost {
@@ -50,6 +51,8 @@
   std::vector<ReportedLoad> loads;
   // Targets of any region that have lately said that they leave.
   std::vector<TargetStartHash> leaving_targets;
+  // Of all gateways of the region.
+  std::vector<RankCounts> rank_counts;
   DocumentProgress documents;
 };
 
--- a/src/request/gateway_admission.cc
+++ b/src/request/gateway_admission.cc
@@ -38,15 +38,17 @@
     const AdmissionRequest& request,
     TimePoint now) {
   AdmissionDecision decision;
+  // Requests that are sent again or have no known size are placed as they are.
+  const bool weighed =
+      request.first_send && request.placement.prompt_tokens > 0;
   if (rates != nullptr) {
-    decision.rank =
-        this->ranks.RuleOn(request.service, *request.route, request.workspace,
-                           request.first_send, now);
+    decision.rank = this->ranks.RuleOn(request.service, *request.route,
+                                       request.workspace, weighed, now);
   }
   if (decision.rank) {
     decision.urgency = decision.rank->level;
   }
-  if (!request.first_send || request.placement.prompt_tokens <= 0) {
+  if (!weighed) {
     decision.placement =
         this->policy.Place(rates, candidates, request.placement);
     return decision;
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -4930,6 +4930,261 @@
 }
 
 
+RankCounts::~RankCounts() noexcept {
+}
+
+
+void RankCounts::__set_service_hash(const int64_t val) {
+  this->service_hash = val;
+}
+
+void RankCounts::__set_workspace_priority(const int32_t val) {
+  this->workspace_priority = val;
+}
+
+void RankCounts::__set_route_priority(const int32_t val) {
+  this->route_priority = val;
+}
+
+void RankCounts::__set_asked(const int32_t val) {
+  this->asked = val;
+}
+
+void RankCounts::__set_placed(const int32_t val) {
+  this->placed = val;
+}
+
+void RankCounts::__set_begun(const int32_t val) {
+  this->begun = val;
+}
+
+void RankCounts::__set_on_time(const int32_t val) {
+  this->on_time = val;
+}
+
+void RankCounts::__set_held_thousandths(const int64_t val) {
+  this->held_thousandths = val;
+}
+std::ostream& operator<<(std::ostream& out, const RankCounts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RankCounts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->service_hash);
+          this->__isset.service_hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->workspace_priority);
+          this->__isset.workspace_priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->route_priority);
+          this->__isset.route_priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->asked);
+          this->__isset.asked = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->placed);
+          this->__isset.placed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->begun);
+          this->__isset.begun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->on_time);
+          this->__isset.on_time = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->held_thousandths);
+          this->__isset.held_thousandths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RankCounts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RankCounts");
+
+  xfer += oprot->writeFieldBegin("service_hash", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->service_hash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("workspace_priority", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->workspace_priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("route_priority", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->route_priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asked", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->asked);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("placed", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->placed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("begun", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->begun);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("on_time", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->on_time);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("held_thousandths", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->held_thousandths);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RankCounts &a, RankCounts &b) {
+  using ::std::swap;
+  swap(a.service_hash, b.service_hash);
+  swap(a.workspace_priority, b.workspace_priority);
+  swap(a.route_priority, b.route_priority);
+  swap(a.asked, b.asked);
+  swap(a.placed, b.placed);
+  swap(a.begun, b.begun);
+  swap(a.on_time, b.on_time);
+  swap(a.held_thousandths, b.held_thousandths);
+  swap(a.__isset, b.__isset);
+}
+
+RankCounts::RankCounts(const RankCounts& other142) noexcept {
+  service_hash = other142.service_hash;
+  workspace_priority = other142.workspace_priority;
+  route_priority = other142.route_priority;
+  asked = other142.asked;
+  placed = other142.placed;
+  begun = other142.begun;
+  on_time = other142.on_time;
+  held_thousandths = other142.held_thousandths;
+  __isset = other142.__isset;
+}
+RankCounts::RankCounts(RankCounts&& other143) noexcept {
+  service_hash = other143.service_hash;
+  workspace_priority = other143.workspace_priority;
+  route_priority = other143.route_priority;
+  asked = other143.asked;
+  placed = other143.placed;
+  begun = other143.begun;
+  on_time = other143.on_time;
+  held_thousandths = other143.held_thousandths;
+  __isset = other143.__isset;
+}
+RankCounts& RankCounts::operator=(const RankCounts& other144) noexcept {
+  service_hash = other144.service_hash;
+  workspace_priority = other144.workspace_priority;
+  route_priority = other144.route_priority;
+  asked = other144.asked;
+  placed = other144.placed;
+  begun = other144.begun;
+  on_time = other144.on_time;
+  held_thousandths = other144.held_thousandths;
+  __isset = other144.__isset;
+  return *this;
+}
+RankCounts& RankCounts::operator=(RankCounts&& other145) noexcept {
+  service_hash = other145.service_hash;
+  workspace_priority = other145.workspace_priority;
+  route_priority = other145.route_priority;
+  asked = other145.asked;
+  placed = other145.placed;
+  begun = other145.begun;
+  on_time = other145.on_time;
+  held_thousandths = other145.held_thousandths;
+  __isset = other145.__isset;
+  return *this;
+}
+void RankCounts::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RankCounts(";
+  out << "service_hash=" << to_string(service_hash);
+  out << ", " << "workspace_priority=" << to_string(workspace_priority);
+  out << ", " << "route_priority=" << to_string(route_priority);
+  out << ", " << "asked=" << to_string(asked);
+  out << ", " << "placed=" << to_string(placed);
+  out << ", " << "begun=" << to_string(begun);
+  out << ", " << "on_time=" << to_string(on_time);
+  out << ", " << "held_thousandths=" << to_string(held_thousandths);
+  out << ")";
+}
+
+
 RegionSummary::~RegionSummary() noexcept {
 }
 
@@ -4973,6 +5228,11 @@
 void RegionSummary::__set_leaving_targets(const std::vector<int64_t> & val) {
   this->leaving_targets = val;
 }
+
+void RegionSummary::__set_rank_counts(const std::vector<RankCounts> & val) {
+  this->rank_counts = val;
+__isset.rank_counts = true;
+}
 std::ostream& operator<<(std::ostream& out, const RegionSummary& obj)
 {
   obj.printTo(out);
@@ -5021,14 +5281,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gateways.clear();
-            uint32_t _size142;
-            ::apache::thrift::protocol::TType _etype145;
-            xfer += iprot->readListBegin(_etype145, _size142);
-            this->gateways.resize(_size142);
-            uint32_t _i146;
-            for (_i146 = 0; _i146 < _size142; ++_i146)
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _etype149;
+            xfer += iprot->readListBegin(_etype149, _size146);
+            this->gateways.resize(_size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
             {
-              xfer += this->gateways[_i146].read(iprot);
+              xfer += this->gateways[_i150].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5041,14 +5301,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size147;
-            ::apache::thrift::protocol::TType _etype150;
-            xfer += iprot->readListBegin(_etype150, _size147);
-            this->targets.resize(_size147);
-            uint32_t _i151;
-            for (_i151 = 0; _i151 < _size147; ++_i151)
+            uint32_t _size151;
+            ::apache::thrift::protocol::TType _etype154;
+            xfer += iprot->readListBegin(_etype154, _size151);
+            this->targets.resize(_size151);
+            uint32_t _i155;
+            for (_i155 = 0; _i155 < _size151; ++_i155)
             {
-              xfer += this->targets[_i151].read(iprot);
+              xfer += this->targets[_i155].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5061,14 +5321,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size152;
-            ::apache::thrift::protocol::TType _etype155;
-            xfer += iprot->readListBegin(_etype155, _size152);
-            this->loads.resize(_size152);
-            uint32_t _i156;
-            for (_i156 = 0; _i156 < _size152; ++_i156)
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _etype159;
+            xfer += iprot->readListBegin(_etype159, _size156);
+            this->loads.resize(_size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
             {
-              xfer += this->loads[_i156].read(iprot);
+              xfer += this->loads[_i160].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5113,14 +5373,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_targets.clear();
-            uint32_t _size157;
-            ::apache::thrift::protocol::TType _etype160;
-            xfer += iprot->readListBegin(_etype160, _size157);
-            this->leaving_targets.resize(_size157);
-            uint32_t _i161;
-            for (_i161 = 0; _i161 < _size157; ++_i161)
+            uint32_t _size161;
+            ::apache::thrift::protocol::TType _etype164;
+            xfer += iprot->readListBegin(_etype164, _size161);
+            this->leaving_targets.resize(_size161);
+            uint32_t _i165;
+            for (_i165 = 0; _i165 < _size161; ++_i165)
             {
-              xfer += iprot->readI64(this->leaving_targets[_i161]);
+              xfer += iprot->readI64(this->leaving_targets[_i165]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5129,6 +5389,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 60:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rank_counts.clear();
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->rank_counts.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
+            {
+              xfer += this->rank_counts[_i170].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rank_counts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5157,10 +5437,10 @@
   xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gateways.size()));
-    std::vector<RegionGateway> ::const_iterator _iter162;
-    for (_iter162 = this->gateways.begin(); _iter162 != this->gateways.end(); ++_iter162)
+    std::vector<RegionGateway> ::const_iterator _iter171;
+    for (_iter171 = this->gateways.begin(); _iter171 != this->gateways.end(); ++_iter171)
     {
-      xfer += (*_iter162).write(oprot);
+      xfer += (*_iter171).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5169,10 +5449,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<RegionTarget> ::const_iterator _iter163;
-    for (_iter163 = this->targets.begin(); _iter163 != this->targets.end(); ++_iter163)
+    std::vector<RegionTarget> ::const_iterator _iter172;
+    for (_iter172 = this->targets.begin(); _iter172 != this->targets.end(); ++_iter172)
     {
-      xfer += (*_iter163).write(oprot);
+      xfer += (*_iter172).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5181,10 +5461,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<TargetLoad> ::const_iterator _iter164;
-    for (_iter164 = this->loads.begin(); _iter164 != this->loads.end(); ++_iter164)
+    std::vector<TargetLoad> ::const_iterator _iter173;
+    for (_iter173 = this->loads.begin(); _iter173 != this->loads.end(); ++_iter173)
     {
-      xfer += (*_iter164).write(oprot);
+      xfer += (*_iter173).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5209,15 +5489,28 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 30);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<int64_t> ::const_iterator _iter165;
-    for (_iter165 = this->leaving_targets.begin(); _iter165 != this->leaving_targets.end(); ++_iter165)
+    std::vector<int64_t> ::const_iterator _iter174;
+    for (_iter174 = this->leaving_targets.begin(); _iter174 != this->leaving_targets.end(); ++_iter174)
     {
-      xfer += oprot->writeI64((*_iter165));
+      xfer += oprot->writeI64((*_iter174));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.rank_counts) {
+    xfer += oprot->writeFieldBegin("rank_counts", ::apache::thrift::protocol::T_LIST, 60);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rank_counts.size()));
+      std::vector<RankCounts> ::const_iterator _iter175;
+      for (_iter175 = this->rank_counts.begin(); _iter175 != this->rank_counts.end(); ++_iter175)
+      {
+        xfer += (*_iter175).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5235,61 +5528,66 @@
   swap(a.era, b.era);
   swap(a.config_version, b.config_version);
   swap(a.leaving_targets, b.leaving_targets);
+  swap(a.rank_counts, b.rank_counts);
   swap(a.__isset, b.__isset);
 }
 
-RegionSummary::RegionSummary(const RegionSummary& other166) {
-  region = other166.region;
-  ip = other166.ip;
-  gateways = other166.gateways;
-  targets = other166.targets;
-  loads = other166.loads;
-  revision = other166.revision;
-  operator_revision = other166.operator_revision;
-  era = other166.era;
-  config_version = other166.config_version;
-  leaving_targets = other166.leaving_targets;
-  __isset = other166.__isset;
-}
-RegionSummary::RegionSummary(RegionSummary&& other167) noexcept {
-  region = std::move(other167.region);
-  ip = std::move(other167.ip);
-  gateways = std::move(other167.gateways);
-  targets = std::move(other167.targets);
-  loads = std::move(other167.loads);
-  revision = other167.revision;
-  operator_revision = other167.operator_revision;
-  era = other167.era;
-  config_version = other167.config_version;
-  leaving_targets = std::move(other167.leaving_targets);
-  __isset = other167.__isset;
-}
-RegionSummary& RegionSummary::operator=(const RegionSummary& other168) {
-  region = other168.region;
-  ip = other168.ip;
-  gateways = other168.gateways;
-  targets = other168.targets;
-  loads = other168.loads;
-  revision = other168.revision;
-  operator_revision = other168.operator_revision;
-  era = other168.era;
-  config_version = other168.config_version;
-  leaving_targets = other168.leaving_targets;
-  __isset = other168.__isset;
+RegionSummary::RegionSummary(const RegionSummary& other176) {
+  region = other176.region;
+  ip = other176.ip;
+  gateways = other176.gateways;
+  targets = other176.targets;
+  loads = other176.loads;
+  revision = other176.revision;
+  operator_revision = other176.operator_revision;
+  era = other176.era;
+  config_version = other176.config_version;
+  leaving_targets = other176.leaving_targets;
+  rank_counts = other176.rank_counts;
+  __isset = other176.__isset;
+}
+RegionSummary::RegionSummary(RegionSummary&& other177) noexcept {
+  region = std::move(other177.region);
+  ip = std::move(other177.ip);
+  gateways = std::move(other177.gateways);
+  targets = std::move(other177.targets);
+  loads = std::move(other177.loads);
+  revision = other177.revision;
+  operator_revision = other177.operator_revision;
+  era = other177.era;
+  config_version = other177.config_version;
+  leaving_targets = std::move(other177.leaving_targets);
+  rank_counts = std::move(other177.rank_counts);
+  __isset = other177.__isset;
+}
+RegionSummary& RegionSummary::operator=(const RegionSummary& other178) {
+  region = other178.region;
+  ip = other178.ip;
+  gateways = other178.gateways;
+  targets = other178.targets;
+  loads = other178.loads;
+  revision = other178.revision;
+  operator_revision = other178.operator_revision;
+  era = other178.era;
+  config_version = other178.config_version;
+  leaving_targets = other178.leaving_targets;
+  rank_counts = other178.rank_counts;
+  __isset = other178.__isset;
   return *this;
 }
-RegionSummary& RegionSummary::operator=(RegionSummary&& other169) noexcept {
-  region = std::move(other169.region);
-  ip = std::move(other169.ip);
-  gateways = std::move(other169.gateways);
-  targets = std::move(other169.targets);
-  loads = std::move(other169.loads);
-  revision = other169.revision;
-  operator_revision = other169.operator_revision;
-  era = other169.era;
-  config_version = other169.config_version;
-  leaving_targets = std::move(other169.leaving_targets);
-  __isset = other169.__isset;
+RegionSummary& RegionSummary::operator=(RegionSummary&& other179) noexcept {
+  region = std::move(other179.region);
+  ip = std::move(other179.ip);
+  gateways = std::move(other179.gateways);
+  targets = std::move(other179.targets);
+  loads = std::move(other179.loads);
+  revision = other179.revision;
+  operator_revision = other179.operator_revision;
+  era = other179.era;
+  config_version = other179.config_version;
+  leaving_targets = std::move(other179.leaving_targets);
+  rank_counts = std::move(other179.rank_counts);
+  __isset = other179.__isset;
   return *this;
 }
 void RegionSummary::printTo(std::ostream& out) const {
@@ -5305,6 +5603,7 @@
   out << ", " << "era=" << to_string(era);
   out << ", " << "config_version=" << to_string(config_version);
   out << ", " << "leaving_targets=" << to_string(leaving_targets);
+  out << ", " << "rank_counts="; (__isset.rank_counts ? (out << to_string(rank_counts)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5418,30 +5717,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashAccusation::CrashAccusation(const CrashAccusation& other170) noexcept {
-  part = other170.part;
-  target_start = other170.target_start;
-  age_ms = other170.age_ms;
-  __isset = other170.__isset;
+CrashAccusation::CrashAccusation(const CrashAccusation& other180) noexcept {
+  part = other180.part;
+  target_start = other180.target_start;
+  age_ms = other180.age_ms;
+  __isset = other180.__isset;
 }
-CrashAccusation::CrashAccusation(CrashAccusation&& other171) noexcept {
-  part = other171.part;
-  target_start = other171.target_start;
-  age_ms = other171.age_ms;
-  __isset = other171.__isset;
+CrashAccusation::CrashAccusation(CrashAccusation&& other181) noexcept {
+  part = other181.part;
+  target_start = other181.target_start;
+  age_ms = other181.age_ms;
+  __isset = other181.__isset;
 }
-CrashAccusation& CrashAccusation::operator=(const CrashAccusation& other172) noexcept {
-  part = other172.part;
-  target_start = other172.target_start;
-  age_ms = other172.age_ms;
-  __isset = other172.__isset;
+CrashAccusation& CrashAccusation::operator=(const CrashAccusation& other182) noexcept {
+  part = other182.part;
+  target_start = other182.target_start;
+  age_ms = other182.age_ms;
+  __isset = other182.__isset;
   return *this;
 }
-CrashAccusation& CrashAccusation::operator=(CrashAccusation&& other173) noexcept {
-  part = other173.part;
-  target_start = other173.target_start;
-  age_ms = other173.age_ms;
-  __isset = other173.__isset;
+CrashAccusation& CrashAccusation::operator=(CrashAccusation&& other183) noexcept {
+  part = other183.part;
+  target_start = other183.target_start;
+  age_ms = other183.age_ms;
+  __isset = other183.__isset;
   return *this;
 }
 void CrashAccusation::printTo(std::ostream& out) const {
@@ -5563,30 +5862,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PartSurvival::PartSurvival(const PartSurvival& other174) noexcept {
-  part = other174.part;
-  age_ms = other174.age_ms;
-  relayed = other174.relayed;
-  __isset = other174.__isset;
+PartSurvival::PartSurvival(const PartSurvival& other184) noexcept {
+  part = other184.part;
+  age_ms = other184.age_ms;
+  relayed = other184.relayed;
+  __isset = other184.__isset;
 }
-PartSurvival::PartSurvival(PartSurvival&& other175) noexcept {
-  part = other175.part;
-  age_ms = other175.age_ms;
-  relayed = other175.relayed;
-  __isset = other175.__isset;
+PartSurvival::PartSurvival(PartSurvival&& other185) noexcept {
+  part = other185.part;
+  age_ms = other185.age_ms;
+  relayed = other185.relayed;
+  __isset = other185.__isset;
 }
-PartSurvival& PartSurvival::operator=(const PartSurvival& other176) noexcept {
-  part = other176.part;
-  age_ms = other176.age_ms;
-  relayed = other176.relayed;
-  __isset = other176.__isset;
+PartSurvival& PartSurvival::operator=(const PartSurvival& other186) noexcept {
+  part = other186.part;
+  age_ms = other186.age_ms;
+  relayed = other186.relayed;
+  __isset = other186.__isset;
   return *this;
 }
-PartSurvival& PartSurvival::operator=(PartSurvival&& other177) noexcept {
-  part = other177.part;
-  age_ms = other177.age_ms;
-  relayed = other177.relayed;
-  __isset = other177.__isset;
+PartSurvival& PartSurvival::operator=(PartSurvival&& other187) noexcept {
+  part = other187.part;
+  age_ms = other187.age_ms;
+  relayed = other187.relayed;
+  __isset = other187.__isset;
   return *this;
 }
 void PartSurvival::printTo(std::ostream& out) const {
@@ -5725,34 +6024,34 @@
   swap(a.__isset, b.__isset);
 }
 
-PartQuarantine::PartQuarantine(const PartQuarantine& other178) noexcept {
-  part = other178.part;
-  round = other178.round;
-  lifted = other178.lifted;
-  left_ms = other178.left_ms;
-  __isset = other178.__isset;
-}
-PartQuarantine::PartQuarantine(PartQuarantine&& other179) noexcept {
-  part = other179.part;
-  round = other179.round;
-  lifted = other179.lifted;
-  left_ms = other179.left_ms;
-  __isset = other179.__isset;
-}
-PartQuarantine& PartQuarantine::operator=(const PartQuarantine& other180) noexcept {
-  part = other180.part;
-  round = other180.round;
-  lifted = other180.lifted;
-  left_ms = other180.left_ms;
-  __isset = other180.__isset;
+PartQuarantine::PartQuarantine(const PartQuarantine& other188) noexcept {
+  part = other188.part;
+  round = other188.round;
+  lifted = other188.lifted;
+  left_ms = other188.left_ms;
+  __isset = other188.__isset;
+}
+PartQuarantine::PartQuarantine(PartQuarantine&& other189) noexcept {
+  part = other189.part;
+  round = other189.round;
+  lifted = other189.lifted;
+  left_ms = other189.left_ms;
+  __isset = other189.__isset;
+}
+PartQuarantine& PartQuarantine::operator=(const PartQuarantine& other190) noexcept {
+  part = other190.part;
+  round = other190.round;
+  lifted = other190.lifted;
+  left_ms = other190.left_ms;
+  __isset = other190.__isset;
   return *this;
 }
-PartQuarantine& PartQuarantine::operator=(PartQuarantine&& other181) noexcept {
-  part = other181.part;
-  round = other181.round;
-  lifted = other181.lifted;
-  left_ms = other181.left_ms;
-  __isset = other181.__isset;
+PartQuarantine& PartQuarantine::operator=(PartQuarantine&& other191) noexcept {
+  part = other191.part;
+  round = other191.round;
+  lifted = other191.lifted;
+  left_ms = other191.left_ms;
+  __isset = other191.__isset;
   return *this;
 }
 void PartQuarantine::printTo(std::ostream& out) const {
@@ -5813,14 +6112,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accusations.clear();
-            uint32_t _size182;
-            ::apache::thrift::protocol::TType _etype185;
-            xfer += iprot->readListBegin(_etype185, _size182);
-            this->accusations.resize(_size182);
-            uint32_t _i186;
-            for (_i186 = 0; _i186 < _size182; ++_i186)
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->accusations.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
             {
-              xfer += this->accusations[_i186].read(iprot);
+              xfer += this->accusations[_i196].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5833,14 +6132,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->survivals.clear();
-            uint32_t _size187;
-            ::apache::thrift::protocol::TType _etype190;
-            xfer += iprot->readListBegin(_etype190, _size187);
-            this->survivals.resize(_size187);
-            uint32_t _i191;
-            for (_i191 = 0; _i191 < _size187; ++_i191)
+            uint32_t _size197;
+            ::apache::thrift::protocol::TType _etype200;
+            xfer += iprot->readListBegin(_etype200, _size197);
+            this->survivals.resize(_size197);
+            uint32_t _i201;
+            for (_i201 = 0; _i201 < _size197; ++_i201)
             {
-              xfer += this->survivals[_i191].read(iprot);
+              xfer += this->survivals[_i201].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5853,14 +6152,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size192;
-            ::apache::thrift::protocol::TType _etype195;
-            xfer += iprot->readListBegin(_etype195, _size192);
-            this->quarantines.resize(_size192);
-            uint32_t _i196;
-            for (_i196 = 0; _i196 < _size192; ++_i196)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->quarantines.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              xfer += this->quarantines[_i196].read(iprot);
+              xfer += this->quarantines[_i206].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5889,10 +6188,10 @@
   xfer += oprot->writeFieldBegin("accusations", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accusations.size()));
-    std::vector<CrashAccusation> ::const_iterator _iter197;
-    for (_iter197 = this->accusations.begin(); _iter197 != this->accusations.end(); ++_iter197)
+    std::vector<CrashAccusation> ::const_iterator _iter207;
+    for (_iter207 = this->accusations.begin(); _iter207 != this->accusations.end(); ++_iter207)
     {
-      xfer += (*_iter197).write(oprot);
+      xfer += (*_iter207).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5901,10 +6200,10 @@
   xfer += oprot->writeFieldBegin("survivals", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->survivals.size()));
-    std::vector<PartSurvival> ::const_iterator _iter198;
-    for (_iter198 = this->survivals.begin(); _iter198 != this->survivals.end(); ++_iter198)
+    std::vector<PartSurvival> ::const_iterator _iter208;
+    for (_iter208 = this->survivals.begin(); _iter208 != this->survivals.end(); ++_iter208)
     {
-      xfer += (*_iter198).write(oprot);
+      xfer += (*_iter208).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5913,10 +6212,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<PartQuarantine> ::const_iterator _iter199;
-    for (_iter199 = this->quarantines.begin(); _iter199 != this->quarantines.end(); ++_iter199)
+    std::vector<PartQuarantine> ::const_iterator _iter209;
+    for (_iter209 = this->quarantines.begin(); _iter209 != this->quarantines.end(); ++_iter209)
     {
-      xfer += (*_iter199).write(oprot);
+      xfer += (*_iter209).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5935,30 +6234,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNews::CrashNews(const CrashNews& other200) {
-  accusations = other200.accusations;
-  survivals = other200.survivals;
-  quarantines = other200.quarantines;
-  __isset = other200.__isset;
+CrashNews::CrashNews(const CrashNews& other210) {
+  accusations = other210.accusations;
+  survivals = other210.survivals;
+  quarantines = other210.quarantines;
+  __isset = other210.__isset;
 }
-CrashNews::CrashNews(CrashNews&& other201) noexcept {
-  accusations = std::move(other201.accusations);
-  survivals = std::move(other201.survivals);
-  quarantines = std::move(other201.quarantines);
-  __isset = other201.__isset;
+CrashNews::CrashNews(CrashNews&& other211) noexcept {
+  accusations = std::move(other211.accusations);
+  survivals = std::move(other211.survivals);
+  quarantines = std::move(other211.quarantines);
+  __isset = other211.__isset;
 }
-CrashNews& CrashNews::operator=(const CrashNews& other202) {
-  accusations = other202.accusations;
-  survivals = other202.survivals;
-  quarantines = other202.quarantines;
-  __isset = other202.__isset;
+CrashNews& CrashNews::operator=(const CrashNews& other212) {
+  accusations = other212.accusations;
+  survivals = other212.survivals;
+  quarantines = other212.quarantines;
+  __isset = other212.__isset;
   return *this;
 }
-CrashNews& CrashNews::operator=(CrashNews&& other203) noexcept {
-  accusations = std::move(other203.accusations);
-  survivals = std::move(other203.survivals);
-  quarantines = std::move(other203.quarantines);
-  __isset = other203.__isset;
+CrashNews& CrashNews::operator=(CrashNews&& other213) noexcept {
+  accusations = std::move(other213.accusations);
+  survivals = std::move(other213.survivals);
+  quarantines = std::move(other213.quarantines);
+  __isset = other213.__isset;
   return *this;
 }
 void CrashNews::printTo(std::ostream& out) const {
@@ -6094,6 +6393,11 @@
 void Beat::__set_target_leaving(const bool val) {
   this->target_leaving = val;
 }
+
+void Beat::__set_rank_counts(const std::vector<RankCounts> & val) {
+  this->rank_counts = val;
+__isset.rank_counts = true;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -6190,14 +6494,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size204;
-            ::apache::thrift::protocol::TType _etype207;
-            xfer += iprot->readListBegin(_etype207, _size204);
-            this->loads.resize(_size204);
-            uint32_t _i208;
-            for (_i208 = 0; _i208 < _size204; ++_i208)
+            uint32_t _size214;
+            ::apache::thrift::protocol::TType _etype217;
+            xfer += iprot->readListBegin(_etype217, _size214);
+            this->loads.resize(_size214);
+            uint32_t _i218;
+            for (_i218 = 0; _i218 < _size214; ++_i218)
             {
-              xfer += this->loads[_i208].read(iprot);
+              xfer += this->loads[_i218].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6210,14 +6514,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size209;
-            ::apache::thrift::protocol::TType _etype212;
-            xfer += iprot->readListBegin(_etype212, _size209);
-            this->known.resize(_size209);
-            uint32_t _i213;
-            for (_i213 = 0; _i213 < _size209; ++_i213)
+            uint32_t _size219;
+            ::apache::thrift::protocol::TType _etype222;
+            xfer += iprot->readListBegin(_etype222, _size219);
+            this->known.resize(_size219);
+            uint32_t _i223;
+            for (_i223 = 0; _i223 < _size219; ++_i223)
             {
-              xfer += iprot->readString(this->known[_i213]);
+              xfer += iprot->readString(this->known[_i223]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6318,14 +6622,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->summaries.clear();
-            uint32_t _size214;
-            ::apache::thrift::protocol::TType _etype217;
-            xfer += iprot->readListBegin(_etype217, _size214);
-            this->summaries.resize(_size214);
-            uint32_t _i218;
-            for (_i218 = 0; _i218 < _size214; ++_i218)
+            uint32_t _size224;
+            ::apache::thrift::protocol::TType _etype227;
+            xfer += iprot->readListBegin(_etype227, _size224);
+            this->summaries.resize(_size224);
+            uint32_t _i228;
+            for (_i228 = 0; _i228 < _size224; ++_i228)
             {
-              xfer += this->summaries[_i218].read(iprot);
+              xfer += this->summaries[_i228].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6378,14 +6682,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_targets.clear();
-            uint32_t _size219;
-            ::apache::thrift::protocol::TType _etype222;
-            xfer += iprot->readListBegin(_etype222, _size219);
-            this->leaving_targets.resize(_size219);
-            uint32_t _i223;
-            for (_i223 = 0; _i223 < _size219; ++_i223)
+            uint32_t _size229;
+            ::apache::thrift::protocol::TType _etype232;
+            xfer += iprot->readListBegin(_etype232, _size229);
+            this->leaving_targets.resize(_size229);
+            uint32_t _i233;
+            for (_i233 = 0; _i233 < _size229; ++_i233)
             {
-              xfer += iprot->readI64(this->leaving_targets[_i223]);
+              xfer += iprot->readI64(this->leaving_targets[_i233]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6402,6 +6706,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 60:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rank_counts.clear();
+            uint32_t _size234;
+            ::apache::thrift::protocol::TType _etype237;
+            xfer += iprot->readListBegin(_etype237, _size234);
+            this->rank_counts.resize(_size234);
+            uint32_t _i238;
+            for (_i238 = 0; _i238 < _size234; ++_i238)
+            {
+              xfer += this->rank_counts[_i238].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rank_counts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6454,10 +6778,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<TargetLoad> ::const_iterator _iter224;
-    for (_iter224 = this->loads.begin(); _iter224 != this->loads.end(); ++_iter224)
+    std::vector<TargetLoad> ::const_iterator _iter239;
+    for (_iter239 = this->loads.begin(); _iter239 != this->loads.end(); ++_iter239)
     {
-      xfer += (*_iter224).write(oprot);
+      xfer += (*_iter239).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6466,10 +6790,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter225;
-    for (_iter225 = this->known.begin(); _iter225 != this->known.end(); ++_iter225)
+    std::vector<std::string> ::const_iterator _iter240;
+    for (_iter240 = this->known.begin(); _iter240 != this->known.end(); ++_iter240)
     {
-      xfer += oprot->writeString((*_iter225));
+      xfer += oprot->writeString((*_iter240));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6523,10 +6847,10 @@
   xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
-    std::vector<RegionSummary> ::const_iterator _iter226;
-    for (_iter226 = this->summaries.begin(); _iter226 != this->summaries.end(); ++_iter226)
+    std::vector<RegionSummary> ::const_iterator _iter241;
+    for (_iter241 = this->summaries.begin(); _iter241 != this->summaries.end(); ++_iter241)
     {
-      xfer += (*_iter226).write(oprot);
+      xfer += (*_iter241).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6537,11 +6861,6 @@
     xfer += this->crash_news.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.request_crash_news) {
-    xfer += oprot->writeFieldBegin("request_crash_news", ::apache::thrift::protocol::T_STRUCT, 41);
-    xfer += this->request_crash_news.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 24);
   xfer += oprot->writeI64(this->era);
   xfer += oprot->writeFieldEnd();
@@ -6553,10 +6872,10 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 30);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<int64_t> ::const_iterator _iter227;
-    for (_iter227 = this->leaving_targets.begin(); _iter227 != this->leaving_targets.end(); ++_iter227)
+    std::vector<int64_t> ::const_iterator _iter242;
+    for (_iter242 = this->leaving_targets.begin(); _iter242 != this->leaving_targets.end(); ++_iter242)
     {
-      xfer += oprot->writeI64((*_iter227));
+      xfer += oprot->writeI64((*_iter242));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6571,6 +6890,24 @@
     xfer += oprot->writeI32(this->current_ms_ago);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.request_crash_news) {
+    xfer += oprot->writeFieldBegin("request_crash_news", ::apache::thrift::protocol::T_STRUCT, 41);
+    xfer += this->request_crash_news.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rank_counts) {
+    xfer += oprot->writeFieldBegin("rank_counts", ::apache::thrift::protocol::T_LIST, 60);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rank_counts.size()));
+      std::vector<RankCounts> ::const_iterator _iter243;
+      for (_iter243 = this->rank_counts.begin(); _iter243 != this->rank_counts.end(); ++_iter243)
+      {
+        xfer += (*_iter243).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6607,137 +6944,142 @@
   swap(a.current_ms_ago, b.current_ms_ago);
   swap(a.leaving_targets, b.leaving_targets);
   swap(a.target_leaving, b.target_leaving);
+  swap(a.rank_counts, b.rank_counts);
   swap(a.__isset, b.__isset);
 }
 
-Beat::Beat(const Beat& other228) {
-  instance = other228.instance;
-  role = other228.role;
-  ip = other228.ip;
-  zone = other228.zone;
-  region = other228.region;
-  caller_address = other228.caller_address;
-  state = other228.state;
-  revision = other228.revision;
-  loads = other228.loads;
-  known = other228.known;
-  target_address = other228.target_address;
-  model = other228.model;
-  staged_version = other228.staged_version;
-  held_chunks = other228.held_chunks;
-  serving_version = other228.serving_version;
-  loading = other228.loading;
-  fetching = other228.fetching;
-  loads_in_ms = other228.loads_in_ms;
-  operator_revision = other228.operator_revision;
-  store_answers = other228.store_answers;
-  digests_version = other228.digests_version;
-  summaries = other228.summaries;
-  crash_news = other228.crash_news;
-  request_crash_news = other228.request_crash_news;
-  era = other228.era;
-  config_version = other228.config_version;
-  current_ms_ago = other228.current_ms_ago;
-  leaving_targets = other228.leaving_targets;
-  target_leaving = other228.target_leaving;
-  __isset = other228.__isset;
-}
-Beat::Beat(Beat&& other229) noexcept {
-  instance = other229.instance;
-  role = other229.role;
-  ip = std::move(other229.ip);
-  zone = std::move(other229.zone);
-  region = std::move(other229.region);
-  caller_address = std::move(other229.caller_address);
-  state = other229.state;
-  revision = other229.revision;
-  loads = std::move(other229.loads);
-  known = std::move(other229.known);
-  target_address = std::move(other229.target_address);
-  model = std::move(other229.model);
-  staged_version = other229.staged_version;
-  held_chunks = std::move(other229.held_chunks);
-  serving_version = other229.serving_version;
-  loading = other229.loading;
-  fetching = std::move(other229.fetching);
-  loads_in_ms = other229.loads_in_ms;
-  operator_revision = other229.operator_revision;
-  store_answers = other229.store_answers;
-  digests_version = other229.digests_version;
-  summaries = std::move(other229.summaries);
-  crash_news = std::move(other229.crash_news);
-  request_crash_news = std::move(other229.request_crash_news);
-  era = other229.era;
-  config_version = other229.config_version;
-  current_ms_ago = other229.current_ms_ago;
-  leaving_targets = std::move(other229.leaving_targets);
-  target_leaving = other229.target_leaving;
-  __isset = other229.__isset;
-}
-Beat& Beat::operator=(const Beat& other230) {
-  instance = other230.instance;
-  role = other230.role;
-  ip = other230.ip;
-  zone = other230.zone;
-  region = other230.region;
-  caller_address = other230.caller_address;
-  state = other230.state;
-  revision = other230.revision;
-  loads = other230.loads;
-  known = other230.known;
-  target_address = other230.target_address;
-  model = other230.model;
-  staged_version = other230.staged_version;
-  held_chunks = other230.held_chunks;
-  serving_version = other230.serving_version;
-  loading = other230.loading;
-  fetching = other230.fetching;
-  loads_in_ms = other230.loads_in_ms;
-  operator_revision = other230.operator_revision;
-  store_answers = other230.store_answers;
-  digests_version = other230.digests_version;
-  summaries = other230.summaries;
-  crash_news = other230.crash_news;
-  request_crash_news = other230.request_crash_news;
-  era = other230.era;
-  config_version = other230.config_version;
-  current_ms_ago = other230.current_ms_ago;
-  leaving_targets = other230.leaving_targets;
-  target_leaving = other230.target_leaving;
-  __isset = other230.__isset;
+Beat::Beat(const Beat& other244) {
+  instance = other244.instance;
+  role = other244.role;
+  ip = other244.ip;
+  zone = other244.zone;
+  region = other244.region;
+  caller_address = other244.caller_address;
+  state = other244.state;
+  revision = other244.revision;
+  loads = other244.loads;
+  known = other244.known;
+  target_address = other244.target_address;
+  model = other244.model;
+  staged_version = other244.staged_version;
+  held_chunks = other244.held_chunks;
+  serving_version = other244.serving_version;
+  loading = other244.loading;
+  fetching = other244.fetching;
+  loads_in_ms = other244.loads_in_ms;
+  operator_revision = other244.operator_revision;
+  store_answers = other244.store_answers;
+  digests_version = other244.digests_version;
+  summaries = other244.summaries;
+  crash_news = other244.crash_news;
+  request_crash_news = other244.request_crash_news;
+  era = other244.era;
+  config_version = other244.config_version;
+  current_ms_ago = other244.current_ms_ago;
+  leaving_targets = other244.leaving_targets;
+  target_leaving = other244.target_leaving;
+  rank_counts = other244.rank_counts;
+  __isset = other244.__isset;
+}
+Beat::Beat(Beat&& other245) noexcept {
+  instance = other245.instance;
+  role = other245.role;
+  ip = std::move(other245.ip);
+  zone = std::move(other245.zone);
+  region = std::move(other245.region);
+  caller_address = std::move(other245.caller_address);
+  state = other245.state;
+  revision = other245.revision;
+  loads = std::move(other245.loads);
+  known = std::move(other245.known);
+  target_address = std::move(other245.target_address);
+  model = std::move(other245.model);
+  staged_version = other245.staged_version;
+  held_chunks = std::move(other245.held_chunks);
+  serving_version = other245.serving_version;
+  loading = other245.loading;
+  fetching = std::move(other245.fetching);
+  loads_in_ms = other245.loads_in_ms;
+  operator_revision = other245.operator_revision;
+  store_answers = other245.store_answers;
+  digests_version = other245.digests_version;
+  summaries = std::move(other245.summaries);
+  crash_news = std::move(other245.crash_news);
+  request_crash_news = std::move(other245.request_crash_news);
+  era = other245.era;
+  config_version = other245.config_version;
+  current_ms_ago = other245.current_ms_ago;
+  leaving_targets = std::move(other245.leaving_targets);
+  target_leaving = other245.target_leaving;
+  rank_counts = std::move(other245.rank_counts);
+  __isset = other245.__isset;
+}
+Beat& Beat::operator=(const Beat& other246) {
+  instance = other246.instance;
+  role = other246.role;
+  ip = other246.ip;
+  zone = other246.zone;
+  region = other246.region;
+  caller_address = other246.caller_address;
+  state = other246.state;
+  revision = other246.revision;
+  loads = other246.loads;
+  known = other246.known;
+  target_address = other246.target_address;
+  model = other246.model;
+  staged_version = other246.staged_version;
+  held_chunks = other246.held_chunks;
+  serving_version = other246.serving_version;
+  loading = other246.loading;
+  fetching = other246.fetching;
+  loads_in_ms = other246.loads_in_ms;
+  operator_revision = other246.operator_revision;
+  store_answers = other246.store_answers;
+  digests_version = other246.digests_version;
+  summaries = other246.summaries;
+  crash_news = other246.crash_news;
+  request_crash_news = other246.request_crash_news;
+  era = other246.era;
+  config_version = other246.config_version;
+  current_ms_ago = other246.current_ms_ago;
+  leaving_targets = other246.leaving_targets;
+  target_leaving = other246.target_leaving;
+  rank_counts = other246.rank_counts;
+  __isset = other246.__isset;
   return *this;
 }
-Beat& Beat::operator=(Beat&& other231) noexcept {
-  instance = other231.instance;
-  role = other231.role;
-  ip = std::move(other231.ip);
-  zone = std::move(other231.zone);
-  region = std::move(other231.region);
-  caller_address = std::move(other231.caller_address);
-  state = other231.state;
-  revision = other231.revision;
-  loads = std::move(other231.loads);
-  known = std::move(other231.known);
-  target_address = std::move(other231.target_address);
-  model = std::move(other231.model);
-  staged_version = other231.staged_version;
-  held_chunks = std::move(other231.held_chunks);
-  serving_version = other231.serving_version;
-  loading = other231.loading;
-  fetching = std::move(other231.fetching);
-  loads_in_ms = other231.loads_in_ms;
-  operator_revision = other231.operator_revision;
-  store_answers = other231.store_answers;
-  digests_version = other231.digests_version;
-  summaries = std::move(other231.summaries);
-  crash_news = std::move(other231.crash_news);
-  request_crash_news = std::move(other231.request_crash_news);
-  era = other231.era;
-  config_version = other231.config_version;
-  current_ms_ago = other231.current_ms_ago;
-  leaving_targets = std::move(other231.leaving_targets);
-  target_leaving = other231.target_leaving;
-  __isset = other231.__isset;
+Beat& Beat::operator=(Beat&& other247) noexcept {
+  instance = other247.instance;
+  role = other247.role;
+  ip = std::move(other247.ip);
+  zone = std::move(other247.zone);
+  region = std::move(other247.region);
+  caller_address = std::move(other247.caller_address);
+  state = other247.state;
+  revision = other247.revision;
+  loads = std::move(other247.loads);
+  known = std::move(other247.known);
+  target_address = std::move(other247.target_address);
+  model = std::move(other247.model);
+  staged_version = other247.staged_version;
+  held_chunks = std::move(other247.held_chunks);
+  serving_version = other247.serving_version;
+  loading = other247.loading;
+  fetching = std::move(other247.fetching);
+  loads_in_ms = other247.loads_in_ms;
+  operator_revision = other247.operator_revision;
+  store_answers = other247.store_answers;
+  digests_version = other247.digests_version;
+  summaries = std::move(other247.summaries);
+  crash_news = std::move(other247.crash_news);
+  request_crash_news = std::move(other247.request_crash_news);
+  era = other247.era;
+  config_version = other247.config_version;
+  current_ms_ago = other247.current_ms_ago;
+  leaving_targets = std::move(other247.leaving_targets);
+  target_leaving = other247.target_leaving;
+  rank_counts = std::move(other247.rank_counts);
+  __isset = other247.__isset;
   return *this;
 }
 void Beat::printTo(std::ostream& out) const {
@@ -6772,6 +7114,7 @@
   out << ", " << "current_ms_ago="; (__isset.current_ms_ago ? (out << to_string(current_ms_ago)) : (out << "<null>"));
   out << ", " << "leaving_targets=" << to_string(leaving_targets);
   out << ", " << "target_leaving=" << to_string(target_leaving);
+  out << ", " << "rank_counts="; (__isset.rank_counts ? (out << to_string(rank_counts)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -116,6 +116,8 @@
 
 class RegionTarget;
 
+class RankCounts;
+
 class RegionSummary;
 
 class CrashAccusation;
@@ -1962,8 +1964,102 @@
 
 std::ostream& operator<<(std::ostream& out, const RegionTarget& obj);
 
+typedef struct _RankCounts__isset {
+  _RankCounts__isset() : service_hash(false), workspace_priority(false), route_priority(false), asked(false), placed(false), begun(false), on_time(false), held_thousandths(false) {}
+  bool service_hash :1;
+  bool workspace_priority :1;
+  bool route_priority :1;
+  bool asked :1;
+  bool placed :1;
+  bool begun :1;
+  bool on_time :1;
+  bool held_thousandths :1;
+} _RankCounts__isset;
+
+class RankCounts : public virtual ::apache::thrift::TBase {
+ public:
+
+  RankCounts(const RankCounts&) noexcept;
+  RankCounts(RankCounts&&) noexcept;
+  RankCounts& operator=(const RankCounts&) noexcept;
+  RankCounts& operator=(RankCounts&&) noexcept;
+  RankCounts() noexcept
+             : service_hash(0),
+               workspace_priority(0),
+               route_priority(0),
+               asked(0),
+               placed(0),
+               begun(0),
+               on_time(0),
+               held_thousandths(0) {
+  }
+
+  virtual ~RankCounts() noexcept;
+  int64_t service_hash;
+  int32_t workspace_priority;
+  int32_t route_priority;
+  int32_t asked;
+  int32_t placed;
+  int32_t begun;
+  int32_t on_time;
+  int64_t held_thousandths;
+
+  _RankCounts__isset __isset;
+
+  void __set_service_hash(const int64_t val);
+
+  void __set_workspace_priority(const int32_t val);
+
+  void __set_route_priority(const int32_t val);
+
+  void __set_asked(const int32_t val);
+
+  void __set_placed(const int32_t val);
+
+  void __set_begun(const int32_t val);
+
+  void __set_on_time(const int32_t val);
+
+  void __set_held_thousandths(const int64_t val);
+
+  bool operator == (const RankCounts & rhs) const
+  {
+    if (!(service_hash == rhs.service_hash))
+      return false;
+    if (!(workspace_priority == rhs.workspace_priority))
+      return false;
+    if (!(route_priority == rhs.route_priority))
+      return false;
+    if (!(asked == rhs.asked))
+      return false;
+    if (!(placed == rhs.placed))
+      return false;
+    if (!(begun == rhs.begun))
+      return false;
+    if (!(on_time == rhs.on_time))
+      return false;
+    if (!(held_thousandths == rhs.held_thousandths))
+      return false;
+    return true;
+  }
+  bool operator != (const RankCounts &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RankCounts & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RankCounts &a, RankCounts &b);
+
+std::ostream& operator<<(std::ostream& out, const RankCounts& obj);
+
 typedef struct _RegionSummary__isset {
-  _RegionSummary__isset() : region(false), ip(false), gateways(false), targets(false), loads(false), revision(false), operator_revision(false), era(false), config_version(false), leaving_targets(false) {}
+  _RegionSummary__isset() : region(false), ip(false), gateways(false), targets(false), loads(false), revision(false), operator_revision(false), era(false), config_version(false), leaving_targets(false), rank_counts(false) {}
   bool region :1;
   bool ip :1;
   bool gateways :1;
@@ -1974,6 +2070,7 @@
   bool era :1;
   bool config_version :1;
   bool leaving_targets :1;
+  bool rank_counts :1;
 } _RegionSummary__isset;
 
 class RegionSummary : public virtual ::apache::thrift::TBase {
@@ -2003,6 +2100,7 @@
   int64_t era;
   int64_t config_version;
   std::vector<int64_t>  leaving_targets;
+  std::vector<RankCounts>  rank_counts;
 
   _RegionSummary__isset __isset;
 
@@ -2026,6 +2124,8 @@
 
   void __set_leaving_targets(const std::vector<int64_t> & val);
 
+  void __set_rank_counts(const std::vector<RankCounts> & val);
+
   bool operator == (const RegionSummary & rhs) const
   {
     if (!(region == rhs.region))
@@ -2048,6 +2148,10 @@
       return false;
     if (!(leaving_targets == rhs.leaving_targets))
       return false;
+    if (__isset.rank_counts != rhs.__isset.rank_counts)
+      return false;
+    else if (__isset.rank_counts && !(rank_counts == rhs.rank_counts))
+      return false;
     return true;
   }
   bool operator != (const RegionSummary &rhs) const {
@@ -2307,7 +2411,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashNews& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), request_crash_news(false), era(false), config_version(false), current_ms_ago(false), leaving_targets(false), target_leaving(false) {}
+  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), request_crash_news(false), era(false), config_version(false), current_ms_ago(false), leaving_targets(false), target_leaving(false), rank_counts(false) {}
   bool instance :1;
   bool role :1;
   bool ip :1;
@@ -2337,6 +2441,7 @@
   bool current_ms_ago :1;
   bool leaving_targets :1;
   bool target_leaving :1;
+  bool rank_counts :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -2402,6 +2507,7 @@
   int32_t current_ms_ago;
   std::vector<int64_t>  leaving_targets;
   bool target_leaving;
+  std::vector<RankCounts>  rank_counts;
 
   _Beat__isset __isset;
 
@@ -2463,6 +2569,8 @@
 
   void __set_target_leaving(const bool val);
 
+  void __set_rank_counts(const std::vector<RankCounts> & val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2531,6 +2639,10 @@
       return false;
     if (!(target_leaving == rhs.target_leaving))
       return false;
+    if (__isset.rank_counts != rhs.__isset.rank_counts)
+      return false;
+    else if (__isset.rank_counts && !(rank_counts == rhs.rank_counts))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -269,6 +269,21 @@
   30: bool leaving
 }
 
+// Decisions of the last second on the requests of a service and a rank
+// (celerypost::RankCounts).
+struct RankCounts {
+  // Hash of the service's name.
+  1: i64 service_hash
+  2: i32 workspace_priority
+  3: i32 route_priority
+  4: i32 asked
+  5: i32 placed
+  6: i32 begun
+  7: i32 on_time
+  // Sum of the holds that the requests met, in thousandths.
+  8: i64 held_thousandths
+}
+
 // What one gateway knows of its region, for the gateways of other regions.
 struct RegionSummary {
   1: string region
@@ -285,6 +300,8 @@
   9: i64 config_version
   // Hashes of the starts of targets that have lately said that they leave.
   30: list<i64> leaving_targets
+  // Of all gateways of the region.
+  60: optional list<RankCounts> rank_counts
 }
 
 // A request with a part of a prompt had not survived when its target crashed
@@ -375,4 +392,6 @@
   30: list<i64> leaving_targets
   // Stagers: the target has said that it leaves.
   31: bool target_leaving
+  // Gateways: the sender's own counts; absent where no ranks are told apart.
+  60: optional list<RankCounts> rank_counts
 }
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -219,7 +219,8 @@
   TargetNotices notices{{}};
   SizeBalance sizes{{}};
   PredictionErrors errors{{}};
-  GatewayAdmission admission{*policy, sizes, errors};
+  RankAdmission ranks{{}, random};
+  GatewayAdmission admission{*policy, sizes, errors, ranks};
   TargetSelector selector{view, book, notices, admission, random, {}};
   // Holds less than a long answer.
   size_t evictions = 0;
@@ -409,6 +410,7 @@
         this->book,
         this->selector,
         this->errors,
+        this->ranks,
         this->crashes,
         this->request_crashes,
         this->notices,
--- a/tests/process/gateway/summary_wire_test.cc
+++ b/tests/process/gateway/summary_wire_test.cc
@@ -19,5 +19,31 @@
   CHECK_FALSE(decoded.targets.at(1).leaving);
 }
 
+// Guards against gateways that hold ranks back by different counts, and against
+// counts of a faulty peer that would say that there is spare room.
+TEST(SummaryWireTest, CarriesTheCountsByRank) {
+  RegionSummary summary;
+  summary.rank_counts = {
+      {.service_hash = UINT64_MAX,
+       .rank = {-1, 2},
+       .asked = 10,
+       .placed = 9,
+       .begun = 8,
+       .on_time = 7,
+       .held = 2.5},
+      {.service_hash = 1, .rank = {}, .asked = 5, .placed = 6}};
+  const auto counts = DecodeSummary(EncodeSummary(summary)).rank_counts;
+  CHECK_EQUAL(2, counts.size());
+  CHECK_TRUE(counts[0].service_hash == UINT64_MAX);
+  CHECK_TRUE(counts[0].rank == summary.rank_counts[0].rank);
+  CHECK_EQUAL(10, counts[0].asked);
+  CHECK_EQUAL(9, counts[0].placed);
+  CHECK_EQUAL(8, counts[0].begun);
+  CHECK_EQUAL(7, counts[0].on_time);
+  CHECK_EQUAL(2.5, counts[0].held);
+  CHECK_EQUAL(5, counts[1].placed);
+  CHECK_FALSE(EncodeSummary(RegionSummary()).__isset.rank_counts);
+}
+
 }  // namespace
 }  // namespace celerypost
--- a/tests/process/gateway/target_selector_test.cc
+++ b/tests/process/gateway/target_selector_test.cc
@@ -23,7 +23,8 @@
   SplitMixRandom random{1};
   std::unique_ptr<PlacementPolicy> policy = MakePredictivePolicy({}, random);
   PredictionErrors errors{{}};
-  GatewayAdmission admission{*policy, sizes, errors};
+  RankAdmission ranks{{}, random};
+  GatewayAdmission admission{*policy, sizes, errors, ranks};
   std::unique_ptr<TargetSelector> selector;
   TimePoint now{std::chrono::seconds(1000)};
   int64_t revision = 0;
