--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef SRC_PROCESS_GATEWAY_GATEWAY_H_
 #define SRC_PROCESS_GATEWAY_GATEWAY_H_
 
+#include <array>
 #include <chrono>
 #include <memory>
 
@@ -112,6 +113,7 @@
   std::unique_ptr<PlacementPolicy> policy;
   SizeBalance sizes;
   PredictionErrors errors;
+  RankAdmission ranks;
   GatewayAdmission admission;
   TargetSelector selector;
   Gauge& quarantined_parts;
@@ -122,6 +124,8 @@
   RelayMetrics relay_metrics;
   Gauge& live_gateways;
   Gauge& size_lean;
+  // By RankRuling::level.
+  std::array<Gauge*, kRankLevels> rank_holds;
   Counter& leaving_targets_of_peers;
   RelayContext relay_context;
   std::unique_ptr<Http1Server> caller_server;
@@ -137,6 +141,8 @@
   StorePosition announced_operator_position;
   StopPolicyOptions stop_policy;
   std::optional<TimePoint> stopping_since;
+  // Version of the configuration that `ranks` has, -1 for none.
+  int64_t ranked_version = -1;
   bool was_ready = false;
 };
 
