Admit late requests and returning callers, and promise returns

Cause: a request that would miss its latency goal is refused, and a refused caller that returns is treated as new, although it can hardly be on time any more; it is refused a second time or takes the room of a request on time. LateResponses joins them into GatewayAdmission. Load trackers and reports (TargetLoad.late_waiting) count late requests that wait apart from others; PredictionErrors does not learn from them. A late request may be silent for as long as its caller waits.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -70,7 +70,11 @@
       policy(MakePredictivePolicy({}, dependencies.random)),
       sizes({}),
       errors({}),
-      admission(*policy, sizes, errors),
+      callers({}),
+      late({}, dependencies.random),
+      promises({}, dependencies.random),
+      late_responses(callers, late, promises),
+      admission(*policy, sizes, errors, &late_responses),
       selector(core.view(),
                book,
                notices,
@@ -101,6 +105,13 @@
       size_lean(dependencies.metrics.AddGauge(
           "celerypost_size_lean",
           "How much short prompts are held back for long ones, 0 to 1")),
+      late_waiting(dependencies.metrics.AddGauge(
+          "celerypost_late_requests_waiting",
+          "Requests sent to targets that cannot be on time and have not "
+          "begun")),
+      promised_returns(dependencies.metrics.AddGauge(
+          "celerypost_promised_returns",
+          "Returns promised for each new caller, 0 to 0.5")),
       leaving_targets_of_peers(
           dependencies.metrics.AddCounter("celerypost_leaving_targets_total",
                                           "Targets that said they leave",
@@ -122,7 +133,9 @@
                     [this](const SocketAddress& address) -> Http1Client& {
                       return this->core.ClientOf(address);
                     },
-                    [this](TimePoint end) { return this->MayRunUntil(end); }},
+                    [this](TimePoint end) { return this->MayRunUntil(end); },
+                    {},
+                    &late},
       beat_timer(dependencies.loop, [this] { this->SendBeat(); }),
       crash_timer(dependencies.loop, [this] { this->ExchangeCrashNews(); }),
       stop_timer(dependencies.loop, [this] { this->CheckStop(); }),
@@ -384,6 +397,8 @@
 
 void Gateway::SendBeat() {
   this->size_lean.Set(this->sizes.LargestLean());
+  this->late_waiting.Set(static_cast<double>(this->late.waiting()));
+  this->promised_returns.Set(this->promises.LargestShare());
   const TimePoint now = this->dependencies.loop.Now();
   wire::Beat beat = this->core.MakeBeat(this->state());
   const StorePosition operator_position{beat.era, beat.operator_revision};
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -112,6 +112,10 @@
   std::unique_ptr<PlacementPolicy> policy;
   SizeBalance sizes;
   PredictionErrors errors;
+  ReturningCallers callers;
+  LateAdmission late;
+  ReturnPromises promises;
+  LateResponses late_responses;
   GatewayAdmission admission;
   TargetSelector selector;
   Gauge& quarantined_parts;
@@ -122,6 +126,8 @@
   RelayMetrics relay_metrics;
   Gauge& live_gateways;
   Gauge& size_lean;
+  Gauge& late_waiting;
+  Gauge& promised_returns;
   Counter& leaving_targets_of_peers;
   RelayContext relay_context;
   std::unique_ptr<Http1Server> caller_server;
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -172,6 +172,24 @@
       malformed_headers(
           metrics.AddCounter("celerypost_malformed_answer_headers_total",
                              "Headers of answers that could not be read")),
+      late_sent(metrics.AddCounter(
+          "celerypost_late_requests_total",
+          "Requests sent to targets that cannot be on time, and those of them "
+          "that had their first event",
+          {{"step", "sent"}})),
+      late_begun(metrics.AddCounter(
+          "celerypost_late_requests_total",
+          "Requests sent to targets that cannot be on time, and those of them "
+          "that had their first event",
+          {{"step", "begun"}})),
+      returning_placed(
+          metrics.AddCounter("celerypost_returning_requests_total",
+                             "Requests of callers that were refused before",
+                             {{"outcome", "placed"}})),
+      returning_refused(
+          metrics.AddCounter("celerypost_returning_requests_total",
+                             "Requests of callers that were refused before",
+                             {{"outcome", "refused"}})),
       answered_sizes(metrics, "answered"),
       refused_sizes(metrics, "refused"),
       first_event(metrics.AddHistogram("celerypost_first_event_seconds",
@@ -402,7 +420,7 @@
   placement.answer_tokens = this->call.answer_tokens;
   placement.deadline_left = Since(now, this->deadline);
   placement.on_time_left =
-      this->route->latency_goal - Since(this->arrived, now);
+      this->route->latency_goal - this->caller_age - Since(this->arrived, now);
   placement.late_anyway =
       placement.on_time_left.count() <= 0 || this->sends > 0;
 }
@@ -458,6 +476,7 @@
     return;
   }
   this->selection = this->context.selector.Select(this->selection_request, now);
+  this->NoteCaller();
   if (this->selection.target) {
     this->stream_broken_at.reset();
     this->SendTo(this->selection);
@@ -482,6 +501,31 @@
   }
 }
 
+void RelayTask::NoteCaller() {
+  if (this->sends > 0 || this->selection.age.count() == 0) {
+    return;
+  }
+  this->caller_age = this->selection.age;
+  (this->selection.target ? this->context.metrics.returning_placed
+                          : this->context.metrics.returning_refused)
+      .Add();
+}
+
+void RelayTask::EndLateWait(const RelayAttempt& late_attempt) const {
+  if (!late_attempt.late || this->context.late == nullptr) {
+    return;
+  }
+  const milliseconds patience = this->context.late->PatienceOf(*this->route);
+  const TimePoint now = this->context.loop.Now();
+  if (late_attempt.had_event) {
+    this->context.late->OnBegan(this->service, late_attempt.sent_at, patience,
+                                now);
+  } else {
+    this->context.late->OnEnded(this->service, late_attempt.sent_at, patience,
+                                now);
+  }
+}
+
 void RelayTask::SendNext(const Selection& next) {
   this->selection = next;
   this->SendTo(this->selection);
@@ -537,13 +581,20 @@
   this->attempt->number = ++this->sends;
   this->attempt->target = selection.target->id;
   this->attempt->prompt_tokens = this->call.prompt_tokens;
+  this->attempt->late = this->selection_request.late = selection.late;
   this->attempt->target_start = HashTargetStart(*selection.target);
   this->attempt->sent_at = now;
   this->attempt->progress_at = now;
   this->selection_request.tried.insert(selection.target->id);
   this->context.metrics.attempts.Add();
-  this->context.book.OnSent(selection.target->id, this->call.prompt_tokens,
-                            now);
+  this->context.book.OnSent(selection.target->id, this->call.prompt_tokens, now,
+                            selection.late);
+  if (selection.late) {
+    this->context.metrics.late_sent.Add();
+    if (this->context.late != nullptr) {
+      this->context.late->OnSent(this->service, now);
+    }
+  }
   Http1SendOptions options;
   if (!this->route->repeatable()) {
     options.max_idle = this->context.options.non_repeatable_max_idle;
@@ -650,9 +701,12 @@
   silent.http_call.reset();
   silent.attempt.ended = true;
   this->CountRun(silent.attempt);
+  if (!silent.attempt.had_event) {
+    this->EndLateWait(silent.attempt);
+  }
   this->context.book.OnEnd(silent.attempt.target, silent.attempt.prompt_tokens,
                            silent.attempt.had_event, AttemptOutcome::kAbandoned,
-                           this->context.loop.Now());
+                           this->context.loop.Now(), silent.attempt.late);
 }
 
 void RelayTask::EndSilentAttempts() {
@@ -706,9 +760,15 @@
   if (!this->route->repeatable() || this->paused) {
     return std::nullopt;
   }
-  return this->attempt->progress_at +
-         AttemptTimeoutFor(this->context.options.attempt_timeouts, *this->route,
-                           this->attempt->had_event);
+  milliseconds timeout =
+      AttemptTimeoutFor(this->context.options.attempt_timeouts, *this->route,
+                        this->attempt->had_event);
+  // A late request may wait for as long as its caller does.
+  if (this->attempt->late && !this->attempt->had_event &&
+      this->context.late != nullptr) {
+    timeout = std::max(timeout, this->context.late->PatienceOf(*this->route));
+  }
+  return this->attempt->progress_at + timeout;
 }
 
 void RelayTask::StartAttemptTimer() {
@@ -904,8 +964,16 @@
     this->attempt->had_event = true;
     this->attempt->first_event_at = now;
     this->context.book.OnFirstEvent(this->attempt->target,
-                                    this->attempt->prompt_tokens);
-    if (this->attempt->prompt_tokens > 0) {
+                                    this->attempt->prompt_tokens,
+                                    this->attempt->late);
+    this->EndLateWait(*this->attempt);
+    if (this->attempt->late) {
+      this->context.metrics.late_begun.Add();
+      // Another target goes on with the stream as with any other.
+      this->selection_request.late = false;
+    }
+    // Late requests wait for requests that come after the prediction.
+    if (this->attempt->prompt_tokens > 0 && !this->attempt->late) {
       this->context.errors.OnFirstEvent(this->service,
                                         this->selection.predicted,
                                         Since(this->attempt->sent_at, now));
@@ -1301,9 +1369,12 @@
   if (this->attempt->replaced && outcome == AttemptOutcome::kBroken) {
     outcome = AttemptOutcome::kAbandoned;
   }
+  if (!this->attempt->had_event) {
+    this->EndLateWait(*this->attempt);
+  }
   this->context.book.OnEnd(this->attempt->target, this->attempt->prompt_tokens,
                            this->attempt->had_event, outcome,
-                           this->context.loop.Now());
+                           this->context.loop.Now(), this->attempt->late);
 }
 
 void RelayTask::CountSize(SizedRequestMetrics& counters) const {
@@ -1374,6 +1445,9 @@
        {"size_lean", this->selection.size_lean.weight},
        {"allowance_ms", this->selection.allowance.count()},
        {"unseen_requests", this->selection.unseen_requests},
+       {"caller_age_ms", this->caller_age.count()},
+       {"late_admission", this->attempt && this->attempt->late},
+       {"late_waiting", uint64_t{this->selection.load.late_waiting}},
        {"entry_age_ms", this->selection.entry_age.count()},
        {"config_version", this->config ? this->config->version : 0},
        {"latest_config_version",
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -97,6 +97,10 @@
   Counter& leaving_targets;
   Counter& declining_targets;
   Counter& malformed_headers;
+  Counter& late_sent;
+  Counter& late_begun;
+  Counter& returning_placed;
+  Counter& returning_refused;
   SizedRequestMetrics answered_sizes;
   SizedRequestMetrics refused_sizes;
   Histogram& first_event;
@@ -128,6 +132,9 @@
   std::function<bool(TimePoint)> may_run_until{};
   // The tasks that have started and not ended.
   std::unordered_set<RelayTask*> active{};
+  // Learns from the requests that it placed; null where late requests are
+  // refused.
+  LateAdmission* late = nullptr;
 };
 
 // Takes back the requests with a part that was quarantined from targets that
@@ -148,6 +155,8 @@
   // The target's ID.
   std::string target;
   double prompt_tokens = 0;
+  // Placed by LateAdmission.
+  bool late = false;
   TargetStartHash target_start = 0;
   TimePoint sent_at{};
   // When it was sent or had its last event.
@@ -215,6 +224,10 @@
   void SendTo(const Selection& selection);
   // Sends the request to the target of `next`.
   void SendNext(const Selection& next);
+  // Takes up what the first selection shows of the caller.
+  void NoteCaller();
+  // A late attempt no longer waits at its target.
+  void EndLateWait(const RelayAttempt& late_attempt) const;
   void UpdatePlacement(TimePoint now);
   // Selects the target of one more attempt and spends a retry of the budget on
   // it. Returns nothing, with the cause in `reason`, and spends nothing, if no
@@ -348,6 +361,8 @@
   std::optional<RequestFingerprint> fingerprint;
   TimePoint arrived;
   TimePoint deadline;
+  // How long before `arrived` the caller first attempted the request.
+  std::chrono::milliseconds caller_age{0};
   MemoryAccount memory;
   std::unique_ptr<Timer> deadline_timer;
   std::unique_ptr<Timer> attempt_timer;
--- a/src/process/gateway/summary_wire.cc
+++ b/src/process/gateway/summary_wire.cc
@@ -17,6 +17,9 @@
     message.in_flight = static_cast<int32_t>(load.in_flight);
     message.waiting_tokens = static_cast<int32_t>(std::clamp<double>(
         load.waiting_tokens, 0, std::numeric_limits<int32_t>::max()));
+    if (load.late_waiting > 0) {
+      message.__set_late_waiting(static_cast<int32_t>(load.late_waiting));
+    }
     encoded.push_back(message);
   }
   return encoded;
@@ -27,9 +30,14 @@
   std::vector<ReportedLoad> decoded;
   decoded.reserve(loads.size());
   for (const wire::TargetLoad& load : loads) {
-    decoded.push_back({static_cast<uint64_t>(load.target),
-                       static_cast<uint32_t>(std::max(0, load.in_flight)),
-                       static_cast<double>(load.waiting_tokens)});
+    decoded.push_back(
+        {static_cast<uint64_t>(load.target),
+         static_cast<uint32_t>(std::max(0, load.in_flight)),
+         static_cast<double>(load.waiting_tokens),
+         static_cast<uint32_t>(
+             load.__isset.late_waiting
+                 ? std::clamp(load.late_waiting, 0, std::max(0, load.in_flight))
+                 : 0)});
   }
   return decoded;
 }
--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -27,6 +27,27 @@
          reason == kRegionNotAllowed;
 }
 
+// Whether requests to `service` can have different priorities.
+bool HasDifferentRanks(const GatewayConfig& config,
+                       const ServiceName& service) {
+  for (const Workspace& workspace : config.workspaces) {
+    if (workspace.priority != config.workspaces.front().priority) {
+      return true;
+    }
+  }
+  std::set<int> priorities;
+  for (const auto& [host, routes] : config.routes) {
+    for (const Route& route : routes) {
+      for (const RouteBackend& backend : route.backends) {
+        if (backend.service == service) {
+          priorities.insert(route.priority);
+        }
+      }
+    }
+  }
+  return priorities.size() > 1;
+}
+
 }  // namespace
 
 TargetSelector::TargetSelector(const ClusterView& view,
@@ -70,6 +91,18 @@
          std::chrono::duration<double>(this->report_period).count();
 }
 
+bool TargetSelector::RanksDiffer(const ServiceName& service) {
+  if (this->ranks_config != this->view.config()) {
+    this->ranks_config = this->view.config();
+    this->ranks_differ.clear();
+  }
+  const auto [found, is_new] = this->ranks_differ.try_emplace(service, false);
+  if (is_new) {
+    found->second = HasDifferentRanks(*this->ranks_config, service);
+  }
+  return found->second;
+}
+
 RegionName TargetSelector::RegionOf(const ZoneName& zone) const {
   const auto found = this->options.regions_of_zones.find(zone);
   return found == this->options.regions_of_zones.end() ? RegionName()
@@ -298,6 +331,8 @@
   admission_request.workspace = request.workspace;
   admission_request.placement = request.placement;
   admission_request.first_send = request.tried.empty();
+  admission_request.late = request.late;
+  admission_request.ranks_differ = this->RanksDiffer(request.service);
   admission_request.unseen_requests = selection.unseen_requests =
       this->UnseenRequests(candidates, now);
   const AdmissionDecision decision =
@@ -306,6 +341,8 @@
   selection.urgency = decision.urgency;
   selection.size_lean = decision.size_lean;
   selection.allowance = decision.allowance;
+  selection.late = decision.late;
+  selection.age = decision.age;
   selection.predicted = placement.predicted;
   if (!placement.candidate) {
     selection.reason = "no target would be on time";
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -42,6 +43,8 @@
   const Workspace* workspace = nullptr;
   ServiceName service;
   PlacementRequest placement;
+  // As in AdmissionRequest.
+  bool late = false;
   // IDs of the targets that this request has already been sent to.
   std::set<std::string> tried;
 };
@@ -66,6 +69,9 @@
   std::chrono::milliseconds predicted{0};
   SizeLean size_lean;
   std::chrono::milliseconds allowance{0};
+  // As in AdmissionDecision.
+  bool late = false;
+  std::chrono::milliseconds age{0};
   double unseen_requests = 0;
   // When refused: why, and when a target should be available.
   std::string_view reason;
@@ -167,6 +173,8 @@
   // gateways: the others send as many requests to these targets as this one.
   double UnseenRequests(const std::vector<PlacementCandidate>& candidates,
                         TimePoint now) const;
+  // Returns AdmissionRequest::ranks_differ by the configuration in force.
+  bool RanksDiffer(const ServiceName& service);
 
   const ClusterView& view;
   const TargetTracker& book;
@@ -177,6 +185,9 @@
   // By target address, as "ip:port".
   std::map<std::string, StagerReport> stager_reports;
   ColdShares cold_shares;
+  // The configuration that `ranks_differ` was found out of.
+  std::shared_ptr<const GatewayConfig> ranks_config;
+  std::map<ServiceName, bool> ranks_differ;
   size_t gateways = 1;
   std::chrono::milliseconds report_period{0};
 };
--- a/src/request/engine_model.h
+++ b/src/request/engine_model.h
@@ -10,10 +10,14 @@
 
 // Work in progress at one model target, as known to a gateway.
 struct EngineLoad {
-  // Requests that were sent to the target and have not finished.
+  // Requests that were sent to the target and have not finished, without those
+  // in `late_waiting`.
   uint32_t in_flight = 0;
   // Sum of the prompt tokens of those that have not produced an event.
   double waiting_tokens = 0;
+  // Late requests (LateAdmission) without an event. The target starts any other
+  // request before them.
+  uint32_t late_waiting = 0;
   // Factor by which the target is slower than its rates say; values below 1
   // count as 1.
   double slowdown = 1;
--- a/src/request/gateway_admission.cc
+++ b/src/request/gateway_admission.cc
@@ -28,23 +28,47 @@
     const AdmissionRequest& request,
     TimePoint now) {
   AdmissionDecision decision;
+  LateResponses* const late = rates != nullptr ? this->late_responses : nullptr;
+  if (request.late && late != nullptr) {
+    decision.late = true;
+    decision.urgency = kLateUrgency;
+    decision.placement =
+        late->PlaceAgain(*rates, candidates, request.service, *request.route,
+                         request.placement, now);
+    return decision;
+  }
   if (!request.first_send || request.placement.prompt_tokens <= 0) {
     decision.placement =
         this->policy.Place(rates, candidates, request.placement);
     return decision;
   }
   PlacementRequest balanced = request.placement;
+  LateCaller caller;
+  if (late != nullptr) {
+    caller = late->OnArrival(request.service, *request.route,
+                             request.placement.deadline_left,
+                             request.ranks_differ, now);
+    balanced.on_time_left -= caller.age;
+    decision.age = caller.age;
+  }
   balanced.compared = CandidatesToCompare(request.unseen_requests);
   balanced.allowance = decision.allowance =
       this->errors.AllowanceOf(request.service);
   balanced.size_lean = decision.size_lean =
       this->sizes.LeanOf(request.service, request.route->name);
   decision.placement = this->policy.Place(rates, candidates, balanced);
-  if (decision.placement.room_tokens) {
+  // What a returning request finds says nothing of new ones.
+  if (decision.placement.room_tokens && caller.age.count() == 0) {
     this->sizes.OnDecision(request.service, request.route->name,
                            balanced.prompt_tokens,
                            *decision.placement.room_tokens, now);
   }
+  if (late != nullptr &&
+      late->Review(*rates, candidates, request.service, *request.route,
+                   balanced, caller, decision.placement, now)) {
+    decision.late = true;
+    decision.urgency = kLateUrgency;
+  }
   return decision;
 }
 
--- a/src/request/gateway_admission.h
+++ b/src/request/gateway_admission.h
@@ -7,6 +7,7 @@
 
 #include "celerypost/types.h"
 #include "src/request/gateway_config.h"
+#include "src/request/late_responses.h"
 #include "src/request/placement.h"
 #include "src/request/prediction_error.h"
 #include "src/request/size_balance.h"
@@ -26,6 +27,10 @@
   // The request has not been sent to a target. Later placements repair what a
   // target has failed to do, so they do not count as demand.
   bool first_send = true;
+  // Its last placement was a late one (AdmissionDecision::late).
+  bool late = false;
+  // The configuration gives requests to the service different priorities.
+  bool ranks_differ = false;
 };
 
 struct AdmissionDecision {
@@ -36,6 +41,10 @@
   // For the log: PlacementRequest::size_lean and ::allowance.
   SizeLean size_lean;
   std::chrono::milliseconds allowance{0};
+  // Placed by LateAdmission, or refused after it had placed it before.
+  bool late = false;
+  // Time since the caller first attempted the request, at any gateway.
+  std::chrono::milliseconds age{0};
 };
 
 // Decides whether a gateway sends a request to one of the eligible targets or
@@ -44,10 +53,15 @@
 // Performs no I/O.
 class GatewayAdmission {
  public:
+  // Without `late_responses`, requests that cannot be on time are refused.
   GatewayAdmission(PlacementPolicy& policy,
                    SizeBalance& sizes,
-                   const PredictionErrors& errors)
-      : policy(policy), sizes(sizes), errors(errors) {}
+                   const PredictionErrors& errors,
+                   LateResponses* late_responses = nullptr)
+      : policy(policy),
+        sizes(sizes),
+        errors(errors),
+        late_responses(late_responses) {}
 
   // `rates` is null for services without an engine.
   AdmissionDecision Decide(const EngineRates* rates,
@@ -59,6 +73,7 @@
   PlacementPolicy& policy;
   SizeBalance& sizes;
   const PredictionErrors& errors;
+  LateResponses* late_responses;
 };
 
 }  // namespace celerypost
--- a/src/request/target_tracker.cc
+++ b/src/request/target_tracker.cc
@@ -22,10 +22,15 @@
 
 void TargetTracker::OnSent(const std::string& target,
                            double prompt_tokens,
-                           TimePoint now) {
+                           TimePoint now,
+                           bool late) {
   Record& record = this->records[target];
   ++record.in_flight;
-  record.waiting_tokens += prompt_tokens;
+  if (late) {
+    ++record.late_waiting;
+  } else {
+    record.waiting_tokens += prompt_tokens;
+  }
   while (!record.sent_at.empty() &&
          now - record.sent_at.front() >= kRateWindow) {
     record.sent_at.pop_front();
@@ -34,23 +39,36 @@
 }
 
 void TargetTracker::OnFirstEvent(const std::string& target,
-                                 double prompt_tokens) {
-  Record& record = this->records[target];
-  record.waiting_tokens = std::max(0.0, record.waiting_tokens - prompt_tokens);
+                                 double prompt_tokens,
+                                 bool late) {
+  RemoveWaiting(this->records[target], prompt_tokens, late);
+}
+
+void TargetTracker::RemoveWaiting(Record& record,
+                                  double prompt_tokens,
+                                  bool late) {
+  if (late) {
+    CELERYPOST_ASSERT(record.late_waiting > 0,
+                      "an attempt must be sent before it begins, and once");
+    --record.late_waiting;
+  } else {
+    record.waiting_tokens =
+        std::max(0.0, record.waiting_tokens - prompt_tokens);
+  }
 }
 
 void TargetTracker::OnEnd(const std::string& target,
                           double prompt_tokens,
                           bool had_event,
                           AttemptOutcome outcome,
-                          TimePoint now) {
+                          TimePoint now,
+                          bool late) {
   Record& record = this->records[target];
   CELERYPOST_ASSERT(record.in_flight > 0,
                     "an attempt must be sent before it ends, and end once");
   --record.in_flight;
   if (!had_event) {
-    record.waiting_tokens =
-        std::max(0.0, record.waiting_tokens - prompt_tokens);
+    RemoveWaiting(record, prompt_tokens, late);
   }
   const double weight = this->options.failure_weight;
   switch (outcome) {
@@ -126,15 +144,19 @@
   EngineLoad load;
   const auto own = this->records.find(target);
   if (own != this->records.end()) {
-    load.in_flight = own->second.in_flight;
+    load.in_flight = own->second.in_flight - own->second.late_waiting;
     load.waiting_tokens = own->second.waiting_tokens;
+    load.late_waiting = own->second.late_waiting;
   }
   const uint64_t hash = HashOf(target);
   const auto add = [&](const Report& report) {
     const auto found = report.loads.find(hash);
     if (now <= report.expires_at && found != report.loads.end()) {
-      load.in_flight += found->second.in_flight;
+      const uint32_t late =
+          std::min(found->second.late_waiting, found->second.in_flight);
+      load.in_flight += found->second.in_flight - late;
       load.waiting_tokens += found->second.waiting_tokens;
+      load.late_waiting += late;
     }
   };
   for (const auto& [instance, report] : this->reports) {
@@ -153,6 +175,7 @@
     sum.target_hash = load.target_hash;
     sum.in_flight += load.in_flight;
     sum.waiting_tokens += load.waiting_tokens;
+    sum.late_waiting += load.late_waiting;
   };
   for (const ReportedLoad& load : this->OwnLoads()) {
     add(load);
@@ -177,8 +200,8 @@
   std::vector<ReportedLoad> loads;
   for (const auto& [target, record] : this->records) {
     if (record.in_flight > 0) {
-      loads.push_back(
-          {HashOf(target), record.in_flight, record.waiting_tokens});
+      loads.push_back({HashOf(target), record.in_flight, record.waiting_tokens,
+                       record.late_waiting});
     }
   }
   return loads;
--- a/src/request/target_tracker.h
+++ b/src/request/target_tracker.h
@@ -18,8 +18,11 @@
 struct ReportedLoad {
   // TargetTracker::HashOf the target.
   uint64_t target_hash = 0;
+  // With `late_waiting`.
   uint32_t in_flight = 0;
   double waiting_tokens = 0;
+  // As in EngineLoad.
+  uint32_t late_waiting = 0;
 };
 
 // How an attempt at a target ended.
@@ -67,9 +70,16 @@
 
   static uint64_t HashOf(const std::string& target_id);
 
-  void OnSent(const std::string& target, double prompt_tokens, TimePoint now);
+  // `late` is the same in all calls for one attempt: it was sent with
+  // kLateUrgency.
+  void OnSent(const std::string& target,
+              double prompt_tokens,
+              TimePoint now,
+              bool late = false);
   // An attempt has produced its first event, so its prompt no longer waits.
-  void OnFirstEvent(const std::string& target, double prompt_tokens);
+  void OnFirstEvent(const std::string& target,
+                    double prompt_tokens,
+                    bool late = false);
   // An attempt has been silent for too long and goes on: avoids the target as
   // after an attempt that ended with kBroken.
   void OnSilent(const std::string& target, TimePoint now);
@@ -79,7 +89,8 @@
              double prompt_tokens,
              bool had_event,
              AttemptOutcome outcome,
-             TimePoint now);
+             TimePoint now,
+             bool late = false);
 
   // Replaces the load reported by the gateway `instance`, which reports every
   // `period`.
@@ -117,6 +128,8 @@
   struct Record {
     uint32_t in_flight = 0;
     double waiting_tokens = 0;
+    // Part of `in_flight`; their tokens are not in `waiting_tokens`.
+    uint32_t late_waiting = 0;
     std::deque<TimePoint> sent_at;
     TimePoint avoided_until{};
     uint32_t consecutive_breaks = 0;
@@ -127,6 +140,8 @@
     std::unordered_map<uint64_t, ReportedLoad> loads;
   };
 
+  // An attempt no longer waits: it has begun or ended.
+  static void RemoveWaiting(Record& record, double prompt_tokens, bool late);
   void NoteBreak(Record& record, TimePoint now) const;
   static void SetReport(Report& report,
                         const std::vector<ReportedLoad>& loads,
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -3875,6 +3875,11 @@
 void TargetLoad::__set_waiting_tokens(const int32_t val) {
   this->waiting_tokens = val;
 }
+
+void TargetLoad::__set_late_waiting(const int32_t val) {
+  this->late_waiting = val;
+__isset.late_waiting = true;
+}
 std::ostream& operator<<(std::ostream& out, const TargetLoad& obj)
 {
   obj.printTo(out);
@@ -3927,6 +3932,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 50:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->late_waiting);
+          this->__isset.late_waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3956,6 +3969,11 @@
   xfer += oprot->writeI32(this->waiting_tokens);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.late_waiting) {
+    xfer += oprot->writeFieldBegin("late_waiting", ::apache::thrift::protocol::T_I32, 50);
+    xfer += oprot->writeI32(this->late_waiting);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3966,6 +3984,7 @@
   swap(a.target, b.target);
   swap(a.in_flight, b.in_flight);
   swap(a.waiting_tokens, b.waiting_tokens);
+  swap(a.late_waiting, b.late_waiting);
   swap(a.__isset, b.__isset);
 }
 
@@ -3973,18 +3992,21 @@
   target = other106.target;
   in_flight = other106.in_flight;
   waiting_tokens = other106.waiting_tokens;
+  late_waiting = other106.late_waiting;
   __isset = other106.__isset;
 }
 TargetLoad::TargetLoad(TargetLoad&& other107) noexcept {
   target = other107.target;
   in_flight = other107.in_flight;
   waiting_tokens = other107.waiting_tokens;
+  late_waiting = other107.late_waiting;
   __isset = other107.__isset;
 }
 TargetLoad& TargetLoad::operator=(const TargetLoad& other108) noexcept {
   target = other108.target;
   in_flight = other108.in_flight;
   waiting_tokens = other108.waiting_tokens;
+  late_waiting = other108.late_waiting;
   __isset = other108.__isset;
   return *this;
 }
@@ -3992,6 +4014,7 @@
   target = other109.target;
   in_flight = other109.in_flight;
   waiting_tokens = other109.waiting_tokens;
+  late_waiting = other109.late_waiting;
   __isset = other109.__isset;
   return *this;
 }
@@ -4001,6 +4024,7 @@
   out << "target=" << to_string(target);
   out << ", " << "in_flight=" << to_string(in_flight);
   out << ", " << "waiting_tokens=" << to_string(waiting_tokens);
+  out << ", " << "late_waiting="; (__isset.late_waiting ? (out << to_string(late_waiting)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -1556,10 +1556,11 @@
 std::ostream& operator<<(std::ostream& out, const HaveChunks& obj);
 
 typedef struct _TargetLoad__isset {
-  _TargetLoad__isset() : target(false), in_flight(false), waiting_tokens(false) {}
+  _TargetLoad__isset() : target(false), in_flight(false), waiting_tokens(false), late_waiting(false) {}
   bool target :1;
   bool in_flight :1;
   bool waiting_tokens :1;
+  bool late_waiting :1;
 } _TargetLoad__isset;
 
 class TargetLoad : public virtual ::apache::thrift::TBase {
@@ -1572,13 +1573,15 @@
   TargetLoad() noexcept
              : target(0),
                in_flight(0),
-               waiting_tokens(0) {
+               waiting_tokens(0),
+               late_waiting(0) {
   }
 
   virtual ~TargetLoad() noexcept;
   int64_t target;
   int32_t in_flight;
   int32_t waiting_tokens;
+  int32_t late_waiting;
 
   _TargetLoad__isset __isset;
 
@@ -1588,6 +1591,8 @@
 
   void __set_waiting_tokens(const int32_t val);
 
+  void __set_late_waiting(const int32_t val);
+
   bool operator == (const TargetLoad & rhs) const
   {
     if (!(target == rhs.target))
@@ -1596,6 +1601,10 @@
       return false;
     if (!(waiting_tokens == rhs.waiting_tokens))
       return false;
+    if (__isset.late_waiting != rhs.__isset.late_waiting)
+      return false;
+    else if (__isset.late_waiting && !(late_waiting == rhs.late_waiting))
+      return false;
     return true;
   }
   bool operator != (const TargetLoad &rhs) const {
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -217,6 +217,9 @@
   2: i32 in_flight
   // Prompt tokens of requests that have not produced an event.
   3: i32 waiting_tokens
+  // How many of `in_flight` wait as late requests; their prompt tokens are not
+  // in `waiting_tokens`.
+  50: optional i32 late_waiting
 }
 
 struct DocumentItem {
--- a/tests/request/fleet_load.cc
+++ b/tests/request/fleet_load.cc
@@ -65,6 +65,8 @@
       route.priority = kind.priority;
       route.latency_goal = kind.latency_goal;
       route.timeout = options.timeout;
+      // Callers leave after eight times this.
+      route.pause_goal = options.patience / 8;
     }
     for (size_t i = 0; i < options.targets; ++i) {
       this->targets.emplace_back().id = "target-" + std::to_string(i);
@@ -205,7 +207,11 @@
     }
     request.predicted_ms = Count(answer.placement.predicted);
     request.first_event_ms = now;
-    gateway.book.OnSent(target.id, request.prompt_tokens, At(now));
+    request.late_admission = answer.late;
+    gateway.book.OnSent(target.id, request.prompt_tokens, At(now), answer.late);
+    if (answer.late) {
+      gateway.late.OnSent(this->service, At(now));
+    }
     const int urgency = answer.urgency.value_or(5);
     target.waiting.emplace(
         urgency, Work{index, gateway_index, urgency, request.events, false});
@@ -288,12 +294,21 @@
     const bool on_time = now - request.arrived_ms <=
                          Count(this->options.kinds[request.kind].latency_goal);
     request.outcome = on_time ? LoadOutcome::kOnTime : LoadOutcome::kLate;
-    request.first_event_ms = now - request.first_event_ms;
     LoadGateway& gateway = *this->gateways[work.gateway];
-    gateway.book.OnFirstEvent(target.id, request.prompt_tokens);
-    gateway.errors.OnFirstEvent(
-        this->service, milliseconds(static_cast<int64_t>(request.predicted_ms)),
-        milliseconds(static_cast<int64_t>(request.first_event_ms)));
+    gateway.book.OnFirstEvent(target.id, request.prompt_tokens,
+                              request.late_admission);
+    if (request.late_admission) {
+      gateway.late.OnBegan(this->service, At(request.first_event_ms),
+                           gateway.late.PatienceOf(this->routes[request.kind]),
+                           At(now));
+    }
+    request.first_event_ms = now - request.first_event_ms;
+    if (!request.late_admission) {
+      gateway.errors.OnFirstEvent(
+          this->service,
+          milliseconds(static_cast<int64_t>(request.predicted_ms)),
+          milliseconds(static_cast<int64_t>(request.first_event_ms)));
+    }
     if (this->hooks.first_event) {
       this->hooks.first_event(work.gateway, target.id, request, At(now));
     }
@@ -303,9 +318,15 @@
            const Work& work,
            AttemptOutcome outcome,
            double now) {
-    this->gateways[work.gateway]->book.OnEnd(
-        target.id, this->result.requests[work.request].prompt_tokens,
-        work.had_event, outcome, At(now));
+    const LoadRequest& request = this->result.requests[work.request];
+    LoadGateway& gateway = *this->gateways[work.gateway];
+    gateway.book.OnEnd(target.id, request.prompt_tokens, work.had_event,
+                       outcome, At(now), request.late_admission);
+    if (request.late_admission && !work.had_event) {
+      gateway.late.OnEnded(this->service, At(request.first_event_ms),
+                           gateway.late.PatienceOf(this->routes[request.kind]),
+                           At(now));
+    }
   }
 
   void Report(double now) {
--- a/tests/request/fleet_load.h
+++ b/tests/request/fleet_load.h
@@ -69,6 +69,11 @@
   SizeBalance sizes{{}};
   PredictionErrors errors{{}};
   std::unique_ptr<PlacementPolicy> policy;
+  ReturningCallers callers{{}};
+  LateAdmission late{{}, random};
+  ReturnPromises promises{{}, random};
+  LateResponses late_responses{callers, late, promises};
+  // Without LateResponses; a hook replaces it.
   std::unique_ptr<GatewayAdmission> admission;
 };
 
@@ -88,8 +93,10 @@
   // In milliseconds from the start.
   double arrived_ms = 0;
   LoadOutcome outcome = LoadOutcome::kLost;
-  // Refused when it came first.
+  // Refused when it came first and came back.
   bool returned = false;
+  // Placed by LateAdmission.
+  bool late_admission = false;
   // Predicted and real time from the last decision to the first event.
   double predicted_ms = 0;
   double first_event_ms = 0;
--- a/tests/request/target_tracker_test.cc
+++ b/tests/request/target_tracker_test.cc
@@ -107,4 +107,26 @@
 }
 
 }  // namespace
+// Guards against late requests, which wait for all others, that make a target
+// look busy to requests on time.
+TEST(TargetTrackerTest, CountsLateRequestsThatWaitSeparately) {
+  this->book.OnSent("a", 100, this->now);
+  this->book.OnSent("a", 70, this->now, /*late=*/true);
+  TargetTracker peer{{}};
+  peer.OnReport(InstanceId{1}, this->book.OwnLoads(),
+                std::chrono::milliseconds(100), this->now);
+  for (const TargetTracker* const tracker : {&this->book, &peer}) {
+    const EngineLoad load = tracker->LoadOf("a", this->now);
+    CHECK_EQUAL(1u, load.in_flight);
+    CHECK_EQUAL(1u, load.late_waiting);
+    DOUBLES_EQUAL(100, load.waiting_tokens, 0);
+  }
+  this->book.OnFirstEvent("a", 70, /*late=*/true);
+  CHECK_EQUAL(2u, this->book.LoadOf("a", this->now).in_flight);
+  CHECK_EQUAL(0u, this->book.LoadOf("a", this->now).late_waiting);
+  this->book.OnEnd("a", 70, /*had_event=*/true, AttemptOutcome::kAnswered,
+                   this->now, /*late=*/true);
+  CHECK_EQUAL(1u, this->book.LoadOf("a", this->now).in_flight);
+}
+
 }  // namespace celerypost
