--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -101,6 +101,7 @@
   std::string part = "part";
   std::string api_key;
   double prompt_tokens = 0;
+  std::optional<milliseconds> deadline;
 
   CallerRequestInfo ReadRequest(const HttpRequest& request) const override {
     CallerRequestInfo info;
@@ -108,6 +109,7 @@
     info.id = id.empty() ? "a" : id == "none" ? "" : id;
     info.api_key = this->api_key;
     info.prompt_tokens = this->prompt_tokens;
+    info.deadline = this->deadline;
     if (!this->part.empty()) {
       info.shared_parts = {this->part};
     }
@@ -118,6 +120,8 @@
     HttpRequest sent = request;
     sent.headers.emplace_back("last-event-id",
                               info.last_event_id.value_or("none"));
+    sent.headers.emplace_back(
+        "x-urgency", info.urgency ? std::to_string(*info.urgency) : "none");
     return sent;
   }
   TargetAnswer ReadAnswer(int status,
@@ -219,7 +223,11 @@
   TargetNotices notices{{}};
   SizeBalance sizes{{}};
   PredictionErrors errors{{}};
-  GatewayAdmission admission{*policy, sizes, errors};
+  ReturningCallers callers{{}};
+  LateAdmission late{{}, random};
+  ReturnPromises promises{{}, random};
+  LateResponses late_responses{callers, late, promises};
+  GatewayAdmission admission{*policy, sizes, errors, &late_responses};
   TargetSelector selector{view, book, notices, admission, random, {}};
   // Holds less than a long answer.
   size_t evictions = 0;
@@ -418,6 +426,7 @@
         *this->relay_memory,
         {},
         [&client](const SocketAddress&) -> Http1Client& { return client; }};
+    context.late = &this->late;
     this->relay_context = &context;
     auto server = Http1Server::Make(
         this->loop, "127.0.0.1", 0, this->memory,
@@ -920,6 +929,45 @@
   CHECK_EQUAL(2u, this->received.size());
 }
 
+// Guards against a late request that goes before requests on time after a full
+// target has refused it, that is counted as waiting after its end, or that
+// teaches the gateway that its predictions are too short.
+TEST(RelayTaskTest, ALateRequestStaysLateAtAnotherTarget) {
+  this->served_version = 1;
+  this->codec.prompt_tokens = 10;
+  Route route = StreamRoute();
+  route.name = "chat";
+  route.latency_goal = milliseconds(600);
+  // The caller came first 700 ms ago.
+  this->codec.deadline = route.timeout - milliseconds(700);
+  for (int i = 0; i < 20; ++i) {
+    this->callers.OnArrival(ServiceName("s"), route.name, route.timeout,
+                            this->loop.Now());
+  }
+  const CallerAnswer answer = this->Relay(
+      route, {{Refusal("Connection: close\r\n")}, Unframed(kWhole)});
+  CHECK_EQUAL(200, answer.status);
+  CHECK_EQUAL(2u, this->received.size());
+  for (const std::string& request : this->received) {
+    STRCMP_CONTAINS("x-urgency: 9", request.c_str());
+  }
+  CHECK_EQUAL(0u, this->late.waiting());
+  for (const std::string& id : this->target_ids) {
+    const EngineLoad load = this->book.LoadOf(id, this->loop.Now());
+    CHECK_EQUAL(0u, load.in_flight);
+    CHECK_EQUAL(0u, load.late_waiting);
+  }
+  CHECK_EQUAL(0, this->errors.LargestAllowance().count());
+}
+
+// Guards against an urgency for a request that comes for the first time.
+TEST(RelayTaskTest, ANewRequestHasTheUsualUrgency) {
+  this->served_version = 1;
+  this->codec.prompt_tokens = 10;
+  this->Relay(StreamRoute(), {Unframed(kWhole)});
+  STRCMP_CONTAINS("x-urgency: none", this->received.at(0).c_str());
+}
+
 // Guards against targets that crash on requests which they held when the part
 // was quarantined.
 TEST(RelayTaskTest, ARequestThatWaitsAtATargetIsWithdrawnOnQuarantine) {
