--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -84,7 +84,11 @@
       sizes({}),
       errors({}),
       ranks({}, dependencies.random),
-      admission(*policy, sizes, errors, ranks),
+      callers({}),
+      late({}, dependencies.random),
+      promises({}, dependencies.random),
+      late_responses(callers, late, promises),
+      admission(*policy, sizes, errors, ranks, &late_responses),
       selector(core.view(),
                book,
                notices,
@@ -116,6 +120,13 @@
           "celerypost_size_lean",
           "How much short prompts are held back for long ones, 0 to 1")),
       rank_holds(MakeRankHoldGauges(dependencies.metrics)),
+      late_waiting(dependencies.metrics.AddGauge(
+          "celerypost_late_requests_waiting",
+          "Requests sent to targets that cannot be on time and have not "
+          "begun")),
+      promised_returns(dependencies.metrics.AddGauge(
+          "celerypost_promised_returns",
+          "Returns promised for each new caller, 0 to 0.5")),
       leaving_targets_of_peers(
           dependencies.metrics.AddCounter("celerypost_leaving_targets_total",
                                           "Targets that said they leave",
@@ -138,7 +149,9 @@
                     [this](const SocketAddress& address) -> Http1Client& {
                       return this->core.ClientOf(address);
                     },
-                    [this](TimePoint end) { return this->MayRunUntil(end); }},
+                    [this](TimePoint end) { return this->MayRunUntil(end); },
+                    {},
+                    &late},
       beat_timer(dependencies.loop, [this] { this->SendBeat(); }),
       crash_timer(dependencies.loop, [this] { this->ExchangeCrashNews(); }),
       stop_timer(dependencies.loop, [this] { this->CheckStop(); }),
@@ -413,6 +426,8 @@
 
 void Gateway::SendBeat() {
   this->size_lean.Set(this->sizes.LargestLean());
+  this->late_waiting.Set(static_cast<double>(this->late.waiting()));
+  this->promised_returns.Set(this->promises.LargestShare());
   const TimePoint now = this->dependencies.loop.Now();
   this->ranks.Control(now);
   const auto holds = this->ranks.LargestHolds();
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -114,6 +114,10 @@
   SizeBalance sizes;
   PredictionErrors errors;
   RankAdmission ranks;
+  ReturningCallers callers;
+  LateAdmission late;
+  ReturnPromises promises;
+  LateResponses late_responses;
   GatewayAdmission admission;
   TargetSelector selector;
   Gauge& quarantined_parts;
@@ -126,6 +130,8 @@
   Gauge& size_lean;
   // By RankRuling::level.
   std::array<Gauge*, kRankLevels> rank_holds;
+  Gauge& late_waiting;
+  Gauge& promised_returns;
   Counter& leaving_targets_of_peers;
   RelayContext relay_context;
   std::unique_ptr<Http1Server> caller_server;
--- a/src/request/gateway_admission.cc
+++ b/src/request/gateway_admission.cc
@@ -48,12 +48,29 @@
   if (decision.rank) {
     decision.urgency = decision.rank->level;
   }
+  LateResponses* const late = rates != nullptr ? this->late_responses : nullptr;
+  if (request.late && late != nullptr) {
+    decision.late = true;
+    decision.urgency = kLateUrgency;
+    decision.placement =
+        late->PlaceAgain(*rates, candidates, request.service, *request.route,
+                         request.placement, now);
+    return decision;
+  }
   if (!weighed) {
     decision.placement =
         this->policy.Place(rates, candidates, request.placement);
     return decision;
   }
   PlacementRequest balanced = request.placement;
+  LateCaller caller;
+  if (late != nullptr) {
+    caller = late->OnArrival(request.service, *request.route,
+                             request.placement.deadline_left,
+                             request.ranks_differ, now);
+    balanced.on_time_left -= caller.age;
+    decision.age = caller.age;
+  }
   balanced.compared = CandidatesToCompare(request.unseen_requests);
   balanced.allowance = decision.allowance =
       this->errors.AllowanceOf(request.service);
@@ -65,7 +82,8 @@
   balanced.size_lean = decision.size_lean =
       this->sizes.LeanOf(request.service, request.route->name, level);
   decision.placement = this->policy.Place(rates, candidates, balanced);
-  if (decision.placement.room_tokens) {
+  // What a returning request finds says nothing of new ones.
+  if (decision.placement.room_tokens && caller.age.count() == 0) {
     const double held_tokens =
         static_cast<double>(held.count()) * rates->prompt_tokens_per_ms;
     this->sizes.OnDecision(
@@ -76,6 +94,12 @@
     this->ranks.OnDecision(request.service, *decision.rank,
                            decision.placement.candidate.has_value(), now);
   }
+  if (late != nullptr &&
+      late->Review(*rates, candidates, request.service, *request.route,
+                   balanced, caller, decision.placement, now)) {
+    decision.late = true;
+    decision.urgency = kLateUrgency;
+  }
   return decision;
 }
 
--- a/src/request/gateway_admission.h
+++ b/src/request/gateway_admission.h
@@ -7,6 +7,7 @@
 
 #include "celerypost/types.h"
 #include "src/request/gateway_config.h"
+#include "src/request/late_responses.h"
 #include "src/request/placement.h"
 #include "src/request/prediction_error.h"
 #include "src/request/rank_admission.h"
@@ -27,6 +28,10 @@
   // The request has not been sent to a target. Later placements repair what a
   // target has failed to do, so they do not count as demand.
   bool first_send = true;
+  // Its last placement was a late one (AdmissionDecision::late).
+  bool late = false;
+  // The configuration gives requests to the service different priorities.
+  bool ranks_differ = false;
 };
 
 struct AdmissionDecision {
@@ -39,6 +44,10 @@
   std::chrono::milliseconds allowance{0};
   // Absent where all requests of the service have one rank.
   std::optional<RankRuling> rank;
+  // Placed by LateAdmission, or refused after it had placed it before.
+  bool late = false;
+  // Time since the caller first attempted the request, at any gateway.
+  std::chrono::milliseconds age{0};
 };
 
 // Decides whether a gateway sends a request to one of the eligible targets or
@@ -47,11 +56,17 @@
 // Performs no I/O.
 class GatewayAdmission {
  public:
+  // Without `late_responses`, requests that cannot be on time are refused.
   GatewayAdmission(PlacementPolicy& policy,
                    SizeBalance& sizes,
                    const PredictionErrors& errors,
-                   RankAdmission& ranks)
-      : policy(policy), sizes(sizes), errors(errors), ranks(ranks) {}
+                   RankAdmission& ranks,
+                   LateResponses* late_responses = nullptr)
+      : policy(policy),
+        sizes(sizes),
+        errors(errors),
+        ranks(ranks),
+        late_responses(late_responses) {}
 
   // `rates` is null for services without an engine.
   AdmissionDecision Decide(const EngineRates* rates,
@@ -64,6 +79,8 @@
   SizeBalance& sizes;
   const PredictionErrors& errors;
   RankAdmission& ranks;
+  // Null if no request is placed that cannot be on time.
+  LateResponses* late_responses;
 };
 
 }  // namespace celerypost
--- a/tests/request/fleet_load.h
+++ b/tests/request/fleet_load.h
@@ -71,6 +71,11 @@
   // Without a configuration, which leaves all requests alike.
   RankAdmission ranks{{}, random};
   std::unique_ptr<PlacementPolicy> policy;
+  ReturningCallers callers{{}};
+  LateAdmission late{{}, random};
+  ReturnPromises promises{{}, random};
+  LateResponses late_responses{callers, late, promises};
+  // Without LateResponses; a hook replaces it.
   std::unique_ptr<GatewayAdmission> admission;
 };
 
@@ -90,8 +95,10 @@
   // In milliseconds from the start.
   double arrived_ms = 0;
   LoadOutcome outcome = LoadOutcome::kLost;
-  // Refused when it came first.
+  // Refused when it came first and came back.
   bool returned = false;
+  // Placed by LateAdmission.
+  bool late_admission = false;
   // Predicted and real time from the last decision to the first event.
   double predicted_ms = 0;
   double first_event_ms = 0;
