Take a caller's age from the time that it says it has left

Change: relay tasks pass on the caller's own time left; the age and Retry-After follow from it. The relay task test of late requests uses a deadline over the timeout.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -421,6 +421,11 @@
   placement.deadline_left = Since(now, this->deadline);
   placement.on_time_left =
       this->route->latency_goal - this->caller_age - Since(this->arrived, now);
+  // May be longer than the route's timeout, which bounds `deadline`.
+  if (this->call.deadline) {
+    this->selection_request.caller_time_left =
+        *this->call.deadline - Since(this->arrived, now);
+  }
   placement.late_anyway =
       placement.on_time_left.count() <= 0 || this->sends > 0;
 }
--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -331,6 +331,7 @@
   admission_request.workspace = request.workspace;
   admission_request.placement = request.placement;
   admission_request.first_send = request.tried.empty();
+  admission_request.caller_time_left = request.caller_time_left;
   admission_request.late = request.late;
   admission_request.ranks_differ = this->RanksDiffer(request.service);
   admission_request.unseen_requests = selection.unseen_requests =
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -44,6 +44,7 @@
   ServiceName service;
   PlacementRequest placement;
   // As in AdmissionRequest.
+  std::optional<std::chrono::milliseconds> caller_time_left;
   bool late = false;
   // IDs of the targets that this request has already been sent to.
   std::set<std::string> tried;
--- a/src/request/gateway_admission.cc
+++ b/src/request/gateway_admission.cc
@@ -29,12 +29,14 @@
     TimePoint now) {
   AdmissionDecision decision;
   LateResponses* const late = rates != nullptr ? this->late_responses : nullptr;
+  const std::chrono::milliseconds time_left =
+      request.caller_time_left.value_or(request.placement.deadline_left);
   if (request.late && late != nullptr) {
     decision.late = true;
     decision.urgency = kLateUrgency;
     decision.placement =
         late->PlaceAgain(*rates, candidates, request.service, *request.route,
-                         request.placement, now);
+                         request.placement, time_left, now);
     return decision;
   }
   if (!request.first_send || request.placement.prompt_tokens <= 0) {
@@ -45,8 +47,7 @@
   PlacementRequest balanced = request.placement;
   LateCaller caller;
   if (late != nullptr) {
-    caller = late->OnArrival(request.service, *request.route,
-                             request.placement.deadline_left,
+    caller = late->OnArrival(request.service, *request.route, time_left,
                              request.ranks_differ, now);
     balanced.on_time_left -= caller.age;
     decision.age = caller.age;
--- a/src/request/gateway_admission.h
+++ b/src/request/gateway_admission.h
@@ -21,6 +21,9 @@
   // Null for routes without API keys.
   const Workspace* workspace = nullptr;
   PlacementRequest placement;
+  // Time that the caller says it has left, which may be longer than
+  // PlacementRequest::deadline_left; absent if it does not say.
+  std::optional<std::chrono::milliseconds> caller_time_left;
   // Expected number of requests that other gateways have sent to a target since
   // their last reports.
   double unseen_requests = 0;
--- a/src/request/late_responses.cc
+++ b/src/request/late_responses.cc
@@ -28,6 +28,7 @@
                                     bool ranks_differ,
                                     TimePoint now) {
   LateCaller caller;
+  caller.time_left = time_left;
   caller.age = this->callers.OnArrival(service, route.name, time_left, now);
   caller.promises = this->callers.CallersReturn(service, route.name);
   caller.late_admission = caller.promises || ranks_differ;
@@ -74,9 +75,9 @@
   }
   if (!placement.candidate && caller.promises) {
     placement.retry_after =
-        returning ? this->promises.NoReturn(request.deadline_left)
+        returning ? this->promises.NoReturn(caller.time_left)
                   : this->promises.Promise(service, placement.retry_after,
-                                           request.deadline_left, now);
+                                           caller.time_left, now);
   }
   return late;
 }
@@ -87,9 +88,10 @@
     const ServiceName& service,
     const Route& route,
     const PlacementRequest& request,
+    milliseconds time_left,
     TimePoint now) {
   Placement placement;
-  placement.retry_after = this->promises.NoReturn(request.deadline_left);
+  placement.retry_after = this->promises.NoReturn(time_left);
   if (const auto late = this->late.Place(
           rates, candidates,
           MakeLateRequest(service, request, this->late.PatienceOf(route),
--- a/src/request/late_responses.h
+++ b/src/request/late_responses.h
@@ -15,6 +15,7 @@
 struct LateCaller {
   // Time since the caller came first, at any gateway.
   std::chrono::milliseconds age{0};
+  std::chrono::milliseconds time_left{0};
   // Late admission is on for its route.
   bool late_admission = false;
   // Retry-After comes from ReturnPromises.
@@ -30,8 +31,8 @@
                 ReturnPromises& promises)
       : callers(callers), late(late), promises(promises) {}
 
-  // A request arrives with `time_left`. `ranks_differ`: the configuration gives
-  // the service's requests different priorities.
+  // A request arrives from a caller with `time_left`. `ranks_differ`: the
+  // configuration gives the service's requests different priorities.
   LateCaller OnArrival(const ServiceName& service,
                        const Route& route,
                        std::chrono::milliseconds time_left,
@@ -55,6 +56,7 @@
                        const ServiceName& service,
                        const Route& route,
                        const PlacementRequest& request,
+                       std::chrono::milliseconds time_left,
                        TimePoint now);
 
  private:
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -938,10 +938,12 @@
   Route route = StreamRoute();
   route.name = "chat";
   route.latency_goal = milliseconds(600);
+  // More than the route's timeout.
+  constexpr milliseconds kInitial{5000};
   // The caller came first 700 ms ago.
-  this->codec.deadline = route.timeout - milliseconds(700);
+  this->codec.deadline = kInitial - milliseconds(700);
   for (int i = 0; i < 20; ++i) {
-    this->callers.OnArrival(ServiceName("s"), route.name, route.timeout,
+    this->callers.OnArrival(ServiceName("s"), route.name, kInitial,
                             this->loop.Now());
   }
   const CallerAnswer answer = this->Relay(
