Raise the holds of ranks that lead faster

Faster rises in general kept the holds of the middle rank too high afterwards.

Change: a rank that is placed more often than a short one above it is held by its lead; holds move half as fast towards those of the peers. The unit test of the order of the holds checks each control period, since the lowest rank is now fully held in four.

--- a/src/request/rank_admission.cc
+++ b/src/request/rank_admission.cc
@@ -341,12 +341,14 @@
     Level& level = service.levels[i];
     const Counts& own = totals[i].all;
     const bool full = level.hold >= kFullHold || own.asked == 0;
-    const bool leads = ShareOf(own.placed, own.asked) >
-                       least_placed[i] + this->options.max_lead;
+    // By how much the rank is placed more often than a short one above it.
+    const double lead = ShareOf(own.placed, own.asked) - least_placed[i];
+    const bool leads = lead > this->options.max_lead;
     if (above[i] > 0 && (lower_are_full || leads)) {
-      level.hold += std::min(
-          this->options.max_rise,
-          this->options.min_rise + above[i] * this->options.rise_per_share);
+      level.hold +=
+          std::min(this->options.max_rise,
+                   this->options.min_rise +
+                       std::max(above[i], lead) * this->options.rise_per_share);
     } else if (above[i] < 0) {
       level.hold -= alone ? this->options.fall_alone : this->options.fall;
     }
--- a/src/request/rank_admission.h
+++ b/src/request/rank_admission.h
@@ -3,12 +3,12 @@
 
 #include <array>
 #include <chrono>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -25,7 +25,11 @@
   int workspace_priority = 0;
   int route_priority = 0;
 
-  auto operator<=>(const Rank&) const = default;
+  bool operator==(const Rank&) const = default;
+  bool operator<(const Rank& other) const {
+    return std::tie(this->workspace_priority, this->route_priority) <
+           std::tie(other.workspace_priority, other.route_priority);
+  }
 };
 
 // Decisions of the last second on the requests of a service and a rank.
@@ -60,10 +64,11 @@
   // higher one that is short, by more than this.
   double max_lead = 0.02;
   // A rise of a hold in one control period: the least, the increase with the
-  // share that is missing, and the most. With a least rise of 0.1 the holds
-  // stayed too high, as counts lag by half a second.
+  // share that is missing (or with the lead, if that is more), and the most.
+  // With a least rise of 0.1 the holds stayed too high, as counts lag by half a
+  // second.
   double min_rise = 0.02;
-  double rise_per_share = 1.5;
+  double rise_per_share = 2;
   double max_rise = 0.34;
   double fall = 0.06;
   // The same without reports of peers: own counts are few.
@@ -71,7 +76,7 @@
   // A hold moves by this share towards the mean hold of the peers in one
   // control period, and is at least that mean less the margin. The mean is that
   // of the last second and lags behind a falling hold by less than the margin.
-  double peer_pull = 0.2;
+  double peer_pull = 0.1;
   double peer_hold_margin = 0.3;
   // Shares of fewer requests than this say too little.
   double min_requests = 5;
--- a/tests/request/rank_admission_test.cc
+++ b/tests/request/rank_admission_test.cc
@@ -316,9 +316,11 @@
 // Guards against holding the middle rank back while the lowest one still has
 // room, against holding the highest one, and against holds that stay.
 TEST(RankAdmissionTest, HoldsTheLowestRankFirstAndReleasesIt) {
-  this->Report({0.7, 0.7, 0.9});
+  for (int i = 0; i < 3; ++i) {
+    this->Report({0.7, 0.7, 0.9}, 0, 1);
+    CHECK_EQUAL(0, this->Hold(1));
+  }
   CHECK_TRUE(this->Hold(2) > 0.8);
-  CHECK_EQUAL(0, this->Hold(1));
   this->Report({0.7, 0.7, 0.9}, 1, 20);
   CHECK_EQUAL(1, this->Hold(2));
   CHECK_TRUE(this->Hold(1) > 0.8);
