--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -67,6 +67,7 @@
       core(dependencies, NodeRole::kGateway),
       book({}),
       notices({}),
+      paces(options.paces),
       policy(MakePredictivePolicy({}, dependencies.random)),
       sizes({}),
       errors({}),
@@ -74,6 +75,7 @@
       selector(core.view(),
                book,
                notices,
+               paces,
                admission,
                dependencies.random,
                SelectorOptions(dependencies.settings)),
@@ -111,6 +113,7 @@
                     book,
                     selector,
                     errors,
+                    paces,
                     crashes,
                     request_crashes,
                     notices,
@@ -280,7 +283,10 @@
                      beat.__isset.loads_in_ms
                          ? std::optional(now + milliseconds(beat.loads_in_ms))
                          : std::nullopt,
-                     now, beat.target_leaving});
+                     now, beat.target_leaving,
+                     beat.__isset.target_pace
+                         ? std::optional(DecodePace(beat.target_pace))
+                         : std::nullopt});
     return;
   }
   const bool near = this->core.exchange().Near(peer);
@@ -301,6 +307,8 @@
             this->options.beats, this->options.beat_period,
             1 + this->core.exchange().CountNear(NodeRole::kGateway)),
         now);
+    this->paces.OnShared(InstanceId{static_cast<uint64_t>(beat.instance)},
+                         DecodePaces(beat.paces), now);
   }
   for (const wire::RegionSummary& summary : beat.summaries) {
     const RegionSummary decoded = DecodeSummary(summary);
@@ -378,7 +386,7 @@
         StagerReport{target.serving_version, target.loading,
                      target.loads_in ? std::optional(now + *target.loads_in)
                                      : std::nullopt,
-                     now, target.leaving});
+                     now, target.leaving, target.pace});
   }
 }
 
@@ -403,6 +411,10 @@
   });
   beat.loads = EncodeLoads(this->book.OwnLoads());
   beat.leaving_targets = EncodeStarts(this->notices.RecentlyLeaving(now));
+  this->paces.Forget(now);
+  if (const auto paces = this->paces.Share(now); !paces.empty()) {
+    beat.__set_paces(EncodePaces(paces));
+  }
   for (const RegionSummary& summary : this->core.regions().TakeForwards()) {
     beat.summaries.push_back(EncodeSummary(summary));
   }
@@ -482,8 +494,13 @@
           {ip, beat.caller_address, static_cast<NodeState>(beat.state)});
       continue;
     }
-    RegionTarget target{beat.target_address, beat.serving_version, beat.loading,
-                        std::nullopt, beat.target_leaving};
+    RegionTarget target{beat.target_address, beat.serving_version,
+                        beat.loading,        std::nullopt,
+                        beat.target_leaving, std::nullopt};
+    if (beat.__isset.target_pace &&
+        now - peer.heard <= this->options.far_pace_age) {
+      target.pace = DecodePace(beat.target_pace);
+    }
     if (beat.__isset.loads_in_ms) {
       target.loads_in =
           milliseconds(beat.loads_in_ms) -
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -28,6 +28,10 @@
   // Shortest time between two messages to other regions about requests that
   // crash targets.
   std::chrono::milliseconds far_crash_news_period{250};
+  TargetPaceOptions paces;
+  // The pace of a target is told to other regions for this long after its
+  // stager's beat: it changes within seconds.
+  std::chrono::milliseconds far_pace_age{500};
   // How long callers may cache a directory response.
   std::chrono::milliseconds directory_ttl{2000};
   // With fewer ready gateways than `min_addresses` in the caller's region, a
@@ -109,6 +113,7 @@
   NodeCore core;
   TargetTracker book;
   TargetNotices notices;
+  TargetPace paces;
   std::unique_ptr<PlacementPolicy> policy;
   SizeBalance sizes;
   PredictionErrors errors;
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -33,6 +33,10 @@
 // the request at once.
 constexpr milliseconds kStoppingRetryAfter{20};
 
+// Weight of a first event in the measured pace. Its time also depends on the
+// requests that the prediction did not know of.
+constexpr double kFirstEventWeight = 0.25;
+
 constexpr std::string_view kNoTimeLeft = "no time left for another target";
 constexpr std::string_view kNotAllowed = "no further attempt is allowed";
 
@@ -126,6 +130,27 @@
   this->prompt_tokens.Add(static_cast<uint64_t>(prompt_tokens));
 }
 
+PredictionMetrics::PredictionMetrics(Metrics& metrics) : first_events() {
+  constexpr std::array<std::string_view, kBounds.size() + 1> kNames = {
+      "0.5", "0.9", "1.1", "1.5", "2", "3", "5", "+Inf"};
+  for (size_t i = 0; i < kNames.size(); ++i) {
+    this->first_events[i] = &metrics.AddCounter(
+        "celerypost_first_events_by_prediction_total",
+        "First events by the upper bound of their time as a multiple of the "
+        "predicted one",
+        {{"up_to", std::string(kNames[i])}});
+  }
+}
+
+void PredictionMetrics::Count(std::chrono::milliseconds predicted,
+                              std::chrono::milliseconds measured) {
+  const double multiple =
+      static_cast<double>(measured.count()) /
+      static_cast<double>(std::max<int64_t>(1, predicted.count()));
+  const auto bound = std::lower_bound(kBounds.begin(), kBounds.end(), multiple);
+  this->first_events[static_cast<size_t>(bound - kBounds.begin())]->Add();
+}
+
 RelayMetrics::RelayMetrics(Metrics& metrics)
     : answered(metrics.AddCounter("celerypost_requests_total",
                                   "Requests by outcome",
@@ -174,6 +199,7 @@
                              "Headers of answers that could not be read")),
       answered_sizes(metrics, "answered"),
       refused_sizes(metrics, "refused"),
+      predictions(metrics),
       first_event(metrics.AddHistogram("celerypost_first_event_seconds",
                                        "Time to the first event")),
       total(metrics.AddHistogram("celerypost_request_seconds",
@@ -879,7 +905,7 @@
   // Only events count as progress: a stalled target may still send comments or
   // parts of an event.
   if (this->events.events() > events_before) {
-    this->NoteProgress();
+    this->NoteProgress(this->events.events() - events_before);
   }
   this->ForwardEvents(complete);
   this->ReportMemory();
@@ -895,9 +921,45 @@
   }
 }
 
-void RelayTask::NoteProgress() {
+void RelayTask::MeasureFirstEvent(TimePoint now) {
+  const auto measured = Since(this->attempt->sent_at, now);
+  this->context.errors.OnFirstEvent(this->service, this->selection.predicted,
+                                    measured);
+  if (this->selection.predicted.count() <= 0) {
+    return;
+  }
+  this->context.metrics.predictions.Count(this->selection.predicted, measured);
+  const double ratio = static_cast<double>(measured.count()) /
+                       static_cast<double>(this->selection.predicted.count());
+  this->context.paces.OnMeasured(
+      this->attempt->target_start,
+      ratio * std::max(1.0, this->selection.load.slowdown), kFirstEventWeight,
+      now);
+}
+
+void RelayTask::MeasureGap(uint64_t events, TimePoint now) {
+  const auto service = this->config->services.find(this->service);
+  if (std::exchange(this->attempt->was_paused, this->paused) || this->paused ||
+      service == this->config->services.end() || !service->second.engine) {
+    return;
+  }
+  const EngineRates& rates = *service->second.engine;
+  const uint32_t running =
+      std::min(this->context.book.LoadOf(this->attempt->target, now).in_flight,
+               rates.slots);
+  const Milliseconds gap = now - this->attempt->progress_at;
+  this->context.paces.OnMeasured(
+      this->attempt->target_start,
+      gap / (static_cast<double>(events) * UsualEventGap(rates, running)), 1,
+      now);
+}
+
+void RelayTask::NoteProgress(uint64_t events) {
   const TimePoint now = this->context.loop.Now();
   this->EndSilentAttempts();
+  if (this->attempt->had_event) {
+    this->MeasureGap(events, now);
+  }
   this->attempt->progress_at = now;
   this->takeover_delay = this->context.options.min_takeover_delay;
   if (!this->attempt->had_event) {
@@ -906,9 +968,7 @@
     this->context.book.OnFirstEvent(this->attempt->target,
                                     this->attempt->prompt_tokens);
     if (this->attempt->prompt_tokens > 0) {
-      this->context.errors.OnFirstEvent(this->service,
-                                        this->selection.predicted,
-                                        Since(this->attempt->sent_at, now));
+      this->MeasureFirstEvent(now);
     }
   }
   if (now - this->attempt->first_event_at >=
@@ -960,6 +1020,7 @@
   }
   // Also while an earlier pause lasts: another attempt may have gone on.
   this->http_call->PauseReading();
+  this->attempt->was_paused = true;
   if (std::exchange(this->paused, true)) {
     return;
   }
@@ -1371,6 +1432,7 @@
        {"answer_tokens", this->call.answer_tokens},
        {"shared_parts", Join(this->call.shared_parts)},
        {"predicted_ms", this->selection.predicted.count()},
+       {"pace", this->selection.load.slowdown},
        {"size_lean", this->selection.size_lean.weight},
        {"allowance_ms", this->selection.allowance.count()},
        {"unseen_requests", this->selection.unseen_requests},
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -78,6 +78,19 @@
   Counter& prompt_tokens;
 };
 
+// Counts first events by their time as a multiple of the prediction, which
+// tells how good the predictions are that placement relies on.
+struct PredictionMetrics {
+  explicit PredictionMetrics(Metrics& metrics);
+  void Count(std::chrono::milliseconds predicted,
+             std::chrono::milliseconds measured);
+
+  // Upper bounds of the multiples; the last class has none.
+  static constexpr std::array<double, 7> kBounds = {0.5, 0.9, 1.1, 1.5,
+                                                    2,   3,   5};
+  std::array<Counter*, kBounds.size() + 1> first_events;
+};
+
 // Counters and histograms of relayed requests.
 struct RelayMetrics {
   explicit RelayMetrics(Metrics& metrics);
@@ -99,6 +112,7 @@
   Counter& malformed_headers;
   SizedRequestMetrics answered_sizes;
   SizedRequestMetrics refused_sizes;
+  PredictionMetrics predictions;
   Histogram& first_event;
   Histogram& total;
 };
@@ -113,6 +127,7 @@
   TargetTracker& book;
   TargetSelector& selector;
   PredictionErrors& errors;
+  TargetPace& paces;
   CrashGuard& crashes;
   CrashGuard& request_crashes;
   TargetNotices& notices;
@@ -154,6 +169,9 @@
   TimePoint progress_at{};
   bool had_event = false;
   TimePoint first_event_at{};
+  // The stream was not read for a while, so the time to its next event says
+  // nothing about the target.
+  bool was_paused = false;
   // The target did not crash on the request (RelayOptions::survival_time).
   bool survived = false;
   bool ended = false;
@@ -286,8 +304,12 @@
   void KeepAttempt(std::string_view reason);
   void OnDeadline();
   void OnCallerDisconnected();
-  // The attempt has produced an event.
-  void NoteProgress();
+  // The attempt has produced events.
+  void NoteProgress(uint64_t events);
+  // Takes up what the first event, or the time between two, says about the pace
+  // of the target.
+  void MeasureFirstEvent(TimePoint now);
+  void MeasureGap(uint64_t events, TimePoint now);
   void NoteSurvival();
   // The answer is complete. Without a length or chunks, a crash of the target
   // looks the same.
--- a/src/process/gateway/summary_wire.cc
+++ b/src/process/gateway/summary_wire.cc
@@ -1,6 +1,7 @@
 #include "src/process/gateway/summary_wire.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace celerypost {
@@ -42,6 +43,39 @@
   return {starts.begin(), starts.end()};
 }
 
+int32_t EncodePace(double pace) {
+  return static_cast<int32_t>(std::lround(std::clamp(pace, 0.0, 1000.0) * 100));
+}
+
+double DecodePace(int32_t hundredths) {
+  return hundredths / 100.0;
+}
+
+std::vector<wire::MeasuredPace> EncodePaces(
+    const std::vector<SharedPace>& paces) {
+  std::vector<wire::MeasuredPace> encoded;
+  encoded.reserve(paces.size());
+  for (const SharedPace& pace : paces) {
+    wire::MeasuredPace message;
+    message.target_start = static_cast<int64_t>(pace.target_start);
+    message.pace = EncodePace(pace.pace);
+    message.age_ms = static_cast<int32_t>(pace.age.count());
+    encoded.push_back(message);
+  }
+  return encoded;
+}
+
+std::vector<SharedPace> DecodePaces(
+    const std::vector<wire::MeasuredPace>& paces) {
+  std::vector<SharedPace> decoded;
+  decoded.reserve(paces.size());
+  for (const wire::MeasuredPace& pace : paces) {
+    decoded.push_back({static_cast<TargetStartHash>(pace.target_start),
+                       DecodePace(pace.pace), milliseconds(pace.age_ms)});
+  }
+  return decoded;
+}
+
 wire::RegionSummary EncodeSummary(const RegionSummary& summary) {
   wire::RegionSummary message;
   message.region = summary.region.value();
@@ -66,6 +100,9 @@
     if (target.loads_in) {
       entry.__set_loads_in_ms(static_cast<int32_t>(target.loads_in->count()));
     }
+    if (target.pace) {
+      entry.__set_pace(EncodePace(*target.pace));
+    }
     message.targets.push_back(std::move(entry));
   }
   message.loads = EncodeLoads(summary.loads);
@@ -90,7 +127,9 @@
          target.__isset.loads_in_ms
              ? std::optional(milliseconds(target.loads_in_ms))
              : std::nullopt,
-         target.leaving});
+         target.leaving,
+         target.__isset.pace ? std::optional(DecodePace(target.pace))
+                             : std::nullopt});
   }
   decoded.loads = DecodeLoads(summary.loads);
   decoded.leaving_targets = DecodeStarts(summary.leaving_targets);
--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -32,12 +32,14 @@
 TargetSelector::TargetSelector(const ClusterView& view,
                                const TargetTracker& book,
                                const TargetNotices& notices,
+                               TargetPace& paces,
                                GatewayAdmission& admission,
                                Random& random,
                                TargetSelectorOptions options)
     : view(view),
       book(book),
       notices(notices),
+      paces(paces),
       admission(admission),
       random(random),
       options(std::move(options)),
@@ -48,6 +50,7 @@
 
 void TargetSelector::OnStagerReport(const std::string& target_address,
                                     StagerReport report) {
+  this->paces.OnReport(target_address, report.pace, report.received_at);
   this->stager_reports[target_address] = report;
 }
 
@@ -268,6 +271,8 @@
     PlacementCandidate candidate;
     candidate.target = id;
     candidate.load = this->book.LoadOf(id, now);
+    candidate.load.slowdown = this->paces.PaceOf(
+        target.entry.address.ToString(), HashTargetStart(target.entry), now);
     candidate.slots = target.entry.slots;
     candidate.same_zone = target.entry.zone == this->options.zone;
     candidate.same_region =
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -19,6 +19,7 @@
 #include "src/request/gateway_admission.h"
 #include "src/request/placement.h"
 #include "src/request/target_notices.h"
+#include "src/request/target_pace.h"
 #include "src/request/target_tracker.h"
 
 namespace celerypost {
@@ -35,6 +36,8 @@
   TimePoint received_at{};
   // The target has told its stager that it leaves.
   bool leaving = false;
+  // The pace that the target reports to its stager.
+  std::optional<double> pace{};
 };
 
 struct SelectionRequest {
@@ -115,6 +118,7 @@
   TargetSelector(const ClusterView& view,
                  const TargetTracker& book,
                  const TargetNotices& notices,
+                 TargetPace& paces,
                  GatewayAdmission& admission,
                  Random& random,
                  TargetSelectorOptions options);
@@ -171,6 +175,7 @@
   const ClusterView& view;
   const TargetTracker& book;
   const TargetNotices& notices;
+  TargetPace& paces;
   GatewayAdmission& admission;
   Random& random;
   TargetSelectorOptions options;
--- a/src/process/stager/model_target.h
+++ b/src/process/stager/model_target.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,9 @@
   int64_t sequence = 0;
   // The target leaves.
   bool leaving = false;
+  // Factor of the time that the target takes for everything now; absent if it
+  // does not say.
+  std::optional<double> pace;
 };
 
 // The model target on this VM. Each callback runs once, on the loop.
--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -91,6 +91,7 @@
                      dependencies.instance),
       staged_copy(options.staged_copy, dependencies.loop.Now()),
       beats(options.beats),
+      pace_watch(options.pace),
       step_timer(dependencies.loop, [this] { this->Step(); }),
       beat_timer(dependencies.loop,
                  [this] {
@@ -214,7 +215,8 @@
 }
 
 void Stager::Step() {
-  const bool busy = this->goal.has_value() || this->loading;
+  const bool busy = this->goal.has_value() || this->loading ||
+                    this->pace_watch.Varies(this->dependencies.loop.Now());
   this->step_timer.StartOnce(busy ? this->options.busy_poll_period
                                   : this->options.idle_poll_period);
   if (this->Service() == nullptr) {
@@ -284,6 +286,10 @@
                                 {{"source", "report"}});
     this->ScheduleBeat(/*to_all=*/true);
   }
+  if (this->pace_watch.OnReport(report ? report->pace : std::nullopt,
+                                this->dependencies.loop.Now())) {
+    this->ScheduleBeat(/*to_all=*/true);
+  }
   this->UpdateServingVersion();
   if (this->loading != was_loading && this->serving_version == before) {
     this->LogTargetWeights(before);
@@ -1230,6 +1236,9 @@
   }
   beat.loading = this->loading;
   beat.target_leaving = this->target_report && this->target_report->leaving;
+  if (const auto pace = this->pace_watch.Tell(to_all)) {
+    beat.__set_target_pace(*pace);
+  }
   this->beats.Begin(to_all, this->goal.has_value(), this->last_beat);
   this->core.exchange().Send(beat, [this](const BeatPeer& peer) {
     return this->beats.ShouldSendTo(peer);
--- a/src/process/stager/stager.h
+++ b/src/process/stager/stager.h
@@ -16,6 +16,7 @@
 #include "src/process/drain_policy.h"
 #include "src/process/node_core.h"
 #include "src/process/stager/model_target.h"
+#include "src/process/stager/pace_watch.h"
 #include "src/version/chunk_planner.h"
 #include "src/version/digest_source.h"
 #include "src/version/load_proof.h"
@@ -29,13 +30,14 @@
 
 struct StagerOptions {
   // How often the target's state is polled while weights are being staged or
-  // loaded, and otherwise.
+  // loaded or the target's pace varies, and otherwise.
   std::chrono::milliseconds busy_poll_period{100};
   std::chrono::milliseconds idle_poll_period{250};
   // Time after which a beat is due to all peers but the stagers of other
   // regions, which `beats` limits further. Changes are sent sooner.
   std::chrono::milliseconds beat_period{1000};
   StagerBeatOptions beats;
+  PaceWatchOptions pace;
   // Staged chunks can become corrupt, so the target is ordered to load them
   // only within this time after they were checked.
   std::chrono::milliseconds check_lifetime{1000};
@@ -289,6 +291,7 @@
   bool comparing_digests = false;
   std::unique_ptr<HttpCall> comparison_call;
   StagerBeats beats;
+  PaceWatch pace_watch;
   Timer step_timer;
   Timer beat_timer;
   Timer upload_timer;
--- a/src/process/state/region_directory.h
+++ b/src/process/state/region_directory.h
@@ -35,6 +35,8 @@
   std::optional<std::chrono::milliseconds> loads_in;
   // The target has told its stager that it leaves.
   bool leaving = false;
+  // As the target reports it (TargetPace).
+  std::optional<double> pace;
 };
 
 // What a gateway knows of its own region. Gateways of other regions get it in
--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -24,6 +24,15 @@
 // One answer in ten is longer still.
 constexpr double kAnswerLengthFactor = 1.4;
 
+// Returns the slowdown of the fastest candidate, at least 1.
+double LeastSlowdown(const std::vector<PlacementCandidate>& candidates) {
+  double least = std::numeric_limits<double>::max();
+  for (const PlacementCandidate& candidate : candidates) {
+    least = std::min(least, std::max(1.0, candidate.load.slowdown));
+  }
+  return candidates.empty() ? 1 : least;
+}
+
 class PredictivePolicy : public PlacementPolicy {
  public:
   PredictivePolicy(PlacementOptions options, Random& random)
@@ -49,22 +58,29 @@
 
   // What a request is compared with, in milliseconds.
   struct Bounds {
-    // Predicted time to the first event at an idle target.
+    // Predicted time to the first event at an idle target at a pace of 1, and
+    // at the pace of the fastest candidate.
     double idle = 0;
+    double idle_at_pace = 0;
     double limit = 0;
     double deadline_left = 0;
   };
 
   Bounds BoundsOf(const EngineRates& rates,
+                  const std::vector<PlacementCandidate>& candidates,
                   const PlacementRequest& request) const {
     const Milliseconds idle =
         PredictFirstEvent(rates, EngineLoad(), request.prompt_tokens);
+    // When all targets are slow, what an idle one would begin late is served
+    // late instead of refused.
+    const Milliseconds idle_at_pace = idle * LeastSlowdown(candidates);
     const milliseconds on_time =
         std::min(request.on_time_left, request.deadline_left) -
         this->options.margin;
-    const bool late = request.late_anyway || idle > on_time;
+    const bool late = request.late_anyway || idle_at_pace > on_time;
     return {
         .idle = idle.count(),
+        .idle_at_pace = idle_at_pace.count(),
         .limit = static_cast<double>(
             (late ? std::min(this->options.late_limit, request.deadline_left)
                   : on_time)
@@ -79,8 +95,8 @@
                          const Bounds& bounds,
                          double slowdown,
                          double predicted) {
-    if (bounds.idle > bounds.limit) {
-      return std::max(predicted - bounds.idle - bounds.limit,
+    if (bounds.idle_at_pace > bounds.limit) {
+      return std::max(predicted - bounds.idle_at_pace - bounds.limit,
                       predicted - bounds.deadline_left);
     }
     const SizeLean& lean = request.size_lean;
@@ -108,7 +124,7 @@
   Placement PlaceOnEngine(const EngineRates& rates,
                           const std::vector<PlacementCandidate>& candidates,
                           const PlacementRequest& request) {
-    const Bounds bounds = this->BoundsOf(rates, request);
+    const Bounds bounds = this->BoundsOf(rates, candidates, request);
     Placement placement;
     double best_cost = std::numeric_limits<double>::max();
     double soonest = std::numeric_limits<double>::max();
@@ -137,14 +153,19 @@
         continue;
       }
       double cost = predicted + this->PenaltyMs(candidate);
+      const double slowdown = std::max(1.0, candidate.load.slowdown);
+      const double answer =
+          slowdown *
+          AnswerTime(rates, candidate.load.in_flight, request.answer_tokens)
+              .count();
       if (candidate.reload_in &&
-          predicted + kAnswerLengthFactor * AnswerTime(rates,
-                                                       candidate.load.in_flight,
-                                                       request.answer_tokens)
-                                                .count() >
+          predicted + kAnswerLengthFactor * answer >
               static_cast<double>(candidate.reload_in->count())) {
         cost += static_cast<double>(this->options.reload_cost.count());
       }
+      if (slowdown > 1 && predicted + answer > bounds.deadline_left) {
+        cost += static_cast<double>(this->options.deadline_cost.count());
+      }
       if (cost < best_cost) {
         best_cost = cost;
         placement.candidate = index;
--- a/src/request/placement.h
+++ b/src/request/placement.h
@@ -101,6 +101,9 @@
   // would delay, since it would still be running then. Larger than the
   // predicted time of any request that is on time.
   std::chrono::milliseconds reload_cost{600};
+  // Added for a slow target at which the answer would end after the caller's
+  // deadline, as for a reload.
+  std::chrono::milliseconds deadline_cost{600};
   // Bounds of Placement::retry_after.
   std::chrono::milliseconds min_retry_after{300};
   std::chrono::milliseconds max_retry_after{1800};
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -4763,6 +4763,11 @@
 void RegionTarget::__set_leaving(const bool val) {
   this->leaving = val;
 }
+
+void RegionTarget::__set_pace(const int32_t val) {
+  this->pace = val;
+__isset.pace = true;
+}
 std::ostream& operator<<(std::ostream& out, const RegionTarget& obj)
 {
   obj.printTo(out);
@@ -4831,6 +4836,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 50:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pace);
+          this->__isset.pace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4869,6 +4882,11 @@
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.pace) {
+    xfer += oprot->writeFieldBegin("pace", ::apache::thrift::protocol::T_I32, 50);
+    xfer += oprot->writeI32(this->pace);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4881,6 +4899,7 @@
   swap(a.loading, b.loading);
   swap(a.loads_in_ms, b.loads_in_ms);
   swap(a.leaving, b.leaving);
+  swap(a.pace, b.pace);
   swap(a.__isset, b.__isset);
 }
 
@@ -4890,6 +4909,7 @@
   loading = other138.loading;
   loads_in_ms = other138.loads_in_ms;
   leaving = other138.leaving;
+  pace = other138.pace;
   __isset = other138.__isset;
 }
 RegionTarget::RegionTarget(RegionTarget&& other139) noexcept {
@@ -4898,6 +4918,7 @@
   loading = other139.loading;
   loads_in_ms = other139.loads_in_ms;
   leaving = other139.leaving;
+  pace = other139.pace;
   __isset = other139.__isset;
 }
 RegionTarget& RegionTarget::operator=(const RegionTarget& other140) {
@@ -4906,6 +4927,7 @@
   loading = other140.loading;
   loads_in_ms = other140.loads_in_ms;
   leaving = other140.leaving;
+  pace = other140.pace;
   __isset = other140.__isset;
   return *this;
 }
@@ -4915,6 +4937,7 @@
   loading = other141.loading;
   loads_in_ms = other141.loads_in_ms;
   leaving = other141.leaving;
+  pace = other141.pace;
   __isset = other141.__isset;
   return *this;
 }
@@ -4926,6 +4949,7 @@
   out << ", " << "loading=" << to_string(loading);
   out << ", " << "loads_in_ms="; (__isset.loads_in_ms ? (out << to_string(loads_in_ms)) : (out << "<null>"));
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "pace="; (__isset.pace ? (out << to_string(pace)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5971,6 +5995,151 @@
 }
 
 
+MeasuredPace::~MeasuredPace() noexcept {
+}
+
+
+void MeasuredPace::__set_target_start(const int64_t val) {
+  this->target_start = val;
+}
+
+void MeasuredPace::__set_pace(const int32_t val) {
+  this->pace = val;
+}
+
+void MeasuredPace::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const MeasuredPace& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MeasuredPace::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->target_start);
+          this->__isset.target_start = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pace);
+          this->__isset.pace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t MeasuredPace::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("MeasuredPace");
+
+  xfer += oprot->writeFieldBegin("target_start", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->target_start);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pace", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->pace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(MeasuredPace &a, MeasuredPace &b) {
+  using ::std::swap;
+  swap(a.target_start, b.target_start);
+  swap(a.pace, b.pace);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+MeasuredPace::MeasuredPace(const MeasuredPace& other204) noexcept {
+  target_start = other204.target_start;
+  pace = other204.pace;
+  age_ms = other204.age_ms;
+  __isset = other204.__isset;
+}
+MeasuredPace::MeasuredPace(MeasuredPace&& other205) noexcept {
+  target_start = other205.target_start;
+  pace = other205.pace;
+  age_ms = other205.age_ms;
+  __isset = other205.__isset;
+}
+MeasuredPace& MeasuredPace::operator=(const MeasuredPace& other206) noexcept {
+  target_start = other206.target_start;
+  pace = other206.pace;
+  age_ms = other206.age_ms;
+  __isset = other206.__isset;
+  return *this;
+}
+MeasuredPace& MeasuredPace::operator=(MeasuredPace&& other207) noexcept {
+  target_start = other207.target_start;
+  pace = other207.pace;
+  age_ms = other207.age_ms;
+  __isset = other207.__isset;
+  return *this;
+}
+void MeasuredPace::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "MeasuredPace(";
+  out << "target_start=" << to_string(target_start);
+  out << ", " << "pace=" << to_string(pace);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
 Beat::~Beat() noexcept {
 }
 
@@ -6094,6 +6263,16 @@
 void Beat::__set_target_leaving(const bool val) {
   this->target_leaving = val;
 }
+
+void Beat::__set_target_pace(const int32_t val) {
+  this->target_pace = val;
+__isset.target_pace = true;
+}
+
+void Beat::__set_paces(const std::vector<MeasuredPace> & val) {
+  this->paces = val;
+__isset.paces = true;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -6190,14 +6369,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size204;
-            ::apache::thrift::protocol::TType _etype207;
-            xfer += iprot->readListBegin(_etype207, _size204);
-            this->loads.resize(_size204);
-            uint32_t _i208;
-            for (_i208 = 0; _i208 < _size204; ++_i208)
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->loads.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
             {
-              xfer += this->loads[_i208].read(iprot);
+              xfer += this->loads[_i212].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6210,14 +6389,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size209;
-            ::apache::thrift::protocol::TType _etype212;
-            xfer += iprot->readListBegin(_etype212, _size209);
-            this->known.resize(_size209);
-            uint32_t _i213;
-            for (_i213 = 0; _i213 < _size209; ++_i213)
+            uint32_t _size213;
+            ::apache::thrift::protocol::TType _etype216;
+            xfer += iprot->readListBegin(_etype216, _size213);
+            this->known.resize(_size213);
+            uint32_t _i217;
+            for (_i217 = 0; _i217 < _size213; ++_i217)
             {
-              xfer += iprot->readString(this->known[_i213]);
+              xfer += iprot->readString(this->known[_i217]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6318,14 +6497,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->summaries.clear();
-            uint32_t _size214;
-            ::apache::thrift::protocol::TType _etype217;
-            xfer += iprot->readListBegin(_etype217, _size214);
-            this->summaries.resize(_size214);
-            uint32_t _i218;
-            for (_i218 = 0; _i218 < _size214; ++_i218)
+            uint32_t _size218;
+            ::apache::thrift::protocol::TType _etype221;
+            xfer += iprot->readListBegin(_etype221, _size218);
+            this->summaries.resize(_size218);
+            uint32_t _i222;
+            for (_i222 = 0; _i222 < _size218; ++_i222)
             {
-              xfer += this->summaries[_i218].read(iprot);
+              xfer += this->summaries[_i222].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6378,14 +6557,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_targets.clear();
-            uint32_t _size219;
-            ::apache::thrift::protocol::TType _etype222;
-            xfer += iprot->readListBegin(_etype222, _size219);
-            this->leaving_targets.resize(_size219);
-            uint32_t _i223;
-            for (_i223 = 0; _i223 < _size219; ++_i223)
+            uint32_t _size223;
+            ::apache::thrift::protocol::TType _etype226;
+            xfer += iprot->readListBegin(_etype226, _size223);
+            this->leaving_targets.resize(_size223);
+            uint32_t _i227;
+            for (_i227 = 0; _i227 < _size223; ++_i227)
             {
-              xfer += iprot->readI64(this->leaving_targets[_i223]);
+              xfer += iprot->readI64(this->leaving_targets[_i227]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6402,6 +6581,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 50:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->target_pace);
+          this->__isset.target_pace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 51:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->paces.clear();
+            uint32_t _size228;
+            ::apache::thrift::protocol::TType _etype231;
+            xfer += iprot->readListBegin(_etype231, _size228);
+            this->paces.resize(_size228);
+            uint32_t _i232;
+            for (_i232 = 0; _i232 < _size228; ++_i232)
+            {
+              xfer += this->paces[_i232].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.paces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6454,10 +6661,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<TargetLoad> ::const_iterator _iter224;
-    for (_iter224 = this->loads.begin(); _iter224 != this->loads.end(); ++_iter224)
+    std::vector<TargetLoad> ::const_iterator _iter233;
+    for (_iter233 = this->loads.begin(); _iter233 != this->loads.end(); ++_iter233)
     {
-      xfer += (*_iter224).write(oprot);
+      xfer += (*_iter233).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6466,10 +6673,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter225;
-    for (_iter225 = this->known.begin(); _iter225 != this->known.end(); ++_iter225)
+    std::vector<std::string> ::const_iterator _iter234;
+    for (_iter234 = this->known.begin(); _iter234 != this->known.end(); ++_iter234)
     {
-      xfer += oprot->writeString((*_iter225));
+      xfer += oprot->writeString((*_iter234));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6523,10 +6730,10 @@
   xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
-    std::vector<RegionSummary> ::const_iterator _iter226;
-    for (_iter226 = this->summaries.begin(); _iter226 != this->summaries.end(); ++_iter226)
+    std::vector<RegionSummary> ::const_iterator _iter235;
+    for (_iter235 = this->summaries.begin(); _iter235 != this->summaries.end(); ++_iter235)
     {
-      xfer += (*_iter226).write(oprot);
+      xfer += (*_iter235).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6537,11 +6744,6 @@
     xfer += this->crash_news.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.request_crash_news) {
-    xfer += oprot->writeFieldBegin("request_crash_news", ::apache::thrift::protocol::T_STRUCT, 41);
-    xfer += this->request_crash_news.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 24);
   xfer += oprot->writeI64(this->era);
   xfer += oprot->writeFieldEnd();
@@ -6553,10 +6755,10 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 30);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<int64_t> ::const_iterator _iter227;
-    for (_iter227 = this->leaving_targets.begin(); _iter227 != this->leaving_targets.end(); ++_iter227)
+    std::vector<int64_t> ::const_iterator _iter236;
+    for (_iter236 = this->leaving_targets.begin(); _iter236 != this->leaving_targets.end(); ++_iter236)
     {
-      xfer += oprot->writeI64((*_iter227));
+      xfer += oprot->writeI64((*_iter236));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6571,6 +6773,29 @@
     xfer += oprot->writeI32(this->current_ms_ago);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.request_crash_news) {
+    xfer += oprot->writeFieldBegin("request_crash_news", ::apache::thrift::protocol::T_STRUCT, 41);
+    xfer += this->request_crash_news.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.target_pace) {
+    xfer += oprot->writeFieldBegin("target_pace", ::apache::thrift::protocol::T_I32, 50);
+    xfer += oprot->writeI32(this->target_pace);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.paces) {
+    xfer += oprot->writeFieldBegin("paces", ::apache::thrift::protocol::T_LIST, 51);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->paces.size()));
+      std::vector<MeasuredPace> ::const_iterator _iter237;
+      for (_iter237 = this->paces.begin(); _iter237 != this->paces.end(); ++_iter237)
+      {
+        xfer += (*_iter237).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6607,137 +6832,147 @@
   swap(a.current_ms_ago, b.current_ms_ago);
   swap(a.leaving_targets, b.leaving_targets);
   swap(a.target_leaving, b.target_leaving);
+  swap(a.target_pace, b.target_pace);
+  swap(a.paces, b.paces);
   swap(a.__isset, b.__isset);
 }
 
-Beat::Beat(const Beat& other228) {
-  instance = other228.instance;
-  role = other228.role;
-  ip = other228.ip;
-  zone = other228.zone;
-  region = other228.region;
-  caller_address = other228.caller_address;
-  state = other228.state;
-  revision = other228.revision;
-  loads = other228.loads;
-  known = other228.known;
-  target_address = other228.target_address;
-  model = other228.model;
-  staged_version = other228.staged_version;
-  held_chunks = other228.held_chunks;
-  serving_version = other228.serving_version;
-  loading = other228.loading;
-  fetching = other228.fetching;
-  loads_in_ms = other228.loads_in_ms;
-  operator_revision = other228.operator_revision;
-  store_answers = other228.store_answers;
-  digests_version = other228.digests_version;
-  summaries = other228.summaries;
-  crash_news = other228.crash_news;
-  request_crash_news = other228.request_crash_news;
-  era = other228.era;
-  config_version = other228.config_version;
-  current_ms_ago = other228.current_ms_ago;
-  leaving_targets = other228.leaving_targets;
-  target_leaving = other228.target_leaving;
-  __isset = other228.__isset;
-}
-Beat::Beat(Beat&& other229) noexcept {
-  instance = other229.instance;
-  role = other229.role;
-  ip = std::move(other229.ip);
-  zone = std::move(other229.zone);
-  region = std::move(other229.region);
-  caller_address = std::move(other229.caller_address);
-  state = other229.state;
-  revision = other229.revision;
-  loads = std::move(other229.loads);
-  known = std::move(other229.known);
-  target_address = std::move(other229.target_address);
-  model = std::move(other229.model);
-  staged_version = other229.staged_version;
-  held_chunks = std::move(other229.held_chunks);
-  serving_version = other229.serving_version;
-  loading = other229.loading;
-  fetching = std::move(other229.fetching);
-  loads_in_ms = other229.loads_in_ms;
-  operator_revision = other229.operator_revision;
-  store_answers = other229.store_answers;
-  digests_version = other229.digests_version;
-  summaries = std::move(other229.summaries);
-  crash_news = std::move(other229.crash_news);
-  request_crash_news = std::move(other229.request_crash_news);
-  era = other229.era;
-  config_version = other229.config_version;
-  current_ms_ago = other229.current_ms_ago;
-  leaving_targets = std::move(other229.leaving_targets);
-  target_leaving = other229.target_leaving;
-  __isset = other229.__isset;
-}
-Beat& Beat::operator=(const Beat& other230) {
-  instance = other230.instance;
-  role = other230.role;
-  ip = other230.ip;
-  zone = other230.zone;
-  region = other230.region;
-  caller_address = other230.caller_address;
-  state = other230.state;
-  revision = other230.revision;
-  loads = other230.loads;
-  known = other230.known;
-  target_address = other230.target_address;
-  model = other230.model;
-  staged_version = other230.staged_version;
-  held_chunks = other230.held_chunks;
-  serving_version = other230.serving_version;
-  loading = other230.loading;
-  fetching = other230.fetching;
-  loads_in_ms = other230.loads_in_ms;
-  operator_revision = other230.operator_revision;
-  store_answers = other230.store_answers;
-  digests_version = other230.digests_version;
-  summaries = other230.summaries;
-  crash_news = other230.crash_news;
-  request_crash_news = other230.request_crash_news;
-  era = other230.era;
-  config_version = other230.config_version;
-  current_ms_ago = other230.current_ms_ago;
-  leaving_targets = other230.leaving_targets;
-  target_leaving = other230.target_leaving;
-  __isset = other230.__isset;
+Beat::Beat(const Beat& other238) {
+  instance = other238.instance;
+  role = other238.role;
+  ip = other238.ip;
+  zone = other238.zone;
+  region = other238.region;
+  caller_address = other238.caller_address;
+  state = other238.state;
+  revision = other238.revision;
+  loads = other238.loads;
+  known = other238.known;
+  target_address = other238.target_address;
+  model = other238.model;
+  staged_version = other238.staged_version;
+  held_chunks = other238.held_chunks;
+  serving_version = other238.serving_version;
+  loading = other238.loading;
+  fetching = other238.fetching;
+  loads_in_ms = other238.loads_in_ms;
+  operator_revision = other238.operator_revision;
+  store_answers = other238.store_answers;
+  digests_version = other238.digests_version;
+  summaries = other238.summaries;
+  crash_news = other238.crash_news;
+  request_crash_news = other238.request_crash_news;
+  era = other238.era;
+  config_version = other238.config_version;
+  current_ms_ago = other238.current_ms_ago;
+  leaving_targets = other238.leaving_targets;
+  target_leaving = other238.target_leaving;
+  target_pace = other238.target_pace;
+  paces = other238.paces;
+  __isset = other238.__isset;
+}
+Beat::Beat(Beat&& other239) noexcept {
+  instance = other239.instance;
+  role = other239.role;
+  ip = std::move(other239.ip);
+  zone = std::move(other239.zone);
+  region = std::move(other239.region);
+  caller_address = std::move(other239.caller_address);
+  state = other239.state;
+  revision = other239.revision;
+  loads = std::move(other239.loads);
+  known = std::move(other239.known);
+  target_address = std::move(other239.target_address);
+  model = std::move(other239.model);
+  staged_version = other239.staged_version;
+  held_chunks = std::move(other239.held_chunks);
+  serving_version = other239.serving_version;
+  loading = other239.loading;
+  fetching = std::move(other239.fetching);
+  loads_in_ms = other239.loads_in_ms;
+  operator_revision = other239.operator_revision;
+  store_answers = other239.store_answers;
+  digests_version = other239.digests_version;
+  summaries = std::move(other239.summaries);
+  crash_news = std::move(other239.crash_news);
+  request_crash_news = std::move(other239.request_crash_news);
+  era = other239.era;
+  config_version = other239.config_version;
+  current_ms_ago = other239.current_ms_ago;
+  leaving_targets = std::move(other239.leaving_targets);
+  target_leaving = other239.target_leaving;
+  target_pace = other239.target_pace;
+  paces = std::move(other239.paces);
+  __isset = other239.__isset;
+}
+Beat& Beat::operator=(const Beat& other240) {
+  instance = other240.instance;
+  role = other240.role;
+  ip = other240.ip;
+  zone = other240.zone;
+  region = other240.region;
+  caller_address = other240.caller_address;
+  state = other240.state;
+  revision = other240.revision;
+  loads = other240.loads;
+  known = other240.known;
+  target_address = other240.target_address;
+  model = other240.model;
+  staged_version = other240.staged_version;
+  held_chunks = other240.held_chunks;
+  serving_version = other240.serving_version;
+  loading = other240.loading;
+  fetching = other240.fetching;
+  loads_in_ms = other240.loads_in_ms;
+  operator_revision = other240.operator_revision;
+  store_answers = other240.store_answers;
+  digests_version = other240.digests_version;
+  summaries = other240.summaries;
+  crash_news = other240.crash_news;
+  request_crash_news = other240.request_crash_news;
+  era = other240.era;
+  config_version = other240.config_version;
+  current_ms_ago = other240.current_ms_ago;
+  leaving_targets = other240.leaving_targets;
+  target_leaving = other240.target_leaving;
+  target_pace = other240.target_pace;
+  paces = other240.paces;
+  __isset = other240.__isset;
   return *this;
 }
-Beat& Beat::operator=(Beat&& other231) noexcept {
-  instance = other231.instance;
-  role = other231.role;
-  ip = std::move(other231.ip);
-  zone = std::move(other231.zone);
-  region = std::move(other231.region);
-  caller_address = std::move(other231.caller_address);
-  state = other231.state;
-  revision = other231.revision;
-  loads = std::move(other231.loads);
-  known = std::move(other231.known);
-  target_address = std::move(other231.target_address);
-  model = std::move(other231.model);
-  staged_version = other231.staged_version;
-  held_chunks = std::move(other231.held_chunks);
-  serving_version = other231.serving_version;
-  loading = other231.loading;
-  fetching = std::move(other231.fetching);
-  loads_in_ms = other231.loads_in_ms;
-  operator_revision = other231.operator_revision;
-  store_answers = other231.store_answers;
-  digests_version = other231.digests_version;
-  summaries = std::move(other231.summaries);
-  crash_news = std::move(other231.crash_news);
-  request_crash_news = std::move(other231.request_crash_news);
-  era = other231.era;
-  config_version = other231.config_version;
-  current_ms_ago = other231.current_ms_ago;
-  leaving_targets = std::move(other231.leaving_targets);
-  target_leaving = other231.target_leaving;
-  __isset = other231.__isset;
+Beat& Beat::operator=(Beat&& other241) noexcept {
+  instance = other241.instance;
+  role = other241.role;
+  ip = std::move(other241.ip);
+  zone = std::move(other241.zone);
+  region = std::move(other241.region);
+  caller_address = std::move(other241.caller_address);
+  state = other241.state;
+  revision = other241.revision;
+  loads = std::move(other241.loads);
+  known = std::move(other241.known);
+  target_address = std::move(other241.target_address);
+  model = std::move(other241.model);
+  staged_version = other241.staged_version;
+  held_chunks = std::move(other241.held_chunks);
+  serving_version = other241.serving_version;
+  loading = other241.loading;
+  fetching = std::move(other241.fetching);
+  loads_in_ms = other241.loads_in_ms;
+  operator_revision = other241.operator_revision;
+  store_answers = other241.store_answers;
+  digests_version = other241.digests_version;
+  summaries = std::move(other241.summaries);
+  crash_news = std::move(other241.crash_news);
+  request_crash_news = std::move(other241.request_crash_news);
+  era = other241.era;
+  config_version = other241.config_version;
+  current_ms_ago = other241.current_ms_ago;
+  leaving_targets = std::move(other241.leaving_targets);
+  target_leaving = other241.target_leaving;
+  target_pace = other241.target_pace;
+  paces = std::move(other241.paces);
+  __isset = other241.__isset;
   return *this;
 }
 void Beat::printTo(std::ostream& out) const {
@@ -6772,6 +7007,8 @@
   out << ", " << "current_ms_ago="; (__isset.current_ms_ago ? (out << to_string(current_ms_ago)) : (out << "<null>"));
   out << ", " << "leaving_targets=" << to_string(leaving_targets);
   out << ", " << "target_leaving=" << to_string(target_leaving);
+  out << ", " << "target_pace="; (__isset.target_pace ? (out << to_string(target_pace)) : (out << "<null>"));
+  out << ", " << "paces="; (__isset.paces ? (out << to_string(paces)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -126,6 +126,8 @@
 
 class CrashNews;
 
+class MeasuredPace;
+
 class Beat;
 
 typedef struct _Header__isset {
@@ -1888,12 +1890,13 @@
 std::ostream& operator<<(std::ostream& out, const RegionGateway& obj);
 
 typedef struct _RegionTarget__isset {
-  _RegionTarget__isset() : address(false), serving_version(false), loading(false), loads_in_ms(false), leaving(false) {}
+  _RegionTarget__isset() : address(false), serving_version(false), loading(false), loads_in_ms(false), leaving(false), pace(false) {}
   bool address :1;
   bool serving_version :1;
   bool loading :1;
   bool loads_in_ms :1;
   bool leaving :1;
+  bool pace :1;
 } _RegionTarget__isset;
 
 class RegionTarget : public virtual ::apache::thrift::TBase {
@@ -1908,7 +1911,8 @@
                  serving_version(0),
                  loading(0),
                  loads_in_ms(0),
-                 leaving(0) {
+                 leaving(0),
+                 pace(0) {
   }
 
   virtual ~RegionTarget() noexcept;
@@ -1917,6 +1921,7 @@
   bool loading;
   int32_t loads_in_ms;
   bool leaving;
+  int32_t pace;
 
   _RegionTarget__isset __isset;
 
@@ -1930,6 +1935,8 @@
 
   void __set_leaving(const bool val);
 
+  void __set_pace(const int32_t val);
+
   bool operator == (const RegionTarget & rhs) const
   {
     if (!(address == rhs.address))
@@ -1944,6 +1951,10 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (__isset.pace != rhs.__isset.pace)
+      return false;
+    else if (__isset.pace && !(pace == rhs.pace))
+      return false;
     return true;
   }
   bool operator != (const RegionTarget &rhs) const {
@@ -2306,8 +2317,67 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashNews& obj);
 
+typedef struct _MeasuredPace__isset {
+  _MeasuredPace__isset() : target_start(false), pace(false), age_ms(false) {}
+  bool target_start :1;
+  bool pace :1;
+  bool age_ms :1;
+} _MeasuredPace__isset;
+
+class MeasuredPace : public virtual ::apache::thrift::TBase {
+ public:
+
+  MeasuredPace(const MeasuredPace&) noexcept;
+  MeasuredPace(MeasuredPace&&) noexcept;
+  MeasuredPace& operator=(const MeasuredPace&) noexcept;
+  MeasuredPace& operator=(MeasuredPace&&) noexcept;
+  MeasuredPace() noexcept
+               : target_start(0),
+                 pace(0),
+                 age_ms(0) {
+  }
+
+  virtual ~MeasuredPace() noexcept;
+  int64_t target_start;
+  int32_t pace;
+  int32_t age_ms;
+
+  _MeasuredPace__isset __isset;
+
+  void __set_target_start(const int64_t val);
+
+  void __set_pace(const int32_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const MeasuredPace & rhs) const
+  {
+    if (!(target_start == rhs.target_start))
+      return false;
+    if (!(pace == rhs.pace))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const MeasuredPace &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MeasuredPace & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MeasuredPace &a, MeasuredPace &b);
+
+std::ostream& operator<<(std::ostream& out, const MeasuredPace& obj);
+
 typedef struct _Beat__isset {
-  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), request_crash_news(false), era(false), config_version(false), current_ms_ago(false), leaving_targets(false), target_leaving(false) {}
+  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), request_crash_news(false), era(false), config_version(false), current_ms_ago(false), leaving_targets(false), target_leaving(false), target_pace(false), paces(false) {}
   bool instance :1;
   bool role :1;
   bool ip :1;
@@ -2337,6 +2407,8 @@
   bool current_ms_ago :1;
   bool leaving_targets :1;
   bool target_leaving :1;
+  bool target_pace :1;
+  bool paces :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -2369,7 +2441,8 @@
          era(0),
          config_version(0),
          current_ms_ago(0),
-         target_leaving(0) {
+         target_leaving(0),
+         target_pace(0) {
   }
 
   virtual ~Beat() noexcept;
@@ -2402,6 +2475,8 @@
   int32_t current_ms_ago;
   std::vector<int64_t>  leaving_targets;
   bool target_leaving;
+  int32_t target_pace;
+  std::vector<MeasuredPace>  paces;
 
   _Beat__isset __isset;
 
@@ -2463,6 +2538,10 @@
 
   void __set_target_leaving(const bool val);
 
+  void __set_target_pace(const int32_t val);
+
+  void __set_paces(const std::vector<MeasuredPace> & val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2531,6 +2610,14 @@
       return false;
     if (!(target_leaving == rhs.target_leaving))
       return false;
+    if (__isset.target_pace != rhs.__isset.target_pace)
+      return false;
+    else if (__isset.target_pace && !(target_pace == rhs.target_pace))
+      return false;
+    if (__isset.paces != rhs.__isset.paces)
+      return false;
+    else if (__isset.paces && !(paces == rhs.paces))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -267,6 +267,8 @@
   4: optional i32 loads_in_ms
   // The target has told its stager that it leaves.
   30: bool leaving
+  // As Beat.target_pace.
+  50: optional i32 pace
 }
 
 // What one gateway knows of its region, for the gateways of other regions.
@@ -319,6 +321,16 @@
   3: list<PartQuarantine> quarantines
 }
 
+// The pace of a target as one gateway measured it (celerypost::TargetPace).
+struct MeasuredPace {
+  // Hash of one start of the target.
+  1: i64 target_start
+  // In hundredths.
+  2: i32 pace
+  // Time since the latest measurement.
+  3: i32 age_ms
+}
+
 // Sent as one datagram, without Header, between processes on the users'
 // platform.
 struct Beat {
@@ -375,4 +387,9 @@
   30: list<i64> leaving_targets
   // Stagers: the target has said that it leaves.
   31: bool target_leaving
+  // Stagers: the pace that the target reports, in hundredths; absent if it
+  // reports none.
+  50: optional i32 target_pace
+  // Gateways: own measurements that differ clearly from 1.
+  51: optional list<MeasuredPace> paces
 }
--- a/tests/platform/target_client_test.cc
+++ b/tests/platform/target_client_test.cc
@@ -96,5 +96,20 @@
   }
 }
 
+// Guards against a malformed pace that hides the rest of the report, and
+// against one that is taken for a number.
+TEST(TargetReportTest, ReadsThePaceAndLeavesOutMalformedOnes) {
+  const auto slow = this->GetReport(R"({"models":[],"pace":2.5})");
+  DOUBLES_EQUAL(2.5, *slow->pace, 1e-9);
+  for (const char* const odd :
+       {R"({"models":[]})", R"({"models":[],"pace":"2.5"})",
+        R"({"models":[],"pace":null})", R"({"models":[],"pace":0})",
+        R"({"models":[],"pace":-1})", R"({"models":[],"pace":[2]})"}) {
+    const auto report = this->GetReport(odd);
+    CHECK_TRUE_TEXT(report.has_value(), odd);
+    CHECK_FALSE_TEXT(report->pace.has_value(), odd);
+  }
+}
+
 }  // namespace
 }  // namespace celerypost::platform
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -220,7 +220,8 @@
   SizeBalance sizes{{}};
   PredictionErrors errors{{}};
   GatewayAdmission admission{*policy, sizes, errors};
-  TargetSelector selector{view, book, notices, admission, random, {}};
+  TargetPace paces{{}};
+  TargetSelector selector{view, book, notices, paces, admission, random, {}};
   // Holds less than a long answer.
   size_t evictions = 0;
   MemoryBudget small_memory{loop,
@@ -409,6 +410,7 @@
         this->book,
         this->selector,
         this->errors,
+        this->paces,
         this->crashes,
         this->request_crashes,
         this->notices,
--- a/tests/process/gateway/target_selector_test.cc
+++ b/tests/process/gateway/target_selector_test.cc
@@ -19,6 +19,7 @@
   ClusterView view{decoder, {}};
   TargetTracker book{{}};
   TargetNotices notices{{}};
+  TargetPace paces{{}};
   SizeBalance sizes{{}};
   SplitMixRandom random{1};
   std::unique_ptr<PlacementPolicy> policy = MakePredictivePolicy({}, random);
@@ -37,8 +38,8 @@
     options.regions_of_zones = {{ZoneName("north-a"), RegionName("north")},
                                 {ZoneName("south-a"), RegionName("south")}};
     this->selector = std::make_unique<TargetSelector>(
-        this->view, this->book, this->notices, this->admission, this->random,
-        options);
+        this->view, this->book, this->notices, this->paces, this->admission,
+        this->random, options);
     auto config = std::make_shared<GatewayConfig>();
     config->version = 1;
     ServiceConfig service;
@@ -122,7 +123,7 @@
 TEST(TargetSelectorTest, AStagersReportTellsThatItsTargetLeaves) {
   const TargetRegistration target = this->Target("t1", "north-a");
   this->Apply("t1", target);
-  StagerReport report{1, false, std::nullopt, this->now, true};
+  StagerReport report{1, false, std::nullopt, this->now, true, {}};
   this->selector->OnStagerReport(target.address.ToString(), report);
   STRCMP_EQUAL("leaving by its own word", this->Choose().c_str());
   report.leaving = false;
@@ -130,6 +131,27 @@
   STRCMP_EQUAL("t1", this->Choose().c_str());
 }
 
+// Guards against requests to a target that calls itself slow while another one
+// is as idle, and against avoiding the next start at its address.
+TEST(TargetSelectorTest, AvoidsATargetThatReportsToBeSlow) {
+  TargetRegistration slow = this->Target("t1", "north-a");
+  this->Apply("t1", slow);
+  this->Apply("t2", this->Target("t2", "north-a"));
+  this->request.placement.prompt_tokens = 500;
+  const StagerReport report{1, false, std::nullopt, this->now, false, 2.5};
+  this->selector->OnStagerReport(slow.address.ToString(), report);
+  for (int i = 0; i < 20; ++i) {
+    STRCMP_EQUAL("t2", this->Choose().c_str());
+  }
+  slow.started_at = milliseconds(9000);
+  this->Apply("t1", slow);
+  bool chosen = false;
+  for (int i = 0; i < 40; ++i) {
+    chosen = chosen || this->Choose() == "t1";
+  }
+  CHECK_TRUE(chosen);
+}
+
 // Guards against a target that gets nothing since an earlier one with its ID or
 // its address has left.
 TEST(TargetSelectorTest, TheNextStartWithTheSameIdOrAddressIsNotLeaving) {
--- a/tests/request/fleet_load.cc
+++ b/tests/request/fleet_load.cc
@@ -28,6 +28,7 @@
   int urgency = 5;
   double events_left = 0;
   bool had_event = false;
+  double last_event_ms = 0;
 };
 
 struct LoadTarget {
@@ -87,7 +88,12 @@
       if (now >= next_slow) {
         next_slow += Count(this->options.slow_period);
         for (LoadTarget& target : this->targets) {
-          target.slow = this->random.Unit() < this->options.slow_share;
+          const bool slow = this->random.Unit() < this->options.slow_share;
+          if (this->hooks.slow && slow != target.slow) {
+            this->hooks.slow(target.id, slow ? this->options.slow_factor : 1,
+                             At(now));
+          }
+          target.slow = slow;
         }
       }
       for (LoadTarget& target : this->targets) {
@@ -205,10 +211,11 @@
     }
     request.predicted_ms = Count(answer.placement.predicted);
     request.first_event_ms = now;
+    request.slowdown = candidates[*answer.placement.candidate].load.slowdown;
     gateway.book.OnSent(target.id, request.prompt_tokens, At(now));
     const int urgency = answer.urgency.value_or(5);
     target.waiting.emplace(
-        urgency, Work{index, gateway_index, urgency, request.events, false});
+        urgency, Work{index, gateway_index, urgency, request.events, false, 0});
   }
 
   // As TargetSelector derives it.
@@ -241,7 +248,14 @@
       --work.events_left;
       if (!work.had_event) {
         this->OnFirstEvent(target, work, now);
+      } else if (this->hooks.event) {
+        const EngineLoad load =
+            this->gateways[work.gateway]->book.LoadOf(target.id, At(now));
+        this->hooks.event(work.gateway, target.id, now - work.last_event_ms,
+                          std::min(load.in_flight, this->options.rates.slots),
+                          At(now));
       }
+      work.last_event_ms = now;
       if (work.events_left <= 0) {
         this->End(target, work, AttemptOutcome::kAnswered, now);
       }
--- a/tests/request/fleet_load.h
+++ b/tests/request/fleet_load.h
@@ -93,6 +93,8 @@
   // Predicted and real time from the last decision to the first event.
   double predicted_ms = 0;
   double first_event_ms = 0;
+  // EngineLoad::slowdown of the target that was chosen.
+  double slowdown = 1;
 };
 
 struct FleetLoadResult {
@@ -117,6 +119,17 @@
                      const LoadRequest& request,
                      TimePoint now)>
       first_event;
+  // The time since the last event of a request at `target`, which the gateway
+  // takes to run `running` requests.
+  std::function<void(size_t gateway,
+                     const std::string& target,
+                     double gap_ms,
+                     uint32_t running,
+                     TimePoint now)>
+      event;
+  // The target takes `factor` times as long for everything from now on.
+  std::function<void(const std::string& target, double factor, TimePoint now)>
+      slow;
   // Completes a request before the decision.
   std::function<void(size_t gateway,
                      const LoadRequest& request,
--- a/tests/request/placement_test.cc
+++ b/tests/request/placement_test.cc
@@ -47,6 +47,38 @@
   CHECK_EQUAL(1u, *placement.candidate);
 }
 
+// Guards against an answer that a slow target ends after the caller's deadline
+// while another target ends it before, and against a refusal where only the
+// slow one is left.
+TEST(PlacementTest, AvoidsASlowTargetThatWouldEndAfterTheDeadline) {
+  const auto policy = MakePredictivePolicy({}, this->random);
+  PlacementCandidate slow = this->Candidate(0, 0);
+  slow.load.slowdown = 1.5;
+  PlacementCandidate busy = this->Candidate(8, 900);
+  this->request.prompt_tokens = 200;
+  this->request.answer_tokens = 400;
+  this->request.deadline_left = milliseconds(6000);
+  CHECK_EQUAL(
+      0u, *policy->Place(&this->rates, {slow, busy}, this->request).candidate);
+  const double answer = AnswerTime(this->rates, 0, 400).count();
+  this->request.deadline_left =
+      milliseconds(static_cast<int64_t>(answer * 1.5));
+  CHECK_EQUAL(
+      1u, *policy->Place(&this->rates, {slow, busy}, this->request).candidate);
+  CHECK_EQUAL(0u,
+              *policy->Place(&this->rates, {slow}, this->request).candidate);
+}
+
+// Guards against refusals when all targets are slow: what even an idle one
+// would begin late is served late.
+TEST(PlacementTest, ServesLateWhenAllTargetsAreSlow) {
+  const auto policy = MakePredictivePolicy({}, this->random);
+  PlacementCandidate slow = this->Candidate(0, 0);
+  slow.load.slowdown = 8;
+  CHECK_TRUE(policy->Place(&this->rates, {slow, slow}, this->request)
+                 .candidate.has_value());
+}
+
 // Guards against accepting a request that no target can serve on time, which
 // would make others late as well, and against a refusal without a retry time.
 TEST(PlacementTest, RefusesAtOnceWhatWouldBeLate) {
