Judge by the pace relative to most targets, and play the loads

Measured paces under 1.5 were left out, which left nothing of the gain of measuring. Change: placement judges by the slowdown relative to the one that a quarter of the candidates does not exceed; measured paces count from 1.25 on, first events with half the weight.

--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -35,7 +35,7 @@
 
 // Weight of a first event in the measured pace. Its time also depends on the
 // requests that the prediction did not know of.
-constexpr double kFirstEventWeight = 0.25;
+constexpr double kFirstEventWeight = 0.5;
 
 constexpr std::string_view kNoTimeLeft = "no time left for another target";
 constexpr std::string_view kNotAllowed = "no further attempt is allowed";
--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -24,13 +24,23 @@
 // One answer in ten is longer still.
 constexpr double kAnswerLengthFactor = 1.4;
 
-// Returns the slowdown of the fastest candidate, at least 1.
-double LeastSlowdown(const std::vector<PlacementCandidate>& candidates) {
-  double least = std::numeric_limits<double>::max();
+// Returns the slowdown that a quarter of the candidates does not exceed, at
+// least 1. Requests are judged by the slowdown relative to it: when most
+// targets are slow, refusing what they would begin late would refuse most of
+// the load, and a late answer is better for its caller than none.
+double CommonSlowdown(const std::vector<PlacementCandidate>& candidates) {
+  std::vector<double> slowdowns;
+  slowdowns.reserve(candidates.size());
   for (const PlacementCandidate& candidate : candidates) {
-    least = std::min(least, std::max(1.0, candidate.load.slowdown));
+    slowdowns.push_back(std::max(1.0, candidate.load.slowdown));
   }
-  return candidates.empty() ? 1 : least;
+  if (slowdowns.empty()) {
+    return 1;
+  }
+  const auto quarter =
+      slowdowns.begin() + static_cast<ptrdiff_t>((slowdowns.size() - 1) / 4);
+  std::nth_element(slowdowns.begin(), quarter, slowdowns.end());
+  return *quarter;
 }
 
 class PredictivePolicy : public PlacementPolicy {
@@ -58,29 +68,22 @@
 
   // What a request is compared with, in milliseconds.
   struct Bounds {
-    // Predicted time to the first event at an idle target at a pace of 1, and
-    // at the pace of the fastest candidate.
+    // Predicted time to the first event at an idle target.
     double idle = 0;
-    double idle_at_pace = 0;
     double limit = 0;
     double deadline_left = 0;
   };
 
   Bounds BoundsOf(const EngineRates& rates,
-                  const std::vector<PlacementCandidate>& candidates,
                   const PlacementRequest& request) const {
     const Milliseconds idle =
         PredictFirstEvent(rates, EngineLoad(), request.prompt_tokens);
-    // When all targets are slow, what an idle one would begin late is served
-    // late instead of refused.
-    const Milliseconds idle_at_pace = idle * LeastSlowdown(candidates);
     const milliseconds on_time =
         std::min(request.on_time_left, request.deadline_left) -
         this->options.margin;
-    const bool late = request.late_anyway || idle_at_pace > on_time;
+    const bool late = request.late_anyway || idle > on_time;
     return {
         .idle = idle.count(),
-        .idle_at_pace = idle_at_pace.count(),
         .limit = static_cast<double>(
             (late ? std::min(this->options.late_limit, request.deadline_left)
                   : on_time)
@@ -95,8 +98,8 @@
                          const Bounds& bounds,
                          double slowdown,
                          double predicted) {
-    if (bounds.idle_at_pace > bounds.limit) {
-      return std::max(predicted - bounds.idle_at_pace - bounds.limit,
+    if (bounds.idle > bounds.limit) {
+      return std::max(predicted - bounds.idle - bounds.limit,
                       predicted - bounds.deadline_left);
     }
     const SizeLean& lean = request.size_lean;
@@ -124,7 +127,8 @@
   Placement PlaceOnEngine(const EngineRates& rates,
                           const std::vector<PlacementCandidate>& candidates,
                           const PlacementRequest& request) {
-    const Bounds bounds = this->BoundsOf(rates, candidates, request);
+    const Bounds bounds = this->BoundsOf(rates, request);
+    const double common = CommonSlowdown(candidates);
     Placement placement;
     double best_cost = std::numeric_limits<double>::max();
     double soonest = std::numeric_limits<double>::max();
@@ -137,39 +141,43 @@
     }
     for (const size_t index : order) {
       const PlacementCandidate& candidate = candidates[index];
+      const double slowdown = std::max(1.0, candidate.load.slowdown);
+      EngineLoad load = candidate.load;
+      load.slowdown = std::max(1.0, slowdown / common);
       const double predicted =
-          PredictFirstEvent(rates, candidate.load, request.prompt_tokens)
-              .count();
+          PredictFirstEvent(rates, load, request.prompt_tokens).count();
       soonest = std::min(soonest, predicted);
       placement.room_tokens = std::max(
           placement.room_tokens.value_or(std::numeric_limits<double>::lowest()),
           request.prompt_tokens + (bounds.limit - predicted) *
                                       rates.prompt_tokens_per_ms /
-                                      std::max(1.0, candidate.load.slowdown));
+                                      load.slowdown);
       const double over =
-          ExcessMs(rates, request, bounds, candidate.load.slowdown, predicted);
+          ExcessMs(rates, request, bounds, load.slowdown, predicted);
       excess = std::min(excess, over);
       if (over > 0) {
         continue;
       }
       double cost = predicted + this->PenaltyMs(candidate);
-      const double slowdown = std::max(1.0, candidate.load.slowdown);
+      const double first_event =
+          PredictFirstEvent(rates, candidate.load, request.prompt_tokens)
+              .count();
       const double answer =
           slowdown *
           AnswerTime(rates, candidate.load.in_flight, request.answer_tokens)
               .count();
       if (candidate.reload_in &&
-          predicted + kAnswerLengthFactor * answer >
+          first_event + kAnswerLengthFactor * answer >
               static_cast<double>(candidate.reload_in->count())) {
         cost += static_cast<double>(this->options.reload_cost.count());
       }
-      if (slowdown > 1 && predicted + answer > bounds.deadline_left) {
+      if (slowdown > 1 && first_event + answer > bounds.deadline_left) {
         cost += static_cast<double>(this->options.deadline_cost.count());
       }
       if (cost < best_cost) {
         best_cost = cost;
         placement.candidate = index;
-        placement.predicted = ToClampedDuration(predicted);
+        placement.predicted = ToClampedDuration(first_event);
       }
     }
     if (!placement.candidate) {
--- a/src/request/target_pace.cc
+++ b/src/request/target_pace.cc
@@ -122,7 +122,7 @@
     }
   }
   const double pace = LowerMedian(std::move(entries));
-  return pace >= this->options.least_measured ? pace : 1;
+  return pace > 1 + this->options.notable ? pace : 1;
 }
 
 double TargetPace::PaceOf(const std::string& address,
--- a/src/request/target_pace.h
+++ b/src/request/target_pace.h
@@ -18,11 +18,10 @@
   // Bounds of every pace.
   double min_pace = 0.5;
   double max_pace = 8;
-  // Own measurements that differ less from 1 are not shared.
+  // Own measurements that differ less from 1 are not shared. Measured paces
+  // that exceed 1 by less count as 1: the reading of other prompts makes single
+  // passes longer.
   double notable = 0.25;
-  // Measured paces below this count as 1: the reading of other prompts makes
-  // single passes longer.
-  double least_measured = 1.5;
   // A pace that a target reports to its stager holds alone for `report_period`,
   // the time between two beats without a change. Measurements then replace it
   // until `report_lifetime`.
