--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -80,6 +80,7 @@
       core(dependencies, NodeRole::kGateway),
       book({}),
       notices({}),
+      paces(options.paces),
       policy(MakePredictivePolicy({}, dependencies.random)),
       sizes({}),
       errors({}),
@@ -92,6 +93,7 @@
       selector(core.view(),
                book,
                notices,
+               paces,
                admission,
                dependencies.random,
                SelectorOptions(dependencies.settings)),
@@ -138,6 +140,7 @@
                     selector,
                     errors,
                     ranks,
+                    paces,
                     crashes,
                     request_crashes,
                     notices,
@@ -315,7 +318,10 @@
                      beat.__isset.loads_in_ms
                          ? std::optional(now + milliseconds(beat.loads_in_ms))
                          : std::nullopt,
-                     now, beat.target_leaving});
+                     now, beat.target_leaving,
+                     beat.__isset.target_pace
+                         ? std::optional(DecodePace(beat.target_pace))
+                         : std::nullopt});
     return;
   }
   const bool near = this->core.exchange().Near(peer);
@@ -339,6 +345,7 @@
           instance, DecodeRankCounts(beat.rank_counts),
           now + period * TargetTrackerOptions().max_missed_reports);
     }
+    this->paces.OnShared(instance, DecodePaces(beat.paces), now);
   }
   for (const wire::RegionSummary& summary : beat.summaries) {
     const RegionSummary decoded = DecodeSummary(summary);
@@ -420,7 +427,7 @@
         StagerReport{target.serving_version, target.loading,
                      target.loads_in ? std::optional(now + *target.loads_in)
                                      : std::nullopt,
-                     now, target.leaving});
+                     now, target.leaving, target.pace});
   }
 }
 
@@ -456,6 +463,10 @@
     beat.__set_rank_counts(EncodeRankCounts(rank_counts));
   }
   beat.leaving_targets = EncodeStarts(this->notices.RecentlyLeaving(now));
+  this->paces.Forget(now);
+  if (const auto paces = this->paces.Share(now); !paces.empty()) {
+    beat.__set_paces(EncodePaces(paces));
+  }
   for (const RegionSummary& summary : this->core.regions().TakeForwards()) {
     beat.summaries.push_back(EncodeSummary(summary));
   }
@@ -535,8 +546,13 @@
           {ip, beat.caller_address, static_cast<NodeState>(beat.state)});
       continue;
     }
-    RegionTarget target{beat.target_address, beat.serving_version, beat.loading,
-                        std::nullopt, beat.target_leaving};
+    RegionTarget target{beat.target_address, beat.serving_version,
+                        beat.loading,        std::nullopt,
+                        beat.target_leaving, std::nullopt};
+    if (beat.__isset.target_pace &&
+        now - peer.heard <= this->options.far_pace_age) {
+      target.pace = DecodePace(beat.target_pace);
+    }
     if (beat.__isset.loads_in_ms) {
       target.loads_in =
           milliseconds(beat.loads_in_ms) -
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -90,6 +90,19 @@
   Counter& late;
 };
 
+// Counts first events by their time as a multiple of the prediction, which
+// tells how good the predictions are that placement relies on.
+struct PredictionMetrics {
+  explicit PredictionMetrics(Metrics& metrics);
+  void Count(std::chrono::milliseconds predicted,
+             std::chrono::milliseconds measured);
+
+  // Upper bounds of the multiples; the last class has none.
+  static constexpr std::array<double, 7> kBounds = {0.5, 0.9, 1.1, 1.5,
+                                                    2,   3,   5};
+  std::array<Counter*, kBounds.size() + 1> first_events;
+};
+
 // Counters and histograms of relayed requests.
 struct RelayMetrics {
   explicit RelayMetrics(Metrics& metrics);
@@ -117,6 +130,7 @@
   SizedRequestMetrics refused_sizes;
   // By RankRuling::level.
   std::vector<RankRequestMetrics> ranks;
+  PredictionMetrics predictions;
   Histogram& first_event;
   Histogram& total;
 };
@@ -132,6 +146,7 @@
   TargetSelector& selector;
   PredictionErrors& errors;
   RankAdmission& ranks;
+  TargetPace& paces;
   CrashGuard& crashes;
   CrashGuard& request_crashes;
   TargetNotices& notices;
@@ -178,6 +193,9 @@
   TimePoint progress_at{};
   bool had_event = false;
   TimePoint first_event_at{};
+  // The stream was not read for a while, so the time to its next event says
+  // nothing about the target.
+  bool was_paused = false;
   // The target did not crash on the request (RelayOptions::survival_time).
   bool survived = false;
   bool ended = false;
@@ -314,12 +332,16 @@
   void KeepAttempt(std::string_view reason);
   void OnDeadline();
   void OnCallerDisconnected();
-  // The attempt has produced an event.
-  void NoteProgress();
   // The first decision on the request has been made.
   void CountRank();
   // The first event has come from the first target.
   void NoteFirstEventOfRank(TimePoint now);
+  // The attempt has produced events.
+  void NoteProgress(uint64_t events);
+  // Takes up what the first event, or the time between two, says about the pace
+  // of the target.
+  void MeasureFirstEvent(TimePoint now);
+  void MeasureGap(uint64_t events, TimePoint now);
   void NoteSurvival();
   // The answer is complete. Without a length or chunks, a crash of the target
   // looks the same.
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -4787,6 +4787,11 @@
 void RegionTarget::__set_leaving(const bool val) {
   this->leaving = val;
 }
+
+void RegionTarget::__set_pace(const int32_t val) {
+  this->pace = val;
+__isset.pace = true;
+}
 std::ostream& operator<<(std::ostream& out, const RegionTarget& obj)
 {
   obj.printTo(out);
@@ -4855,6 +4860,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 50:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pace);
+          this->__isset.pace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4893,6 +4906,11 @@
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.pace) {
+    xfer += oprot->writeFieldBegin("pace", ::apache::thrift::protocol::T_I32, 50);
+    xfer += oprot->writeI32(this->pace);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4905,6 +4923,7 @@
   swap(a.loading, b.loading);
   swap(a.loads_in_ms, b.loads_in_ms);
   swap(a.leaving, b.leaving);
+  swap(a.pace, b.pace);
   swap(a.__isset, b.__isset);
 }
 
@@ -4914,6 +4933,7 @@
   loading = other138.loading;
   loads_in_ms = other138.loads_in_ms;
   leaving = other138.leaving;
+  pace = other138.pace;
   __isset = other138.__isset;
 }
 RegionTarget::RegionTarget(RegionTarget&& other139) noexcept {
@@ -4922,6 +4942,7 @@
   loading = other139.loading;
   loads_in_ms = other139.loads_in_ms;
   leaving = other139.leaving;
+  pace = other139.pace;
   __isset = other139.__isset;
 }
 RegionTarget& RegionTarget::operator=(const RegionTarget& other140) {
@@ -4930,6 +4951,7 @@
   loading = other140.loading;
   loads_in_ms = other140.loads_in_ms;
   leaving = other140.leaving;
+  pace = other140.pace;
   __isset = other140.__isset;
   return *this;
 }
@@ -4939,6 +4961,7 @@
   loading = other141.loading;
   loads_in_ms = other141.loads_in_ms;
   leaving = other141.leaving;
+  pace = other141.pace;
   __isset = other141.__isset;
   return *this;
 }
@@ -4950,6 +4973,7 @@
   out << ", " << "loading=" << to_string(loading);
   out << ", " << "loads_in_ms="; (__isset.loads_in_ms ? (out << to_string(loads_in_ms)) : (out << "<null>"));
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "pace="; (__isset.pace ? (out << to_string(pace)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6294,6 +6318,151 @@
 }
 
 
+MeasuredPace::~MeasuredPace() noexcept {
+}
+
+
+void MeasuredPace::__set_target_start(const int64_t val) {
+  this->target_start = val;
+}
+
+void MeasuredPace::__set_pace(const int32_t val) {
+  this->pace = val;
+}
+
+void MeasuredPace::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const MeasuredPace& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MeasuredPace::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->target_start);
+          this->__isset.target_start = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pace);
+          this->__isset.pace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t MeasuredPace::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("MeasuredPace");
+
+  xfer += oprot->writeFieldBegin("target_start", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->target_start);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pace", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->pace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(MeasuredPace &a, MeasuredPace &b) {
+  using ::std::swap;
+  swap(a.target_start, b.target_start);
+  swap(a.pace, b.pace);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+MeasuredPace::MeasuredPace(const MeasuredPace& other214) noexcept {
+  target_start = other214.target_start;
+  pace = other214.pace;
+  age_ms = other214.age_ms;
+  __isset = other214.__isset;
+}
+MeasuredPace::MeasuredPace(MeasuredPace&& other215) noexcept {
+  target_start = other215.target_start;
+  pace = other215.pace;
+  age_ms = other215.age_ms;
+  __isset = other215.__isset;
+}
+MeasuredPace& MeasuredPace::operator=(const MeasuredPace& other216) noexcept {
+  target_start = other216.target_start;
+  pace = other216.pace;
+  age_ms = other216.age_ms;
+  __isset = other216.__isset;
+  return *this;
+}
+MeasuredPace& MeasuredPace::operator=(MeasuredPace&& other217) noexcept {
+  target_start = other217.target_start;
+  pace = other217.pace;
+  age_ms = other217.age_ms;
+  __isset = other217.__isset;
+  return *this;
+}
+void MeasuredPace::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "MeasuredPace(";
+  out << "target_start=" << to_string(target_start);
+  out << ", " << "pace=" << to_string(pace);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
 Beat::~Beat() noexcept {
 }
 
@@ -6422,6 +6591,16 @@
   this->rank_counts = val;
 __isset.rank_counts = true;
 }
+
+void Beat::__set_target_pace(const int32_t val) {
+  this->target_pace = val;
+__isset.target_pace = true;
+}
+
+void Beat::__set_paces(const std::vector<MeasuredPace> & val) {
+  this->paces = val;
+__isset.paces = true;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -6518,14 +6697,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size214;
-            ::apache::thrift::protocol::TType _etype217;
-            xfer += iprot->readListBegin(_etype217, _size214);
-            this->loads.resize(_size214);
-            uint32_t _i218;
-            for (_i218 = 0; _i218 < _size214; ++_i218)
+            uint32_t _size218;
+            ::apache::thrift::protocol::TType _etype221;
+            xfer += iprot->readListBegin(_etype221, _size218);
+            this->loads.resize(_size218);
+            uint32_t _i222;
+            for (_i222 = 0; _i222 < _size218; ++_i222)
             {
-              xfer += this->loads[_i218].read(iprot);
+              xfer += this->loads[_i222].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6538,14 +6717,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size219;
-            ::apache::thrift::protocol::TType _etype222;
-            xfer += iprot->readListBegin(_etype222, _size219);
-            this->known.resize(_size219);
-            uint32_t _i223;
-            for (_i223 = 0; _i223 < _size219; ++_i223)
+            uint32_t _size223;
+            ::apache::thrift::protocol::TType _etype226;
+            xfer += iprot->readListBegin(_etype226, _size223);
+            this->known.resize(_size223);
+            uint32_t _i227;
+            for (_i227 = 0; _i227 < _size223; ++_i227)
             {
-              xfer += iprot->readString(this->known[_i223]);
+              xfer += iprot->readString(this->known[_i227]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6646,14 +6825,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->summaries.clear();
-            uint32_t _size224;
-            ::apache::thrift::protocol::TType _etype227;
-            xfer += iprot->readListBegin(_etype227, _size224);
-            this->summaries.resize(_size224);
-            uint32_t _i228;
-            for (_i228 = 0; _i228 < _size224; ++_i228)
+            uint32_t _size228;
+            ::apache::thrift::protocol::TType _etype231;
+            xfer += iprot->readListBegin(_etype231, _size228);
+            this->summaries.resize(_size228);
+            uint32_t _i232;
+            for (_i232 = 0; _i232 < _size228; ++_i232)
             {
-              xfer += this->summaries[_i228].read(iprot);
+              xfer += this->summaries[_i232].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6706,14 +6885,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_targets.clear();
-            uint32_t _size229;
-            ::apache::thrift::protocol::TType _etype232;
-            xfer += iprot->readListBegin(_etype232, _size229);
-            this->leaving_targets.resize(_size229);
-            uint32_t _i233;
-            for (_i233 = 0; _i233 < _size229; ++_i233)
+            uint32_t _size233;
+            ::apache::thrift::protocol::TType _etype236;
+            xfer += iprot->readListBegin(_etype236, _size233);
+            this->leaving_targets.resize(_size233);
+            uint32_t _i237;
+            for (_i237 = 0; _i237 < _size233; ++_i237)
             {
-              xfer += iprot->readI64(this->leaving_targets[_i233]);
+              xfer += iprot->readI64(this->leaving_targets[_i237]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6734,14 +6913,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rank_counts.clear();
-            uint32_t _size234;
-            ::apache::thrift::protocol::TType _etype237;
-            xfer += iprot->readListBegin(_etype237, _size234);
-            this->rank_counts.resize(_size234);
-            uint32_t _i238;
-            for (_i238 = 0; _i238 < _size234; ++_i238)
+            uint32_t _size238;
+            ::apache::thrift::protocol::TType _etype241;
+            xfer += iprot->readListBegin(_etype241, _size238);
+            this->rank_counts.resize(_size238);
+            uint32_t _i242;
+            for (_i242 = 0; _i242 < _size238; ++_i242)
             {
-              xfer += this->rank_counts[_i238].read(iprot);
+              xfer += this->rank_counts[_i242].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6750,6 +6929,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 50:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->target_pace);
+          this->__isset.target_pace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 51:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->paces.clear();
+            uint32_t _size243;
+            ::apache::thrift::protocol::TType _etype246;
+            xfer += iprot->readListBegin(_etype246, _size243);
+            this->paces.resize(_size243);
+            uint32_t _i247;
+            for (_i247 = 0; _i247 < _size243; ++_i247)
+            {
+              xfer += this->paces[_i247].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.paces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6802,10 +7009,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<TargetLoad> ::const_iterator _iter239;
-    for (_iter239 = this->loads.begin(); _iter239 != this->loads.end(); ++_iter239)
+    std::vector<TargetLoad> ::const_iterator _iter248;
+    for (_iter248 = this->loads.begin(); _iter248 != this->loads.end(); ++_iter248)
     {
-      xfer += (*_iter239).write(oprot);
+      xfer += (*_iter248).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6814,10 +7021,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter240;
-    for (_iter240 = this->known.begin(); _iter240 != this->known.end(); ++_iter240)
+    std::vector<std::string> ::const_iterator _iter249;
+    for (_iter249 = this->known.begin(); _iter249 != this->known.end(); ++_iter249)
     {
-      xfer += oprot->writeString((*_iter240));
+      xfer += oprot->writeString((*_iter249));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6871,10 +7078,10 @@
   xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
-    std::vector<RegionSummary> ::const_iterator _iter241;
-    for (_iter241 = this->summaries.begin(); _iter241 != this->summaries.end(); ++_iter241)
+    std::vector<RegionSummary> ::const_iterator _iter250;
+    for (_iter250 = this->summaries.begin(); _iter250 != this->summaries.end(); ++_iter250)
     {
-      xfer += (*_iter241).write(oprot);
+      xfer += (*_iter250).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6896,10 +7103,10 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 30);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<int64_t> ::const_iterator _iter242;
-    for (_iter242 = this->leaving_targets.begin(); _iter242 != this->leaving_targets.end(); ++_iter242)
+    std::vector<int64_t> ::const_iterator _iter251;
+    for (_iter251 = this->leaving_targets.begin(); _iter251 != this->leaving_targets.end(); ++_iter251)
     {
-      xfer += oprot->writeI64((*_iter242));
+      xfer += oprot->writeI64((*_iter251));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6919,14 +7126,32 @@
     xfer += this->request_crash_news.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.target_pace) {
+    xfer += oprot->writeFieldBegin("target_pace", ::apache::thrift::protocol::T_I32, 50);
+    xfer += oprot->writeI32(this->target_pace);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.paces) {
+    xfer += oprot->writeFieldBegin("paces", ::apache::thrift::protocol::T_LIST, 51);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->paces.size()));
+      std::vector<MeasuredPace> ::const_iterator _iter252;
+      for (_iter252 = this->paces.begin(); _iter252 != this->paces.end(); ++_iter252)
+      {
+        xfer += (*_iter252).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.rank_counts) {
     xfer += oprot->writeFieldBegin("rank_counts", ::apache::thrift::protocol::T_LIST, 60);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rank_counts.size()));
-      std::vector<RankCounts> ::const_iterator _iter243;
-      for (_iter243 = this->rank_counts.begin(); _iter243 != this->rank_counts.end(); ++_iter243)
+      std::vector<RankCounts> ::const_iterator _iter253;
+      for (_iter253 = this->rank_counts.begin(); _iter253 != this->rank_counts.end(); ++_iter253)
       {
-        xfer += (*_iter243).write(oprot);
+        xfer += (*_iter253).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -6969,141 +7194,151 @@
   swap(a.leaving_targets, b.leaving_targets);
   swap(a.target_leaving, b.target_leaving);
   swap(a.rank_counts, b.rank_counts);
+  swap(a.target_pace, b.target_pace);
+  swap(a.paces, b.paces);
   swap(a.__isset, b.__isset);
 }
 
-Beat::Beat(const Beat& other244) {
-  instance = other244.instance;
-  role = other244.role;
-  ip = other244.ip;
-  zone = other244.zone;
-  region = other244.region;
-  caller_address = other244.caller_address;
-  state = other244.state;
-  revision = other244.revision;
-  loads = other244.loads;
-  known = other244.known;
-  target_address = other244.target_address;
-  model = other244.model;
-  staged_version = other244.staged_version;
-  held_chunks = other244.held_chunks;
-  serving_version = other244.serving_version;
-  loading = other244.loading;
-  fetching = other244.fetching;
-  loads_in_ms = other244.loads_in_ms;
-  operator_revision = other244.operator_revision;
-  store_answers = other244.store_answers;
-  digests_version = other244.digests_version;
-  summaries = other244.summaries;
-  crash_news = other244.crash_news;
-  request_crash_news = other244.request_crash_news;
-  era = other244.era;
-  config_version = other244.config_version;
-  current_ms_ago = other244.current_ms_ago;
-  leaving_targets = other244.leaving_targets;
-  target_leaving = other244.target_leaving;
-  rank_counts = other244.rank_counts;
-  __isset = other244.__isset;
-}
-Beat::Beat(Beat&& other245) noexcept {
-  instance = other245.instance;
-  role = other245.role;
-  ip = std::move(other245.ip);
-  zone = std::move(other245.zone);
-  region = std::move(other245.region);
-  caller_address = std::move(other245.caller_address);
-  state = other245.state;
-  revision = other245.revision;
-  loads = std::move(other245.loads);
-  known = std::move(other245.known);
-  target_address = std::move(other245.target_address);
-  model = std::move(other245.model);
-  staged_version = other245.staged_version;
-  held_chunks = std::move(other245.held_chunks);
-  serving_version = other245.serving_version;
-  loading = other245.loading;
-  fetching = std::move(other245.fetching);
-  loads_in_ms = other245.loads_in_ms;
-  operator_revision = other245.operator_revision;
-  store_answers = other245.store_answers;
-  digests_version = other245.digests_version;
-  summaries = std::move(other245.summaries);
-  crash_news = std::move(other245.crash_news);
-  request_crash_news = std::move(other245.request_crash_news);
-  era = other245.era;
-  config_version = other245.config_version;
-  current_ms_ago = other245.current_ms_ago;
-  leaving_targets = std::move(other245.leaving_targets);
-  target_leaving = other245.target_leaving;
-  rank_counts = std::move(other245.rank_counts);
-  __isset = other245.__isset;
-}
-Beat& Beat::operator=(const Beat& other246) {
-  instance = other246.instance;
-  role = other246.role;
-  ip = other246.ip;
-  zone = other246.zone;
-  region = other246.region;
-  caller_address = other246.caller_address;
-  state = other246.state;
-  revision = other246.revision;
-  loads = other246.loads;
-  known = other246.known;
-  target_address = other246.target_address;
-  model = other246.model;
-  staged_version = other246.staged_version;
-  held_chunks = other246.held_chunks;
-  serving_version = other246.serving_version;
-  loading = other246.loading;
-  fetching = other246.fetching;
-  loads_in_ms = other246.loads_in_ms;
-  operator_revision = other246.operator_revision;
-  store_answers = other246.store_answers;
-  digests_version = other246.digests_version;
-  summaries = other246.summaries;
-  crash_news = other246.crash_news;
-  request_crash_news = other246.request_crash_news;
-  era = other246.era;
-  config_version = other246.config_version;
-  current_ms_ago = other246.current_ms_ago;
-  leaving_targets = other246.leaving_targets;
-  target_leaving = other246.target_leaving;
-  rank_counts = other246.rank_counts;
-  __isset = other246.__isset;
+Beat::Beat(const Beat& other254) {
+  instance = other254.instance;
+  role = other254.role;
+  ip = other254.ip;
+  zone = other254.zone;
+  region = other254.region;
+  caller_address = other254.caller_address;
+  state = other254.state;
+  revision = other254.revision;
+  loads = other254.loads;
+  known = other254.known;
+  target_address = other254.target_address;
+  model = other254.model;
+  staged_version = other254.staged_version;
+  held_chunks = other254.held_chunks;
+  serving_version = other254.serving_version;
+  loading = other254.loading;
+  fetching = other254.fetching;
+  loads_in_ms = other254.loads_in_ms;
+  operator_revision = other254.operator_revision;
+  store_answers = other254.store_answers;
+  digests_version = other254.digests_version;
+  summaries = other254.summaries;
+  crash_news = other254.crash_news;
+  request_crash_news = other254.request_crash_news;
+  era = other254.era;
+  config_version = other254.config_version;
+  current_ms_ago = other254.current_ms_ago;
+  leaving_targets = other254.leaving_targets;
+  target_leaving = other254.target_leaving;
+  rank_counts = other254.rank_counts;
+  target_pace = other254.target_pace;
+  paces = other254.paces;
+  __isset = other254.__isset;
+}
+Beat::Beat(Beat&& other255) noexcept {
+  instance = other255.instance;
+  role = other255.role;
+  ip = std::move(other255.ip);
+  zone = std::move(other255.zone);
+  region = std::move(other255.region);
+  caller_address = std::move(other255.caller_address);
+  state = other255.state;
+  revision = other255.revision;
+  loads = std::move(other255.loads);
+  known = std::move(other255.known);
+  target_address = std::move(other255.target_address);
+  model = std::move(other255.model);
+  staged_version = other255.staged_version;
+  held_chunks = std::move(other255.held_chunks);
+  serving_version = other255.serving_version;
+  loading = other255.loading;
+  fetching = std::move(other255.fetching);
+  loads_in_ms = other255.loads_in_ms;
+  operator_revision = other255.operator_revision;
+  store_answers = other255.store_answers;
+  digests_version = other255.digests_version;
+  summaries = std::move(other255.summaries);
+  crash_news = std::move(other255.crash_news);
+  request_crash_news = std::move(other255.request_crash_news);
+  era = other255.era;
+  config_version = other255.config_version;
+  current_ms_ago = other255.current_ms_ago;
+  leaving_targets = std::move(other255.leaving_targets);
+  target_leaving = other255.target_leaving;
+  rank_counts = std::move(other255.rank_counts);
+  target_pace = other255.target_pace;
+  paces = std::move(other255.paces);
+  __isset = other255.__isset;
+}
+Beat& Beat::operator=(const Beat& other256) {
+  instance = other256.instance;
+  role = other256.role;
+  ip = other256.ip;
+  zone = other256.zone;
+  region = other256.region;
+  caller_address = other256.caller_address;
+  state = other256.state;
+  revision = other256.revision;
+  loads = other256.loads;
+  known = other256.known;
+  target_address = other256.target_address;
+  model = other256.model;
+  staged_version = other256.staged_version;
+  held_chunks = other256.held_chunks;
+  serving_version = other256.serving_version;
+  loading = other256.loading;
+  fetching = other256.fetching;
+  loads_in_ms = other256.loads_in_ms;
+  operator_revision = other256.operator_revision;
+  store_answers = other256.store_answers;
+  digests_version = other256.digests_version;
+  summaries = other256.summaries;
+  crash_news = other256.crash_news;
+  request_crash_news = other256.request_crash_news;
+  era = other256.era;
+  config_version = other256.config_version;
+  current_ms_ago = other256.current_ms_ago;
+  leaving_targets = other256.leaving_targets;
+  target_leaving = other256.target_leaving;
+  rank_counts = other256.rank_counts;
+  target_pace = other256.target_pace;
+  paces = other256.paces;
+  __isset = other256.__isset;
   return *this;
 }
-Beat& Beat::operator=(Beat&& other247) noexcept {
-  instance = other247.instance;
-  role = other247.role;
-  ip = std::move(other247.ip);
-  zone = std::move(other247.zone);
-  region = std::move(other247.region);
-  caller_address = std::move(other247.caller_address);
-  state = other247.state;
-  revision = other247.revision;
-  loads = std::move(other247.loads);
-  known = std::move(other247.known);
-  target_address = std::move(other247.target_address);
-  model = std::move(other247.model);
-  staged_version = other247.staged_version;
-  held_chunks = std::move(other247.held_chunks);
-  serving_version = other247.serving_version;
-  loading = other247.loading;
-  fetching = std::move(other247.fetching);
-  loads_in_ms = other247.loads_in_ms;
-  operator_revision = other247.operator_revision;
-  store_answers = other247.store_answers;
-  digests_version = other247.digests_version;
-  summaries = std::move(other247.summaries);
-  crash_news = std::move(other247.crash_news);
-  request_crash_news = std::move(other247.request_crash_news);
-  era = other247.era;
-  config_version = other247.config_version;
-  current_ms_ago = other247.current_ms_ago;
-  leaving_targets = std::move(other247.leaving_targets);
-  target_leaving = other247.target_leaving;
-  rank_counts = std::move(other247.rank_counts);
-  __isset = other247.__isset;
+Beat& Beat::operator=(Beat&& other257) noexcept {
+  instance = other257.instance;
+  role = other257.role;
+  ip = std::move(other257.ip);
+  zone = std::move(other257.zone);
+  region = std::move(other257.region);
+  caller_address = std::move(other257.caller_address);
+  state = other257.state;
+  revision = other257.revision;
+  loads = std::move(other257.loads);
+  known = std::move(other257.known);
+  target_address = std::move(other257.target_address);
+  model = std::move(other257.model);
+  staged_version = other257.staged_version;
+  held_chunks = std::move(other257.held_chunks);
+  serving_version = other257.serving_version;
+  loading = other257.loading;
+  fetching = std::move(other257.fetching);
+  loads_in_ms = other257.loads_in_ms;
+  operator_revision = other257.operator_revision;
+  store_answers = other257.store_answers;
+  digests_version = other257.digests_version;
+  summaries = std::move(other257.summaries);
+  crash_news = std::move(other257.crash_news);
+  request_crash_news = std::move(other257.request_crash_news);
+  era = other257.era;
+  config_version = other257.config_version;
+  current_ms_ago = other257.current_ms_ago;
+  leaving_targets = std::move(other257.leaving_targets);
+  target_leaving = other257.target_leaving;
+  rank_counts = std::move(other257.rank_counts);
+  target_pace = other257.target_pace;
+  paces = std::move(other257.paces);
+  __isset = other257.__isset;
   return *this;
 }
 void Beat::printTo(std::ostream& out) const {
@@ -7139,6 +7374,8 @@
   out << ", " << "leaving_targets=" << to_string(leaving_targets);
   out << ", " << "target_leaving=" << to_string(target_leaving);
   out << ", " << "rank_counts="; (__isset.rank_counts ? (out << to_string(rank_counts)) : (out << "<null>"));
+  out << ", " << "target_pace="; (__isset.target_pace ? (out << to_string(target_pace)) : (out << "<null>"));
+  out << ", " << "paces="; (__isset.paces ? (out << to_string(paces)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -270,6 +270,8 @@
   4: optional i32 loads_in_ms
   // The target has told its stager that it leaves.
   30: bool leaving
+  // As Beat.target_pace.
+  50: optional i32 pace
 }
 
 // Decisions of the last second on the requests of a service and a rank
@@ -339,6 +341,16 @@
   3: list<PartQuarantine> quarantines
 }
 
+// The pace of a target as one gateway measured it (celerypost::TargetPace).
+struct MeasuredPace {
+  // Hash of one start of the target.
+  1: i64 target_start
+  // In hundredths.
+  2: i32 pace
+  // Time since the latest measurement.
+  3: i32 age_ms
+}
+
 // Sent as one datagram, without Header, between processes on the users'
 // platform.
 struct Beat {
@@ -397,4 +409,9 @@
   31: bool target_leaving
   // Gateways: the sender's own counts; absent where no ranks are told apart.
   60: optional list<RankCounts> rank_counts
+  // Stagers: the pace that the target reports, in hundredths; absent if it
+  // reports none.
+  50: optional i32 target_pace
+  // Gateways: own measurements that differ clearly from 1.
+  51: optional list<MeasuredPace> paces
 }
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -229,7 +229,8 @@
   ReturnPromises promises{{}, random};
   LateResponses late_responses{callers, late, promises};
   GatewayAdmission admission{*policy, sizes, errors, ranks, &late_responses};
-  TargetSelector selector{view, book, notices, admission, random, {}};
+  TargetPace paces{{}};
+  TargetSelector selector{view, book, notices, paces, admission, random, {}};
   // Holds less than a long answer.
   size_t evictions = 0;
   MemoryBudget small_memory{loop,
@@ -419,6 +420,7 @@
         this->selector,
         this->errors,
         this->ranks,
+        this->paces,
         this->crashes,
         this->request_crashes,
         this->notices,
