Test responses whose status is not one of HTTP

A target may send a status line such as "HTTP/1.1 000". The tests send statuses outside 100 to 599 and malformed ones to both clients, through a relay task, and from a handler to Http1Server, and a flood of interim responses.

--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -268,6 +268,51 @@
   }
 }
 
+// Guards against a response without a status of HTTP that is skipped as interim
+// or passed on: what follows it on the connection would be taken for the
+// response.
+TEST(Http1Test, FailsAResponseWhoseStatusIsNotHttp) {
+  for (const std::string status :
+       {"000", "00", "0", "1", "20", "099", "99", "-1", "-200", "600", "999",
+        "1000", "2000", "99999999999", "2x0"}) {
+    for (const std::string rest :
+         {"Content-Length: 2\r\n\r\nno", "Content-Length: 0\r\n\r\n", "\r\n"}) {
+      RawServer server([&](int descriptor) {
+        Send(descriptor, "HTTP/1.1 " + status + " No\r\n" + rest +
+                             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+      });
+      Http1Client client(this->loop, server.address(), {});
+      Http1SendOptions options;
+      bool had_head = false;
+      options.accepts = [&had_head](const HttpResponseHead&) {
+        had_head = true;
+        return true;
+      };
+      const auto result = this->Fetch(client, options);
+      CHECK_FALSE_TEXT(result.has_value(), status.c_str());
+      CHECK_FALSE_TEXT(had_head, status.c_str());
+      CHECK_TRUE(result.error().verdict == Verdict::kMayHaveRun);
+      CHECK_TRUE(result.error().code == ErrorCode::kCorrupt);
+    }
+  }
+}
+
+// Guards against a check of the status that fails the lowest and highest ones.
+TEST(Http1Test, AcceptsEveryStatusOfHttp) {
+  for (const int status : {200, 299, 404, 599}) {
+    RawServer server([&](int descriptor) {
+      Send(descriptor,
+           "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Early\r\n\r\n"
+           "HTTP/1.1 " +
+               std::to_string(status) + " Some\r\nContent-Length: 2\r\n\r\nok");
+    });
+    Http1Client client(this->loop, server.address(), {});
+    const auto result = this->Fetch(client);
+    CHECK_TRUE(result.has_value());
+    CHECK_EQUAL(status, result->status);
+  }
+}
+
 // Guards against a response to HEAD that is taken for cut: it has the length of
 // a body, or none, and no body.
 TEST(Http1Test, AResponseToHeadHasNoBody) {
@@ -778,6 +823,21 @@
   close(large_body);
 }
 
+// Guards against a response without a status of HTTP that reaches a caller.
+TEST(Http1ServerTest, SendsNoStatusThatIsNotHttp) {
+  this->Serve();
+  for (const int status : {-1, 0, 99, 101, 199, 600, 1000}) {
+    const int caller = this->Connect();
+    Send(caller, "GET /a HTTP/1.1\r\n\r\n");
+    this->RunUntil([&] { return this->responder != nullptr; });
+    this->responder->Send(status, {}, "no");
+    CHECK_TRUE(this->responder->closed());
+    this->responder.reset();
+    STRCMP_EQUAL("", this->ReceiveAll(caller).c_str());
+    close(caller);
+  }
+}
+
 // Guards against a planned stop that closes a connection before its answer is
 // sent, or keeps it open afterwards.
 TEST(Http1ServerTest, ClosesAfterTheAnswerWhenItStops) {
--- a/tests/connection/http_test.cc
+++ b/tests/connection/http_test.cc
@@ -104,11 +104,11 @@
     return result;
   }
 
-  // Fetches from a server that sends "HTTP/1.1 200 OK" and `rest` on its first
-  // connection and then closes or resets it with `end`.
-  Result<HttpResponse> FetchRaw(const std::string& rest,
-                                void (*end)(uv_tcp_t*)) {
-    RawServer raw{{}, "HTTP/1.1 200 OK\r\n" + rest, end};
+  // Fetches from a server that sends "HTTP/1.1 ", `status` and `rest` on its
+  // first connection and then closes or resets it with `end`.
+  Result<HttpResponse> FetchRaw(const std::string& rest, void (*end)(uv_tcp_t*),
+                                const std::string& status = "200") {
+    RawServer raw{{}, "HTTP/1.1 " + status + " OK\r\n" + rest, end};
     uv_tcp_init(this->loop.uv(), &raw.listener);
     raw.listener.data = &raw;
     sockaddr_in address{};
@@ -141,6 +141,19 @@
   }
 };
 
+// Guards against a response without a status of HTTP that counts as one.
+TEST(HttpTest, AnswerWhoseStatusIsNotHttpFailsTheCall) {
+  for (const std::string status :
+       {"000", "00", "099", "99", "-1", "600", "999", "1000"}) {
+    const auto response =
+        this->FetchRaw("Content-Length: 2\r\n\r\nok", ShutDown, status);
+    CHECK_FALSE_TEXT(response.has_value(), status.c_str());
+    CHECK_TRUE(response.error().verdict == Verdict::kMayHaveRun);
+  }
+  CHECK_TRUE(this->FetchRaw("Content-Length: 2\r\n\r\nok", ShutDown, "599")
+                 .has_value());
+}
+
 // Guards against lost headers, bodies or paths between client and server.
 TEST(HttpTest, CarriesRequestAndResponse) {
   this->Serve([](HttpRequest request, std::shared_ptr<HttpResponder> out) {
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -674,6 +674,58 @@
   CHECK_EQUAL(0u, this->small_memory.used());
 }
 
+// A response without a status of HTTP and one with it after it.
+TargetReply WithStatus(const std::string& status) {
+  return {"HTTP/1.1 " + status + " No\r\nContent-Length: 0\r\n\r\n" +
+          WithLength("late").bytes};
+}
+
+// Guards against a response without a status of HTTP that reaches the caller,
+// or that is skipped as interim so that the bytes after it pass for the
+// response.
+TEST(RelayTaskTest, AResponseWhoseStatusIsNotHttpBreaksTheAttempt) {
+  Route route = PlainRoute();
+  route.kind = RouteKind::kNonIdempotent;
+  for (const std::string status :
+       {"000", "00", "099", "-1", "600", "999", "1000"}) {
+    this->BeginCase();
+    const CallerAnswer answer =
+        this->Relay(route, {WithStatus(status), WithLength("second")});
+    CHECK_EQUAL_TEXT(502, answer.status, status.c_str());
+    CHECK_EQUAL(1u, this->received.size());
+  }
+}
+
+// Guards against a response with a status under those of HTTP that ends a
+// request which may be repeated.
+TEST(RelayTaskTest, ARequestIsRepeatedAfterAStatusUnderThoseOfHttp) {
+  const CallerAnswer answer =
+      this->Relay(PlainRoute(), {WithStatus("000"), WithLength("second")});
+  CHECK_EQUAL(200, answer.status);
+  STRCMP_EQUAL("second", answer.body.c_str());
+}
+
+// The same for a status over them.
+TEST(RelayTaskTest, ARequestIsRepeatedAfterAStatusOverThoseOfHttp) {
+  const CallerAnswer answer =
+      this->Relay(PlainRoute(), {WithStatus("600"), WithLength("second")});
+  CHECK_EQUAL(200, answer.status);
+  STRCMP_EQUAL("second", answer.body.c_str());
+}
+
+// Guards against interim responses without end that keep a request from being
+// sent elsewhere.
+TEST(RelayTaskTest, AFloodOfInterimResponsesBreaksTheAttempt) {
+  std::string flood;
+  for (int i = 0; i < 1000; ++i) {
+    flood += "HTTP/1.1 1" + std::to_string(10 + i % 90) + " Wait\r\n\r\n";
+  }
+  const CallerAnswer answer =
+      this->Relay(PlainRoute(), {{flood}, WithLength("second")});
+  CHECK_EQUAL(200, answer.status);
+  STRCMP_EQUAL("second", answer.body.c_str());
+}
+
 // Guards against a request that is taken without memory for it, and against a
 // refusal that does not say that it has not run.
 TEST(RelayTaskTest, RefusesARequestWithoutMemoryForIt) {
