Fail responses whose status is not one of HTTP

Http1Client took every status under 200 as interim and had no upper bound, so that what followed "HTTP/1.1 000" on the connection passed for the response, and a status such as 600 reached the caller.

A status outside 100 to 599 now breaks the attempt as other malformed responses do (kCorrupt, may have run). Http1Client serves targets, the key-value service, the origin and target reports; HttpClient, which the other roles use, checks final statuses. Http1Server closes the connection instead of writing a status outside 200 to 599.

--- a/src/connection/http1_client.cc
+++ b/src/connection/http1_client.cc
@@ -19,6 +19,9 @@
 
 // Tells http_parser that a response has no body, whatever its headers say.
 constexpr int kNoBody = 1;
+// Of the statuses that HTTP defines; those under 200 are interim.
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
 
 class Channel;
 
@@ -382,6 +385,12 @@
                    "the response body exceeds the limit");
         return;
       }
+      if (this->invalid_status) {
+        this->Fail(Verdict::kMayHaveRun, ErrorCode::kCorrupt,
+                   "the response's status is not one of HTTP: " +
+                       std::to_string(this->head.status));
+        return;
+      }
       if (error != HPE_OK || this->parser.upgrade) {
         this->Fail(
             Verdict::kMayHaveRun, ErrorCode::kCorrupt,
@@ -466,6 +475,10 @@
       auto* self = static_cast<Channel*>(parser->data);
       self->head.status = static_cast<int>(parser->status_code);
       self->head.reused_connection = self->reused;
+      if (self->head.status < kMinStatus || self->head.status > kMaxStatus) {
+        self->invalid_status = true;
+        return -1;
+      }
       if (self->head.status < 200) {
         return 0;
       }
@@ -560,6 +573,7 @@
   // Of the current response.
   size_t body_bytes = 0;
   bool body_too_large = false;
+  bool invalid_status = false;
   // True while the parser runs callbacks.
   bool delivering = false;
   bool cancelled = false;
--- a/src/connection/http1_server.cc
+++ b/src/connection/http1_server.cc
@@ -35,6 +35,9 @@
 constexpr size_t kConnectionBytes = 4096;
 // A larger buffer for output is given back once its bytes are sent.
 constexpr size_t kMaxKeptOutput = 16u << 10;
+// Of the statuses that end an exchange in HTTP.
+constexpr int kMinFinalStatus = 200;
+constexpr int kMaxFinalStatus = 599;
 // A chunked body's buffer grows in steps of at least this size.
 constexpr size_t kMinBodyGrowth = 4096;
 
@@ -668,6 +671,12 @@
   if (this->closed() || this->started) {
     return;
   }
+  // What the handler has begun may have run, so no refusal is true in place of
+  // a status that is not a final one of HTTP.
+  if (status < kMinFinalStatus || status > kMaxFinalStatus) {
+    this->Abort();
+    return;
+  }
   this->started = true;
   std::string head = "HTTP/1.1 " + std::to_string(status) + " " +
                      std::string(StatusReason(status)) + "\r\n";
--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -18,6 +18,10 @@
 
 namespace {
 
+// Of the statuses that end an exchange in HTTP.
+constexpr int kMinFinalStatus = 200;
+constexpr int kMaxFinalStatus = 599;
+
 // State of one request. h2o's callbacks get it as `data`. Owned by the caller's
 // HttpCall; if a callback destroys the call, it lives until ExchangeUse deletes
 // it.
@@ -148,6 +152,12 @@
     FailExchange(exchange, error);
     return nullptr;
   }
+  // h2o takes interim responses itself.
+  if (status < kMinFinalStatus || status > kMaxFinalStatus) {
+    FailExchange(exchange, "the response's status is not one of HTTP",
+                 ErrorCode::kCorrupt);
+    return nullptr;
+  }
   HttpResponseHead head;
   head.status = status;
   for (size_t i = 0; i < header_count; ++i) {
