--- a/tests/process/program/oversized_bodies_test.cc
+++ b/tests/process/program/oversized_bodies_test.cc
@@ -89,7 +89,7 @@
   const int listener = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address = AddressOf(ip, 0);
   socklen_t length = sizeof(address);
-  bind(listener, reinterpret_cast<sockaddr*>(&address), length);
+  CHECK_EQUAL(0, bind(listener, reinterpret_cast<sockaddr*>(&address), length));
   getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
   close(listener);
   return ntohs(address.sin_port);
