Serve the stand-ins of program_tests with Http1Server

h2o keeps the memory of a thread when the thread ends, and LeakSanitizer reported 94,316 bytes of it after three tests that had passed. The key-value service and the target of the test now run on Http1Server. No check changed.

--- a/tests/process/program/oversized_bodies_test.cc
+++ b/tests/process/program/oversized_bodies_test.cc
@@ -30,7 +30,7 @@
 
 #include "platform/node_file.h"
 #include "src/connection/base64.h"
-#include "src/connection/http_server.h"
+#include "src/connection/http1_server.h"
 #include "src/connection/loop.h"
 
 #include "CppUTest/TestHarness.h"
@@ -202,16 +202,16 @@
  private:
   void Run() {
     Loop loop;
-    HttpServerOptions options;
-    options.address = this->ip;
-    auto store = HttpServer::Make(
-        loop, options,
+    // Not HttpServer: h2o keeps the memory of a thread when that ends.
+    MemoryBudget memory(loop, {}, {});
+    auto store = Http1Server::Make(
+        loop, this->ip, 0, memory,
         [this, &loop](const HttpRequest& request,
                       const std::shared_ptr<HttpResponder>& responder) {
           this->ServeStore(loop, request, responder);
         });
-    auto target = HttpServer::Make(
-        loop, options,
+    auto target = Http1Server::Make(
+        loop, this->ip, 0, memory,
         [this, &loop](const HttpRequest& request,
                       const std::shared_ptr<HttpResponder>& responder) {
           this->ServeTarget(loop, request, responder);
@@ -224,6 +224,10 @@
       loop.RunFor(milliseconds(20));
     }
     this->timers.clear();
+    store->reset();
+    target->reset();
+    // Closed handles are freed by the loop.
+    loop.RunFor(milliseconds(20));
   }
 
   void AddDocuments() {
