Derive the limit on headers from the limit on their bytes

Cause: 1,000 headers a request refused callers within limits.max_header_bytes that send many short headers; a new limit must not meet callers inside the configured ones. Change: the limit is a quarter of max_header_bytes, the most headers that fit.

--- a/src/connection/http1_server.cc
+++ b/src/connection/http1_server.cc
@@ -535,7 +535,7 @@
                                   size_t length) {
       auto* self = static_cast<Connection*>(parser->data);
       if (self->last_was_value) {
-        if (self->request.headers.size() >= self->server->limits.max_headers) {
+        if (self->request.headers.size() >= MaxHeaders(self->server->limits)) {
           self->reject_status = 431;
           return 1;
         }
