--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -13,6 +13,9 @@
 namespace celerypost {
 
 struct GatewayOptions {
+  // Requests that cannot be on time may wait at targets, and refused callers
+  // are told when to return (LateResponses).
+  bool late_admission = false;
   // Period of the beats to the gateways of the region. Several arrive within
   // the usual time to a first event, so that the reported loads are recent
   // enough for the choice of a target.
