--- a/src/process/flags.cc
+++ b/src/process/flags.cc
@@ -119,6 +119,10 @@
 DEFINE_string(metrics_port,
               "7715",
               "port of /metrics on the VM's address; 0 to 65535, 0 for none");
+DEFINE_bool(late_admission,
+            false,
+            "gateways: requests that cannot be on time may wait at targets, "
+            "and refused callers are told when to return; true or false");
 DEFINE_string(chunk_kb, "1024", "size of a chunk, in KiB; 4 to 1024");
 
 namespace celerypost {
@@ -157,6 +161,7 @@
     {"shared_key", kEntry | kAgent | kCtl},
     {"log_level", kEntry | kAgent | kNode},
     {"metrics_port", kNode},
+    {"late_admission", kNode},
     {"audit_file", kEntry | kAgent},
     {"json", kCtl},
     {"timeout", kCtl},
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -80,6 +80,8 @@
 struct NodeRoleSettings {
   // 0 serves no metrics.
   uint16_t metrics_port = 0;
+  // Gateways: GatewayOptions::late_admission.
+  bool late_admission = false;
   LogLevel log_level = LogLevel::kInfo;
 };
 
