--- a/src/process/flags.cc
+++ b/src/process/flags.cc
@@ -122,7 +122,12 @@
 DEFINE_bool(late_admission,
             false,
             "gateways: requests that cannot be on time may wait at targets, "
-            "and refused callers are told when to return; true or false");
+            "and refused callers are told when to return, also where all "
+            "routes of a service have the same priority; true or false");
+DEFINE_bool(rank_holds,
+            false,
+            "gateways: less urgent requests are held back while more urgent "
+            "ones get too little; true or false");
 DEFINE_string(chunk_kb, "1024", "size of a chunk, in KiB; 4 to 1024");
 
 namespace celerypost {
@@ -162,6 +167,7 @@
     {"log_level", kEntry | kAgent | kNode},
     {"metrics_port", kNode},
     {"late_admission", kNode},
+    {"rank_holds", kNode},
     {"audit_file", kEntry | kAgent},
     {"json", kCtl},
     {"timeout", kCtl},
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -28,8 +28,10 @@
 // use. Targets cut running streams when they load new weights.
 constexpr double kReservedForStreams = 0.3;
 
-TargetSelectorOptions SelectorOptions(const NodeSettings& settings) {
+TargetSelectorOptions SelectorOptions(const NodeSettings& settings,
+                                      const GatewayOptions& gateway) {
   TargetSelectorOptions options;
+  options.late_admission = gateway.late_admission;
   options.self_ip = settings.ip;
   options.zone = settings.zone;
   options.region = settings.region;
@@ -84,23 +86,19 @@
       policy(MakePredictivePolicy({}, dependencies.random)),
       sizes({}),
       errors({}),
-      ranks({}, dependencies.random),
+      ranks({.holds = options.rank_holds}, dependencies.random),
       callers({}),
       late({}, dependencies.random),
       promises({}, dependencies.random),
       late_responses(callers, late, promises),
-      admission(*policy,
-                sizes,
-                errors,
-                ranks,
-                options.late_admission ? &late_responses : nullptr),
+      admission(*policy, sizes, errors, ranks, &late_responses),
       selector(core.view(),
                book,
                notices,
                paces,
                admission,
                dependencies.random,
-               SelectorOptions(dependencies.settings)),
+               SelectorOptions(dependencies.settings, options)),
       quarantined_parts(dependencies.metrics.AddGauge(
           "celerypost_quarantined_parts",
           "Parts of prompts whose requests are not sent")),
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -14,8 +14,11 @@
 
 struct GatewayOptions {
   // Requests that cannot be on time may wait at targets, and refused callers
-  // are told when to return (LateResponses).
+  // are told when to return (LateResponses), also where the configuration gives
+  // all requests of a service the same rank.
   bool late_admission = false;
+  // Lower ranks are held back while higher ones get too little.
+  bool rank_holds = false;
   // Period of the beats to the gateways of the region. Several arrive within
   // the usual time to a first event, so that the reported loads are recent
   // enough for the choice of a target.
--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -339,6 +339,8 @@
   admission_request.caller_time_left = request.caller_time_left;
   admission_request.late = request.late;
   admission_request.ranks_differ = this->RanksDiffer(request.service);
+  admission_request.allows_late =
+      admission_request.ranks_differ || this->options.late_admission;
   admission_request.unseen_requests = selection.unseen_requests =
       this->UnseenRequests(candidates, now);
   const AdmissionDecision decision =
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -84,6 +84,8 @@
 };
 
 struct TargetSelectorOptions {
+  // As GatewayOptions::late_admission.
+  bool late_admission = false;
   std::string self_ip;
   ZoneName zone;
   RegionName region;
--- a/src/process/settings.cc
+++ b/src/process/settings.cc
@@ -293,6 +293,7 @@
   settings.metrics_port = reader.Number<uint16_t>("metrics_port", 0, 65535,
                                                   "a port from 0 to 65535");
   settings.late_admission = reader.Boolean("late_admission");
+  settings.rank_holds = reader.Boolean("rank_holds");
   settings.log_level = reader.Level("log_level");
   return reader.Finish(settings);
 }
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -82,6 +82,8 @@
   uint16_t metrics_port = 0;
   // Gateways: GatewayOptions::late_admission.
   bool late_admission = false;
+  // Gateways: GatewayOptions::rank_holds.
+  bool rank_holds = false;
   LogLevel log_level = LogLevel::kInfo;
 };
 
--- a/src/request/cold_share.h
+++ b/src/request/cold_share.h
@@ -19,9 +19,9 @@
 
 struct ColdShareOptions {
   // Part of a target's limit that the gateways of its own region share; those
-  // of other regions share the rest, which they need only when the targets of
-  // their region are full.
-  double same_region_part = 0.8;
+  // of other regions share the rest. With 0.8, the gateways of a zone that was
+  // taken out were left with half of the requests that they had to place.
+  double same_region_part = 0.6;
 };
 
 // Divides the rate limit of cold targets among the gateways without
--- a/src/request/gateway_admission.cc
+++ b/src/request/gateway_admission.cc
@@ -48,7 +48,8 @@
   if (decision.rank) {
     decision.urgency = decision.rank->level;
   }
-  LateResponses* const late = rates != nullptr ? this->late_responses : nullptr;
+  LateResponses* const late =
+      rates != nullptr && request.allows_late ? this->late_responses : nullptr;
   const std::chrono::milliseconds time_left =
       request.caller_time_left.value_or(request.placement.deadline_left);
   if (request.late && late != nullptr) {
--- a/src/request/gateway_admission.h
+++ b/src/request/gateway_admission.h
@@ -17,6 +17,8 @@
 
 // The request of one decision. The pointers are valid during the call only.
 struct AdmissionRequest {
+  // LateResponses may be used.
+  bool allows_late = true;
   ServiceName service;
   const Route* route = nullptr;
   // Null for routes without API keys.
--- a/src/request/rank_admission.cc
+++ b/src/request/rank_admission.cc
@@ -374,6 +374,9 @@
     return;
   }
   this->controlled_at = now;
+  if (!this->options.holds) {
+    return;
+  }
   const auto expired = [&](const auto& entry) {
     return now > entry.second.expires_at;
   };
--- a/src/request/rank_admission.h
+++ b/src/request/rank_admission.h
@@ -48,6 +48,8 @@
 };
 
 struct RankAdmissionOptions {
+  // Whether lower ranks are held back; otherwise ranks set the urgency only.
+  bool holds = true;
   // Time between two changes of the holds.
   std::chrono::milliseconds control_period{200};
   // Holds rise while a higher rank has a smaller share of its requests placed,
