--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "src/process/gateway/crash_news_wire.h"
 #include "src/process/gateway/directory.h"
@@ -26,8 +28,10 @@
 // use. Targets cut running streams when they load new weights.
 constexpr double kReservedForStreams = 0.3;
 
-TargetSelectorOptions SelectorOptions(const NodeSettings& settings) {
+TargetSelectorOptions SelectorOptions(const NodeSettings& settings,
+                                      const GatewayOptions& gateway) {
   TargetSelectorOptions options;
+  options.late_admission = gateway.late_admission;
   options.self_ip = settings.ip;
   options.zone = settings.zone;
   options.region = settings.region;
@@ -55,6 +59,17 @@
   return options;
 }
 
+std::array<Gauge*, kRankLevels> MakeRankHoldGauges(Metrics& metrics) {
+  std::array<Gauge*, kRankLevels> gauges{};
+  for (size_t i = 0; i < gauges.size(); ++i) {
+    gauges[i] = &metrics.AddGauge(
+        "celerypost_rank_hold",
+        "How much requests of a rank are held back for higher ones, 0 to 1",
+        {{"rank", std::to_string(i)}});
+  }
+  return gauges;
+}
+
 }  // namespace
 
 Gateway::Gateway(NodeDependencies dependencies,
@@ -67,16 +82,23 @@
       core(dependencies, NodeRole::kGateway),
       book({}),
       notices({}),
+      paces(options.paces),
       policy(MakePredictivePolicy({}, dependencies.random)),
       sizes({}),
       errors({}),
-      admission(*policy, sizes, errors),
+      ranks({.holds = options.rank_holds}, dependencies.random),
+      callers({}),
+      late({}, dependencies.random),
+      promises({}, dependencies.random),
+      late_responses(callers, late, promises),
+      admission(*policy, sizes, errors, ranks, &late_responses),
       selector(core.view(),
                book,
                notices,
+               paces,
                admission,
                dependencies.random,
-               SelectorOptions(dependencies.settings)),
+               SelectorOptions(dependencies.settings, options)),
       quarantined_parts(dependencies.metrics.AddGauge(
           "celerypost_quarantined_parts",
           "Parts of prompts whose requests are not sent")),
@@ -101,6 +123,14 @@
       size_lean(dependencies.metrics.AddGauge(
           "celerypost_size_lean",
           "How much short prompts are held back for long ones, 0 to 1")),
+      rank_holds(MakeRankHoldGauges(dependencies.metrics)),
+      late_waiting(dependencies.metrics.AddGauge(
+          "celerypost_late_requests_waiting",
+          "Requests sent to targets that cannot be on time and have not "
+          "begun")),
+      promised_returns(dependencies.metrics.AddGauge(
+          "celerypost_promised_returns",
+          "Returns promised for each new caller, 0 to 0.5")),
       leaving_targets_of_peers(
           dependencies.metrics.AddCounter("celerypost_leaving_targets_total",
                                           "Targets that said they leave",
@@ -111,6 +141,8 @@
                     book,
                     selector,
                     errors,
+                    ranks,
+                    paces,
                     crashes,
                     request_crashes,
                     notices,
@@ -122,7 +154,9 @@
                     [this](const SocketAddress& address) -> Http1Client& {
                       return this->core.ClientOf(address);
                     },
-                    [this](TimePoint end) { return this->MayRunUntil(end); }},
+                    [this](TimePoint end) { return this->MayRunUntil(end); },
+                    {},
+                    &late},
       beat_timer(dependencies.loop, [this] { this->SendBeat(); }),
       crash_timer(dependencies.loop, [this] { this->ExchangeCrashNews(); }),
       stop_timer(dependencies.loop, [this] { this->CheckStop(); }),
@@ -165,12 +199,14 @@
     return tl::unexpected<Failure>(ready.error());
   }
   this->ready_server = std::move(*ready);
+  this->ready_server->SetLimits(kShortBodyLimits);
   auto directory =
       this->Listen(*settings.directory_address, readiness_or_directory);
   if (!directory) {
     return tl::unexpected<Failure>(directory.error());
   }
   this->directory_server = std::move(*directory);
+  this->directory_server->SetLimits(kShortBodyLimits);
   this->core.OnViewChanged([this] { this->OnViewChanged(); });
   this->core.OnBeat([this](const Peer& peer) { this->OnBeat(peer); });
   auto started = this->core.Start();
@@ -249,6 +285,10 @@
   const auto& config = this->core.view().config();
   if (config) {
     this->caller_server->SetLimits(config->limits);
+    if (config->version != this->ranked_version) {
+      this->ranked_version = config->version;
+      this->ranks.SetConfig(*config);
+    }
   }
   std::map<std::string, bool> known_targets;
   for (const auto& [id, target] : this->core.view().targets()) {
@@ -280,7 +320,10 @@
                      beat.__isset.loads_in_ms
                          ? std::optional(now + milliseconds(beat.loads_in_ms))
                          : std::nullopt,
-                     now, beat.target_leaving});
+                     now, beat.target_leaving,
+                     beat.__isset.target_pace
+                         ? std::optional(DecodePace(beat.target_pace))
+                         : std::nullopt});
     return;
   }
   const bool near = this->core.exchange().Near(peer);
@@ -294,13 +337,17 @@
   }
   this->OnLeavingTargets(DecodeStarts(beat.leaving_targets), peer.ip);
   if (near) {
-    this->book.OnReport(
-        InstanceId{static_cast<uint64_t>(beat.instance)},
-        DecodeLoads(beat.loads),
-        GatewayBeatPeriod(
-            this->options.beats, this->options.beat_period,
-            1 + this->core.exchange().CountNear(NodeRole::kGateway)),
-        now);
+    const InstanceId instance{static_cast<uint64_t>(beat.instance)};
+    const milliseconds period = GatewayBeatPeriod(
+        this->options.beats, this->options.beat_period,
+        1 + this->core.exchange().CountNear(NodeRole::kGateway));
+    this->book.OnReport(instance, DecodeLoads(beat.loads), period, now);
+    if (beat.__isset.rank_counts) {
+      this->ranks.OnReport(
+          instance, DecodeRankCounts(beat.rank_counts),
+          now + period * TargetTrackerOptions().max_missed_reports);
+    }
+    this->paces.OnShared(instance, DecodePaces(beat.paces), now);
   }
   for (const wire::RegionSummary& summary : beat.summaries) {
     const RegionSummary decoded = DecodeSummary(summary);
@@ -372,19 +419,30 @@
   this->OnLeavingTargets(summary.leaving_targets, summary.ip);
   this->book.OnRegionReport(summary.region, summary.loads,
                             this->options.summary_load_lifetime, now);
+  if (!summary.rank_counts.empty()) {
+    this->ranks.OnRegionReport(summary.region, summary.rank_counts,
+                               now + this->options.summary_load_lifetime);
+  }
   for (const RegionTarget& target : summary.targets) {
     this->selector.OnStagerReport(
         target.address,
         StagerReport{target.serving_version, target.loading,
                      target.loads_in ? std::optional(now + *target.loads_in)
                                      : std::nullopt,
-                     now, target.leaving});
+                     now, target.leaving, target.pace});
   }
 }
 
 void Gateway::SendBeat() {
   this->size_lean.Set(this->sizes.LargestLean());
+  this->late_waiting.Set(static_cast<double>(this->late.waiting()));
+  this->promised_returns.Set(this->promises.LargestShare());
   const TimePoint now = this->dependencies.loop.Now();
+  this->ranks.Control(now);
+  const auto holds = this->ranks.LargestHolds();
+  for (size_t i = 0; i < holds.size(); ++i) {
+    this->rank_holds[i]->Set(holds[i]);
+  }
   wire::Beat beat = this->core.MakeBeat(this->state());
   const StorePosition operator_position{beat.era, beat.operator_revision};
   const bool new_document =
@@ -402,7 +460,15 @@
            this->beats.ShouldSendTo(peer);
   });
   beat.loads = EncodeLoads(this->book.OwnLoads());
+  const std::vector<RankCounts> rank_counts = this->ranks.OwnCounts(now);
+  if (!rank_counts.empty()) {
+    beat.__set_rank_counts(EncodeRankCounts(rank_counts));
+  }
   beat.leaving_targets = EncodeStarts(this->notices.RecentlyLeaving(now));
+  this->paces.Forget(now);
+  if (const auto paces = this->paces.Share(now); !paces.empty()) {
+    beat.__set_paces(EncodePaces(paces));
+  }
   for (const RegionSummary& summary : this->core.regions().TakeForwards()) {
     beat.summaries.push_back(EncodeSummary(summary));
   }
@@ -482,8 +548,13 @@
           {ip, beat.caller_address, static_cast<NodeState>(beat.state)});
       continue;
     }
-    RegionTarget target{beat.target_address, beat.serving_version, beat.loading,
-                        std::nullopt, beat.target_leaving};
+    RegionTarget target{beat.target_address, beat.serving_version,
+                        beat.loading,        std::nullopt,
+                        beat.target_leaving, std::nullopt};
+    if (beat.__isset.target_pace &&
+        now - peer.heard <= this->options.far_pace_age) {
+      target.pace = DecodePace(beat.target_pace);
+    }
     if (beat.__isset.loads_in_ms) {
       target.loads_in =
           milliseconds(beat.loads_in_ms) -
@@ -492,6 +563,7 @@
     summary.targets.push_back(std::move(target));
   }
   summary.loads = this->book.CombinedLoads(now);
+  summary.rank_counts = this->ranks.RegionCounts(now);
   summary.leaving_targets = this->notices.RecentlyLeaving(now);
   return summary;
 }
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef SRC_PROCESS_GATEWAY_GATEWAY_H_
 #define SRC_PROCESS_GATEWAY_GATEWAY_H_
 
+#include <array>
 #include <chrono>
 #include <memory>
 
@@ -12,6 +13,12 @@
 namespace celerypost {
 
 struct GatewayOptions {
+  // Requests that cannot be on time may wait at targets, and refused callers
+  // are told when to return (LateResponses), also where the configuration gives
+  // all requests of a service the same rank.
+  bool late_admission = false;
+  // Lower ranks are held back while higher ones get too little.
+  bool rank_holds = false;
   // Period of the beats to the gateways of the region. Several arrive within
   // the usual time to a first event, so that the reported loads are recent
   // enough for the choice of a target.
@@ -28,6 +35,10 @@
   // Shortest time between two messages to other regions about requests that
   // crash targets.
   std::chrono::milliseconds far_crash_news_period{250};
+  TargetPaceOptions paces;
+  // The pace of a target is told to other regions for this long after its
+  // stager's beat: it changes within seconds.
+  std::chrono::milliseconds far_pace_age{500};
   // How long callers may cache a directory response.
   std::chrono::milliseconds directory_ttl{2000};
   // With fewer ready gateways than `min_addresses` in the caller's region, a
@@ -109,9 +120,15 @@
   NodeCore core;
   TargetTracker book;
   TargetNotices notices;
+  TargetPace paces;
   std::unique_ptr<PlacementPolicy> policy;
   SizeBalance sizes;
   PredictionErrors errors;
+  RankAdmission ranks;
+  ReturningCallers callers;
+  LateAdmission late;
+  ReturnPromises promises;
+  LateResponses late_responses;
   GatewayAdmission admission;
   TargetSelector selector;
   Gauge& quarantined_parts;
@@ -122,6 +139,10 @@
   RelayMetrics relay_metrics;
   Gauge& live_gateways;
   Gauge& size_lean;
+  // By RankRuling::level.
+  std::array<Gauge*, kRankLevels> rank_holds;
+  Gauge& late_waiting;
+  Gauge& promised_returns;
   Counter& leaving_targets_of_peers;
   RelayContext relay_context;
   std::unique_ptr<Http1Server> caller_server;
@@ -137,6 +158,8 @@
   StorePosition announced_operator_position;
   StopPolicyOptions stop_policy;
   std::optional<TimePoint> stopping_since;
+  // Version of the configuration that `ranks` has, -1 for none.
+  int64_t ranked_version = -1;
   bool was_ready = false;
 };
 
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -33,6 +33,10 @@
 // the request at once.
 constexpr milliseconds kStoppingRetryAfter{20};
 
+// Weight of a first event in the measured pace. Its time also depends on the
+// requests that the prediction did not know of.
+constexpr double kFirstEventWeight = 0.5;
+
 constexpr std::string_view kNoTimeLeft = "no time left for another target";
 constexpr std::string_view kNotAllowed = "no further attempt is allowed";
 
@@ -89,6 +93,12 @@
   return tasks;
 }
 
+Counter& AddRankCounter(Metrics& metrics, size_t level, const char* outcome) {
+  return metrics.AddCounter(
+      "celerypost_rank_requests_total", "Requests by rank and outcome",
+      {{"rank", std::to_string(level)}, {"outcome", outcome}});
+}
+
 }  // namespace
 
 std::optional<PromptSize> PromptSizeOf(const ServiceConfig& service,
@@ -126,6 +136,33 @@
   this->prompt_tokens.Add(static_cast<uint64_t>(prompt_tokens));
 }
 
+RankRequestMetrics::RankRequestMetrics(Metrics& metrics, size_t level)
+    : placed(AddRankCounter(metrics, level, "placed")),
+      refused(AddRankCounter(metrics, level, "refused")),
+      on_time(AddRankCounter(metrics, level, "on_time")),
+      late(AddRankCounter(metrics, level, "late")) {}
+
+PredictionMetrics::PredictionMetrics(Metrics& metrics) : first_events() {
+  constexpr std::array<std::string_view, kBounds.size() + 1> kNames = {
+      "0.5", "0.9", "1.1", "1.5", "2", "3", "5", "+Inf"};
+  for (size_t i = 0; i < kNames.size(); ++i) {
+    this->first_events[i] = &metrics.AddCounter(
+        "celerypost_first_events_by_prediction_total",
+        "First events by the upper bound of their time as a multiple of the "
+        "predicted one",
+        {{"up_to", std::string(kNames[i])}});
+  }
+}
+
+void PredictionMetrics::Count(std::chrono::milliseconds predicted,
+                              std::chrono::milliseconds measured) {
+  const double multiple =
+      static_cast<double>(measured.count()) /
+      static_cast<double>(std::max<int64_t>(1, predicted.count()));
+  const auto bound = std::lower_bound(kBounds.begin(), kBounds.end(), multiple);
+  this->first_events[static_cast<size_t>(bound - kBounds.begin())]->Add();
+}
+
 RelayMetrics::RelayMetrics(Metrics& metrics)
     : answered(metrics.AddCounter("celerypost_requests_total",
                                   "Requests by outcome",
@@ -172,12 +209,35 @@
       malformed_headers(
           metrics.AddCounter("celerypost_malformed_answer_headers_total",
                              "Headers of answers that could not be read")),
+      late_sent(metrics.AddCounter(
+          "celerypost_late_requests_total",
+          "Requests sent to targets that cannot be on time, and those of them "
+          "that had their first event",
+          {{"step", "sent"}})),
+      late_begun(metrics.AddCounter(
+          "celerypost_late_requests_total",
+          "Requests sent to targets that cannot be on time, and those of them "
+          "that had their first event",
+          {{"step", "begun"}})),
+      returning_placed(
+          metrics.AddCounter("celerypost_returning_requests_total",
+                             "Requests of callers that were refused before",
+                             {{"outcome", "placed"}})),
+      returning_refused(
+          metrics.AddCounter("celerypost_returning_requests_total",
+                             "Requests of callers that were refused before",
+                             {{"outcome", "refused"}})),
       answered_sizes(metrics, "answered"),
       refused_sizes(metrics, "refused"),
+      predictions(metrics),
       first_event(metrics.AddHistogram("celerypost_first_event_seconds",
                                        "Time to the first event")),
       total(metrics.AddHistogram("celerypost_request_seconds",
-                                 "Time to the end of the answer")) {}
+                                 "Time to the end of the answer")) {
+  for (size_t level = 0; level < kRankLevels; ++level) {
+    this->ranks.emplace_back(metrics, level);
+  }
+}
 
 RelayTask::RelayTask(RelayContext& context,
                      HttpRequest request,
@@ -310,7 +370,8 @@
     this->Refuse("no configuration known", kNoConfigRetryAfter);
     return;
   }
-  if (!this->context.memory.Accepts(0)) {
+  // The first attempt holds a copy.
+  if (!this->context.memory.Accepts(2 * HeldBytes(this->request))) {
     this->Refuse("out of memory", kRefusedRetryAfter);
     return;
   }
@@ -402,7 +463,12 @@
   placement.answer_tokens = this->call.answer_tokens;
   placement.deadline_left = Since(now, this->deadline);
   placement.on_time_left =
-      this->route->latency_goal - Since(this->arrived, now);
+      this->route->latency_goal - this->caller_age - Since(this->arrived, now);
+  // May be longer than the route's timeout, which bounds `deadline`.
+  if (this->call.deadline) {
+    this->selection_request.caller_time_left =
+        *this->call.deadline - Since(this->arrived, now);
+  }
   placement.late_anyway =
       placement.on_time_left.count() <= 0 || this->sends > 0;
 }
@@ -458,6 +524,8 @@
     return;
   }
   this->selection = this->context.selector.Select(this->selection_request, now);
+  this->CountRank();
+  this->NoteCaller();
   if (this->selection.target) {
     this->stream_broken_at.reset();
     this->SendTo(this->selection);
@@ -482,6 +550,53 @@
   }
 }
 
+void RelayTask::CountRank() {
+  if (this->selection.rank && this->sends == 0) {
+    RankRequestMetrics& counters =
+        this->context.metrics
+            .ranks[static_cast<size_t>(this->selection.rank->level)];
+    (this->selection.target ? counters.placed : counters.refused).Add();
+  }
+}
+
+void RelayTask::NoteFirstEventOfRank(TimePoint now) {
+  if (!this->selection.rank || this->sends != 1 || this->attempt->late) {
+    return;
+  }
+  const bool on_time = Since(this->arrived, now) <= this->route->latency_goal;
+  this->context.ranks.OnFirstEvent(this->service, *this->route, this->workspace,
+                                   on_time, now);
+  RankRequestMetrics& counters =
+      this->context.metrics
+          .ranks[static_cast<size_t>(this->selection.rank->level)];
+  (on_time ? counters.on_time : counters.late).Add();
+}
+
+void RelayTask::NoteCaller() {
+  if (this->sends > 0 || this->selection.age.count() == 0) {
+    return;
+  }
+  this->caller_age = this->selection.age;
+  (this->selection.target ? this->context.metrics.returning_placed
+                          : this->context.metrics.returning_refused)
+      .Add();
+}
+
+void RelayTask::EndLateWait(const RelayAttempt& late_attempt) const {
+  if (!late_attempt.late || this->context.late == nullptr) {
+    return;
+  }
+  const milliseconds patience = this->context.late->PatienceOf(*this->route);
+  const TimePoint now = this->context.loop.Now();
+  if (late_attempt.had_event) {
+    this->context.late->OnBegan(this->service, late_attempt.sent_at, patience,
+                                now);
+  } else {
+    this->context.late->OnEnded(this->service, late_attempt.sent_at, patience,
+                                now);
+  }
+}
+
 void RelayTask::SendNext(const Selection& next) {
   this->selection = next;
   this->SendTo(this->selection);
@@ -537,13 +652,20 @@
   this->attempt->number = ++this->sends;
   this->attempt->target = selection.target->id;
   this->attempt->prompt_tokens = this->call.prompt_tokens;
+  this->attempt->late = this->selection_request.late = selection.late;
   this->attempt->target_start = HashTargetStart(*selection.target);
   this->attempt->sent_at = now;
   this->attempt->progress_at = now;
   this->selection_request.tried.insert(selection.target->id);
   this->context.metrics.attempts.Add();
-  this->context.book.OnSent(selection.target->id, this->call.prompt_tokens,
-                            now);
+  this->context.book.OnSent(selection.target->id, this->call.prompt_tokens, now,
+                            selection.late);
+  if (selection.late) {
+    this->context.metrics.late_sent.Add();
+    if (this->context.late != nullptr) {
+      this->context.late->OnSent(this->service, now);
+    }
+  }
   Http1SendOptions options;
   if (!this->route->repeatable()) {
     options.max_idle = this->context.options.non_repeatable_max_idle;
@@ -650,9 +772,12 @@
   silent.http_call.reset();
   silent.attempt.ended = true;
   this->CountRun(silent.attempt);
+  if (!silent.attempt.had_event) {
+    this->EndLateWait(silent.attempt);
+  }
   this->context.book.OnEnd(silent.attempt.target, silent.attempt.prompt_tokens,
                            silent.attempt.had_event, AttemptOutcome::kAbandoned,
-                           this->context.loop.Now());
+                           this->context.loop.Now(), silent.attempt.late);
 }
 
 void RelayTask::EndSilentAttempts() {
@@ -706,9 +831,15 @@
   if (!this->route->repeatable() || this->paused) {
     return std::nullopt;
   }
-  return this->attempt->progress_at +
-         AttemptTimeoutFor(this->context.options.attempt_timeouts, *this->route,
-                           this->attempt->had_event);
+  milliseconds timeout =
+      AttemptTimeoutFor(this->context.options.attempt_timeouts, *this->route,
+                        this->attempt->had_event);
+  // A late request may wait for as long as its caller does.
+  if (this->attempt->late && !this->attempt->had_event &&
+      this->context.late != nullptr) {
+    timeout = std::max(timeout, this->context.late->PatienceOf(*this->route));
+  }
+  return this->attempt->progress_at + timeout;
 }
 
 void RelayTask::StartAttemptTimer() {
@@ -879,7 +1010,7 @@
   // Only events count as progress: a stalled target may still send comments or
   // parts of an event.
   if (this->events.events() > events_before) {
-    this->NoteProgress();
+    this->NoteProgress(this->events.events() - events_before);
   }
   this->ForwardEvents(complete);
   this->ReportMemory();
@@ -895,20 +1026,63 @@
   }
 }
 
-void RelayTask::NoteProgress() {
+void RelayTask::MeasureFirstEvent(TimePoint now) {
+  const auto measured = Since(this->attempt->sent_at, now);
+  this->context.errors.OnFirstEvent(this->service, this->selection.predicted,
+                                    measured);
+  if (this->selection.predicted.count() <= 0) {
+    return;
+  }
+  this->context.metrics.predictions.Count(this->selection.predicted, measured);
+  const double ratio = static_cast<double>(measured.count()) /
+                       static_cast<double>(this->selection.predicted.count());
+  this->context.paces.OnMeasured(
+      this->attempt->target_start,
+      ratio * std::max(1.0, this->selection.load.slowdown), kFirstEventWeight,
+      now);
+}
+
+void RelayTask::MeasureGap(uint64_t events, TimePoint now) {
+  const auto service = this->config->services.find(this->service);
+  if (std::exchange(this->attempt->was_paused, this->paused) || this->paused ||
+      service == this->config->services.end() || !service->second.engine) {
+    return;
+  }
+  const EngineRates& rates = *service->second.engine;
+  const uint32_t running =
+      std::min(this->context.book.LoadOf(this->attempt->target, now).in_flight,
+               rates.slots);
+  const Milliseconds gap = now - this->attempt->progress_at;
+  this->context.paces.OnMeasured(
+      this->attempt->target_start,
+      gap / (static_cast<double>(events) * UsualEventGap(rates, running)), 1,
+      now);
+}
+
+void RelayTask::NoteProgress(uint64_t events) {
   const TimePoint now = this->context.loop.Now();
   this->EndSilentAttempts();
+  if (this->attempt->had_event) {
+    this->MeasureGap(events, now);
+  }
   this->attempt->progress_at = now;
   this->takeover_delay = this->context.options.min_takeover_delay;
   if (!this->attempt->had_event) {
     this->attempt->had_event = true;
     this->attempt->first_event_at = now;
     this->context.book.OnFirstEvent(this->attempt->target,
-                                    this->attempt->prompt_tokens);
-    if (this->attempt->prompt_tokens > 0) {
-      this->context.errors.OnFirstEvent(this->service,
-                                        this->selection.predicted,
-                                        Since(this->attempt->sent_at, now));
+                                    this->attempt->prompt_tokens,
+                                    this->attempt->late);
+    this->EndLateWait(*this->attempt);
+    if (this->attempt->late) {
+      this->context.metrics.late_begun.Add();
+      // Another target goes on with the stream as with any other.
+      this->selection_request.late = false;
+    }
+    // Late requests wait for requests that come after the prediction.
+    if (this->attempt->prompt_tokens > 0 && !this->attempt->late) {
+      this->MeasureFirstEvent(now);
+      this->NoteFirstEventOfRank(now);
     }
   }
   if (now - this->attempt->first_event_at >=
@@ -960,6 +1134,7 @@
   }
   // Also while an earlier pause lasts: another attempt may have gone on.
   this->http_call->PauseReading();
+  this->attempt->was_paused = true;
   if (std::exchange(this->paused, true)) {
     return;
   }
@@ -1187,10 +1362,12 @@
   if (this->done) {
     return;
   }
-  // Each call holds a copy of the request's body until it is sent.
-  size_t bytes = this->request.body.size();
+  // Each call holds a copy of the request until it is sent; then the kernel may
+  // hold it.
+  const size_t request_bytes = HeldBytes(this->request);
+  size_t bytes = request_bytes;
   const auto add = [&](const RelayAttempt& live, const EventStream& stream) {
-    bytes += this->request.body.size() + live.body.size() + live.unsent.size() +
+    bytes += request_bytes + live.body.size() + live.unsent.size() +
              stream.incomplete_bytes();
   };
   if (this->attempt && !this->attempt->ended) {
@@ -1301,9 +1478,12 @@
   if (this->attempt->replaced && outcome == AttemptOutcome::kBroken) {
     outcome = AttemptOutcome::kAbandoned;
   }
+  if (!this->attempt->had_event) {
+    this->EndLateWait(*this->attempt);
+  }
   this->context.book.OnEnd(this->attempt->target, this->attempt->prompt_tokens,
                            this->attempt->had_event, outcome,
-                           this->context.loop.Now());
+                           this->context.loop.Now(), this->attempt->late);
 }
 
 void RelayTask::CountSize(SizedRequestMetrics& counters) const {
@@ -1371,9 +1551,15 @@
        {"answer_tokens", this->call.answer_tokens},
        {"shared_parts", Join(this->call.shared_parts)},
        {"predicted_ms", this->selection.predicted.count()},
+       {"pace", this->selection.load.slowdown},
        {"size_lean", this->selection.size_lean.weight},
        {"allowance_ms", this->selection.allowance.count()},
        {"unseen_requests", this->selection.unseen_requests},
+       {"rank", this->selection.rank ? this->selection.rank->level : -1},
+       {"hold", this->selection.rank ? this->selection.rank->hold : 0.0},
+       {"caller_age_ms", this->caller_age.count()},
+       {"late_admission", this->attempt && this->attempt->late},
+       {"late_waiting", uint64_t{this->selection.load.late_waiting}},
        {"entry_age_ms", this->selection.entry_age.count()},
        {"config_version", this->config ? this->config->version : 0},
        {"latest_config_version",
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -78,6 +78,31 @@
   Counter& prompt_tokens;
 };
 
+// Requests of one rank by outcome. A request that is sent again is not counted
+// again.
+struct RankRequestMetrics {
+  RankRequestMetrics(Metrics& metrics, size_t level);
+
+  Counter& placed;
+  Counter& refused;
+  // Of those placed, by their first event.
+  Counter& on_time;
+  Counter& late;
+};
+
+// Counts first events by their time as a multiple of the prediction, which
+// tells how good the predictions are that placement relies on.
+struct PredictionMetrics {
+  explicit PredictionMetrics(Metrics& metrics);
+  void Count(std::chrono::milliseconds predicted,
+             std::chrono::milliseconds measured);
+
+  // Upper bounds of the multiples; the last class has none.
+  static constexpr std::array<double, 7> kBounds = {0.5, 0.9, 1.1, 1.5,
+                                                    2,   3,   5};
+  std::array<Counter*, kBounds.size() + 1> first_events;
+};
+
 // Counters and histograms of relayed requests.
 struct RelayMetrics {
   explicit RelayMetrics(Metrics& metrics);
@@ -97,8 +122,15 @@
   Counter& leaving_targets;
   Counter& declining_targets;
   Counter& malformed_headers;
+  Counter& late_sent;
+  Counter& late_begun;
+  Counter& returning_placed;
+  Counter& returning_refused;
   SizedRequestMetrics answered_sizes;
   SizedRequestMetrics refused_sizes;
+  // By RankRuling::level.
+  std::vector<RankRequestMetrics> ranks;
+  PredictionMetrics predictions;
   Histogram& first_event;
   Histogram& total;
 };
@@ -113,6 +145,8 @@
   TargetTracker& book;
   TargetSelector& selector;
   PredictionErrors& errors;
+  RankAdmission& ranks;
+  TargetPace& paces;
   CrashGuard& crashes;
   CrashGuard& request_crashes;
   TargetNotices& notices;
@@ -128,6 +162,9 @@
   std::function<bool(TimePoint)> may_run_until{};
   // The tasks that have started and not ended.
   std::unordered_set<RelayTask*> active{};
+  // Learns from the requests that it placed; null where late requests are
+  // refused.
+  LateAdmission* late = nullptr;
 };
 
 // Takes back the requests with a part that was quarantined from targets that
@@ -148,12 +185,17 @@
   // The target's ID.
   std::string target;
   double prompt_tokens = 0;
+  // Placed by LateAdmission.
+  bool late = false;
   TargetStartHash target_start = 0;
   TimePoint sent_at{};
   // When it was sent or had its last event.
   TimePoint progress_at{};
   bool had_event = false;
   TimePoint first_event_at{};
+  // The stream was not read for a while, so the time to its next event says
+  // nothing about the target.
+  bool was_paused = false;
   // The target did not crash on the request (RelayOptions::survival_time).
   bool survived = false;
   bool ended = false;
@@ -215,6 +257,10 @@
   void SendTo(const Selection& selection);
   // Sends the request to the target of `next`.
   void SendNext(const Selection& next);
+  // Takes up what the first selection shows of the caller.
+  void NoteCaller();
+  // A late attempt no longer waits at its target.
+  void EndLateWait(const RelayAttempt& late_attempt) const;
   void UpdatePlacement(TimePoint now);
   // Selects the target of one more attempt and spends a retry of the budget on
   // it. Returns nothing, with the cause in `reason`, and spends nothing, if no
@@ -286,8 +332,16 @@
   void KeepAttempt(std::string_view reason);
   void OnDeadline();
   void OnCallerDisconnected();
-  // The attempt has produced an event.
-  void NoteProgress();
+  // The first decision on the request has been made.
+  void CountRank();
+  // The first event has come from the first target.
+  void NoteFirstEventOfRank(TimePoint now);
+  // The attempt has produced events.
+  void NoteProgress(uint64_t events);
+  // Takes up what the first event, or the time between two, says about the pace
+  // of the target.
+  void MeasureFirstEvent(TimePoint now);
+  void MeasureGap(uint64_t events, TimePoint now);
   void NoteSurvival();
   // The answer is complete. Without a length or chunks, a crash of the target
   // looks the same.
@@ -348,6 +402,8 @@
   std::optional<RequestFingerprint> fingerprint;
   TimePoint arrived;
   TimePoint deadline;
+  // How long before `arrived` the caller first attempted the request.
+  std::chrono::milliseconds caller_age{0};
   MemoryAccount memory;
   std::unique_ptr<Timer> deadline_timer;
   std::unique_ptr<Timer> attempt_timer;
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -19,6 +20,7 @@
 #include "src/request/gateway_admission.h"
 #include "src/request/placement.h"
 #include "src/request/target_notices.h"
+#include "src/request/target_pace.h"
 #include "src/request/target_tracker.h"
 
 namespace celerypost {
@@ -35,6 +37,8 @@
   TimePoint received_at{};
   // The target has told its stager that it leaves.
   bool leaving = false;
+  // The pace that the target reports to its stager.
+  std::optional<double> pace{};
 };
 
 struct SelectionRequest {
@@ -42,6 +46,9 @@
   const Workspace* workspace = nullptr;
   ServiceName service;
   PlacementRequest placement;
+  // As in AdmissionRequest.
+  std::optional<std::chrono::milliseconds> caller_time_left;
+  bool late = false;
   // IDs of the targets that this request has already been sent to.
   std::set<std::string> tried;
 };
@@ -66,13 +73,19 @@
   std::chrono::milliseconds predicted{0};
   SizeLean size_lean;
   std::chrono::milliseconds allowance{0};
+  // As in AdmissionDecision.
+  bool late = false;
+  std::chrono::milliseconds age{0};
   double unseen_requests = 0;
+  std::optional<RankRuling> rank;
   // When refused: why, and when a target should be available.
   std::string_view reason;
   std::chrono::milliseconds retry_after{0};
 };
 
 struct TargetSelectorOptions {
+  // As GatewayOptions::late_admission.
+  bool late_admission = false;
   std::string self_ip;
   ZoneName zone;
   RegionName region;
@@ -115,6 +128,7 @@
   TargetSelector(const ClusterView& view,
                  const TargetTracker& book,
                  const TargetNotices& notices,
+                 TargetPace& paces,
                  GatewayAdmission& admission,
                  Random& random,
                  TargetSelectorOptions options);
@@ -167,16 +181,22 @@
   // gateways: the others send as many requests to these targets as this one.
   double UnseenRequests(const std::vector<PlacementCandidate>& candidates,
                         TimePoint now) const;
+  // Returns AdmissionRequest::ranks_differ by the configuration in force.
+  bool RanksDiffer(const ServiceName& service);
 
   const ClusterView& view;
   const TargetTracker& book;
   const TargetNotices& notices;
+  TargetPace& paces;
   GatewayAdmission& admission;
   Random& random;
   TargetSelectorOptions options;
   // By target address, as "ip:port".
   std::map<std::string, StagerReport> stager_reports;
   ColdShares cold_shares;
+  // The configuration that `ranks_differ` was found out of.
+  std::shared_ptr<const GatewayConfig> ranks_config;
+  std::map<ServiceName, bool> ranks_differ;
   size_t gateways = 1;
   std::chrono::milliseconds report_period{0};
 };
--- a/src/process/stager/stager.cc
+++ b/src/process/stager/stager.cc
@@ -4,16 +4,13 @@
 #include <charconv>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
-#include "src/version/json_fields.h"
+#include "src/process/stager/digests_message.h"
 
 namespace celerypost {
 
 namespace {
 
 using std::chrono::milliseconds;
-using Json = nlohmann::json;
 
 constexpr char kDigestsPath[] = "/v1/weights/digests";
 constexpr char kChunkPath[] = "/v1/weights/chunk";
@@ -25,42 +22,6 @@
 // Version of the weights that targets hold before operators have named one.
 constexpr int64_t kFirstVersion = 1;
 
-// Parses the digests in another stager's response.
-Result<ChunkDigests> DecodeDigests(const std::string& model,
-                                   int64_t version,
-                                   const Result<HttpResponse>& response) {
-  if (!response) {
-    return tl::unexpected<Failure>(response.error());
-  }
-  if (response->status != 200) {
-    return NotRun(ErrorCode::kNotFound, "the peer does not have the digests");
-  }
-  const auto json = ParseJson(response->body, "digests");
-  if (!json) {
-    return tl::unexpected<Failure>(json.error());
-  }
-  const auto list = json->find("digests");
-  if (list == json->end() || !list->is_array()) {
-    return NotRun(ErrorCode::kCorrupt,
-                  "a peer's response has no array \"digests\"");
-  }
-  ChunkDigests digests{model, version, {}};
-  for (const Json& item : *list) {
-    const auto digest =
-        item.is_string() ? Digest::FromHex(item.get_ref<const std::string&>())
-                         : std::nullopt;
-    if (!digest) {
-      return NotRun(ErrorCode::kCorrupt,
-                    "a peer's digest is not a valid hex string");
-    }
-    digests.digests.push_back(*digest);
-  }
-  if (digests.digests.empty()) {
-    return NotRun(ErrorCode::kCorrupt, "a peer's list of digests is empty");
-  }
-  return digests;
-}
-
 int64_t MillisecondsBetween(TimePoint from, TimePoint to) {
   return std::chrono::duration_cast<milliseconds>(to - from).count();
 }
@@ -90,7 +51,24 @@
       switch_planner(SwitchOptions{.zone = dependencies.settings.zone},
                      dependencies.instance),
       staged_copy(options.staged_copy, dependencies.loop.Now()),
+      copy_check(
+          dependencies.loop,
+          target,
+          options.max_concurrent_checks,
+          [this](size_t number,
+                 TimePoint started,
+                 const Result<std::string>& bytes) {
+            this->OnChunkRead(number, started, bytes);
+          },
+          [this] { this->OnCheckDone(); }),
+      orders(dependencies.loop,
+             dependencies.log,
+             dependencies.metrics,
+             target,
+             options.orders),
+      load_planner(options.schedule, options.version_choice, dependencies.log),
       beats(options.beats),
+      pace_watch(options.pace),
       step_timer(dependencies.loop, [this] { this->Step(); }),
       beat_timer(dependencies.loop,
                  [this] {
@@ -114,8 +92,6 @@
           "celerypost_corrected_digests_total",
           "Digests of chunks that were replaced since a source's bytes and "
           "digests disagreed with them")),
-      orders(dependencies.metrics.AddCounter("celerypost_orders_total",
-                                             "Orders to load weights")),
       unproven_loads(dependencies.metrics.AddCounter(
           "celerypost_unproven_loads_total",
           "Loads whose chunks had to be read again after the order was "
@@ -177,27 +153,32 @@
              : &found->second;
 }
 
-WeightOrigin* Stager::Origin() {
+const ServiceConfig* Stager::OriginService() const {
   const auto& config = this->core.view().config();
   if (!config) {
     return nullptr;
   }
-  for (const auto& [name, service] : config->services) {
-    if (!service.weight_origin) {
-      continue;
-    }
-    const auto address = SocketAddress::Parse(*service.weight_origin);
-    if (!address) {
-      this->dependencies.log.Warn("origin_unreadable", address.error().message);
-      return nullptr;
-    }
-    if (this->origin_address != *service.weight_origin) {
-      this->origin_address = *service.weight_origin;
-      this->origin = this->make_origin(*address);
-    }
-    return this->origin.get();
+  const auto found = std::find_if(
+      config->services.begin(), config->services.end(),
+      [](const auto& entry) { return entry.second.weight_origin.has_value(); });
+  return found == config->services.end() ? nullptr : &found->second;
+}
+
+WeightOrigin* Stager::Origin() {
+  const ServiceConfig* const service = this->OriginService();
+  if (service == nullptr) {
+    return nullptr;
   }
-  return nullptr;
+  const auto address = SocketAddress::Parse(*service->weight_origin);
+  if (!address) {
+    this->dependencies.log.Warn("origin_unreadable", address.error().message);
+    return nullptr;
+  }
+  if (this->origin_address != *service->weight_origin) {
+    this->origin_address = *service->weight_origin;
+    this->origin = this->make_origin(*address);
+  }
+  return this->origin.get();
 }
 
 int64_t Stager::WantedVersion() const {
@@ -214,7 +195,8 @@
 }
 
 void Stager::Step() {
-  const bool busy = this->goal.has_value() || this->loading;
+  const bool busy = this->goal.has_value() || this->loading ||
+                    this->pace_watch.Varies(this->dependencies.loop.Now());
   this->step_timer.StartOnce(busy ? this->options.busy_poll_period
                                   : this->options.idle_poll_period);
   if (this->Service() == nullptr) {
@@ -228,7 +210,7 @@
     this->target.GetReport([this, asked_at = this->dependencies.loop.Now()](
                                const Result<TargetReport>& report) {
       this->report_requested = false;
-      if (!report || asked_at >= this->order_accepted_at) {
+      if (!report || asked_at >= this->orders.accepted_at()) {
         this->OnReport(report, asked_at);
       }
     });
@@ -284,6 +266,10 @@
                                 {{"source", "report"}});
     this->ScheduleBeat(/*to_all=*/true);
   }
+  if (this->pace_watch.OnReport(report ? report->pace : std::nullopt,
+                                this->dependencies.loop.Now())) {
+    this->ScheduleBeat(/*to_all=*/true);
+  }
   this->UpdateServingVersion();
   if (this->loading != was_loading && this->serving_version == before) {
     this->LogTargetWeights(before);
@@ -348,32 +334,50 @@
   }
 }
 
-bool Stager::ShouldFinishGoalFirst() const {
+bool Stager::ShouldFinishGoalFirst() {
   if (!this->goal || this->goal->version <= this->serving_version) {
     return false;
   }
-  const TimePoint now = this->dependencies.loop.Now();
-  StagingProgress progress;
-  progress.staged_share =
-      static_cast<double>(this->chunk_planner.chunks_held()) /
-      static_cast<double>(
-          std::max<size_t>(1, this->chunk_planner.chunks_total()));
-  progress.since_progress =
-      std::chrono::duration_cast<milliseconds>(now - this->last_progress);
-  progress.copy_time = this->CopyTime();
-  const auto superseded_at = this->SupersededAt();
-  if (this->serving_version > 0 && superseded_at) {
-    progress.until_due = std::chrono::duration_cast<milliseconds>(
-        *superseded_at + this->dependencies.settings.version_bound - now);
-  }
-  return FinishesCurrentVersion(this->options.version_choice, progress);
+  return this->CopyIsBeingLoaded() ||
+         this->load_planner.CompletesCurrent(this->FactsOfLoad(),
+                                             this->dependencies.loop.Now());
 }
 
-milliseconds Stager::CopyTime() const {
-  const auto bytes = static_cast<double>(this->chunk_bytes) *
-                     static_cast<double>(this->chunk_planner.chunks_total());
-  return std::chrono::ceil<milliseconds>(std::chrono::duration<double>(
-      bytes / this->dependencies.settings.link_rate));
+bool Stager::CopyIsBeingLoaded() const {
+  return this->goal && (this->orders.in_flight() || this->loading);
+}
+
+LoadFacts Stager::FactsOfLoad() const {
+  const KnownWeights* const weights = this->core.view().Weights(this->model);
+  const size_t chunks = this->chunk_planner.chunks_total();
+  LoadFacts facts;
+  facts.version = this->goal->version;
+  facts.newest_version = this->WantedVersion();
+  facts.serving_version = this->serving_version;
+  facts.staged_share = static_cast<double>(this->chunk_planner.chunks_held()) /
+                       static_cast<double>(std::max<size_t>(1, chunks));
+  facts.copy_time =
+      std::chrono::ceil<milliseconds>(std::chrono::duration<double>(
+          static_cast<double>(this->chunk_bytes) * static_cast<double>(chunks) /
+          this->StagingRate()));
+  facts.superseded_at = this->SupersededAt();
+  if (weights != nullptr) {
+    facts.newer_named_at = weights->FirstNamedAbove(facts.version);
+  }
+  facts.version_bound = this->dependencies.settings.version_bound;
+  facts.rank =
+      this->switch_planner.PeersBefore(static_cast<uint64_t>(facts.version));
+  facts.count = this->switch_planner.AgentsInZone();
+  facts.origin_available = this->origin_available;
+  return facts;
+}
+
+double Stager::StagingRate() const {
+  const double rate = this->dependencies.settings.link_rate;
+  const ServiceConfig* const service = this->OriginService();
+  return service != nullptr && service->origin_link_rate > 0
+             ? std::min(rate, service->origin_link_rate)
+             : rate;
 }
 
 void Stager::AskForDigests(int64_t version) {
@@ -419,10 +423,12 @@
     this->digests_requested = false;
     return;
   }
-  source->GetDigests(this->model, version,
-                     [this, version](const Result<ChunkDigests>& digests) {
-                       this->OnDigests(version, digests);
-                     });
+  source->GetDigests(
+      this->model, version,
+      [this, version](const Result<ChunkDigests>& digests) {
+        this->NoteOriginAnswer(digests ? nullptr : &digests.error());
+        this->OnDigests(version, digests);
+      });
 }
 
 void Stager::AskPeerForDigests(InstanceId instance, int64_t version) {
@@ -474,7 +480,7 @@
     return;
   }
   this->digests = *digests;
-  if (version == this->WantedVersion()) {
+  if (version == this->WantedVersion() && !this->CopyIsBeingLoaded()) {
     this->SetGoal(*digests);
   }
 }
@@ -500,6 +506,7 @@
   const bool first = !this->goal;
   this->goal = std::move(next);
   ++this->goal_generation;
+  this->load_planner.OnGoal(now);
   this->peer_fetches.clear();
   this->staged_copy.Reset(this->goal->digests.digests.size(), now);
   // The chunks may still be staged after a restart of the target or of this
@@ -511,7 +518,7 @@
     this->OnLoadProofChanged(proof_before);
   }
   this->checked_at.reset();
-  this->checking = false;
+  this->copy_check.Cancel();
   this->comparing_digests = false;
   this->comparison_call.reset();
   this->chunk_planner.SetGoal(this->MakeChunkGoal(), now);
@@ -530,7 +537,7 @@
 void Stager::DropGoal() {
   this->goal.reset();
   ++this->goal_generation;
-  this->checking = false;
+  this->copy_check.Cancel();
   this->check_adds_chunks = false;
 }
 
@@ -642,7 +649,7 @@
 }
 
 void Stager::Fetch() {
-  if (!this->goal || (this->checking && this->check_adds_chunks)) {
+  if (!this->goal || (this->copy_check.running() && this->check_adds_chunks)) {
     return;
   }
   const PlannerActions actions =
@@ -720,21 +727,26 @@
                  });
 }
 
+void Stager::NoteOriginAnswer(const Failure* failure) {
+  if ((failure == nullptr) == this->origin_available) {
+    return;
+  }
+  this->origin_available = failure == nullptr;
+  if (this->origin_available) {
+    this->dependencies.log.Info("origin_found", "the origin answers again",
+                                {{"address", this->origin_address}});
+  } else {
+    this->dependencies.log.Warn("origin_lost", failure->message,
+                                {{"address", this->origin_address},
+                                 {"held", this->chunk_planner.chunks_held()}});
+  }
+}
+
 void Stager::OnBytes(const FetchAction& action,
                      const Result<std::string>& bytes) {
   const TimePoint now = this->dependencies.loop.Now();
-  if (action.source.origin && bytes.has_value() != this->origin_available) {
-    this->origin_available = bytes.has_value();
-    if (bytes) {
-      this->dependencies.log.Info("origin_found",
-                                  "the origin serves chunks again",
-                                  {{"address", this->origin_address}});
-    } else {
-      this->dependencies.log.Warn(
-          "origin_lost", bytes.error().message,
-          {{"address", this->origin_address},
-           {"held", this->chunk_planner.chunks_held()}});
-    }
+  if (action.source.origin) {
+    this->NoteOriginAnswer(bytes ? nullptr : &bytes.error());
   }
   if (!bytes) {
     this->chunk_planner.OnChunk(action.chunk.digest, action.source,
@@ -895,7 +907,7 @@
   if (!put) {
     this->dependencies.log.Warn("staging_failed", put.error().message);
   }
-  this->last_progress = this->dependencies.loop.Now();
+  this->load_planner.OnProgress(this->dependencies.loop.Now());
   if (action.source.origin || action.crosses_regions) {
     this->beats.NoteFarNews();
   }
@@ -909,42 +921,8 @@
 }
 
 void Stager::StartCheck(std::vector<size_t> numbers, TimePoint since) {
-  this->checking = true;
-  this->chunks_to_check = std::move(numbers);
-  this->next_chunk_to_check = 0;
-  this->running_checks = 0;
-  this->check_started = this->dependencies.loop.Now();
-  this->check_since = since;
   this->valid_copies.clear();
-  this->CheckNextChunks();
-}
-
-// Reads staged chunks, max_concurrent_checks at a time, and compares them with
-// their digests.
-void Stager::CheckNextChunks() {
-  while (this->running_checks < this->options.max_concurrent_checks &&
-         this->next_chunk_to_check < this->chunks_to_check.size()) {
-    const size_t number = this->chunks_to_check[this->next_chunk_to_check++];
-    ++this->running_checks;
-    this->target.GetChunk(
-        this->model, number,
-        [this, number, generation = this->goal_generation,
-         started =
-             this->dependencies.loop.Now()](const Result<std::string>& bytes) {
-          if (generation != this->goal_generation || !this->goal) {
-            return;
-          }
-          --this->running_checks;
-          this->OnChunkRead(number, started, bytes);
-          if (generation == this->goal_generation) {
-            this->CheckNextChunks();
-          }
-        });
-  }
-  if (this->running_checks == 0 &&
-      this->next_chunk_to_check >= this->chunks_to_check.size()) {
-    this->OnCheckDone();
-  }
+  this->copy_check.Start(this->model, std::move(numbers), since);
 }
 
 void Stager::OnChunkRead(size_t number,
@@ -953,6 +931,7 @@
   const Digest& digest = this->goal->digests.digests[number];
   if (bytes && Digest::Of(*bytes) == digest) {
     this->staged_copy.OnGood(number, started);
+    this->chunk_bytes = bytes->size();
     if (this->check_adds_chunks &&
         ++this->valid_copies[digest] == this->NumbersOf(digest).size()) {
       this->chunk_planner.OnHeld(digest, this->dependencies.loop.Now());
@@ -966,16 +945,13 @@
 }
 
 void Stager::OnCheckDone() {
-  if (!this->checking) {
-    return;
-  }
-  this->checking = false;
   const bool added = std::exchange(this->check_adds_chunks, false);
   const LoadProof::State proof_before = this->load_proof.state();
   this->load_proof.OnRead(this->staged_copy);
   this->OnLoadProofChanged(proof_before);
-  const bool good = this->chunk_planner.complete() &&
-                    this->staged_copy.NotGoodSince(this->check_since).empty();
+  const bool good =
+      this->chunk_planner.complete() &&
+      this->staged_copy.NotGoodSince(this->copy_check.since()).empty();
   if (good) {
     this->checked_at = this->dependencies.loop.Now();
   }
@@ -995,21 +971,14 @@
     return std::nullopt;
   }
   return weights->FirstNamedAbove(
-      this->loading ? std::max(this->serving_version, this->ordered_version)
-                    : this->serving_version);
+      this->loading
+          ? std::max(this->serving_version, this->orders.accepted_version())
+          : this->serving_version);
 }
 
-TimePoint Stager::PlannedLoadTime() const {
-  const auto superseded_at = this->SupersededAt();
-  if (this->serving_version == 0 || !superseded_at) {
-    return TimePoint();
-  }
-  const auto version = static_cast<uint64_t>(this->goal->version);
-  return ScheduledLoadTime(
-      this->options.schedule, *superseded_at,
-      *superseded_at + this->dependencies.settings.version_bound,
-      this->switch_planner.PeersBefore(version),
-      this->switch_planner.AgentsInZone());
+TimePoint Stager::PlannedLoadTime() {
+  return this->load_planner.LoadTime(this->FactsOfLoad(),
+                                     this->dependencies.loop.Now());
 }
 
 void Stager::MaybeOrderLoad() {
@@ -1017,10 +986,10 @@
     return;
   }
   const TimePoint now = this->dependencies.loop.Now();
-  if (!this->goal || this->checking || this->order_in_flight ||
+  if (!this->goal || this->copy_check.running() || this->orders.in_flight() ||
       this->running_writes > 0 || !this->target_report || this->ResolveLoad() ||
       !this->chunk_planner.complete() || this->target_report->busy ||
-      now < this->next_order_time) {
+      !this->orders.MaySend()) {
     return;
   }
   const TimePoint planned = this->PlannedLoadTime();
@@ -1040,52 +1009,44 @@
   this->OrderLoad();
 }
 
-LoadMode Stager::ModeOfOrders() const {
+LoadOrder Stager::MakeOrder(int64_t version) const {
   const ServiceConfig* const service = this->Service();
-  return service != nullptr && service->interruptible ? LoadMode::kInterrupt
-                                                      : LoadMode::kAfterRunning;
+  return {this->model, version, this->target_report->sequence,
+          service != nullptr && service->interruptible
+              ? LoadMode::kInterrupt
+              : LoadMode::kAfterRunning};
 }
 
 void Stager::OrderLoad() {
   const TimePoint now = this->dependencies.loop.Now();
-  this->order_in_flight = true;
-  this->orders.Add();
-  const int64_t version = this->goal->version;
-  const int64_t sequence = this->target_report->sequence;
+  const LoadOrder order = this->MakeOrder(this->goal->version);
   const TimePoint good_since =
       this->staged_copy.GoodSince().value_or(TimePoint());
   this->dependencies.log.Info(
       "order", "ordering the target to load",
-      {{"version", version},
-       {"sequence", sequence},
+      {{"version", order.version},
+       {"sequence", order.sequence},
        {"serving_version", this->serving_version},
        {"checked_ms_ago", MillisecondsBetween(*this->checked_at, now)},
        {"oldest_read_ms_ago", MillisecondsBetween(good_since, now)}});
-  this->load_proof.OnOrder(version, sequence);
-  this->target.Load(this->model, version, sequence, this->ModeOfOrders(),
-                    [this, version, now](const Result<void>& taken) {
-                      this->OnLoadAnswer(version, now, taken);
-                    });
+  this->load_proof.OnOrder(order.version, order.sequence);
+  this->orders.Load(
+      order, [this, version = order.version, now](const Result<void>& taken) {
+        this->OnLoadAnswer(version, now, taken);
+      });
 }
 
 void Stager::OnLoadAnswer(int64_t version,
                           TimePoint ordered_at,
                           const Result<void>& taken) {
   const TimePoint now = this->dependencies.loop.Now();
-  this->order_in_flight = false;
-  this->next_order_time = now + this->options.order_retry_delay;
   if (!taken) {
-    this->dependencies.log.Warn(
-        "order_failed", taken.error().message,
-        {{"version", version},
-         {"answer_ms", MillisecondsBetween(ordered_at, now)}});
     if (taken.error().verdict == Verdict::kNotRun) {
       this->load_proof.OnRefused();
     }
     return;
   }
   this->loading = true;
-  this->ordered_version = version;
   this->NoteOrderAccepted();
   const LoadProof::State proof_before = this->load_proof.state();
   this->load_proof.OnAccepted(this->staged_copy, now);
@@ -1112,35 +1073,18 @@
       this->held_version != this->goal->version) {
     return false;
   }
-  if (!this->target_report->busy && now >= this->next_order_time) {
-    this->OrderUnload();
+  if (!this->target_report->busy && this->orders.MaySend()) {
+    this->orders.Unload(this->MakeOrder(this->held_version),
+                        [this](const Result<void>& taken) {
+                          if (taken) {
+                            this->NoteOrderAccepted();
+                          }
+                        });
   }
   return true;
 }
 
-void Stager::OrderUnload() {
-  this->order_in_flight = true;
-  this->orders.Add();
-  this->dependencies.log.Warn(
-      "unload_order", "ordering the target to give up weights that may be bad",
-      {{"version", this->held_version},
-       {"sequence", this->target_report->sequence}});
-  this->target.Unload(
-      this->model, this->held_version, this->target_report->sequence,
-      this->ModeOfOrders(), [this](const Result<void>& taken) {
-        this->order_in_flight = false;
-        this->next_order_time =
-            this->dependencies.loop.Now() + this->options.unload_retry_delay;
-        if (!taken) {
-          this->dependencies.log.Warn("unload_failed", taken.error().message);
-          return;
-        }
-        this->NoteOrderAccepted();
-      });
-}
-
 void Stager::NoteOrderAccepted() {
-  this->order_accepted_at = this->dependencies.loop.Now();
   if (this->target_report) {
     this->target_report->busy = true;
   }
@@ -1230,6 +1174,9 @@
   }
   beat.loading = this->loading;
   beat.target_leaving = this->target_report && this->target_report->leaving;
+  if (const auto pace = this->pace_watch.Tell(to_all)) {
+    beat.__set_target_pace(*pace);
+  }
   this->beats.Begin(to_all, this->goal.has_value(), this->last_beat);
   this->core.exchange().Send(beat, [this](const BeatPeer& peer) {
     return this->beats.ShouldSendTo(peer);
@@ -1266,11 +1213,7 @@
     responder->SendJson(404, R"({"error":{"code":"not_found"}})");
     return;
   }
-  Json list = Json::array();
-  for (const Digest& digest : this->digests->digests) {
-    list.push_back(digest.ToHex());
-  }
-  responder->SendJson(200, Json{{"digests", std::move(list)}}.dump());
+  responder->SendJson(200, EncodeDigests(*this->digests));
 }
 
 // Queues an upload. Peers whose targets load first are served first, so that
@@ -1357,7 +1300,8 @@
         "a staged chunk is missing or has a wrong digest; fetching it again",
         {{"chunk", number},
          {"version", this->goal->version},
-         {"check_ms", MillisecondsBetween(this->check_started, now)}});
+         {"check_ms",
+          MillisecondsBetween(this->copy_check.started_at(), now)}});
     this->chunk_planner.OnDropped(digest, now);
   }
   const LoadProof::State proof_before = this->load_proof.state();
--- a/src/process/stager/stager.h
+++ b/src/process/stager/stager.h
@@ -15,7 +15,11 @@
 
 #include "src/process/drain_policy.h"
 #include "src/process/node_core.h"
+#include "src/process/stager/copy_check.h"
+#include "src/process/stager/load_orders.h"
+#include "src/process/stager/load_planner.h"
 #include "src/process/stager/model_target.h"
+#include "src/process/stager/pace_watch.h"
 #include "src/version/chunk_planner.h"
 #include "src/version/digest_source.h"
 #include "src/version/load_proof.h"
@@ -29,13 +33,14 @@
 
 struct StagerOptions {
   // How often the target's state is polled while weights are being staged or
-  // loaded, and otherwise.
+  // loaded or the target's pace varies, and otherwise.
   std::chrono::milliseconds busy_poll_period{100};
   std::chrono::milliseconds idle_poll_period{250};
   // Time after which a beat is due to all peers but the stagers of other
   // regions, which `beats` limits further. Changes are sent sooner.
   std::chrono::milliseconds beat_period{1000};
   StagerBeatOptions beats;
+  PaceWatchOptions pace;
   // Staged chunks can become corrupt, so the target is ordered to load them
   // only within this time after they were checked.
   std::chrono::milliseconds check_lifetime{1000};
@@ -51,10 +56,7 @@
   // stagers again when it has been silent for this long: two of its beats to
   // other regions while it is staging.
   std::chrono::milliseconds claim_lifetime{1000};
-  // Least time from the target's response to an order to the next order.
-  std::chrono::milliseconds order_retry_delay{200};
-  // The same after an order to give up weights.
-  std::chrono::milliseconds unload_retry_delay{1000};
+  LoadOrderOptions orders;
   StagerUploadOptions uploads;
   // Delay before digests are requested again after a failure.
   std::chrono::milliseconds digests_retry_delay{150};
@@ -113,6 +115,9 @@
   void DropExpiredClaims();
   void Fetch();
   void FetchChunk(const FetchAction& action);
+  // Logs when the origin stops or begins to answer. `failure` is null for an
+  // answer.
+  void NoteOriginAnswer(const Failure* failure);
   void OnBytes(const FetchAction& action, const Result<std::string>& bytes);
   // Handles bytes that do not have the expected digest. Either they or the
   // digests of this process are corrupt, so the source is asked for its
@@ -142,7 +147,6 @@
   // Reads chunks back; those without a good read since `since` must turn out
   // good for the check to succeed.
   void StartCheck(std::vector<size_t> numbers, TimePoint since);
-  void CheckNextChunks();
   void OnChunkRead(size_t number,
                    TimePoint started,
                    const Result<std::string>& bytes);
@@ -159,20 +163,22 @@
   // Proves what the target has loaded, or has it given up if that is disproven.
   // Returns whether the staged chunks are not to be loaded for now.
   bool ResolveLoad();
-  void OrderUnload();
   // The target is busy from now on until a report says otherwise that was asked
   // for later.
   void NoteOrderAccepted();
   // Logs and announces what has become of the load since `before`.
   void OnLoadProofChanged(LoadProof::State before);
-  LoadMode ModeOfOrders() const;
+  LoadOrder MakeOrder(int64_t version) const;
   // When the weights that the target serves, or is loading, were superseded;
   // nothing when they were not.
   std::optional<TimePoint> SupersededAt() const;
-  // Time that one copy of the weights takes over this VM's link.
-  std::chrono::milliseconds CopyTime() const;
+  // The rate of this VM's link or of the origin's, whichever is slower, in
+  // bytes per second.
+  double StagingRate() const;
+  // What the planner of loads needs to know about the goal.
+  LoadFacts FactsOfLoad() const;
   // When to order the target to load; at once if it serves nothing.
-  TimePoint PlannedLoadTime() const;
+  TimePoint PlannedLoadTime();
   void OnBeat(const Peer& peer);
   // Passes what is known of a peer on to the planners.
   void UpdatePeer(const Peer& peer);
@@ -204,9 +210,14 @@
   void CheckStop();
   int64_t StagedVersion() const;
   // Whether the current goal is completed before a newer version is staged.
-  bool ShouldFinishGoalFirst() const;
+  bool ShouldFinishGoalFirst();
+  // Whether the staged chunks must not be replaced now, since the target is
+  // ordered to load them or may still be reading them.
+  bool CopyIsBeingLoaded() const;
   void ServeDigests(int64_t version,
                     const std::shared_ptr<HttpResponder>& responder);
+  // The service that distributes weights; null when none is configured.
+  const ServiceConfig* OriginService() const;
   // Null when no configured service has an origin of weights, or when the
   // origin's address is malformed.
   WeightOrigin* Origin();
@@ -250,20 +261,11 @@
   // The version for which a failed request of digests has been logged.
   int64_t logged_digests_failure_version = 0;
   bool report_requested = false;
-  // When the answer to the last accepted order arrived. Reports that were asked
-  // for before may tell the state before the order.
-  TimePoint order_accepted_at{};
   StagedCopy staged_copy;
+  CopyCheck copy_check;
+  LoadOrders orders;
+  LoadPlanner load_planner;
   LoadProof load_proof;
-  // A check of staged chunks: whether one is running, what it reads, the next
-  // one of these, the number of reads in flight, when it began, and the time
-  // since which each chunk must have been good.
-  bool checking = false;
-  std::vector<size_t> chunks_to_check;
-  size_t next_chunk_to_check = 0;
-  size_t running_checks = 0;
-  TimePoint check_started{};
-  TimePoint check_since{};
   // Whether the check adds valid chunks to those held, besides dropping bad
   // ones.
   bool check_adds_chunks = false;
@@ -273,13 +275,8 @@
   std::optional<TimePoint> checked_at;
   // Writes to the target that have not been answered.
   size_t running_writes = 0;
-  bool order_in_flight = false;
   bool loading = false;
-  // Version of the last order that the target accepted.
-  int64_t ordered_version = 0;
-  TimePoint next_order_time{};
-  TimePoint last_progress{};
-  // Size of the last chunk that was fetched, 0 before the first.
+  // Size of the last chunk that was fetched or read, 0 before the first.
   size_t chunk_bytes = 0;
   std::optional<int64_t> first_check_of;
   // Chunk requests to peers that are in flight.
@@ -289,6 +286,7 @@
   bool comparing_digests = false;
   std::unique_ptr<HttpCall> comparison_call;
   StagerBeats beats;
+  PaceWatch pace_watch;
   Timer step_timer;
   Timer beat_timer;
   Timer upload_timer;
@@ -309,7 +307,6 @@
   Counter& chunks_from_origin;
   Counter& chunks_bad;
   Counter& corrected_digests;
-  Counter& orders;
   Counter& unproven_loads;
   Counter& disproven_loads;
   bool origin_available = true;
--- a/src/process/state/region_directory.h
+++ b/src/process/state/region_directory.h
@@ -13,6 +13,7 @@
 #include "src/process/state/document_progress.h"
 #include "src/process/state/node_role.h"
 #include "src/request/crash_evidence.h"
+#include "src/request/rank_admission.h"
 #include "src/request/target_tracker.h"
 
 namespace celerypost {
@@ -35,6 +36,8 @@
   std::optional<std::chrono::milliseconds> loads_in;
   // The target has told its stager that it leaves.
   bool leaving = false;
+  // As the target reports it (TargetPace).
+  std::optional<double> pace;
 };
 
 // What a gateway knows of its own region. Gateways of other regions get it in
@@ -50,6 +53,8 @@
   std::vector<ReportedLoad> loads;
   // Targets of any region that have lately said that they leave.
   std::vector<TargetStartHash> leaving_targets;
+  // Of all gateways of the region.
+  std::vector<RankCounts> rank_counts;
   DocumentProgress documents;
 };
 
--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -24,6 +24,25 @@
 // One answer in ten is longer still.
 constexpr double kAnswerLengthFactor = 1.4;
 
+// Returns the slowdown that a quarter of the candidates does not exceed, at
+// least 1. Requests are judged by the slowdown relative to it: when most
+// targets are slow, refusing what they would begin late would refuse most of
+// the load, and a late answer is better for its caller than none.
+double CommonSlowdown(const std::vector<PlacementCandidate>& candidates) {
+  std::vector<double> slowdowns;
+  slowdowns.reserve(candidates.size());
+  for (const PlacementCandidate& candidate : candidates) {
+    slowdowns.push_back(std::max(1.0, candidate.load.slowdown));
+  }
+  if (slowdowns.empty()) {
+    return 1;
+  }
+  const auto quarter =
+      slowdowns.begin() + static_cast<ptrdiff_t>((slowdowns.size() - 1) / 4);
+  std::nth_element(slowdowns.begin(), quarter, slowdowns.end());
+  return *quarter;
+}
+
 class PredictivePolicy : public PlacementPolicy {
  public:
   PredictivePolicy(PlacementOptions options, Random& random)
@@ -130,6 +149,7 @@
                           const std::vector<PlacementCandidate>& candidates,
                           const PlacementRequest& request) {
     const Bounds bounds = this->BoundsOf(rates, request);
+    const double common = CommonSlowdown(candidates);
     Placement placement;
     double best_cost = std::numeric_limits<double>::max();
     double soonest = std::numeric_limits<double>::max();
@@ -138,35 +158,44 @@
          this->DrawGroups(candidates, request.compared)) {
       for (const size_t index : group) {
         const PlacementCandidate& candidate = candidates[index];
+        const double slowdown = std::max(1.0, candidate.load.slowdown);
+        EngineLoad load = candidate.load;
+        load.slowdown = std::max(1.0, slowdown / common);
         const double predicted =
-            PredictFirstEvent(rates, candidate.load, request.prompt_tokens)
-                .count();
+            PredictFirstEvent(rates, load, request.prompt_tokens).count();
         soonest = std::min(soonest, predicted);
-        placement.room_tokens = std::max(
-            placement.room_tokens.value_or(
-                std::numeric_limits<double>::lowest()),
-            request.prompt_tokens + (bounds.limit - predicted) *
-                                        rates.prompt_tokens_per_ms /
-                                        std::max(1.0, candidate.load.slowdown));
-        const double over = ExcessMs(rates, request, bounds,
-                                     candidate.load.slowdown, predicted);
+        placement.room_tokens =
+            std::max(placement.room_tokens.value_or(
+                         std::numeric_limits<double>::lowest()),
+                     request.prompt_tokens + (bounds.limit - predicted) *
+                                                 rates.prompt_tokens_per_ms /
+                                                 load.slowdown);
+        const double over =
+            ExcessMs(rates, request, bounds, load.slowdown, predicted);
         excess = std::min(excess, over);
         if (over > 0) {
           continue;
         }
         double cost = predicted + this->PenaltyMs(candidate);
+        const double first_event =
+            PredictFirstEvent(rates, candidate.load, request.prompt_tokens)
+                .count();
+        const double answer =
+            slowdown *
+            AnswerTime(rates, candidate.load.in_flight, request.answer_tokens)
+                .count();
         if (candidate.reload_in &&
-            predicted + kAnswerLengthFactor *
-                            AnswerTime(rates, candidate.load.in_flight,
-                                       request.answer_tokens)
-                                .count() >
+            first_event + kAnswerLengthFactor * answer >
                 static_cast<double>(candidate.reload_in->count())) {
           cost += static_cast<double>(this->options.reload_cost.count());
         }
+        if (slowdown > 1 && first_event + answer > bounds.deadline_left) {
+          cost += static_cast<double>(this->options.deadline_cost.count());
+        }
         if (cost < best_cost) {
           best_cost = cost;
           placement.candidate = index;
-          placement.predicted = ToClampedDuration(predicted);
+          placement.predicted = ToClampedDuration(first_event);
         }
       }
       if (placement.candidate) {
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -116,6 +116,8 @@
 
 class RegionTarget;
 
+class RankCounts;
+
 class RegionSummary;
 
 class CrashAccusation;
@@ -126,6 +128,8 @@
 
 class CrashNews;
 
+class MeasuredPace;
+
 class Beat;
 
 typedef struct _Header__isset {
@@ -1556,10 +1560,11 @@
 std::ostream& operator<<(std::ostream& out, const HaveChunks& obj);
 
 typedef struct _TargetLoad__isset {
-  _TargetLoad__isset() : target(false), in_flight(false), waiting_tokens(false) {}
+  _TargetLoad__isset() : target(false), in_flight(false), waiting_tokens(false), late_waiting(false) {}
   bool target :1;
   bool in_flight :1;
   bool waiting_tokens :1;
+  bool late_waiting :1;
 } _TargetLoad__isset;
 
 class TargetLoad : public virtual ::apache::thrift::TBase {
@@ -1572,13 +1577,15 @@
   TargetLoad() noexcept
              : target(0),
                in_flight(0),
-               waiting_tokens(0) {
+               waiting_tokens(0),
+               late_waiting(0) {
   }
 
   virtual ~TargetLoad() noexcept;
   int64_t target;
   int32_t in_flight;
   int32_t waiting_tokens;
+  int32_t late_waiting;
 
   _TargetLoad__isset __isset;
 
@@ -1588,6 +1595,8 @@
 
   void __set_waiting_tokens(const int32_t val);
 
+  void __set_late_waiting(const int32_t val);
+
   bool operator == (const TargetLoad & rhs) const
   {
     if (!(target == rhs.target))
@@ -1596,6 +1605,10 @@
       return false;
     if (!(waiting_tokens == rhs.waiting_tokens))
       return false;
+    if (__isset.late_waiting != rhs.__isset.late_waiting)
+      return false;
+    else if (__isset.late_waiting && !(late_waiting == rhs.late_waiting))
+      return false;
     return true;
   }
   bool operator != (const TargetLoad &rhs) const {
@@ -1888,12 +1901,13 @@
 std::ostream& operator<<(std::ostream& out, const RegionGateway& obj);
 
 typedef struct _RegionTarget__isset {
-  _RegionTarget__isset() : address(false), serving_version(false), loading(false), loads_in_ms(false), leaving(false) {}
+  _RegionTarget__isset() : address(false), serving_version(false), loading(false), loads_in_ms(false), leaving(false), pace(false) {}
   bool address :1;
   bool serving_version :1;
   bool loading :1;
   bool loads_in_ms :1;
   bool leaving :1;
+  bool pace :1;
 } _RegionTarget__isset;
 
 class RegionTarget : public virtual ::apache::thrift::TBase {
@@ -1908,7 +1922,8 @@
                  serving_version(0),
                  loading(0),
                  loads_in_ms(0),
-                 leaving(0) {
+                 leaving(0),
+                 pace(0) {
   }
 
   virtual ~RegionTarget() noexcept;
@@ -1917,6 +1932,7 @@
   bool loading;
   int32_t loads_in_ms;
   bool leaving;
+  int32_t pace;
 
   _RegionTarget__isset __isset;
 
@@ -1930,6 +1946,8 @@
 
   void __set_leaving(const bool val);
 
+  void __set_pace(const int32_t val);
+
   bool operator == (const RegionTarget & rhs) const
   {
     if (!(address == rhs.address))
@@ -1944,6 +1962,10 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (__isset.pace != rhs.__isset.pace)
+      return false;
+    else if (__isset.pace && !(pace == rhs.pace))
+      return false;
     return true;
   }
   bool operator != (const RegionTarget &rhs) const {
@@ -1962,8 +1984,102 @@
 
 std::ostream& operator<<(std::ostream& out, const RegionTarget& obj);
 
+typedef struct _RankCounts__isset {
+  _RankCounts__isset() : service_hash(false), workspace_priority(false), route_priority(false), asked(false), placed(false), begun(false), on_time(false), held_thousandths(false) {}
+  bool service_hash :1;
+  bool workspace_priority :1;
+  bool route_priority :1;
+  bool asked :1;
+  bool placed :1;
+  bool begun :1;
+  bool on_time :1;
+  bool held_thousandths :1;
+} _RankCounts__isset;
+
+class RankCounts : public virtual ::apache::thrift::TBase {
+ public:
+
+  RankCounts(const RankCounts&) noexcept;
+  RankCounts(RankCounts&&) noexcept;
+  RankCounts& operator=(const RankCounts&) noexcept;
+  RankCounts& operator=(RankCounts&&) noexcept;
+  RankCounts() noexcept
+             : service_hash(0),
+               workspace_priority(0),
+               route_priority(0),
+               asked(0),
+               placed(0),
+               begun(0),
+               on_time(0),
+               held_thousandths(0) {
+  }
+
+  virtual ~RankCounts() noexcept;
+  int64_t service_hash;
+  int32_t workspace_priority;
+  int32_t route_priority;
+  int32_t asked;
+  int32_t placed;
+  int32_t begun;
+  int32_t on_time;
+  int64_t held_thousandths;
+
+  _RankCounts__isset __isset;
+
+  void __set_service_hash(const int64_t val);
+
+  void __set_workspace_priority(const int32_t val);
+
+  void __set_route_priority(const int32_t val);
+
+  void __set_asked(const int32_t val);
+
+  void __set_placed(const int32_t val);
+
+  void __set_begun(const int32_t val);
+
+  void __set_on_time(const int32_t val);
+
+  void __set_held_thousandths(const int64_t val);
+
+  bool operator == (const RankCounts & rhs) const
+  {
+    if (!(service_hash == rhs.service_hash))
+      return false;
+    if (!(workspace_priority == rhs.workspace_priority))
+      return false;
+    if (!(route_priority == rhs.route_priority))
+      return false;
+    if (!(asked == rhs.asked))
+      return false;
+    if (!(placed == rhs.placed))
+      return false;
+    if (!(begun == rhs.begun))
+      return false;
+    if (!(on_time == rhs.on_time))
+      return false;
+    if (!(held_thousandths == rhs.held_thousandths))
+      return false;
+    return true;
+  }
+  bool operator != (const RankCounts &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RankCounts & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RankCounts &a, RankCounts &b);
+
+std::ostream& operator<<(std::ostream& out, const RankCounts& obj);
+
 typedef struct _RegionSummary__isset {
-  _RegionSummary__isset() : region(false), ip(false), gateways(false), targets(false), loads(false), revision(false), operator_revision(false), era(false), config_version(false), leaving_targets(false) {}
+  _RegionSummary__isset() : region(false), ip(false), gateways(false), targets(false), loads(false), revision(false), operator_revision(false), era(false), config_version(false), leaving_targets(false), rank_counts(false) {}
   bool region :1;
   bool ip :1;
   bool gateways :1;
@@ -1974,6 +2090,7 @@
   bool era :1;
   bool config_version :1;
   bool leaving_targets :1;
+  bool rank_counts :1;
 } _RegionSummary__isset;
 
 class RegionSummary : public virtual ::apache::thrift::TBase {
@@ -2003,6 +2120,7 @@
   int64_t era;
   int64_t config_version;
   std::vector<int64_t>  leaving_targets;
+  std::vector<RankCounts>  rank_counts;
 
   _RegionSummary__isset __isset;
 
@@ -2026,6 +2144,8 @@
 
   void __set_leaving_targets(const std::vector<int64_t> & val);
 
+  void __set_rank_counts(const std::vector<RankCounts> & val);
+
   bool operator == (const RegionSummary & rhs) const
   {
     if (!(region == rhs.region))
@@ -2048,6 +2168,10 @@
       return false;
     if (!(leaving_targets == rhs.leaving_targets))
       return false;
+    if (__isset.rank_counts != rhs.__isset.rank_counts)
+      return false;
+    else if (__isset.rank_counts && !(rank_counts == rhs.rank_counts))
+      return false;
     return true;
   }
   bool operator != (const RegionSummary &rhs) const {
@@ -2306,8 +2430,67 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashNews& obj);
 
+typedef struct _MeasuredPace__isset {
+  _MeasuredPace__isset() : target_start(false), pace(false), age_ms(false) {}
+  bool target_start :1;
+  bool pace :1;
+  bool age_ms :1;
+} _MeasuredPace__isset;
+
+class MeasuredPace : public virtual ::apache::thrift::TBase {
+ public:
+
+  MeasuredPace(const MeasuredPace&) noexcept;
+  MeasuredPace(MeasuredPace&&) noexcept;
+  MeasuredPace& operator=(const MeasuredPace&) noexcept;
+  MeasuredPace& operator=(MeasuredPace&&) noexcept;
+  MeasuredPace() noexcept
+               : target_start(0),
+                 pace(0),
+                 age_ms(0) {
+  }
+
+  virtual ~MeasuredPace() noexcept;
+  int64_t target_start;
+  int32_t pace;
+  int32_t age_ms;
+
+  _MeasuredPace__isset __isset;
+
+  void __set_target_start(const int64_t val);
+
+  void __set_pace(const int32_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const MeasuredPace & rhs) const
+  {
+    if (!(target_start == rhs.target_start))
+      return false;
+    if (!(pace == rhs.pace))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const MeasuredPace &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MeasuredPace & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MeasuredPace &a, MeasuredPace &b);
+
+std::ostream& operator<<(std::ostream& out, const MeasuredPace& obj);
+
 typedef struct _Beat__isset {
-  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), request_crash_news(false), era(false), config_version(false), current_ms_ago(false), leaving_targets(false), target_leaving(false) {}
+  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), request_crash_news(false), era(false), config_version(false), current_ms_ago(false), leaving_targets(false), target_leaving(false), rank_counts(false), target_pace(false), paces(false) {}
   bool instance :1;
   bool role :1;
   bool ip :1;
@@ -2337,6 +2520,9 @@
   bool current_ms_ago :1;
   bool leaving_targets :1;
   bool target_leaving :1;
+  bool rank_counts :1;
+  bool target_pace :1;
+  bool paces :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -2369,7 +2555,8 @@
          era(0),
          config_version(0),
          current_ms_ago(0),
-         target_leaving(0) {
+         target_leaving(0),
+         target_pace(0) {
   }
 
   virtual ~Beat() noexcept;
@@ -2402,6 +2589,9 @@
   int32_t current_ms_ago;
   std::vector<int64_t>  leaving_targets;
   bool target_leaving;
+  std::vector<RankCounts>  rank_counts;
+  int32_t target_pace;
+  std::vector<MeasuredPace>  paces;
 
   _Beat__isset __isset;
 
@@ -2463,6 +2653,12 @@
 
   void __set_target_leaving(const bool val);
 
+  void __set_rank_counts(const std::vector<RankCounts> & val);
+
+  void __set_target_pace(const int32_t val);
+
+  void __set_paces(const std::vector<MeasuredPace> & val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2531,6 +2727,18 @@
       return false;
     if (!(target_leaving == rhs.target_leaving))
       return false;
+    if (__isset.rank_counts != rhs.__isset.rank_counts)
+      return false;
+    else if (__isset.rank_counts && !(rank_counts == rhs.rank_counts))
+      return false;
+    if (__isset.target_pace != rhs.__isset.target_pace)
+      return false;
+    else if (__isset.target_pace && !(target_pace == rhs.target_pace))
+      return false;
+    if (__isset.paces != rhs.__isset.paces)
+      return false;
+    else if (__isset.paces && !(paces == rhs.paces))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -217,6 +217,9 @@
   2: i32 in_flight
   // Prompt tokens of requests that have not produced an event.
   3: i32 waiting_tokens
+  // How many of `in_flight` wait as late requests; their prompt tokens are not
+  // in `waiting_tokens`.
+  50: optional i32 late_waiting
 }
 
 struct DocumentItem {
@@ -267,6 +270,23 @@
   4: optional i32 loads_in_ms
   // The target has told its stager that it leaves.
   30: bool leaving
+  // As Beat.target_pace.
+  50: optional i32 pace
+}
+
+// Decisions of the last second on the requests of a service and a rank
+// (celerypost::RankCounts).
+struct RankCounts {
+  // Hash of the service's name.
+  1: i64 service_hash
+  2: i32 workspace_priority
+  3: i32 route_priority
+  4: i32 asked
+  5: i32 placed
+  6: i32 begun
+  7: i32 on_time
+  // Sum of the holds that the requests met, in thousandths.
+  8: i64 held_thousandths
 }
 
 // What one gateway knows of its region, for the gateways of other regions.
@@ -285,6 +305,8 @@
   9: i64 config_version
   // Hashes of the starts of targets that have lately said that they leave.
   30: list<i64> leaving_targets
+  // Of all gateways of the region.
+  60: optional list<RankCounts> rank_counts
 }
 
 // A request with a part of a prompt had not survived when its target crashed
@@ -319,6 +341,16 @@
   3: list<PartQuarantine> quarantines
 }
 
+// The pace of a target as one gateway measured it (celerypost::TargetPace).
+struct MeasuredPace {
+  // Hash of one start of the target.
+  1: i64 target_start
+  // In hundredths.
+  2: i32 pace
+  // Time since the latest measurement.
+  3: i32 age_ms
+}
+
 // Sent as one datagram, without Header, between processes on the users'
 // platform.
 struct Beat {
@@ -375,4 +407,11 @@
   30: list<i64> leaving_targets
   // Stagers: the target has said that it leaves.
   31: bool target_leaving
+  // Gateways: the sender's own counts; absent where no ranks are told apart.
+  60: optional list<RankCounts> rank_counts
+  // Stagers: the pace that the target reports, in hundredths; absent if it
+  // reports none.
+  50: optional i32 target_pace
+  // Gateways: own measurements that differ clearly from 1.
+  51: optional list<MeasuredPace> paces
 }
--- a/tests/request/fleet_load.h
+++ b/tests/request/fleet_load.h
@@ -68,7 +68,14 @@
   TargetTracker book{{}};
   SizeBalance sizes{{}};
   PredictionErrors errors{{}};
+  // Without a configuration, which leaves all requests alike.
+  RankAdmission ranks{{}, random};
   std::unique_ptr<PlacementPolicy> policy;
+  ReturningCallers callers{{}};
+  LateAdmission late{{}, random};
+  ReturnPromises promises{{}, random};
+  LateResponses late_responses{callers, late, promises};
+  // Without LateResponses; a hook replaces it.
   std::unique_ptr<GatewayAdmission> admission;
 };
 
@@ -88,11 +95,15 @@
   // In milliseconds from the start.
   double arrived_ms = 0;
   LoadOutcome outcome = LoadOutcome::kLost;
-  // Refused when it came first.
+  // Refused when it came first and came back.
   bool returned = false;
+  // Placed by LateAdmission.
+  bool late_admission = false;
   // Predicted and real time from the last decision to the first event.
   double predicted_ms = 0;
   double first_event_ms = 0;
+  // EngineLoad::slowdown of the target that was chosen.
+  double slowdown = 1;
 };
 
 struct FleetLoadResult {
@@ -117,6 +128,17 @@
                      const LoadRequest& request,
                      TimePoint now)>
       first_event;
+  // The time since the last event of a request at `target`, which the gateway
+  // takes to run `running` requests.
+  std::function<void(size_t gateway,
+                     const std::string& target,
+                     double gap_ms,
+                     uint32_t running,
+                     TimePoint now)>
+      event;
+  // The target takes `factor` times as long for everything from now on.
+  std::function<void(const std::string& target, double factor, TimePoint now)>
+      slow;
   // Completes a request before the decision.
   std::function<void(size_t gateway,
                      const LoadRequest& request,
