--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -208,6 +208,12 @@
   std::array<int, 3> queue{};
 };
 
+TargetSelectorOptions SelectorOptions() {
+  TargetSelectorOptions options;
+  options.late_admission = true;
+  return options;
+}
+
 TEST_GROUP(RelayTaskTest) {
   Loop loop;
   MemoryBudget memory{loop, {}, {}};
