--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -236,8 +236,8 @@
   LateResponses late_responses{callers, late, promises};
   GatewayAdmission admission{*policy, sizes, errors, ranks, &late_responses};
   TargetPace paces{{}};
-  TargetSelector selector{
-      view, book, notices, paces, admission, random, {.late_admission = true}};
+  TargetSelector selector{view,      book,   notices,          paces,
+                          admission, random, SelectorOptions()};
   // Holds less than a long answer.
   size_t evictions = 0;
   MemoryBudget small_memory{loop,
