Compare all targets where few gateways share a region

With two or three gateways a region their reports miss few requests, while two compared targets and an allowance refuse more. Change: with fewer than six gateways in the region reports count as complete: all targets are compared and no allowance is added, as before.

--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -77,12 +77,19 @@
 
 void TargetSelector::SetGateways(std::vector<GatewayMember> gateways) {
   this->gateways = std::max<size_t>(1, gateways.size());
+  this->near_gateways = static_cast<size_t>(std::count_if(
+      gateways.begin(), gateways.end(), [this](const GatewayMember& member) {
+        return member.region == this->options.region;
+      }));
   this->cold_shares.SetGateways(std::move(gateways));
 }
 
 double TargetSelector::UnseenRequests(
     const std::vector<PlacementCandidate>& candidates,
     TimePoint now) const {
+  if (this->near_gateways < this->options.many_gateways) {
+    return 0;
+  }
   size_t sent = 0;
   for (const PlacementCandidate& candidate : candidates) {
     sent += this->book.SentInLastSecond(candidate.target, now);
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -86,6 +86,10 @@
 struct TargetSelectorOptions {
   // As GatewayOptions::late_admission.
   bool late_admission = false;
+  // With fewer gateways in the region, reports are taken to miss nothing: few
+  // requests of others reach the targets that a report shows as idle. With two
+  // or three, comparing few targets lost up to 0.06 of the worth of a day.
+  size_t many_gateways = 6;
   std::string self_ip;
   ZoneName zone;
   RegionName region;
@@ -198,6 +202,8 @@
   std::shared_ptr<const GatewayConfig> ranks_config;
   std::map<ServiceName, bool> ranks_differ;
   size_t gateways = 1;
+  // Of these, those of the own region.
+  size_t near_gateways = 1;
   std::chrono::milliseconds report_period{0};
 };
 
--- a/src/request/gateway_admission.cc
+++ b/src/request/gateway_admission.cc
@@ -74,8 +74,10 @@
     decision.age = caller.age;
   }
   balanced.compared = CandidatesToCompare(request.unseen_requests);
-  balanced.allowance = decision.allowance =
-      this->errors.AllowanceOf(request.service);
+  if (request.unseen_requests > 0) {
+    balanced.allowance = decision.allowance =
+        this->errors.AllowanceOf(request.service);
+  }
   const milliseconds held = decision.rank
                                 ? HeldRoom(*decision.rank, request.placement)
                                 : milliseconds(0);
