--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -87,7 +87,7 @@
 double TargetSelector::UnseenRequests(
     const std::vector<PlacementCandidate>& candidates,
     TimePoint now) const {
-  if (this->near_gateways < this->options.many_gateways) {
+  if (this->ReportsComplete()) {
     return 0;
   }
   size_t sent = 0;
@@ -346,6 +346,7 @@
   admission_request.caller_time_left = request.caller_time_left;
   admission_request.late = request.late;
   admission_request.ranks_differ = this->RanksDiffer(request.service);
+  admission_request.reports_complete = this->ReportsComplete();
   admission_request.allows_late =
       admission_request.ranks_differ || this->options.late_admission;
   admission_request.unseen_requests = selection.unseen_requests =
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -181,6 +181,10 @@
   bool RegionAllowed(const RegionName& region,
                      const SelectionRequest& request) const;
   RegionName RegionOf(const ZoneName& zone) const;
+  // Returns AdmissionRequest::reports_complete.
+  bool ReportsComplete() const {
+    return this->near_gateways < this->options.many_gateways;
+  }
   // Returns AdmissionRequest::unseen_requests if callers spread over the
   // gateways: the others send as many requests to these targets as this one.
   double UnseenRequests(const std::vector<PlacementCandidate>& candidates,
--- a/src/request/gateway_admission.cc
+++ b/src/request/gateway_admission.cc
@@ -74,7 +74,7 @@
     decision.age = caller.age;
   }
   balanced.compared = CandidatesToCompare(request.unseen_requests);
-  if (request.unseen_requests > 0) {
+  if (!request.reports_complete) {
     balanced.allowance = decision.allowance =
         this->errors.AllowanceOf(request.service);
   }
--- a/src/request/gateway_admission.h
+++ b/src/request/gateway_admission.h
@@ -30,6 +30,9 @@
   // Expected number of requests that other gateways have sent to a target since
   // their last reports.
   double unseen_requests = 0;
+  // The reports of the other gateways miss so few requests that predictions
+  // need no allowance.
+  bool reports_complete = false;
   // The request has not been sent to a target. Later placements repair what a
   // target has failed to do, so they do not count as demand.
   bool first_send = true;
