--- a/review/standins-2/http_message.cc
+++ b/review/standins-2/http_message.cc
@@ -168,9 +168,9 @@
   return descriptor;
 }
 
-bool Serve(const std::string& ip,
-           uint16_t port,
-           std::function<void(Connection&)> handle) {
+int Serve(const std::string& ip,
+          uint16_t port,
+          std::function<void(Connection&)> handle) {
   const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
@@ -179,13 +179,14 @@
            sizeof(address)) != 0 ||
       listen(listener, kBacklog) != 0) {
     close(listener);
-    return false;
+    return -1;
   }
   std::thread([listener, handle = std::move(handle)] {
     while (true) {
       const int accepted = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
       if (accepted < 0) {
-        continue;
+        close(listener);
+        return;
       }
       const int no_delay = 1;
       setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &no_delay,
@@ -196,7 +197,11 @@
       }).detach();
     }
   }).detach();
-  return true;
+  return listener;
+}
+
+void StopListening(int listener) {
+  shutdown(listener, SHUT_RDWR);
 }
 
 std::string MakeResponse(int status,
--- a/review/standins-2/http_message.h
+++ b/review/standins-2/http_message.h
@@ -52,11 +52,15 @@
 // after `timeout_ms`.
 int Connect(const std::string& ip, uint16_t port, int timeout_ms);
 
-// Accepts connections in threads until the process ends. Each connection is
-// handled in a thread of its own. Returns false if the address is in use.
-bool Serve(const std::string& ip,
-           uint16_t port,
-           std::function<void(Connection&)> handle);
+// Accepts connections until the listener is shut down. Each connection is
+// handled in a thread of its own. Returns the descriptor of the listener, or -1
+// if the address is in use.
+int Serve(const std::string& ip,
+          uint16_t port,
+          std::function<void(Connection&)> handle);
+
+// Ends a listener; connections stay open.
+void StopListening(int listener);
 
 // Returns a response with a length. `headers` are complete lines.
 std::string MakeResponse(int status,
--- a/review/standins-2/platform_store.cc
+++ b/review/standins-2/platform_store.cc
@@ -127,7 +127,7 @@
     return this->Transact(Json::parse(request.body));
   }
   if (path == "/kv-lease") {
-    this->leases[++this->last_lease] = true;
+    this->leases.insert(++this->last_lease);
     return {200,
             {{"lease", this->last_lease},
              {"ttl_ms", Json::parse(request.body)["ttl_ms"]}}};
--- a/review/standins-2/platform_store.h
+++ b/review/standins-2/platform_store.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -52,7 +53,7 @@
   std::map<std::string, Json> items;
   // By revision, in order.
   std::vector<std::pair<int64_t, Json>> events;
-  std::map<int64_t, bool> leases;
+  std::set<int64_t> leases;
   int64_t revision = 10;
   int64_t last_lease = 100;
   // Counts the calls of CutWaitingWatches.
--- a/review/standins-2/replica.cc
+++ b/review/standins-2/replica.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr double kWorkMs = 5;
+constexpr double kWorkMs = 15;
 constexpr int kOtherReplica = 421;
 // A Unix millisecond of 2026.
 constexpr int64_t kBorn = 1'790'000'000'000;
@@ -19,8 +19,15 @@
     : id(std::move(id)), ip(std::move(ip)), port(port) {}
 
 bool Replica::Start() {
-  return Serve(this->ip, this->port,
-               [this](Connection& connection) { this->Handle(connection); });
+  this->listener = Serve(this->ip, this->port, [this](Connection& connection) {
+    this->Handle(connection);
+  });
+  return this->listener >= 0;
+}
+
+void Replica::Exit() {
+  this->exited = true;
+  StopListening(this->listener);
 }
 
 std::string Replica::Entry() const {
@@ -44,7 +51,7 @@
 
 void Replica::Handle(Connection& connection) {
   Message request;
-  while (connection.Read(request)) {
+  while (!this->exited && connection.Read(request) && !this->exited) {
     const std::string attempt = request.Header("x-attempt-id");
     const std::string expected = request.Header("x-expect-instance");
     const std::string names =
@@ -60,6 +67,10 @@
       this->began.push_back({attempt, NowMs()});
     }
     SleepMs(kWorkMs);
+    if (this->exited) {
+      ++this->lost;
+      return;
+    }
     if (!connection.Write(MakeResponse(
             200, names + "X-Response-Seal: seal-" + this->id + "\r\n",
             "done " + attempt))) {
--- a/review/standins-2/replica.h
+++ b/review/standins-2/replica.h
@@ -1,6 +1,8 @@
 #ifndef REVIEW_STANDINS_2_REPLICA_H_
 #define REVIEW_STANDINS_2_REPLICA_H_
 
+#include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <mutex>
 #include <string>
@@ -24,6 +26,10 @@
 
   // Returns false if the address is in use.
   bool Start();
+  // Ends as a process does: it accepts no connection and answers nothing more.
+  void Exit();
+  // Returns the number of runs that its exit cut off.
+  size_t lost_runs() const { return this->lost; }
   // The entry that it keeps in the platform's store.
   std::string Entry() const;
   std::string key() const { return "servers/" + this->id; }
@@ -36,6 +42,9 @@
 
   const std::string ip;
   const uint16_t port;
+  int listener = -1;
+  std::atomic<bool> exited{false};
+  std::atomic<size_t> lost{0};
   std::mutex mutex;
   std::vector<Run> began;
 };
