Review case 6: a restarted stager trusts weights that its predecessor disproved

Cause: a new stager takes any version that its target holds as sound, and nothing about a load that was unproven or disproven outlives the process.

The case on the drain bound becomes case 8, as it is less grave.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins and checks of review/6 to review/10 with the packages of
-# the deploy file, into target/review-2.
+# Builds the stand-ins and the check of review/8 with the packages of the deploy
+# file, into target/review-2. Those of review/6 and review/7 are Python.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
