--- a/review/standins-2/weights_case.py
+++ b/review/standins-2/weights_case.py
@@ -1,7 +1,7 @@
 """Weights that turned bad while they were checked, and the restart of a process.
 
 Starts the project's gateway and stager beside stand-ins for the platform's
-store, the origin of weights and one model replica on a slow machine. A staged
+store, the origin of weights and one model replica that reads slowly. A staged
 piece turns bad after the stager has read it, so that the replica loads it; then
 the stager is stopped and started again, or the gateway is killed and started
 again, as the argument says. Exits with 1 if the replica answers requests with
@@ -27,7 +27,7 @@
 HELD, BROKEN, NOT_CHECKED = 0, 1, 2
 MODEL = "m0"
 CHUNKS, CHUNK_BYTES, LAYERS = 96, 24576, 16
-# The machine of the replica is slow: this long passes until it reads a piece.
+# Time until the replica has read a staged piece.
 READ_S = 0.5
 # `warm_s` of the configuration.
 LOAD_S = 0.3
