RelayTaskTest: name a newer configuration for each relay

Cause: the view keeps the first configuration of a version, and all relays of a test named the same one. Tests that try several routes in a row tried the first one again. Seen when a route that may not be repeated was retried in a new test.

Change: each relay names a configuration of a higher version.

--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -395,6 +395,8 @@
     const int listener = ListenOnLoopback(port);
     std::thread targets([&] { this->ServeTargets(listener, replies); });
     auto config = std::make_shared<GatewayConfig>();
+    // The view keeps the first configuration of a version.
+    config->version = this->revision + 1;
     config->routes["h"] = {route};
     ServiceConfig& service = config->services[ServiceName("s")];
     service.name = ServiceName("s");
