Fail a response without a length whose reset a write has taken

What callers saw: a target answered a long upload with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the error of a socket that was reset is reported once. When the write of the upload got it, Http1Client left it to the read side, which then found the end of the stream and no error.

Evidence: Http1Test.FailsAResponseWithoutLengthThatIsResetWhileReadingIsPaused makes the write fail before the end is read, as a slow caller does. FailsAResponseWithoutLengthThatIsReset DuringTheUpload aims at the same race without a pause; 30 tries did not hit it there.

Change: the connection remembers that a write has failed; a response without a length is not complete then. One with a length still is.

--- a/src/connection/http1_client.cc
+++ b/src/connection/http1_client.cc
@@ -266,6 +266,7 @@
     if (this->closing || status == 0) {
       return;
     }
+    this->write_failed = true;
     // A response may have arrived before the server closed the connection, so
     // the read side reports these errors.
     if (status != UV_ECONNRESET && status != UV_EPIPE) {
@@ -301,7 +302,7 @@
       this->Close();
       return;
     }
-    if (error == UV_EOF && this->response_started && !this->WasReset()) {
+    if (error == UV_EOF && this->response_started && !this->EndsInReset()) {
       // The end of the stream completes a response without a length and is an
       // error for any other.
       http_parser_execute(&this->parser, Settings(), nullptr, 0);
@@ -321,11 +322,13 @@
   }
 
   // libuv reports the end of the stream when the last bytes and a reset arrive
-  // together. A response without a length would then look complete.
-  bool WasReset() {
+  // together, and when a write has already failed with the reset. A response
+  // without a length would then look complete.
+  bool EndsInReset() {
     uv_os_fd_t descriptor = -1;
-    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&this->tcp), &descriptor) !=
-        0) {
+    if (this->write_failed ||
+        uv_fileno(reinterpret_cast<uv_handle_t*>(&this->tcp), &descriptor) !=
+            0) {
       return true;
     }
     char byte = 0;
@@ -564,6 +567,7 @@
   // HttpResponseHead::reused_connection.
   bool reused = false;
   bool write_pending = false;
+  bool write_failed = false;
   bool response_started = false;
   bool skipping = false;
   bool complete = false;
--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -8,12 +8,14 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "src/connection/http1_client.h"
 #include "src/connection/http1_server.h"
+#include "tests/connection/raw_server.h"
 
 #include "CppUTest/TestHarness.h"
 
@@ -24,59 +26,6 @@
 
 constexpr int kMaxIterations = 200;
 
-// A server that accepts connections one after the other, reads a request on
-// each and runs a script on the socket.
-class RawServer {
- public:
-  explicit RawServer(std::function<void(int descriptor)> script)
-      : listener(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    CHECK_EQUAL(0, bind(this->listener, reinterpret_cast<sockaddr*>(&address),
-                        sizeof(address)));
-    CHECK_EQUAL(0, listen(this->listener, 16));
-    socklen_t length = sizeof(address);
-    getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &length);
-    this->port = ntohs(address.sin_port);
-    this->thread = std::thread([this, script = std::move(script)] {
-      for (;;) {
-        const int accepted = accept(this->listener, nullptr, nullptr);
-        if (accepted < 0) {
-          return;
-        }
-        char request[4096];
-        if (read(accepted, request, sizeof(request)) > 0) {
-          script(accepted);
-        }
-        close(accepted);
-      }
-    });
-  }
-  ~RawServer() {
-    shutdown(this->listener, SHUT_RDWR);
-    this->thread.join();
-    close(this->listener);
-  }
-  SocketAddress address() const { return {"127.0.0.1", this->port}; }
-
- private:
-  int listener;
-  uint16_t port = 0;
-  std::thread thread;
-};
-
-void Send(int descriptor, const std::string& bytes) {
-  CHECK_EQUAL(static_cast<ssize_t>(bytes.size()),
-              write(descriptor, bytes.data(), bytes.size()));
-}
-
-// Makes close() reset the connection.
-void ResetOnClose(int descriptor) {
-  const linger reset{1, 0};
-  setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-}
-
 TEST_GROUP(Http1Test) {
   Loop loop;
   MemoryBudget memory{loop, {}, {}};
@@ -102,8 +51,8 @@
       result = tl::unexpected<Failure>(std::move(failure));
       done = true;
     };
-    const auto call =
-        client.Send({this->method, "/", {}, ""}, std::move(options), callbacks);
+    const auto call = client.Send({this->method, "/", {}, this->body},
+                                  std::move(options), callbacks);
     if (this->pause_after_send.count() > 0) {
       this->loop.RunFor(milliseconds(20));
       this->loop.RunFor(milliseconds(20));
@@ -121,6 +70,7 @@
   }
 
   std::string method = "GET";
+  std::string body;
   milliseconds pause_after_send{0};
 };
 
@@ -200,6 +150,61 @@
   STRCMP_EQUAL("whole", response->body.c_str());
 }
 
+constexpr size_t kUploadBytes = 3u << 20;
+constexpr char kEarlyPart[] = "HTTP/1.1 200 OK\r\n\r\npart";
+
+// Guards against a reset that only the upload sees: a failed write takes the
+// error of the socket, whose reads then end without one.
+TEST(Http1Test, FailsAResponseWithoutLengthThatIsResetDuringTheUpload) {
+  this->method = "POST";
+  this->body = std::string(kUploadBytes, 'x');
+  for (int i = 0; i < 30; ++i) {
+    RawServer server([&](int descriptor) {
+      Send(descriptor, kEarlyPart);
+      if (i % 2 == 1) {
+        Discard(descriptor, size_t{64} << 10);
+      }
+      ResetOnClose(descriptor);
+    });
+    Http1Client client(this->loop, server.address(), {});
+    this->pause_after_send = milliseconds(i % 3 == 2 ? 5 : 0);
+    const auto result = this->Fetch(client);
+    CHECK_FALSE(result.has_value());
+    CHECK_TRUE(result.error().verdict == Verdict::kMayHaveRun);
+  }
+}
+
+// Guards against the same where the client does not read the response when the
+// write fails.
+TEST(Http1Test, FailsAResponseWithoutLengthThatIsResetWhileReadingIsPaused) {
+  RawServer server([](int descriptor) {
+    Send(descriptor, kEarlyPart);
+    std::this_thread::sleep_for(milliseconds(100));
+    Send(descriptor, "of the body");
+    ResetOnClose(descriptor);
+  });
+  Http1Client client(this->loop, server.address(), {});
+  std::unique_ptr<HttpCall> call;
+  HttpResponseCallbacks callbacks;
+  bool ended = false;
+  std::optional<Failure> failure;
+  callbacks.on_head = [&](const HttpResponseHead&) { call->PauseReading(); };
+  callbacks.on_end = [&] { ended = true; };
+  callbacks.on_failure = [&](Failure reason) { failure = std::move(reason); };
+  call = client.Send({"POST", "/", {}, std::string(8 * kUploadBytes, 'x')}, {},
+                     std::move(callbacks));
+  for (int i = 0; i < 20; ++i) {
+    this->loop.RunFor(milliseconds(20));
+  }
+  call->ResumeReading();
+  for (int i = 0; i < kMaxIterations && !ended && !failure; ++i) {
+    this->loop.RunFor(milliseconds(20));
+  }
+  CHECK_FALSE(ended);
+  CHECK_TRUE(failure.has_value());
+  CHECK_TRUE(failure->verdict == Verdict::kMayHaveRun);
+}
+
 // Guards against treating a response with a truncated body as complete.
 TEST(Http1Test, FailsResponseThatIsCut) {
   RawServer server([](int descriptor) {
