Hold an early response without a length until its request is taken

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body, ended its side and closed the connection with the rest of the upload unread.

Cause: the end of a response without a length was judged once, when it was read. The reset follows later: the target's system sends it when the target closes the connection, at once or after any pause.

Change: a response without a length to a request with a body is early if bytes of the request are not acknowledged when its head arrives, or if the head came within 100 ms of the last byte of a body over 64 KB, which the system of a target may have buffered whole. Once an early response has ended, ReceiptWatch waits until everything is acknowledged and 500 ms, or half of the time until the deadline, have passed without a reset. The state of the socket tells of the reset. A reset, or bytes that are unacknowledged at the deadline, fail the response; the attempt then counts as broken, is logged, and may be repeated or resumed as others. A caller's leaving, the deadline and a stop end the wait as before. The target's room is free meanwhile: TargetTracker releases an attempt apart from its outcome.

Why this works: a target that reads the upload never resets the connection, and one that drops it does when it closes. Sound early answers still arrive (AcceptsAnEarlyResponseWhoseServerReadsTheUpload, AnEarlyAnswerWhoseTarget ReadsTheUploadIsPassedOn), half a second later if they have no length.

--- a/src/connection/http1_client.cc
+++ b/src/connection/http1_client.cc
@@ -7,12 +7,15 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <climits>
 #include <cstdlib>
 #include <deque>
 #include <functional>
 #include <utility>
 #include <vector>
 
+#include "src/connection/receipt_watch.h"
+
 namespace celerypost {
 
 namespace {
@@ -163,6 +166,7 @@
       this->exchange.reset();
     }
     this->timer.reset();
+    this->receipt.reset();
     const uv_close_cb deleter = [](uv_handle_t* h) {
       delete static_cast<Channel*>(h->data);
     };
@@ -188,6 +192,7 @@
     }
     this->skipped_responses = 0;
     this->body_bytes = 0;
+    this->early = false;
     this->head = {};
     this->skipping = false;
     this->complete = false;
@@ -231,6 +236,7 @@
 
   void SendRequest() {
     this->exchange->sent = true;
+    this->request_body_bytes = this->exchange->request.body.size();
     auto* write =
         new Write{{},
                   SerializeHead(this->exchange->request, this->client->server),
@@ -263,13 +269,19 @@
 
   void OnWritten(int status) {
     this->write_pending = false;
-    if (this->closing || status == 0) {
+    if (this->closing) {
+      return;
+    }
+    if (status == 0) {
+      if (this->unconfirmed) {
+        this->WatchReceipt();
+      }
       return;
     }
     this->write_failed = true;
     // A response may have arrived before the server closed the connection, so
-    // the read side reports these errors.
-    if (status != UV_ECONNRESET && status != UV_EPIPE) {
+    // the read side reports these errors, unless it has ended.
+    if (this->unconfirmed || (status != UV_ECONNRESET && status != UV_EPIPE)) {
       this->Fail(Verdict::kMayHaveRun, ErrorCode::kUnavailable,
                  std::string("write failed: ") + uv_strerror(status));
     }
@@ -312,7 +324,11 @@
       // An empty body without a length looks the same as a response that was
       // cut off after its head.
       if (this->complete && !this->skipping && this->body_bytes > 0) {
-        this->Finish(/*reuse=*/false);
+        if (this->early) {
+          this->AwaitReceipt();
+        } else {
+          this->Finish(/*reuse=*/false);
+        }
         return;
       }
     }
@@ -325,16 +341,44 @@
   // together, and when a write has already failed with the reset. A response
   // without a length would then look complete.
   bool EndsInReset() {
+    const int descriptor = this->Descriptor();
+    char byte = 0;
+    return this->write_failed || WasReset(descriptor) ||
+           recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) != 0;
+  }
+
+  // Returns -1 if there is no socket.
+  int Descriptor() {
     uv_os_fd_t descriptor = -1;
-    if (this->write_failed ||
-        uv_fileno(reinterpret_cast<uv_handle_t*>(&this->tcp), &descriptor) !=
-            0) {
-      return true;
+    uv_fileno(reinterpret_cast<uv_handle_t*>(&this->tcp), &descriptor);
+    return descriptor;
+  }
+
+  // The response has ended. It is whole if the server also takes the rest of
+  // the request: one that closes the connection instead may have been cut off.
+  void AwaitReceipt() {
+    this->unconfirmed = true;
+    const auto current = this->exchange;
+    if (current->callbacks.on_unconfirmed_end) {
+      current->callbacks.on_unconfirmed_end();
     }
-    char byte = 0;
-    const ssize_t read =
-        recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-    return read != 0;
+    if (!this->closing && !this->write_pending) {
+      this->WatchReceipt();
+    }
+  }
+
+  void WatchReceipt() {
+    this->receipt = std::make_unique<ReceiptWatch>(
+        this->client->loop, this->Descriptor(), ReceiptWatchOptions{},
+        this->exchange->options.deadline.value_or(TimePoint::max()),
+        [this](bool received) {
+          if (received) {
+            this->Finish(/*reuse=*/false);
+          } else {
+            this->Fail(Verdict::kMayHaveRun, ErrorCode::kUnavailable,
+                       kNotReceived);
+          }
+        });
   }
 
   void OnBytes(std::string_view bytes) {
@@ -443,6 +487,16 @@
         std::chrono::milliseconds(std::clamp(seconds, 0L, longest) * 800));
   }
 
+  // Returns whether only the connection ends the current response, and whether
+  // the server may not have read the whole request yet.
+  bool IsEarly() {
+    const bool framed = (this->parser.flags & F_CHUNKED) != 0 ||
+                        this->parser.content_length != ULLONG_MAX;
+    return !framed && this->request_body_bytes > 0 &&
+           (this->write_pending ||
+            MayPrecedeReceipt(this->Descriptor(), this->request_body_bytes));
+  }
+
   static const http_parser_settings* Settings() {
     static const http_parser_settings settings = MakeSettings();
     return &settings;
@@ -486,6 +540,7 @@
         return 0;
       }
       const auto current = self->exchange;
+      self->early = self->IsEarly();
       self->skipping =
           current->options.accepts && !current->options.accepts(self->head);
       if (!self->skipping && current->callbacks.on_head) {
@@ -525,7 +580,7 @@
 
  public:
   void PauseReading() {
-    if (!this->closing && !this->connecting) {
+    if (!this->closing && !this->connecting && !this->unconfirmed) {
       this->paused = true;
       uv_read_stop(this->stream());
     }
@@ -568,6 +623,12 @@
   bool reused = false;
   bool write_pending = false;
   bool write_failed = false;
+  size_t request_body_bytes = 0;
+  // IsEarly() of the current response.
+  bool early = false;
+  // The response has ended and waits for the request to be received.
+  bool unconfirmed = false;
+  std::unique_ptr<ReceiptWatch> receipt;
   bool response_started = false;
   bool skipping = false;
   bool complete = false;
@@ -641,6 +702,10 @@
   exchange->callbacks = std::move(callbacks);
   auto call = std::make_unique<Http1Call>(exchange);
   if (exchange->options.timeout.count() > 0) {
+    if (!exchange->options.deadline) {
+      exchange->options.deadline =
+          this->impl->loop.Now() + exchange->options.timeout;
+    }
     exchange->timer = std::make_unique<Timer>(
         this->impl->loop, [weak = std::weak_ptr<Exchange>(exchange)] {
           const auto expired = weak.lock();
--- a/src/connection/http1_client.h
+++ b/src/connection/http1_client.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "src/connection/http_client.h"
@@ -39,6 +40,9 @@
   std::function<bool(const HttpResponseHead&)> accepts;
   // Longest time until the response is complete; 0 means no limit.
   std::chrono::milliseconds timeout{0};
+  // When the response is of no more use to the caller, which then destroys the
+  // call; by default when `timeout` ends (see ReceiptWatch).
+  std::optional<TimePoint> deadline{};
   // Largest body that is received; 0 means no limit. The head of a response is
   // limited to HTTP_MAX_HEADER_SIZE of http_parser.
   size_t max_body_bytes = 4u << 20;
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -25,6 +25,9 @@
 };
 
 // Receive one response. Either on_end or on_failure is called, once and last.
+// A response without a length that came before the server had received the
+// whole request ends when the server has received it; until then the server may
+// still reset the connection, which fails the response.
 // The verdict of a failure is kNotRun when the connection was not established,
 // kMayHaveRun afterwards.
 struct HttpResponseCallbacks {
@@ -32,6 +35,9 @@
   std::function<void(std::string_view)> on_body;
   std::function<void()> on_end;
   std::function<void(Failure)> on_failure;
+  // The server has ended such a response, and on_end or on_failure follows when
+  // it is known whether it received the request (Http1Client only).
+  std::function<void()> on_unconfirmed_end{};
   // Returns false for a response that belongs to another request; the call then
   // fails with kCorrupt (HttpClient only; see Http1SendOptions::accepts). Every
   // response is accepted when empty.
--- a/src/process/gateway/relay_task.cc
+++ b/src/process/gateway/relay_task.cc
@@ -436,6 +436,9 @@
   if (!this->attempt || this->attempt->ended) {
     return "target";
   }
+  if (this->attempt->unconfirmed) {
+    return "receipt_of_request";
+  }
   if (this->attempt->had_event || !this->attempt->body.empty()) {
     return "rest_of_answer";
   }
@@ -672,6 +675,7 @@
   }
   // The answer will have no ID either.
   options.new_connection = this->call.id.empty();
+  options.deadline = this->deadline;
   // The answer to a stream is passed on as it arrives; its events are limited
   // instead (OnBody).
   options.max_body_bytes =
@@ -697,6 +701,11 @@
       this->OnEnd();
     }
   };
+  callbacks.on_unconfirmed_end = [this, number] {
+    if (this->MakeCurrent(number)) {
+      this->OnUnconfirmedEnd();
+    }
+  };
   callbacks.on_failure = [this, number](const Failure& failure) {
     if (this->MakeCurrent(number)) {
       this->OnFailure(failure);
@@ -772,12 +781,22 @@
   silent.http_call.reset();
   silent.attempt.ended = true;
   this->CountRun(silent.attempt);
-  if (!silent.attempt.had_event) {
-    this->EndLateWait(silent.attempt);
+  this->EndAtTarget(silent.attempt, AttemptOutcome::kAbandoned);
+}
+
+void RelayTask::Release(const RelayAttempt& released) {
+  if (!released.had_event) {
+    this->EndLateWait(released);
+  }
+  this->context.book.OnReleased(released.target, released.prompt_tokens,
+                                released.had_event, released.late);
+}
+
+void RelayTask::EndAtTarget(const RelayAttempt& ended, AttemptOutcome outcome) {
+  if (!ended.unconfirmed) {
+    this->Release(ended);
   }
-  this->context.book.OnEnd(silent.attempt.target, silent.attempt.prompt_tokens,
-                           silent.attempt.had_event, AttemptOutcome::kAbandoned,
-                           this->context.loop.Now(), silent.attempt.late);
+  this->context.book.OnOutcome(ended.target, outcome, this->context.loop.Now());
 }
 
 void RelayTask::EndSilentAttempts() {
@@ -1159,6 +1178,11 @@
   }
 }
 
+void RelayTask::OnUnconfirmedEnd() {
+  this->Release(*this->attempt);
+  this->attempt->unconfirmed = true;
+}
+
 void RelayTask::OnEnd() {
   const auto keep_alive = this->shared_from_this();
   if (!this->attempt || this->attempt->ended) {
@@ -1478,12 +1502,7 @@
   if (this->attempt->replaced && outcome == AttemptOutcome::kBroken) {
     outcome = AttemptOutcome::kAbandoned;
   }
-  if (!this->attempt->had_event) {
-    this->EndLateWait(*this->attempt);
-  }
-  this->context.book.OnEnd(this->attempt->target, this->attempt->prompt_tokens,
-                           this->attempt->had_event, outcome,
-                           this->context.loop.Now(), this->attempt->late);
+  this->EndAtTarget(*this->attempt, outcome);
 }
 
 void RelayTask::CountSize(SizedRequestMetrics& counters) const {
--- a/src/process/gateway/relay_task.h
+++ b/src/process/gateway/relay_task.h
@@ -198,6 +198,9 @@
   bool was_paused = false;
   // The target did not crash on the request (RelayOptions::survival_time).
   bool survived = false;
+  // The target has ended its answer, which is not passed on before it is known
+  // whether the target takes the whole request.
+  bool unconfirmed = false;
   bool ended = false;
   // Another attempt has been started since this one was silent for too long.
   bool replaced = false;
@@ -280,6 +283,11 @@
   // Continues with the latest silent attempt after the current one has ended.
   void FallBack();
   void EndSilent(SilentAttempt& silent);
+  // The attempt no longer runs at its target.
+  void Release(const RelayAttempt& released);
+  // Tells the tracker how an attempt has ended, and releases it unless that was
+  // done before.
+  void EndAtTarget(const RelayAttempt& ended, AttemptOutcome outcome);
   void EndSilentAttempts();
   // Ends the silent attempts that may no longer begin to run.
   void EndOverdueSilentAttempts();
@@ -321,6 +329,7 @@
   // end of its connection.
   bool HasFramedAnswer() const;
   void OnBody(std::string_view bytes);
+  void OnUnconfirmedEnd();
   void OnEnd();
   void OnFailure(const Failure& failure);
   // Starts another attempt when the current one has been silent for too long
--- a/src/request/target_tracker.cc
+++ b/src/request/target_tracker.cc
@@ -63,6 +63,14 @@
                           AttemptOutcome outcome,
                           TimePoint now,
                           bool late) {
+  this->OnReleased(target, prompt_tokens, had_event, late);
+  this->OnOutcome(target, outcome, now);
+}
+
+void TargetTracker::OnReleased(const std::string& target,
+                               double prompt_tokens,
+                               bool had_event,
+                               bool late) {
   Record& record = this->records[target];
   CELERYPOST_ASSERT(record.in_flight > 0,
                     "an attempt must be sent before it ends, and end once");
@@ -70,6 +78,12 @@
   if (!had_event) {
     RemoveWaiting(record, prompt_tokens, late);
   }
+}
+
+void TargetTracker::OnOutcome(const std::string& target,
+                              AttemptOutcome outcome,
+                              TimePoint now) {
+  Record& record = this->records[target];
   const double weight = this->options.failure_weight;
   switch (outcome) {
     case AttemptOutcome::kAnswered:
--- a/src/request/target_tracker.h
+++ b/src/request/target_tracker.h
@@ -91,6 +91,15 @@
              AttemptOutcome outcome,
              TimePoint now,
              bool late = false);
+  // The two parts of OnEnd, for an attempt that no longer runs at its target
+  // while its outcome is not known.
+  void OnReleased(const std::string& target,
+                  double prompt_tokens,
+                  bool had_event,
+                  bool late = false);
+  void OnOutcome(const std::string& target,
+                 AttemptOutcome outcome,
+                 TimePoint now);
 
   // Replaces the load reported by the gateway `instance`, which reports every
   // `period`.
--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -153,6 +153,34 @@
 constexpr size_t kUploadBytes = 3u << 20;
 constexpr char kEarlyPart[] = "HTTP/1.1 200 OK\r\n\r\npart";
 
+// Guards against a part of a response without a length that counts as complete
+// since its server resets the connection only after it has ended its side: the
+// rest of the request is unread.
+TEST(Http1Test, FailsAResponseWithoutLengthWhoseServerDropsTheUpload) {
+  this->method = "POST";
+  this->body = std::string(kUploadBytes, 'x');
+  for (const size_t read_bytes :
+       {size_t{0}, size_t{64} << 10, size_t{1} << 20}) {
+    for (const milliseconds pause :
+         {milliseconds(0), milliseconds(20), milliseconds(300)}) {
+      RawServer server([&](int descriptor) {
+        Discard(descriptor, read_bytes);
+        Send(descriptor, kEarlyPart);
+        shutdown(descriptor, SHUT_WR);
+        std::this_thread::sleep_for(pause);
+      });
+      Http1Client client(this->loop, server.address(), {});
+      const auto result = this->Fetch(client);
+      const std::string name = std::to_string(read_bytes) +
+                               " bytes read, reset after " +
+                               std::to_string(pause.count()) + " ms";
+      CHECK_FALSE_TEXT(result.has_value(), name.c_str());
+      CHECK_TRUE_TEXT(result.error().verdict == Verdict::kMayHaveRun,
+                      name.c_str());
+    }
+  }
+}
+
 // Guards against a reset that only the upload sees: a failed write takes the
 // error of the socket, whose reads then end without one.
 TEST(Http1Test, FailsAResponseWithoutLengthThatIsResetDuringTheUpload) {
@@ -205,6 +233,35 @@
   CHECK_TRUE(failure->verdict == Verdict::kMayHaveRun);
 }
 
+// Guards against refusing the response of a server that answers early, ends its
+// side and reads the upload to its end.
+TEST(Http1Test, AcceptsAnEarlyResponseWhoseServerReadsTheUpload) {
+  this->method = "POST";
+  this->body = std::string(kUploadBytes, 'x');
+  const auto check = [&](const std::string& framing, milliseconds pause) {
+    std::atomic<size_t> taken = 0;
+    RawServer server([&](int descriptor) {
+      Send(descriptor, "HTTP/1.1 200 OK\r\n" + framing + "\r\nwhole");
+      shutdown(descriptor, SHUT_WR);
+      std::this_thread::sleep_for(pause);
+      taken = Discard(descriptor, 2 * kUploadBytes);
+    });
+    Http1Client client(this->loop, server.address(), {});
+    const auto result = this->Fetch(client);
+    CHECK_TRUE(result.has_value());
+    STRCMP_EQUAL("whole", result->body.c_str());
+    for (int i = 0; i < kMaxIterations && taken == 0; ++i) {
+      this->loop.RunFor(milliseconds(20));
+    }
+    return taken.load();
+  };
+  for (const milliseconds pause : {milliseconds(0), milliseconds(300)}) {
+    // The server has read up to 4096 bytes before.
+    CHECK_COMPARE(check("", pause), >=, kUploadBytes - 4096);
+    check("Content-Length: 5\r\n", pause);
+  }
+}
+
 // Guards against treating a response with a truncated body as complete.
 TEST(Http1Test, FailsResponseThatIsCut) {
   RawServer server([](int descriptor) {
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -49,6 +49,10 @@
   bool keeps_connection = false;
   // Sent after `pause` on the first connection, without reading a request.
   bool on_first_connection = false;
+  // The target ends its side after the answer and closes the connection after
+  // `pause`, having read the rest of the request or not.
+  bool ends_side = false;
+  bool reads_rest = false;
 };
 
 // An answer without a length that ends with its connection.
@@ -161,6 +165,15 @@
   return reply;
 }
 
+// An answer without a length to an upload of which the target has read the
+// beginning.
+TargetReply EarlyAnswer(const std::string& body, bool reads_rest) {
+  TargetReply reply = Unframed(body);
+  reply.ends_side = true;
+  reply.reads_rest = reads_rest;
+  return reply;
+}
+
 int ListenOnLoopback(uint16_t& port) {
   const int listener = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
@@ -283,6 +296,8 @@
   milliseconds reading_pause{0};
   // Whether connections to targets can be established.
   bool targets_accept = true;
+  // Body of the callers' requests.
+  std::string upload;
   // To the latest request, and most bytes of it that were unsent at a time.
   std::shared_ptr<HttpResponder> responder;
   size_t max_unsent_bytes = 0;
@@ -350,6 +365,13 @@
         kept.insert(target);
         continue;
       }
+      if (reply.ends_side) {
+        shutdown(target, SHUT_WR);
+        std::this_thread::sleep_for(reply.pause);
+        std::vector<char> rest(65536);
+        while (reply.reads_rest && read(target, rest.data(), rest.size()) > 0) {
+        }
+      }
       if (reply.reset) {
         const linger reset{1, 0};
         setsockopt(target, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
@@ -495,7 +517,10 @@
     callbacks.on_failure = [&answer](const Failure&) { answer.failed = true; };
     Http1SendOptions options;
     options.max_body_bytes = 0;
-    call = caller.Send({"GET", "/", {{"host", "h"}, {"x-id", id}}, ""},
+    call = caller.Send({this->upload.empty() ? "GET" : "POST",
+                        "/",
+                        {{"host", "h"}, {"x-id", id}},
+                        this->upload},
                        std::move(options), std::move(callbacks));
     const TimePoint end = this->loop.Now() + this->patience;
     while (!answer.complete && !answer.failed && this->loop.Now() < end) {
@@ -583,6 +608,84 @@
   }
 };
 
+constexpr size_t kUploadBytes = 3u << 20;
+
+// Guards against a part of an answer without a length that reaches the caller
+// as a whole one (MIXED): the target resets the connection during the upload,
+// after it has ended its side.
+TEST(RelayTaskTest, AnEarlyAnswerWhoseTargetDropsTheUploadIsNotPassedOn) {
+  this->upload = std::string(kUploadBytes, 'x');
+  Route once = PlainRoute();
+  once.kind = RouteKind::kNonIdempotent;
+  for (const milliseconds pause :
+       {milliseconds(0), milliseconds(20), milliseconds(300)}) {
+    TargetReply reply = EarlyAnswer("part", /*reads_rest=*/false);
+    reply.pause = pause;
+    this->BeginCase();
+    this->CheckAnsweredByTheFirst(
+        this->Relay(PlainRoute(), {reply, WithLength("whole")}), "whole");
+    CHECK_EQUAL(2u, this->received.size());
+    this->BeginCase();
+    const CallerAnswer answer = this->Relay(once, {reply, WithLength("whole")});
+    CHECK_EQUAL(502, answer.status);
+    CHECK_TRUE(answer.complete);
+    CHECK_EQUAL(1u, this->received.size());
+    CHECK_TRUE(this->book.FailureShare("t1") + this->book.FailureShare("t2") >
+               0);
+  }
+}
+
+// Guards against a stream that ends as complete before its last event.
+TEST(RelayTaskTest, AnEarlyStreamWhoseTargetDropsTheUploadIsResumed) {
+  this->upload = std::string(kUploadBytes, 'x');
+  this->CheckJoined(this->Relay(
+      StreamRoute(), {EarlyAnswer("id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+                                  /*reads_rest=*/false),
+                      WithLength(kResumed)}));
+}
+
+// Guards against refusing the answer of a target that answers early and reads
+// the upload, and against counting it at the target after it has ended.
+TEST(RelayTaskTest, AnEarlyAnswerWhoseTargetReadsTheUploadIsPassedOn) {
+  this->upload = std::string(kUploadBytes, 'x');
+  Route once = PlainRoute();
+  once.kind = RouteKind::kNonIdempotent;
+  for (const Route& route : {once, PlainRoute(), StreamRoute()}) {
+    this->BeginCase();
+    this->CheckAnsweredByTheFirst(
+        this->Relay(route, {EarlyAnswer(kWhole, /*reads_rest=*/true)}), kWhole);
+    CHECK_EQUAL(1u, this->received.size());
+    CHECK_EQUAL(0, this->book.FailureShare("t1"));
+    CHECK_EQUAL(0, this->book.FailureShare("t2"));
+  }
+}
+
+// Guards against a target that counts as busy, or a gateway that keeps the
+// request, while a target that has answered does not read the upload.
+TEST(RelayTaskTest, AnEarlyAnswerHoldsNoRoomAndEndsWithItsCallerOrDeadline) {
+  this->upload = std::string(kUploadBytes, 'x');
+  Route once = PlainRoute();
+  once.kind = RouteKind::kNonIdempotent;
+  once.timeout = milliseconds(800);
+  TargetReply reply = EarlyAnswer("part", /*reads_rest=*/false);
+  reply.pause = milliseconds(1500);
+  std::optional<uint32_t> in_flight;
+  Timer look(this->loop, [&] {
+    in_flight = this->book.LoadOf("t1", this->loop.Now()).in_flight +
+                this->book.LoadOf("t2", this->loop.Now()).in_flight;
+  });
+  this->during = [&look] { look.StartOnce(milliseconds(200)); };
+  const CallerAnswer answer = this->Relay(once, {reply});
+  CHECK_EQUAL(504, answer.status);
+  CHECK_TRUE(in_flight.has_value());
+  CHECK_EQUAL(0u, *in_flight);
+  this->BeginCase();
+  this->patience = milliseconds(300);
+  this->Relay(once, {reply});
+  CHECK_EQUAL(0u, this->book.LoadOf("t1", this->loop.Now()).in_flight);
+  CHECK_EQUAL(0u, this->book.LoadOf("t2", this->loop.Now()).in_flight);
+}
+
 // Guards against a success without the target's signature that reaches the
 // caller (MIXED, review/4): another target is asked if that is allowed.
 TEST(RelayTaskTest, AnUnsignedSuccessOfARepeatableRequestIsRetried) {
--- a/tests/request/target_tracker_test.cc
+++ b/tests/request/target_tracker_test.cc
@@ -86,6 +86,19 @@
   CHECK_EQUAL(0u, this->book.LoadOf("a", this->now).in_flight);
 }
 
+// Guards against an attempt that has ended at its target and holds room there
+// until its outcome is known, and against an outcome that is lost.
+TEST(TargetTrackerTest, AReleasedAttemptHoldsNoRoomAndHasAnOutcome) {
+  this->book.OnSent("a", 7, this->now);
+  this->book.OnReleased("a", 7, /*had_event=*/false);
+  CHECK_EQUAL(0u, this->book.LoadOf("a", this->now).in_flight);
+  DOUBLES_EQUAL(0, this->book.LoadOf("a", this->now).waiting_tokens, 0.001);
+  CHECK_FALSE(this->book.Avoided("a", this->now));
+  this->book.OnOutcome("a", AttemptOutcome::kBroken, this->now);
+  CHECK_TRUE(this->book.Avoided("a", this->now));
+  CHECK_TRUE(this->book.FailureShare("a") > 0);
+}
+
 // Guards against sending all requests to a target that breaks every attempt at
 // once and therefore looks the least loaded.
 TEST(TargetTrackerTest, AvoidsABreakingTargetLongerEachTime) {
