HttpClient: hold an early response until its request is taken

Cause: HttpClient looked once, when a response without a length had ended, whether the connection was still open for writing; the reset of a target that drops the upload comes later.

Evidence, on: HttpTest.AnswerWithoutALengthWhoseTargetDropsTheUpload FailsTheCall got a complete answer (nothing read, reset after 20 ms), and CancelEndsACallWhoseTargetDoesNotReadTheUpload found the call ended.

Change: ReceiptWatch decides here as well. h2o closes its socket when the response has ended, so the call keeps a duplicate of the descriptor; the system goes on sending the request. Bytes that are unacknowledged after the time-out for an inactive connection fail the call.

Result: both tests pass, and EarlyAnswerWhoseTargetReadsTheUploadEndsTheCall passed before and passes now.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 extern "C" {
 #include <h2o.h>
@@ -14,6 +15,8 @@
 #include <utility>
 #include <vector>
 
+#include "src/connection/receipt_watch.h"
+
 namespace celerypost {
 
 namespace {
@@ -26,6 +29,19 @@
 // HttpCall; if a callback destroys the call, it lives until ExchangeUse deletes
 // it.
 struct Exchange {
+  Exchange(Loop& loop, std::chrono::milliseconds io_timeout)
+      : loop(loop), io_timeout(io_timeout) {}
+  ~Exchange() {
+    this->receipt.reset();
+    if (this->kept_descriptor >= 0) {
+      close(this->kept_descriptor);
+    }
+  }
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  Loop& loop;
+  const std::chrono::milliseconds io_timeout;
   HttpResponseCallbacks callbacks;
   std::string head;
   std::string body;
@@ -39,6 +55,11 @@
   bool chunked = false;
   bool has_length = false;
   size_t body_bytes = 0;
+  // MayPrecedeReceipt() of a response without either.
+  bool early = false;
+  // The connection of an early response that has ended, which h2o closes.
+  int kept_descriptor = -1;
+  std::unique_ptr<ReceiptWatch> receipt;
   // Number of functions on the call stack that use this object.
   int use_count = 0;
   bool call_destroyed = false;
@@ -106,6 +127,23 @@
          info.tcpi_state != TCP_CLOSE_WAIT;
 }
 
+// The response has ended. It is whole if the server also takes the rest of the
+// request: one that closes the connection instead may have been cut off.
+void AwaitReceipt(Exchange* exchange, int descriptor) {
+  exchange->client = nullptr;
+  exchange->kept_descriptor = dup(descriptor);
+  exchange->receipt = std::make_unique<ReceiptWatch>(
+      exchange->loop, exchange->kept_descriptor, ReceiptWatchOptions{},
+      exchange->loop.Now() + exchange->io_timeout, [exchange](bool received) {
+        const ExchangeUse use(exchange);
+        if (received) {
+          EndExchange(exchange);
+        } else {
+          FailExchange(exchange, kNotReceived);
+        }
+      });
+}
+
 int OnBody(h2o_http1client_t* client, const char* error) {
   auto* exchange = static_cast<Exchange*>(client->data);
   const ExchangeUse use(exchange);
@@ -133,7 +171,11 @@
       FailExchange(exchange, "the connection ended within the body");
       return -1;
     }
-    EndExchange(exchange);
+    if (exchange->early) {
+      AwaitReceipt(exchange, h2o_socket_get_fd(client->sock));
+    } else {
+      EndExchange(exchange);
+    }
   }
   return 0;
 }
@@ -173,6 +215,9 @@
       FindHeader(head.headers, "transfer-encoding") == "chunked";
   exchange->has_length =
       !exchange->chunked && !FindHeader(head.headers, "content-length").empty();
+  exchange->early =
+      !exchange->chunked && !exchange->has_length &&
+      MayPrecedeReceipt(h2o_socket_get_fd(client->sock), exchange->body.size());
   if (exchange->callbacks.accepts && !exchange->callbacks.accepts(head)) {
     FailExchange(exchange, "the response belongs to another request",
                  ErrorCode::kCorrupt);
@@ -258,7 +303,7 @@
 
 struct HttpClient::Impl {
   Impl(Loop& loop, SocketAddress server, HttpClientOptions options)
-      : server(std::move(server)), options(options) {
+      : loop(loop), server(std::move(server)), options(options) {
     h2o_timeout_init(loop.uv(), &this->io_timeout,
                      static_cast<uint64_t>(options.io_timeout.count()));
     this->queue = h2o_multithread_create_queue(loop.uv());
@@ -281,6 +326,7 @@
   // sent on a connection that the server is about to close.
   static constexpr uint64_t kIdleTimeoutMs = 4000;
 
+  Loop& loop;
   SocketAddress server;
   HttpClientOptions options;
   h2o_timeout_t io_timeout{};
@@ -306,7 +352,8 @@
 
 std::unique_ptr<HttpCall> HttpClient::Send(HttpRequest request,
                                            HttpResponseCallbacks callbacks) {
-  auto* exchange = new Exchange;
+  auto* exchange =
+      new Exchange(this->impl->loop, this->impl->options.io_timeout);
   exchange->callbacks = std::move(callbacks);
   exchange->head = SerializeHead(request, this->impl->server);
   exchange->method_is_head = request.method == "HEAD";
--- a/tests/connection/http_test.cc
+++ b/tests/connection/http_test.cc
@@ -3,17 +3,21 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cerrno>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 #include "src/connection/http_client.h"
 #include "src/connection/http_server.h"
 #include "src/connection/sentinel.h"
+#include "tests/connection/raw_server.h"
 
 #include "CppUTest/TestHarness.h"
 
@@ -23,9 +27,10 @@
 using std::chrono::milliseconds;
 
 constexpr int kMaxIterations = 2000;
+constexpr size_t kUploadBytes = 3u << 20;
 
 // Answers a connection with fixed bytes.
-struct RawServer {
+struct FixedAnswer {
   uv_tcp_t listener;
   std::string answer;
   void (*end)(uv_tcp_t*);
@@ -104,11 +109,19 @@
     return result;
   }
 
+  // Sends a long body to a server that runs `script` on the connection.
+  Result<HttpResponse> Upload(const std::function<void(int)>& script) {
+    RawServer target(script);
+    this->client = std::make_unique<HttpClient>(this->loop, target.address(),
+                                                HttpClientOptions{});
+    return this->Fetch({"POST", "/", {}, std::string(kUploadBytes, 'x')});
+  }
+
   // Fetches from a server that sends "HTTP/1.1 ", `status` and `rest` on its
   // first connection and then closes or resets it with `end`.
   Result<HttpResponse> FetchRaw(const std::string& rest, void (*end)(uv_tcp_t*),
                                 const std::string& status = "200") {
-    RawServer raw{{}, "HTTP/1.1 " + status + " OK\r\n" + rest, end};
+    FixedAnswer raw{{}, "HTTP/1.1 " + status + " OK\r\n" + rest, end};
     uv_tcp_init(this->loop.uv(), &raw.listener);
     raw.listener.data = &raw;
     sockaddr_in address{};
@@ -116,7 +129,7 @@
     uv_tcp_bind(&raw.listener, reinterpret_cast<const sockaddr*>(&address), 0);
     uv_listen(reinterpret_cast<uv_stream_t*>(&raw.listener), 1,
               [](uv_stream_t* stream, int) {
-                auto* server = static_cast<RawServer*>(stream->data);
+                auto* server = static_cast<FixedAnswer*>(stream->data);
                 auto* accepted = new uv_tcp_t;
                 uv_tcp_init(stream->loop, accepted);
                 auto* connection = reinterpret_cast<uv_stream_t*>(accepted);
@@ -285,6 +298,74 @@
   CHECK(response.error().verdict == Verdict::kMayHaveRun);
 }
 
+// Guards against a part of an answer without a length that looks complete since
+// its target resets the connection only after it has ended its side: the rest
+// of the request is unread.
+TEST(HttpTest, AnswerWithoutALengthWhoseTargetDropsTheUploadFailsTheCall) {
+  for (const size_t read_bytes :
+       {size_t{0}, size_t{64} << 10, size_t{1} << 20}) {
+    for (const milliseconds pause :
+         {milliseconds(0), milliseconds(20), milliseconds(300)}) {
+      const auto response = this->Upload([&](int descriptor) {
+        Discard(descriptor, read_bytes);
+        Send(descriptor, "HTTP/1.1 200 OK\r\n\r\npart");
+        shutdown(descriptor, SHUT_WR);
+        std::this_thread::sleep_for(pause);
+      });
+      const std::string name = std::to_string(read_bytes) +
+                               " bytes read, reset after " +
+                               std::to_string(pause.count()) + " ms";
+      CHECK_FALSE_TEXT(response.has_value(), name.c_str());
+      CHECK_TRUE_TEXT(response.error().verdict == Verdict::kMayHaveRun,
+                      name.c_str());
+    }
+  }
+}
+
+// Guards against refusing the answer of a target that answers early, ends its
+// side and reads the upload to its end.
+TEST(HttpTest, EarlyAnswerWhoseTargetReadsTheUploadEndsTheCall) {
+  for (const milliseconds pause : {milliseconds(0), milliseconds(300)}) {
+    std::atomic<size_t> taken = 0;
+    const auto response = this->Upload([&](int descriptor) {
+      Send(descriptor, "HTTP/1.1 200 OK\r\n\r\nwhole");
+      shutdown(descriptor, SHUT_WR);
+      std::this_thread::sleep_for(pause);
+      taken = Discard(descriptor, 2 * kUploadBytes);
+    });
+    CHECK_TRUE(response.has_value());
+    STRCMP_EQUAL("whole", response->body.c_str());
+    // The server has read up to 4096 bytes before.
+    CHECK_COMPARE(taken.load(), >=, kUploadBytes - 4096);
+  }
+}
+
+// Guards against a call that goes on after its caller has cancelled it, while
+// its target neither reads the upload nor resets the connection.
+TEST(HttpTest, CancelEndsACallWhoseTargetDoesNotReadTheUpload) {
+  std::atomic<bool> left = false;
+  RawServer server([&](int descriptor) {
+    Send(descriptor, "HTTP/1.1 200 OK\r\n\r\nwhole");
+    shutdown(descriptor, SHUT_WR);
+    for (int i = 0; i < kMaxIterations && !left; ++i) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  });
+  this->client = std::make_unique<HttpClient>(this->loop, server.address(),
+                                              HttpClientOptions{});
+  bool done = false;
+  auto call = this->client->Fetch(
+      {"POST", "/", {}, std::string(kUploadBytes, 'x')}, 1u << 20,
+      [&done](const Result<HttpResponse>&) { done = true; });
+  for (int i = 0; i < 20; ++i) {
+    this->loop.RunFor(milliseconds(20));
+  }
+  call.reset();
+  left = true;
+  this->loop.RunFor(milliseconds(50));
+  CHECK_FALSE(done);
+}
+
 // Guards against a success with an empty or short body from a target that stops
 // within its answer's head.
 TEST(HttpTest, AnswerThatIsCutWithinItsHeadFailsTheCall) {
