Fail a response with a header whose name is not a token

Cause: Http1Client left the check of names to http_parser, which accepts blanks in them as Debian builds it: inside, at the end, and at the beginning of the first line. A later line that begins with a blank was added to the value of the header before. h2o's client reports such a line as a header without a name, and HttpClient passed that on. Control bytes were refused by both parsers.

Change: both clients require tokens (RFC 9110, 5.6.2), in trailers and interim responses too where the parser shows them. Http1Client parses a head line by line and fails one with a line that begins with a blank (RFC 9112, 5.2, allows it). The failure names the place with other than visible bytes escaped; the attempt counts as broken for the target's health.

Odd but legal names and values with high bytes are accepted as before, wherever the response is cut (AcceptsEveryTokenAsAHeaderName).

A status that is not one of HTTP, such as 000, was refused before by both clients; its tests stay as they are.

--- a/src/connection/http.cc
+++ b/src/connection/http.cc
@@ -1,5 +1,8 @@
 #include "src/connection/http.h"
 
+#include <algorithm>
+#include <cstdio>
+
 #include "src/version/hex.h"
 
 namespace celerypost {
@@ -34,6 +37,30 @@
   return {};
 }
 
+bool IsToken(std::string_view text) {
+  constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
+  return !text.empty() && std::all_of(text.begin(), text.end(), [&](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           (c >= '0' && c <= '9') || kSymbols.find(c) != std::string_view::npos;
+  });
+}
+
+std::string EscapeBytes(std::string_view bytes) {
+  constexpr size_t kMaxBytes = 64;
+  std::string text;
+  for (const char c : bytes.substr(0, kMaxBytes)) {
+    if (c > ' ' && c <= '~' && c != '\\') {
+      text.push_back(c);
+    } else {
+      char escaped[5];
+      snprintf(escaped, sizeof(escaped), "\\x%02x",
+               static_cast<unsigned>(static_cast<unsigned char>(c)));
+      text += escaped;
+    }
+  }
+  return text;
+}
+
 std::string FindQueryParameter(std::string_view path, std::string_view name) {
   const size_t question = path.find('?');
   if (question == std::string_view::npos) {
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -19,6 +19,14 @@
 // Appends `bytes` to `text` in lower case.
 void AppendLowerCase(std::string& text, std::string_view bytes);
 
+// Returns whether `text` is a token (RFC 9110, 5.6.2), as the name of a header
+// has to be.
+bool IsToken(std::string_view text);
+
+// Returns the beginning of `bytes` for logs: bytes other than visible ASCII
+// characters are written as \xNN.
+std::string EscapeBytes(std::string_view bytes);
+
 // Returns the percent-decoded value of query parameter `name`, or an empty
 // string if it is absent.
 std::string FindQueryParameter(std::string_view path, std::string_view name);
--- a/src/connection/http1_client.cc
+++ b/src/connection/http1_client.cc
@@ -193,12 +193,18 @@
     this->skipped_responses = 0;
     this->body_bytes = 0;
     this->early = false;
+    this->ExpectHead();
+  }
+
+  void ExpectHead() {
+    http_parser_init(&this->parser, HTTP_RESPONSE);
+    this->parser.data = this;
     this->head = {};
+    this->in_head = true;
+    this->line_ended = false;
     this->skipping = false;
     this->complete = false;
     this->response_started = false;
-    http_parser_init(&this->parser, HTTP_RESPONSE);
-    this->parser.data = this;
   }
 
   void OnTimer() {
@@ -388,10 +394,17 @@
       return;
     }
     while (!bytes.empty()) {
+      // http_parser would append the line to the value of the header before.
+      if (this->line_ended && (bytes.front() == ' ' || bytes.front() == '\t')) {
+        this->FailHeader(bytes.substr(0, bytes.find_first_of(":\r\n")));
+        return;
+      }
+      const std::string_view piece = this->in_head ? FirstLine(bytes) : bytes;
       this->delivering = true;
       const size_t used = http_parser_execute(&this->parser, Settings(),
-                                              bytes.data(), bytes.size());
+                                              piece.data(), piece.size());
       this->delivering = false;
+      this->line_ended = this->in_head && piece.ends_with('\n');
       if (this->cancelled) {
         this->Close();
         return;
@@ -410,12 +423,7 @@
           }
           this->reused = this->reused || !informational;
           this->body_bytes = 0;
-          http_parser_init(&this->parser, HTTP_RESPONSE);
-          this->parser.data = this;
-          this->head = {};
-          this->complete = false;
-          this->skipping = false;
-          this->response_started = false;
+          this->ExpectHead();
           continue;
         }
         if (this->skipping) {
@@ -438,15 +446,34 @@
                        std::to_string(this->head.status));
         return;
       }
+      if (!this->invalid_name.empty()) {
+        this->FailHeader(this->invalid_name);
+        return;
+      }
       if (error != HPE_OK || this->parser.upgrade) {
-        this->Fail(
-            Verdict::kMayHaveRun, ErrorCode::kCorrupt,
-            std::string("response is not HTTP: ") + http_errno_name(error));
+        std::string message =
+            std::string("response is not HTTP: ") + http_errno_name(error);
+        if (this->in_head) {
+          message += " at \"" + EscapeBytes(bytes.substr(0, 16)) + "\"";
+        }
+        this->Fail(Verdict::kMayHaveRun, ErrorCode::kCorrupt, message);
         return;
       }
     }
   }
 
+  // Returns `bytes` up to the end of its first line.
+  static std::string_view FirstLine(std::string_view bytes) {
+    const size_t end = bytes.find('\n');
+    return end == std::string_view::npos ? bytes : bytes.substr(0, end + 1);
+  }
+
+  void FailHeader(std::string_view name) {
+    this->Fail(Verdict::kMayHaveRun, ErrorCode::kCorrupt,
+               "the name of a header of the response is not a token: \"" +
+                   EscapeBytes(name) + "\"");
+  }
+
   void Finish(bool reuse) {
     if (reuse) {
       this->ResumeReading();
@@ -518,7 +545,14 @@
         self->head.headers.emplace_back();
         self->last_was_value = false;
       }
-      AppendLowerCase(self->head.headers.back().first, {at, length});
+      std::string& name = self->head.headers.back().first;
+      AppendLowerCase(name, {at, length});
+      // Depending on its build, http_parser accepts blanks in names. The last
+      // piece of a name may be empty.
+      if (length > 0 && !IsToken({at, length})) {
+        self->invalid_name = name;
+        return 1;
+      }
       return 0;
     };
     settings.on_header_value = [](http_parser* parser, const char* at,
@@ -530,6 +564,7 @@
     };
     settings.on_headers_complete = [](http_parser* parser) {
       auto* self = static_cast<Channel*>(parser->data);
+      self->in_head = false;
       self->head.status = static_cast<int>(parser->status_code);
       self->head.reused_connection = self->reused;
       if (self->head.status < kMinStatus || self->head.status > kMaxStatus) {
@@ -639,6 +674,12 @@
   size_t body_bytes = 0;
   bool body_too_large = false;
   bool invalid_status = false;
+  // The name of a header that is not a token; empty while there is none.
+  std::string invalid_name;
+  // The head of the current response is not complete.
+  bool in_head = true;
+  // The last byte that was parsed ended a line of the head.
+  bool line_ended = false;
   // True while the parser runs callbacks.
   bool delivering = false;
   bool cancelled = false;
--- a/src/connection/http1_client.h
+++ b/src/connection/http1_client.h
@@ -64,7 +64,8 @@
   // Sends a request and streams the response. Destroying the call resets its
   // connection, so that a request that is still in the send buffer does not
   // reach the server later. A failure has verdict kNotRun if no byte was sent.
-  // A response that exceeds a limit of `options` fails with kCorrupt.
+  // A response that exceeds a limit of `options`, or whose head is malformed,
+  // fails with kCorrupt.
   std::unique_ptr<HttpCall> Send(HttpRequest request,
                                  Http1SendOptions options,
                                  HttpResponseCallbacks callbacks);
--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -203,10 +203,16 @@
   HttpResponseHead head;
   head.status = status;
   for (size_t i = 0; i < header_count; ++i) {
-    std::string name(headers[i].name->base, headers[i].name->len);
-    for (char& c : name) {
-      c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    const std::string_view raw(headers[i].name->base, headers[i].name->len);
+    // h2o reports a line that begins with a blank as a header without a name.
+    if (!IsToken(raw)) {
+      FailExchange(exchange,
+                   "the name of a header of the response is not a token",
+                   ErrorCode::kCorrupt);
+      return nullptr;
     }
+    std::string name;
+    AppendLowerCase(name, raw);
     head.headers.emplace_back(
         std::move(name),
         std::string(headers[i].value.base, headers[i].value.len));
--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -375,6 +376,125 @@
   }
 }
 
+// Header lines whose name is not a token (RFC 9110, 5.6.2). A parser that takes
+// them reads another framing than the server meant, or none.
+std::vector<std::string> LinesWithBrokenNames() {
+  using std::string_literals::operator""s;
+  return {"Content Length: 900",
+          "Content-Length : 5",
+          "Content-Length\t: 5",
+          " Content-Length: 5",
+          "\tContent-Length: 5",
+          "Transfer Encoding: chunked",
+          "Transfer-Encoding : chunked",
+          " Transfer-Encoding: chunked",
+          "X A: b",
+          "X-A : b",
+          " X-A: b",
+          " : b",
+          "X\0A: b"s,
+          "X\001A: b",
+          "X\037A: b",
+          "X\177A: b",
+          "X\tA: b",
+          "X\rA: b",
+          "X\200A: b",
+          "X(A: b",
+          "X\"A: b",
+          "X/A: b",
+          "X@A: b",
+          "X{A: b"};
+}
+
+// Sends the bytes up to `cut`, and the others when they have been read.
+void SendInTwo(int descriptor, const std::string& bytes, size_t cut) {
+  const int on = 1;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  send(descriptor, bytes.data(), cut, MSG_NOSIGNAL);
+  if (cut > 0) {
+    std::this_thread::sleep_for(milliseconds(2));
+  }
+  send(descriptor, bytes.data() + cut, bytes.size() - cut, MSG_NOSIGNAL);
+}
+
+// Guards against a response that is passed on although the name of a header
+// holds a blank or a control byte: a line that frames the body is then none.
+// The line comes first, after one with a value or an empty one, or last, in an
+// interim response and in a trailer; whole, and in pieces that are cut
+// anywhere.
+TEST(Http1Test, FailsAResponseWithABrokenHeaderName) {
+  const std::string rest = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  for (const std::string& line : LinesWithBrokenNames()) {
+    const std::vector<std::string> responses = {
+        "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\nX-B: c\r\n" + line +
+            "\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\nX-B:\r\n" + line +
+            "\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + line + "\r\n\r\nwhole",
+        "HTTP/1.1 404 No\r\nContent-Length: 5\r\n" + line + "\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n" + line + "\r\n\r\n" + rest,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "5\r\nwhole\r\n0\r\n" +
+            line + "\r\n\r\n"};
+    for (const std::string& response : responses) {
+      const size_t at = response.find(line);
+      // 0: in one piece.
+      for (const size_t cut :
+           {size_t{0}, at - 1, at, at + 1, at + 2, at + line.size()}) {
+        RawServer server([&](int descriptor) {
+          SendInTwo(descriptor, response, cut);
+          shutdown(descriptor, SHUT_WR);
+          Discard(descriptor, kUploadBytes);
+        });
+        Http1Client client(this->loop, server.address(), {});
+        const auto result = this->Fetch(client);
+        const std::string name =
+            EscapeBytes(response) + " cut at " + std::to_string(cut);
+        CHECK_FALSE_TEXT(result.has_value(), name.c_str());
+        CHECK_TRUE_TEXT(result.error().verdict == Verdict::kMayHaveRun,
+                        name.c_str());
+        CHECK_TRUE_TEXT(result.error().code == ErrorCode::kCorrupt,
+                        name.c_str());
+      }
+    }
+  }
+}
+
+// Guards against a failure that does not tell where the head is broken, or
+// that passes its bytes on to the log.
+TEST(Http1Test, TellsWhichHeaderNameIsBroken) {
+  RawServer server([](int descriptor) {
+    Send(descriptor, "HTTP/1.1 200 OK\r\nTransfer Encoding: chunked\r\n\r\n");
+  });
+  Http1Client client(this->loop, server.address(), {});
+  const auto result = this->Fetch(client);
+  CHECK_FALSE(result.has_value());
+  STRCMP_CONTAINS("transfer\\x20encoding", result.error().message.c_str());
+}
+
+// Guards against refusing names and values that are odd but allowed, wherever
+// the response is cut into two pieces.
+TEST(Http1Test, AcceptsEveryTokenAsAHeaderName) {
+  const std::string name = "!#$%&'*+.^_`|~09azAZ";
+  const std::string response =
+      "HTTP/1.1 200 OK\r\n" + name +
+      ": \xe9\xff :\t@\r\nX-Empty:\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nwhole\r\n0\r\n" +
+      name + ": b\r\n\r\n";
+  for (size_t cut = 0; cut < response.size(); ++cut) {
+    RawServer server(
+        [&](int descriptor) { SendInTwo(descriptor, response, cut); });
+    Http1Client client(this->loop, server.address(), {});
+    const auto result = this->Fetch(client);
+    CHECK_TRUE(result.has_value());
+    STRCMP_EQUAL("whole", result->body.c_str());
+    CHECK(FindHeader(result->headers, "!#$%&'*+.^_`|~09azaz") ==
+          "\xe9\xff :\t@");
+  }
+}
+
 // Guards against a response to HEAD that is taken for cut: it has the length of
 // a body, or none, and no body.
 TEST(Http1Test, AResponseToHeadHasNoBody) {
--- a/tests/connection/http_test.cc
+++ b/tests/connection/http_test.cc
@@ -167,6 +167,31 @@
                  .has_value());
 }
 
+// Guards against a response that is passed on although the name of a header
+// holds a blank or a control byte, also where h2o takes it for a framing.
+TEST(HttpTest, AnswerWithABrokenHeaderNameFailsTheCall) {
+  for (const std::string line :
+       {"Content Length: 900", "Content-Length : 5", "Content-Length\t: 5",
+        " Content-Length: 5", "Transfer Encoding: chunked",
+        "Transfer-Encoding : chunked", "X A: b", "X-A : b", " X-A: b",
+        "\tX-A: b", " : b", ": b", "X\001A: b", "X\037A: b", "X\177A: b",
+        "X\tA: b", "X\200A: b", "X(A: b"}) {
+    const std::string length = "Content-Length: 5\r\n";
+    for (const std::string& rest :
+         {line + "\r\n" + length + "\r\nwhole",
+          "X-B: c\r\n" + line + "\r\n" + length + "\r\nwhole",
+          length + line + "\r\n\r\nwhole"}) {
+      const auto response = this->FetchRaw(rest, ShutDown);
+      CHECK_FALSE_TEXT(response.has_value(), rest.c_str());
+      CHECK_TRUE(response.error().verdict == Verdict::kMayHaveRun);
+    }
+  }
+  CHECK_TRUE(this->FetchRaw("!#$%&'*+.^_`|~09azAZ: \xe9\xff\r\n"
+                            "Content-Length: 5\r\n\r\nwhole",
+                            ShutDown)
+                 .has_value());
+}
+
 // Guards against lost headers, bodies or paths between client and server.
 TEST(HttpTest, CarriesRequestAndResponse) {
   this->Serve([](HttpRequest request, std::shared_ptr<HttpResponder> out) {
--- a/tests/process/gateway/relay_task_test.cc
+++ b/tests/process/gateway/relay_task_test.cc
@@ -686,6 +686,34 @@
   CHECK_EQUAL(0u, this->book.LoadOf("t2", this->loop.Now()).in_flight);
 }
 
+// Guards against an answer that reaches the caller although the name of a
+// header holds a blank or a control byte.
+TEST(RelayTaskTest, AnAnswerWithABrokenHeaderNameIsNotPassedOn) {
+  Route once = PlainRoute();
+  once.kind = RouteKind::kNonIdempotent;
+  const std::string length = "Content-Length: 4\r\n\r\npart";
+  for (const std::string& head :
+       {"HTTP/1.1 200 OK\r\nX A: b\r\n" + length,
+        "HTTP/1.1 200 OK\r\nX-A: b\r\n X-B: c\r\n" + length,
+        "HTTP/1.1 200 OK\r\nX-A : b\r\n" + length,
+        "HTTP/1.1 200 OK\r\nX\001A: b\r\n" + length,
+        std::string("HTTP/1.1 200 OK\r\nContent Length: 9\r\n\r\npart"),
+        std::string("HTTP/1.1 200 OK\r\nTransfer Encoding: chunked\r\n\r\n"
+                    "4\r\npart\r\n0\r\n\r\n")}) {
+    this->BeginCase();
+    this->CheckAnsweredByTheFirst(
+        this->Relay(PlainRoute(), {{head}, WithLength("whole")}), "whole");
+    CHECK_EQUAL(2u, this->received.size());
+    this->BeginCase();
+    const CallerAnswer answer = this->Relay(once, {{head}, WithLength("x")});
+    CHECK_EQUAL(502, answer.status);
+    CHECK_TRUE(answer.complete);
+    CHECK_EQUAL(1u, this->received.size());
+    CHECK_TRUE(this->book.FailureShare("t1") + this->book.FailureShare("t2") >
+               0);
+  }
+}
+
 // Guards against a success without the target's signature that reaches the
 // caller (MIXED, review/4): another target is asked if that is allowed.
 TEST(RelayTaskTest, AnUnsignedSuccessOfARepeatableRequestIsRetried) {
