Count bodies over 16 KB among those that a target may not have read

What callers saw: nothing yet; a trial with a gateway and a stand-in on showed it. A target that read only the head of an upload of 20 or 50 KB, answered at once without a length, ended its side and closed the connection 20 or 300 ms later had its part passed on as a complete answer. From 100 KB on the gateway answered 502.

Cause: the target's system takes such an upload whole, so that no byte is unacknowledged, and only bodies over 64 KB were then held.

Change: bodies over 16 KB are; servers read a shorter one together with the head. Only an answer without a length that comes within 100 ms of the upload waits.

--- a/src/connection/receipt_watch.cc
+++ b/src/connection/receipt_watch.cc
@@ -13,9 +13,8 @@
 
 namespace {
 
-// The system of a server buffers about this much of a request that the server
-// does not read.
-constexpr size_t kBufferedBytes = 64u << 10;
+// Servers read a body of at most this size together with the head.
+constexpr size_t kReadWithHeadBytes = 16u << 10;
 // A server that begins its response later has read what its system had
 // buffered.
 constexpr std::chrono::milliseconds kReadingTime{100};
@@ -54,7 +53,7 @@
     return true;
   }
   const auto info =
-      body_bytes > kBufferedBytes ? InfoOf(descriptor) : std::nullopt;
+      body_bytes > kReadWithHeadBytes ? InfoOf(descriptor) : std::nullopt;
   if (!info) {
     return false;
   }
--- a/tests/connection/http1_test.cc
+++ b/tests/connection/http1_test.cc
@@ -158,21 +158,28 @@
 // since its server resets the connection only after it has ended its side: the
 // rest of the request is unread.
 TEST(Http1Test, FailsAResponseWithoutLengthWhoseServerDropsTheUpload) {
+  struct Case {
+    size_t upload_bytes;
+    size_t read_bytes;
+  };
   this->method = "POST";
-  this->body = std::string(kUploadBytes, 'x');
-  for (const size_t read_bytes :
-       {size_t{0}, size_t{64} << 10, size_t{1} << 20}) {
+  for (const Case& each : {Case{kUploadBytes, 0}, Case{kUploadBytes, 64u << 10},
+                           Case{kUploadBytes, 1u << 20}, Case{300u << 10, 0},
+                           // The server's system takes all of these.
+                           Case{50u << 10, 0}, Case{20u << 10, 0}}) {
+    this->body = std::string(each.upload_bytes, 'x');
     for (const milliseconds pause :
          {milliseconds(0), milliseconds(20), milliseconds(300)}) {
       RawServer server([&](int descriptor) {
-        Discard(descriptor, read_bytes);
+        Discard(descriptor, each.read_bytes);
         Send(descriptor, kEarlyPart);
         shutdown(descriptor, SHUT_WR);
         std::this_thread::sleep_for(pause);
       });
       Http1Client client(this->loop, server.address(), {});
       const auto result = this->Fetch(client);
-      const std::string name = std::to_string(read_bytes) +
+      const std::string name = std::to_string(each.read_bytes) + " of " +
+                               std::to_string(each.upload_bytes) +
                                " bytes read, reset after " +
                                std::to_string(pause.count()) + " ms";
       CHECK_FALSE_TEXT(result.has_value(), name.c_str());
