HttpClient: fail an early response whose connection cannot be watched

What callers saw: nothing; found by reading the change. An entry or agent that has no file descriptor left took an early response without a length for whole.

Cause: AwaitReceipt watched the result of dup() without looking at it. A socket that does not exist is neither reset nor has unacknowledged bytes.

Change: the call fails as one that may have run.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -132,6 +132,10 @@
 void AwaitReceipt(Exchange* exchange, int descriptor) {
   exchange->client = nullptr;
   exchange->kept_descriptor = dup(descriptor);
+  if (exchange->kept_descriptor < 0) {
+    FailExchange(exchange, "no descriptor to watch the connection with");
+    return;
+  }
   exchange->receipt = std::make_unique<ReceiptWatch>(
       exchange->loop, exchange->kept_descriptor, ReceiptWatchOptions{},
       exchange->loop.Now() + exchange->io_timeout, [exchange](bool received) {
--- a/tests/connection/http_test.cc
+++ b/tests/connection/http_test.cc
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -365,6 +366,39 @@
   }
 }
 
+// Guards against an early answer that counts as whole since the process has no
+// descriptor left with which to watch its connection.
+TEST(HttpTest, EarlyAnswerThatCannotBeWatchedFailsTheCall) {
+  RawServer server([](int descriptor) {
+    Send(descriptor, "HTTP/1.1 200 OK\r\n\r\npart");
+    shutdown(descriptor, SHUT_WR);
+    std::this_thread::sleep_for(milliseconds(1500));
+  });
+  this->client = std::make_unique<HttpClient>(this->loop, server.address(),
+                                              HttpClientOptions{});
+  rlimit usual{};
+  CHECK_EQUAL(0, getrlimit(RLIMIT_NOFILE, &usual));
+  bool ended = false;
+  std::optional<Failure> failure;
+  HttpResponseCallbacks callbacks;
+  callbacks.on_head = [&usual](const HttpResponseHead&) {
+    const rlimit none{0, usual.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &none);
+  };
+  callbacks.on_end = [&] { ended = true; };
+  callbacks.on_failure = [&](Failure reason) { failure = std::move(reason); };
+  // The server's system takes all of it.
+  const auto call = this->client->Send(
+      {"POST", "/", {}, std::string(20u << 10, 'x')}, std::move(callbacks));
+  for (int i = 0; i < kMaxIterations && !ended && !failure; ++i) {
+    this->loop.RunFor(milliseconds(20));
+  }
+  setrlimit(RLIMIT_NOFILE, &usual);
+  CHECK_FALSE(ended);
+  CHECK_TRUE(failure.has_value());
+  CHECK_TRUE(failure->verdict == Verdict::kMayHaveRun);
+}
+
 // Guards against a call that goes on after its caller has cancelled it, while
 // its target neither reads the upload nor resets the connection.
 TEST(HttpTest, CancelEndsACallWhoseTargetDoesNotReadTheUpload) {
