Log why a removed registration counts as lapsed

Cause: the line of a removal says "lapsed in an outage", but not when the key-value service came back nor how this process knows. Its own read or watch, a lease call, a peer and a new era cannot be told apart afterwards.

Change: the detail of the line holds the age of the return and its source.

--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -155,7 +155,7 @@
             },
             [this] {
               this->cluster_view.OnServiceRegained(
-                  this->dependencies.loop.Now());
+                  this->dependencies.loop.Now(), "a read or watch");
             },
             [this](TimePoint time) { this->cluster_view.NoteCurrent(time); },
             [this](TimePoint time) { this->cluster_view.NoteAway(time); }}),
@@ -212,7 +212,8 @@
     this->metrics_server->SetLimits(kShortBodyLimits);
   }
   this->registry.OnRegained([this](TimePoint lost_at) {
-    this->cluster_view.OnServiceRegained(this->dependencies.loop.Now());
+    this->cluster_view.OnServiceRegained(this->dependencies.loop.Now(),
+                                         "a lease call");
     this->sync.OnServiceRegained(lost_at);
   });
   this->dependencies.store.OnEra([this](int64_t era) { this->OnEra(era); });
--- a/src/process/state/cluster_view.cc
+++ b/src/process/state/cluster_view.cc
@@ -123,7 +123,7 @@
   this->copied_until = position.revision;
   this->settled = false;
   if (!first) {
-    this->regained_at = now;
+    this->OnServiceRegained(now, "a new era");
   }
 }
 
@@ -140,8 +140,9 @@
   }
 }
 
-void ClusterView::OnServiceRegained(TimePoint now) {
+void ClusterView::OnServiceRegained(TimePoint now, std::string_view source) {
   this->regained_at = now;
+  this->regained_source = source;
 }
 
 std::optional<StorePosition> ClusterView::SeenAt(const std::string& key) const {
@@ -426,6 +427,15 @@
               ? this->regained_at.value_or(now) + this->options.outage_grace
               : now + this->options.removal_grace;
       result.detail = after_outage ? "lapsed in an outage" : "left";
+      if (after_outage && this->regained_at) {
+        result.detail +=
+            "; the service returned " +
+            std::to_string(
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    now - *this->regained_at)
+                    .count()) +
+            " ms ago, known from " + std::string(this->regained_source);
+      }
     }
     this->target_of_key.erase(target);
   }
@@ -646,8 +656,9 @@
   ++this->change_count;
   if (delta.regained_ago) {
     const TimePoint regained = now - *delta.regained_ago;
-    this->regained_at =
-        std::max(this->regained_at.value_or(regained), regained);
+    if (!this->regained_at || regained > *this->regained_at) {
+      this->OnServiceRegained(regained, "a peer");
+    }
   }
   std::vector<ViewChange> applied;
   if (delta.partial) {
--- a/src/process/state/cluster_view.h
+++ b/src/process/state/cluster_view.h
@@ -153,8 +153,9 @@
                                         StorePosition position,
                                         bool after_outage,
                                         TimePoint now);
-  // The key-value service answers again after an outage.
-  void OnServiceRegained(TimePoint now);
+  // The key-value service answers again after an outage. `source`: how this
+  // process knows, for the log.
+  void OnServiceRegained(TimePoint now, std::string_view source);
   // All changes that were made before `time` are known, apart from those that
   // are applied next.
   void NoteCurrent(TimePoint time);
@@ -294,6 +295,8 @@
   // Whether documents of older eras have been settled.
   bool settled = true;
   std::optional<TimePoint> regained_at;
+  // How this process knows of `regained_at`.
+  std::string_view regained_source;
   std::optional<TimePoint> known_current_at;
   std::optional<TimePoint> known_away_at;
 };
--- a/tests/process/state/cluster_view_test.cc
+++ b/tests/process/state/cluster_view_test.cc
@@ -225,7 +225,7 @@
 TEST(ClusterViewTest, TargetsThatLapsedInAnOutageGetLongerToReturn) {
   this->Change("t/a", "target ready", 1);
   this->Change("t/b", "target ready", 2);
-  this->view.OnServiceRegained(this->now);
+  this->view.OnServiceRegained(this->now, "a read");
   this->view.ApplySnapshot({}, {0, 9}, true, this->now);
   this->now += milliseconds(1900);
   CHECK_TRUE(this->Usable("a"));
@@ -353,7 +353,7 @@
                            this->now);
   ClusterView other{this->decoder, {}};
   other.ApplyDelta(this->view.MakeDelta({{0, 0}, false}, this->now), this->now);
-  this->view.OnServiceRegained(this->now);
+  this->view.OnServiceRegained(this->now, "a read");
   this->now += milliseconds(300);
   this->Change("t/a", "", 8);
   other.ApplyDelta(this->view.MakeDelta({{0, 5}, false}, this->now), this->now);
