--- a/tests/process/program/oversized_bodies_test.cc
+++ b/tests/process/program/oversized_bodies_test.cc
@@ -1,17 +1,12 @@
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <poll.h>
-#include <sys/prctl.h>
 #include <sys/socket.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <csignal>
 #include <cstdio>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -28,10 +23,11 @@
 
 #include <nlohmann/json.hpp>
 
-#include "platform/node_file.h"
 #include "src/connection/base64.h"
 #include "src/connection/http1_server.h"
 #include "src/connection/loop.h"
+#include "tests/process/program/loopback.h"
+#include "tests/process/program/program.h"
 
 #include "CppUTest/TestHarness.h"
 
@@ -77,74 +73,6 @@
 constexpr int kTries = 12;
 constexpr milliseconds kBetweenTries{300};
 
-sockaddr_in AddressOf(const std::string& ip, uint16_t port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
-  address.sin_port = htons(port);
-  return address;
-}
-
-uint16_t FreePort(const std::string& ip) {
-  const int listener = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = AddressOf(ip, 0);
-  socklen_t length = sizeof(address);
-  CHECK_EQUAL(0, bind(listener, reinterpret_cast<sockaddr*>(&address), length));
-  getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
-  close(listener);
-  return ntohs(address.sin_port);
-}
-
-// Returns a connected socket, or -1.
-int ConnectTo(const std::string& ip, uint16_t port) {
-  const int connection = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const sockaddr_in address = AddressOf(ip, port);
-  if (connect(connection, reinterpret_cast<const sockaddr*>(&address),
-              sizeof(address)) != 0) {
-    close(connection);
-    return -1;
-  }
-  return connection;
-}
-
-// Returns the statuses of all final responses in `received`.
-std::vector<int> StatusesIn(const std::string& received) {
-  constexpr std::string_view kVersion = "HTTP/1.1 ";
-  std::vector<int> statuses;
-  for (size_t at = received.find(kVersion); at != std::string::npos;
-       at = received.find(kVersion, at + 1)) {
-    const int status = std::atoi(received.c_str() + at + kVersion.size());
-    if (status >= 200) {
-      statuses.push_back(status);
-    }
-  }
-  return statuses;
-}
-
-// Sends one request and returns the status of its response; 0 for none.
-int StatusOf(const std::string& ip, uint16_t port, const std::string& request) {
-  const int connection = ConnectTo(ip, port);
-  if (connection < 0) {
-    return 0;
-  }
-  const timeval limit{5, 0};
-  setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-  setsockopt(connection, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
-  std::string received;
-  if (send(connection, request.data(), request.size(), MSG_NOSIGNAL) ==
-      static_cast<ssize_t>(request.size())) {
-    char bytes[4096];
-    ssize_t count = 0;
-    while (StatusesIn(received).empty() &&
-           (count = recv(connection, bytes, sizeof(bytes), 0)) > 0) {
-      received.append(bytes, static_cast<size_t>(count));
-    }
-  }
-  close(connection);
-  const auto statuses = StatusesIn(received);
-  return statuses.empty() ? 0 : statuses.front();
-}
-
 // Sends the request of an ordinary caller, who comes again when it is refused,
 // until it has been answered with 200. Returns the last status.
 int StatusAfterTries(const std::string& ip,
@@ -160,17 +88,6 @@
   return status;
 }
 
-std::string PostHead(const std::string& path,
-                     const std::string& id,
-                     const std::string& more_headers) {
-  return "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id +
-         "\r\n" + more_headers + "\r\n";
-}
-
-std::string LengthHeader(size_t length) {
-  return "Content-Length: " + std::to_string(length) + "\r\n";
-}
-
 // The key-value service and a target, on a thread of their own.
 class StandIns {
  public:
@@ -340,117 +257,6 @@
   std::thread thread;
 };
 
-// The program under test in one role.
-class Program {
- public:
-  Program(const std::string& role,
-          const std::string& ip,
-          const std::string& settings_path,
-          uint16_t metrics_port)
-      : ip(ip) {
-    const std::string metrics =
-        "--metrics_port=" + std::to_string(metrics_port);
-    const std::string log_path = settings_path + ".log";
-    const pid_t parent = getpid();
-    this->pid = fork();
-    if (this->pid == 0) {
-      // Ends with the test, also when that is killed.
-      prctl(PR_SET_PDEATHSIG, SIGKILL);
-      if (getppid() != parent) {
-        _exit(1);
-      }
-      const int log =
-          open(log_path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
-      dup2(log, STDOUT_FILENO);
-      dup2(log, STDERR_FILENO);
-      setenv(platform::kNodeFileVariable, settings_path.c_str(), 1);
-      execl(CELERYPOST_PROGRAM, CELERYPOST_PROGRAM, role.c_str(),
-            metrics.c_str(), nullptr);
-      _exit(127);
-    }
-  }
-  ~Program() {
-    if (this->pid > 0 && !this->reaped) {
-      kill(this->pid, SIGKILL);
-      waitpid(this->pid, nullptr, 0);
-    }
-  }
-  Program(const Program&) = delete;
-  Program& operator=(const Program&) = delete;
-
-  bool Lives() {
-    if (!this->reaped) {
-      this->reaped = waitpid(this->pid, nullptr, WNOHANG) == this->pid;
-    }
-    return !this->reaped;
-  }
-
-  // Notes what the process holds now; called while it is under load.
-  void Sample() {
-    std::error_code error;
-    size_t descriptors = 0;
-    for (std::filesystem::directory_iterator it(this->ProcPath("fd"), error),
-         end;
-         !error && it != end; it.increment(error)) {
-      ++descriptors;
-    }
-    this->peak_descriptors = std::max(this->peak_descriptors, descriptors);
-    this->peak_memory =
-        std::max({this->peak_memory, this->StatusBytes("VmHWM:"),
-                  this->StatusBytes("VmRSS:") + this->QueuedBytes()});
-  }
-
-  // Most bytes of memory, with those of the sockets of its listeners.
-  size_t peak_memory = 0;
-  size_t peak_descriptors = 0;
-
- private:
-  std::string ProcPath(const char* name) const {
-    return "/proc/" + std::to_string(this->pid) + "/" + name;
-  }
-
-  size_t StatusBytes(const std::string& field) const {
-    std::ifstream status(this->ProcPath("status"));
-    for (std::string word; status >> word;) {
-      size_t kilobytes = 0;
-      if (word == field && status >> kilobytes) {
-        return kilobytes * 1024;
-      }
-    }
-    return 0;
-  }
-
-  // Bytes that wait in the kernel on connections to the process's address.
-  size_t QueuedBytes() const {
-    std::ifstream table("/proc/net/tcp");
-    char prefix[9];
-    std::snprintf(prefix, sizeof(prefix), "%08X",
-                  AddressOf(this->ip, 0).sin_addr.s_addr);
-    size_t sum = 0;
-    std::string line;
-    std::getline(table, line);
-    while (std::getline(table, line)) {
-      std::istringstream fields(line);
-      std::string number;
-      std::string local;
-      std::string remote;
-      std::string state;
-      std::string queues;
-      fields >> number >> local >> remote >> state >> queues;
-      // For a listening socket (0A) these are counts of connections.
-      if (local.starts_with(prefix) && state != "0A" && queues.size() == 17) {
-        sum += std::stoul(queues.substr(0, 8), nullptr, 16) +
-               std::stoul(queues.substr(9), nullptr, 16);
-      }
-    }
-    return sum;
-  }
-
-  const std::string ip;
-  pid_t pid = -1;
-  bool reaped = false;
-};
-
 // What one caller of the crowd sends: `parts` strings, one after the other.
 struct Sending {
   std::function<std::string(size_t)> part;
