--- a/src/process/delta_codec.cc
+++ b/src/process/delta_codec.cc
@@ -10,7 +10,6 @@
 #include <memory>
 #include <utility>
 
-#include "messages_types.h"
 #include "src/connection/bounded_thrift.h"
 
 namespace celerypost {
@@ -95,9 +94,6 @@
     entry.era = item.era;
     message.items.push_back(std::move(entry));
   }
-  if (delta.regained_ago) {
-    message.__set_regained_ms_ago(delta.regained_ago->count());
-  }
   for (const ReportedNaming& naming : delta.namings) {
     wire::WeightNaming entry;
     entry.model = naming.model;
@@ -108,6 +104,9 @@
   if (delta.current_ago) {
     message.__set_current_ms_ago(ToWireAge(*delta.current_ago));
   }
+  if (delta.answers) {
+    message.__set_answers(EncodeAnswers(*delta.answers));
+  }
   auto buffer = std::make_shared<TMemoryBuffer>();
   TCompactProtocolT<TMemoryBuffer> protocol(buffer);
   message.write(&protocol);
@@ -128,9 +127,6 @@
   delta.partial = message.partial;
   delta.revision = message.revision;
   delta.era = message.era;
-  if (message.__isset.regained_ms_ago) {
-    delta.regained_ago = std::chrono::milliseconds(message.regained_ms_ago);
-  }
   for (wire::WeightNaming& naming : message.namings) {
     delta.namings.push_back(
         {std::move(naming.model), naming.version,
@@ -140,6 +136,9 @@
     delta.current_ago =
         std::chrono::milliseconds(std::max(0, message.current_ms_ago));
   }
+  if (message.__isset.answers) {
+    delta.answers = DecodeAnswers(message.answers);
+  }
   for (wire::DocumentItem& item : message.items) {
     delta.items.push_back(
         {std::move(item.key), std::move(item.value), item.revision, item.era});
@@ -147,4 +146,19 @@
   return delta;
 }
 
+wire::ServiceAnswers EncodeAnswers(const ReportedAnswers& answers) {
+  wire::ServiceAnswers message;
+  message.era = answers.era;
+  message.since_ms_ago = ToWireAge(answers.since_ago);
+  message.until_ms_ago = ToWireAge(answers.until_ago);
+  message.after_outage = answers.after_outage;
+  return message;
+}
+
+ReportedAnswers DecodeAnswers(const wire::ServiceAnswers& message) {
+  return {message.era, std::chrono::milliseconds(message.since_ms_ago),
+          std::chrono::milliseconds(message.until_ms_ago),
+          message.after_outage};
+}
+
 }  // namespace celerypost
--- a/src/process/delta_codec.h
+++ b/src/process/delta_codec.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "celerypost/verdict.h"
+#include "messages_types.h"
 #include "src/process/state/cluster_view.h"
 
 namespace celerypost {
@@ -17,6 +18,11 @@
 // more than 64 MiB.
 Result<DocumentDelta> DecodeDelta(const std::string& bytes);
 
+// Convert a report of when the key-value service answered, which beats hold,
+// too.
+wire::ServiceAnswers EncodeAnswers(const ReportedAnswers& answers);
+ReportedAnswers DecodeAnswers(const wire::ServiceAnswers& message);
+
 }  // namespace celerypost
 
 #endif  // SRC_PROCESS_DELTA_CODEC_H_
--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -46,6 +46,17 @@
 // Largest time between the sending of a beat and its arrival that is allowed
 // for when its ages are read.
 constexpr milliseconds kMaxTransit{100};
+// Processes learn of the end of an outage within this time of each other.
+constexpr milliseconds kOutageEndSlack{1000};
+// Peers show within this time that there was no outage.
+constexpr milliseconds kOutageReviewTime{10000};
+// A registration lapses when its target has been silent for three heartbeats.
+// Since the last one may have come just before an outage, none lapses in an
+// outage shorter than two heartbeats; the rest is for what peers report late.
+constexpr double kMaxPauseInHeartbeats = 1.5;
+// A process that watches the key-value service is answered at least once a
+// second.
+constexpr milliseconds kShortestMaxPause{1500};
 // Largest age that a beat reports.
 constexpr milliseconds kMaxReportedAge{1000000};
 // Shortest time between two pulls for a newer configuration alone.
@@ -106,6 +117,12 @@
           beat.config_version};
 }
 
+milliseconds MaxPause(const NodeSettings& settings) {
+  return std::max(kShortestMaxPause,
+                  std::chrono::duration_cast<milliseconds>(
+                      settings.target_heartbeat * kMaxPauseInHeartbeats));
+}
+
 bool IsGateway(const wire::Beat& beat) {
   return beat.role == static_cast<int32_t>(NodeRole::kGateway);
 }
@@ -126,7 +143,8 @@
           ClusterViewOptions{
               .assumed_naming_age =
                   dependencies.settings.version_bound - kWeightDiscoveryTime,
-              .registration_prefix = std::string(NodeRegistry::Prefix())}),
+              .registration_prefix = std::string(NodeRegistry::Prefix()),
+              .availability = {.max_pause = MaxPause(dependencies.settings)}}),
       region_directory(kSummaryLifetime),
       peer_exchange(dependencies.loop,
                     dependencies.log,
@@ -140,25 +158,23 @@
            dependencies.log,
            dependencies.random,
            SyncOptions(role, dependencies.decoder),
-           {[this](const std::vector<KeyValue>& items,
-                   StorePosition position,
-                   bool after_outage) {
-              this->ReportChanges(this->cluster_view.ApplySnapshot(
-                                      items, position, after_outage,
-                                      this->dependencies.loop.Now()),
-                                  "read");
+           {[this](const std::vector<KeyValue>& items, StorePosition position) {
+              this->ReportChanges(
+                  this->cluster_view.ApplySnapshot(
+                      items, position, this->dependencies.loop.Now()),
+                  "read");
             },
             [this](const std::vector<KeyValue>& changes) {
               this->ReportChanges(this->cluster_view.ApplyChanges(
                                       changes, this->dependencies.loop.Now()),
                                   "watch");
             },
-            [this] {
-              this->cluster_view.OnServiceRegained(
-                  this->dependencies.loop.Now(), "a read or watch");
-            },
+            [this] { this->NoteAnswer(); },
             [this](TimePoint time) { this->cluster_view.NoteCurrent(time); },
-            [this](TimePoint time) { this->cluster_view.NoteAway(time); }}),
+            [this](TimePoint time) {
+              this->cluster_view.NoteAway(time);
+              this->cluster_view.NoteFailure(time);
+            }}),
       registry(dependencies.loop,
                dependencies.store,
                dependencies.leases,
@@ -211,11 +227,15 @@
     this->metrics_server = std::move(*metrics);
     this->metrics_server->SetLimits(kShortBodyLimits);
   }
-  this->registry.OnRegained([this](TimePoint lost_at) {
-    this->cluster_view.OnServiceRegained(this->dependencies.loop.Now(),
-                                         "a lease call");
-    this->sync.OnServiceRegained(lost_at);
+  this->registry.OnCall([this](bool answered, TimePoint sent_at) {
+    if (answered) {
+      this->NoteAnswer();
+    } else {
+      this->cluster_view.NoteFailure(sent_at);
+    }
   });
+  this->registry.OnRegained(
+      [this](TimePoint lost_at) { this->sync.OnServiceRegained(lost_at); });
   this->dependencies.store.OnEra([this](int64_t era) { this->OnEra(era); });
   this->FindPeers();
   this->registry.Start();
@@ -298,6 +318,7 @@
       [this, callback = std::move(callback)](const Peer& peer) {
         callback(peer);
         this->NoteCurrentPeer(peer);
+        this->NoteAnswersOfPeer(peer);
         this->OnEraOfPeer(peer.beat.era);
         if (!this->reads_store && this->HasNewerDocuments(peer)) {
           this->CatchUp();
@@ -313,6 +334,56 @@
   }
 }
 
+void NodeCore::NoteAnswer() {
+  const Loop& loop = this->dependencies.loop;
+  this->cluster_view.NoteAnswer(this->dependencies.store.Era(),
+                                loop.ArrivedAfter(), loop.Now());
+}
+
+void NodeCore::NoteAnswersOfPeer(const Peer& peer) {
+  if (!peer.beat.__isset.answers) {
+    return;
+  }
+  const TimePoint now = this->dependencies.loop.Now();
+  ReportedAnswers answers = DecodeAnswers(peer.beat.answers);
+  answers.AddTransit(kMaxTransit +
+                     std::chrono::ceil<milliseconds>(
+                         now - this->dependencies.loop.ArrivedAfter()));
+  const auto removals = this->cluster_view.ApplyAnswers(answers, now);
+  if (!removals.empty()) {
+    this->ReportChanges(removals, peer.ip);
+  }
+}
+
+void NodeCore::ReportOutage() {
+  const auto outage = this->cluster_view.availability().last_outage();
+  const auto known = std::exchange(this->reported_outage, outage);
+  const auto ends_later = [](const std::optional<ServiceOutage>& a,
+                             const std::optional<ServiceOutage>& b) {
+    return a && (!b || a->ended_at > b->ended_at + kOutageEndSlack);
+  };
+  const auto to_ms = [](Duration duration) {
+    return std::chrono::duration_cast<milliseconds>(duration).count();
+  };
+  const TimePoint now = this->dependencies.loop.Now();
+  if (ends_later(outage, known)) {
+    this->dependencies.log.Warn(
+        "store_outage",
+        "the key-value service answered no process for a time; registrations "
+        "may have lapsed",
+        {{"away_ms", outage->began_at
+                         ? to_ms(outage->ended_at - *outage->began_at)
+                         : int64_t{0}},
+         {"returned_ms_ago", to_ms(now - outage->ended_at)}});
+  } else if (ends_later(known, outage) &&
+             now - known->ended_at < kOutageReviewTime) {
+    this->dependencies.log.Info(
+        "store_outage_disproved",
+        "peers were answered during what was taken for an outage",
+        {{"taken_for_return_ms_ago", to_ms(now - known->ended_at)}});
+  }
+}
+
 bool NodeCore::StoreAnswers() const {
   return this->registry.answers() &&
          !(this->reads_store && this->sync.failing());
@@ -390,6 +461,10 @@
       beat.__set_current_ms_ago(static_cast<int32_t>(age.count()));
     }
   }
+  if (const auto answers = this->cluster_view.availability().Report(
+          this->dependencies.loop.Now())) {
+    beat.__set_answers(EncodeAnswers(*answers));
+  }
   return beat;
 }
 
@@ -548,6 +623,7 @@
   }
   this->UpdateStoreReading();
   this->CatchUp();
+  this->ReportOutage();
   if (const auto& current_at = this->cluster_view.current_at()) {
     this->documents_age.Set(
         std::chrono::duration<double>(now - *current_at).count());
--- a/src/process/node_core.h
+++ b/src/process/node_core.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "celerypost/random.h"
@@ -128,6 +129,13 @@
   void UpdateStoreReading();
   // All that `peer` knows is known, so this process is as current as the peer.
   void NoteCurrentPeer(const Peer& peer);
+  // The key-value service has answered a call.
+  void NoteAnswer();
+  // Takes over when the key-value service answered `peer`, and others that the
+  // peer knows of.
+  void NoteAnswersOfPeer(const Peer& peer);
+  // Logs a new outage of the key-value service, or that there was none.
+  void ReportOutage();
   // Fetches documents from a peer or restarts the watch if a live peer has had
   // newer ones for too long.
   void CatchUp();
@@ -193,6 +201,8 @@
   TimePoint last_config_pull{};
   // The position at the last report of changes.
   StorePosition reported;
+  // The outage at the last ReportOutage.
+  std::optional<ServiceOutage> reported_outage;
   // Why documents could not be read, by key, as it was logged.
   std::map<std::string, std::string> unreadable_reasons;
 };
--- a/src/process/node_registry.cc
+++ b/src/process/node_registry.cc
@@ -96,6 +96,9 @@
 }
 
 void NodeRegistry::RecordAnswer(bool answered, TimePoint sent_at) {
+  if (this->on_call) {
+    this->on_call(answered, sent_at);
+  }
   if (!answered && this->last_call_answered) {
     this->lost_at = sent_at;
     this->log.Warn("lease_unanswered",
--- a/src/process/node_registry.h
+++ b/src/process/node_registry.h
@@ -76,6 +76,11 @@
   void SetReader(bool is_reader);
   // Whether the key-value service answered the last lease call.
   bool answers() const { return this->last_call_answered; }
+  // Sets the callback that runs after each lease call, with whether it was
+  // answered and the time at which it was sent.
+  void OnCall(std::function<void(bool answered, TimePoint sent_at)> callback) {
+    this->on_call = std::move(callback);
+  }
   // Sets the callback that runs when lease calls are answered again after a
   // failure, with the time at which the first call that failed was sent.
   void OnRegained(std::function<void(TimePoint lost_at)> callback) {
@@ -112,6 +117,7 @@
   bool last_call_answered = false;
   bool ever_answered = false;
   TimePoint lost_at{};
+  std::function<void(bool, TimePoint)> on_call;
   std::function<void(TimePoint)> on_regained;
 };
 
--- a/src/process/node_settings.h
+++ b/src/process/node_settings.h
@@ -49,6 +49,8 @@
   std::optional<SocketAddress> target_address;
   ServiceName target_service;
 
+  // Period of the heartbeats with which targets keep their registrations.
+  std::chrono::milliseconds target_heartbeat{1200};
   // Longest time from a target's notice that it is draining until it is
   // given its last new request.
   std::chrono::milliseconds drain_bound{2000};
--- a/src/process/state/cluster_view.cc
+++ b/src/process/state/cluster_view.cc
@@ -37,11 +37,16 @@
   if (this->current_ago) {
     *this->current_ago += transit;
   }
+  if (this->answers) {
+    this->answers->AddTransit(transit);
+  }
 }
 
 ClusterView::ClusterView(const DocumentDecoder& decoder,
                          ClusterViewOptions options)
-    : decoder(decoder), options(options) {}
+    : decoder(decoder),
+      options(std::move(options)),
+      service(this->options.availability) {}
 
 std::vector<ViewChange> ClusterView::ApplyChanges(
     const std::vector<KeyValue>& changes,
@@ -55,8 +60,7 @@
       continue;
     }
     applied.push_back(change.value.empty()
-                          ? this->Remove(change.key, change.position(),
-                                         /*lapsed=*/false, now)
+                          ? this->Remove(change.key, change.position(), now)
                           : this->Apply(change, /*observed=*/true, now));
     this->Advance(change.position());
   }
@@ -66,13 +70,12 @@
 std::vector<ViewChange> ClusterView::ApplySnapshot(
     const std::vector<KeyValue>& items,
     StorePosition position,
-    bool after_outage,
     TimePoint now) {
   ++this->change_count;
   std::vector<ViewChange> applied;
   const bool first = this->newest == StorePosition();
   if (first || position.era > this->newest.era) {
-    this->BeginEra(position, first, now);
+    this->BeginEra(position, now);
   }
   std::set<std::string> listed;
   for (const KeyValue& item : items) {
@@ -103,7 +106,7 @@
   }
   std::erase_if(this->held_back, is_missing);
   for (const std::string& key : missing) {
-    applied.push_back(this->Remove(key, position, after_outage, now));
+    applied.push_back(this->Remove(key, position, now));
   }
   this->LapseTargetsOfOlderEras(now);
   if (position > this->newest) {
@@ -114,7 +117,7 @@
   return applied;
 }
 
-void ClusterView::BeginEra(StorePosition position, bool first, TimePoint now) {
+void ClusterView::BeginEra(StorePosition position, TimePoint now) {
   this->newest = {position.era, 0};
   this->newest_operator_revision = 0;
   this->removals_known_since = 0;
@@ -122,9 +125,6 @@
   this->era_began = now;
   this->copied_until = position.revision;
   this->settled = false;
-  if (!first) {
-    this->OnServiceRegained(now, "a new era");
-  }
 }
 
 void ClusterView::LapseTargetsOfOlderEras(TimePoint now) {
@@ -134,15 +134,71 @@
     if (document != this->documents.end() &&
         document->second.era < this->newest.era &&
         target != this->known_targets.end() && !target->second.usable_until) {
-      target->second.usable_until =
-          this->regained_at.value_or(now) + this->options.outage_grace;
+      this->LimitToOutageGrace(target->second, now);
     }
   }
 }
 
-void ClusterView::OnServiceRegained(TimePoint now, std::string_view source) {
-  this->regained_at = now;
-  this->regained_source = source;
+void ClusterView::LimitToOutageGrace(KnownTarget& target, TimePoint now) {
+  const auto grace_end = this->OutageGraceEnd();
+  target.usable_until = grace_end.value_or(now + this->options.outage_grace);
+  target.lapse_read_at = grace_end ? std::optional(now) : std::nullopt;
+  this->may_have_lapses = true;
+}
+
+std::optional<TimePoint> ClusterView::OutageGraceEnd() const {
+  const auto outage = this->service.last_outage();
+  return outage ? std::optional(outage->ended_at + this->options.outage_grace)
+                : std::nullopt;
+}
+
+std::string ClusterView::Retire(KnownTarget& target, TimePoint now) {
+  const auto outage = this->service.last_outage();
+  if (!outage || now >= outage->ended_at + this->options.outage_grace) {
+    target.usable_until = now + this->options.removal_grace;
+    return "left";
+  }
+  this->LimitToOutageGrace(target, now);
+  return "lapsed in an outage that ended " +
+         std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                            now - outage->ended_at)
+                            .count()) +
+         " ms ago";
+}
+
+std::vector<ViewChange> ClusterView::ApplyAnswers(
+    const ReportedAnswers& answers,
+    TimePoint now) {
+  this->service.ApplyReport(answers, now);
+  return this->ReviewLapses();
+}
+
+std::vector<ViewChange> ClusterView::ReviewLapses() {
+  std::vector<ViewChange> changes;
+  if (!this->may_have_lapses) {
+    return changes;
+  }
+  this->may_have_lapses = false;
+  const auto grace_end = this->OutageGraceEnd();
+  for (auto& [id, target] : this->known_targets) {
+    if (!target.lapse_read_at) {
+      continue;
+    }
+    const TimePoint read_at = *target.lapse_read_at;
+    const bool lapsed = grace_end && read_at < *grace_end;
+    // A later outage doesn't extend the use.
+    target.usable_until =
+        std::min(*target.usable_until,
+                 lapsed ? *grace_end : read_at + this->options.removal_grace);
+    this->may_have_lapses = this->may_have_lapses || lapsed;
+    if (!lapsed) {
+      target.lapse_read_at.reset();
+      changes.push_back({std::string(this->decoder.TargetPrefix()) + id,
+                         this->newest, "removed",
+                         "left; peers were answered in the meantime"});
+    }
+  }
+  return changes;
 }
 
 std::optional<StorePosition> ClusterView::SeenAt(const std::string& key) const {
@@ -286,6 +342,7 @@
         this->known_targets.find(std::get<TargetRegistration>(document).id);
     if (target != this->known_targets.end()) {
       target->second.usable_until.reset();
+      target->second.lapse_read_at.reset();
     }
   }
 }
@@ -366,10 +423,9 @@
     result.detail = "version " + std::to_string((*config)->version);
   } else if (const auto* target = std::get_if<TargetRegistration>(&*decoded)) {
     KnownTarget& known = this->known_targets[target->id];
-    known = KnownTarget{*target, now, std::nullopt};
+    known = KnownTarget{*target, now, std::nullopt, std::nullopt};
     if (!confirmed && change.era < this->newest.era) {
-      known.usable_until =
-          this->regained_at.value_or(now) + this->options.outage_grace;
+      this->LimitToOutageGrace(known, now);
     }
     this->target_of_key[change.key] = target->id;
     result.detail = target->draining ? "draining" : "ready";
@@ -392,7 +448,6 @@
 
 ViewChange ClusterView::Remove(const std::string& key,
                                StorePosition position,
-                               bool lapsed,
                                TimePoint now) {
   ViewChange result{key, position, "removed", {}};
   const auto known = this->documents.find(key);
@@ -419,23 +474,7 @@
   if (target != this->target_of_key.end()) {
     const auto found = this->known_targets.find(target->second);
     if (found != this->known_targets.end() && !found->second.usable_until) {
-      const bool after_outage =
-          lapsed || (this->regained_at &&
-                     now - *this->regained_at < this->options.outage_grace);
-      found->second.usable_until =
-          after_outage
-              ? this->regained_at.value_or(now) + this->options.outage_grace
-              : now + this->options.removal_grace;
-      result.detail = after_outage ? "lapsed in an outage" : "left";
-      if (after_outage && this->regained_at) {
-        result.detail +=
-            "; the service returned " +
-            std::to_string(
-                std::chrono::duration_cast<std::chrono::milliseconds>(
-                    now - *this->regained_at)
-                    .count()) +
-            " ms ago, known from " + std::string(this->regained_source);
-      }
+      result.detail = this->Retire(found->second, now);
     }
     this->target_of_key.erase(target);
   }
@@ -526,7 +565,7 @@
     }
   }
   for (const std::string& key : missing) {
-    changes.push_back(this->Remove(key, this->newest, /*lapsed=*/true, now));
+    changes.push_back(this->Remove(key, this->newest, now));
   }
   if (since >= this->options.restore_grace) {
     // Apply takes them out.
@@ -604,11 +643,7 @@
   delta.partial = query.since.era == this->newest.era &&
                   query.since.revision >= this->removals_known_since &&
                   query.since.revision > 0;
-  if (this->regained_at &&
-      now - *this->regained_at < this->options.outage_grace) {
-    delta.regained_ago = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - *this->regained_at);
-  }
+  delta.answers = this->service.Report(now);
   const auto age = [now](TimePoint time) {
     return std::chrono::ceil<std::chrono::milliseconds>(now - time);
   };
@@ -654,27 +689,18 @@
 std::vector<ViewChange> ClusterView::ApplyDelta(const DocumentDelta& delta,
                                                 TimePoint now) {
   ++this->change_count;
-  if (delta.regained_ago) {
-    const TimePoint regained = now - *delta.regained_ago;
-    if (!this->regained_at || regained > *this->regained_at) {
-      this->OnServiceRegained(regained, "a peer");
-    }
-  }
   std::vector<ViewChange> applied;
+  if (delta.answers) {
+    applied = this->ApplyAnswers(*delta.answers, now);
+  }
+  const auto documents =
+      delta.partial
+          ? this->ApplyChanges(delta.items, now)
+          : this->ApplySnapshot(delta.items, {delta.era, delta.revision}, now);
+  applied.insert(applied.end(), documents.begin(), documents.end());
   if (delta.partial) {
-    applied = this->ApplyChanges(delta.items, now);
     this->LapseTargetsOfOlderEras(now);
     this->Advance({delta.era, delta.revision});
-  } else {
-    const int64_t era = this->newest.era;
-    applied = this->ApplySnapshot(delta.items, {delta.era, delta.revision},
-                                  /*after_outage=*/false, now);
-    if (this->newest.era != era) {
-      // The era is as old as the peer knows it, not as this process does.
-      this->regained_at = delta.regained_ago
-                              ? std::optional(now - *delta.regained_ago)
-                              : std::nullopt;
-    }
   }
   for (const ReportedNaming& naming : delta.namings) {
     this->ApplyNaming(naming, now);
--- a/src/process/state/cluster_view.h
+++ b/src/process/state/cluster_view.h
@@ -15,6 +15,7 @@
 #include "src/process/key_value_client.h"
 #include "src/process/state/cluster_document.h"
 #include "src/process/state/document_progress.h"
+#include "src/process/state/service_availability.h"
 
 namespace celerypost {
 
@@ -24,9 +25,9 @@
   // removal more than a second late, when its connection to the key-value
   // service is silent, while the drain bound counts from the removal itself.
   std::chrono::milliseconds removal_grace{250};
-  // The same for registrations that were missing when the key-value service
-  // came back after an outage. A target that still runs registers again within
-  // two seconds.
+  // Time since the end of an outage of the key-value service for which targets
+  // whose registrations lapsed in it stay usable. A target that still runs
+  // registers again within two seconds.
   std::chrono::milliseconds outage_grace{2200};
   // How long documents of an older era that the new era lacks stay in force.
   // Meanwhile those who wrote them write them again.
@@ -42,7 +43,8 @@
   std::chrono::milliseconds assumed_naming_age{3000};
   // Prefix of the keys under which this project's processes register. Stagers
   // get them with the operators' documents. None when empty.
-  std::string registration_prefix;
+  std::string registration_prefix{};
+  ServiceAvailabilityOptions availability{};
 };
 
 // A target and the state of its registration.
@@ -51,6 +53,9 @@
   TimePoint read_at{};
   // Set when the registration is gone: no requests are sent from this time on.
   std::optional<TimePoint> usable_until;
+  // Set when the registration is taken for one that lapsed in an outage: when
+  // this process read that it is gone.
+  std::optional<TimePoint> lapse_read_at;
 };
 
 // A weight version that operators named as the one to serve.
@@ -97,9 +102,8 @@
   int64_t era = 0;
   // An empty value removes the key.
   std::vector<KeyValue> items;
-  // Time since the key-value service came back after an outage, while outage
-  // grace still applies to the registrations that lapsed during it.
-  std::optional<std::chrono::milliseconds> regained_ago;
+  // When the key-value service answered, as far as the sender knows.
+  std::optional<ReportedAnswers> answers;
   // The namings whose time is not assumed.
   std::vector<ReportedNaming> namings;
   // Time since the sender knew of all changes (ClusterView::current_at).
@@ -151,11 +155,22 @@
   // older era removes nothing.
   std::vector<ViewChange> ApplySnapshot(const std::vector<KeyValue>& items,
                                         StorePosition position,
-                                        bool after_outage,
                                         TimePoint now);
-  // The key-value service answers again after an outage. `source`: how this
-  // process knows, for the log.
-  void OnServiceRegained(TimePoint now, std::string_view source);
+  // The key-value service, in `era`, answered a call of this process at a time
+  // from `earliest` to `latest`. Call before what the answer holds is applied.
+  void NoteAnswer(int64_t era, TimePoint earliest, TimePoint latest) {
+    this->service.NoteAnswer(era, earliest, latest);
+  }
+  // The key-value service did not answer a call of this process that was sent
+  // at `time`.
+  void NoteFailure(TimePoint time) { this->service.NoteFailure(time); }
+  // Takes over what a peer has told of the key-value service, with AddTransit
+  // applied. Registrations that were taken for lapsed have left if the report
+  // shows that there was no outage; returns their removals.
+  std::vector<ViewChange> ApplyAnswers(const ReportedAnswers& answers,
+                                       TimePoint now);
+  // When the key-value service was away for all processes.
+  const ServiceAvailability& availability() const { return this->service; }
   // All changes that were made before `time` are known, apart from those that
   // are applied next.
   void NoteCurrent(TimePoint time);
@@ -225,8 +240,19 @@
   ViewChange Apply(const KeyValue& change, bool observed, TimePoint now);
   ViewChange Remove(const std::string& key,
                     StorePosition position,
-                    bool lapsed,
                     TimePoint now);
+  // Limits the use of a target whose registration was removed; returns the
+  // reason for the log. The removal counts as a lapse if it was read within the
+  // outage grace after an outage.
+  std::string Retire(KnownTarget& target, TimePoint now);
+  // The target may have lapsed in the last outage.
+  void LimitToOutageGrace(KnownTarget& target, TimePoint now);
+  // Returns the end of the outage grace after the last outage; nothing if none
+  // is known.
+  std::optional<TimePoint> OutageGraceEnd() const;
+  // Judges the targets that may have lapsed by what is now known of the outage.
+  // Returns the removals of those that have left.
+  std::vector<ViewChange> ReviewLapses();
   ViewChange ApplyUnreadable(const KeyValue& change,
                              std::string message,
                              TimePoint now);
@@ -244,7 +270,7 @@
   void KeepKnown(const KeyValue& change,
                  const ClusterDocument& document,
                  Order order);
-  void BeginEra(StorePosition position, bool first, TimePoint now);
+  void BeginEra(StorePosition position, TimePoint now);
   // Limits the use of targets that the current era lacks.
   void LapseTargetsOfOlderEras(TimePoint now);
   // When the registration or removal of `key` was last changed.
@@ -294,9 +320,9 @@
   uint64_t change_count = 0;
   // Whether documents of older eras have been settled.
   bool settled = true;
-  std::optional<TimePoint> regained_at;
-  // How this process knows of `regained_at`.
-  std::string_view regained_source;
+  ServiceAvailability service;
+  // Whether ReviewLapses may find targets that have lapsed.
+  bool may_have_lapses = false;
   std::optional<TimePoint> known_current_at;
   std::optional<TimePoint> known_away_at;
 };
--- a/src/process/store_sync.cc
+++ b/src/process/store_sync.cc
@@ -121,12 +121,11 @@
           return;
         }
         this->read_pending = false;
-        const bool after_outage = this->ever_connected && !this->is_connected;
         this->next_revision = this->snapshot.revision + 1;
         this->OnAnswer();
         this->callbacks.on_snapshot(
-            this->snapshot.items, {this->snapshot.era, this->snapshot.revision},
-            after_outage);
+            this->snapshot.items,
+            {this->snapshot.era, this->snapshot.revision});
         this->callbacks.on_current(this->call_began);
         if (this->watching) {
           this->BeginWatch();
@@ -165,6 +164,7 @@
 void StoreSync::OnAnswer() {
   this->is_failing = false;
   this->last_answered = this->loop.Now();
+  this->callbacks.on_answer();
   if (this->is_connected) {
     return;
   }
@@ -174,9 +174,6 @@
                   {"era", this->era},
                   {"away_ms", this->ever_connected ? this->Since(this->lost_at)
                                                    : int64_t{0}}});
-  if (this->ever_connected) {
-    this->callbacks.on_regained();
-  }
   this->ever_connected = true;
 }
 
--- a/src/process/store_sync.h
+++ b/src/process/store_sync.h
@@ -33,15 +33,13 @@
 class StoreSync {
  public:
   struct Callbacks {
-    // All keys as of `position`. `after_outage` is set for the first read after
-    // the service was lost.
-    std::function<void(const std::vector<KeyValue>&,
-                       StorePosition position,
-                       bool after_outage)>
+    // All keys as of `position`.
+    std::function<void(const std::vector<KeyValue>&, StorePosition position)>
         on_snapshot;
     std::function<void(const std::vector<KeyValue>&)> on_changes;
-    // The service answers again after an outage.
-    std::function<void()> on_regained;
+    // The service has answered a read or a watch. Runs before what the answer
+    // holds is reported.
+    std::function<void()> on_answer;
     // All changes before `time` have been reported.
     std::function<void(TimePoint time)> on_current;
     // The service did not answer a call that was sent at `time`.
--- a/src/thrift/gen/messages_types.cpp
+++ b/src/thrift/gen/messages_types.cpp
@@ -4341,6 +4341,173 @@
 }
 
 
+ServiceAnswers::~ServiceAnswers() noexcept {
+}
+
+
+void ServiceAnswers::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void ServiceAnswers::__set_since_ms_ago(const int32_t val) {
+  this->since_ms_ago = val;
+}
+
+void ServiceAnswers::__set_until_ms_ago(const int32_t val) {
+  this->until_ms_ago = val;
+}
+
+void ServiceAnswers::__set_after_outage(const bool val) {
+  this->after_outage = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServiceAnswers& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServiceAnswers::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->since_ms_ago);
+          this->__isset.since_ms_ago = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->until_ms_ago);
+          this->__isset.until_ms_ago = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->after_outage);
+          this->__isset.after_outage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServiceAnswers::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServiceAnswers");
+
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("since_ms_ago", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->since_ms_ago);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("until_ms_ago", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->until_ms_ago);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("after_outage", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->after_outage);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServiceAnswers &a, ServiceAnswers &b) {
+  using ::std::swap;
+  swap(a.era, b.era);
+  swap(a.since_ms_ago, b.since_ms_ago);
+  swap(a.until_ms_ago, b.until_ms_ago);
+  swap(a.after_outage, b.after_outage);
+  swap(a.__isset, b.__isset);
+}
+
+ServiceAnswers::ServiceAnswers(const ServiceAnswers& other118) noexcept {
+  era = other118.era;
+  since_ms_ago = other118.since_ms_ago;
+  until_ms_ago = other118.until_ms_ago;
+  after_outage = other118.after_outage;
+  __isset = other118.__isset;
+}
+ServiceAnswers::ServiceAnswers(ServiceAnswers&& other119) noexcept {
+  era = other119.era;
+  since_ms_ago = other119.since_ms_ago;
+  until_ms_ago = other119.until_ms_ago;
+  after_outage = other119.after_outage;
+  __isset = other119.__isset;
+}
+ServiceAnswers& ServiceAnswers::operator=(const ServiceAnswers& other120) noexcept {
+  era = other120.era;
+  since_ms_ago = other120.since_ms_ago;
+  until_ms_ago = other120.until_ms_ago;
+  after_outage = other120.after_outage;
+  __isset = other120.__isset;
+  return *this;
+}
+ServiceAnswers& ServiceAnswers::operator=(ServiceAnswers&& other121) noexcept {
+  era = other121.era;
+  since_ms_ago = other121.since_ms_ago;
+  until_ms_ago = other121.until_ms_ago;
+  after_outage = other121.after_outage;
+  __isset = other121.__isset;
+  return *this;
+}
+void ServiceAnswers::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServiceAnswers(";
+  out << "era=" << to_string(era);
+  out << ", " << "since_ms_ago=" << to_string(since_ms_ago);
+  out << ", " << "until_ms_ago=" << to_string(until_ms_ago);
+  out << ", " << "after_outage=" << to_string(after_outage);
+  out << ")";
+}
+
+
 DocumentDelta::~DocumentDelta() noexcept {
 }
 
@@ -4357,11 +4524,6 @@
   this->items = val;
 }
 
-void DocumentDelta::__set_regained_ms_ago(const int64_t val) {
-  this->regained_ms_ago = val;
-__isset.regained_ms_ago = true;
-}
-
 void DocumentDelta::__set_era(const int64_t val) {
   this->era = val;
 }
@@ -4374,6 +4536,11 @@
   this->current_ms_ago = val;
 __isset.current_ms_ago = true;
 }
+
+void DocumentDelta::__set_answers(const ServiceAnswers& val) {
+  this->answers = val;
+__isset.answers = true;
+}
 std::ostream& operator<<(std::ostream& out, const DocumentDelta& obj)
 {
   obj.printTo(out);
@@ -4422,14 +4589,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size118;
-            ::apache::thrift::protocol::TType _etype121;
-            xfer += iprot->readListBegin(_etype121, _size118);
-            this->items.resize(_size118);
-            uint32_t _i122;
-            for (_i122 = 0; _i122 < _size118; ++_i122)
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->items.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
             {
-              xfer += this->items[_i122].read(iprot);
+              xfer += this->items[_i126].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4438,14 +4605,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->regained_ms_ago);
-          this->__isset.regained_ms_ago = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->era);
@@ -4458,14 +4617,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->namings.clear();
-            uint32_t _size123;
-            ::apache::thrift::protocol::TType _etype126;
-            xfer += iprot->readListBegin(_etype126, _size123);
-            this->namings.resize(_size123);
-            uint32_t _i127;
-            for (_i127 = 0; _i127 < _size123; ++_i127)
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _etype130;
+            xfer += iprot->readListBegin(_etype130, _size127);
+            this->namings.resize(_size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
             {
-              xfer += this->namings[_i127].read(iprot);
+              xfer += this->namings[_i131].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4482,6 +4641,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answers.read(iprot);
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4510,20 +4677,15 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<DocumentItem> ::const_iterator _iter128;
-    for (_iter128 = this->items.begin(); _iter128 != this->items.end(); ++_iter128)
+    std::vector<DocumentItem> ::const_iterator _iter132;
+    for (_iter132 = this->items.begin(); _iter132 != this->items.end(); ++_iter132)
     {
-      xfer += (*_iter128).write(oprot);
+      xfer += (*_iter132).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.regained_ms_ago) {
-    xfer += oprot->writeFieldBegin("regained_ms_ago", ::apache::thrift::protocol::T_I64, 4);
-    xfer += oprot->writeI64(this->regained_ms_ago);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 5);
   xfer += oprot->writeI64(this->era);
   xfer += oprot->writeFieldEnd();
@@ -4531,10 +4693,10 @@
   xfer += oprot->writeFieldBegin("namings", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->namings.size()));
-    std::vector<WeightNaming> ::const_iterator _iter129;
-    for (_iter129 = this->namings.begin(); _iter129 != this->namings.end(); ++_iter129)
+    std::vector<WeightNaming> ::const_iterator _iter133;
+    for (_iter133 = this->namings.begin(); _iter133 != this->namings.end(); ++_iter133)
     {
-      xfer += (*_iter129).write(oprot);
+      xfer += (*_iter133).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4545,6 +4707,11 @@
     xfer += oprot->writeI32(this->current_ms_ago);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.answers) {
+    xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->answers.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4555,53 +4722,53 @@
   swap(a.partial, b.partial);
   swap(a.revision, b.revision);
   swap(a.items, b.items);
-  swap(a.regained_ms_ago, b.regained_ms_ago);
   swap(a.era, b.era);
   swap(a.namings, b.namings);
   swap(a.current_ms_ago, b.current_ms_ago);
+  swap(a.answers, b.answers);
   swap(a.__isset, b.__isset);
 }
 
-DocumentDelta::DocumentDelta(const DocumentDelta& other130) {
-  partial = other130.partial;
-  revision = other130.revision;
-  items = other130.items;
-  regained_ms_ago = other130.regained_ms_ago;
-  era = other130.era;
-  namings = other130.namings;
-  current_ms_ago = other130.current_ms_ago;
-  __isset = other130.__isset;
-}
-DocumentDelta::DocumentDelta(DocumentDelta&& other131) noexcept {
-  partial = other131.partial;
-  revision = other131.revision;
-  items = std::move(other131.items);
-  regained_ms_ago = other131.regained_ms_ago;
-  era = other131.era;
-  namings = std::move(other131.namings);
-  current_ms_ago = other131.current_ms_ago;
-  __isset = other131.__isset;
-}
-DocumentDelta& DocumentDelta::operator=(const DocumentDelta& other132) {
-  partial = other132.partial;
-  revision = other132.revision;
-  items = other132.items;
-  regained_ms_ago = other132.regained_ms_ago;
-  era = other132.era;
-  namings = other132.namings;
-  current_ms_ago = other132.current_ms_ago;
-  __isset = other132.__isset;
+DocumentDelta::DocumentDelta(const DocumentDelta& other134) {
+  partial = other134.partial;
+  revision = other134.revision;
+  items = other134.items;
+  era = other134.era;
+  namings = other134.namings;
+  current_ms_ago = other134.current_ms_ago;
+  answers = other134.answers;
+  __isset = other134.__isset;
+}
+DocumentDelta::DocumentDelta(DocumentDelta&& other135) noexcept {
+  partial = other135.partial;
+  revision = other135.revision;
+  items = std::move(other135.items);
+  era = other135.era;
+  namings = std::move(other135.namings);
+  current_ms_ago = other135.current_ms_ago;
+  answers = std::move(other135.answers);
+  __isset = other135.__isset;
+}
+DocumentDelta& DocumentDelta::operator=(const DocumentDelta& other136) {
+  partial = other136.partial;
+  revision = other136.revision;
+  items = other136.items;
+  era = other136.era;
+  namings = other136.namings;
+  current_ms_ago = other136.current_ms_ago;
+  answers = other136.answers;
+  __isset = other136.__isset;
   return *this;
 }
-DocumentDelta& DocumentDelta::operator=(DocumentDelta&& other133) noexcept {
-  partial = other133.partial;
-  revision = other133.revision;
-  items = std::move(other133.items);
-  regained_ms_ago = other133.regained_ms_ago;
-  era = other133.era;
-  namings = std::move(other133.namings);
-  current_ms_ago = other133.current_ms_ago;
-  __isset = other133.__isset;
+DocumentDelta& DocumentDelta::operator=(DocumentDelta&& other137) noexcept {
+  partial = other137.partial;
+  revision = other137.revision;
+  items = std::move(other137.items);
+  era = other137.era;
+  namings = std::move(other137.namings);
+  current_ms_ago = other137.current_ms_ago;
+  answers = std::move(other137.answers);
+  __isset = other137.__isset;
   return *this;
 }
 void DocumentDelta::printTo(std::ostream& out) const {
@@ -4610,10 +4777,10 @@
   out << "partial=" << to_string(partial);
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "items=" << to_string(items);
-  out << ", " << "regained_ms_ago="; (__isset.regained_ms_ago ? (out << to_string(regained_ms_ago)) : (out << "<null>"));
   out << ", " << "era=" << to_string(era);
   out << ", " << "namings=" << to_string(namings);
   out << ", " << "current_ms_ago="; (__isset.current_ms_ago ? (out << to_string(current_ms_ago)) : (out << "<null>"));
+  out << ", " << "answers="; (__isset.answers ? (out << to_string(answers)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4727,30 +4894,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RegionGateway::RegionGateway(const RegionGateway& other134) {
-  ip = other134.ip;
-  caller_address = other134.caller_address;
-  state = other134.state;
-  __isset = other134.__isset;
+RegionGateway::RegionGateway(const RegionGateway& other138) {
+  ip = other138.ip;
+  caller_address = other138.caller_address;
+  state = other138.state;
+  __isset = other138.__isset;
 }
-RegionGateway::RegionGateway(RegionGateway&& other135) noexcept {
-  ip = std::move(other135.ip);
-  caller_address = std::move(other135.caller_address);
-  state = other135.state;
-  __isset = other135.__isset;
+RegionGateway::RegionGateway(RegionGateway&& other139) noexcept {
+  ip = std::move(other139.ip);
+  caller_address = std::move(other139.caller_address);
+  state = other139.state;
+  __isset = other139.__isset;
 }
-RegionGateway& RegionGateway::operator=(const RegionGateway& other136) {
-  ip = other136.ip;
-  caller_address = other136.caller_address;
-  state = other136.state;
-  __isset = other136.__isset;
+RegionGateway& RegionGateway::operator=(const RegionGateway& other140) {
+  ip = other140.ip;
+  caller_address = other140.caller_address;
+  state = other140.state;
+  __isset = other140.__isset;
   return *this;
 }
-RegionGateway& RegionGateway::operator=(RegionGateway&& other137) noexcept {
-  ip = std::move(other137.ip);
-  caller_address = std::move(other137.caller_address);
-  state = other137.state;
-  __isset = other137.__isset;
+RegionGateway& RegionGateway::operator=(RegionGateway&& other141) noexcept {
+  ip = std::move(other141.ip);
+  caller_address = std::move(other141.caller_address);
+  state = other141.state;
+  __isset = other141.__isset;
   return *this;
 }
 void RegionGateway::printTo(std::ostream& out) const {
@@ -4927,42 +5094,42 @@
   swap(a.__isset, b.__isset);
 }
 
-RegionTarget::RegionTarget(const RegionTarget& other138) {
-  address = other138.address;
-  serving_version = other138.serving_version;
-  loading = other138.loading;
-  loads_in_ms = other138.loads_in_ms;
-  leaving = other138.leaving;
-  pace = other138.pace;
-  __isset = other138.__isset;
+RegionTarget::RegionTarget(const RegionTarget& other142) {
+  address = other142.address;
+  serving_version = other142.serving_version;
+  loading = other142.loading;
+  loads_in_ms = other142.loads_in_ms;
+  leaving = other142.leaving;
+  pace = other142.pace;
+  __isset = other142.__isset;
 }
-RegionTarget::RegionTarget(RegionTarget&& other139) noexcept {
-  address = std::move(other139.address);
-  serving_version = other139.serving_version;
-  loading = other139.loading;
-  loads_in_ms = other139.loads_in_ms;
-  leaving = other139.leaving;
-  pace = other139.pace;
-  __isset = other139.__isset;
+RegionTarget::RegionTarget(RegionTarget&& other143) noexcept {
+  address = std::move(other143.address);
+  serving_version = other143.serving_version;
+  loading = other143.loading;
+  loads_in_ms = other143.loads_in_ms;
+  leaving = other143.leaving;
+  pace = other143.pace;
+  __isset = other143.__isset;
 }
-RegionTarget& RegionTarget::operator=(const RegionTarget& other140) {
-  address = other140.address;
-  serving_version = other140.serving_version;
-  loading = other140.loading;
-  loads_in_ms = other140.loads_in_ms;
-  leaving = other140.leaving;
-  pace = other140.pace;
-  __isset = other140.__isset;
+RegionTarget& RegionTarget::operator=(const RegionTarget& other144) {
+  address = other144.address;
+  serving_version = other144.serving_version;
+  loading = other144.loading;
+  loads_in_ms = other144.loads_in_ms;
+  leaving = other144.leaving;
+  pace = other144.pace;
+  __isset = other144.__isset;
   return *this;
 }
-RegionTarget& RegionTarget::operator=(RegionTarget&& other141) noexcept {
-  address = std::move(other141.address);
-  serving_version = other141.serving_version;
-  loading = other141.loading;
-  loads_in_ms = other141.loads_in_ms;
-  leaving = other141.leaving;
-  pace = other141.pace;
-  __isset = other141.__isset;
+RegionTarget& RegionTarget::operator=(RegionTarget&& other145) noexcept {
+  address = std::move(other145.address);
+  serving_version = other145.serving_version;
+  loading = other145.loading;
+  loads_in_ms = other145.loads_in_ms;
+  leaving = other145.leaving;
+  pace = other145.pace;
+  __isset = other145.__isset;
   return *this;
 }
 void RegionTarget::printTo(std::ostream& out) const {
@@ -5172,50 +5339,50 @@
   swap(a.__isset, b.__isset);
 }
 
-RankCounts::RankCounts(const RankCounts& other142) noexcept {
-  service_hash = other142.service_hash;
-  workspace_priority = other142.workspace_priority;
-  route_priority = other142.route_priority;
-  asked = other142.asked;
-  placed = other142.placed;
-  begun = other142.begun;
-  on_time = other142.on_time;
-  held_thousandths = other142.held_thousandths;
-  __isset = other142.__isset;
-}
-RankCounts::RankCounts(RankCounts&& other143) noexcept {
-  service_hash = other143.service_hash;
-  workspace_priority = other143.workspace_priority;
-  route_priority = other143.route_priority;
-  asked = other143.asked;
-  placed = other143.placed;
-  begun = other143.begun;
-  on_time = other143.on_time;
-  held_thousandths = other143.held_thousandths;
-  __isset = other143.__isset;
-}
-RankCounts& RankCounts::operator=(const RankCounts& other144) noexcept {
-  service_hash = other144.service_hash;
-  workspace_priority = other144.workspace_priority;
-  route_priority = other144.route_priority;
-  asked = other144.asked;
-  placed = other144.placed;
-  begun = other144.begun;
-  on_time = other144.on_time;
-  held_thousandths = other144.held_thousandths;
-  __isset = other144.__isset;
+RankCounts::RankCounts(const RankCounts& other146) noexcept {
+  service_hash = other146.service_hash;
+  workspace_priority = other146.workspace_priority;
+  route_priority = other146.route_priority;
+  asked = other146.asked;
+  placed = other146.placed;
+  begun = other146.begun;
+  on_time = other146.on_time;
+  held_thousandths = other146.held_thousandths;
+  __isset = other146.__isset;
+}
+RankCounts::RankCounts(RankCounts&& other147) noexcept {
+  service_hash = other147.service_hash;
+  workspace_priority = other147.workspace_priority;
+  route_priority = other147.route_priority;
+  asked = other147.asked;
+  placed = other147.placed;
+  begun = other147.begun;
+  on_time = other147.on_time;
+  held_thousandths = other147.held_thousandths;
+  __isset = other147.__isset;
+}
+RankCounts& RankCounts::operator=(const RankCounts& other148) noexcept {
+  service_hash = other148.service_hash;
+  workspace_priority = other148.workspace_priority;
+  route_priority = other148.route_priority;
+  asked = other148.asked;
+  placed = other148.placed;
+  begun = other148.begun;
+  on_time = other148.on_time;
+  held_thousandths = other148.held_thousandths;
+  __isset = other148.__isset;
   return *this;
 }
-RankCounts& RankCounts::operator=(RankCounts&& other145) noexcept {
-  service_hash = other145.service_hash;
-  workspace_priority = other145.workspace_priority;
-  route_priority = other145.route_priority;
-  asked = other145.asked;
-  placed = other145.placed;
-  begun = other145.begun;
-  on_time = other145.on_time;
-  held_thousandths = other145.held_thousandths;
-  __isset = other145.__isset;
+RankCounts& RankCounts::operator=(RankCounts&& other149) noexcept {
+  service_hash = other149.service_hash;
+  workspace_priority = other149.workspace_priority;
+  route_priority = other149.route_priority;
+  asked = other149.asked;
+  placed = other149.placed;
+  begun = other149.begun;
+  on_time = other149.on_time;
+  held_thousandths = other149.held_thousandths;
+  __isset = other149.__isset;
   return *this;
 }
 void RankCounts::printTo(std::ostream& out) const {
@@ -5329,14 +5496,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gateways.clear();
-            uint32_t _size146;
-            ::apache::thrift::protocol::TType _etype149;
-            xfer += iprot->readListBegin(_etype149, _size146);
-            this->gateways.resize(_size146);
-            uint32_t _i150;
-            for (_i150 = 0; _i150 < _size146; ++_i150)
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->gateways.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
             {
-              xfer += this->gateways[_i150].read(iprot);
+              xfer += this->gateways[_i154].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5349,14 +5516,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size151;
-            ::apache::thrift::protocol::TType _etype154;
-            xfer += iprot->readListBegin(_etype154, _size151);
-            this->targets.resize(_size151);
-            uint32_t _i155;
-            for (_i155 = 0; _i155 < _size151; ++_i155)
+            uint32_t _size155;
+            ::apache::thrift::protocol::TType _etype158;
+            xfer += iprot->readListBegin(_etype158, _size155);
+            this->targets.resize(_size155);
+            uint32_t _i159;
+            for (_i159 = 0; _i159 < _size155; ++_i159)
             {
-              xfer += this->targets[_i155].read(iprot);
+              xfer += this->targets[_i159].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5369,14 +5536,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size156;
-            ::apache::thrift::protocol::TType _etype159;
-            xfer += iprot->readListBegin(_etype159, _size156);
-            this->loads.resize(_size156);
-            uint32_t _i160;
-            for (_i160 = 0; _i160 < _size156; ++_i160)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->loads.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              xfer += this->loads[_i160].read(iprot);
+              xfer += this->loads[_i164].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5421,14 +5588,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_targets.clear();
-            uint32_t _size161;
-            ::apache::thrift::protocol::TType _etype164;
-            xfer += iprot->readListBegin(_etype164, _size161);
-            this->leaving_targets.resize(_size161);
-            uint32_t _i165;
-            for (_i165 = 0; _i165 < _size161; ++_i165)
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->leaving_targets.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
             {
-              xfer += iprot->readI64(this->leaving_targets[_i165]);
+              xfer += iprot->readI64(this->leaving_targets[_i169]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5441,14 +5608,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rank_counts.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->rank_counts.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
+            uint32_t _size170;
+            ::apache::thrift::protocol::TType _etype173;
+            xfer += iprot->readListBegin(_etype173, _size170);
+            this->rank_counts.resize(_size170);
+            uint32_t _i174;
+            for (_i174 = 0; _i174 < _size170; ++_i174)
             {
-              xfer += this->rank_counts[_i170].read(iprot);
+              xfer += this->rank_counts[_i174].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5485,10 +5652,10 @@
   xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gateways.size()));
-    std::vector<RegionGateway> ::const_iterator _iter171;
-    for (_iter171 = this->gateways.begin(); _iter171 != this->gateways.end(); ++_iter171)
+    std::vector<RegionGateway> ::const_iterator _iter175;
+    for (_iter175 = this->gateways.begin(); _iter175 != this->gateways.end(); ++_iter175)
     {
-      xfer += (*_iter171).write(oprot);
+      xfer += (*_iter175).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5497,10 +5664,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<RegionTarget> ::const_iterator _iter172;
-    for (_iter172 = this->targets.begin(); _iter172 != this->targets.end(); ++_iter172)
+    std::vector<RegionTarget> ::const_iterator _iter176;
+    for (_iter176 = this->targets.begin(); _iter176 != this->targets.end(); ++_iter176)
     {
-      xfer += (*_iter172).write(oprot);
+      xfer += (*_iter176).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5509,10 +5676,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<TargetLoad> ::const_iterator _iter173;
-    for (_iter173 = this->loads.begin(); _iter173 != this->loads.end(); ++_iter173)
+    std::vector<TargetLoad> ::const_iterator _iter177;
+    for (_iter177 = this->loads.begin(); _iter177 != this->loads.end(); ++_iter177)
     {
-      xfer += (*_iter173).write(oprot);
+      xfer += (*_iter177).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5537,10 +5704,10 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 30);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<int64_t> ::const_iterator _iter174;
-    for (_iter174 = this->leaving_targets.begin(); _iter174 != this->leaving_targets.end(); ++_iter174)
+    std::vector<int64_t> ::const_iterator _iter178;
+    for (_iter178 = this->leaving_targets.begin(); _iter178 != this->leaving_targets.end(); ++_iter178)
     {
-      xfer += oprot->writeI64((*_iter174));
+      xfer += oprot->writeI64((*_iter178));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5550,10 +5717,10 @@
     xfer += oprot->writeFieldBegin("rank_counts", ::apache::thrift::protocol::T_LIST, 60);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rank_counts.size()));
-      std::vector<RankCounts> ::const_iterator _iter175;
-      for (_iter175 = this->rank_counts.begin(); _iter175 != this->rank_counts.end(); ++_iter175)
+      std::vector<RankCounts> ::const_iterator _iter179;
+      for (_iter179 = this->rank_counts.begin(); _iter179 != this->rank_counts.end(); ++_iter179)
       {
-        xfer += (*_iter175).write(oprot);
+        xfer += (*_iter179).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5580,62 +5747,62 @@
   swap(a.__isset, b.__isset);
 }
 
-RegionSummary::RegionSummary(const RegionSummary& other176) {
-  region = other176.region;
-  ip = other176.ip;
-  gateways = other176.gateways;
-  targets = other176.targets;
-  loads = other176.loads;
-  revision = other176.revision;
-  operator_revision = other176.operator_revision;
-  era = other176.era;
-  config_version = other176.config_version;
-  leaving_targets = other176.leaving_targets;
-  rank_counts = other176.rank_counts;
-  __isset = other176.__isset;
-}
-RegionSummary::RegionSummary(RegionSummary&& other177) noexcept {
-  region = std::move(other177.region);
-  ip = std::move(other177.ip);
-  gateways = std::move(other177.gateways);
-  targets = std::move(other177.targets);
-  loads = std::move(other177.loads);
-  revision = other177.revision;
-  operator_revision = other177.operator_revision;
-  era = other177.era;
-  config_version = other177.config_version;
-  leaving_targets = std::move(other177.leaving_targets);
-  rank_counts = std::move(other177.rank_counts);
-  __isset = other177.__isset;
-}
-RegionSummary& RegionSummary::operator=(const RegionSummary& other178) {
-  region = other178.region;
-  ip = other178.ip;
-  gateways = other178.gateways;
-  targets = other178.targets;
-  loads = other178.loads;
-  revision = other178.revision;
-  operator_revision = other178.operator_revision;
-  era = other178.era;
-  config_version = other178.config_version;
-  leaving_targets = other178.leaving_targets;
-  rank_counts = other178.rank_counts;
-  __isset = other178.__isset;
+RegionSummary::RegionSummary(const RegionSummary& other180) {
+  region = other180.region;
+  ip = other180.ip;
+  gateways = other180.gateways;
+  targets = other180.targets;
+  loads = other180.loads;
+  revision = other180.revision;
+  operator_revision = other180.operator_revision;
+  era = other180.era;
+  config_version = other180.config_version;
+  leaving_targets = other180.leaving_targets;
+  rank_counts = other180.rank_counts;
+  __isset = other180.__isset;
+}
+RegionSummary::RegionSummary(RegionSummary&& other181) noexcept {
+  region = std::move(other181.region);
+  ip = std::move(other181.ip);
+  gateways = std::move(other181.gateways);
+  targets = std::move(other181.targets);
+  loads = std::move(other181.loads);
+  revision = other181.revision;
+  operator_revision = other181.operator_revision;
+  era = other181.era;
+  config_version = other181.config_version;
+  leaving_targets = std::move(other181.leaving_targets);
+  rank_counts = std::move(other181.rank_counts);
+  __isset = other181.__isset;
+}
+RegionSummary& RegionSummary::operator=(const RegionSummary& other182) {
+  region = other182.region;
+  ip = other182.ip;
+  gateways = other182.gateways;
+  targets = other182.targets;
+  loads = other182.loads;
+  revision = other182.revision;
+  operator_revision = other182.operator_revision;
+  era = other182.era;
+  config_version = other182.config_version;
+  leaving_targets = other182.leaving_targets;
+  rank_counts = other182.rank_counts;
+  __isset = other182.__isset;
   return *this;
 }
-RegionSummary& RegionSummary::operator=(RegionSummary&& other179) noexcept {
-  region = std::move(other179.region);
-  ip = std::move(other179.ip);
-  gateways = std::move(other179.gateways);
-  targets = std::move(other179.targets);
-  loads = std::move(other179.loads);
-  revision = other179.revision;
-  operator_revision = other179.operator_revision;
-  era = other179.era;
-  config_version = other179.config_version;
-  leaving_targets = std::move(other179.leaving_targets);
-  rank_counts = std::move(other179.rank_counts);
-  __isset = other179.__isset;
+RegionSummary& RegionSummary::operator=(RegionSummary&& other183) noexcept {
+  region = std::move(other183.region);
+  ip = std::move(other183.ip);
+  gateways = std::move(other183.gateways);
+  targets = std::move(other183.targets);
+  loads = std::move(other183.loads);
+  revision = other183.revision;
+  operator_revision = other183.operator_revision;
+  era = other183.era;
+  config_version = other183.config_version;
+  leaving_targets = std::move(other183.leaving_targets);
+  rank_counts = std::move(other183.rank_counts);
+  __isset = other183.__isset;
   return *this;
 }
 void RegionSummary::printTo(std::ostream& out) const {
@@ -5765,30 +5932,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashAccusation::CrashAccusation(const CrashAccusation& other180) noexcept {
-  part = other180.part;
-  target_start = other180.target_start;
-  age_ms = other180.age_ms;
-  __isset = other180.__isset;
+CrashAccusation::CrashAccusation(const CrashAccusation& other184) noexcept {
+  part = other184.part;
+  target_start = other184.target_start;
+  age_ms = other184.age_ms;
+  __isset = other184.__isset;
 }
-CrashAccusation::CrashAccusation(CrashAccusation&& other181) noexcept {
-  part = other181.part;
-  target_start = other181.target_start;
-  age_ms = other181.age_ms;
-  __isset = other181.__isset;
+CrashAccusation::CrashAccusation(CrashAccusation&& other185) noexcept {
+  part = other185.part;
+  target_start = other185.target_start;
+  age_ms = other185.age_ms;
+  __isset = other185.__isset;
 }
-CrashAccusation& CrashAccusation::operator=(const CrashAccusation& other182) noexcept {
-  part = other182.part;
-  target_start = other182.target_start;
-  age_ms = other182.age_ms;
-  __isset = other182.__isset;
+CrashAccusation& CrashAccusation::operator=(const CrashAccusation& other186) noexcept {
+  part = other186.part;
+  target_start = other186.target_start;
+  age_ms = other186.age_ms;
+  __isset = other186.__isset;
   return *this;
 }
-CrashAccusation& CrashAccusation::operator=(CrashAccusation&& other183) noexcept {
-  part = other183.part;
-  target_start = other183.target_start;
-  age_ms = other183.age_ms;
-  __isset = other183.__isset;
+CrashAccusation& CrashAccusation::operator=(CrashAccusation&& other187) noexcept {
+  part = other187.part;
+  target_start = other187.target_start;
+  age_ms = other187.age_ms;
+  __isset = other187.__isset;
   return *this;
 }
 void CrashAccusation::printTo(std::ostream& out) const {
@@ -5910,30 +6077,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PartSurvival::PartSurvival(const PartSurvival& other184) noexcept {
-  part = other184.part;
-  age_ms = other184.age_ms;
-  relayed = other184.relayed;
-  __isset = other184.__isset;
+PartSurvival::PartSurvival(const PartSurvival& other188) noexcept {
+  part = other188.part;
+  age_ms = other188.age_ms;
+  relayed = other188.relayed;
+  __isset = other188.__isset;
 }
-PartSurvival::PartSurvival(PartSurvival&& other185) noexcept {
-  part = other185.part;
-  age_ms = other185.age_ms;
-  relayed = other185.relayed;
-  __isset = other185.__isset;
+PartSurvival::PartSurvival(PartSurvival&& other189) noexcept {
+  part = other189.part;
+  age_ms = other189.age_ms;
+  relayed = other189.relayed;
+  __isset = other189.__isset;
 }
-PartSurvival& PartSurvival::operator=(const PartSurvival& other186) noexcept {
-  part = other186.part;
-  age_ms = other186.age_ms;
-  relayed = other186.relayed;
-  __isset = other186.__isset;
+PartSurvival& PartSurvival::operator=(const PartSurvival& other190) noexcept {
+  part = other190.part;
+  age_ms = other190.age_ms;
+  relayed = other190.relayed;
+  __isset = other190.__isset;
   return *this;
 }
-PartSurvival& PartSurvival::operator=(PartSurvival&& other187) noexcept {
-  part = other187.part;
-  age_ms = other187.age_ms;
-  relayed = other187.relayed;
-  __isset = other187.__isset;
+PartSurvival& PartSurvival::operator=(PartSurvival&& other191) noexcept {
+  part = other191.part;
+  age_ms = other191.age_ms;
+  relayed = other191.relayed;
+  __isset = other191.__isset;
   return *this;
 }
 void PartSurvival::printTo(std::ostream& out) const {
@@ -6072,34 +6239,34 @@
   swap(a.__isset, b.__isset);
 }
 
-PartQuarantine::PartQuarantine(const PartQuarantine& other188) noexcept {
-  part = other188.part;
-  round = other188.round;
-  lifted = other188.lifted;
-  left_ms = other188.left_ms;
-  __isset = other188.__isset;
-}
-PartQuarantine::PartQuarantine(PartQuarantine&& other189) noexcept {
-  part = other189.part;
-  round = other189.round;
-  lifted = other189.lifted;
-  left_ms = other189.left_ms;
-  __isset = other189.__isset;
-}
-PartQuarantine& PartQuarantine::operator=(const PartQuarantine& other190) noexcept {
-  part = other190.part;
-  round = other190.round;
-  lifted = other190.lifted;
-  left_ms = other190.left_ms;
-  __isset = other190.__isset;
+PartQuarantine::PartQuarantine(const PartQuarantine& other192) noexcept {
+  part = other192.part;
+  round = other192.round;
+  lifted = other192.lifted;
+  left_ms = other192.left_ms;
+  __isset = other192.__isset;
+}
+PartQuarantine::PartQuarantine(PartQuarantine&& other193) noexcept {
+  part = other193.part;
+  round = other193.round;
+  lifted = other193.lifted;
+  left_ms = other193.left_ms;
+  __isset = other193.__isset;
+}
+PartQuarantine& PartQuarantine::operator=(const PartQuarantine& other194) noexcept {
+  part = other194.part;
+  round = other194.round;
+  lifted = other194.lifted;
+  left_ms = other194.left_ms;
+  __isset = other194.__isset;
   return *this;
 }
-PartQuarantine& PartQuarantine::operator=(PartQuarantine&& other191) noexcept {
-  part = other191.part;
-  round = other191.round;
-  lifted = other191.lifted;
-  left_ms = other191.left_ms;
-  __isset = other191.__isset;
+PartQuarantine& PartQuarantine::operator=(PartQuarantine&& other195) noexcept {
+  part = other195.part;
+  round = other195.round;
+  lifted = other195.lifted;
+  left_ms = other195.left_ms;
+  __isset = other195.__isset;
   return *this;
 }
 void PartQuarantine::printTo(std::ostream& out) const {
@@ -6160,14 +6327,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accusations.clear();
-            uint32_t _size192;
-            ::apache::thrift::protocol::TType _etype195;
-            xfer += iprot->readListBegin(_etype195, _size192);
-            this->accusations.resize(_size192);
-            uint32_t _i196;
-            for (_i196 = 0; _i196 < _size192; ++_i196)
+            uint32_t _size196;
+            ::apache::thrift::protocol::TType _etype199;
+            xfer += iprot->readListBegin(_etype199, _size196);
+            this->accusations.resize(_size196);
+            uint32_t _i200;
+            for (_i200 = 0; _i200 < _size196; ++_i200)
             {
-              xfer += this->accusations[_i196].read(iprot);
+              xfer += this->accusations[_i200].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6180,14 +6347,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->survivals.clear();
-            uint32_t _size197;
-            ::apache::thrift::protocol::TType _etype200;
-            xfer += iprot->readListBegin(_etype200, _size197);
-            this->survivals.resize(_size197);
-            uint32_t _i201;
-            for (_i201 = 0; _i201 < _size197; ++_i201)
+            uint32_t _size201;
+            ::apache::thrift::protocol::TType _etype204;
+            xfer += iprot->readListBegin(_etype204, _size201);
+            this->survivals.resize(_size201);
+            uint32_t _i205;
+            for (_i205 = 0; _i205 < _size201; ++_i205)
             {
-              xfer += this->survivals[_i201].read(iprot);
+              xfer += this->survivals[_i205].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6200,14 +6367,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size202;
-            ::apache::thrift::protocol::TType _etype205;
-            xfer += iprot->readListBegin(_etype205, _size202);
-            this->quarantines.resize(_size202);
-            uint32_t _i206;
-            for (_i206 = 0; _i206 < _size202; ++_i206)
+            uint32_t _size206;
+            ::apache::thrift::protocol::TType _etype209;
+            xfer += iprot->readListBegin(_etype209, _size206);
+            this->quarantines.resize(_size206);
+            uint32_t _i210;
+            for (_i210 = 0; _i210 < _size206; ++_i210)
             {
-              xfer += this->quarantines[_i206].read(iprot);
+              xfer += this->quarantines[_i210].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6236,10 +6403,10 @@
   xfer += oprot->writeFieldBegin("accusations", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accusations.size()));
-    std::vector<CrashAccusation> ::const_iterator _iter207;
-    for (_iter207 = this->accusations.begin(); _iter207 != this->accusations.end(); ++_iter207)
+    std::vector<CrashAccusation> ::const_iterator _iter211;
+    for (_iter211 = this->accusations.begin(); _iter211 != this->accusations.end(); ++_iter211)
     {
-      xfer += (*_iter207).write(oprot);
+      xfer += (*_iter211).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6248,10 +6415,10 @@
   xfer += oprot->writeFieldBegin("survivals", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->survivals.size()));
-    std::vector<PartSurvival> ::const_iterator _iter208;
-    for (_iter208 = this->survivals.begin(); _iter208 != this->survivals.end(); ++_iter208)
+    std::vector<PartSurvival> ::const_iterator _iter212;
+    for (_iter212 = this->survivals.begin(); _iter212 != this->survivals.end(); ++_iter212)
     {
-      xfer += (*_iter208).write(oprot);
+      xfer += (*_iter212).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6260,10 +6427,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<PartQuarantine> ::const_iterator _iter209;
-    for (_iter209 = this->quarantines.begin(); _iter209 != this->quarantines.end(); ++_iter209)
+    std::vector<PartQuarantine> ::const_iterator _iter213;
+    for (_iter213 = this->quarantines.begin(); _iter213 != this->quarantines.end(); ++_iter213)
     {
-      xfer += (*_iter209).write(oprot);
+      xfer += (*_iter213).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6282,30 +6449,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNews::CrashNews(const CrashNews& other210) {
-  accusations = other210.accusations;
-  survivals = other210.survivals;
-  quarantines = other210.quarantines;
-  __isset = other210.__isset;
+CrashNews::CrashNews(const CrashNews& other214) {
+  accusations = other214.accusations;
+  survivals = other214.survivals;
+  quarantines = other214.quarantines;
+  __isset = other214.__isset;
 }
-CrashNews::CrashNews(CrashNews&& other211) noexcept {
-  accusations = std::move(other211.accusations);
-  survivals = std::move(other211.survivals);
-  quarantines = std::move(other211.quarantines);
-  __isset = other211.__isset;
+CrashNews::CrashNews(CrashNews&& other215) noexcept {
+  accusations = std::move(other215.accusations);
+  survivals = std::move(other215.survivals);
+  quarantines = std::move(other215.quarantines);
+  __isset = other215.__isset;
 }
-CrashNews& CrashNews::operator=(const CrashNews& other212) {
-  accusations = other212.accusations;
-  survivals = other212.survivals;
-  quarantines = other212.quarantines;
-  __isset = other212.__isset;
+CrashNews& CrashNews::operator=(const CrashNews& other216) {
+  accusations = other216.accusations;
+  survivals = other216.survivals;
+  quarantines = other216.quarantines;
+  __isset = other216.__isset;
   return *this;
 }
-CrashNews& CrashNews::operator=(CrashNews&& other213) noexcept {
-  accusations = std::move(other213.accusations);
-  survivals = std::move(other213.survivals);
-  quarantines = std::move(other213.quarantines);
-  __isset = other213.__isset;
+CrashNews& CrashNews::operator=(CrashNews&& other217) noexcept {
+  accusations = std::move(other217.accusations);
+  survivals = std::move(other217.survivals);
+  quarantines = std::move(other217.quarantines);
+  __isset = other217.__isset;
   return *this;
 }
 void CrashNews::printTo(std::ostream& out) const {
@@ -6427,30 +6594,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MeasuredPace::MeasuredPace(const MeasuredPace& other214) noexcept {
-  target_start = other214.target_start;
-  pace = other214.pace;
-  age_ms = other214.age_ms;
-  __isset = other214.__isset;
+MeasuredPace::MeasuredPace(const MeasuredPace& other218) noexcept {
+  target_start = other218.target_start;
+  pace = other218.pace;
+  age_ms = other218.age_ms;
+  __isset = other218.__isset;
 }
-MeasuredPace::MeasuredPace(MeasuredPace&& other215) noexcept {
-  target_start = other215.target_start;
-  pace = other215.pace;
-  age_ms = other215.age_ms;
-  __isset = other215.__isset;
+MeasuredPace::MeasuredPace(MeasuredPace&& other219) noexcept {
+  target_start = other219.target_start;
+  pace = other219.pace;
+  age_ms = other219.age_ms;
+  __isset = other219.__isset;
 }
-MeasuredPace& MeasuredPace::operator=(const MeasuredPace& other216) noexcept {
-  target_start = other216.target_start;
-  pace = other216.pace;
-  age_ms = other216.age_ms;
-  __isset = other216.__isset;
+MeasuredPace& MeasuredPace::operator=(const MeasuredPace& other220) noexcept {
+  target_start = other220.target_start;
+  pace = other220.pace;
+  age_ms = other220.age_ms;
+  __isset = other220.__isset;
   return *this;
 }
-MeasuredPace& MeasuredPace::operator=(MeasuredPace&& other217) noexcept {
-  target_start = other217.target_start;
-  pace = other217.pace;
-  age_ms = other217.age_ms;
-  __isset = other217.__isset;
+MeasuredPace& MeasuredPace::operator=(MeasuredPace&& other221) noexcept {
+  target_start = other221.target_start;
+  pace = other221.pace;
+  age_ms = other221.age_ms;
+  __isset = other221.__isset;
   return *this;
 }
 void MeasuredPace::printTo(std::ostream& out) const {
@@ -6579,6 +6746,11 @@
 __isset.current_ms_ago = true;
 }
 
+void Beat::__set_answers(const ServiceAnswers& val) {
+  this->answers = val;
+__isset.answers = true;
+}
+
 void Beat::__set_leaving_targets(const std::vector<int64_t> & val) {
   this->leaving_targets = val;
 }
@@ -6697,14 +6869,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size218;
-            ::apache::thrift::protocol::TType _etype221;
-            xfer += iprot->readListBegin(_etype221, _size218);
-            this->loads.resize(_size218);
-            uint32_t _i222;
-            for (_i222 = 0; _i222 < _size218; ++_i222)
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->loads.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
             {
-              xfer += this->loads[_i222].read(iprot);
+              xfer += this->loads[_i226].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6717,14 +6889,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size223;
-            ::apache::thrift::protocol::TType _etype226;
-            xfer += iprot->readListBegin(_etype226, _size223);
-            this->known.resize(_size223);
-            uint32_t _i227;
-            for (_i227 = 0; _i227 < _size223; ++_i227)
+            uint32_t _size227;
+            ::apache::thrift::protocol::TType _etype230;
+            xfer += iprot->readListBegin(_etype230, _size227);
+            this->known.resize(_size227);
+            uint32_t _i231;
+            for (_i231 = 0; _i231 < _size227; ++_i231)
             {
-              xfer += iprot->readString(this->known[_i227]);
+              xfer += iprot->readString(this->known[_i231]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6825,14 +6997,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->summaries.clear();
-            uint32_t _size228;
-            ::apache::thrift::protocol::TType _etype231;
-            xfer += iprot->readListBegin(_etype231, _size228);
-            this->summaries.resize(_size228);
-            uint32_t _i232;
-            for (_i232 = 0; _i232 < _size228; ++_i232)
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->summaries.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
             {
-              xfer += this->summaries[_i232].read(iprot);
+              xfer += this->summaries[_i236].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6881,18 +7053,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 42:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answers.read(iprot);
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 30:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_targets.clear();
-            uint32_t _size233;
-            ::apache::thrift::protocol::TType _etype236;
-            xfer += iprot->readListBegin(_etype236, _size233);
-            this->leaving_targets.resize(_size233);
-            uint32_t _i237;
-            for (_i237 = 0; _i237 < _size233; ++_i237)
+            uint32_t _size237;
+            ::apache::thrift::protocol::TType _etype240;
+            xfer += iprot->readListBegin(_etype240, _size237);
+            this->leaving_targets.resize(_size237);
+            uint32_t _i241;
+            for (_i241 = 0; _i241 < _size237; ++_i241)
             {
-              xfer += iprot->readI64(this->leaving_targets[_i237]);
+              xfer += iprot->readI64(this->leaving_targets[_i241]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6913,14 +7093,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rank_counts.clear();
-            uint32_t _size238;
-            ::apache::thrift::protocol::TType _etype241;
-            xfer += iprot->readListBegin(_etype241, _size238);
-            this->rank_counts.resize(_size238);
-            uint32_t _i242;
-            for (_i242 = 0; _i242 < _size238; ++_i242)
+            uint32_t _size242;
+            ::apache::thrift::protocol::TType _etype245;
+            xfer += iprot->readListBegin(_etype245, _size242);
+            this->rank_counts.resize(_size242);
+            uint32_t _i246;
+            for (_i246 = 0; _i246 < _size242; ++_i246)
             {
-              xfer += this->rank_counts[_i242].read(iprot);
+              xfer += this->rank_counts[_i246].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6941,14 +7121,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->paces.clear();
-            uint32_t _size243;
-            ::apache::thrift::protocol::TType _etype246;
-            xfer += iprot->readListBegin(_etype246, _size243);
-            this->paces.resize(_size243);
-            uint32_t _i247;
-            for (_i247 = 0; _i247 < _size243; ++_i247)
+            uint32_t _size247;
+            ::apache::thrift::protocol::TType _etype250;
+            xfer += iprot->readListBegin(_etype250, _size247);
+            this->paces.resize(_size247);
+            uint32_t _i251;
+            for (_i251 = 0; _i251 < _size247; ++_i251)
             {
-              xfer += this->paces[_i247].read(iprot);
+              xfer += this->paces[_i251].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7009,10 +7189,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<TargetLoad> ::const_iterator _iter248;
-    for (_iter248 = this->loads.begin(); _iter248 != this->loads.end(); ++_iter248)
+    std::vector<TargetLoad> ::const_iterator _iter252;
+    for (_iter252 = this->loads.begin(); _iter252 != this->loads.end(); ++_iter252)
     {
-      xfer += (*_iter248).write(oprot);
+      xfer += (*_iter252).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7021,10 +7201,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter249;
-    for (_iter249 = this->known.begin(); _iter249 != this->known.end(); ++_iter249)
+    std::vector<std::string> ::const_iterator _iter253;
+    for (_iter253 = this->known.begin(); _iter253 != this->known.end(); ++_iter253)
     {
-      xfer += oprot->writeString((*_iter249));
+      xfer += oprot->writeString((*_iter253));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7078,10 +7258,10 @@
   xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
-    std::vector<RegionSummary> ::const_iterator _iter250;
-    for (_iter250 = this->summaries.begin(); _iter250 != this->summaries.end(); ++_iter250)
+    std::vector<RegionSummary> ::const_iterator _iter254;
+    for (_iter254 = this->summaries.begin(); _iter254 != this->summaries.end(); ++_iter254)
     {
-      xfer += (*_iter250).write(oprot);
+      xfer += (*_iter254).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7103,10 +7283,10 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 30);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<int64_t> ::const_iterator _iter251;
-    for (_iter251 = this->leaving_targets.begin(); _iter251 != this->leaving_targets.end(); ++_iter251)
+    std::vector<int64_t> ::const_iterator _iter255;
+    for (_iter255 = this->leaving_targets.begin(); _iter255 != this->leaving_targets.end(); ++_iter255)
     {
-      xfer += oprot->writeI64((*_iter251));
+      xfer += oprot->writeI64((*_iter255));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7126,6 +7306,11 @@
     xfer += this->request_crash_news.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.answers) {
+    xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_STRUCT, 42);
+    xfer += this->answers.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.target_pace) {
     xfer += oprot->writeFieldBegin("target_pace", ::apache::thrift::protocol::T_I32, 50);
     xfer += oprot->writeI32(this->target_pace);
@@ -7135,10 +7320,10 @@
     xfer += oprot->writeFieldBegin("paces", ::apache::thrift::protocol::T_LIST, 51);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->paces.size()));
-      std::vector<MeasuredPace> ::const_iterator _iter252;
-      for (_iter252 = this->paces.begin(); _iter252 != this->paces.end(); ++_iter252)
+      std::vector<MeasuredPace> ::const_iterator _iter256;
+      for (_iter256 = this->paces.begin(); _iter256 != this->paces.end(); ++_iter256)
       {
-        xfer += (*_iter252).write(oprot);
+        xfer += (*_iter256).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7148,10 +7333,10 @@
     xfer += oprot->writeFieldBegin("rank_counts", ::apache::thrift::protocol::T_LIST, 60);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rank_counts.size()));
-      std::vector<RankCounts> ::const_iterator _iter253;
-      for (_iter253 = this->rank_counts.begin(); _iter253 != this->rank_counts.end(); ++_iter253)
+      std::vector<RankCounts> ::const_iterator _iter257;
+      for (_iter257 = this->rank_counts.begin(); _iter257 != this->rank_counts.end(); ++_iter257)
       {
-        xfer += (*_iter253).write(oprot);
+        xfer += (*_iter257).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7191,6 +7376,7 @@
   swap(a.era, b.era);
   swap(a.config_version, b.config_version);
   swap(a.current_ms_ago, b.current_ms_ago);
+  swap(a.answers, b.answers);
   swap(a.leaving_targets, b.leaving_targets);
   swap(a.target_leaving, b.target_leaving);
   swap(a.rank_counts, b.rank_counts);
@@ -7199,146 +7385,150 @@
   swap(a.__isset, b.__isset);
 }
 
-Beat::Beat(const Beat& other254) {
-  instance = other254.instance;
-  role = other254.role;
-  ip = other254.ip;
-  zone = other254.zone;
-  region = other254.region;
-  caller_address = other254.caller_address;
-  state = other254.state;
-  revision = other254.revision;
-  loads = other254.loads;
-  known = other254.known;
-  target_address = other254.target_address;
-  model = other254.model;
-  staged_version = other254.staged_version;
-  held_chunks = other254.held_chunks;
-  serving_version = other254.serving_version;
-  loading = other254.loading;
-  fetching = other254.fetching;
-  loads_in_ms = other254.loads_in_ms;
-  operator_revision = other254.operator_revision;
-  store_answers = other254.store_answers;
-  digests_version = other254.digests_version;
-  summaries = other254.summaries;
-  crash_news = other254.crash_news;
-  request_crash_news = other254.request_crash_news;
-  era = other254.era;
-  config_version = other254.config_version;
-  current_ms_ago = other254.current_ms_ago;
-  leaving_targets = other254.leaving_targets;
-  target_leaving = other254.target_leaving;
-  rank_counts = other254.rank_counts;
-  target_pace = other254.target_pace;
-  paces = other254.paces;
-  __isset = other254.__isset;
-}
-Beat::Beat(Beat&& other255) noexcept {
-  instance = other255.instance;
-  role = other255.role;
-  ip = std::move(other255.ip);
-  zone = std::move(other255.zone);
-  region = std::move(other255.region);
-  caller_address = std::move(other255.caller_address);
-  state = other255.state;
-  revision = other255.revision;
-  loads = std::move(other255.loads);
-  known = std::move(other255.known);
-  target_address = std::move(other255.target_address);
-  model = std::move(other255.model);
-  staged_version = other255.staged_version;
-  held_chunks = std::move(other255.held_chunks);
-  serving_version = other255.serving_version;
-  loading = other255.loading;
-  fetching = std::move(other255.fetching);
-  loads_in_ms = other255.loads_in_ms;
-  operator_revision = other255.operator_revision;
-  store_answers = other255.store_answers;
-  digests_version = other255.digests_version;
-  summaries = std::move(other255.summaries);
-  crash_news = std::move(other255.crash_news);
-  request_crash_news = std::move(other255.request_crash_news);
-  era = other255.era;
-  config_version = other255.config_version;
-  current_ms_ago = other255.current_ms_ago;
-  leaving_targets = std::move(other255.leaving_targets);
-  target_leaving = other255.target_leaving;
-  rank_counts = std::move(other255.rank_counts);
-  target_pace = other255.target_pace;
-  paces = std::move(other255.paces);
-  __isset = other255.__isset;
-}
-Beat& Beat::operator=(const Beat& other256) {
-  instance = other256.instance;
-  role = other256.role;
-  ip = other256.ip;
-  zone = other256.zone;
-  region = other256.region;
-  caller_address = other256.caller_address;
-  state = other256.state;
-  revision = other256.revision;
-  loads = other256.loads;
-  known = other256.known;
-  target_address = other256.target_address;
-  model = other256.model;
-  staged_version = other256.staged_version;
-  held_chunks = other256.held_chunks;
-  serving_version = other256.serving_version;
-  loading = other256.loading;
-  fetching = other256.fetching;
-  loads_in_ms = other256.loads_in_ms;
-  operator_revision = other256.operator_revision;
-  store_answers = other256.store_answers;
-  digests_version = other256.digests_version;
-  summaries = other256.summaries;
-  crash_news = other256.crash_news;
-  request_crash_news = other256.request_crash_news;
-  era = other256.era;
-  config_version = other256.config_version;
-  current_ms_ago = other256.current_ms_ago;
-  leaving_targets = other256.leaving_targets;
-  target_leaving = other256.target_leaving;
-  rank_counts = other256.rank_counts;
-  target_pace = other256.target_pace;
-  paces = other256.paces;
-  __isset = other256.__isset;
+Beat::Beat(const Beat& other258) {
+  instance = other258.instance;
+  role = other258.role;
+  ip = other258.ip;
+  zone = other258.zone;
+  region = other258.region;
+  caller_address = other258.caller_address;
+  state = other258.state;
+  revision = other258.revision;
+  loads = other258.loads;
+  known = other258.known;
+  target_address = other258.target_address;
+  model = other258.model;
+  staged_version = other258.staged_version;
+  held_chunks = other258.held_chunks;
+  serving_version = other258.serving_version;
+  loading = other258.loading;
+  fetching = other258.fetching;
+  loads_in_ms = other258.loads_in_ms;
+  operator_revision = other258.operator_revision;
+  store_answers = other258.store_answers;
+  digests_version = other258.digests_version;
+  summaries = other258.summaries;
+  crash_news = other258.crash_news;
+  request_crash_news = other258.request_crash_news;
+  era = other258.era;
+  config_version = other258.config_version;
+  current_ms_ago = other258.current_ms_ago;
+  answers = other258.answers;
+  leaving_targets = other258.leaving_targets;
+  target_leaving = other258.target_leaving;
+  rank_counts = other258.rank_counts;
+  target_pace = other258.target_pace;
+  paces = other258.paces;
+  __isset = other258.__isset;
+}
+Beat::Beat(Beat&& other259) noexcept {
+  instance = other259.instance;
+  role = other259.role;
+  ip = std::move(other259.ip);
+  zone = std::move(other259.zone);
+  region = std::move(other259.region);
+  caller_address = std::move(other259.caller_address);
+  state = other259.state;
+  revision = other259.revision;
+  loads = std::move(other259.loads);
+  known = std::move(other259.known);
+  target_address = std::move(other259.target_address);
+  model = std::move(other259.model);
+  staged_version = other259.staged_version;
+  held_chunks = std::move(other259.held_chunks);
+  serving_version = other259.serving_version;
+  loading = other259.loading;
+  fetching = std::move(other259.fetching);
+  loads_in_ms = other259.loads_in_ms;
+  operator_revision = other259.operator_revision;
+  store_answers = other259.store_answers;
+  digests_version = other259.digests_version;
+  summaries = std::move(other259.summaries);
+  crash_news = std::move(other259.crash_news);
+  request_crash_news = std::move(other259.request_crash_news);
+  era = other259.era;
+  config_version = other259.config_version;
+  current_ms_ago = other259.current_ms_ago;
+  answers = std::move(other259.answers);
+  leaving_targets = std::move(other259.leaving_targets);
+  target_leaving = other259.target_leaving;
+  rank_counts = std::move(other259.rank_counts);
+  target_pace = other259.target_pace;
+  paces = std::move(other259.paces);
+  __isset = other259.__isset;
+}
+Beat& Beat::operator=(const Beat& other260) {
+  instance = other260.instance;
+  role = other260.role;
+  ip = other260.ip;
+  zone = other260.zone;
+  region = other260.region;
+  caller_address = other260.caller_address;
+  state = other260.state;
+  revision = other260.revision;
+  loads = other260.loads;
+  known = other260.known;
+  target_address = other260.target_address;
+  model = other260.model;
+  staged_version = other260.staged_version;
+  held_chunks = other260.held_chunks;
+  serving_version = other260.serving_version;
+  loading = other260.loading;
+  fetching = other260.fetching;
+  loads_in_ms = other260.loads_in_ms;
+  operator_revision = other260.operator_revision;
+  store_answers = other260.store_answers;
+  digests_version = other260.digests_version;
+  summaries = other260.summaries;
+  crash_news = other260.crash_news;
+  request_crash_news = other260.request_crash_news;
+  era = other260.era;
+  config_version = other260.config_version;
+  current_ms_ago = other260.current_ms_ago;
+  answers = other260.answers;
+  leaving_targets = other260.leaving_targets;
+  target_leaving = other260.target_leaving;
+  rank_counts = other260.rank_counts;
+  target_pace = other260.target_pace;
+  paces = other260.paces;
+  __isset = other260.__isset;
   return *this;
 }
-Beat& Beat::operator=(Beat&& other257) noexcept {
-  instance = other257.instance;
-  role = other257.role;
-  ip = std::move(other257.ip);
-  zone = std::move(other257.zone);
-  region = std::move(other257.region);
-  caller_address = std::move(other257.caller_address);
-  state = other257.state;
-  revision = other257.revision;
-  loads = std::move(other257.loads);
-  known = std::move(other257.known);
-  target_address = std::move(other257.target_address);
-  model = std::move(other257.model);
-  staged_version = other257.staged_version;
-  held_chunks = std::move(other257.held_chunks);
-  serving_version = other257.serving_version;
-  loading = other257.loading;
-  fetching = std::move(other257.fetching);
-  loads_in_ms = other257.loads_in_ms;
-  operator_revision = other257.operator_revision;
-  store_answers = other257.store_answers;
-  digests_version = other257.digests_version;
-  summaries = std::move(other257.summaries);
-  crash_news = std::move(other257.crash_news);
-  request_crash_news = std::move(other257.request_crash_news);
-  era = other257.era;
-  config_version = other257.config_version;
-  current_ms_ago = other257.current_ms_ago;
-  leaving_targets = std::move(other257.leaving_targets);
-  target_leaving = other257.target_leaving;
-  rank_counts = std::move(other257.rank_counts);
-  target_pace = other257.target_pace;
-  paces = std::move(other257.paces);
-  __isset = other257.__isset;
+Beat& Beat::operator=(Beat&& other261) noexcept {
+  instance = other261.instance;
+  role = other261.role;
+  ip = std::move(other261.ip);
+  zone = std::move(other261.zone);
+  region = std::move(other261.region);
+  caller_address = std::move(other261.caller_address);
+  state = other261.state;
+  revision = other261.revision;
+  loads = std::move(other261.loads);
+  known = std::move(other261.known);
+  target_address = std::move(other261.target_address);
+  model = std::move(other261.model);
+  staged_version = other261.staged_version;
+  held_chunks = std::move(other261.held_chunks);
+  serving_version = other261.serving_version;
+  loading = other261.loading;
+  fetching = std::move(other261.fetching);
+  loads_in_ms = other261.loads_in_ms;
+  operator_revision = other261.operator_revision;
+  store_answers = other261.store_answers;
+  digests_version = other261.digests_version;
+  summaries = std::move(other261.summaries);
+  crash_news = std::move(other261.crash_news);
+  request_crash_news = std::move(other261.request_crash_news);
+  era = other261.era;
+  config_version = other261.config_version;
+  current_ms_ago = other261.current_ms_ago;
+  answers = std::move(other261.answers);
+  leaving_targets = std::move(other261.leaving_targets);
+  target_leaving = other261.target_leaving;
+  rank_counts = std::move(other261.rank_counts);
+  target_pace = other261.target_pace;
+  paces = std::move(other261.paces);
+  __isset = other261.__isset;
   return *this;
 }
 void Beat::printTo(std::ostream& out) const {
@@ -7371,6 +7561,7 @@
   out << ", " << "era=" << to_string(era);
   out << ", " << "config_version=" << to_string(config_version);
   out << ", " << "current_ms_ago="; (__isset.current_ms_ago ? (out << to_string(current_ms_ago)) : (out << "<null>"));
+  out << ", " << "answers="; (__isset.answers ? (out << to_string(answers)) : (out << "<null>"));
   out << ", " << "leaving_targets=" << to_string(leaving_targets);
   out << ", " << "target_leaving=" << to_string(target_leaving);
   out << ", " << "rank_counts="; (__isset.rank_counts ? (out << to_string(rank_counts)) : (out << "<null>"));
--- a/src/thrift/gen/messages_types.h
+++ b/src/thrift/gen/messages_types.h
@@ -110,6 +110,8 @@
 
 class WeightNaming;
 
+class ServiceAnswers;
+
 class DocumentDelta;
 
 class RegionGateway;
@@ -1752,15 +1754,81 @@
 
 std::ostream& operator<<(std::ostream& out, const WeightNaming& obj);
 
+typedef struct _ServiceAnswers__isset {
+  _ServiceAnswers__isset() : era(false), since_ms_ago(false), until_ms_ago(false), after_outage(false) {}
+  bool era :1;
+  bool since_ms_ago :1;
+  bool until_ms_ago :1;
+  bool after_outage :1;
+} _ServiceAnswers__isset;
+
+class ServiceAnswers : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServiceAnswers(const ServiceAnswers&) noexcept;
+  ServiceAnswers(ServiceAnswers&&) noexcept;
+  ServiceAnswers& operator=(const ServiceAnswers&) noexcept;
+  ServiceAnswers& operator=(ServiceAnswers&&) noexcept;
+  ServiceAnswers() noexcept
+                 : era(0),
+                   since_ms_ago(0),
+                   until_ms_ago(0),
+                   after_outage(0) {
+  }
+
+  virtual ~ServiceAnswers() noexcept;
+  int64_t era;
+  int32_t since_ms_ago;
+  int32_t until_ms_ago;
+  bool after_outage;
+
+  _ServiceAnswers__isset __isset;
+
+  void __set_era(const int64_t val);
+
+  void __set_since_ms_ago(const int32_t val);
+
+  void __set_until_ms_ago(const int32_t val);
+
+  void __set_after_outage(const bool val);
+
+  bool operator == (const ServiceAnswers & rhs) const
+  {
+    if (!(era == rhs.era))
+      return false;
+    if (!(since_ms_ago == rhs.since_ms_ago))
+      return false;
+    if (!(until_ms_ago == rhs.until_ms_ago))
+      return false;
+    if (!(after_outage == rhs.after_outage))
+      return false;
+    return true;
+  }
+  bool operator != (const ServiceAnswers &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServiceAnswers & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServiceAnswers &a, ServiceAnswers &b);
+
+std::ostream& operator<<(std::ostream& out, const ServiceAnswers& obj);
+
 typedef struct _DocumentDelta__isset {
-  _DocumentDelta__isset() : partial(false), revision(false), items(false), regained_ms_ago(false), era(false), namings(false), current_ms_ago(false) {}
+  _DocumentDelta__isset() : partial(false), revision(false), items(false), era(false), namings(false), current_ms_ago(false), answers(false) {}
   bool partial :1;
   bool revision :1;
   bool items :1;
-  bool regained_ms_ago :1;
   bool era :1;
   bool namings :1;
   bool current_ms_ago :1;
+  bool answers :1;
 } _DocumentDelta__isset;
 
 class DocumentDelta : public virtual ::apache::thrift::TBase {
@@ -1773,7 +1841,6 @@
   DocumentDelta() noexcept
                 : partial(0),
                   revision(0),
-                  regained_ms_ago(0),
                   era(0),
                   current_ms_ago(0) {
   }
@@ -1782,10 +1849,10 @@
   bool partial;
   int64_t revision;
   std::vector<DocumentItem>  items;
-  int64_t regained_ms_ago;
   int64_t era;
   std::vector<WeightNaming>  namings;
   int32_t current_ms_ago;
+  ServiceAnswers answers;
 
   _DocumentDelta__isset __isset;
 
@@ -1795,14 +1862,14 @@
 
   void __set_items(const std::vector<DocumentItem> & val);
 
-  void __set_regained_ms_ago(const int64_t val);
-
   void __set_era(const int64_t val);
 
   void __set_namings(const std::vector<WeightNaming> & val);
 
   void __set_current_ms_ago(const int32_t val);
 
+  void __set_answers(const ServiceAnswers& val);
+
   bool operator == (const DocumentDelta & rhs) const
   {
     if (!(partial == rhs.partial))
@@ -1811,10 +1878,6 @@
       return false;
     if (!(items == rhs.items))
       return false;
-    if (__isset.regained_ms_ago != rhs.__isset.regained_ms_ago)
-      return false;
-    else if (__isset.regained_ms_ago && !(regained_ms_ago == rhs.regained_ms_ago))
-      return false;
     if (!(era == rhs.era))
       return false;
     if (!(namings == rhs.namings))
@@ -1823,6 +1886,10 @@
       return false;
     else if (__isset.current_ms_ago && !(current_ms_ago == rhs.current_ms_ago))
       return false;
+    if (__isset.answers != rhs.__isset.answers)
+      return false;
+    else if (__isset.answers && !(answers == rhs.answers))
+      return false;
     return true;
   }
   bool operator != (const DocumentDelta &rhs) const {
@@ -2490,7 +2557,7 @@
 std::ostream& operator<<(std::ostream& out, const MeasuredPace& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), request_crash_news(false), era(false), config_version(false), current_ms_ago(false), leaving_targets(false), target_leaving(false), rank_counts(false), target_pace(false), paces(false) {}
+  _Beat__isset() : instance(false), role(false), ip(false), zone(false), region(false), caller_address(false), state(false), revision(false), loads(false), known(false), target_address(false), model(false), staged_version(false), held_chunks(false), serving_version(false), loading(false), fetching(false), loads_in_ms(false), operator_revision(false), store_answers(false), digests_version(false), summaries(false), crash_news(false), request_crash_news(false), era(false), config_version(false), current_ms_ago(false), answers(false), leaving_targets(false), target_leaving(false), rank_counts(false), target_pace(false), paces(false) {}
   bool instance :1;
   bool role :1;
   bool ip :1;
@@ -2518,6 +2585,7 @@
   bool era :1;
   bool config_version :1;
   bool current_ms_ago :1;
+  bool answers :1;
   bool leaving_targets :1;
   bool target_leaving :1;
   bool rank_counts :1;
@@ -2587,6 +2655,7 @@
   int64_t era;
   int64_t config_version;
   int32_t current_ms_ago;
+  ServiceAnswers answers;
   std::vector<int64_t>  leaving_targets;
   bool target_leaving;
   std::vector<RankCounts>  rank_counts;
@@ -2649,6 +2718,8 @@
 
   void __set_current_ms_ago(const int32_t val);
 
+  void __set_answers(const ServiceAnswers& val);
+
   void __set_leaving_targets(const std::vector<int64_t> & val);
 
   void __set_target_leaving(const bool val);
@@ -2723,6 +2794,10 @@
       return false;
     else if (__isset.current_ms_ago && !(current_ms_ago == rhs.current_ms_ago))
       return false;
+    if (__isset.answers != rhs.__isset.answers)
+      return false;
+    else if (__isset.answers && !(answers == rhs.answers))
+      return false;
     if (!(leaving_targets == rhs.leaving_targets))
       return false;
     if (!(target_leaving == rhs.target_leaving))
--- a/src/thrift/messages.thrift
+++ b/src/thrift/messages.thrift
@@ -238,18 +238,28 @@
   3: i32 named_ms_ago
 }
 
+// When the key-value service answered processes of this project
+// (celerypost::ReportedAnswers).
+struct ServiceAnswers {
+  1: i64 era
+  2: i32 since_ms_ago
+  3: i32 until_ms_ago
+  4: bool after_outage
+}
+
 // Documents for a process that does not read the key-value service; sent
 // compressed (DeltaCodec).
 struct DocumentDelta {
   1: bool partial
   2: i64 revision
   3: list<DocumentItem> items
-  // Milliseconds since the service came back after an outage.
-  4: optional i64 regained_ms_ago
+  // 4 was the time since the sender's own calls were answered again.
   5: i64 era
   10: list<WeightNaming> namings
   // Time since the sender knew of all changes; absent if it never did.
   11: optional i32 current_ms_ago
+  // Absent until the sender has been answered or told of an answer.
+  12: optional ServiceAnswers answers
 }
 
 // A gateway as other regions know it.
@@ -402,6 +412,8 @@
   // Time since the sender knew of all changes of documents; absent if it never
   // did.
   40: optional i32 current_ms_ago
+  // Absent until the sender has been answered or told of an answer.
+  42: optional ServiceAnswers answers
   // Gateways: hashes of the starts of targets that have lately said that they
   // leave.
   30: list<i64> leaving_targets
--- a/tests/platform/node_file_test.cc
+++ b/tests/platform/node_file_test.cc
@@ -9,7 +9,7 @@
     "node_name=n1\nip=10.1.0.40\nzone=z-a\nregion=r\nzones.z-a=r\nzones.z-b=q\n"
     "listen.front=10.1.0.40:8005\nlisten.ready=10.1.0.40:8002\n"
     "listen.directory=10.1.0.40:8009\ninternal_ports=7700,7715\n"
-    "seed_nodes=10.1.0.40:8000,10.2.0.37:8000\nheartbeat_ms=1200\n"
+    "seed_nodes=10.1.0.40:8000,10.2.0.37:8000\nheartbeat_ms=1500\n"
     "bounds.drain_ms=2500\nbounds.grace_s=8\nbounds.budget_ratio=0.25\n"
     "limits.memory_mb=260\nplatform.address=10.200.1.7:8007\n"
     "something.new=1\n";
@@ -25,6 +25,7 @@
   CHECK_EQUAL(2u, node->seed_ips.size());
   STRCMP_EQUAL("10.2.0.37", node->seed_ips[1].c_str());
   CHECK_EQUAL(2500, node->drain_bound.count());
+  CHECK_EQUAL(1500, node->target_heartbeat.count());
   CHECK_EQUAL(8000, node->stop_grace.count());
   CHECK_EQUAL(260000000u, node->memory_limit);
   DOUBLES_EQUAL(0.25, node->retry_share, 1e-9);
--- a/tests/process/delta_codec_test.cc
+++ b/tests/process/delta_codec_test.cc
@@ -39,7 +39,8 @@
   delta.items.push_back({"binary", std::string("\0\xff\n", 3), 3});
   delta.items.push_back({"op/evacuate/north", "{}", 90, 3});
   delta.era = 4;
-  delta.regained_ago = milliseconds(1500);
+  delta.answers =
+      ReportedAnswers{4, milliseconds(1500), milliseconds(30), true};
   delta.current_ago = milliseconds(40);
   delta.namings.push_back({"m", 3, milliseconds(70)});
   const auto decoded = DecodeDelta(EncodeDelta(delta));
@@ -47,7 +48,7 @@
   CHECK_TRUE(decoded->partial);
   CHECK_EQUAL(71, decoded->revision);
   CHECK_EQUAL(4, decoded->era);
-  CHECK_TRUE(decoded->regained_ago == delta.regained_ago);
+  CHECK_TRUE(decoded->answers == delta.answers);
   CHECK_TRUE(decoded->current_ago == delta.current_ago);
   CHECK_EQUAL(1u, decoded->namings.size());
   CHECK_EQUAL(3, decoded->namings.front().version);
--- a/tests/process/node_registry_test.cc
+++ b/tests/process/node_registry_test.cc
@@ -129,6 +129,22 @@
   CHECK_EQUAL(2, this->store.grants);
 }
 
+// Guards against an outage that is not noticed, or goes on, because the outcome
+// of lease calls is not reported.
+TEST(NodeRegistryTest, ReportsWhetherLeaseCallsAreAnswered) {
+  std::vector<bool> answered;
+  this->registry->OnCall([&answered](bool call_answered, TimePoint) {
+    answered.push_back(call_answered);
+  });
+  this->Register(5);
+  this->RunUntil([this] { return this->store.renew != nullptr; });
+  const auto renew = std::exchange(this->store.renew, nullptr);
+  renew(NotRun(ErrorCode::kDeadlineExceeded, "silent"));
+  this->RunUntil([this] { return this->store.renew != nullptr; });
+  this->store.renew(NotRun(ErrorCode::kNotFound, "the lease has ended"));
+  CHECK_TRUE((answered == std::vector<bool>{true, false, true}));
+}
+
 // Guards against a process that registers again while it leaves.
 TEST(NodeRegistryTest, LeaveDuringTheRegistrationEndsIt) {
   this->Leave();
--- a/tests/process/odd_entries_test.cc
+++ b/tests/process/odd_entries_test.cc
@@ -381,7 +381,7 @@
   }
   const auto revision = static_cast<int64_t>(items.size() + 1);
   items.push_back({"servers/good", Entry(9), revision});
-  view.ApplySnapshot(items, {0, revision}, false, now);
+  view.ApplySnapshot(items, {0, revision}, now);
   const auto delta = DecodeDelta(EncodeDelta(view.MakeDelta({}, now)));
   CHECK_TRUE(delta.has_value());
   peer.ApplyDelta(*delta, now);
--- a/tests/process/state/cluster_view_test.cc
+++ b/tests/process/state/cluster_view_test.cc
@@ -61,15 +61,33 @@
     for (KeyValue& item : items) {
       item.era = era;
     }
-    this->view.ApplySnapshot(items, {era, revision}, false, this->now);
+    this->view.ApplySnapshot(items, {era, revision}, this->now);
   }
   bool Usable(const std::string& target) const {
-    const auto found = this->view.targets().find(target);
-    return found != this->view.targets().end() &&
-           !found->second.entry.draining &&
+    return this->Usable(this->view, target);
+  }
+  bool Usable(const ClusterView& other, const std::string& target) const {
+    const auto found = other.targets().find(target);
+    return found != other.targets().end() && !found->second.entry.draining &&
            (!found->second.usable_until ||
             this->now < *found->second.usable_until);
   }
+  void Answer(ClusterView & other, int64_t era = 0) const {
+    other.NoteAnswer(era, this->now, this->now);
+  }
+  // The calls of `other` are not answered for `span`; then one is.
+  void LoseCalls(ClusterView & other, milliseconds span) {
+    this->Answer(other);
+    for (const TimePoint end = this->now + span; this->now < end;
+         this->now += milliseconds(100)) {
+      other.NoteFailure(this->now);
+    }
+    this->Answer(other);
+  }
+  // `from` tells `to` when the service answered.
+  std::vector<ViewChange> Tell(const ClusterView& from, ClusterView& to) const {
+    return to.ApplyAnswers(*from.availability().Report(this->now), this->now);
+  }
 };
 
 // Guards against a configuration that reverts, through an older revision of its
@@ -78,8 +96,7 @@
   this->Change("o/config", "config 7", 10);
   this->Change("o/config", "config 5", 11);
   CHECK_EQUAL(7, this->view.config()->version);
-  this->view.ApplySnapshot({{"o/config", "config 6", 9}}, {0, 9}, false,
-                           this->now);
+  this->view.ApplySnapshot({{"o/config", "config 6", 9}}, {0, 9}, this->now);
   CHECK_EQUAL(7, this->view.config()->version);
 }
 
@@ -102,7 +119,7 @@
 // Guards against a process that treats a version found in its first snapshot as
 // named just now.
 TEST(ClusterViewTest, NamingBeforeTheStartCountsAsOld) {
-  this->view.ApplySnapshot({{"o/w", "weights 2", 2}}, {0, 5}, false, this->now);
+  this->view.ApplySnapshot({{"o/w", "weights 2", 2}}, {0, 5}, this->now);
   CHECK_EQUAL(2, this->view.Weights("m")->NewestNamedAt(this->now -
                                                         milliseconds(3000)));
 }
@@ -134,7 +151,7 @@
   const TimePoint current_at = this->now;
   this->now += milliseconds(2400);
   this->view.ApplySnapshot(
-      {{"o/config", "config 1", 1}, {"o/w", "weights 2", 2}}, {0, 2}, false,
+      {{"o/config", "config 1", 1}, {"o/w", "weights 2", 2}}, {0, 2},
       this->now);
   CHECK_TRUE(this->view.Weights("m")->FirstNamedAbove(1) == current_at);
 }
@@ -172,7 +189,7 @@
   this->now += milliseconds(3000);
   cut_off.NoteAway(this->now);
   cut_off.ApplySnapshot({{"o/config", "config 1", 1}, {"o/w", "weights 2", 2}},
-                        {0, 2}, false, this->now);
+                        {0, 2}, this->now);
   CHECK_TRUE(cut_off.Weights("m")->FirstNamedAbove(1) == this->now);
   CHECK_EQUAL(0u, cut_off.MakeDelta({}, this->now).namings.size());
   cut_off.ApplyDelta(this->view.MakeDelta({{0, 2}, false}, this->now),
@@ -189,7 +206,7 @@
   this->Change("o/w", "weights 2", 2);
   const TimePoint named_at = this->now;
   this->now += milliseconds(700);
-  restarted.ApplySnapshot({{"o/w", "weights 2", 2}}, {0, 2}, false, this->now);
+  restarted.ApplySnapshot({{"o/w", "weights 2", 2}}, {0, 2}, this->now);
   CHECK_EQUAL(0u, restarted.MakeDelta({}, this->now).namings.size());
   restarted.ApplyDelta(this->view.MakeDelta({{0, 2}, false}, this->now),
                        this->now);
@@ -225,8 +242,8 @@
 TEST(ClusterViewTest, TargetsThatLapsedInAnOutageGetLongerToReturn) {
   this->Change("t/a", "target ready", 1);
   this->Change("t/b", "target ready", 2);
-  this->view.OnServiceRegained(this->now, "a read");
-  this->view.ApplySnapshot({}, {0, 9}, true, this->now);
+  this->LoseCalls(this->view, milliseconds(4000));
+  this->view.ApplySnapshot({}, {0, 9}, this->now);
   this->now += milliseconds(1900);
   CHECK_TRUE(this->Usable("a"));
   this->Change("t/a", "target ready", 10);
@@ -235,6 +252,97 @@
   CHECK_FALSE(this->Usable("b"));
 }
 
+// Guards against the loss of targets whose registrations lapse just after an
+// outage, before they were heard again.
+TEST(ClusterViewTest, TargetThatLapsesJustAfterAnOutageGetsLongerToReturn) {
+  this->Change("t/a", "target ready", 1);
+  this->LoseCalls(this->view, milliseconds(4000));
+  this->now += milliseconds(300);
+  this->Answer(this->view);
+  this->Change("t/a", "", 2);
+  this->now += milliseconds(1400);
+  CHECK_TRUE(this->Usable("a"));
+}
+
+// Guards against requests past the drain bound to a target that left when a
+// watch had just been cut: its removal was taken for a lapse.
+TEST(ClusterViewTest, RemovalAfterACutWatchIsALeaving) {
+  this->Change("t/a", "target ready", 1);
+  this->LoseCalls(this->view, milliseconds(300));
+  this->Change("t/a", "", 2);
+  this->now += milliseconds(250);
+  CHECK_FALSE(this->Usable("a"));
+}
+
+// Guards against the same when the service turned this process away and served
+// its peers.
+TEST(ClusterViewTest, RemovalAfterLostCallsOfOneProcessIsALeaving) {
+  ClusterView calm{this->decoder, {}};
+  this->Change("t/a", "target ready", 1);
+  this->Answer(this->view);
+  for (int i = 0; i < 35; ++i) {
+    this->now += milliseconds(100);
+    this->Answer(calm);
+    this->view.NoteFailure(this->now);
+    this->Tell(calm, this->view);
+  }
+  this->now += milliseconds(100);
+  this->Answer(this->view);
+  this->Change("t/a", "", 2);
+  this->now += milliseconds(250);
+  CHECK_FALSE(this->Usable("a"));
+}
+
+// Guards against a calm process that uses a departed target for longer because
+// of the trouble of the peer that told it of the removal.
+TEST(ClusterViewTest, TroubleOfOneProcessDoesNotSpreadWithItsDocuments) {
+  ClusterView troubled{this->decoder, {}};
+  this->Change("t/a", "target ready", 1);
+  troubled.ApplyDelta(this->view.MakeDelta({}, this->now), this->now);
+  this->Answer(this->view);
+  const TimePoint lost_at = this->now;
+  this->LoseCalls(troubled, milliseconds(3500));
+  for (TimePoint time = lost_at; time < this->now; time += milliseconds(500)) {
+    this->view.NoteAnswer(0, time, time);
+  }
+  troubled.ApplyChanges({{"t/a", "", 2}}, this->now);
+  this->view.ApplyDelta(troubled.MakeDelta({{0, 1}, false}, this->now),
+                        this->now);
+  this->now += milliseconds(250);
+  CHECK_FALSE(this->Usable("a"));
+  // Its first report to the troubled process ends the use there, too.
+  CHECK_TRUE(this->Usable(troubled, "a"));
+  CHECK_EQUAL(1u, this->Tell(this->view, troubled).size());
+  CHECK_FALSE(this->Usable(troubled, "a"));
+}
+
+// Guards against a second outage that extends the use of a target whose
+// removal was read after the first.
+TEST(ClusterViewTest, LaterOutageDoesNotExtendTheUseOfARemovedTarget) {
+  this->Change("t/a", "target ready", 1);
+  this->LoseCalls(this->view, milliseconds(4000));
+  this->view.ApplySnapshot({}, {0, 9}, this->now);
+  this->LoseCalls(this->view, milliseconds(2100));
+  ClusterView peer{this->decoder, {}};
+  this->Tell(this->view, peer);
+  this->Tell(peer, this->view);
+  this->now += milliseconds(100);
+  CHECK_FALSE(this->Usable("a"));
+}
+
+// Guards against a process that started during an outage, does not know of it
+// and drops the targets that its peers have told it of.
+TEST(ClusterViewTest, ProcessThatStartedInAnOutageLearnsOfItFromPeers) {
+  this->Change("t/a", "target ready", 1);
+  this->LoseCalls(this->view, milliseconds(4000));
+  ClusterView started{this->decoder, {}};
+  this->Answer(started);
+  started.ApplyDelta(this->view.MakeDelta({}, this->now), this->now);
+  started.ApplyChanges({{"t/a", "", 2}}, this->now);
+  this->now += milliseconds(1900);
+  CHECK_TRUE(this->Usable(started, "a"));
+}
+
 // Guards against an older copy of a key that restores a removed target.
 TEST(ClusterViewTest, RemovedKeyIsNotRevivedByAnOlderCopy) {
   this->Change("t/a", "target ready", 5);
@@ -268,7 +376,7 @@
 // filled the links between regions.
 TEST(ClusterViewTest, DeltaHoldsWhatChangedSince) {
   this->view.ApplySnapshot(
-      {{"o/config", "config 1", 3}, {"t/a", "target ready", 4}}, {0, 5}, false,
+      {{"o/config", "config 1", 3}, {"t/a", "target ready", 4}}, {0, 5},
       this->now);
   this->Change("t/b", "target ready", 6);
   this->Change("t/a", "", 7);
@@ -279,7 +387,7 @@
 
   ClusterView behind{this->decoder, {}};
   behind.ApplySnapshot(
-      {{"o/config", "config 1", 3}, {"t/a", "target ready", 4}}, {0, 5}, false,
+      {{"o/config", "config 1", 3}, {"t/a", "target ready", 4}}, {0, 5},
       this->now);
   behind.ApplyDelta(delta, this->now);
   CHECK_EQUAL(7, behind.position().revision);
@@ -290,14 +398,13 @@
 // Guards against a removed target that a process keeps because the peer that it
 // asked started after the removal and does not know of it.
 TEST(ClusterViewTest, DeltaIsWholeWhenRemovalsAreNotKnown) {
-  this->view.ApplySnapshot({{"o/config", "config 1", 3}}, {0, 8}, false,
-                           this->now);
+  this->view.ApplySnapshot({{"o/config", "config 1", 3}}, {0, 8}, this->now);
   const DocumentDelta delta = this->view.MakeDelta({{0, 5}, false}, this->now);
   CHECK_FALSE(delta.partial);
 
   ClusterView behind{this->decoder, {}};
   behind.ApplySnapshot(
-      {{"o/config", "config 1", 3}, {"t/a", "target ready", 4}}, {0, 5}, false,
+      {{"o/config", "config 1", 3}, {"t/a", "target ready", 4}}, {0, 5},
       this->now);
   behind.ApplyDelta(delta, this->now);
   CHECK_TRUE(behind.targets().at("a").usable_until.has_value());
@@ -306,14 +413,12 @@
 // Guards against a target that a process keeps because the peer that it asked
 // read everything after the target had come and gone.
 TEST(ClusterViewTest, DeltaIsWholeWhenASnapshotHidesRemovals) {
-  this->view.ApplySnapshot({{"o/config", "config 1", 3}}, {0, 5}, false,
-                           this->now);
+  this->view.ApplySnapshot({{"o/config", "config 1", 3}}, {0, 5}, this->now);
   ClusterView behind{this->decoder, {}};
   behind.ApplySnapshot(
-      {{"o/config", "config 1", 3}, {"t/a", "target ready", 6}}, {0, 6}, false,
+      {{"o/config", "config 1", 3}, {"t/a", "target ready", 6}}, {0, 6},
       this->now);
-  this->view.ApplySnapshot({{"o/config", "config 1", 3}}, {0, 8}, false,
-                           this->now);
+  this->view.ApplySnapshot({{"o/config", "config 1", 3}}, {0, 8}, this->now);
   behind.ApplyDelta(this->view.MakeDelta({behind.position(), false}, this->now),
                     this->now);
   CHECK_TRUE(behind.targets().at("a").usable_until.has_value());
@@ -322,7 +427,7 @@
 // Guards against registrations of all targets on the slow links of stagers.
 TEST(ClusterViewTest, DeltaForStagersHoldsOperatorsDocumentsOnly) {
   this->view.ApplySnapshot(
-      {{"o/config", "config 1", 3}, {"t/a", "target ready", 4}}, {0, 5}, false,
+      {{"o/config", "config 1", 3}, {"t/a", "target ready", 4}}, {0, 5},
       this->now);
   const DocumentDelta delta = this->view.MakeDelta({{0, 0}, true}, this->now);
   CHECK_EQUAL(1u, delta.items.size());
@@ -333,8 +438,7 @@
 // these fetch weights: 920 additional routes delayed new weights on 88 stagers
 // by two seconds.
 TEST(ClusterViewTest, StagersGetReducedDocuments) {
-  this->view.ApplySnapshot({{"o/config", "config 1", 3}}, {0, 5}, false,
-                           this->now);
+  this->view.ApplySnapshot({{"o/config", "config 1", 3}}, {0, 5}, this->now);
   this->Change("o/config", "config 2 many routes", 6);
   const auto delta = this->view.MakeDelta({{0, 5}, true}, this->now);
   CHECK_EQUAL(1u, delta.items.size());
@@ -349,11 +453,10 @@
 // learned from a peer, without the outage grace, that their registrations
 // lapsed.
 TEST(ClusterViewTest, DeltaTellsOfAnOutage) {
-  this->view.ApplySnapshot({{"t/a", "target ready", 4}}, {0, 5}, false,
-                           this->now);
+  this->view.ApplySnapshot({{"t/a", "target ready", 4}}, {0, 5}, this->now);
   ClusterView other{this->decoder, {}};
   other.ApplyDelta(this->view.MakeDelta({{0, 0}, false}, this->now), this->now);
-  this->view.OnServiceRegained(this->now, "a read");
+  this->LoseCalls(this->view, milliseconds(4000));
   this->now += milliseconds(300);
   this->Change("t/a", "", 8);
   other.ApplyDelta(this->view.MakeDelta({{0, 5}, false}, this->now), this->now);
@@ -389,8 +492,7 @@
   CHECK_EQUAL(5, started.config()->version);
   CHECK_EQUAL(3, started.Weights("m")->version());
   ClusterView reader{this->decoder, {}};
-  reader.ApplySnapshot({{"o/config", "config 2", 30, 2}}, {2, 41}, false,
-                       this->now);
+  reader.ApplySnapshot({{"o/config", "config 2", 30, 2}}, {2, 41}, this->now);
   CHECK_EQUAL(2, reader.config()->version);
   const DocumentDelta delta =
       this->view.MakeDelta({reader.position(), false}, this->now);
@@ -408,7 +510,7 @@
   this->view.Settle(this->now);
   CHECK_EQUAL(5, this->view.config()->version);
   ClusterView started{this->decoder, {}};
-  started.ApplySnapshot({}, {2, 3}, false, this->now);
+  started.ApplySnapshot({}, {2, 3}, this->now);
   started.ApplyDelta(
       this->view.MakeDelta({started.position(), false}, this->now), this->now);
   CHECK_EQUAL(5, started.config()->version);
@@ -510,14 +612,23 @@
 // targets that have left in the meantime.
 TEST(ClusterViewTest, EraLearnedLateDoesNotRenewTheOutageGrace) {
   ClusterView late{this->decoder, {}};
+  this->Answer(this->view, 1);
   this->Read(1, 40, {{"t/a", "target ready 900 4", 39}});
   late.ApplyDelta(this->view.MakeDelta({}, this->now), this->now);
+  this->now += milliseconds(500);
+  this->Answer(this->view, 2);
   this->Read(2, 30, {{"t/a", "target ready 900 4", 29}});
-  this->now += milliseconds(20000);
+  for (int i = 0; i < 20; ++i) {
+    this->now += milliseconds(1000);
+    this->Answer(this->view, 2);
+  }
   this->view.Settle(this->now);
   late.ApplyDelta(this->view.MakeDelta({{1, 40}, false}, this->now), this->now);
-  CHECK_FALSE(
-      late.MakeDelta({{2, 30}, false}, this->now).regained_ago.has_value());
+  CHECK_TRUE(late.availability().Report(this->now)->since_ago >=
+             milliseconds(20000));
+  late.ApplyChanges({{"t/a", "", 31, 2}}, this->now);
+  this->now += milliseconds(250);
+  CHECK_FALSE(this->Usable(late, "a"));
 }
 
 // Guards against the loss of targets that the copy lacks: those that run
@@ -571,7 +682,7 @@
                         {"o/z", "zone north", 48, 1},
                         {"t/a", "target draining 900 7", 51, 1},
                         {"t/b", "target ready 900 1", 49, 1}},
-                       {1, 60}, false, this->now);
+                       {1, 60}, this->now);
   const DocumentDelta delta =
       paused.MakeDelta({this->view.position(), false}, this->now);
   CHECK_FALSE(delta.partial);
@@ -632,9 +743,8 @@
   ClusterViewOptions options;
   options.registration_prefix = "n/";
   ClusterView gateway{this->decoder, options};
-  gateway.ApplySnapshot({{"n/10.0.0.1", "zone x", 3, 1}}, {1, 5}, false,
-                        this->now);
-  gateway.ApplySnapshot({}, {2, 2}, false, this->now);
+  gateway.ApplySnapshot({{"n/10.0.0.1", "zone x", 3, 1}}, {1, 5}, this->now);
+  gateway.ApplySnapshot({}, {2, 2}, this->now);
   this->now += milliseconds(9900);
   gateway.Settle(this->now);
   CHECK_TRUE(gateway.stored().contains("n/10.0.0.1"));
@@ -649,7 +759,7 @@
   ClusterViewOptions options;
   options.max_removals = 10;
   ClusterView gateway{this->decoder, options};
-  gateway.ApplySnapshot({}, {1, 1}, false, this->now);
+  gateway.ApplySnapshot({}, {1, 1}, this->now);
   int64_t revision = 1;
   for (int i = 0; i < 100; ++i) {
     const std::string key = "t/" + std::to_string(i);
--- a/tests/process/state/restored_store_test.cc
+++ b/tests/process/state/restored_store_test.cc
@@ -334,7 +334,7 @@
       for (const auto& [key, item] : state.items) {
         items.push_back(item);
       }
-      node.view->ApplySnapshot(items, {era, state.revision}, false, now);
+      node.view->ApplySnapshot(items, {era, state.revision}, now);
     } else {
       std::vector<KeyValue> changes;
       for (const KeyValue& change : state.changes) {
--- a/tests/process/store_sync_test.cc
+++ b/tests/process/store_sync_test.cc
@@ -57,8 +57,8 @@
           [] { return std::chrono::system_clock::time_point(); }};
   int snapshots = 0;
   StorePosition newest;
-  int after_outages = 0;
-  int regained = 0;
+  int answers = 0;
+  int answers_at_snapshot = 0;
   TimePoint current_at{};
   TimePoint away_at{};
   TimePoint current_when_changed{};
@@ -68,16 +68,16 @@
   void setup() override {
     StoreSync::Callbacks callbacks;
     callbacks.on_snapshot = [this](const std::vector<KeyValue>&,
-                                   StorePosition position, bool after_outage) {
+                                   StorePosition position) {
       ++this->snapshots;
       this->newest = position;
-      this->after_outages += after_outage ? 1 : 0;
+      this->answers_at_snapshot = this->answers;
     };
     callbacks.on_changes = [this](const std::vector<KeyValue>& changed) {
       this->current_when_changed = this->current_at;
       this->changes.insert(this->changes.end(), changed.begin(), changed.end());
     };
-    callbacks.on_regained = [this] { ++this->regained; };
+    callbacks.on_answer = [this] { ++this->answers; };
     callbacks.on_current = [this](TimePoint time) { this->current_at = time; };
     callbacks.on_away = [this](TimePoint time) { this->away_at = time; };
     this->sync = std::make_unique<StoreSync>(this->loop, this->store, this->log,
@@ -128,8 +128,9 @@
   this->RunUntil([this] { return this->store.reads == 3; });
   this->Answer(60);
   CHECK_TRUE(this->sync->connected());
-  CHECK_EQUAL(1, this->regained);
-  CHECK_EQUAL(1, this->after_outages);
+  // The answer is reported before what was read.
+  CHECK_EQUAL(2, this->answers);
+  CHECK_EQUAL(2, this->answers_at_snapshot);
   CHECK_EQUAL(61, this->store.from);
 }
 
@@ -236,9 +237,9 @@
   options.read_prefixes = {"op/", "nodes/"};
   int joined = 0;
   StoreSync::Callbacks callbacks;
-  callbacks.on_snapshot = [&joined](const std::vector<KeyValue>&, StorePosition,
-                                    bool) { ++joined; };
-  callbacks.on_regained = [] {};
+  callbacks.on_snapshot = [&joined](const std::vector<KeyValue>&,
+                                    StorePosition) { ++joined; };
+  callbacks.on_answer = [] {};
   callbacks.on_current = [](TimePoint) {};
   callbacks.on_away = [](TimePoint) {};
   StoreSync both(this->loop, this->store, this->log, this->random, options,
@@ -262,8 +263,8 @@
       Failure{Verdict::kNotRun, ErrorCode::kConflict, "history is gone"});
   this->RunUntil([this] { return this->store.reads == 2; });
   this->Answer(70);
-  CHECK_EQUAL(0, this->regained);
-  CHECK_EQUAL(0, this->after_outages);
+  CHECK_TRUE(this->away_at == TimePoint());
+  CHECK_TRUE(this->sync->connected());
 }
 
 }  // namespace
