Date a naming by the answers of peers when own reads had failed

What callers would see: after a process alone could not reach the key-value service, it used superseded weights for longer than the version bound, by up to the time for which its calls had failed.

A failed read of one process moved the time of a naming that it read next forward, since operators of a service that is away for all name nothing.

Change: the failed read counts only while no process is known to have been answered around it. A report of a peer that comes after the naming was read dates it back.

Evidence: ClusterViewTest LostCallsOfOneProcessDoNotDateANamingLater failed before (the naming was dated 3 s late).

--- a/src/process/state/cluster_view.cc
+++ b/src/process/state/cluster_view.cc
@@ -170,6 +170,7 @@
     const ReportedAnswers& answers,
     TimePoint now) {
   this->service.ApplyReport(answers, now);
+  this->ReviewNamings();
   return this->ReviewLapses();
 }
 
@@ -500,12 +501,23 @@
     return {version, now, /*assumed=*/true};
   }
   const TimePoint current_at = std::min(*this->known_current_at, now);
-  if (this->known_away_at > current_at) {
-    return {version, *this->known_away_at, /*assumed=*/true};
+  if (this->known_away_at > current_at &&
+      !this->service.AnsweredAt(*this->known_away_at)) {
+    return {version, *this->known_away_at, /*assumed=*/true, current_at};
   }
   return {version, current_at, /*assumed=*/false};
 }
 
+void ClusterView::ReviewNamings() {
+  for (auto& [model, known] : this->weights) {
+    for (WeightNaming& naming : known.namings) {
+      if (naming.current_at && this->service.AnsweredAt(naming.named_at)) {
+        naming = {naming.version, *naming.current_at, /*assumed=*/false};
+      }
+    }
+  }
+}
+
 void ClusterView::ApplyNaming(const ReportedNaming& reported, TimePoint now) {
   const auto found = this->weights.find(reported.model);
   if (found == this->weights.end() ||
@@ -525,6 +537,7 @@
   }
   at->named_at = at->assumed ? named_at : std::max(at->named_at, named_at);
   at->assumed = false;
+  at->current_at.reset();
 }
 
 void ClusterView::ForgetOldRemovals() {
--- a/src/process/state/cluster_view.h
+++ b/src/process/state/cluster_view.h
@@ -67,6 +67,9 @@
   // Whether the version may have been named before `named_at`, which is then
   // not told to peers.
   bool assumed = false;
+  // Set when `named_at` assumes that the key-value service was away for all
+  // until then: the time up to which this process knew of all changes.
+  std::optional<TimePoint> current_at{};
 };
 
 // A naming as one process tells it another.
@@ -165,8 +168,8 @@
   // at `time`.
   void NoteFailure(TimePoint time) { this->service.NoteFailure(time); }
   // Takes over what a peer has told of the key-value service, with AddTransit
-  // applied. Registrations that were taken for lapsed have left if the report
-  // shows that there was no outage; returns their removals.
+  // applied. If the report shows that there was no outage, registrations that
+  // were taken for lapsed have left; returns their removals.
   std::vector<ViewChange> ApplyAnswers(const ReportedAnswers& answers,
                                        TimePoint now);
   // When the key-value service was away for all processes.
@@ -175,8 +178,9 @@
   // are applied next.
   void NoteCurrent(TimePoint time);
   // The key-value service did not answer a call that was sent at `time`.
-  // Operators of a service that is away for all make no changes, but it may be
-  // away for this process alone, so the time is not told to peers.
+  // Operators of a service that is away for all make no changes. Even if no
+  // peer is known to have been answered then, it may have been away for this
+  // process alone, so the time is not told to peers.
   void NoteAway(TimePoint time);
   // The latest time given to NoteCurrent.
   const std::optional<TimePoint>& current_at() const {
@@ -285,6 +289,9 @@
   void NoteRevision(const std::string& key, StorePosition position);
   // Returns the naming of `version` that this process learns of at `now`.
   WeightNaming MakeNaming(int64_t version, bool observed, TimePoint now) const;
+  // Dates namings back that were made while the key-value service was away for
+  // this process alone.
+  void ReviewNamings();
   // Takes over the time of a naming from a process that may have seen it
   // earlier.
   void ApplyNaming(const ReportedNaming& reported, TimePoint now);
--- a/src/process/state/service_availability.cc
+++ b/src/process/state/service_availability.cc
@@ -108,6 +108,13 @@
   return std::nullopt;
 }
 
+bool ServiceAvailability::AnsweredAt(TimePoint time) const {
+  return std::any_of(this->periods.begin(), this->periods.end(),
+                     [time](const Period& period) {
+                       return period.begin <= time && time <= period.end;
+                     });
+}
+
 std::optional<ReportedAnswers> ServiceAvailability::Report(
     TimePoint now) const {
   if (this->periods.empty()) {
--- a/src/process/state/service_availability.h
+++ b/src/process/state/service_availability.h
@@ -70,6 +70,8 @@
   // The newest outage. A later report of a peer that was answered meanwhile can
   // show that it was none.
   std::optional<ServiceOutage> last_outage() const;
+  // Whether the service answered some process around `time`.
+  bool AnsweredAt(TimePoint time) const;
   // Returns what this process tells its peers; nothing before the first answer.
   std::optional<ReportedAnswers> Report(TimePoint now) const;
 
--- a/tests/process/state/cluster_view_test.cc
+++ b/tests/process/state/cluster_view_test.cc
@@ -197,6 +197,41 @@
   CHECK_TRUE(cut_off.Weights("m")->FirstNamedAbove(1) == named_at);
 }
 
+// Guards against work on superseded weights past their bound, since one process
+// that could not reach the service took it for away for all, where no naming is
+// made.
+TEST(ClusterViewTest, LostCallsOfOneProcessDoNotDateANamingLater) {
+  ClusterView calm{this->decoder, {}};
+  const auto read_naming = [this, &calm](bool told_before) {
+    ClusterView cut_off{this->decoder, {}};
+    cut_off.ApplyChanges({{"o/config", "config 1", 1}}, this->now);
+    this->Answer(cut_off);
+    this->Answer(calm);
+    cut_off.NoteCurrent(this->now);
+    const TimePoint current_at = this->now;
+    for (int i = 0; i < 30; ++i) {
+      this->now += milliseconds(100);
+      this->Answer(calm);
+      cut_off.NoteAway(this->now);
+      cut_off.NoteFailure(this->now);
+    }
+    this->now += milliseconds(100);
+    if (told_before) {
+      this->Tell(calm, cut_off);
+    }
+    this->Answer(cut_off);
+    cut_off.ApplySnapshot(
+        {{"o/config", "config 1", 1}, {"o/w", "weights 2", 2}}, {0, 2},
+        this->now);
+    if (!told_before) {
+      this->Tell(calm, cut_off);
+    }
+    return cut_off.Weights("m")->FirstNamedAbove(1) == current_at;
+  };
+  CHECK_TRUE(read_naming(/*told_before=*/true));
+  CHECK_TRUE(read_naming(/*told_before=*/false));
+}
+
 // Guards against an assumed time that replaces the one that a peer has seen, or
 // that spreads to peers.
 TEST(ClusterViewTest, AssumedTimeOfANamingGivesWayToAnObservedOne) {
