Put one gateway of DepartedTargetsTest in a region of its own

Cause: that a region which cannot reach the service as a whole learns of answers from other regions was only reasoned.

Change: the first gateway is the only one of its region; the case in which two are turned away cuts off that region.

--- a/tests/process/program/departed_targets_test.cc
+++ b/tests/process/program/departed_targets_test.cc
@@ -33,6 +33,7 @@
 using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
+// The first is alone in its region.
 constexpr size_t kGateways = 3;
 constexpr size_t kTargets = 6;
 constexpr size_t kCallers = 4;
@@ -409,8 +410,9 @@
     };
     std::ostringstream text;
     text << "node_name=n" << number << "\nip=" << ip
-         << "\nzone=z\nregion=q\nzones.z=q\ninternal_ports="
-         << this->internal_port << "," << this->internal_port + 15
+         << (number == 0 ? "\nzone=y\nregion=p" : "\nzone=z\nregion=q")
+         << "\nzones.y=p\nzones.z=q\ninternal_ports=" << this->internal_port
+         << "," << this->internal_port + 15
          << "\nlimits.memory_mb=260\nplatform.address="
          << this->platform->ServiceAddress(number)
          << "\nplatform.ttl_min_ms=1000\nheartbeat_ms=1200\n"
@@ -577,7 +579,8 @@
   this->CheckLeaving();
 }
 
-// Guards against the same when the service turned two of three gateways away.
+// Guards against the same when the service turned two of three gateways away,
+// among them all of one region.
 TEST(DepartedTargetsTest, TargetLeavesAfterGatewaysWereTurnedAway) {
   for (size_t i = 0; i < 2; ++i) {
     this->platform->Set(i, {.answers = false});
