--- a/src/process/node_core.cc
+++ b/src/process/node_core.cc
@@ -50,9 +50,9 @@
 constexpr milliseconds kOutageEndSlack{1000};
 // Peers show within this time that there was no outage.
 constexpr milliseconds kOutageReviewTime{10000};
-// A registration lapses when its target has been silent for three heartbeats.
-// Since the last one may have come just before an outage, none lapses in an
-// outage shorter than two heartbeats; the rest is for what peers report late.
+// A registration lapses three periods after the last heartbeat of its target. A
+// shorter outage than this swallows two heartbeats at most, so that the third
+// comes about when the registration would lapse.
 constexpr double kMaxPauseInHeartbeats = 1.5;
 // A process that watches the key-value service is answered at least once a
 // second.
--- a/src/process/state/service_availability.h
+++ b/src/process/state/service_availability.h
@@ -12,9 +12,9 @@
 namespace celerypost {
 
 struct ServiceAvailabilityOptions {
-  // Longest pause between two answers that is no outage. It is longer than the
-  // regular pauses between the calls of a fleet, and shorter than the shortest
-  // outage in which registrations lapse.
+  // Longest pause between two answers that is no outage: longer than the
+  // regular pauses between the calls of a fleet, and shorter than an outage in
+  // which many registrations lapse.
   std::chrono::milliseconds max_pause{1800};
   // How long a period is remembered after its end, and the largest number of
   // periods.
