--- a/src/process/agent_process.cc
+++ b/src/process/agent_process.cc
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 #include <nlohmann/json.hpp>
 
+#include "src/process/build_info.h"
 #include "src/process/process_http.h"
 #include "src/process/roles.h"
 #include "src/process/service_directory.h"
@@ -164,7 +165,9 @@
 
 void AgentProcess::Run() {
   this->runtime->loop.OnTerminate([this] { this->Drain(); });
-  this->runtime->log.Info("started", "the agent is running");
+  this->runtime->log.Info(
+      "started", "the agent is running",
+      {{"commit", ThisBuild().commit}, {"sources", ThisBuild().sources}});
   this->runtime->loop.Run();
   this->runtime->log.Info("stopped",
                           "all requests have ended; the agent stops");
--- a/src/process/command_line.cc
+++ b/src/process/command_line.cc
@@ -8,6 +8,7 @@
 #include <thread>
 #include <utility>
 
+#include "src/process/build_info.h"
 #include "src/process/ctl.h"
 #include "src/process/ctl_table.h"
 
@@ -16,8 +17,6 @@
 
 using Arguments = std::vector<std::string>;
 
-constexpr std::string_view kVersion = "0.1.0";
-
 std::string UsageText() {
   return "usage: celerypost entry [FLAGS]\n"
          "       celerypost agent [FLAGS]\n"
@@ -272,7 +271,9 @@
     return Fail(context, "version",
                 "unexpected argument '" + args.front() + "'");
   }
-  context.out << "celerypost " << kVersion << "\n";
+  const BuildInfo build = ThisBuild();
+  context.out << "celerypost " << build.version << " (commit " << build.commit
+              << ", sources " << build.sources << ")\n";
   return 0;
 }
 
--- a/src/process/entry_process.cc
+++ b/src/process/entry_process.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "src/process/build_info.h"
 #include "src/process/process_http.h"
 #include "src/process/roles.h"
 
@@ -180,7 +181,9 @@
 
 void EntryProcess::Run() {
   this->runtime->loop.OnTerminate([this] { this->Drain(); });
-  this->runtime->log.Info("started", "the entry is running");
+  this->runtime->log.Info(
+      "started", "the entry is running",
+      {{"commit", ThisBuild().commit}, {"sources", ThisBuild().sources}});
   this->runtime->loop.Run();
   this->runtime->log.Info("stopped",
                           "all requests have ended; the entry stops");
--- a/tests/process/command_line_test.cc
+++ b/tests/process/command_line_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "src/process/build_info.h"
 #include "src/process/ctl.h"
 
 #include "CppUTest/TestHarness.h"
@@ -123,7 +124,18 @@
     }
   }
   LONGS_EQUAL(0, this->Run({"--help"}));
+}
+
+// Guards against a program that does not tell which sources it was built from.
+TEST(CommandLineTest, VersionNamesTheCommitAndTheSources) {
   LONGS_EQUAL(0, this->Run({"version"}));
+  const BuildInfo build = ThisBuild();
+  CHECK_TRUE(build.sources != "unknown");
+  STRCMP_EQUAL(("celerypost " + std::string(build.version) + " (commit " +
+                std::string(build.commit) + ", sources " +
+                std::string(build.sources) + ")\n")
+                   .c_str(),
+               this->out.str().c_str());
 }
 
 // Guards against a flag that the operators' page does not describe, or
