Placement: use targets that may have left after all others

Change: ClusterView keeps when a registration was found to be gone. The half of the candidates that was registered last, with those missing for as long, goes first; the others are used when none of the first has room. This works since it needs no certainty: registered targets replace the missing one, and where all are missing alike, as after an outage in which all lapsed, nothing changes.

--- a/src/process/gateway/target_selector.cc
+++ b/src/process/gateway/target_selector.cc
@@ -318,6 +318,9 @@
     candidate.same_region =
         this->RegionOf(target.entry.zone) == this->options.region;
     candidate.failure_share = this->book.FailureShare(id);
+    if (target.removed_at) {
+      candidate.unregistered_for = now - *target.removed_at;
+    }
     const StagerReport* const report = this->FreshReport(target.entry, now);
     if (report != nullptr && report->loads_at) {
       candidate.reload_in =
@@ -371,6 +374,8 @@
   selection.load = candidates[*placement.candidate].load;
   selection.entry_age =
       std::chrono::duration_cast<milliseconds>(now - chosen.read_at);
+  selection.unregistered_for = std::chrono::duration_cast<milliseconds>(
+      candidates[*placement.candidate].unregistered_for);
   if (version_floor) {
     selection.required_version =
         this->ServedVersion(chosen.entry, service->second, now);
--- a/src/process/gateway/target_selector.h
+++ b/src/process/gateway/target_selector.h
@@ -65,10 +65,11 @@
   // As in AdmissionDecision.
   std::optional<int> urgency;
   // For the log: the load that the choice was based on, the time since the
-  // target's registration was read, the number of eligible targets, and the
-  // predicted time to the first event.
+  // target's registration was read, PlacementCandidate::unregistered_for, the
+  // number of eligible targets, and the predicted time to the first event.
   EngineLoad load;
   std::chrono::milliseconds entry_age{0};
+  std::chrono::milliseconds unregistered_for{0};
   size_t candidates = 0;
   std::chrono::milliseconds predicted{0};
   SizeLean size_lean;
--- a/src/process/state/cluster_view.cc
+++ b/src/process/state/cluster_view.cc
@@ -142,7 +142,8 @@
 void ClusterView::LimitToOutageGrace(KnownTarget& target, TimePoint now) {
   const auto grace_end = this->OutageGraceEnd();
   target.usable_until = grace_end.value_or(now + this->options.outage_grace);
-  target.lapse_read_at = grace_end ? std::optional(now) : std::nullopt;
+  target.removed_at = now;
+  target.may_have_lapsed = grace_end.has_value();
   this->may_have_lapses = true;
 }
 
@@ -156,6 +157,7 @@
   const auto outage = this->service.last_outage();
   if (!outage || now >= outage->ended_at + this->options.outage_grace) {
     target.usable_until = now + this->options.removal_grace;
+    target.removed_at = now;
     return "left";
   }
   this->LimitToOutageGrace(target, now);
@@ -182,10 +184,10 @@
   this->may_have_lapses = false;
   const auto grace_end = this->OutageGraceEnd();
   for (auto& [id, target] : this->known_targets) {
-    if (!target.lapse_read_at) {
+    if (!target.may_have_lapsed) {
       continue;
     }
-    const TimePoint read_at = *target.lapse_read_at;
+    const TimePoint read_at = *target.removed_at;
     const bool lapsed = grace_end && read_at < *grace_end;
     // A later outage doesn't extend the use.
     target.usable_until =
@@ -193,7 +195,7 @@
                  lapsed ? *grace_end : read_at + this->options.removal_grace);
     this->may_have_lapses = this->may_have_lapses || lapsed;
     if (!lapsed) {
-      target.lapse_read_at.reset();
+      target.may_have_lapsed = false;
       changes.push_back({std::string(this->decoder.TargetPrefix()) + id,
                          this->newest, "removed",
                          "left; peers were answered in the meantime"});
@@ -343,7 +345,8 @@
         this->known_targets.find(std::get<TargetRegistration>(document).id);
     if (target != this->known_targets.end()) {
       target->second.usable_until.reset();
-      target->second.lapse_read_at.reset();
+      target->second.removed_at.reset();
+      target->second.may_have_lapsed = false;
     }
   }
 }
@@ -424,7 +427,7 @@
     result.detail = "version " + std::to_string((*config)->version);
   } else if (const auto* target = std::get_if<TargetRegistration>(&*decoded)) {
     KnownTarget& known = this->known_targets[target->id];
-    known = KnownTarget{*target, now, std::nullopt, std::nullopt};
+    known = KnownTarget{.entry = *target, .read_at = now};
     if (!confirmed && change.era < this->newest.era) {
       this->LimitToOutageGrace(known, now);
     }
--- a/src/process/state/cluster_view.h
+++ b/src/process/state/cluster_view.h
@@ -52,10 +52,11 @@
   TargetRegistration entry;
   TimePoint read_at{};
   // Set when the registration is gone: no requests are sent from this time on.
-  std::optional<TimePoint> usable_until;
-  // Set when the registration is taken for one that lapsed in an outage: when
-  // this process read that it is gone.
-  std::optional<TimePoint> lapse_read_at;
+  std::optional<TimePoint> usable_until{};
+  // Set when the registration is gone: when this process read that.
+  std::optional<TimePoint> removed_at{};
+  // Whether the registration is taken for one that lapsed in an outage.
+  bool may_have_lapsed = false;
 };
 
 // A weight version that operators named as the one to serve.
--- a/src/request/late_admission.cc
+++ b/src/request/late_admission.cc
@@ -73,11 +73,15 @@
                              !this->Admits(state->second, request, now))) {
     return std::nullopt;
   }
+  const Duration longest_absence = LongestPreferredAbsence(candidates);
   std::optional<LatePlacement> best;
   Milliseconds best_predicted{0};
   for (size_t i = 0; i < std::min(this->options.compared, candidates.size());
        ++i) {
     const size_t index = this->random.Below(candidates.size());
+    if (candidates[index].unregistered_for > longest_absence) {
+      continue;
+    }
     const auto predicted = this->Judge(rates, candidates[index], request);
     if (predicted && (!best || *predicted < best_predicted)) {
       const EngineLoad& load = candidates[index].load;
--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -43,6 +43,10 @@
   return *quarter;
 }
 
+bool HasFreeSlot(const PlacementCandidate& candidate) {
+  return candidate.load.in_flight < candidate.slots;
+}
+
 class PredictivePolicy : public PlacementPolicy {
  public:
   PredictivePolicy(PlacementOptions options, Random& random)
@@ -130,15 +134,17 @@
   std::vector<std::vector<size_t>> DrawGroups(
       const std::vector<PlacementCandidate>& candidates,
       size_t compared) {
-    const std::vector<size_t> order = this->DrawOrder(candidates.size());
-    if (compared == 0) {
-      return {order};
-    }
-    std::vector<std::vector<size_t>> groups(2);
-    for (const size_t index : order) {
-      std::vector<size_t>& group =
-          groups[candidates[index].same_region ? 0 : 1];
-      if (group.size() < compared) {
+    constexpr size_t kRegionGroups = 2;
+    const Duration longest_absence = LongestPreferredAbsence(candidates);
+    const size_t max_size = compared == 0 ? candidates.size() : compared;
+    std::vector<std::vector<size_t>> groups(2 * kRegionGroups);
+    for (const size_t index : this->DrawOrder(candidates.size())) {
+      const PlacementCandidate& candidate = candidates[index];
+      const size_t first_group =
+          candidate.unregistered_for <= longest_absence ? 0 : kRegionGroups;
+      const bool is_far = compared > 0 && !candidate.same_region;
+      std::vector<size_t>& group = groups[first_group + (is_far ? 1 : 0)];
+      if (group.size() < max_size) {
         group.push_back(index);
       }
     }
@@ -211,12 +217,32 @@
     return placement;
   }
 
+  // Returns the indexes of the candidates that are compared without an engine.
+  static std::vector<size_t> ChoicesWithoutEngine(
+      const std::vector<PlacementCandidate>& candidates) {
+    const Duration longest_absence = LongestPreferredAbsence(candidates);
+    std::vector<size_t> preferred;
+    bool has_room = false;
+    for (size_t i = 0; i < candidates.size(); ++i) {
+      if (candidates[i].unregistered_for <= longest_absence) {
+        preferred.push_back(i);
+        has_room = has_room || HasFreeSlot(candidates[i]);
+      }
+    }
+    if (!has_room) {
+      preferred.resize(candidates.size());
+      std::iota(preferred.begin(), preferred.end(), 0);
+    }
+    return preferred;
+  }
+
   Placement PlacePlain(const std::vector<PlacementCandidate>& candidates) {
     Placement placement;
     double best = std::numeric_limits<double>::max();
-    const size_t start = this->random.Below(candidates.size());
-    for (size_t i = 0; i < candidates.size(); ++i) {
-      const size_t index = (start + i) % candidates.size();
+    const std::vector<size_t> choices = ChoicesWithoutEngine(candidates);
+    const size_t start = this->random.Below(choices.size());
+    for (size_t i = 0; i < choices.size(); ++i) {
+      const size_t index = choices[(start + i) % choices.size()];
       const PlacementCandidate& candidate = candidates[index];
       // Estimated time that a request occupies a slot.
       constexpr double kSlotTimeMs = 20;
@@ -321,6 +347,22 @@
 
 }  // namespace
 
+Duration LongestPreferredAbsence(
+    const std::vector<PlacementCandidate>& candidates) {
+  if (candidates.empty()) {
+    return Duration(0);
+  }
+  std::vector<Duration> absences;
+  absences.reserve(candidates.size());
+  for (const PlacementCandidate& candidate : candidates) {
+    absences.push_back(candidate.unregistered_for);
+  }
+  const auto last_preferred =
+      absences.begin() + static_cast<ptrdiff_t>((absences.size() - 1) / 2);
+  std::nth_element(absences.begin(), last_preferred, absences.end());
+  return *last_preferred;
+}
+
 std::unique_ptr<PlacementPolicy> MakePredictivePolicy(PlacementOptions options,
                                                       Random& random) {
   return std::make_unique<PredictivePolicy>(options, random);
--- a/src/request/placement.h
+++ b/src/request/placement.h
@@ -23,6 +23,10 @@
   bool same_region = false;
   // Share of its recent attempts that failed.
   double failure_share = 0;
+  // Time since this gateway learned that the target's registration is gone; 0
+  // while it is registered. Such a target has left, or its registration lapsed
+  // in an outage and the target is about to register again.
+  Duration unregistered_for{0};
   // Time until the target finishes its running requests and loads other
   // weights; absent when it is not about to.
   std::optional<std::chrono::milliseconds> reload_in;
@@ -37,6 +41,14 @@
   double reference_tokens = 0;
 };
 
+// Returns the longest PlacementCandidate::unregistered_for of the targets that
+// are used before the others: the half of the candidates that were registered
+// last, and those that are missing for as long as one of these. If only
+// registered targets were used, the first ones that register again after an
+// outage would get the load of all.
+Duration LongestPreferredAbsence(
+    const std::vector<PlacementCandidate>& candidates);
+
 // The request to place.
 struct PlacementRequest {
   double prompt_tokens = 0;
@@ -119,6 +131,8 @@
 // idle target for it.
 // Without an engine, the load per slot stands for the predicted time and
 // nothing is refused while there is a candidate.
+// Targets above LongestPreferredAbsence are only used when no other one is
+// predicted to be on time or, without an engine, has a free slot.
 std::unique_ptr<PlacementPolicy> MakePredictivePolicy(PlacementOptions options,
                                                       Random& random);
 // Baselines: the target with the fewest requests in flight, and the less loaded
--- a/tests/process/gateway/target_selector_test.cc
+++ b/tests/process/gateway/target_selector_test.cc
@@ -97,6 +97,33 @@
   STRCMP_EQUAL("tried", this->Choose().c_str());
 }
 
+// Guards against requests to a target whose registration is gone, while there
+// are registered ones, and against a refusal where there are none.
+TEST(TargetSelectorTest, RegisteredTargetsGoBeforeThoseThatMayHaveLapsed) {
+  this->Apply("t1", this->Target("t1", "north-a"));
+  this->Apply("t2", this->Target("t2", "south-a"));
+  this->view.NoteAnswer(0, this->now, this->now);
+  this->now += milliseconds(3000);
+  this->view.NoteFailure(this->now - milliseconds(1000));
+  this->view.NoteAnswer(0, this->now, this->now);
+  const auto remove = [this](const std::string& key) {
+    this->view.ApplyChanges({{key, "", ++this->revision}}, this->now);
+    this->now += milliseconds(500);
+  };
+  STRCMP_EQUAL("t1", this->Choose().c_str());
+  remove("t1");
+  for (int i = 0; i < 20; ++i) {
+    STRCMP_EQUAL("t2", this->Choose().c_str());
+  }
+  remove("t2");
+  STRCMP_EQUAL("t2", this->Choose().c_str());
+  this->request.tried.insert("t2");
+  STRCMP_EQUAL("t1", this->Choose().c_str());
+  this->Apply("t1", this->Target("t1", "north-a"));
+  this->request.tried.clear();
+  STRCMP_EQUAL("t1", this->Choose().c_str());
+}
+
 // Guards against requests to a target that has said it leaves, while the
 // key-value service is silent, restored or older documents call it ready.
 TEST(TargetSelectorTest, ATargetThatSaidItLeavesGetsNothing) {
--- a/tests/process/program/departed_targets_test.cc
+++ b/tests/process/program/departed_targets_test.cc
@@ -51,6 +51,8 @@
 struct ServiceState {
   bool answers = true;
   bool answers_lease_calls = true;
+  // Closes the connection of each call.
+  bool turns_away = false;
 };
 
 // The key-value service, with a listener for each gateway, and targets, on a
@@ -226,6 +228,10 @@
     const bool is_lease_call =
         path.starts_with("/kv-lease") || path.starts_with("/kv-keep");
     const ServiceState& state = this->states[gateway];
+    if (state.turns_away) {
+      responder->Abort();
+      return;
+    }
     if (!state.answers || (is_lease_call && !state.answers_lease_calls)) {
       this->unanswered.push_back(responder);
       return;
@@ -465,25 +471,44 @@
     return all;
   }
 
+  // The service refuses the calls of all gateways, and serves targets and
+  // operators meanwhile, until SetAll is called with other states.
+  void TurnAllAway() {
+    this->SetAll({.turns_away = true});
+    for (size_t i = 0; i < kGateways; ++i) {
+      this->platform->CutWaitingWatches(i);
+    }
+  }
+  void SetAll(ServiceState state) {
+    for (size_t i = 0; i < kGateways; ++i) {
+      this->platform->Set(i, state);
+    }
+  }
+
   // Removes the registrations of targets, which serve on, one after the other,
   // since gateways notice the end of their trouble at different times. Checks
   // that none gets a request past the drain bound.
-  void CheckLeaving() {
+  void CheckLeaving(milliseconds before_first = milliseconds(200)) {
     constexpr milliseconds kBetween{200};
     std::vector<Clock::time_point> left_at;
     for (size_t i = 0; i + 1 < kTargets; ++i) {
-      std::this_thread::sleep_for(kBetween);
+      std::this_thread::sleep_for(i == 0 ? before_first : kBetween);
       left_at.push_back(Clock::now());
       this->platform->Unregister(i);
     }
     std::this_thread::sleep_for(kDrainBound + milliseconds(700));
+    this->CheckDrainBound(left_at);
+  }
+
+  // Checks that the targets that left at these times got no request past the
+  // drain bound, and that the others go on.
+  void CheckDrainBound(const std::vector<Clock::time_point>& left_at) {
     for (size_t i = 0; i < left_at.size(); ++i) {
       const milliseconds last = this->LastSentTo(i, left_at[i]);
       std::printf("target %zu: last request %ld ms after the removal\n", i,
                   static_cast<long>(last.count()));
       CHECK_TRUE_TEXT(last <= kDrainBound, this->Logs().c_str());
     }
-    // The last target goes on.
     CHECK_TRUE(this->CountAnswered(left_at.back()) > 50);
   }
 
@@ -513,9 +538,7 @@
   void CheckOutage(milliseconds lapse_after) {
     constexpr milliseconds kOutage{4000};
     const auto began_at = Clock::now();
-    for (size_t i = 0; i < kGateways; ++i) {
-      this->platform->Set(i, {.answers = false});
-    }
+    this->SetAll({.answers = false});
     const auto at = [began_at](milliseconds time, const auto& task) {
       std::this_thread::sleep_until(began_at + time);
       task();
@@ -525,11 +548,7 @@
         this->platform->Unregister(i);
       }
     };
-    const auto end = [this] {
-      for (size_t i = 0; i < kGateways; ++i) {
-        this->platform->Set(i, {});
-      }
-    };
+    const auto end = [this] { this->SetAll({}); };
     if (lapse_after < kOutage) {
       at(lapse_after, lapse);
       at(kOutage, end);
@@ -607,6 +626,29 @@
   this->CheckLeaving();
 }
 
+// Guards against the same when the service had turned all gateways away, which
+// they cannot tell from an outage.
+TEST(DepartedTargetsTest, TargetLeavesJustAfterAllGatewaysWereTurnedAway) {
+  this->TurnAllAway();
+  std::this_thread::sleep_for(milliseconds(1900));
+  this->SetAll({});
+  this->CheckLeaving(milliseconds(50));
+}
+
+// Guards against the same when the target leaves before the gateways are
+// answered again.
+TEST(DepartedTargetsTest, TargetLeavesWhileAllGatewaysAreTurnedAway) {
+  this->TurnAllAway();
+  std::this_thread::sleep_for(milliseconds(2500));
+  const auto left_at = Clock::now();
+  this->platform->Unregister(0);
+  this->platform->Unregister(1);
+  std::this_thread::sleep_for(milliseconds(1000));
+  this->SetAll({});
+  std::this_thread::sleep_for(kDrainBound + milliseconds(700));
+  this->CheckDrainBound({left_at, left_at});
+}
+
 // Guards against gateways without targets after an outage in which the
 // registrations lapsed.
 TEST(DepartedTargetsTest, RegistrationsLapseInAnOutage) {
--- a/tests/request/late_responses_test.cc
+++ b/tests/request/late_responses_test.cc
@@ -2,6 +2,7 @@
 
 #include <set>
 #include <string>
+#include <vector>
 
 #include "tests/request/fleet_load.h"
 
@@ -239,6 +240,21 @@
   CHECK_FALSE(this->Places(0, 0));
 }
 
+// Guards against late requests that wait at a target that may have left.
+TEST(LateAdmissionTest, UsesNoTargetThatIsMissingLongerThanOthers) {
+  std::vector<PlacementCandidate> candidates(2);
+  candidates[0].slots = candidates[1].slots = this->rates.slots;
+  candidates[0].unregistered_for = milliseconds(300);
+  size_t placed = 0;
+  for (int i = 0; i < 100; ++i) {
+    const auto placement =
+        this->late.Place(this->rates, candidates, this->request, this->now);
+    placed += placement ? 1 : 0;
+    CHECK_TRUE(!placement || placement->candidate == 1);
+  }
+  CHECK_TRUE(placed > 0);
+}
+
 // Guards against late requests that wait in vain while an overload lasts.
 TEST(LateAdmissionTest, StopsWhileLateRequestsDoNotBegin) {
   const TimePoint sent_at = this->now;
--- a/tests/request/placement_test.cc
+++ b/tests/request/placement_test.cc
@@ -1,8 +1,10 @@
 #include "src/request/placement.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "tests/request/model_load.h"
 
@@ -129,6 +131,77 @@
   CHECK_EQUAL(1u, *placement.candidate);
 }
 
+// Guards against requests to targets that may have left while registered ones
+// have room, and against refusals while only those have room.
+TEST(PlacementTest, TargetsWithoutRegistrationAreUsedLast) {
+  const auto policy = MakePredictivePolicy({}, this->random);
+  PlacementCandidate missing = this->Candidate(0, 0);
+  missing.unregistered_for = milliseconds(300);
+  const PlacementCandidate busy = this->Candidate(8, 900);
+  for (const EngineRates* const rates :
+       {static_cast<const EngineRates*>(nullptr),
+        static_cast<const EngineRates*>(&this->rates)}) {
+    for (const size_t compared : {size_t{0}, size_t{2}}) {
+      this->request.compared = compared;
+      CHECK_EQUAL(
+          1u, *policy->Place(rates, {missing, busy}, this->request).candidate);
+      CHECK_EQUAL(0u, *policy
+                           ->Place(rates, {missing, this->Candidate(20, 6000)},
+                                   this->request)
+                           .candidate);
+      CHECK_EQUAL(0u,
+                  *policy->Place(rates, {missing}, this->request).candidate);
+    }
+  }
+}
+
+// Guards against targets that left one after the other and of which the first
+// is used again once most are gone.
+TEST(PlacementTest, TargetsThatAreMissingLongestAreUsedLast) {
+  std::vector<PlacementCandidate> candidates;
+  for (int i = 0; i < 6; ++i) {
+    candidates.push_back(this->Candidate(0, 0));
+    candidates.back().unregistered_for = milliseconds(200) * i;
+  }
+  CHECK_TRUE(LongestPreferredAbsence(candidates) == milliseconds(400));
+  CHECK_TRUE(LongestPreferredAbsence({}) == milliseconds(0));
+}
+
+// Guards against targets that get the load of all others since they are the
+// first ones to register again after an outage in which all registrations
+// lapsed, in fleets whose gateways do not know of each other's choices.
+TEST(PlacementTest, FirstTargetsThatReturnGetNoMoreThanTwiceTheirShare) {
+  for (const size_t gateways : {size_t{7}, size_t{400}}) {
+    for (const size_t targets : {size_t{6}, size_t{100}}) {
+      for (size_t returned = 1; returned <= targets; ++returned) {
+        std::vector<PlacementCandidate> candidates;
+        for (size_t i = 0; i < targets; ++i) {
+          candidates.push_back(this->Candidate(0, 0));
+          candidates.back().unregistered_for =
+              milliseconds(i < returned ? 0 : 1500);
+        }
+        std::vector<size_t> sent(targets);
+        constexpr size_t kPerTarget = 200;
+        const auto policy = MakePredictivePolicy({}, this->random);
+        for (size_t i = 0; i < kPerTarget * targets; ++i) {
+          // Each gateway sees its own requests of the last moments only.
+          if (i % (kPerTarget * targets / gateways + 1) == 0) {
+            for (PlacementCandidate& candidate : candidates) {
+              candidate.load.in_flight = 0;
+            }
+          }
+          const size_t chosen =
+              *policy->Place(nullptr, candidates, this->request).candidate;
+          ++candidates[chosen].load.in_flight;
+          ++sent[chosen];
+        }
+        CHECK_TRUE(*std::max_element(sent.begin(), sent.end()) <=
+                   kPerTarget * 5 / 2);
+      }
+    }
+  }
+}
+
 // Guards against choosing a target when there is no candidate.
 TEST(PlacementTest, NoCandidateIsARefusal) {
   const auto policy = MakePredictivePolicy({}, this->random);
