--- a/tests/tools/configure_test.sh
+++ b/tests/tools/configure_test.sh
@@ -53,9 +53,9 @@
 build "$folder/b" || true
 expect "build folder of another place" third "$folder/b"
 
-before=$(stat -c %Y "$folder/b/target/celerypost")
+before=$(stat -c %y "$folder/b/target/celerypost")
 build "$folder/b"
-if [ "$(stat -c %Y "$folder/b/target/celerypost")" != "$before" ]; then
+if [ "$(stat -c %y "$folder/b/target/celerypost")" != "$before" ]; then
   echo "FAILED second build: a program of the same sources was built again"
   failed=1
 fi
